Set up the build, the schema files and the library's foundations

Cause: there was no project yet. Change: four Maven modules with formatter, linter and tests; schema files and committed generated code; result codes, checked settings, structured logs, and clients of platform, upstreams and peers.

--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
@@ -0,0 +1,239 @@
+package io.parsleycleat.core.connection.peer;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import io.parsleycleat.core.process.identity.ProcessIdentity;
+import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.result.Failures;
+import io.parsleycleat.core.process.result.PeerException;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.core.process.settings.IpAddresses;
+import io.parsleycleat.wire.peer.Frame;
+import io.parsleycleat.wire.peer.Hello;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
+
+/**
+ * Connections to other processes over TCP: length-prefixed protobuf frames, one outgoing connection for each peer.
+ *
+ * <p>Created once by the process; safe to share between threads. Handlers run on the connection's event loop.
+ */
+public final class NettyPeerTransport implements PeerClient, FrameRouter, AutoCloseable {
+    /** Version of the frames that this build speaks. */
+    public static final int PROTOCOL_VERSION = 1;
+
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final Duration HELLO_TIMEOUT = Duration.ofSeconds(2);
+
+    private final ProcessIdentity identity;
+    private final EventLoopGroup loops;
+    private final LongSupplier configurationVersion;
+    private final BiConsumer<PeerChannel, Frame> observer;
+    private final Map<Frame.BodyCase, FrameHandler> handlers = new ConcurrentHashMap<>();
+    private final Map<String, CompletableFuture<NettyPeerChannel>> outgoing = new ConcurrentHashMap<>();
+    private final Map<Channel, Boolean> accepted = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a transport that sends nothing yet.
+     *
+     * @param configurationVersion the version that is told with every frame
+     * @param observer sees every frame that arrives, before its handler
+     */
+    public NettyPeerTransport(
+            ProcessIdentity identity,
+            EventLoopGroup loops,
+            LongSupplier configurationVersion,
+            BiConsumer<PeerChannel, Frame> observer) {
+        this.identity = identity;
+        this.loops = loops;
+        this.configurationVersion = configurationVersion;
+        this.observer = observer;
+    }
+
+    // Public operations
+
+    /** Starts to accept connections and returns the bound address. */
+    public InetSocketAddress listen(InetSocketAddress address) {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(initializer(IpAddresses.format(address)));
+        Channel channel = bootstrap.bind(address).syncUninterruptibly().channel();
+        accepted.put(channel, true);
+        return (InetSocketAddress) channel.localAddress();
+    }
+
+    @Override
+    public void register(Frame.BodyCase kind, FrameHandler handler) {
+        if (handlers.putIfAbsent(kind, handler) != null) {
+            throw new IllegalStateException("two handlers for " + kind);
+        }
+    }
+
+    @Override
+    public CompletableFuture<Frame> request(String peerAddress, Frame.Builder frame, Duration timeout) {
+        return connectNetty(peerAddress).thenCompose(channel -> channel.request(frame, timeout));
+    }
+
+    @Override
+    public void send(String peerAddress, Frame.Builder frame) {
+        connectNetty(peerAddress).whenComplete((channel, failure) -> {
+            if (failure != null) {
+                logger.atFine().with(LogKeys.PEER, peerAddress).log("a frame could not be sent");
+            } else {
+                channel.send(frame.build());
+            }
+        });
+    }
+
+    @Override
+    public CompletableFuture<PeerChannel> connect(String peerAddress) {
+        return connectNetty(peerAddress).thenApply(channel -> channel);
+    }
+
+    @Override
+    public void close() {
+        accepted.keySet().forEach(Channel::close);
+        outgoing.values().forEach(f -> f.thenAccept(NettyPeerChannel::close));
+    }
+
+    // Used by the channels
+
+    Hello hello() {
+        return Hello.newBuilder()
+                .setVmName(identity.vmName())
+                .setRole(identity.role().label())
+                .setIncarnation(identity.incarnation())
+                .setDataCentre(identity.dataCentre())
+                .setRegion(identity.region())
+                .setProtocolVersion(PROTOCOL_VERSION)
+                .build();
+    }
+
+    long configurationVersion() {
+        return configurationVersion.getAsLong();
+    }
+
+    void dispatch(NettyPeerChannel from, Frame frame) {
+        observer.accept(from, frame);
+        if (frame.getReply()) {
+            from.completeRequest(frame);
+            return;
+        }
+        FrameHandler handler = handlers.get(frame.getBodyCase());
+        if (handler == null) {
+            logger.atWarning().log("no handler for frame %s", frame.getBodyCase());
+            return;
+        }
+        handler.handle(from, frame);
+    }
+
+    // Internals
+
+    private CompletableFuture<NettyPeerChannel> connectNetty(String peerAddress) {
+        CompletableFuture<NettyPeerChannel> known = outgoing.get(peerAddress);
+        if (known != null) {
+            return known;
+        }
+        CompletableFuture<NettyPeerChannel> created = new CompletableFuture<>();
+        CompletableFuture<NettyPeerChannel> earlier = outgoing.putIfAbsent(peerAddress, created);
+        if (earlier != null) {
+            return earlier;
+        }
+        open(peerAddress).whenComplete((channel, failure) -> {
+            if (failure != null) {
+                outgoing.remove(peerAddress, created);
+                created.completeExceptionally(Failures.unwrap(failure));
+            } else {
+                channel.onClose(() -> outgoing.remove(peerAddress, created));
+                created.complete(channel);
+            }
+        });
+        return created;
+    }
+
+    private CompletableFuture<NettyPeerChannel> open(String peerAddress) {
+        CompletableFuture<NettyPeerChannel> opened = new CompletableFuture<>();
+        InetSocketAddress address = IpAddresses.parse(peerAddress).orElse(null);
+        if (address == null) {
+            return CompletableFuture.failedFuture(
+                    new PeerException(ResultCode.PEER_UNREACHABLE, "not an IP address and port", peerAddress));
+        }
+        new Bootstrap()
+                .group(loops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(initializer(peerAddress))
+                .connect(address)
+                .addListener((io.netty.channel.ChannelFuture f) -> {
+                    if (f.isSuccess()) {
+                        NettyPeerChannel channel = f.channel().pipeline().get(NettyPeerChannel.class);
+                        channel.awaitHello(HELLO_TIMEOUT).whenComplete((ok, failure) -> {
+                            if (failure != null) {
+                                f.channel().close();
+                                opened.completeExceptionally(failure);
+                            } else {
+                                opened.complete(channel);
+                            }
+                        });
+                    } else {
+                        opened.completeExceptionally(
+                                new PeerException(ResultCode.PEER_UNREACHABLE, String.valueOf(f.cause()), peerAddress));
+                    }
+                });
+        return opened;
+    }
+
+    private ChannelInitializer<SocketChannel> initializer(String address) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline()
+                        .addLast(new BoundedFrameDecoder())
+                        .addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
+                        .addLast(new ProtobufVarint32LengthFieldPrepender())
+                        .addLast(new ProtobufEncoder())
+                        .addLast(new NettyPeerChannel(NettyPeerTransport.this, address));
+                accepted.put(channel, true);
+                channel.closeFuture().addListener(f -> accepted.remove(channel));
+            }
+        };
+    }
+
+    /** Refuses frames above the size limit before they are collected. Created for each connection. */
+    private static final class BoundedFrameDecoder extends ProtobufVarint32FrameDecoder {
+        private static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
+
+        @Override
+        protected void decode(
+                io.netty.channel.ChannelHandlerContext context, io.netty.buffer.ByteBuf in, java.util.List<Object> out)
+                throws Exception {
+            if (in.readableBytes() > MAX_FRAME_BYTES) {
+                in.skipBytes(in.readableBytes());
+                throw new io.netty.handler.codec.TooLongFrameException("frame above " + MAX_FRAME_BYTES + " bytes");
+            }
+            super.decode(context, in, out);
+        }
+    }
+}
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/logging/Logging.java
@@ -0,0 +1,24 @@
+package io.parsleycleat.core.process.logging;
+
+import java.util.Arrays;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.Logger;
+
+/** Sets up the structured log of a process. Called once at the start. */
+public final class Logging {
+    private Logging() {}
+
+    /** Sends records of at least this level to standard error, one JSON object a line. */
+    public static void start(String vmName, Level level) {
+        Logger root = LogManager.getLogManager().getLogger("");
+        Arrays.stream(root.getHandlers()).forEach(root::removeHandler);
+        Handler handler = new ConsoleHandler();
+        handler.setFormatter(new JsonLogFormatter(vmName));
+        handler.setLevel(level);
+        root.addHandler(handler);
+        root.setLevel(level);
+    }
+}
