--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/result/ResultCode.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/result/ResultCode.java
@@ -59,6 +59,7 @@
     DEADLINE_PASSED(2007, ResultClass.MAY_HAVE_RUN, 504, "The deadline passed while the request ran."),
     CANCELLED(2008, ResultClass.MAY_HAVE_RUN, 499, "The caller left while the request ran."),
     FAILURE_UNEXPECTED(2009, ResultClass.MAY_HAVE_RUN, 500, "An unexpected failure; see the process's log."),
+    OUTCOME_TOO_LARGE(2010, ResultClass.MAY_HAVE_RUN, 409, "An earlier attempt ran; its answer was too large to keep."),
 
     SETTINGS_UNREADABLE(3001, ResultClass.CONFIGURATION, 400, "The settings file cannot be read as JSON."),
     SETTINGS_FIELD_UNKNOWN(3002, ResultClass.CONFIGURATION, 400, "There is no such settings field."),
