--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/result/ResultCode.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/result/ResultCode.java
@@ -49,6 +49,7 @@
     QUARANTINED(1046, ResultClass.NOT_RUN, 422, "The request crashed upstreams and is in quarantine."),
     LEASE_LAPSED(1047, ResultClass.NOT_RUN, 503, "The side no longer holds its upstream."),
     UPSTREAM_REFUSED(1048, ResultClass.NOT_RUN, 503, "The upstream refused the request before running it."),
+    FAILURE_BEFORE_RUN(1049, ResultClass.NOT_RUN, 500, "An unexpected failure before the run; see the process's log."),
 
     UPSTREAM_CRASHED(2001, ResultClass.MAY_HAVE_RUN, 502, "The upstream crashed while the request ran."),
     UPSTREAM_LOST(2002, ResultClass.MAY_HAVE_RUN, 502, "The connection to the upstream was lost."),
