Add the token escrow and the epochs of its homes

Cause: no process held a client account to one rate and burst over the fleet. Returns are displaced by newly minted tokens, lent room is not minted again before its term, so that the parts never hold more than the burst together.

--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/HomeAccount.java
@@ -0,0 +1,380 @@
+package io.parsleycleat.core.process.limits;
+
+import io.parsleycleat.core.process.membership.Epoch;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.wire.configuration.Account;
+import io.parsleycleat.wire.escrow.EpochMember;
+import io.parsleycleat.wire.escrow.HandOver;
+import io.parsleycleat.wire.escrow.HandOverAnswer;
+import io.parsleycleat.wire.escrow.Lend;
+import io.parsleycleat.wire.escrow.LendAnswer;
+import io.parsleycleat.wire.escrow.Settlement;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One account's budget at one entry, as far as the entry is a home of it. Each is a shard with a lock of its own.
+ *
+ * <p>Created by {@link EscrowLimiter} for each account; safe to share between threads.
+ */
+final class HomeAccount {
+    private static final int MAX_LOAN_ROUNDS = 3;
+    private static final double MILLIS_PER_SECOND = 1000;
+    private static final double ROUNDING_TOKENS = 1e-6;
+
+    /** A debit that waits for a loan. */
+    private record Waiting(String id, double tokens, int rounds, CompletableFuture<DebitDecision> result) {
+        Waiting withRound() {
+            return new Waiting(id, tokens, rounds + 1, result);
+        }
+    }
+
+    private final String vmName;
+    private final TimeSource time;
+    private final BooleanSupplier standing;
+    private final Lenders lenders;
+    private final EscrowSettings settings;
+
+    private final Object lock = new Object();
+    private final List<PartSlot> slots;
+    private final BudgetPart budget;
+    private final long createdNanos;
+    private final RecentDebits recent;
+    private final LenderEstimates estimates = new LenderEstimates();
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private Account account;
+    private Epoch epoch = Epoch.NONE;
+    private Map<String, EpochMember> others = Map.of();
+    private Map<String, Integer> partCounts = Map.of();
+    private boolean borrowing;
+    private long loanCount;
+
+    HomeAccount(
+            Account account,
+            boolean newAccount,
+            String vmName,
+            TimeSource time,
+            BooleanSupplier standing,
+            Lenders lenders,
+            EscrowSettings settings) {
+        this.account = account;
+        this.vmName = vmName;
+        this.time = time;
+        this.standing = standing;
+        this.lenders = lenders;
+        this.settings = settings;
+        this.slots = IntStream.range(0, Parts.COUNT)
+                .mapToObj(part -> new PartSlot(newAccount))
+                .toList();
+        this.createdNanos = time.monotonicNanos();
+        this.budget = new BudgetPart(ratePerPart(account), burstPerPart(account), createdNanos);
+        this.recent = new RecentDebits();
+    }
+
+    // Configuration and epochs
+
+    /** Takes in a changed rate or burst. */
+    void configure(Account changed) {
+        synchronized (lock) {
+            account = changed;
+            budget.configure(ratePerPart(changed), burstPerPart(changed), time.monotonicNanos());
+        }
+    }
+
+    /** Takes in the next epoch. */
+    void adopt(Epoch next, List<Epoch> earlier) {
+        String id = account.getId();
+        List<EpochMember> owners = Parts.owners(id, next);
+        Map<Integer, Set<String>> former = formerOwners(id, earlier);
+        synchronized (lock) {
+            epoch = next;
+            long now = time.monotonicNanos();
+            others = owners.stream()
+                    .filter(m -> !m.getVmName().equals(vmName))
+                    .collect(Collectors.toMap(EpochMember::getVmName, m -> m, (a, b) -> a));
+            partCounts = owners.stream().collect(Collectors.toMap(EpochMember::getVmName, m -> 1, Integer::sum));
+            estimates.retain(others.keySet());
+            IntStream.range(0, slots.size()).forEach(part -> {
+                String owner = part < owners.size() ? owners.get(part).getVmName() : "";
+                adoptPart(slots.get(part), owner, former.getOrDefault(part, Set.of()), now);
+            });
+        }
+    }
+
+    /** Returns the former owners that each awaited part still needs an answer of. */
+    Map<Integer, Set<String>> awaited() {
+        synchronized (lock) {
+            Map<Integer, Set<String>> found = new HashMap<>();
+            IntStream.range(0, slots.size())
+                    .filter(part -> !slots.get(part).awaited().isEmpty())
+                    .forEach(part -> found.put(part, slots.get(part).awaited()));
+            return found;
+        }
+    }
+
+    /** Takes in a former owner's answer to a request of an epoch. */
+    void receive(int part, String formerOwner, long askedEpoch, HandOverAnswer answer) {
+        synchronized (lock) {
+            PartSlot slot = slots.get(part);
+            if (answer.getGiven() && askedEpoch >= slot.ownedSince()) {
+                slot.receive(formerOwner, answer.getTokens(), answer.getNeverHeld());
+                holdIfComplete(slot, time.monotonicNanos());
+            }
+        }
+    }
+
+    /** Notes that a former owner is absent and was silent for longer than the lapse. */
+    void lapse(int part, String formerOwner, Duration gone) {
+        synchronized (lock) {
+            long now = time.monotonicNanos();
+            Duration age = Duration.ofNanos(now - createdNanos);
+            boolean neverHeld = gone.compareTo(age.plus(settings.configurationSpread())) > 0;
+            slots.get(part).receive(formerOwner, 0, neverHeld);
+            holdIfComplete(slots.get(part), now);
+        }
+    }
+
+    /** Gives up a part to the owner of an epoch, if this entry knows that epoch and does not own the part. */
+    HandOverAnswer handOver(HandOver request) {
+        synchronized (lock) {
+            PartSlot slot = slots.get(request.getPart());
+            long now = time.monotonicNanos();
+            boolean owned = slot.state() == PartSlot.State.HELD || slot.state() == PartSlot.State.PENDING;
+            HandOverAnswer.Builder answer = HandOverAnswer.newBuilder().setEpoch(epoch.number());
+            if (owned || epoch.number() < request.getEpoch()) {
+                return answer.build();
+            }
+            boolean neverHeld = !slot.isTouched();
+            return answer.setGiven(true)
+                    .setNeverHeld(neverHeld)
+                    .setTokens(slot.give(request.getAsker(), request.getAskerIncarnation(), now))
+                    .build();
+        }
+    }
+
+    /** Returns whether nothing of the account is left here. */
+    boolean isDrained() {
+        synchronized (lock) {
+            return slots.stream().allMatch(s -> s.state() == PartSlot.State.ABSENT);
+        }
+    }
+
+    /** Returns the number of parts that are minted here. */
+    int heldParts() {
+        synchronized (lock) {
+            return budget.parts();
+        }
+    }
+
+    // Debits
+
+    /** Takes tokens, borrowing from other homes when needed. Never fails. */
+    CompletableFuture<DebitDecision> debit(String id, double tokens) {
+        CompletableFuture<DebitDecision> result = new CompletableFuture<>();
+        synchronized (lock) {
+            long now = time.monotonicNanos();
+            CompletableFuture<DebitDecision> known = recent.putIfAbsent(id, result, now);
+            if (known != null) {
+                return known;
+            }
+            Optional<DebitDecision> decision = decide(id, tokens, now);
+            if (decision.isPresent()) {
+                result.complete(decision.get());
+                return result;
+            }
+            waiting.addLast(new Waiting(id, tokens, 0, result));
+        }
+        borrow();
+        return result;
+    }
+
+    /** Gives back what a debit did not use. */
+    void settle(Settlement settlement) {
+        synchronized (lock) {
+            long now = time.monotonicNanos();
+            if (settlement.getGivenUp()) {
+                recent.putIfAbsent(
+                        settlement.getDebitId(),
+                        CompletableFuture.completedFuture(DebitDecision.notHome(epoch.number())),
+                        now);
+                waiting.removeIf(w -> w.id().equals(settlement.getDebitId()));
+            }
+            budget.settle(settlement.getDebitId(), settlement.getReturnedTokens(), now);
+        }
+    }
+
+    /** Lends tokens to another home; they are deducted before the answer leaves. */
+    LendAnswer lend(Lend request) {
+        synchronized (lock) {
+            long now = time.monotonicNanos();
+            LendAnswer.Builder answer = LendAnswer.newBuilder().setEpoch(epoch.number());
+            if (!standing.getAsBoolean()) {
+                return answer.build();
+            }
+            long until = now + settings.lendTerm().toNanos();
+            double tokens = budget.lend(request.getTokens(), until, now);
+            return answer.setTokens(tokens)
+                    .setRemainingTokens(budget.available(now))
+                    .build();
+        }
+    }
+
+    // Internals: parts
+
+    private void adoptPart(PartSlot slot, String owner, Set<String> former, long now) {
+        if (owner.equals(vmName)) {
+            slot.own(former, epoch.number());
+            holdIfComplete(slot, now);
+        } else {
+            double held = slot.state() == PartSlot.State.HELD ? budget.removePart(now) : 0;
+            double kept = standing.getAsBoolean() ? held : 0;
+            slot.disown(kept, owner, now + settings.releasedTokens().toNanos());
+        }
+    }
+
+    private void holdIfComplete(PartSlot slot, long now) {
+        if (slot.isComplete()) {
+            double tokens = slot.hold(burstPerPart(account));
+            budget.addPart(tokens, now + settings.lendTerm().toNanos(), now);
+        }
+    }
+
+    private Map<Integer, Set<String>> formerOwners(String accountId, List<Epoch> earlier) {
+        List<List<EpochMember>> owners =
+                earlier.stream().map(e -> Parts.owners(accountId, e)).toList();
+        return IntStream.range(0, Parts.COUNT).boxed().collect(Collectors.toMap(part -> part, part -> owners.stream()
+                .filter(o -> part < o.size())
+                .map(o -> o.get(part).getVmName())
+                .filter(name -> !name.equals(vmName))
+                .collect(Collectors.toSet())));
+    }
+
+    // Internals: debits and loans
+
+    private Optional<DebitDecision> decide(String id, double tokens, long now) {
+        if (!standing.getAsBoolean() || !partCounts.containsKey(vmName)) {
+            return Optional.of(DebitDecision.notHome(epoch.number()));
+        }
+        if (budget.debit(id, tokens, now)) {
+            return Optional.of(DebitDecision.granted(epoch.number()));
+        }
+        return mostReachable(now) + ROUNDING_TOKENS < tokens ? Optional.of(refusal(tokens, now)) : Optional.empty();
+    }
+
+    private DebitDecision refusal(double tokens, long now) {
+        double missing = Math.max(0, tokens - mostReachable(now));
+        double rate = Math.max(account.getTokensPerSecond(), Double.MIN_NORMAL);
+        double millis = Math.min(Math.ceil(missing / rate * MILLIS_PER_SECOND), Integer.MAX_VALUE);
+        return DebitDecision.refused(Duration.ofMillis(Math.max(1, (long) millis)), epoch.number());
+    }
+
+    private double mostReachable(long now) {
+        return budget.available(now)
+                + others.keySet().stream().mapToDouble(name -> most(name, now)).sum();
+    }
+
+    private double most(String name, long now) {
+        int parts = partCounts.getOrDefault(name, 0);
+        return estimates.most(name, parts * ratePerPart(account), parts * burstPerPart(account), now);
+    }
+
+    private void borrow() {
+        Map<EpochMember, Lend> requests;
+        long asked;
+        synchronized (lock) {
+            if (borrowing || waiting.isEmpty()) {
+                return;
+            }
+            asked = time.monotonicNanos();
+            requests = loanRequests(asked);
+            borrowing = true;
+        }
+        List<CompletableFuture<?>> answers = new ArrayList<>();
+        requests.forEach(
+                (home, request) -> answers.add(lenders.ask(home, request).handle((answer, failure) -> {
+                    received(home.getVmName(), failure == null ? answer : null, asked);
+                    return answer;
+                })));
+        CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new)).thenRun(this::endRound);
+    }
+
+    private Map<EpochMember, Lend> loanRequests(long now) {
+        double missing = waiting.stream().mapToDouble(Waiting::tokens).sum() - budget.available(now);
+        Map<EpochMember, Lend> requests = new HashMap<>();
+        List<EpochMember> richestFirst = others.values().stream()
+                .sorted(Comparator.comparingDouble((EpochMember m) -> -most(m.getVmName(), now))
+                        .thenComparing(EpochMember::getVmName))
+                .toList();
+        for (EpochMember home : richestFirst) {
+            double most = most(home.getVmName(), now);
+            if (missing > 0 && most > 0) {
+                double wanted = Math.min(missing, most);
+                missing -= wanted;
+                requests.put(home, loanRequest(wanted));
+            }
+        }
+        return requests;
+    }
+
+    private Lend loanRequest(double tokens) {
+        loanCount++;
+        return Lend.newBuilder()
+                .setEpoch(epoch.number())
+                .setAccountId(account.getId())
+                .setTokens(tokens)
+                .setLendId(vmName + '/' + loanCount)
+                .build();
+    }
+
+    private void received(String lender, @Nullable LendAnswer answer, long asked) {
+        synchronized (lock) {
+            long now = time.monotonicNanos();
+            if (answer == null) {
+                estimates.failed(lender, now + settings.retryUnreachable().toNanos(), now);
+                return;
+            }
+            estimates.answered(lender, answer.getRemainingTokens(), now);
+            budget.borrow(answer.getTokens(), asked + settings.lendTerm().toNanos(), now);
+        }
+    }
+
+    private void endRound() {
+        Map<Waiting, DebitDecision> decided = new HashMap<>();
+        synchronized (lock) {
+            borrowing = false;
+            long now = time.monotonicNanos();
+            List<Waiting> queue = List.copyOf(waiting);
+            waiting.clear();
+            queue.forEach(w -> {
+                Optional<DebitDecision> decision = decide(w.id(), w.tokens(), now);
+                if (decision.isEmpty() && w.rounds() + 1 >= MAX_LOAN_ROUNDS) {
+                    decision = Optional.of(refusal(w.tokens(), now));
+                }
+                decision.ifPresentOrElse(d -> decided.put(w, d), () -> waiting.addLast(w.withRound()));
+            });
+        }
+        decided.forEach((w, d) -> w.result().complete(d));
+        borrow();
+    }
+
+    private static double ratePerPart(Account account) {
+        return account.getTokensPerSecond() / Parts.COUNT;
+    }
+
+    private static double burstPerPart(Account account) {
+        return account.getBurstTokens() / Parts.COUNT;
+    }
+}
