--- /dev/null
+++ b/parsleycleat-standin/src/test/java/io/parsleycleat/standin/measure/limits/EscrowScheduleTest.java
@@ -0,0 +1,197 @@
+package io.parsleycleat.standin.measure.limits;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.parsleycleat.core.process.limits.EscrowSettings;
+import io.parsleycleat.core.process.membership.EpochSettings;
+import io.parsleycleat.wire.configuration.Account;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Seeded schedules of faults against the bound that holds in every window. */
+public class EscrowScheduleTest {
+    private static final int SEEDS_PER_GROUP = 40;
+    private static final Duration SCHEDULE = Duration.ofSeconds(150);
+
+    /** One schedule: a small fleet, two accounts and random faults. */
+    private static final class Schedule {
+        private final Random random;
+        private final SimulatedFleet fleet;
+        private final int size;
+        private final Map<Account, AdmissionHistory> histories = new HashMap<>();
+        private int started;
+
+        Schedule(long seed) {
+            random = new Random(seed);
+            size = 2 + random.nextInt(4);
+            fleet = new SimulatedFleet(seed, 1 + random.nextInt(2), EscrowSettings.DEFAULT, EpochSettings.DEFAULT);
+            IntStream.range(0, size).forEach(fleet::start);
+            started = size;
+            fleet.time().run(Duration.ofSeconds(8));
+            IntStream.range(0, 2).forEach(this::addAccount);
+            fleet.time().run(Duration.ofSeconds(5));
+        }
+
+        void run() {
+            fleet.network().setFaults(new NetworkFaults(0.05, 0.05, 0.1, Duration.ofMillis(400)));
+            fleet.platform().setLostAnswers(0.2);
+            fleet.time().every(Duration.ofMillis(30), this::request);
+            fleet.time().every(Duration.ofSeconds(4), this::fault);
+            fleet.time().run(SCHEDULE);
+        }
+
+        double overshoot() {
+            return histories.values().stream()
+                    .mapToDouble(h -> h.summary(0).overshoot())
+                    .max()
+                    .orElse(0);
+        }
+
+        int granted() {
+            return histories.values().stream()
+                    .mapToInt(h -> h.summary(0).granted())
+                    .sum();
+        }
+
+        private void addAccount(int number) {
+            double rate = 100 + random.nextInt(900);
+            double burst = rate * (0.3 + random.nextDouble() * 5);
+            Account account = Account.newBuilder()
+                    .setId("account-" + number)
+                    .setTokensPerSecond(rate)
+                    .setBurstTokens(burst)
+                    .build();
+            histories.put(account, new AdmissionHistory(rate, burst));
+            fleet.put(account);
+        }
+
+        private void request() {
+            histories.forEach((account, history) -> {
+                double reserved = 1 + random.nextDouble() * random.nextDouble() * account.getBurstTokens();
+                double used = random.nextBoolean() ? reserved : reserved * random.nextDouble();
+                long settleMillis = random.nextInt(3000);
+                anyEntry().ifPresent(entry -> {
+                    SimulatedProcess process = fleet.process(entry);
+                    fleet.reserve(
+                            entry,
+                            account,
+                            reserved,
+                            result -> result.forEach(reservation -> {
+                                history.granted(fleet.network().decidedNanos(), used);
+                                fleet.time()
+                                        .after(
+                                                Duration.ofMillis(settleMillis),
+                                                () -> process.run(() -> reservation.settle(used)));
+                            }));
+                });
+            });
+        }
+
+        private void fault() {
+            int kind = random.nextInt(9);
+            Duration some = Duration.ofSeconds(1 + random.nextInt(30));
+            switch (kind) {
+                case 0 -> anyEntry().ifPresent(e -> fleet.freeze(e, some));
+                case 1 -> anyEntry().ifPresent(fleet::start);
+                case 2 -> replace();
+                case 3 -> startNew();
+                case 4 -> anyEntry().ifPresent(e -> {
+                    fleet.leave(e, true);
+                    fleet.time().after(some, () -> relist(e));
+                });
+                case 5 -> anyEntry().ifPresent(e -> {
+                    fleet.list(e, false);
+                    fleet.time().after(some, () -> relist(e));
+                });
+                case 6 -> outage(some);
+                case 7 -> cut(some);
+                default -> anyEntry().ifPresent(e -> {
+                    fleet.freeze(e, Duration.ofSeconds(40));
+                    fleet.time().after(Duration.ofSeconds(4), () -> unlist(e));
+                    fleet.time().after(Duration.ofSeconds(42), () -> relist(e));
+                });
+            }
+        }
+
+        private void replace() {
+            if (fleet.entries().size() > 1) {
+                anyEntry().ifPresent(e -> fleet.kill(e, Duration.ofSeconds(1 + random.nextInt(8))));
+            }
+        }
+
+        private void startNew() {
+            if (fleet.entries().size() < size + 2) {
+                fleet.start(started);
+                started++;
+            }
+        }
+
+        private void outage(Duration some) {
+            boolean log = random.nextBoolean();
+            fleet.platform().setLogOut(log);
+            fleet.platform().setListOut(!log || random.nextInt(3) == 0);
+            fleet.time().after(some, () -> {
+                fleet.platform().setLogOut(false);
+                fleet.platform().setListOut(false);
+            });
+        }
+
+        private void cut(Duration some) {
+            int side = random.nextInt(1 << 10);
+            boolean platformCut = random.nextBoolean();
+            fleet.network().setCut((a, b) -> isAt(a, side) != isAt(b, side));
+            fleet.platform().setCut(p -> platformCut && isAt(p, side));
+            fleet.time().after(some, () -> {
+                fleet.network().setCut((a, b) -> false);
+                fleet.platform().setCut(p -> false);
+            });
+        }
+
+        private static boolean isAt(SimulatedProcess process, int side) {
+            int number = Integer.parseInt(process.identity().vmName().substring("entry-".length()));
+            return (side >> number % 10 & 1) == 1;
+        }
+
+        private void relist(int entry) {
+            if (fleet.entries().contains(entry)) {
+                fleet.list(entry, true);
+            }
+        }
+
+        private void unlist(int entry) {
+            if (fleet.entries().contains(entry)) {
+                fleet.list(entry, false);
+            }
+        }
+
+        private java.util.Optional<Integer> anyEntry() {
+            List<Integer> all = List.copyOf(fleet.entries());
+            return all.isEmpty()
+                    ? java.util.Optional.empty()
+                    : java.util.Optional.of(all.get(random.nextInt(all.size())));
+        }
+    }
+
+    @DataProvider
+    public Object[][] groups() {
+        return new Object[][] {{0}, {1}, {2}, {3}, {4}};
+    }
+
+    @Test(dataProvider = "groups")
+    public void noWindowExceedsRateAndBurst(int group) {
+        long first = (long) group * SEEDS_PER_GROUP;
+        for (long seed = first; seed < first + SEEDS_PER_GROUP; seed++) {
+            Schedule schedule = new Schedule(seed);
+            schedule.run();
+            assertEquals(schedule.overshoot(), 0.0, "seed " + seed);
+            assertTrue(schedule.granted() > 100, "seed " + seed + " granted only " + schedule.granted());
+        }
+    }
+}
