--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/SlotTable.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/SlotTable.java
@@ -14,4 +14,9 @@
      * {@code RequestException} of class "not run" when it cannot be loaded.
      */
     CompletableFuture<Pin> pin(AdapterVersion adapter, LoadPriority priority);
+
+    /** Pins an adapter version for an account, until a deadline. */
+    default CompletableFuture<Pin> pin(PinRequest request) {
+        return pin(request.adapter(), request.priority());
+    }
 }
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/Wanted.java
@@ -0,0 +1,30 @@
+package io.parsleycleat.core.process.slots;
+
+import io.parsleycleat.core.connection.upstream.AdapterVersion;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * An adapter version that pins wait for and that has no slot yet.
+ *
+ * <p>Created by the {@link SlotLedger} and guarded by the table's lock.
+ */
+final class Wanted {
+    final AdapterVersion adapter;
+    final long sequence;
+    final List<Waiter> waiters = new ArrayList<>();
+
+    Wanted(AdapterVersion adapter, long sequence) {
+        this.adapter = adapter;
+        this.sequence = sequence;
+    }
+
+    /** Returns the most urgent priority among the waiters. */
+    LoadPriority priority() {
+        return waiters.stream()
+                .map(w -> w.request().priority())
+                .min(Comparator.naturalOrder())
+                .orElse(LoadPriority.PREFETCH);
+    }
+}
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/queue/RunQueue.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/queue/RunQueue.java
@@ -21,6 +21,21 @@
     /** Returns how long a run that is offered now would wait. */
     long expectedWaitMillis(boolean freeTier);
 
+    /** Returns how long a run of an account that is offered now would wait. */
+    default long expectedWaitMillis(boolean freeTier, String accountId) {
+        return expectedWaitMillis(freeTier);
+    }
+
+    /** Returns how many runs could start at once. */
+    default int freePlaces(boolean freeTier) {
+        return 0;
+    }
+
+    /** Returns how much longer each run beyond the free places makes the next one wait. */
+    default long waitPerRunMillis() {
+        return 0;
+    }
+
     /** Returns how many runs wait. */
     int waiting();
 
