--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/package-info.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/package-info.java
@@ -1,4 +1,4 @@
-/** Stand-ins for the platform and the upstreams, for tests and trials on one machine. */
+/** Small processes that take the place of the platform and of upstreams, and their command line. */
 @NullMarked
 package io.parsleycleat.standin;
 
