--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/keys/CutOffMonitor.java
@@ -0,0 +1,100 @@
+package io.parsleycleat.core.version.configuration.keys;
+
+import io.parsleycleat.core.process.membership.Membership;
+import io.parsleycleat.core.process.time.TimeSource;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Knows how long ago this process heard from the log, the VM list and other processes.
+ *
+ * <p>Created once by the process; safe to share between threads. A process counts as having heard from everyone when it
+ * starts, which is harmless since it is not ready before it has a configuration.
+ */
+public final class CutOffMonitor {
+    private final TimeSource time;
+    private final Membership membership;
+    private final String dataCentre;
+    private final Duration bound;
+    private final AtomicLong anyoneNanos;
+    private final AtomicLong outsideNanos;
+
+    /**
+     * Creates a monitor.
+     *
+     * @param dataCentre the process's own
+     * @param bound how long a process may hear nothing before it counts as cut off
+     */
+    public CutOffMonitor(TimeSource time, Membership membership, String dataCentre, Duration bound) {
+        this.time = time;
+        this.membership = membership;
+        this.dataCentre = dataCentre;
+        this.bound = bound;
+        anyoneNanos = new AtomicLong(time.monotonicNanos());
+        outsideNanos = new AtomicLong(time.monotonicNanos());
+    }
+
+    /** Notes an answer of the log. */
+    public void heardLog() {
+        advance(anyoneNanos, time.monotonicNanos());
+        advance(outsideNanos, time.monotonicNanos());
+    }
+
+    /** Notes a frame of another process. */
+    public void heardPeer(String peerDataCentre) {
+        advance(anyoneNanos, time.monotonicNanos());
+        if (!peerDataCentre.equals(dataCentre) || isOnlyDataCentre()) {
+            advance(outsideNanos, time.monotonicNanos());
+        }
+    }
+
+    /** Notes that another process heard from the log or another data centre some time ago. */
+    public void heardThroughPeer(Duration age) {
+        advance(outsideNanos, time.monotonicNanos() - age.toNanos());
+    }
+
+    /** Returns how long ago this process, or whom it learnt from, heard from the log or another data centre. */
+    public Duration contactAge() {
+        return Duration.ofNanos(Math.max(0, time.monotonicNanos() - outsideNanos.get()));
+    }
+
+    /** Returns whether the process has heard from nobody for longer than the bound. */
+    public boolean isCutOff() {
+        boolean vmListHeard = membership.isRead() && membership.age().compareTo(bound) <= 0;
+        return !vmListHeard && isOlder(anyoneNanos);
+    }
+
+    /** Returns whether neither the log nor another data centre was heard, by any way, for longer than the bound. */
+    public boolean isIsolated() {
+        return isOlder(outsideNanos);
+    }
+
+    /** Returns whether keys must be refused under a policy. */
+    public boolean refusesKeys(CutOffPolicy policy) {
+        return policy == CutOffPolicy.REFUSE_ISOLATED_GROUP ? isIsolated() : isCutOff();
+    }
+
+    /** Returns how long a process may hear nothing. */
+    public Duration bound() {
+        return bound;
+    }
+
+    private boolean isOnlyDataCentre() {
+        return membership.vms().stream().allMatch(vm -> vm.dataCentre().equals(dataCentre));
+    }
+
+    private boolean isOlder(AtomicLong nanos) {
+        return time.monotonicNanos() - nanos.get() > bound.toNanos();
+    }
+
+    private static void advance(AtomicLong nanos, long now) {
+        nanos.accumulateAndGet(now, (old, candidate) -> candidate - old > 0 ? candidate : old);
+    }
+
+    @Override
+    public String toString() {
+        return "last word from outside "
+                + TimeUnit.NANOSECONDS.toMillis(contactAge().toNanos()) + " ms ago";
+    }
+}
--- /dev/null
+++ b/parsleycleat-daemon/src/main/java/io/parsleycleat/daemon/command/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' command line. */
+@NullMarked
+package io.parsleycleat.daemon.command;
+
+import org.jspecify.annotations.NullMarked;
