--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
@@ -0,0 +1,240 @@
+package io.parsleycleat.core.connection.caller;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.result.ResultCode;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads requests from one HTTP/1.1 connection or one HTTP/2 stream and answers them one after another.
+ *
+ * <p>Created for each connection or stream; used on its event loop only.
+ */
+final class CallerHandler extends SimpleChannelInboundHandler<HttpObject> {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int MAX_PIPELINED_OBJECTS = 64;
+
+    private final CallerLimits limits;
+    private final CallerService service;
+    private final boolean http2;
+    private final ConnectionRegistry.@Nullable Entry connection;
+    private final BooleanSupplier draining;
+    private final Deque<HttpObject> pipelined = new ArrayDeque<>();
+    private @Nullable HttpRequest head;
+    private ByteString.@Nullable Output body;
+    private @Nullable NettyCallerExchange exchange;
+    private @Nullable ScheduledFuture<?> timer;
+    private boolean refused;
+
+    CallerHandler(
+            CallerLimits limits,
+            CallerService service,
+            boolean http2,
+            ConnectionRegistry.@Nullable Entry connection,
+            BooleanSupplier draining) {
+        this.limits = limits;
+        this.service = service;
+        this.http2 = http2;
+        this.connection = connection;
+        this.draining = draining;
+    }
+
+    // Events of the channel
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        if (!http2) {
+            startTimer(context, limits.idleTimeout(), context::close);
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (refused) {
+            return;
+        }
+        if (exchange != null) {
+            keepForLater(context, message);
+            return;
+        }
+        read(context, message);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        stopTimer();
+        pipelined.forEach(ReferenceCountUtil::release);
+        pipelined.clear();
+        if (exchange != null) {
+            exchange.callerLeft();
+        }
+        if (connection != null) {
+            connection.close();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        logger.atFine().log("connection of a caller closed: %s", cause);
+        context.close();
+    }
+
+    // Reading
+
+    private void read(ChannelHandlerContext context, HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            refuse(context, decoderRefusal(message.decoderResult()));
+            return;
+        }
+        if (message instanceof HttpRequest request) {
+            readHead(context, request);
+        }
+        if (message instanceof HttpContent content && !refused && head != null) {
+            readBody(context, content);
+        }
+    }
+
+    private void readHead(ChannelHandlerContext context, HttpRequest request) {
+        head = request;
+        body = ByteString.newOutput();
+        if (connection != null) {
+            connection.busy();
+        }
+        stopTimer();
+        startTimer(
+                context, limits.requestReadTimeout(), () -> refuse(context, Refusal.of(ResultCode.REQUEST_TOO_SLOW)));
+        if (HttpUtil.isContentLengthSet(request) && HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+            refuse(context, tooLarge());
+        } else if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    private void readBody(ChannelHandlerContext context, HttpContent content) {
+        ByteString.Output collected = body;
+        HttpRequest request = head;
+        if (collected == null || request == null) {
+            return;
+        }
+        byte[] bytes = ByteBufUtil.getBytes(content.content());
+        if (collected.size() + bytes.length > limits.maxBodyBytes()) {
+            refuse(context, tooLarge());
+            return;
+        }
+        collected.write(bytes, 0, bytes.length);
+        if (content instanceof LastHttpContent) {
+            stopTimer();
+            dispatch(context, request, collected.toByteString());
+        }
+    }
+
+    private void dispatch(ChannelHandlerContext context, HttpRequest request, ByteString content) {
+        head = null;
+        body = null;
+        NettyCallerExchange current = newExchange(context, request, HttpUtil.isKeepAlive(request));
+        exchange = current;
+        service.handle(
+                new CallerRequest(
+                        request.method().name(),
+                        request.uri(),
+                        request.headers().entries(),
+                        content),
+                current);
+    }
+
+    private NettyCallerExchange newExchange(ChannelHandlerContext context, HttpRequest request, boolean keepAlive) {
+        return new NettyCallerExchange(
+                context,
+                http2,
+                () -> keepAlive && !draining.getAsBoolean(),
+                HttpMethod.HEAD.equals(request.method()),
+                () -> answered(context));
+    }
+
+    private void answered(ChannelHandlerContext context) {
+        exchange = null;
+        if (http2 || refused) {
+            return;
+        }
+        if (connection != null) {
+            connection.idle();
+        }
+        startTimer(context, limits.idleTimeout(), context::close);
+        while (exchange == null && !pipelined.isEmpty()) {
+            HttpObject next = pipelined.remove();
+            read(context, next);
+            ReferenceCountUtil.release(next);
+        }
+    }
+
+    private void keepForLater(ChannelHandlerContext context, HttpObject message) {
+        if (pipelined.size() >= MAX_PIPELINED_OBJECTS) {
+            context.close();
+            return;
+        }
+        pipelined.add(ReferenceCountUtil.retain(message));
+    }
+
+    // Refusing
+
+    private void refuse(ChannelHandlerContext context, Refusal refusal) {
+        if (refused) {
+            return;
+        }
+        refused = true;
+        stopTimer();
+        NettyCallerExchange last = new NettyCallerExchange(context, http2, () -> false, false, () -> {});
+        ErrorAnswer.send(last, UUID.randomUUID().toString(), refusal);
+    }
+
+    private static Refusal decoderRefusal(DecoderResult result) {
+        Throwable cause = result.cause();
+        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        return tooLong
+                ? Refusal.of(ResultCode.HEADERS_TOO_LARGE)
+                : Refusal.of(ResultCode.REQUEST_MALFORMED, "not a valid HTTP message");
+    }
+
+    private Refusal tooLarge() {
+        return Refusal.of(ResultCode.REQUEST_TOO_LARGE, "at most " + limits.maxBodyBytes() + " bytes are allowed");
+    }
+
+    // Timer
+
+    private void startTimer(ChannelHandlerContext context, Duration delay, Runnable action) {
+        stopTimer();
+        timer = context.executor().schedule(action, delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void stopTimer() {
+        ScheduledFuture<?> current = timer;
+        if (current != null) {
+            current.cancel(false);
+            timer = null;
+        }
+    }
+}
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
@@ -0,0 +1,219 @@
+package io.parsleycleat.core.connection.caller;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpServerUpgradeHandler;
+import io.netty.handler.codec.http2.CleartextHttp2ServerUpgradeHandler;
+import io.netty.handler.codec.http2.Http2CodecUtil;
+import io.netty.handler.codec.http2.Http2FrameCodec;
+import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
+import io.netty.handler.codec.http2.Http2MultiplexHandler;
+import io.netty.handler.codec.http2.Http2ServerUpgradeCodec;
+import io.netty.handler.codec.http2.Http2Settings;
+import io.netty.handler.codec.http2.Http2StreamFrameToHttpObjectCodec;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.AsciiString;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.result.ResultCode;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Serves HTTP/1.1 and, by prior knowledge or upgrade, HTTP/2 on one address.
+ *
+ * <p>Created once for callers and once for the admin address; safe to share between threads.
+ */
+public final class CallerServer implements AutoCloseable {
+    private static final int MAX_CONCURRENT_STREAMS = 256;
+    private static final long GRACEFUL_SHUTDOWN_TIMEOUT_MILLIS = 600_000;
+    private static final int MAX_INITIAL_LINE_BYTES = 8 * 1024;
+    private static final Duration BUSY_RETRY = Duration.ofSeconds(1);
+
+    private final EventLoopGroup loops;
+    private final CallerLimits limits;
+    private final CallerService service;
+    private final ConnectionRegistry connections;
+    private final Object lock = new Object();
+    private final ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private Optional<Channel> listening = Optional.empty();
+    private volatile boolean draining;
+
+    /** Creates a server that does not listen yet. */
+    public CallerServer(EventLoopGroup loops, CallerLimits limits, CallerService service) {
+        this.loops = loops;
+        this.limits = limits;
+        this.service = service;
+        this.connections = new ConnectionRegistry(limits.maxConnections());
+    }
+
+    /** Starts to listen and returns the bound address. */
+    public InetSocketAddress listen(InetSocketAddress address) {
+        Channel channel = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ConnectionInitializer())
+                .bind(address)
+                .syncUninterruptibly()
+                .channel();
+        synchronized (lock) {
+            listening = Optional.of(channel);
+        }
+        return (InetSocketAddress) channel.localAddress();
+    }
+
+    /** Returns how many connections are open. */
+    public int openConnections() {
+        return connections.open();
+    }
+
+    /** Asks callers to leave: each HTTP/1.1 connection closes after its next answer, HTTP/2 ones get a GOAWAY. */
+    public void drain() {
+        draining = true;
+        open.stream()
+                .filter(channel -> channel.pipeline().get(Http2FrameCodec.class) != null)
+                .forEach(Channel::close);
+    }
+
+    /** Stops to accept connections; those that are open go on. */
+    @Override
+    public void close() {
+        synchronized (lock) {
+            listening.ifPresent(Channel::close);
+            listening = Optional.empty();
+        }
+    }
+
+    /** Sets up the pipeline of each connection. */
+    private final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            Optional<ConnectionRegistry.Entry> entry = connections.register(channel);
+            HttpDecoderConfig decoder = new HttpDecoderConfig()
+                    .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+                    .setMaxHeaderSize(limits.maxHeaderBytes());
+            HttpServerCodec codec = new HttpServerCodec(decoder);
+            if (entry.isEmpty()) {
+                channel.pipeline().addLast(codec, new CallerHandler(limits, this::refuseBusy, false, null, () -> true));
+                return;
+            }
+            HttpServerUpgradeHandler upgrade = new HttpServerUpgradeHandler(
+                    codec,
+                    protocol -> AsciiString.contentEquals(Http2CodecUtil.HTTP_UPGRADE_PROTOCOL_NAME, protocol)
+                            ? new Http2ServerUpgradeCodec(frameCodec(), multiplexer())
+                            : null,
+                    limits.maxBodyBytes());
+            open.add(channel);
+            channel.closeFuture().addListener(f -> entry.get().close());
+            channel.pipeline()
+                    .addLast(new CleartextHttp2ServerUpgradeHandler(codec, upgrade, new Http2Starter()))
+                    .addLast(new Http1Starter(entry.get()));
+        }
+
+        private void refuseBusy(CallerRequest request, CallerExchange exchange) {
+            Refusal refusal = Refusal.of(ResultCode.TOO_MANY_CONNECTIONS).withRetryAfter(BUSY_RETRY);
+            ErrorAnswer.send(exchange, UUID.randomUUID().toString(), refusal);
+        }
+    }
+
+    /** Takes over once the connection turned out to speak HTTP/1.1. */
+    private final class Http1Starter extends SimpleChannelInboundHandler<HttpMessage> {
+        private final ConnectionRegistry.Entry entry;
+
+        Http1Starter(ConnectionRegistry.Entry entry) {
+            this.entry = entry;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            context.executor()
+                    .schedule(
+                            () -> {
+                                if (context.channel().isActive() && !context.isRemoved() && isUndecided(context)) {
+                                    context.close();
+                                }
+                            },
+                            limits.idleTimeout().toMillis(),
+                            TimeUnit.MILLISECONDS);
+        }
+
+        private boolean isUndecided(ChannelHandlerContext context) {
+            return context.pipeline().get(Http2FrameCodec.class) == null;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, HttpMessage message) {
+            ChannelPipeline pipeline = context.pipeline();
+            pipeline.addAfter(context.name(), null, new CallerHandler(limits, service, false, entry, () -> draining));
+            if (pipeline.get(HttpServerUpgradeHandler.class) != null) {
+                pipeline.remove(HttpServerUpgradeHandler.class);
+            }
+            context.fireChannelRead(ReferenceCountUtil.retain(message));
+            pipeline.remove(this);
+        }
+    }
+
+    /** Takes over once the connection turned out to speak HTTP/2. */
+    private final class Http2Starter extends ChannelInitializer<Channel> {
+        @Override
+        protected void initChannel(Channel channel) {
+            channel.pipeline()
+                    .addLast(frameCodec(), multiplexer())
+                    .addLast(new IdleStateHandler(0, 0, limits.idleTimeout().toMillis(), TimeUnit.MILLISECONDS))
+                    .addLast(new IdleCloser());
+        }
+    }
+
+    private static Http2FrameCodec frameCodec() {
+        return Http2FrameCodecBuilder.forServer()
+                .gracefulShutdownTimeoutMillis(GRACEFUL_SHUTDOWN_TIMEOUT_MILLIS)
+                .initialSettings(Http2Settings.defaultSettings().maxConcurrentStreams(MAX_CONCURRENT_STREAMS))
+                .build();
+    }
+
+    private Http2MultiplexHandler multiplexer() {
+        return new Http2MultiplexHandler(new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel stream) {
+                stream.pipeline()
+                        .addLast(new Http2StreamFrameToHttpObjectCodec(true))
+                        .addLast(new CallerHandler(limits, service, true, null, () -> draining));
+            }
+        });
+    }
+
+    /** Closes an HTTP/2 connection that carries no request for a while. */
+    private static final class IdleCloser extends io.netty.channel.ChannelInboundHandlerAdapter {
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            Http2FrameCodec codec = context.pipeline().get(Http2FrameCodec.class);
+            boolean unused = codec == null || codec.connection().numActiveStreams() == 0;
+            if (event instanceof IdleStateEvent && unused) {
+                context.close().addListener(ChannelFutureListener.CLOSE);
+            } else {
+                context.fireUserEventTriggered(event);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/ConnectionRegistry.java
@@ -0,0 +1,87 @@
+package io.parsleycleat.core.connection.caller;
+
+import io.netty.channel.Channel;
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Counts callers' connections. At the limit the connection that has been idle longest makes room.
+ *
+ * <p>One a server; safe to share between threads.
+ */
+final class ConnectionRegistry {
+    private final int maxConnections;
+    private final Object lock = new Object();
+    private final Set<Entry> idle = new LinkedHashSet<>();
+    private int open;
+
+    ConnectionRegistry(int maxConnections) {
+        this.maxConnections = maxConnections;
+    }
+
+    /** Takes a connection in, or returns nothing when all others are busy. */
+    Optional<Entry> register(Channel channel) {
+        Entry evicted = null;
+        Entry entry = new Entry(channel);
+        synchronized (lock) {
+            if (open >= maxConnections) {
+                if (idle.isEmpty()) {
+                    return Optional.empty();
+                }
+                evicted = idle.iterator().next();
+                remove(evicted);
+            }
+            open++;
+            idle.add(entry);
+        }
+        if (evicted != null) {
+            evicted.channel.close();
+        }
+        return Optional.of(entry);
+    }
+
+    int open() {
+        synchronized (lock) {
+            return open;
+        }
+    }
+
+    private void remove(Entry entry) {
+        if (!entry.removed) {
+            entry.removed = true;
+            idle.remove(entry);
+            open--;
+        }
+    }
+
+    /** One connection. Created by the registry; safe to share between threads. */
+    final class Entry {
+        private final Channel channel;
+        private boolean removed;
+
+        Entry(Channel channel) {
+            this.channel = channel;
+        }
+
+        void busy() {
+            synchronized (lock) {
+                idle.remove(this);
+            }
+        }
+
+        void idle() {
+            synchronized (lock) {
+                if (!removed) {
+                    idle.add(this);
+                }
+            }
+        }
+
+        void close() {
+            synchronized (lock) {
+                remove(this);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/NettyCallerExchange.java
@@ -0,0 +1,184 @@
+package io.parsleycleat.core.connection.caller;
+
+import com.google.protobuf.ByteString;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
+import io.netty.handler.codec.http2.Http2Error;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+
+/**
+ * The answer to one request on a Netty channel.
+ *
+ * <p>Created by {@link CallerHandler} for each request. Its state is used on the channel's event loop only; calls from
+ * other threads are passed there in order.
+ */
+final class NettyCallerExchange implements CallerExchange {
+    private enum State {
+        WAITING,
+        STARTED,
+        ENDED
+    }
+
+    private final ChannelHandlerContext context;
+    private final boolean http2;
+    private final BooleanSupplier keepAlive;
+    private final boolean headRequest;
+    private final Runnable whenEnded;
+    private final List<Runnable> goneActions = new ArrayList<>();
+    private State state = State.WAITING;
+    private boolean gone;
+    private boolean announcedClose;
+
+    NettyCallerExchange(
+            ChannelHandlerContext context,
+            boolean http2,
+            BooleanSupplier keepAlive,
+            boolean headRequest,
+            Runnable whenEnded) {
+        this.context = context;
+        this.http2 = http2;
+        this.keepAlive = keepAlive;
+        this.headRequest = headRequest;
+        this.whenEnded = whenEnded;
+    }
+
+    // Answer
+
+    @Override
+    public void respond(int status, List<Map.Entry<String, String>> headers, ByteString body) {
+        onLoop(() -> {
+            if (state != State.WAITING) {
+                return;
+            }
+            ByteBuf content = Unpooled.wrappedBuffer(body.asReadOnlyByteBuffer());
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(status),
+                    headRequest ? Unpooled.EMPTY_BUFFER : content);
+            headers.forEach(h -> response.headers().add(h.getKey(), h.getValue()));
+            if (!headRequest || !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+                HttpUtil.setContentLength(response, content.readableBytes());
+            }
+            finish(response);
+        });
+    }
+
+    @Override
+    public void start(int status, List<Map.Entry<String, String>> headers) {
+        onLoop(() -> {
+            if (state != State.WAITING) {
+                return;
+            }
+            state = State.STARTED;
+            HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+            headers.forEach(h -> response.headers().add(h.getKey(), h.getValue()));
+            if (!http2) {
+                HttpUtil.setTransferEncodingChunked(response, !HttpUtil.isContentLengthSet(response));
+                setConnection(response);
+            }
+            context.writeAndFlush(response);
+        });
+    }
+
+    @Override
+    public void write(ByteString part, Runnable written) {
+        onLoop(() -> {
+            if (state == State.STARTED) {
+                ByteBuf content = Unpooled.wrappedBuffer(part.asReadOnlyByteBuffer());
+                context.writeAndFlush(new DefaultHttpContent(content)).addListener(f -> written.run());
+            }
+        });
+    }
+
+    @Override
+    public void end() {
+        onLoop(() -> {
+            if (state == State.STARTED) {
+                finish(LastHttpContent.EMPTY_LAST_CONTENT);
+            }
+        });
+    }
+
+    @Override
+    public void abort() {
+        onLoop(() -> {
+            if (state == State.ENDED) {
+                return;
+            }
+            state = State.ENDED;
+            if (http2) {
+                context.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.INTERNAL_ERROR))
+                        .addListener(ChannelFutureListener.CLOSE);
+            } else {
+                context.close();
+            }
+        });
+    }
+
+    @Override
+    public void onGone(Runnable action) {
+        onLoop(() -> {
+            if (gone) {
+                action.run();
+            } else if (state != State.ENDED) {
+                goneActions.add(action);
+            }
+        });
+    }
+
+    // Used by the handler, on the event loop
+
+    void callerLeft() {
+        if (state != State.ENDED) {
+            state = State.ENDED;
+            gone = true;
+            goneActions.forEach(Runnable::run);
+            goneActions.clear();
+        }
+    }
+
+    // Internals
+
+    private void finish(Object last) {
+        state = State.ENDED;
+        goneActions.clear();
+        if (last instanceof HttpResponse response && !http2) {
+            setConnection(response);
+        }
+        boolean close = !http2 && (announcedClose || !keepAlive.getAsBoolean());
+        context.writeAndFlush(last).addListener(f -> {
+            if (close || !f.isSuccess()) {
+                context.close();
+            }
+        });
+        whenEnded.run();
+    }
+
+    private void setConnection(HttpResponse response) {
+        if (!keepAlive.getAsBoolean()) {
+            announcedClose = true;
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    private void onLoop(Runnable action) {
+        context.executor().execute(action);
+    }
+}
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
@@ -0,0 +1,177 @@
+package io.parsleycleat.core.process.entry;
+
+import com.google.common.flogger.FluentLogger;
+import io.parsleycleat.core.connection.caller.CallerServer;
+import io.parsleycleat.core.connection.run.RunClient;
+import io.parsleycleat.core.process.admin.Readiness;
+import io.parsleycleat.core.process.common.Drain;
+import io.parsleycleat.core.process.common.ProcessBase;
+import io.parsleycleat.core.process.identity.ProcessRole;
+import io.parsleycleat.core.process.limits.EscrowLimiter;
+import io.parsleycleat.core.process.limits.TokenLimiter;
+import io.parsleycleat.core.process.operators.OperatorAuthentication;
+import io.parsleycleat.core.process.operators.OperatorsServer;
+import io.parsleycleat.core.process.operators.OperatorsService;
+import io.parsleycleat.core.request.routing.ProbingSelector;
+import io.parsleycleat.core.request.routing.RoutingSettings;
+import io.parsleycleat.core.request.serve.EntryContext;
+import io.parsleycleat.core.request.serve.FreeTierGate;
+import io.parsleycleat.core.request.serve.RequestService;
+import io.parsleycleat.core.request.serve.RetryBudget;
+import io.parsleycleat.core.request.serve.RunTools;
+import io.parsleycleat.core.request.trace.TraceStore;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * An entry: it serves callers and operators.
+ *
+ * <p>Created once by the daemon's main, or by a program that embeds the library; safe to share between threads.
+ */
+public final class EntryProcess {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration OPERATORS_GRACE = Duration.ofSeconds(2);
+    private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(3);
+    private static final double RETRIES_PER_REQUEST = 0.2;
+
+    private final EntrySettings settings;
+    private final ProcessBase base;
+    private final EscrowLimiter limiter;
+    private final RequestService service;
+    private final CallerServer callers;
+    private final OperatorsServer operators;
+    private volatile boolean stopping;
+
+    private EntryProcess(EntrySettings settings) {
+        this.settings = settings;
+        this.base = new ProcessBase(
+                settings.vm(), ProcessRole.ENTRY, settings.listen().peers(), settings.platform(), settings.control());
+        this.limiter = createLimiter();
+        this.service = createService(limiter);
+        this.callers = new CallerServer(base.loops(), settings.callers(), service);
+        this.operators = createOperators();
+    }
+
+    // Life cycle
+
+    /** Starts an entry that listens on all its addresses. It is ready once it has a configuration. */
+    public static EntryProcess start(EntrySettings settings) {
+        EntryProcess process = new EntryProcess(settings);
+        process.listen();
+        return process;
+    }
+
+    private void listen() {
+        base.start(settings.listen().peers());
+        limiter.start(base.scheduler());
+        base.startAdmin(settings.listen().admin(), this::readiness);
+        operators.start(settings.listen().operators());
+        callers.listen(settings.listen().callers());
+        base.metrics().gauge("entry.requests.open", () -> service::openRequests);
+        base.metrics().gauge("entry.connections.open", () -> callers::openConnections);
+        base.metrics().gauge("configuration.version", () -> base.configuration()::version);
+    }
+
+    /** Returns whether the entry can serve; the platform's balancer asks for it. */
+    public Readiness readiness() {
+        if (stopping) {
+            return Readiness.notReady("the process is stopping");
+        }
+        if (!base.configuration().isReady()) {
+            return Readiness.notReady("no configuration yet");
+        }
+        if (!base.membership().isRead()) {
+            return Readiness.notReady("no VM list yet");
+        }
+        return Readiness.READY;
+    }
+
+    /** Returns one line for the terminal. */
+    public String describe() {
+        return "listening callers " + settings.listen().callers() + " peers "
+                + settings.listen().peers() + " operators " + settings.listen().operators() + " admin "
+                + settings.listen().admin();
+    }
+
+    /** Leaves the balancer, finishes every open request, hands its budgets over and ends. */
+    public void stop() {
+        stopping = true;
+        callers.drain();
+        Drain.pause(settings.control().leaveDelay());
+        callers.close();
+        service.stop();
+        boolean whole = Drain.await(
+                base.scheduler(), service::openRequests, settings.control().drainTimeout());
+        if (!whole) {
+            logger.atWarning().log("%d requests were cut", service.openRequests());
+        }
+        Drain.await(base.scheduler(), () -> limiter.isDrained() ? 0 : 1, HAND_OVER_TIMEOUT);
+        stopOperators();
+        base.close();
+    }
+
+    private void stopOperators() {
+        try {
+            operators.stop(OPERATORS_GRACE);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    // Parts
+
+    private EscrowLimiter createLimiter() {
+        return EscrowLimiter.builder()
+                .identity(base.identity())
+                .peers(base.transport())
+                .frames(base.transport())
+                .configuration(base.configuration())
+                .membership(base.membership())
+                .log(base.log())
+                .time(base.time())
+                .metrics(base.metrics())
+                .build();
+    }
+
+    private RequestService createService(TokenLimiter tokens) {
+        EntrySettings.Requests requests = settings.requests();
+        RunClient runs = new RunClient(
+                base.transport(),
+                base.transport(),
+                base.scheduler(),
+                base.identity().incarnation());
+        ProbingSelector selector = ProbingSelector.builder(
+                        base.transport(), base.membership(), base.configuration(), base.time())
+                .withSettings(RoutingSettings.DEFAULT.withPolicy(requests.routingPolicy()))
+                .withRegion(base.identity().region())
+                .withMetrics(base.metrics())
+                .build();
+        RunTools tools = new RunTools(
+                selector,
+                runs,
+                new RetryBudget(RETRIES_PER_REQUEST),
+                base.scheduler(),
+                base.time(),
+                Duration.ofMillis(requests.maxAnswerMillis()));
+        EntryContext context = new EntryContext(
+                base.configuration(),
+                base.keys(),
+                tokens,
+                tools,
+                new FreeTierGate(requests.freeRequests()),
+                new TraceStore(base.time()),
+                base.metrics(),
+                Duration.ofMillis(requests.startDeadlineMillis()),
+                Duration.ofMillis(TimeUnit.SECONDS.toMillis(requests.idempotencyWindowSeconds())));
+        return new RequestService(context, requests.maxTokens());
+    }
+
+    private OperatorsServer createOperators() {
+        OperatorsService operations = new OperatorsService(
+                base.configuration(), base.membership(), base.time(), base.scheduler(), id -> service.explain(id)
+                        .orElse(List.of()));
+        return new OperatorsServer(
+                operations, new OperatorAuthentication(base.configuration(), settings.firstOperatorKeyHash()));
+    }
+}
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/settings/SettingsNode.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/settings/SettingsNode.java
@@ -67,6 +67,18 @@
         return value.textValue();
     }
 
+    /** Reads a text field that has to be given and match a pattern. */
+    public String matching(String name, String pattern, String allowed) {
+        JsonNode value = required(name, allowed);
+        if (!value.isTextual()) {
+            throw wrongType(name, value, allowed);
+        }
+        if (!value.textValue().matches(pattern)) {
+            throw fault(ResultCode.SETTINGS_OUT_OF_RANGE, name, value.toString(), allowed);
+        }
+        return value.textValue();
+    }
+
     /** Reads a whole number with a default and a range. */
     public int integer(String name, int defaultValue, int min, int max) {
         String allowed = "a whole number from " + min + " to " + max;
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/CrashWatch.java
@@ -0,0 +1,89 @@
+package io.parsleycleat.core.request.execute;
+
+import io.parsleycleat.core.connection.upstream.EngineState;
+import io.parsleycleat.core.connection.upstream.ModelEngine;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Knows which requests run on an engine, and finds out after a lost answer whether the engine crashed.
+ *
+ * <p>One a side of a model engine; guarded by its own lock.
+ */
+public final class CrashWatch {
+    private final ModelEngine engine;
+    private final CrashListener listener;
+    private final Map<String, Running> running = new HashMap<>();
+    private String incarnation = "";
+
+    /** A request that runs, with the engine's incarnation when it started. */
+    private record Running(String fingerprint, String incarnation) {}
+
+    /** What became of an engine whose answer broke off. */
+    public record Verdict(boolean crashed, List<String> fingerprints) {
+        public Verdict {
+            fingerprints = List.copyOf(fingerprints);
+        }
+    }
+
+    /** Told once for each crash. */
+    @FunctionalInterface
+    public interface CrashListener {
+        /** Called with the crashed incarnation and the fingerprints of all requests that were running on it. */
+        void onCrash(String incarnation, List<String> fingerprints);
+    }
+
+    /** Creates a watch of one engine. */
+    public CrashWatch(ModelEngine engine, CrashListener listener) {
+        this.engine = engine;
+        this.listener = listener;
+    }
+
+    /** Tells which incarnation the engine was last seen with. */
+    public void onState(EngineState state) {
+        synchronized (running) {
+            incarnation = state.incarnation();
+        }
+    }
+
+    void started(String runId, String fingerprint) {
+        synchronized (running) {
+            running.put(runId, new Running(fingerprint, incarnation));
+        }
+    }
+
+    void ended(String runId) {
+        synchronized (running) {
+            running.remove(runId);
+        }
+    }
+
+    /** Asks the engine whether it is still the one that a run was started on. */
+    CompletableFuture<Verdict> examine(String runId) {
+        return engine.state().handle((state, failure) -> {
+            String now = failure == null ? state.incarnation() : "";
+            return judge(runId, now);
+        });
+    }
+
+    private Verdict judge(String runId, String now) {
+        String before;
+        List<String> fingerprints;
+        synchronized (running) {
+            Running run = running.get(runId);
+            before = run == null ? "" : run.incarnation();
+            if (run == null || now.equals(before)) {
+                return new Verdict(false, List.of());
+            }
+            fingerprints = running.values().stream()
+                    .filter(r -> r.incarnation().equals(before))
+                    .map(Running::fingerprint)
+                    .distinct()
+                    .toList();
+        }
+        listener.onCrash(before, fingerprints);
+        return new Verdict(true, fingerprints);
+    }
+}
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
@@ -0,0 +1,327 @@
+package io.parsleycleat.core.request.execute;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import io.parsleycleat.core.connection.run.RunAnswer;
+import io.parsleycleat.core.connection.upstream.AdapterVersion;
+import io.parsleycleat.core.connection.upstream.EngineAnswer;
+import io.parsleycleat.core.connection.upstream.EngineHandle;
+import io.parsleycleat.core.connection.upstream.EngineRun;
+import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.result.Failures;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.core.process.result.UpstreamException;
+import io.parsleycleat.core.process.slots.LoadPriority;
+import io.parsleycleat.core.process.slots.Pin;
+import io.parsleycleat.core.request.queue.QueuedRun;
+import io.parsleycleat.wire.run.AdapterTarget;
+import io.parsleycleat.wire.run.AnswerEnd;
+import io.parsleycleat.wire.run.AnswerHead;
+import io.parsleycleat.wire.run.RunId;
+import io.parsleycleat.wire.run.Start;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One run on a model engine: it gets its adapter pinned and its turn, runs, and is resumed when the engine's answer
+ * breaks off.
+ *
+ * <p>Paying runs pin their adapter while they wait, so that it is not evicted before their turn. Runs of the free tier
+ * pin theirs at their turn only, so that waiting ones hold no slot.
+ *
+ * <p>Created by {@link RunExecutor} for each run; guarded by its own lock.
+ */
+final class EngineExecution implements EngineAnswer {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int MAX_RESUMES = 2;
+    private static final int STATUS_OK = 200;
+
+    private final EngineTools tools;
+    private final Start start;
+    private final RunAnswer answer;
+    private final String runId;
+    private final AdapterVersion adapter;
+    private final long deadlineNanos;
+    private final Object lock = new Object();
+    private @Nullable Pin pin;
+    private @Nullable EngineHandle handle;
+    private boolean turnTaken;
+    private boolean handedOver;
+    private boolean ended;
+    private long nextToken;
+    private int resumes;
+
+    EngineExecution(EngineTools tools, RunId id, Start start, RunAnswer answer) {
+        this.tools = tools;
+        this.start = start;
+        this.answer = answer;
+        this.runId = RunIds.text(id);
+        this.adapter = new AdapterVersion(
+                start.getAdapter().getAdapterId(), start.getAdapter().getVersion());
+        this.deadlineNanos = tools.time().monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(start.getDeadlineMillis());
+    }
+
+    // Before the run
+
+    void begin() {
+        answer.onCancel(this::cancel);
+        if (start.getFreeTier()) {
+            enqueue();
+            return;
+        }
+        tools.slots().pin(adapter, LoadPriority.PAYING).whenComplete((pinned, failure) -> {
+            if (failure != null) {
+                finish(refusal(failure));
+            } else if (keep(pinned)) {
+                enqueue();
+            }
+        });
+    }
+
+    private void enqueue() {
+        AdapterTarget target = start.getAdapter();
+        QueuedRun queued = new QueuedRun(
+                runId,
+                start.getAccountId(),
+                start.getWeight(),
+                start.getFreeTier(),
+                target.getPromptTokens() + target.getMaxTokens(),
+                deadlineNanos,
+                start.getSuspect(),
+                this::takeTurn,
+                refusal -> finish(Ends.refused(tools.upstreamId(), refusal)));
+        tools.queue().offer(queued).ifPresent(refusal -> finish(Ends.refused(tools.upstreamId(), refusal)));
+    }
+
+    private void takeTurn() {
+        Pin held;
+        synchronized (lock) {
+            turnTaken = true;
+            held = pin;
+            if (ended) {
+                tools.queue().finished(runId, 0);
+                return;
+            }
+        }
+        if (held != null && held.isCurrent()) {
+            run();
+            return;
+        }
+        LoadPriority priority = start.getFreeTier() ? LoadPriority.FREE : LoadPriority.PAYING;
+        tools.slots().pin(adapter, priority).whenComplete((pinned, failure) -> {
+            if (failure != null) {
+                finish(refusal(failure));
+            } else if (keep(pinned)) {
+                run();
+            }
+        });
+    }
+
+    /** Remembers a pin in place of an earlier one; returns false and lets it go when the run has ended meanwhile. */
+    private boolean keep(Pin pinned) {
+        Pin before;
+        synchronized (lock) {
+            if (ended) {
+                before = pinned;
+            } else {
+                before = pin;
+                pin = pinned;
+            }
+        }
+        if (before != null) {
+            before.release();
+        }
+        return before != pinned;
+    }
+
+    private AnswerEnd.Builder refusal(Throwable failure) {
+        return Ends.refused(tools.upstreamId(), Failures.toRefusal(failure, ResultCode.LOAD_FAILED));
+    }
+
+    // The run
+
+    private void run() {
+        Optional<Refusal> refused = tools.gate().beforeRun(start);
+        if (refused.isPresent()) {
+            finish(Ends.refused(tools.upstreamId(), refused.get()));
+            return;
+        }
+        synchronized (lock) {
+            if (ended) {
+                return;
+            }
+            handedOver = true;
+        }
+        tools.crashes().started(runId, start.getFingerprint());
+        answer.head(AnswerHead.newBuilder()
+                .setStatus(STATUS_OK)
+                .setUpstreamId(tools.upstreamId())
+                .build());
+        EngineRun run = new EngineRun(
+                runId,
+                adapter,
+                start.getAdapter().getChat(),
+                start.getBody().toStringUtf8(),
+                start.getAdapter().getMaxTokens(),
+                start.getFreeTier() ? EngineRun.PRIORITY_FREE : EngineRun.PRIORITY_PAYING);
+        remember(tools.engine().run(run, this));
+    }
+
+    private void remember(EngineHandle started) {
+        boolean detach;
+        synchronized (lock) {
+            handle = started;
+            detach = ended;
+        }
+        if (detach) {
+            started.detach();
+        }
+    }
+
+    @Override
+    public void onToken(long index, String text) {
+        boolean gap;
+        synchronized (lock) {
+            if (ended || index < nextToken) {
+                return;
+            }
+            gap = index > nextToken;
+            if (!gap) {
+                nextToken++;
+            }
+        }
+        if (gap) {
+            breakOff(ResultCode.ANSWER_INCOMPLETE, "the engine left out a token before " + index);
+        } else {
+            answer.chunk(ByteString.copyFromUtf8(text), 1);
+        }
+    }
+
+    @Override
+    public void onEnd(String finishReason, int promptTokens, int generatedTokens) {
+        boolean whole;
+        synchronized (lock) {
+            whole = generatedTokens == nextToken;
+        }
+        if (!whole) {
+            breakOff(ResultCode.ANSWER_INCOMPLETE, "the engine's answer is shorter than its count");
+            return;
+        }
+        finish(Ends.done(tools.upstreamId())
+                .setFinishReason(finishReason)
+                .setPromptTokens(promptTokens)
+                .setGeneratedTokens(generatedTokens));
+    }
+
+    @Override
+    public void onFailure(UpstreamException failure) {
+        if (failure.code().isNotRun()) {
+            finish(Ends.failed(tools.upstreamId(), failure.code(), String.valueOf(failure.getMessage())));
+            return;
+        }
+        tools.crashes().examine(runId).thenAccept(verdict -> {
+            if (verdict.crashed()) {
+                finish(Ends.failed(tools.upstreamId(), ResultCode.UPSTREAM_CRASHED, "the engine crashed")
+                        .setUpstreamCrashed(true)
+                        .addAllCrashedFingerprints(verdict.fingerprints()));
+            } else {
+                resume(String.valueOf(failure.getMessage()));
+            }
+        });
+    }
+
+    private void resume(String detail) {
+        long from;
+        synchronized (lock) {
+            if (ended) {
+                return;
+            }
+            resumes++;
+            from = resumes > MAX_RESUMES ? -1 : nextToken;
+        }
+        if (from < 0) {
+            finish(Ends.failed(tools.upstreamId(), ResultCode.UPSTREAM_LOST, detail));
+            return;
+        }
+        logger.atInfo()
+                .with(LogKeys.REQUEST, start.getRequestId())
+                .with(LogKeys.UPSTREAM, tools.upstreamId())
+                .log("resuming an answer at token %d", from);
+        remember(tools.engine().resume(runId, from, new ResumedAnswer()));
+    }
+
+    private void breakOff(ResultCode code, String detail) {
+        tools.engine().cancel(runId);
+        finish(Ends.failed(tools.upstreamId(), code, detail));
+    }
+
+    // The end
+
+    private void cancel() {
+        boolean running;
+        synchronized (lock) {
+            running = handedOver;
+        }
+        if (running) {
+            tools.engine().cancel(runId);
+            finish(Ends.failed(tools.upstreamId(), ResultCode.CANCELLED, "the caller left"));
+        } else {
+            tools.queue().cancel(runId);
+            finish(Ends.failed(tools.upstreamId(), ResultCode.CALLER_GONE, "the caller left"));
+        }
+    }
+
+    private void finish(AnswerEnd.Builder end) {
+        Pin held;
+        EngineHandle open;
+        boolean tookTurn;
+        int tokens;
+        synchronized (lock) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            held = pin;
+            open = handle;
+            tookTurn = turnTaken;
+            tokens = start.getAdapter().getPromptTokens() + (int) nextToken;
+        }
+        if (open != null) {
+            open.detach();
+        }
+        tools.crashes().ended(runId);
+        if (held != null) {
+            held.release();
+        }
+        if (tookTurn) {
+            tools.queue().finished(runId, tokens);
+        }
+        tools.metrics().counter("side.results." + end.getCode()).inc();
+        answer.end(end);
+    }
+
+    /** A resumed answer; a refusal to resume leaves the run broken off rather than not run. */
+    private final class ResumedAnswer implements EngineAnswer {
+        @Override
+        public void onToken(long index, String text) {
+            EngineExecution.this.onToken(index, text);
+        }
+
+        @Override
+        public void onEnd(String finishReason, int promptTokens, int generatedTokens) {
+            EngineExecution.this.onEnd(finishReason, promptTokens, generatedTokens);
+        }
+
+        @Override
+        public void onFailure(UpstreamException failure) {
+            String detail = String.valueOf(failure.getMessage());
+            if (failure.code().isNotRun()) {
+                finish(Ends.failed(tools.upstreamId(), ResultCode.UPSTREAM_LOST, detail));
+            } else {
+                resume(detail);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineTools.java
@@ -0,0 +1,28 @@
+package io.parsleycleat.core.request.execute;
+
+import com.codahale.metrics.MetricRegistry;
+import io.parsleycleat.core.connection.upstream.ModelEngine;
+import io.parsleycleat.core.process.slots.SlotTable;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.core.request.queue.RunQueue;
+import java.util.Objects;
+
+/** What the runs on one model engine share. Created once by the side; safe to share between threads. */
+public record EngineTools(
+        String upstreamId,
+        ModelEngine engine,
+        SlotTable slots,
+        RunQueue queue,
+        SideGate gate,
+        CrashWatch crashes,
+        TimeSource time,
+        MetricRegistry metrics) {
+    public EngineTools {
+        Objects.requireNonNull(upstreamId, "upstreamId");
+        Objects.requireNonNull(engine, "engine");
+        Objects.requireNonNull(slots, "slots");
+        Objects.requireNonNull(queue, "queue");
+        Objects.requireNonNull(gate, "gate");
+        Objects.requireNonNull(crashes, "crashes");
+    }
+}
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/RunExecutor.java
@@ -0,0 +1,62 @@
+package io.parsleycleat.core.request.execute;
+
+import io.parsleycleat.core.connection.run.RunAnswer;
+import io.parsleycleat.core.connection.run.RunStarter;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.wire.run.RunId;
+import io.parsleycleat.wire.run.Start;
+import java.util.Optional;
+
+/**
+ * Starts the runs that arrive at a side.
+ *
+ * <p>Created once by the side, for a model engine or for a plain service; safe to share between threads.
+ */
+public final class RunExecutor implements RunStarter {
+    /** Starts an execution for a run that passed the gate. */
+    @FunctionalInterface
+    private interface Execution {
+        void begin(RunId id, Start start, RunAnswer answer);
+    }
+
+    private final String upstreamId;
+    private final SideGate gate;
+    private final Start.TargetCase takes;
+    private final Execution execution;
+
+    private RunExecutor(String upstreamId, SideGate gate, Start.TargetCase takes, Execution execution) {
+        this.upstreamId = upstreamId;
+        this.gate = gate;
+        this.takes = takes;
+        this.execution = execution;
+    }
+
+    /** Returns an executor for a model engine. */
+    public static RunExecutor ofEngine(EngineTools tools) {
+        return new RunExecutor(
+                tools.upstreamId(), tools.gate(), Start.TargetCase.ADAPTER, (id, start, answer) -> new EngineExecution(
+                                tools, id, start, answer)
+                        .begin());
+    }
+
+    /** Returns an executor for a plain service. */
+    public static RunExecutor ofService(ServiceTools tools) {
+        return new RunExecutor(
+                tools.upstreamId(), tools.gate(), Start.TargetCase.SERVICE, (id, start, answer) -> new ServiceExecution(
+                                tools, id, start, answer)
+                        .begin());
+    }
+
+    @Override
+    public void start(RunId id, Start start, RunAnswer answer) {
+        Optional<Refusal> refused = start.getTargetCase() == takes
+                ? gate.onArrival(start)
+                : Optional.of(Refusal.of(ResultCode.NO_UPSTREAM, "the upstream does not take such requests"));
+        if (refused.isPresent()) {
+            answer.end(Ends.refused(upstreamId, refused.get()));
+        } else {
+            execution.begin(id, start, answer);
+        }
+    }
+}
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceExecution.java
@@ -0,0 +1,281 @@
+package io.parsleycleat.core.request.execute;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.common.hash.Hashing;
+import com.google.protobuf.ByteString;
+import io.parsleycleat.core.connection.run.RunAnswer;
+import io.parsleycleat.core.connection.upstream.ServiceAnswer;
+import io.parsleycleat.core.connection.upstream.ServiceRequest;
+import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.core.process.result.UpstreamException;
+import io.parsleycleat.core.request.outcome.IntentDecision;
+import io.parsleycleat.core.request.outcome.IntentRequest;
+import io.parsleycleat.core.request.queue.QueuedRun;
+import io.parsleycleat.wire.outcome.Outcome;
+import io.parsleycleat.wire.outcome.OutcomeHeader;
+import io.parsleycleat.wire.run.AnswerEnd;
+import io.parsleycleat.wire.run.AnswerHead;
+import io.parsleycleat.wire.run.Header;
+import io.parsleycleat.wire.run.RunId;
+import io.parsleycleat.wire.run.ServiceTarget;
+import io.parsleycleat.wire.run.Start;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One run on a plain service. A request that is not idempotent runs only when the ledger allows it, and its outcome is
+ * recorded.
+ *
+ * <p>Created by {@link RunExecutor} for each run; guarded by its own lock.
+ */
+final class ServiceExecution implements ServiceAnswer {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    /** Largest body that is kept for the ledger; the ledger itself may record less. */
+    private static final int MAX_RECORDED_BYTES = 64 * 1024;
+
+    private final ServiceTools tools;
+    private final Start start;
+    private final RunAnswer answer;
+    private final String runId;
+    private final Object lock = new Object();
+    private ByteString.@Nullable Output recorded = ByteString.newOutput();
+    private @Nullable AnswerHead head;
+    private String attemptId = "";
+    private boolean turnTaken;
+    private boolean handedOver;
+    private boolean ended;
+
+    ServiceExecution(ServiceTools tools, RunId id, Start start, RunAnswer answer) {
+        this.tools = tools;
+        this.start = start;
+        this.answer = answer;
+        this.runId = RunIds.text(id);
+    }
+
+    // Before the run
+
+    void begin() {
+        answer.onCancel(this::cancel);
+        QueuedRun queued = new QueuedRun(
+                runId,
+                start.getAccountId(),
+                start.getWeight(),
+                start.getFreeTier(),
+                1,
+                tools.time().monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(start.getDeadlineMillis()),
+                start.getSuspect(),
+                this::takeTurn,
+                refusal -> finish(Ends.refused(tools.upstreamId(), refusal)));
+        tools.queue().offer(queued).ifPresent(refusal -> finish(Ends.refused(tools.upstreamId(), refusal)));
+    }
+
+    private void takeTurn() {
+        synchronized (lock) {
+            turnTaken = true;
+            if (ended) {
+                tools.queue().finished(runId, 0);
+                return;
+            }
+        }
+        if (start.getIdempotent()) {
+            run();
+        } else {
+            tools.ledger().begin(intent()).thenAccept(this::decide);
+        }
+    }
+
+    private IntentRequest intent() {
+        ServiceTarget target = start.getService();
+        byte[] hash = Hashing.sha256()
+                .newHasher()
+                .putString(target.getMethod() + " " + target.getPath() + "\n", StandardCharsets.UTF_8)
+                .putBytes(start.getBody().toByteArray())
+                .hash()
+                .asBytes();
+        return new IntentRequest(
+                target.getService(), start.getAccountId(), start.getIdempotencyKey(), ByteString.copyFrom(hash));
+    }
+
+    private void decide(IntentDecision decision) {
+        if (decision instanceof IntentDecision.Run run) {
+            boolean gone;
+            synchronized (lock) {
+                attemptId = run.attemptId();
+                gone = ended;
+            }
+            if (gone) {
+                tools.ledger().cancel(intent(), run.attemptId());
+            } else {
+                run();
+            }
+        } else if (decision instanceof IntentDecision.Recorded earlier) {
+            replay(earlier.outcome());
+        } else if (decision instanceof IntentDecision.Refused refused) {
+            finish(Ends.refused(tools.upstreamId(), refused.refusal()));
+        }
+    }
+
+    private void replay(Outcome outcome) {
+        AnswerHead.Builder replayed =
+                AnswerHead.newBuilder().setStatus(outcome.getStatus()).setUpstreamId(tools.upstreamId());
+        outcome.getHeadersList()
+                .forEach(h -> replayed.addHeaders(
+                        Header.newBuilder().setName(h.getName()).setValue(h.getValue())));
+        replayed.addHeaders(Header.newBuilder().setName("idempotent-replayed").setValue("true"));
+        answer.head(replayed.build());
+        answer.chunk(outcome.getBody(), 0);
+        finish(Ends.done(tools.upstreamId()));
+    }
+
+    // The run
+
+    private void run() {
+        Optional<Refusal> refused = tools.gate().beforeRun(start);
+        boolean gone;
+        synchronized (lock) {
+            gone = ended;
+            handedOver = !ended && refused.isEmpty();
+        }
+        if (gone || refused.isPresent()) {
+            releaseIntent();
+            refused.ifPresent(refusal -> finish(Ends.refused(tools.upstreamId(), refusal)));
+            return;
+        }
+        ServiceTarget target = start.getService();
+        List<Map.Entry<String, String>> headers = target.getHeadersList().stream()
+                .map(h -> Map.entry(h.getName(), h.getValue()))
+                .toList();
+        tools.service().call(new ServiceRequest(target.getMethod(), target.getPath(), headers, start.getBody()), this);
+    }
+
+    private void releaseIntent() {
+        String attempt;
+        synchronized (lock) {
+            attempt = attemptId;
+            attemptId = "";
+        }
+        if (!attempt.isEmpty()) {
+            tools.ledger().cancel(intent(), attempt);
+        }
+    }
+
+    @Override
+    public void onHead(int status, List<Map.Entry<String, String>> headers) {
+        AnswerHead.Builder builder = AnswerHead.newBuilder().setStatus(status).setUpstreamId(tools.upstreamId());
+        headers.forEach(
+                h -> builder.addHeaders(Header.newBuilder().setName(h.getKey()).setValue(h.getValue())));
+        AnswerHead received = builder.build();
+        synchronized (lock) {
+            head = received;
+        }
+        answer.head(received);
+    }
+
+    @Override
+    public void onBody(byte[] part) {
+        ByteString data = ByteString.copyFrom(part);
+        if (!start.getIdempotent()) {
+            record(part);
+        }
+        answer.chunk(data, 0);
+    }
+
+    private void record(byte[] part) {
+        synchronized (lock) {
+            if (recorded != null && recorded.size() + part.length <= MAX_RECORDED_BYTES) {
+                recorded.write(part, 0, part.length);
+            } else {
+                recorded = null;
+            }
+        }
+    }
+
+    @Override
+    public void onEnd() {
+        recordOutcome();
+        finish(Ends.done(tools.upstreamId()));
+    }
+
+    /** Records the outcome beside the answer; the answer does not wait for the log. */
+    private void recordOutcome() {
+        Outcome.Builder outcome =
+                Outcome.newBuilder().setAccountId(start.getAccountId()).setIdempotencyKey(start.getIdempotencyKey());
+        synchronized (lock) {
+            if (attemptId.isEmpty() || head == null) {
+                return;
+            }
+            outcome.setAttemptId(attemptId).setStatus(head.getStatus());
+            head.getHeadersList()
+                    .forEach(h -> outcome.addHeaders(
+                            OutcomeHeader.newBuilder().setName(h.getName()).setValue(h.getValue())));
+            if (recorded == null) {
+                outcome.setBodyOmitted(true);
+            } else {
+                outcome.setBody(recorded.toByteString());
+            }
+        }
+        tools.ledger()
+                .complete(start.getService().getService(), outcome.build())
+                .exceptionally(failure -> {
+                    logger.atWarning()
+                            .with(LogKeys.REQUEST, start.getRequestId())
+                            .log("an outcome could not be recorded: %s", failure);
+                    return null;
+                });
+    }
+
+    @Override
+    public void onFailure(UpstreamException failure) {
+        String attempt;
+        synchronized (lock) {
+            attempt = attemptId;
+        }
+        if (failure.code().isNotRun()) {
+            releaseIntent();
+        } else if (!attempt.isEmpty()) {
+            tools.ledger().abandon(intent(), attempt);
+        }
+        finish(Ends.failed(tools.upstreamId(), failure.code(), String.valueOf(failure.getMessage())));
+    }
+
+    // The end
+
+    /** A request that is not idempotent goes on once it was handed over, whether or not its caller waits. */
+    private void cancel() {
+        boolean running;
+        synchronized (lock) {
+            running = handedOver;
+        }
+        if (running && !start.getIdempotent()) {
+            return;
+        }
+        if (!running) {
+            tools.queue().cancel(runId);
+        }
+        ResultCode code = running ? ResultCode.CANCELLED : ResultCode.CALLER_GONE;
+        finish(Ends.failed(tools.upstreamId(), code, "the caller left"));
+    }
+
+    private void finish(AnswerEnd.Builder end) {
+        boolean tookTurn;
+        synchronized (lock) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            tookTurn = turnTaken;
+        }
+        if (tookTurn) {
+            tools.queue().finished(runId, 1);
+        }
+        tools.metrics().counter("side.results." + end.getCode()).inc();
+        answer.end(end);
+    }
+}
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceTools.java
@@ -0,0 +1,26 @@
+package io.parsleycleat.core.request.execute;
+
+import com.codahale.metrics.MetricRegistry;
+import io.parsleycleat.core.connection.upstream.PlainService;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.core.request.outcome.IntentLedger;
+import io.parsleycleat.core.request.queue.RunQueue;
+import java.util.Objects;
+
+/** What the runs on one plain service share. Created once by the side; safe to share between threads. */
+public record ServiceTools(
+        String upstreamId,
+        PlainService service,
+        RunQueue queue,
+        SideGate gate,
+        IntentLedger ledger,
+        TimeSource time,
+        MetricRegistry metrics) {
+    public ServiceTools {
+        Objects.requireNonNull(upstreamId, "upstreamId");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(queue, "queue");
+        Objects.requireNonNull(gate, "gate");
+        Objects.requireNonNull(ledger, "ledger");
+    }
+}
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionCall.java
@@ -0,0 +1,28 @@
+package io.parsleycleat.core.request.serve;
+
+import com.google.protobuf.ByteString;
+import java.util.Objects;
+
+/**
+ * What a completion request asks for.
+ *
+ * @param version empty for the adapter's current version
+ * @param promptTokens estimate of the prompt's length
+ * @param prefixHash hash of the first part of the prompt
+ * @param body the caller's JSON without the model's name
+ */
+record CompletionCall(
+        boolean chat,
+        String adapterId,
+        String version,
+        boolean streamed,
+        int promptTokens,
+        int maxTokens,
+        long prefixHash,
+        ByteString body) {
+    CompletionCall {
+        Objects.requireNonNull(adapterId, "adapterId");
+        Objects.requireNonNull(version, "version");
+        Objects.requireNonNull(body, "body");
+    }
+}
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionFlow.java
@@ -0,0 +1,138 @@
+package io.parsleycleat.core.request.serve;
+
+import com.codahale.metrics.Timer;
+import io.parsleycleat.core.connection.caller.CallerExchange;
+import io.parsleycleat.core.connection.caller.CallerRequest;
+import io.parsleycleat.core.connection.upstream.AdapterVersion;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.core.request.routing.SelectionRequest;
+import io.parsleycleat.core.request.trace.RequestTrace;
+import io.parsleycleat.core.version.configuration.ConfigurationView;
+import io.parsleycleat.core.version.configuration.keys.AccessRules;
+import io.parsleycleat.wire.configuration.Account;
+import io.parsleycleat.wire.configuration.Adapter;
+import io.parsleycleat.wire.configuration.Key;
+import io.parsleycleat.wire.run.AdapterTarget;
+import io.parsleycleat.wire.run.AnswerEnd;
+import io.parsleycleat.wire.run.Start;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Serves completions on adapters.
+ *
+ * <p>Created once an entry; safe to share between threads.
+ */
+final class CompletionFlow {
+    private final EntryContext context;
+    private final CompletionParser parser;
+
+    CompletionFlow(EntryContext context, CompletionParser parser) {
+        this.context = context;
+        this.parser = parser;
+    }
+
+    /** Serves one request. */
+    void handle(CallerRequest request, CallerExchange exchange, RequestTrace trace, boolean chat) {
+        context.authenticate(request)
+                .flatMap(key -> parser.parse(chat, request.body()).flatMap(call -> plan(key, call)))
+                .peekLeft(refusal -> context.refuse(exchange, trace, refusal))
+                .peek(plan -> admit(plan, exchange, trace));
+    }
+
+    /** What is known of a completion once its caller and adapter are. */
+    private record Plan(Account account, Optional<Key> key, Adapter adapter, String version, CompletionCall call) {
+        AdapterVersion adapterVersion() {
+            return new AdapterVersion(adapter.getId(), version);
+        }
+
+        int maxTokens() {
+            return call.promptTokens() + call.maxTokens();
+        }
+    }
+
+    private Either<Refusal, Plan> plan(Optional<Key> key, CompletionCall call) {
+        ConfigurationView view = context.configuration().current();
+        return AccessRules.adapter(view, key.orElse(null), call.adapterId())
+                .flatMap(access -> AccessRules.version(access.target(), call.version())
+                        .map(version -> new Plan(access.account(), key, access.target(), version, call)));
+    }
+
+    private void admit(Plan plan, CallerExchange exchange, RequestTrace trace) {
+        trace.add("allowed", "account " + plan.account().getId() + ", adapter " + plan.adapterVersion());
+        context.admit(plan.account(), plan.maxTokens())
+                .thenAccept(admitted -> admitted.peekLeft(refusal -> context.refuse(exchange, trace, refusal))
+                        .peek(admission -> run(plan, admission, exchange, trace)));
+    }
+
+    private void run(Plan plan, Admission admission, CallerExchange exchange, RequestTrace trace) {
+        String model = plan.adapterVersion().label();
+        CompletionAnswer writer = new CompletionAnswer(
+                trace.requestId(),
+                plan.call().chat(),
+                model,
+                TimeUnit.MILLISECONDS.toSeconds(context.runTools().time().wallMillis()));
+        Timer.Context timer = context.metrics().timer("entry.completions").time();
+        CompletionSink sink = new CompletionSink(
+                exchange, trace.requestId(), model, plan.call().streamed(), writer, (end, tokens) -> {
+                    timer.stop();
+                    context.count(end.getCode());
+                    admission.end(usedTokens(plan, end, tokens));
+                });
+        RequestRun run = new RequestRun(
+                context.runTools(),
+                start(plan, admission, trace),
+                selection(plan),
+                trace,
+                sink,
+                context.startDeadline());
+        exchange.onGone(run::cancel);
+        run.start();
+    }
+
+    private Start start(Plan plan, Admission admission, RequestTrace trace) {
+        CompletionCall call = plan.call();
+        return Start.newBuilder()
+                .setRequestId(trace.requestId())
+                .setAccountId(plan.account().getId())
+                .setKeyId(plan.key().map(Key::getId).orElse(""))
+                .setFreeTier(plan.account().getFreeTier())
+                .setWeight(Math.max(1, plan.account().getWeight()))
+                .setAdapter(AdapterTarget.newBuilder()
+                        .setAdapterId(plan.adapter().getId())
+                        .setVersion(plan.version())
+                        .setBaseModel(plan.adapter().getBaseModel())
+                        .setPromptTokens(call.promptTokens())
+                        .setMaxTokens(call.maxTokens())
+                        .setPrefixHash(call.prefixHash())
+                        .setChat(call.chat()))
+                .setBody(call.body())
+                .setIdempotent(true)
+                .setFingerprint(Fingerprints.of(
+                        plan.account().getId(), plan.adapterVersion().label(), call.body()))
+                .setEscrowEpoch(admission.epoch())
+                .build();
+    }
+
+    private SelectionRequest selection(Plan plan) {
+        return new SelectionRequest(
+                plan.account().getId(),
+                plan.account().getFreeTier(),
+                plan.adapterVersion(),
+                plan.adapter().getBaseModel(),
+                "",
+                plan.call().prefixHash(),
+                "",
+                Set.of(),
+                context.startDeadline());
+    }
+
+    private static double usedTokens(Plan plan, AnswerEnd end, int tokens) {
+        boolean notRun =
+                ResultCode.ofNumber(end.getCode()).map(ResultCode::isNotRun).orElse(false);
+        return notRun ? 0 : plan.call().promptTokens() + Math.max(tokens, end.getGeneratedTokens());
+    }
+}
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/EntryContext.java
@@ -0,0 +1,97 @@
+package io.parsleycleat.core.request.serve;
+
+import com.codahale.metrics.MetricRegistry;
+import io.parsleycleat.core.connection.caller.CallerExchange;
+import io.parsleycleat.core.connection.caller.CallerRequest;
+import io.parsleycleat.core.connection.caller.ErrorAnswer;
+import io.parsleycleat.core.process.limits.TokenLimiter;
+import io.parsleycleat.core.process.result.Failures;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.core.request.outcome.IdempotencyKey;
+import io.parsleycleat.core.request.trace.RequestTrace;
+import io.parsleycleat.core.request.trace.TraceStore;
+import io.parsleycleat.core.version.configuration.ConfigurationSource;
+import io.parsleycleat.core.version.configuration.keys.KeyGate;
+import io.parsleycleat.wire.configuration.Account;
+import io.parsleycleat.wire.configuration.Key;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * What an entry's requests share.
+ *
+ * <p>Created once by the entry; safe to share between threads.
+ */
+public record EntryContext(
+        ConfigurationSource configuration,
+        KeyGate keys,
+        TokenLimiter limiter,
+        RunTools runTools,
+        FreeTierGate freeTier,
+        TraceStore traces,
+        MetricRegistry metrics,
+        Duration startDeadline,
+        Duration idempotencyWindow) {
+    private static final String BEARER = "Bearer ";
+    private static final Duration IDEMPOTENCY_CLOCK_TOLERANCE = Duration.ofSeconds(30);
+    private static final Duration READY_RETRY = Duration.ofSeconds(2);
+
+    public EntryContext {
+        Objects.requireNonNull(configuration, "configuration");
+        Objects.requireNonNull(startDeadline, "startDeadline");
+    }
+
+    /** Returns the key that a request presents, nothing when it presents none, or why it is refused. */
+    Either<Refusal, Optional<Key>> authenticate(CallerRequest request) {
+        if (!configuration.isReady()) {
+            return Either.left(Refusal.of(ResultCode.NOT_READY).withRetryAfter(READY_RETRY));
+        }
+        Optional<String> header = request.header(HeaderRules.AUTHORIZATION);
+        if (header.isEmpty()) {
+            return Either.right(Optional.empty());
+        }
+        if (!header.get().regionMatches(true, 0, BEARER, 0, BEARER.length())) {
+            return Either.left(Refusal.of(ResultCode.KEY_UNKNOWN, "Authorization must be: Bearer KEY"));
+        }
+        String presented = header.get().substring(BEARER.length()).trim();
+        return keys.check(presented).flatMap(key -> KeyLeakCheck.check(request, presented)
+                .<Either<Refusal, Optional<Key>>>map(Either::left)
+                .orElseGet(() -> Either.right(Optional.of(key))));
+    }
+
+    /** Checks the idempotency key of a request that may not be repeated. */
+    Either<Refusal, IdempotencyKey> checkIdempotencyKey(String presented) {
+        return IdempotencyKey.check(
+                presented, runTools.time().wallMillis(), idempotencyWindow, IDEMPOTENCY_CLOCK_TOLERANCE);
+    }
+
+    /** Takes a request's tokens out of its account's budget. Never fails; a refusal says when to come back. */
+    CompletableFuture<Either<Refusal, Admission>> admit(Account account, double tokens) {
+        boolean free = account.getFreeTier();
+        Optional<Refusal> busy = free ? freeTier.enter() : Optional.empty();
+        if (busy.isPresent()) {
+            return CompletableFuture.completedFuture(Either.left(busy.get()));
+        }
+        Runnable leave = free ? freeTier::leave : () -> {};
+        return limiter.reserve(account, tokens)
+                .exceptionally(failure -> Either.left(Failures.toRefusal(failure, ResultCode.LIMIT_UNAVAILABLE)))
+                .thenApply(reserved -> reserved.peekLeft(refusal -> leave.run())
+                        .map(reservation -> new Admission(reservation, leave)));
+    }
+
+    /** Answers a request with a refusal. */
+    void refuse(CallerExchange exchange, RequestTrace trace, Refusal refusal) {
+        count(refusal.code().number());
+        trace.add("refused", refusal.code().number() + " " + refusal.detail());
+        ErrorAnswer.send(exchange, trace.requestId(), refusal);
+    }
+
+    /** Counts one answer by its result. */
+    void count(int code) {
+        metrics.counter("entry.results." + code).inc();
+    }
+}
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
@@ -0,0 +1,253 @@
+package io.parsleycleat.core.request.serve;
+
+import com.google.common.flogger.FluentLogger;
+import io.parsleycleat.core.connection.run.RunHandle;
+import io.parsleycleat.core.connection.run.RunListener;
+import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.result.Failures;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.core.request.routing.Selection;
+import io.parsleycleat.core.request.routing.SelectionRequest;
+import io.parsleycleat.core.request.trace.RequestTrace;
+import io.parsleycleat.wire.run.AnswerChunk;
+import io.parsleycleat.wire.run.AnswerEnd;
+import io.parsleycleat.wire.run.AnswerHead;
+import io.parsleycleat.wire.run.Start;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs one request: chooses an upstream, starts an attempt there, and starts another one elsewhere where that is safe.
+ *
+ * <p>Created for each admitted request. Attempts follow one another; its state is guarded by its own lock.
+ */
+final class RequestRun {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final RunTools tools;
+    private final Start template;
+    private final SelectionRequest selection;
+    private final RequestTrace trace;
+    private final AnswerSink sink;
+    private final long deadlineNanos;
+    private final Object lock = new Object();
+    private final Set<String> excluded = new HashSet<>();
+    private @Nullable AnswerEnd mayHaveRun;
+    private @Nullable RunHandle current;
+    private @Nullable ScheduledFuture<?> answerTimer;
+    private int attempts;
+    private boolean suspect;
+    private boolean cancelled;
+    private boolean finished;
+
+    RequestRun(
+            RunTools tools,
+            Start template,
+            SelectionRequest selection,
+            RequestTrace trace,
+            AnswerSink sink,
+            Duration deadline) {
+        this.tools = tools;
+        this.template = template;
+        this.selection = selection;
+        this.trace = trace;
+        this.sink = sink;
+        this.deadlineNanos = tools.time().monotonicNanos() + deadline.toNanos();
+    }
+
+    // Public operations
+
+    /** Starts the first attempt. */
+    void start() {
+        tools.retries().onRequest();
+        synchronized (lock) {
+            answerTimer = tools.scheduler()
+                    .schedule(this::answerTimedOut, tools.maxAnswerTime().toMillis(), TimeUnit.MILLISECONDS);
+        }
+        attempt();
+    }
+
+    /** Tells that the caller has left. */
+    void cancel() {
+        RunHandle run;
+        synchronized (lock) {
+            cancelled = true;
+            run = current;
+        }
+        trace.add("cancelled", "the caller left");
+        if (run != null) {
+            run.cancel("the caller left");
+        }
+    }
+
+    // Attempts
+
+    private void attempt() {
+        SelectionRequest request;
+        synchronized (lock) {
+            if (cancelled) {
+                finish(end(Refusal.of(ResultCode.CALLER_GONE)));
+                return;
+            }
+            request = selection.withExcluded(excluded);
+        }
+        if (remainingMillis() <= 0) {
+            finish(end(Refusal.of(ResultCode.DEADLINE_UNREACHABLE)));
+            return;
+        }
+        tools.selector().select(request).whenComplete((chosen, failure) -> {
+            if (failure != null) {
+                finish(end(Failures.toRefusal(failure, ResultCode.NO_UPSTREAM)));
+            } else {
+                chosen.peekLeft(refusal -> finish(end(refusal))).peek(this::startAt);
+            }
+        });
+    }
+
+    private void startAt(Selection chosen) {
+        Start start;
+        synchronized (lock) {
+            attempts++;
+            start = template.toBuilder()
+                    .setAttempt(attempts)
+                    .setSuspect(suspect)
+                    .setDeadlineMillis((int) Math.max(1, remainingMillis()))
+                    .build();
+        }
+        trace.add("selected", chosen.upstreamId() + ": " + chosen.reason());
+        tools.runs().start(chosen.side().peerAddress(), start, new Attempt(chosen));
+    }
+
+    private void opened(RunHandle run) {
+        boolean cancelNow;
+        synchronized (lock) {
+            current = run;
+            cancelNow = cancelled;
+        }
+        if (cancelNow) {
+            run.cancel("the caller left");
+        }
+    }
+
+    private void ended(Selection chosen, AnswerEnd end) {
+        if (end.getCode() == ResultCode.DONE.number()) {
+            finish(end);
+            return;
+        }
+        ResultCode code = ResultCode.ofNumber(end.getCode()).orElse(ResultCode.FAILURE_UNEXPECTED);
+        trace.add("attempt failed", chosen.upstreamId() + ": " + code.number() + " " + end.getDetail());
+        boolean retry;
+        synchronized (lock) {
+            if (!code.isNotRun()) {
+                mayHaveRun = end;
+            }
+            suspect |= end.getUpstreamCrashed();
+            excluded.add(chosen.upstreamId());
+            current = null;
+            retry = !cancelled
+                    && !finished
+                    && RetryRule.mayRetry(code, template.getIdempotent(), sink.isAnswerStarted(), attempts)
+                    && tools.retries().tryRetry();
+        }
+        if (retry) {
+            sink.onRetry();
+            attempt();
+        } else {
+            finish(end);
+        }
+    }
+
+    /** Passes the final result on. After an attempt that may have run, the result never says "not run". */
+    private void finish(AnswerEnd end) {
+        AnswerEnd result = end;
+        synchronized (lock) {
+            if (finished) {
+                return;
+            }
+            finished = true;
+            if (answerTimer != null) {
+                answerTimer.cancel(false);
+            }
+            boolean notRun =
+                    ResultCode.ofNumber(end.getCode()).map(ResultCode::isNotRun).orElse(false);
+            if (notRun && mayHaveRun != null) {
+                result = mayHaveRun;
+            }
+        }
+        trace.add("ended", result.getCode() + " " + result.getDetail());
+        logger.atFine()
+                .with(LogKeys.REQUEST, trace.requestId())
+                .with(LogKeys.CODE, result.getCode())
+                .log("request ended");
+        sink.onEnd(result);
+    }
+
+    private void answerTimedOut() {
+        RunHandle run;
+        synchronized (lock) {
+            cancelled = true;
+            run = current;
+        }
+        if (run != null) {
+            run.cancel("the answer took too long");
+        }
+        finish(end(Refusal.of(run == null ? ResultCode.DEADLINE_UNREACHABLE : ResultCode.DEADLINE_PASSED)));
+    }
+
+    private boolean isFinished() {
+        synchronized (lock) {
+            return finished;
+        }
+    }
+
+    private long remainingMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - tools.time().monotonicNanos());
+    }
+
+    static AnswerEnd end(Refusal refusal) {
+        return AnswerEnd.newBuilder()
+                .setCode(refusal.code().number())
+                .setDetail(refusal.detail())
+                .setRetryAfterMillis(refusal.retry().map(Duration::toMillis).orElse(0L))
+                .build();
+    }
+
+    /** Passes the answer of one attempt on. */
+    private final class Attempt implements RunListener {
+        private final Selection chosen;
+        private volatile @Nullable RunHandle run;
+
+        Attempt(Selection chosen) {
+            this.chosen = chosen;
+        }
+
+        @Override
+        public void onStart(RunHandle started) {
+            run = started;
+            opened(started);
+        }
+
+        @Override
+        public void onHead(AnswerHead head) {
+            sink.onHead(head);
+        }
+
+        @Override
+        public void onChunk(AnswerChunk chunk) {
+            RunHandle started = run;
+            if (started != null && !isFinished()) {
+                sink.onChunk(chunk, started);
+            }
+        }
+
+        @Override
+        public void onEnd(AnswerEnd end) {
+            ended(chosen, end);
+        }
+    }
+}
--- /dev/null
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
@@ -0,0 +1,249 @@
+package io.parsleycleat.core.request.serve;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.protobuf.ByteString;
+import io.parsleycleat.core.connection.peer.FakeSides;
+import io.parsleycleat.core.connection.platform.Vm;
+import io.parsleycleat.core.connection.run.RunClient;
+import io.parsleycleat.core.connection.run.RunHandle;
+import io.parsleycleat.core.connection.upstream.AdapterVersion;
+import io.parsleycleat.core.process.identity.ProcessRole;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.core.request.routing.Selection;
+import io.parsleycleat.core.request.routing.SelectionRequest;
+import io.parsleycleat.core.request.routing.UpstreamSelector;
+import io.parsleycleat.core.request.trace.TraceStore;
+import io.parsleycleat.wire.run.AnswerChunk;
+import io.parsleycleat.wire.run.AnswerEnd;
+import io.parsleycleat.wire.run.AnswerHead;
+import io.parsleycleat.wire.run.RunMessage;
+import io.parsleycleat.wire.run.Start;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.stream.Stream;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class RequestRunTest {
+    private FakeSides sides;
+    private ScheduledExecutorService scheduler;
+    private final RecordingSink sink = new RecordingSink();
+
+    @BeforeMethod
+    public void prepare() {
+        sides = new FakeSides();
+        scheduler = Executors.newSingleThreadScheduledExecutor();
+    }
+
+    @AfterMethod
+    public void stop() {
+        scheduler.shutdownNow();
+        sink.clear();
+    }
+
+    @Test
+    public void refusedAttemptIsTriedElsewhere() {
+        sides.add("side-1", refusing(ResultCode.QUEUE_FULL));
+        sides.add("side-2", completing("text"));
+        start(true);
+        assertEquals(sink.text.toString(), "text");
+        assertEquals(sink.ends, List.of(ResultCode.DONE));
+    }
+
+    @Test
+    public void nonIdempotentRequestIsNotRepeatedAfterItMayHaveRun() {
+        sides.add("side-1", refusing(ResultCode.UPSTREAM_LOST));
+        sides.add("side-2", completing("twice"));
+        start(false);
+        assertEquals(sink.ends, List.of(ResultCode.UPSTREAM_LOST));
+        assertEquals(sides.sent().size(), 1);
+    }
+
+    @Test
+    public void nonIdempotentRequestIsTriedElsewhereWhenItDidNotRun() {
+        sides.add("side-1", refusing(ResultCode.UPSTREAM_LEAVING));
+        sides.add("side-2", completing("once"));
+        start(false);
+        assertEquals(sink.ends, List.of(ResultCode.DONE));
+    }
+
+    @Test
+    public void nothingIsRepeatedOnceTheCallerHasAPart() {
+        sides.add("side-1", (message, channel) -> {
+            channel.answer(head(message));
+            channel.answer(chunk(message, "part"));
+            channel.answer(end(message, ResultCode.UPSTREAM_LOST, 1));
+        });
+        sides.add("side-2", completing("again"));
+        sink.startsAtOnce = true;
+        start(true);
+        assertEquals(sink.text.toString(), "part");
+        assertEquals(sink.ends, List.of(ResultCode.UPSTREAM_LOST));
+    }
+
+    @Test
+    public void resultIsNeverNotRunAfterAnAttemptThatMayHaveRun() {
+        sides.add("side-1", refusing(ResultCode.UPSTREAM_CRASHED));
+        sides.add("side-2", refusing(ResultCode.QUARANTINED));
+        start(true);
+        assertEquals(sink.ends, List.of(ResultCode.UPSTREAM_CRASHED));
+    }
+
+    @Test
+    public void attemptAfterACrashIsMarkedAsSuspect() {
+        sides.add(
+                "side-1",
+                (message, channel) -> channel.answer(RunMessage.newBuilder()
+                        .setRunId(message.getRunId())
+                        .setEnd(AnswerEnd.newBuilder()
+                                .setCode(ResultCode.UPSTREAM_CRASHED.number())
+                                .setUpstreamCrashed(true))
+                        .build()));
+        sides.add("side-2", completing("ok"));
+        start(true);
+        assertEquals(sides.sent().stream().map(m -> m.getStart().getSuspect()).toList(), List.of(false, true));
+    }
+
+    @Test
+    public void answerWithAMissingChunkIsNotWhole() {
+        sides.add("side-1", (message, channel) -> {
+            channel.answer(head(message));
+            channel.answer(chunk(message, "first"));
+            channel.answer(end(message, ResultCode.DONE, 2));
+        });
+        start(false);
+        assertEquals(sink.ends, List.of(ResultCode.ANSWER_INCOMPLETE));
+    }
+
+    @Test
+    public void lateFrameOfAnEndedRunHarmsNobody() {
+        List<RunMessage> first = new ArrayList<>();
+        sides.add("side-1", (message, channel) -> {
+            first.add(message);
+            channel.answer(end(message, ResultCode.QUEUE_FULL, 0));
+        });
+        sides.add("side-2", (message, channel) -> {
+            channel.answer(chunk(first.get(0), "late"));
+            completing("right").accept(message, channel);
+        });
+        start(true);
+        assertEquals(sink.text.toString(), "right");
+    }
+
+    @Test
+    public void retriesEndWithTheBudget() {
+        RetryBudget budget = new RetryBudget(0);
+        long granted =
+                Stream.generate(budget::tryRetry).limit(1_000).filter(g -> g).count();
+        assertTrue(granted > 0 && granted < 1_000, "retries are bounded: " + granted);
+    }
+
+    private void start(boolean idempotent) {
+        RunClient runs = new RunClient(sides, sides, scheduler, 1);
+        RunTools tools = new RunTools(
+                new FirstAllowed(), runs, new RetryBudget(1), scheduler, TimeSource.SYSTEM, Duration.ofMinutes(1));
+        SelectionRequest request = new SelectionRequest(
+                "a", false, new AdapterVersion("x", "1"), "m", "", 0, "", Set.of(), Duration.ofSeconds(30));
+        new RequestRun(
+                        tools,
+                        Start.newBuilder().setIdempotent(idempotent).build(),
+                        request,
+                        new TraceStore(TimeSource.SYSTEM).begin("r"),
+                        sink,
+                        Duration.ofSeconds(30))
+                .start();
+    }
+
+    private static java.util.function.BiConsumer<RunMessage, FakeSides.Channel> refusing(ResultCode code) {
+        return (message, channel) -> channel.answer(end(message, code, 0));
+    }
+
+    private static java.util.function.BiConsumer<RunMessage, FakeSides.Channel> completing(String text) {
+        return (message, channel) -> {
+            channel.answer(head(message));
+            channel.answer(chunk(message, text));
+            channel.answer(end(message, ResultCode.DONE, 1));
+        };
+    }
+
+    private static RunMessage head(RunMessage start) {
+        return RunMessage.newBuilder()
+                .setRunId(start.getRunId())
+                .setHead(AnswerHead.newBuilder().setStatus(200))
+                .build();
+    }
+
+    private static RunMessage chunk(RunMessage start, String text) {
+        return RunMessage.newBuilder()
+                .setRunId(start.getRunId())
+                .setChunk(AnswerChunk.newBuilder().setData(ByteString.copyFromUtf8(text)))
+                .build();
+    }
+
+    private static RunMessage end(RunMessage start, ResultCode code, int chunks) {
+        return RunMessage.newBuilder()
+                .setRunId(start.getRunId())
+                .setEnd(AnswerEnd.newBuilder().setCode(code.number()).setChunkCount(chunks))
+                .build();
+    }
+
+    /** Chooses the first of two sides that is not excluded. */
+    private static final class FirstAllowed implements UpstreamSelector {
+        @Override
+        public CompletableFuture<Either<Refusal, Selection>> select(SelectionRequest request) {
+            return CompletableFuture.completedFuture(Stream.of("side-1", "side-2")
+                    .filter(s -> !request.excludedUpstreams().contains(s))
+                    .findFirst()
+                    .<Either<Refusal, Selection>>map(s ->
+                            Either.right(new Selection(new Vm(s, ProcessRole.SIDE, s, "dc", "r", s, false), "test")))
+                    .orElseGet(() -> Either.left(Refusal.of(ResultCode.NO_UPSTREAM))));
+        }
+    }
+
+    /** Records what a caller would get. */
+    private static final class RecordingSink implements AnswerSink {
+        private final StringBuilder text = new StringBuilder();
+        private final List<ResultCode> ends = new ArrayList<>();
+        private boolean startsAtOnce;
+
+        void clear() {
+            text.setLength(0);
+            ends.clear();
+            startsAtOnce = false;
+        }
+
+        @Override
+        public void onHead(AnswerHead head) {}
+
+        @Override
+        public void onChunk(AnswerChunk chunk, RunHandle run) {
+            text.append(chunk.getData().toStringUtf8());
+        }
+
+        @Override
+        public void onEnd(AnswerEnd end) {
+            ends.add(ResultCode.ofNumber(end.getCode()).orElseThrow());
+        }
+
+        @Override
+        public void onRetry() {
+            text.setLength(0);
+        }
+
+        @Override
+        public boolean isAnswerStarted() {
+            return startsAtOnce && text.length() > 0;
+        }
+    }
+}
