Hold upstreams by leases and bound crashes over the fleet in the running processes

Cause: leases, crash reports and suspicion existed as parts that no process used; a log outage longer than a lease would have stopped every engine. Change: sides claim their engine, check the claim before each order and run, and keep it through a log outage while the VM list names their VM; entries and sides spread crash reports, suspects run on one upstream only, quarantines are recorded. A test of the connection limit no longer depends on the order in which two event loops accept.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
@@ -4,6 +4,7 @@
 import io.parsleycleat.core.connection.caller.CallerServer;
 import io.parsleycleat.core.connection.run.RunClient;
 import io.parsleycleat.core.process.admin.Readiness;
+import io.parsleycleat.core.process.common.CrashKnowledge;
 import io.parsleycleat.core.process.common.Drain;
 import io.parsleycleat.core.process.common.ProcessBase;
 import io.parsleycleat.core.process.identity.ProcessRole;
@@ -19,7 +20,13 @@
 import io.parsleycleat.core.request.serve.RequestService;
 import io.parsleycleat.core.request.serve.RetryBudget;
 import io.parsleycleat.core.request.serve.RunTools;
+import io.parsleycleat.core.request.serve.SuspectRouting;
 import io.parsleycleat.core.request.trace.TraceStore;
+import io.parsleycleat.wire.configuration.AuditEntry;
+import io.parsleycleat.wire.configuration.Change;
+import io.parsleycleat.wire.configuration.ItemKind;
+import io.parsleycleat.wire.configuration.Quarantine;
+import io.parsleycleat.wire.outcome.QuarantineNotice;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -38,6 +45,7 @@
     private final EntrySettings settings;
     private final ProcessBase base;
     private final EscrowLimiter limiter;
+    private final CrashKnowledge crashes;
     private final RequestService service;
     private final CallerServer callers;
     private final OperatorsServer operators;
@@ -48,6 +56,7 @@
         this.base = new ProcessBase(
                 settings.vm(), ProcessRole.ENTRY, settings.listen().peers(), settings.platform(), settings.control());
         this.limiter = createLimiter();
+        this.crashes = CrashKnowledge.create(base, this::recordQuarantine);
         this.service = createService(limiter);
         this.callers = new CallerServer(base.loops(), settings.callers(), service);
         this.operators = createOperators();
@@ -151,6 +160,8 @@
                 selector,
                 runs,
                 new RetryBudget(RETRIES_PER_REQUEST),
+                new SuspectRouting(
+                        crashes.suspects(), crashes.notices(), base.membership(), base.configuration(), base.time()),
                 base.scheduler(),
                 base.time(),
                 Duration.ofMillis(requests.maxAnswerMillis()));
@@ -167,6 +178,27 @@
         return new RequestService(context, requests.maxTokens());
     }
 
+    /** Several entries may record the same quarantine; the first change of the item wins, the others are harmless. */
+    private void recordQuarantine(QuarantineNotice notice) {
+        Quarantine quarantine = Quarantine.newBuilder()
+                .setFingerprint(notice.getFingerprint())
+                .setCrashes(notice.getCrashes())
+                .setEndsAtMillis(notice.getEndsAtMillis())
+                .build();
+        Change change = Change.newBuilder()
+                .setChangeId("quarantine-" + notice.getFingerprint() + "-" + notice.getEndsAtMillis())
+                .setAuthor(base.identity().vmName())
+                .setTimeMillis(base.time().wallMillis())
+                .setKind(ItemKind.ITEM_KIND_QUARANTINE)
+                .setItemId(notice.getFingerprint())
+                .setQuarantine(quarantine)
+                .build();
+        base.configuration().append(change).exceptionally(failure -> {
+            logger.atWarning().log("a quarantine is in force but not in the log: %s", failure);
+            return AuditEntry.getDefaultInstance();
+        });
+    }
+
     private OperatorsServer createOperators() {
         OperatorsService operations = new OperatorsService(
                 base.configuration(), base.membership(), base.time(), base.scheduler(), id -> service.explain(id)
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/lease/UpstreamLease.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/lease/UpstreamLease.java
@@ -25,6 +25,9 @@
  * nothing to renew. Before an upstream that does not check fencing numbers, a new side waits until the claim of every
  * earlier one must have lapsed.
  *
+ * <p>While the log is out no other side can make a claim that it has read back. A side that goes on without a pause,
+ * and whose VM the platform still lists beside the upstream, keeps its claim then.
+ *
  * <p>Created once by a side; safe to share between threads.
  */
 public final class UpstreamLease {
@@ -51,6 +54,7 @@
     private boolean active;
     private boolean superseded;
     private boolean closed;
+    private boolean logUnreadable;
     private long confirmedNanos;
 
     /** Creates a claim that is not made yet. */
@@ -86,8 +90,7 @@
 
     /** Returns whether the upstream is this side's right now. Asked right before each order and each run. */
     public synchronized boolean isHeld() {
-        long age = time.monotonicNanos() - confirmedNanos;
-        return active && !superseded && !closed && age < settings.duration().toNanos();
+        return active && !superseded && !closed && isFresh();
     }
 
     /** Returns whether a newer side has the upstream; this one will never hold it again. */
@@ -113,6 +116,18 @@
         }
     }
 
+    /**
+     * Takes the VM list's word that this side's VM is still the one beside the upstream, as of some time before now.
+     *
+     * <p>It counts only while the log cannot be read, and only for a claim that has not lapsed, so that a side that
+     * was frozen reads the log before it goes on.
+     */
+    public synchronized void onVmListed(Duration age) {
+        if (active && !superseded && logUnreadable && isFresh()) {
+            confirm(time.monotonicNanos() - age.toNanos());
+        }
+    }
+
     /** Runs an action when a newer side has the upstream; at once when that is so already. */
     public void onSuperseded(Runnable action) {
         boolean now;
@@ -170,6 +185,7 @@
         boolean present;
         boolean newest;
         synchronized (this) {
+            logUnreadable = false;
             page.entries().stream().filter(e -> e.offset() >= nextOffset).forEach(e -> {
                 records.apply(e);
                 nextOffset = e.offset() + 1;
@@ -205,6 +221,7 @@
         logger.atWarning().atMostEvery(10, TimeUnit.SECONDS).log("the membership stream cannot be read: %s", failure);
         boolean present;
         synchronized (this) {
+            logUnreadable = true;
             present = records.contains(self);
         }
         later(RETRY_DELAY, present ? this::renew : this::append);
@@ -264,6 +281,10 @@
         actions.forEach(Runnable::run);
     }
 
+    private boolean isFresh() {
+        return time.monotonicNanos() - confirmedNanos < settings.duration().toNanos();
+    }
+
     private void confirm(long asOfNanos) {
         if (confirmedNanos == 0 || asOfNanos - confirmedNanos > 0) {
             confirmedNanos = asOfNanos;
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/SideProcess.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/SideProcess.java
@@ -4,6 +4,7 @@
 import io.parsleycleat.core.connection.platform.Vm;
 import io.parsleycleat.core.connection.run.RunServer;
 import io.parsleycleat.core.process.admin.Readiness;
+import io.parsleycleat.core.process.common.CrashKnowledge;
 import io.parsleycleat.core.process.common.Drain;
 import io.parsleycleat.core.process.common.ProcessBase;
 import io.parsleycleat.core.process.identity.ProcessRole;
@@ -48,7 +49,7 @@
                 base.time(),
                 base.metrics());
         this.work = upstream.kind() == SideSettings.Kind.MODEL_ENGINE
-                ? new EngineWork(base, upstream, queue, gate())
+                ? new EngineWork(base, upstream, queue, CrashKnowledge.create(base, notice -> {}), gate())
                 : new ServiceWork(base, upstream, queue, gate());
         this.runs = new RunServer(base.transport(), base.scheduler(), work.executor());
     }
@@ -109,7 +110,7 @@
     // Checks of runs
 
     private SideGate gate() {
-        return new SideGate(List.of(this::refuseWhenStopping), List.of(this::refuseKey));
+        return new SideGate(List.of(this::refuseWhenStopping), List.of(this::refuseKey), List.of());
     }
 
     private Optional<Refusal> refuseWhenStopping(Start start) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/CrashWatch.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/CrashWatch.java
@@ -31,8 +31,11 @@
     /** Told once for each crash. */
     @FunctionalInterface
     public interface CrashListener {
-        /** Called with the crashed incarnation and the fingerprints of all requests that were running on it. */
-        void onCrash(String incarnation, List<String> fingerprints);
+        /**
+         * Called with the crashed incarnation and the fingerprints of all requests that were running on it. Completes
+         * when the others know, so that a caller's repeat cannot arrive ahead of the news.
+         */
+        CompletableFuture<Void> onCrash(String incarnation, List<String> fingerprints);
     }
 
     /** Creates a watch of one engine. */
@@ -60,22 +63,31 @@
         }
     }
 
+    /** Returns the fingerprints of all requests that run now. */
+    public List<String> runningFingerprints() {
+        synchronized (running) {
+            return running.values().stream()
+                    .map(Running::fingerprint)
+                    .distinct()
+                    .toList();
+        }
+    }
+
     /** Asks the engine whether it is still the one that a run was started on. */
     CompletableFuture<Verdict> examine(String runId) {
-        return engine.state().handle((state, failure) -> {
-            String now = failure == null ? state.incarnation() : "";
-            return judge(runId, now);
-        });
+        return engine.state()
+                .handle((state, failure) -> failure == null ? state.incarnation() : "")
+                .thenCompose(now -> judge(runId, now));
     }
 
-    private Verdict judge(String runId, String now) {
+    private CompletableFuture<Verdict> judge(String runId, String now) {
         String before;
         List<String> fingerprints;
         synchronized (running) {
             Running run = running.get(runId);
             before = run == null ? "" : run.incarnation();
             if (run == null || now.equals(before)) {
-                return new Verdict(false, List.of());
+                return CompletableFuture.completedFuture(new Verdict(false, List.of()));
             }
             fingerprints = running.values().stream()
                     .filter(r -> r.incarnation().equals(before))
@@ -83,7 +95,6 @@
                     .distinct()
                     .toList();
         }
-        listener.onCrash(before, fingerprints);
-        return new Verdict(true, fingerprints);
+        return listener.onCrash(before, fingerprints).handle((ok, failure) -> new Verdict(true, fingerprints));
     }
 }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
@@ -89,7 +89,7 @@
                 start.getFreeTier(),
                 target.getPromptTokens() + target.getMaxTokens(),
                 deadlineNanos,
-                start.getSuspect(),
+                start.getSuspect() || tools.suspects().isSuspect(start.getFingerprint()),
                 this::takeTurn,
                 refusal -> finish(Ends.refused(tools.upstreamId(), refusal)));
         tools.queue().offer(queued).ifPresent(refusal -> finish(Ends.refused(tools.upstreamId(), refusal)));
@@ -155,6 +155,7 @@
             handedOver = true;
         }
         tools.crashes().started(runId, start.getFingerprint());
+        tools.prefixes().note(adapter.adapterId(), start.getAdapter().getPrefixHash());
         answer.head(AnswerHead.newBuilder()
                 .setStatus(STATUS_OK)
                 .setUpstreamId(tools.upstreamId())
@@ -209,6 +210,7 @@
             breakOff(ResultCode.ANSWER_INCOMPLETE, "the engine's answer is shorter than its count");
             return;
         }
+        tools.suspects().survived(start.getFingerprint());
         finish(Ends.done(tools.upstreamId())
                 .setFinishReason(finishReason)
                 .setPromptTokens(promptTokens)
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineTools.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineTools.java
@@ -5,6 +5,7 @@
 import io.parsleycleat.core.process.slots.SlotTable;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.core.request.queue.RunQueue;
+import io.parsleycleat.core.request.routing.RecentPrefixes;
 import java.util.Objects;
 
 /** What the runs on one model engine share. Created once by the side; safe to share between threads. */
@@ -15,6 +16,8 @@
         RunQueue queue,
         SideGate gate,
         CrashWatch crashes,
+        SuspectRules suspects,
+        RecentPrefixes prefixes,
         TimeSource time,
         MetricRegistry metrics) {
     public EngineTools {
@@ -24,5 +27,7 @@
         Objects.requireNonNull(queue, "queue");
         Objects.requireNonNull(gate, "gate");
         Objects.requireNonNull(crashes, "crashes");
+        Objects.requireNonNull(suspects, "suspects");
+        Objects.requireNonNull(prefixes, "prefixes");
     }
 }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/SideGate.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/SideGate.java
@@ -3,7 +3,6 @@
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.wire.run.Start;
 import java.util.List;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Stream;
@@ -14,14 +13,24 @@
  * <p>Created once by the side; safe to share between threads.
  *
  * @param arrival checks for arriving runs only
- * @param always checks that are repeated before the point of no return
+ * @param always checks for arriving runs that are repeated before the point of no return
+ * @param last checks before the point of no return only
  */
-public record SideGate(
-        List<Function<Start, Optional<Refusal>>> arrival, List<Function<Start, Optional<Refusal>>> always) {
+public record SideGate(List<Check> arrival, List<Check> always, List<Check> last) {
+    /** Decides about one run; returns why it is refused. */
+    @FunctionalInterface
+    public interface Check extends Function<Start, Optional<Refusal>> {}
+
     public SideGate {
         arrival = List.copyOf(arrival);
         always = List.copyOf(always);
-        Objects.requireNonNull(always, "always");
+        last = List.copyOf(last);
+    }
+
+    /** Returns a copy with further checks that are made right before the run only. */
+    public SideGate withBeforeRun(List<Check> checks) {
+        return new SideGate(
+                arrival, always, Stream.concat(last.stream(), checks.stream()).toList());
     }
 
     /** Returns why an arriving run is refused. */
@@ -31,10 +40,10 @@
 
     /** Returns why a run must not start although its turn has come. */
     public Optional<Refusal> beforeRun(Start start) {
-        return first(always.stream(), start);
+        return first(Stream.concat(always.stream(), last.stream()), start);
     }
 
-    private static Optional<Refusal> first(Stream<Function<Start, Optional<Refusal>>> checks, Start start) {
+    private static Optional<Refusal> first(Stream<Check> checks, Start start) {
         return checks.map(check -> check.apply(start)).flatMap(Optional::stream).findFirst();
     }
 }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
@@ -16,6 +16,7 @@
 import io.parsleycleat.wire.run.Start;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -94,7 +95,12 @@
                 finish(end(Refusal.of(ResultCode.CALLER_GONE)));
                 return;
             }
-            request = selection.withExcluded(excluded);
+            request = tools.suspects().restrict(selection.withExcluded(excluded), template.getFingerprint());
+        }
+        Optional<Refusal> quarantined = tools.suspects().refusal(template.getFingerprint());
+        if (quarantined.isPresent()) {
+            finish(end(quarantined.get()));
+            return;
         }
         if (remainingMillis() <= 0) {
             finish(end(Refusal.of(ResultCode.DEADLINE_UNREACHABLE)));
@@ -115,10 +121,11 @@
             attempts++;
             start = template.toBuilder()
                     .setAttempt(attempts)
-                    .setSuspect(suspect)
+                    .setSuspect(suspect || tools.suspects().isSuspect(template.getFingerprint()))
                     .setDeadlineMillis((int) Math.max(1, remainingMillis()))
                     .build();
         }
+        tools.suspects().forward(template.getFingerprint(), chosen.side());
         trace.add("selected", chosen.upstreamId() + ": " + chosen.reason());
         tools.runs().start(chosen.side().peerAddress(), start, new Attempt(chosen));
     }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RunTools.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RunTools.java
@@ -16,6 +16,7 @@
         UpstreamSelector selector,
         RunClient runs,
         RetryBudget retries,
+        SuspectRouting suspects,
         ScheduledExecutorService scheduler,
         TimeSource time,
         Duration maxAnswerTime) {
@@ -23,6 +24,7 @@
         Objects.requireNonNull(selector, "selector");
         Objects.requireNonNull(runs, "runs");
         Objects.requireNonNull(retries, "retries");
+        Objects.requireNonNull(suspects, "suspects");
         Objects.requireNonNull(scheduler, "scheduler");
         Objects.requireNonNull(time, "time");
         Objects.requireNonNull(maxAnswerTime, "maxAnswerTime");
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/ConfigurationState.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/ConfigurationState.java
@@ -228,6 +228,11 @@
         return item(new ItemId(ItemKind.ITEM_KIND_QUARANTINE, fingerprint)).map(VersionedItem::getQuarantine);
     }
 
+    @Override
+    public Collection<Quarantine> quarantines() {
+        return all(ItemKind.ITEM_KIND_QUARANTINE, VersionedItem::getQuarantine);
+    }
+
     @Override
     public Collection<Account> accounts() {
         return all(ItemKind.ITEM_KIND_ACCOUNT, VersionedItem::getAccount);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/ConfigurationView.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/ConfigurationView.java
@@ -7,6 +7,7 @@
 import io.parsleycleat.wire.configuration.Route;
 import io.parsleycleat.wire.configuration.Upstream;
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 
 /** The configuration as of one version. Immutable and safe to share between threads. */
@@ -35,6 +36,11 @@
     /** Returns a request's quarantine, whether or not it has ended. */
     Optional<Quarantine> quarantine(String fingerprint);
 
+    /** Returns the quarantines, whether or not they have ended; a view that keeps none returns nothing. */
+    default Collection<Quarantine> quarantines() {
+        return List.of();
+    }
+
     /** Returns all accounts. */
     Collection<Account> accounts();
 
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/KnownConfiguration.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/KnownConfiguration.java
@@ -88,6 +88,11 @@
         return state.quarantine(fingerprint);
     }
 
+    @Override
+    public Collection<Quarantine> quarantines() {
+        return state.quarantines();
+    }
+
     @Override
     public Collection<Account> accounts() {
         return state.accounts();
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerServerTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerServerTest.java
@@ -9,6 +9,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -21,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
@@ -136,24 +138,28 @@
 
     @Test
     public void idleConnectionMakesRoomAndBusyOnesDoNot() throws Exception {
-        CountDownLatch busy = new CountDownLatch(2);
+        Semaphore busy = new Semaphore(0);
         int port = serve((request, exchange) -> {
             if ("/quick".equals(request.uri())) {
                 exchange.respond(200, List.of(), ByteString.EMPTY);
             } else {
-                busy.countDown();
+                busy.release();
             }
         });
         byte[] held = "GET /held HTTP/1.1\r\nhost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+        byte[] kept = "GET /quick HTTP/1.1\r\nhost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
         String quick = "GET /quick HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
         try (Socket idle = connect(port);
                 Socket first = connect(port)) {
             first.getOutputStream().write(held);
+            assertTrue(busy.tryAcquire(20, TimeUnit.SECONDS));
+            idle.getOutputStream().write(kept);
+            assertEquals(idle.getInputStream().read(), 'H');
             try (Socket second = connect(port)) {
                 second.getOutputStream().write(held);
-                assertTrue(busy.await(20, TimeUnit.SECONDS));
-                assertEquals(idle.getInputStream().read(), -1, "the idle connection is closed");
-                assertTrue(raw(port, quick).startsWith("HTTP/1.1 503 "));
+                assertTrue(busy.tryAcquire(20, TimeUnit.SECONDS));
+                idle.getInputStream().transferTo(OutputStream.nullOutputStream());
+                assertTrue(raw(port, quick).startsWith("HTTP/1.1 503 "), "all connections are busy");
             }
         }
     }
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
@@ -10,13 +10,17 @@
 import io.parsleycleat.core.connection.run.RunHandle;
 import io.parsleycleat.core.connection.upstream.AdapterVersion;
 import io.parsleycleat.core.process.identity.ProcessRole;
+import io.parsleycleat.core.process.membership.Membership;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.core.request.outcome.CrashNotices;
+import io.parsleycleat.core.request.outcome.CrashSuspects;
 import io.parsleycleat.core.request.routing.Selection;
 import io.parsleycleat.core.request.routing.SelectionRequest;
 import io.parsleycleat.core.request.routing.UpstreamSelector;
 import io.parsleycleat.core.request.trace.TraceStore;
+import io.parsleycleat.core.version.configuration.FixedConfiguration;
 import io.parsleycleat.wire.run.AnswerChunk;
 import io.parsleycleat.wire.run.AnswerEnd;
 import io.parsleycleat.wire.run.AnswerHead;
@@ -152,7 +156,13 @@
     private void start(boolean idempotent) {
         RunClient runs = new RunClient(sides, sides, scheduler, 1);
         RunTools tools = new RunTools(
-                new FirstAllowed(), runs, new RetryBudget(1), scheduler, TimeSource.SYSTEM, Duration.ofMinutes(1));
+                new FirstAllowed(),
+                runs,
+                new RetryBudget(1),
+                suspects(),
+                scheduler,
+                TimeSource.SYSTEM,
+                Duration.ofMinutes(1));
         SelectionRequest request = new SelectionRequest(
                 "a", false, new AdapterVersion("x", "1"), "m", "", 0, "", Set.of(), Duration.ofSeconds(30));
         new RequestRun(
@@ -165,6 +175,13 @@
                 .start();
     }
 
+    private SuspectRouting suspects() {
+        CrashSuspects known = new CrashSuspects(Duration.ofMinutes(1), Duration.ofMinutes(1));
+        CrashNotices notices = new CrashNotices(known, sides, TimeSource.SYSTEM, scheduler, List::of, notice -> {});
+        Membership nobody = new Membership(() -> CompletableFuture.completedFuture(List.of()), TimeSource.SYSTEM);
+        return new SuspectRouting(known, notices, nobody, FixedConfiguration.EMPTY, TimeSource.SYSTEM);
+    }
+
     private static java.util.function.BiConsumer<RunMessage, FakeSides.Channel> refusing(ResultCode code) {
         return (message, channel) -> channel.answer(end(message, code, 0));
     }
