--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/result/ResultCode.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/result/ResultCode.java
@@ -49,6 +49,7 @@
     QUARANTINED(1046, ResultClass.NOT_RUN, 422, "The request crashed upstreams and is in quarantine."),
     LEASE_LAPSED(1047, ResultClass.NOT_RUN, 503, "The side no longer holds its upstream."),
     UPSTREAM_REFUSED(1048, ResultClass.NOT_RUN, 503, "The upstream refused the request before running it."),
+    FAILURE_BEFORE_RUN(1049, ResultClass.NOT_RUN, 500, "An unexpected failure before the run; see the process's log."),
 
     UPSTREAM_CRASHED(2001, ResultClass.MAY_HAVE_RUN, 502, "The upstream crashed while the request ran."),
     UPSTREAM_LOST(2002, ResultClass.MAY_HAVE_RUN, 502, "The connection to the upstream was lost."),
@@ -59,6 +60,7 @@
     DEADLINE_PASSED(2007, ResultClass.MAY_HAVE_RUN, 504, "The deadline passed while the request ran."),
     CANCELLED(2008, ResultClass.MAY_HAVE_RUN, 499, "The caller left while the request ran."),
     FAILURE_UNEXPECTED(2009, ResultClass.MAY_HAVE_RUN, 500, "An unexpected failure; see the process's log."),
+    OUTCOME_TOO_LARGE(2010, ResultClass.MAY_HAVE_RUN, 409, "An earlier attempt ran; its answer was too large to keep."),
 
     SETTINGS_UNREADABLE(3001, ResultClass.CONFIGURATION, 400, "The settings file cannot be read as JSON."),
     SETTINGS_FIELD_UNKNOWN(3002, ResultClass.CONFIGURATION, 400, "There is no such settings field."),
