Add the load tool

Cause: nothing drove the daemons as processes at the deployments' sizes, so load stalls, batch efficiency, the worst-served account and wrongful refusals had no figures.

Ruled out: a closed loop of callers, which slows down with the system and so hides its stalls; requests are drawn in advance and sent when due.

No run of a fleet yet.

--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/StandInMain.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/StandInMain.java
@@ -7,6 +7,7 @@
 import io.parsleycleat.standin.command.PlainServiceCommand;
 import io.parsleycleat.standin.command.VmListCommand;
 import io.parsleycleat.standin.command.WeightStoreCommand;
+import io.parsleycleat.standin.load.LoadCommand;
 import java.util.Arrays;
 import java.util.Map;
 import java.util.TreeMap;
@@ -19,6 +20,7 @@
 public final class StandInMain {
     private static final int EXIT_USAGE = 2;
     private static final Map<String, Supplier<Command>> COMMANDS = new TreeMap<>(Map.of(
+            "load", LoadCommand::new,
             "log", LogCommand::new,
             "weight-store", WeightStoreCommand::new,
             "vm-list", VmListCommand::new,
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/upstream/EngineEvent.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/upstream/EngineEvent.java
@@ -34,6 +34,10 @@
         CANCEL,
         /** A load was ordered. */
         LOAD,
+        /** An adapter that was ordered can run. */
+        LOADED,
+        /** A load failed, or there was no free slot. */
+        LOAD_FAILED,
         /** An unload was ordered. */
         UNLOAD,
         /** An order was refused because of its old fencing number. */
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/upstream/ModelEngineStandIn.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/upstream/ModelEngineStandIn.java
@@ -229,6 +229,7 @@
     private void load(HttpExchange exchange, String model) {
         record(Kind.LOAD, "", model, "");
         slots.load(model).thenAccept(loaded -> {
+            record(loaded ? Kind.LOADED : Kind.LOAD_FAILED, "", model, "");
             if (loaded) {
                 exchange.respond(OK, Json.object());
             } else {
