Refuse keys where their withdrawal could not be known

Cause: a process that hears only frames without news counted as in contact; a held answer could outlast the bound, so that a quiet fleet would have refused keys; a dead source was asked again and again.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/ConfigurationStore.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/ConfigurationStore.java
@@ -28,10 +28,6 @@
  */
 public final class ConfigurationStore implements ConfigurationSource, AutoCloseable {
     private static final long TICK_MILLIS = 1_000;
-    private static final long PAUSE_MILLIS = 250;
-    /** After this many ticks a process goes back to the source that it asks by rank. */
-    private static final int TICKS_PER_SOURCE = 60;
-
     private static final int PEERS_ASKED_FOR_STATE = 5;
 
     private final StoreParts parts;
@@ -39,19 +35,15 @@
     private final StateHolder holder = new StateHolder();
     private final LogTailer tailer;
     private final PeerPuller puller;
+    private final SourceFollower follower;
     private final PullServer server;
     private final ChangeAppender appender;
     private final WithdrawalRecorder recorder;
-    private final AtomicBoolean following = new AtomicBoolean();
     private final AtomicBoolean fetching = new AtomicBoolean();
-    private final AtomicInteger nextSource = new AtomicInteger();
-    private final AtomicInteger failedSources = new AtomicInteger();
+    private final AtomicInteger fetchedSources = new AtomicInteger();
     private volatile @Nullable RankedList rankedList;
     private volatile boolean closed;
 
-    // Only touched by the one tick at a time.
-    private int ticks;
-
     /** The ranking of one VM list. Created when the list changes; immutable. */
     private record RankedList(List<Vm> vms, TailerRanking ranking) {}
 
@@ -72,6 +64,7 @@
                     }
                 },
                 this::fetchState);
+        follower = new SourceFollower(parts, holder, puller, this::plan);
         server = new PullServer(parts, holder, tailer::wake);
         appender = new ChangeAppender(parts, settings, holder, tailer::wake);
         recorder = new WithdrawalRecorder(
@@ -94,7 +87,7 @@
 
     /** Notes the version that a frame of another process carried. */
     public void onPeerVersion(PeerChannel from, long version) {
-        parts.monitor().heardPeer(from.hello().getDataCentre());
+        parts.monitor().heardPeer();
         if (holder.isReady() && version > holder.state().version()) {
             parts.membership().vm(from.hello().getVmName()).ifPresent(puller::pullAtOnce);
         }
@@ -166,22 +159,15 @@
         }
         tailer.wake();
         recorder.tick();
-        if (++ticks % TICKS_PER_SOURCE == 0 && failedSources.get() == 0) {
-            nextSource.set(0);
-        }
-        if (following.compareAndSet(false, true)) {
-            follow();
-        }
+        follower.wake();
     }
 
     private boolean isTailing() {
-        boolean withoutSource =
-                failedSources.get() > 0 && failedSources.get() >= sources().size();
         return !closed
                 && (!holder.isReady()
                         || isTailer()
                         || sources().isEmpty()
-                        || withoutSource
+                        || follower.isWithoutSource()
                         || server.isAskedLately()
                         || holder.isAwaited());
     }
@@ -194,33 +180,18 @@
         return ranking().rank(identity().vmName());
     }
 
-    /** Keeps asking one source; a process that reads the log asks the others like it while the log is out. */
-    private void follow() {
-        boolean readsLog = isTailer() && tailer.isReachable() && !tailer.hasGap();
-        List<Vm> sources = isTailer() ? ranking().allTailersBut(identity().vmName()) : sources();
-        if (closed || !holder.isReady() || readsLog || sources.isEmpty()) {
-            following.set(false);
-            return;
+    /** A process that reads the log asks the others like it in turn while the log is out. */
+    private SourceFollower.Plan plan() {
+        if (closed || !holder.isReady()) {
+            return SourceFollower.Plan.NONE;
         }
-        Vm source = sources.get(Math.floorMod(nextSource.get(), sources.size()));
-        Duration wait = isTailer() ? Duration.ofMillis(TICK_MILLIS) : settings.pullWait();
-        KnownConfiguration before = holder.known();
-        long start = parts.time().monotonicNanos();
-        puller.pull(source, wait).whenComplete((done, failure) -> {
-            boolean idle = isUnchangedSince(before) && parts.time().monotonicNanos() - start < wait.toNanos() / 2;
-            failedSources.updateAndGet(n -> failure == null ? 0 : n + 1);
-            if (failure != null || isTailer()) {
-                nextSource.incrementAndGet();
-            }
-            long pause = failure != null || idle ? PAUSE_MILLIS : 0;
-            parts.scheduler().schedule(this::follow, pause, TimeUnit.MILLISECONDS);
-        });
-    }
-
-    private boolean isUnchangedSince(KnownConfiguration before) {
-        KnownConfiguration now = holder.known();
-        return now.version() == before.version()
-                && now.withdrawals().keySet().equals(before.withdrawals().keySet());
+        if (!isTailer()) {
+            return new SourceFollower.Plan(sources(), settings.pullWait(), false);
+        }
+        return tailer.isReachable() && !tailer.hasGap()
+                ? SourceFollower.Plan.NONE
+                : new SourceFollower.Plan(
+                        ranking().allTailersBut(identity().vmName()), Duration.ofMillis(TICK_MILLIS), true);
     }
 
     /** Takes the newest state of several other processes when the log does not give it. */
@@ -230,7 +201,7 @@
             return;
         }
         List<Vm> sources = sources();
-        int first = nextSource.getAndAdd(PEERS_ASKED_FOR_STATE);
+        int first = fetchedSources.getAndAdd(PEERS_ASKED_FOR_STATE);
         List<CompletableFuture<Boolean>> answers = IntStream.range(0, Math.min(PEERS_ASKED_FOR_STATE, sources.size()))
                 .mapToObj(i -> sources.get(Math.floorMod(first + i, sources.size())))
                 .map(vm -> puller.pull(vm, Duration.ZERO).handle((done, failure) -> failure == null))
@@ -251,7 +222,6 @@
         List<Vm> vms = parts.membership().vms();
         RankedList known = rankedList;
         if (known == null || !known.vms().equals(vms)) {
-            nextSource.set(0);
             known = new RankedList(vms, new TailerRanking(vms, settings.tailersPerDataCentre()));
             rankedList = known;
         }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/LogTailer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/LogTailer.java
@@ -11,6 +11,9 @@
 import io.parsleycleat.core.version.configuration.snapshot.SnapshotAssembler;
 import io.parsleycleat.wire.configuration.ConfigurationRecord;
 import java.time.Duration;
+import java.util.Objects;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
@@ -103,11 +106,14 @@
 
     private void onPage(long from, LogPage page) {
         noteReachable(true);
-        page.entries().forEach(this::onEntry);
+        SortedMap<Long, ConfigurationRecord> records = new TreeMap<>();
+        page.entries().forEach(entry -> records.put(entry.offset(), parse(entry)));
+        page.entries().forEach(entry -> onRecord(entry, Objects.requireNonNull(records.get(entry.offset()))));
         if (searching) {
             onSearched(from, page);
             return;
         }
+        holder.apply(records);
         if (page.nextOffset(from) >= page.endOffset()) {
             holder.markReady();
             whenAtEnd.accept(page);
@@ -116,16 +122,12 @@
         next(emptyAnswers > EMPTY_ANSWERS_WITHOUT_PAUSE ? EMPTY_ANSWER_PAUSE_MILLIS : 0);
     }
 
-    private void onEntry(LogEntry entry) {
-        ConfigurationRecord record = parse(entry);
+    private void onRecord(LogEntry entry, ConfigurationRecord record) {
         if (record.hasSnapshotChunk()) {
             assembler
                     .add(entry.offset(), entry.timeMillis(), record.getSnapshotChunk())
                     .ifPresent(this::onSnapshot);
         }
-        if (!searching) {
-            holder.apply(entry.offset(), record);
-        }
     }
 
     private void onSnapshot(SnapshotAssembler.Assembled assembled) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/PeerPuller.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/PeerPuller.java
@@ -60,16 +60,20 @@
     CompletableFuture<Void> tell(Vm vm, Withdrawals withdrawals) {
         ConfigurationMessage.Builder message = ConfigurationMessage.newBuilder().setWithdrawals(withdrawals);
         return parts.peers().request(vm.peerAddress(), frame(message), MARGIN).thenAccept(reply -> parts.monitor()
-                .heardPeer(vm.dataCentre()));
+                .heardPeer());
     }
 
     private long take(Vm vm, Frame reply) {
         if (!reply.getConfiguration().hasAnswer()) {
             throw new PeerException(ResultCode.FRAME_MALFORMED, "no answer to a pull", vm.peerAddress());
         }
-        parts.monitor().heardPeer(vm.dataCentre());
         PullAnswer answer = reply.getConfiguration().getAnswer();
-        parts.monitor().heardThroughPeer(Duration.ofMillis(answer.getContactAgeMillis()));
+        long version = apply(answer);
+        parts.monitor().learntFromPeer(vm.dataCentre(), Duration.ofMillis(answer.getContactAgeMillis()));
+        return version;
+    }
+
+    private long apply(PullAnswer answer) {
         holder.withdraw(answer.getWithdrawals().getChangesList());
         holder.noteSnapshot(answer.getNewestSnapshot());
         if (answer.hasSnapshot()) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/PullServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/PullServer.java
@@ -58,7 +58,7 @@
 
     /** Handles a frame of another process. */
     void handle(PeerChannel from, Frame frame) {
-        parts.monitor().heardPeer(from.hello().getDataCentre());
+        parts.monitor().heardPeer();
         ConfigurationMessage message = frame.getConfiguration();
         switch (message.getMessageCase()) {
             case PULL -> onPull(from, frame, message.getPull());
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/StateHolder.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/StateHolder.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
@@ -49,9 +50,15 @@
 
     // Forward steps
 
-    /** Folds one record; a record that was folded before changes nothing. */
-    void apply(long offset, ConfigurationRecord record) {
-        advance(state -> state.apply(offset, record));
+    /** Folds records in the order of their offsets; those that were folded before change nothing. */
+    void apply(SortedMap<Long, ConfigurationRecord> records) {
+        advance(state -> {
+            ConfigurationState next = state;
+            for (Map.Entry<Long, ConfigurationRecord> record : records.entrySet()) {
+                next = next.apply(record.getKey(), record.getValue());
+            }
+            return next;
+        });
     }
 
     /** Folds the changes that a peer sent, unless records between are missing. */
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/StoreSettings.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/StoreSettings.java
@@ -25,8 +25,8 @@
     /** The settings that fit most deployments. */
     public static final StoreSettings DEFAULTS = new StoreSettings(
             "configuration",
-            Duration.ofSeconds(10),
-            Duration.ofSeconds(5),
+            Duration.ofSeconds(3),
+            Duration.ofSeconds(3),
             Duration.ofSeconds(8),
             Duration.ofDays(7),
             2);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/keys/CutOffMonitor.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/keys/CutOffMonitor.java
@@ -41,17 +41,20 @@
         advance(outsideNanos, time.monotonicNanos());
     }
 
-    /** Notes a frame of another process. */
-    public void heardPeer(String peerDataCentre) {
+    /** Notes a frame of another process. It need not tell of withdrawals, so that keys may still be refused. */
+    public void heardPeer() {
         advance(anyoneNanos, time.monotonicNanos());
-        if (!peerDataCentre.equals(dataCentre) || isOnlyDataCentre()) {
-            advance(outsideNanos, time.monotonicNanos());
-        }
     }
 
-    /** Notes that another process heard from the log or another data centre some time ago. */
-    public void heardThroughPeer(Duration age) {
-        advance(outsideNanos, time.monotonicNanos() - age.toNanos());
+    /**
+     * Notes that another process told all that it knows.
+     *
+     * @param contactAge how long ago that process heard from the log or another data centre
+     */
+    public void learntFromPeer(String peerDataCentre, Duration contactAge) {
+        advance(anyoneNanos, time.monotonicNanos());
+        boolean outside = !peerDataCentre.equals(dataCentre) || isOnlyDataCentre();
+        advance(outsideNanos, time.monotonicNanos() - (outside ? 0 : contactAge.toNanos()));
     }
 
     /** Returns how long ago this process, or whom it learnt from, heard from the log or another data centre. */
