Report an adapter that waits for a load permit as loading

Cause: while an adapter waited for a permit, probes were told that it is not loaded, with an estimate that differs from side to side. Later requests went to another side and asked for a second load of the same adapter.

Ruled out: too few probes, as the three candidates were asked each time.

Change: the report of a wanted adapter is "loading" with the time that is left.

The new test fails without the change.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/EngineSlotTable.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/EngineSlotTable.java
@@ -129,6 +129,9 @@
                 long left = millis(history.loadNanos() - (now - slot.createdNanos));
                 return new SlotReport(SlotState.SLOT_STATE_LOADING, free, evictable, Math.max(1, left));
             }
+            if (ledger.isWanted(adapter)) {
+                return new SlotReport(SlotState.SLOT_STATE_LOADING, free, evictable, expectedLoadMillis(now));
+            }
             long backoff = history.backoff(adapter, now).toMillis();
             long busy = free + evictable == 0 ? BUSY_SLOTS_MILLIS : 0;
             return new SlotReport(
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/SlotLedger.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/SlotLedger.java
@@ -95,6 +95,10 @@
                 .count();
     }
 
+    boolean isWanted(AdapterVersion adapter) {
+        return wanted.containsKey(adapter);
+    }
+
     int wantedCount() {
         return wanted.size();
     }
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/process/slots/EngineSlotTableTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/process/slots/EngineSlotTableTest.java
@@ -54,6 +54,19 @@
         return pin;
     }
 
+    private List<CompletableFuture<Either<Refusal, Runnable>>> gateByHand() {
+        List<CompletableFuture<Either<Refusal, Runnable>>> permits = new ArrayList<>();
+        table = EngineSlotTable.builder(engine, time)
+                .withGate(priority -> {
+                    permits.add(new CompletableFuture<>());
+                    return permits.get(permits.size() - 1);
+                })
+                .build();
+        engine.slots = 8;
+        table.observe(engine.report());
+        return permits;
+    }
+
     private static ResultCode codeOf(CompletableFuture<Pin> pin) {
         return refusalOf(pin).refusal().code();
     }
@@ -228,17 +241,17 @@
         assertTrue(pin(C).isDone());
     }
 
+    @Test
+    public void adapterThatWaitsForAPermitIsReportedAsLoading() {
+        gateByHand();
+        pin(A);
+        assertEquals(table.report(A).state(), SlotState.SLOT_STATE_LOADING, "others share the load");
+        assertEquals(table.report(B).state(), SlotState.SLOT_STATE_ABSENT);
+    }
+
     @Test
     public void payingLoadsGoFirst() {
-        List<CompletableFuture<Either<Refusal, Runnable>>> permits = new ArrayList<>();
-        table = EngineSlotTable.builder(engine, time)
-                .withGate(priority -> {
-                    permits.add(new CompletableFuture<>());
-                    return permits.get(permits.size() - 1);
-                })
-                .build();
-        engine.slots = 8;
-        table.observe(engine.report());
+        List<CompletableFuture<Either<Refusal, Runnable>>> permits = gateByHand();
         table.pin(A, LoadPriority.FREE);
         pin(B);
         permits.get(0).complete(Either.right(() -> {}));
