--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/outcome/CrashNotices.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/outcome/CrashNotices.java
@@ -14,10 +14,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 /**
@@ -42,6 +44,7 @@
     private final TimeSource time;
     private final ScheduledExecutorService scheduler;
     private final Supplier<? extends Collection<String>> entryAddresses;
+    private final Function<String, Optional<String>> sideAddress;
     private final Consumer<QuarantineNotice> onQuarantine;
     private final Map<OutcomeMessage, Boolean> seen = new LinkedHashMap<>();
 
@@ -49,6 +52,7 @@
      * Creates the spreader of a process.
      *
      * @param entryAddresses the peer addresses of the other entries, as of now
+     * @param sideAddress the peer address of an upstream's side, as far as it is known
      * @param onQuarantine called once for each quarantine that is new here; an entry records it in the configuration
      */
     public CrashNotices(
@@ -57,12 +61,14 @@
             TimeSource time,
             ScheduledExecutorService scheduler,
             Supplier<? extends Collection<String>> entryAddresses,
+            Function<String, Optional<String>> sideAddress,
             Consumer<QuarantineNotice> onQuarantine) {
         this.suspects = suspects;
         this.peers = peers;
         this.time = time;
         this.scheduler = scheduler;
         this.entryAddresses = entryAddresses;
+        this.sideAddress = sideAddress;
         this.onQuarantine = onQuarantine;
     }
 
@@ -79,7 +85,8 @@
         CompletableFuture<Void> known =
                 take(OutcomeMessage.newBuilder().setCrashReport(report).build());
         CompletableFuture<Void> bounded = known.copy();
-        scheduler.schedule(() -> bounded.complete(null), MAX_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+        Runnable endOfWait = () -> bounded.complete(null);
+        scheduler.schedule(endOfWait, MAX_WAIT.toMillis(), TimeUnit.MILLISECONDS);
         return bounded;
     }
 
@@ -116,9 +123,7 @@
                 QuarantineNotice notice = message.getQuarantineNotice();
                 yield suspects.onNotice(notice, now) ? begin(notice) : CompletableFuture.completedFuture(null);
             }
-            case SUSPICION_END -> suspects.onSurvived(message.getSuspicionEnd().getFingerprint(), now)
-                    ? tell(message)
-                    : CompletableFuture.completedFuture(null);
+            case SUSPICION_END -> takeEnd(message, now);
             default -> CompletableFuture.completedFuture(null);
         };
     }
@@ -129,6 +134,19 @@
         return begun.stream().map(this::begin).reduce(told, CompletableFuture::allOf);
     }
 
+    private CompletableFuture<Void> takeEnd(OutcomeMessage message, long now) {
+        String fingerprint = message.getSuspicionEnd().getFingerprint();
+        List<CrashReport> reports = suspects.reports(fingerprint);
+        if (!suspects.onSurvived(fingerprint, now)) {
+            return CompletableFuture.completedFuture(null);
+        }
+        reports.stream()
+                .flatMap(r -> sideAddress.apply(r.getUpstreamId()).stream())
+                .distinct()
+                .forEach(address -> peers.send(address, frame(message)));
+        return tell(message);
+    }
+
     private CompletableFuture<Void> begin(QuarantineNotice notice) {
         logger.atWarning().log(
                 "request %s is in quarantine after %d crashes", notice.getFingerprint(), notice.getCrashes());
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/outcome/CrashBoundTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/outcome/CrashBoundTest.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.logging.Level;
@@ -40,7 +41,7 @@
         private final Map<String, CrashNotices> processes = new HashMap<>();
         private final Map<String, CrashSuspects> suspects = new HashMap<>();
         private final List<Runnable> messages = new ArrayList<>();
-        private final int lossPercent;
+        private int lossPercent;
         private int badCrashes;
         private int incarnations;
 
@@ -58,7 +59,8 @@
                     .mapToObj(i -> "entry" + i)
                     .filter(e -> !e.equals(address))
                     .toList();
-            processes.put(address, new CrashNotices(own, client(), time, time, () -> others, notice -> {}));
+            processes.put(
+                    address, new CrashNotices(own, client(), time, time, () -> others, Optional::of, notice -> {}));
         }
 
         private PeerClient client() {
@@ -116,6 +118,16 @@
             }
         }
 
+        /** Delivers everything, also what is told again later. */
+        void drain() {
+            for (int i = 0; i < 20; i++) {
+                while (!messages.isEmpty()) {
+                    messages.remove(random.nextInt(messages.size())).run();
+                }
+                time.advance(Duration.ofSeconds(2));
+            }
+        }
+
         /** Sends a request through an entry, as an entry and a side treat it. Returns whether its upstream crashed. */
         boolean send(String fingerprint, List<String> neighbours) {
             String entry = "entry" + random.nextInt(ENTRIES);
@@ -179,10 +191,7 @@
             fleet.deliverSome();
         }
         assertTrue(fleet.badCrashes == 2, "crashes: " + fleet.badCrashes);
-        while (!fleet.messages.isEmpty()) {
-            fleet.deliverSome();
-            fleet.time.advance(Duration.ofSeconds(2));
-        }
+        fleet.drain();
         long now = fleet.time.wallMillis();
         for (int e = 0; e < ENTRIES; e++) {
             CrashSuspects entry = fleet.suspects.get("entry" + e);
@@ -193,4 +202,28 @@
             });
         }
     }
+
+    @Test
+    public void aNeighbourThatRanWellAfterwardsIsNoLongerSuspected() {
+        Fleet fleet = new Fleet(1, 0);
+        assertTrue(fleet.send(BAD, List.of("good")));
+        fleet.send("good", List.of());
+        fleet.drain();
+        fleet.suspects.values().forEach(s -> assertEquals(s.standing("good", fleet.time.wallMillis()), Standing.CLEAR));
+        assertTrue(fleet.send(BAD, List.of("good")));
+        fleet.drain();
+        fleet.suspects.forEach((address, s) -> assertTrue(
+                s.standing("good", fleet.time.wallMillis()) != Standing.QUARANTINED, "quarantined at " + address));
+    }
+
+    @Test
+    public void aCrashIsToldAgainUntilItArrives() {
+        Fleet fleet = new Fleet(1, 100);
+        assertTrue(fleet.send(BAD, List.of()));
+        fleet.lossPercent = 0;
+        fleet.drain();
+        for (int e = 0; e < ENTRIES; e++) {
+            assertEquals(fleet.suspects.get("entry" + e).standing(BAD, fleet.time.wallMillis()), Standing.SUSPECT);
+        }
+    }
 }
