Tell sides of crashed upstreams when a suspicion ends

Cause: the spreader of crash news now needs to find the side of an upstream, which the processes did not tell it. Change: entries and sides look the side up in the VM list.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/common/CrashKnowledge.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/common/CrashKnowledge.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -32,7 +33,13 @@
     public static CrashKnowledge create(ProcessBase base, Consumer<QuarantineNotice> onQuarantine) {
         CrashSuspects suspects = new CrashSuspects(SUSPICION, QUARANTINE);
         CrashNotices notices = new CrashNotices(
-                suspects, base.transport(), base.time(), base.scheduler(), () -> otherEntries(base), onQuarantine);
+                suspects,
+                base.transport(),
+                base.time(),
+                base.scheduler(),
+                () -> otherEntries(base),
+                upstreamId -> sideOf(base, upstreamId),
+                onQuarantine);
         base.transport().register(Frame.BodyCase.OUTCOME, notices::handle);
         followConfiguration(base, suspects);
         return new CrashKnowledge(suspects, notices);
@@ -45,6 +52,13 @@
                 .toList();
     }
 
+    private static Optional<String> sideOf(ProcessBase base, String upstreamId) {
+        return base.membership().vms(ProcessRole.SIDE).stream()
+                .filter(vm -> vm.upstreamId().equals(upstreamId))
+                .map(Vm::peerAddress)
+                .findFirst();
+    }
+
     /** A quarantine that is gone from the configuration was ended by an operator. */
     private static void followConfiguration(ProcessBase base, CrashSuspects suspects) {
         AtomicReference<Set<String>> recorded = new AtomicReference<>(Set.of());
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
@@ -30,6 +30,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -177,7 +178,8 @@
 
     private SuspectRouting suspects() {
         CrashSuspects known = new CrashSuspects(Duration.ofMinutes(1), Duration.ofMinutes(1));
-        CrashNotices notices = new CrashNotices(known, sides, TimeSource.SYSTEM, scheduler, List::of, notice -> {});
+        CrashNotices notices = new CrashNotices(
+                known, sides, TimeSource.SYSTEM, scheduler, List::of, id -> Optional.empty(), notice -> {});
         Membership nobody = new Membership(() -> CompletableFuture.completedFuture(List.of()), TimeSource.SYSTEM);
         return new SuspectRouting(known, notices, nobody, FixedConfiguration.EMPTY, TimeSource.SYSTEM);
     }
