--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/DebitRouter.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/DebitRouter.java
@@ -2,69 +2,104 @@
 
 import io.parsleycleat.core.process.identity.ProcessIdentity;
 import io.parsleycleat.core.process.membership.Epoch;
-import io.parsleycleat.core.process.membership.EpochKeeper;
 import io.parsleycleat.wire.escrow.Debit;
 import io.parsleycleat.wire.escrow.DebitAnswer;
 import io.parsleycleat.wire.escrow.EpochMember;
 import io.parsleycleat.wire.escrow.Settlement;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 
 /**
- * Takes a request's tokens from the nearest home of its account that answers.
+ * Takes tokens from a home of an account: the nearest that answers, or each in turn.
  *
  * <p>Created by {@link EscrowLimiter}; safe to share between threads.
  */
 final class DebitRouter {
+    /** The budgets that the process itself holds. */
+    interface Homes {
+        CompletableFuture<DebitDecision> debit(Debit debit);
+
+        void settle(Settlement settlement);
+    }
+
+    /** What a process that is no entry holds. */
+    static final Homes NO_HOMES = new Homes() {
+        @Override
+        public CompletableFuture<DebitDecision> debit(Debit debit) {
+            return CompletableFuture.completedFuture(DebitDecision.notHome(0));
+        }
+
+        @Override
+        public void settle(Settlement settlement) {
+            // Nothing was taken here.
+        }
+    };
+
     private static final int MAX_CACHED_ACCOUNTS = 50_000;
 
     /** The homes of an account in one epoch, nearest first. */
     private record Route(long epoch, List<EpochMember> homes) {}
 
     private final ProcessIdentity identity;
-    private final EpochKeeper keeper;
-    private final HomeAccounts homes;
+    private final Supplier<CompletableFuture<Epoch>> epochs;
+    private final Homes homes;
     private final EscrowPeers peers;
+    private final boolean nearestFirst;
     private final AtomicLong debitCount = new AtomicLong();
     private final Map<String, Route> routes = new ConcurrentHashMap<>();
 
-    DebitRouter(ProcessIdentity identity, EpochKeeper keeper, HomeAccounts homes, EscrowPeers peers) {
+    DebitRouter(
+            ProcessIdentity identity,
+            Supplier<CompletableFuture<Epoch>> epochs,
+            Homes homes,
+            EscrowPeers peers,
+            boolean nearestFirst) {
         this.identity = identity;
-        this.keeper = keeper;
+        this.epochs = epochs;
         this.homes = homes;
         this.peers = peers;
+        this.nearestFirst = nearestFirst;
     }
 
     /** Debits the account at one home after the other, until one decides. */
-    CompletableFuture<RoutedDebit> debit(String accountId, double tokens) {
+    CompletableFuture<RoutedDebit> debit(String accountId, double tokens, double rest) {
+        return epochs.get().thenCompose(epoch -> debit(epoch, accountId, tokens, rest));
+    }
+
+    private CompletableFuture<RoutedDebit> debit(Epoch epoch, String accountId, double tokens, double rest) {
         String id = identity.vmName() + '/' + identity.incarnation() + '/' + debitCount.incrementAndGet();
         Debit debit = Debit.newBuilder()
-                .setEpoch(keeper.current())
+                .setEpoch(epoch.number())
                 .setAccountId(accountId)
                 .setTokens(tokens)
                 .setDebitId(id)
+                .setRest(rest)
                 .build();
-        List<EpochMember> order = route(accountId).stream()
-                .sorted(Comparator.comparing(peers::isPassedOver))
-                .toList();
+        List<EpochMember> order = new ArrayList<>(route(accountId, epoch));
+        if (!nearestFirst && !order.isEmpty()) {
+            Collections.rotate(order, (int) (debitCount.get() % order.size()));
+        }
+        order.sort(Comparator.comparing(peers::isPassedOver));
         return debitAt(order, 0, debit);
     }
 
     private CompletableFuture<RoutedDebit> debitAt(List<EpochMember> order, int index, Debit debit) {
         if (index >= order.size()) {
-            DebitDecision none = DebitDecision.notHome(keeper.current());
+            DebitDecision none = DebitDecision.notHome(debit.getEpoch());
             return CompletableFuture.completedFuture(new RoutedDebit(debit.getTokens(), none, unused -> {}));
         }
         EpochMember home = order.get(index);
         boolean local = home.getVmName().equals(identity.vmName());
-        CompletableFuture<DebitDecision> decision = local
-                ? homes.debit(debit.getAccountId(), debit.getDebitId(), debit.getTokens())
-                : peers.debit(home, debit).thenApply(DebitRouter::decisionOf);
+        CompletableFuture<DebitDecision> decision =
+                local ? homes.debit(debit) : peers.debit(home, debit).thenApply(DebitRouter::decisionOf);
         return decision.handle((d, failure) -> {
                     if (failure != null) {
                         giveBack(home, debit, debit.getTokens(), true);
@@ -79,7 +114,7 @@
 
     private void giveBack(EpochMember home, Debit debit, double unused, boolean givenUp) {
         Settlement settlement = Settlement.newBuilder()
-                .setEpoch(keeper.current())
+                .setEpoch(debit.getEpoch())
                 .setAccountId(debit.getAccountId())
                 .setDebitId(debit.getDebitId())
                 .setReturnedTokens(unused)
@@ -92,8 +127,7 @@
         }
     }
 
-    private List<EpochMember> route(String accountId) {
-        Epoch epoch = keeper.epoch();
+    private List<EpochMember> route(String accountId, Epoch epoch) {
         Route known = routes.get(accountId);
         if (known != null && known.epoch() == epoch.number()) {
             return known.homes();
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/EscrowFrameHandler.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/EscrowFrameHandler.java
@@ -43,7 +43,7 @@
     }
 
     private void debit(PeerChannel from, Frame frame, Debit debit) {
-        homes.debit(debit.getAccountId(), debit.getDebitId(), debit.getTokens()).thenAccept(decision -> {
+        homes.debit(debit).thenAccept(decision -> {
             DebitAnswer answer = DebitAnswer.newBuilder()
                     .setGranted(decision.kind() == DebitDecision.Kind.GRANTED)
                     .setHome(decision.kind() != DebitDecision.Kind.NOT_HOME)
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/EscrowLimiter.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/EscrowLimiter.java
@@ -4,6 +4,7 @@
 import io.parsleycleat.core.connection.peer.FrameRouter;
 import io.parsleycleat.core.connection.peer.PeerClient;
 import io.parsleycleat.core.connection.platform.LogClient;
+import io.parsleycleat.core.connection.platform.WeightStoreLimits;
 import io.parsleycleat.core.process.identity.ProcessIdentity;
 import io.parsleycleat.core.process.membership.EpochKeeper;
 import io.parsleycleat.core.process.membership.EpochSettings;
@@ -53,9 +54,12 @@
         homes = new HomeAccounts(
                 identity.vmName(), time, require(builder.configuration, "configuration"), keeper, peers, settings);
         metrics = new EscrowMetrics(builder.metrics, homes, keeper, peers);
-        router = new DebitRouter(identity, keeper, homes, peers);
+        router = new DebitRouter(identity, () -> CompletableFuture.completedFuture(keeper.epoch()), homes, peers, true);
         require(builder.frames, "frames")
                 .register(Frame.BodyCase.ESCROW, new EscrowFrameHandler(keeper, homes)::handle);
+        if (builder.weightStore != null) {
+            homes.addFixed(WeightStoreBudget.accounts(builder.weightStore));
+        }
         keeper.onEpoch(homes::adopt);
         require(builder.configuration, "configuration").onChange(homes::configure);
     }
@@ -87,7 +91,7 @@
             String detail = tokens + " tokens are needed, the burst is " + account.getBurstTokens();
             return CompletableFuture.completedFuture(Either.left(Refusal.of(ResultCode.REQUEST_ABOVE_BURST, detail)));
         }
-        return router.debit(account.getId(), tokens).thenApply(this::answer);
+        return router.debit(account.getId(), tokens, 0).thenApply(this::answer);
     }
 
     /** Returns the epochs that this entry follows. */
@@ -136,6 +140,7 @@
         private EpochSettings epochSettings = EpochSettings.DEFAULT;
         private MetricRegistry metrics = new MetricRegistry();
         private @Nullable ScheduledExecutorService scheduler;
+        private @Nullable WeightStoreLimits weightStore;
 
         private Builder() {}
 
@@ -205,6 +210,12 @@
             return this;
         }
 
+        /** Sets the weight store's limits, which are shared out like a budget; without them there are no permits. */
+        public Builder weightStore(WeightStoreLimits newLimits) {
+            weightStore = newLimits;
+            return this;
+        }
+
         /** Creates the limiter and registers it for the frames of the escrow. */
         public EscrowLimiter build() {
             EscrowLimiter limiter = new EscrowLimiter(this);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/HomeAccount.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/HomeAccount.java
@@ -3,6 +3,7 @@
 import io.parsleycleat.core.process.membership.Epoch;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.wire.configuration.Account;
+import io.parsleycleat.wire.escrow.Debit;
 import io.parsleycleat.wire.escrow.EpochMember;
 import io.parsleycleat.wire.escrow.HandOver;
 import io.parsleycleat.wire.escrow.HandOverAnswer;
@@ -36,9 +37,13 @@
     private static final double ROUNDING_TOKENS = 1e-6;
 
     /** A debit that waits for a loan. */
-    private record Waiting(String id, double tokens, int rounds, CompletableFuture<DebitDecision> result) {
+    private record Waiting(Debit debit, int rounds, CompletableFuture<DebitDecision> result) {
         Waiting withRound() {
-            return new Waiting(id, tokens, rounds + 1, result);
+            return new Waiting(debit, rounds + 1, result);
+        }
+
+        double tokens() {
+            return debit.getTokens();
         }
     }
 
@@ -182,20 +187,20 @@
     // Debits
 
     /** Takes tokens, borrowing from other homes when needed. Never fails. */
-    CompletableFuture<DebitDecision> debit(String id, double tokens) {
+    CompletableFuture<DebitDecision> debit(Debit debit) {
         CompletableFuture<DebitDecision> result = new CompletableFuture<>();
         synchronized (lock) {
             long now = time.monotonicNanos();
-            CompletableFuture<DebitDecision> known = recent.putIfAbsent(id, result, now);
+            CompletableFuture<DebitDecision> known = recent.putIfAbsent(debit.getDebitId(), result, now);
             if (known != null) {
                 return known;
             }
-            Optional<DebitDecision> decision = decide(id, tokens, now);
+            Optional<DebitDecision> decision = decide(debit, now);
             if (decision.isPresent()) {
                 result.complete(decision.get());
                 return result;
             }
-            waiting.addLast(new Waiting(id, tokens, 0, result));
+            waiting.addLast(new Waiting(debit, 0, result));
         }
         borrow();
         return result;
@@ -210,7 +215,7 @@
                         settlement.getDebitId(),
                         CompletableFuture.completedFuture(DebitDecision.notHome(epoch.number())),
                         now);
-                waiting.removeIf(w -> w.id().equals(settlement.getDebitId()));
+                waiting.removeIf(w -> w.debit().getDebitId().equals(settlement.getDebitId()));
             }
             budget.settle(settlement.getDebitId(), settlement.getReturnedTokens(), now);
         }
@@ -264,20 +269,36 @@
 
     // Internals: debits and loans
 
-    private Optional<DebitDecision> decide(String id, double tokens, long now) {
+    private Optional<DebitDecision> decide(Debit debit, long now) {
+        double tokens = debit.getTokens();
         if (!standing.getAsBoolean() || !partCounts.containsKey(vmName)) {
             return Optional.of(DebitDecision.notHome(epoch.number()));
         }
-        if (budget.debit(id, tokens, now)) {
+        double missingRest = missingRest(debit, now);
+        if (missingRest > 0) {
+            return Optional.of(refusal(missingRest));
+        }
+        if (budget.debit(debit.getDebitId(), tokens, now)) {
             return Optional.of(DebitDecision.granted(epoch.number()));
         }
-        return mostReachable(now) + ROUNDING_TOKENS < tokens ? Optional.of(refusal(tokens, now)) : Optional.empty();
+        return mostReachable(now) + ROUNDING_TOKENS < tokens
+                ? Optional.of(refusal(tokens - mostReachable(now)))
+                : Optional.empty();
+    }
+
+    /** Returns what the account lacks for a debit that must leave a rest, judged by what is held here. */
+    private double missingRest(Debit debit, long now) {
+        if (debit.getRest() <= 0 || budget.parts() == 0) {
+            return 0;
+        }
+        double share = (double) budget.parts() / Parts.COUNT;
+        double level = budget.available(now) / share;
+        return debit.getTokens() + debit.getRest() * account.getBurstTokens() - level;
     }
 
-    private DebitDecision refusal(double tokens, long now) {
-        double missing = Math.max(0, tokens - mostReachable(now));
+    private DebitDecision refusal(double missing) {
         double rate = Math.max(account.getTokensPerSecond(), Double.MIN_NORMAL);
-        double millis = Math.min(Math.ceil(missing / rate * MILLIS_PER_SECOND), Integer.MAX_VALUE);
+        double millis = Math.min(Math.ceil(Math.max(0, missing) / rate * MILLIS_PER_SECOND), Integer.MAX_VALUE);
         return DebitDecision.refused(Duration.ofMillis(Math.max(1, (long) millis)), epoch.number());
     }
 
@@ -359,9 +380,9 @@
             List<Waiting> queue = List.copyOf(waiting);
             waiting.clear();
             queue.forEach(w -> {
-                Optional<DebitDecision> decision = decide(w.id(), w.tokens(), now);
+                Optional<DebitDecision> decision = decide(w.debit(), now);
                 if (decision.isEmpty() && w.rounds() + 1 >= MAX_LOAN_ROUNDS) {
-                    decision = Optional.of(refusal(w.tokens(), now));
+                    decision = Optional.of(refusal(w.tokens() - mostReachable(now)));
                 }
                 decision.ifPresentOrElse(d -> decided.put(w, d), () -> waiting.addLast(w.withRound()));
             });
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/HomeAccounts.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/HomeAccounts.java
@@ -6,6 +6,7 @@
 import io.parsleycleat.core.version.configuration.ConfigurationSource;
 import io.parsleycleat.core.version.configuration.ConfigurationView;
 import io.parsleycleat.wire.configuration.Account;
+import io.parsleycleat.wire.escrow.Debit;
 import io.parsleycleat.wire.escrow.EpochMember;
 import io.parsleycleat.wire.escrow.HandOver;
 import io.parsleycleat.wire.escrow.HandOverAnswer;
@@ -25,7 +26,7 @@
  *
  * <p>Created by {@link EscrowLimiter}; safe to share between threads.
  */
-final class HomeAccounts {
+final class HomeAccounts implements DebitRouter.Homes {
     private final String vmName;
     private final TimeSource time;
     private final ConfigurationSource configuration;
@@ -36,6 +37,7 @@
     private final Object changeLock = new Object();
     private Epoch newest = Epoch.NONE;
     private List<Epoch> earlierEpochs = List.of();
+    private Set<String> fixed = Set.of();
     private boolean ready;
 
     HomeAccounts(
@@ -67,7 +69,15 @@
                     accounts.put(account.getId(), create(account));
                 }
             });
-            accounts.keySet().retainAll(present);
+            accounts.keySet().removeIf(id -> !present.contains(id) && !fixed.contains(id));
+        }
+    }
+
+    /** Adds budgets that do not come from the configuration and are never removed. */
+    void addFixed(List<Account> budgets) {
+        synchronized (changeLock) {
+            fixed = budgets.stream().map(Account::getId).collect(Collectors.toUnmodifiableSet());
+            budgets.forEach(b -> accounts.put(b.getId(), create(b)));
         }
     }
 
@@ -89,13 +99,15 @@
 
     // Requests of other entries and of this one
 
-    CompletableFuture<DebitDecision> debit(String accountId, String debitId, double tokens) {
-        return home(accountId)
-                .map(a -> a.debit(debitId, tokens))
+    @Override
+    public CompletableFuture<DebitDecision> debit(Debit debit) {
+        return home(debit.getAccountId())
+                .map(a -> a.debit(debit))
                 .orElseGet(() -> CompletableFuture.completedFuture(DebitDecision.notHome(keeper.current())));
     }
 
-    void settle(Settlement settlement) {
+    @Override
+    public void settle(Settlement settlement) {
         home(settlement.getAccountId()).ifPresent(a -> a.settle(settlement));
     }
 
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/limits/SimulatedFleet.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/limits/SimulatedFleet.java
@@ -1,9 +1,11 @@
 package io.parsleycleat.standin.measure.limits;
 
 import io.parsleycleat.core.connection.platform.Vm;
+import io.parsleycleat.core.connection.platform.WeightStoreLimits;
 import io.parsleycleat.core.process.identity.ProcessIdentity;
 import io.parsleycleat.core.process.identity.ProcessRole;
 import io.parsleycleat.core.process.limits.EscrowLimiter;
+import io.parsleycleat.core.process.limits.EscrowLoadPermits;
 import io.parsleycleat.core.process.limits.EscrowSettings;
 import io.parsleycleat.core.process.limits.Reservation;
 import io.parsleycleat.core.process.membership.EpochSettings;
@@ -15,7 +17,9 @@
 import java.util.Collection;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 
 /**
@@ -24,11 +28,15 @@
  * <p>Created for each simulation and used by one thread.
  */
 public final class SimulatedFleet {
+    /** What the simulated weight store allows. */
+    public static final WeightStoreLimits WEIGHT_STORE = new WeightStoreLimits(3, 8, 0);
+
     private static final Duration TICK = Duration.ofMillis(500);
     private static final Duration LIST_INTERVAL = Duration.ofSeconds(1);
     private static final Duration LIST_LAG = Duration.ofSeconds(2);
     private static final Duration CONFIGURATION_SPREAD = Duration.ofSeconds(2);
     private static final int FIRST_PORT = 1000;
+    private static final int FIRST_SIDE_PORT = 5000;
 
     /** One start of an entry. */
     private record Entry(SimulatedProcess process, SimulatedAccounts accounts, EscrowLimiter limiter) {}
@@ -42,6 +50,7 @@
     private final SimulatedPlatform platform;
     private final Map<Integer, Entry> entries = new TreeMap<>();
     private final Map<String, Account> accounts = new TreeMap<>();
+    private final Set<Integer> everStarted = new TreeSet<>();
     private long incarnations;
 
     /** Creates a fleet without entries. */
@@ -76,6 +85,11 @@
         return entries.keySet();
     }
 
+    /** Returns the numbers of all entries that were ever started. */
+    public Collection<Integer> everStarted() {
+        return everStarted;
+    }
+
     /** Returns the process of an entry. */
     public SimulatedProcess process(int number) {
         return entry(number).process();
@@ -90,6 +104,7 @@
             earlier.process().kill();
         }
         incarnations++;
+        everStarted.add(number);
         String address = "127.0.0.1:" + (FIRST_PORT + number);
         String region = "region-" + number % regions;
         String dataCentre = region + "-dc-" + number / regions % 2;
@@ -109,6 +124,7 @@
                 .log(platform.logOf(process))
                 .time(time)
                 .settings(settings)
+                .weightStore(WEIGHT_STORE)
                 .epochSettings(epochSettings)
                 .build();
         entries.put(number, new Entry(process, known, limiter));
@@ -122,6 +138,20 @@
                 }));
     }
 
+    /** Starts a side and returns its permits for the weight store. */
+    public EscrowLoadPermits startSide(int number) {
+        String region = "region-" + number % regions;
+        String address = "127.0.0.1:" + (FIRST_SIDE_PORT + number);
+        ProcessIdentity identity =
+                new ProcessIdentity("side-" + number, ProcessRole.SIDE, region + "-dc-0", region, address, 1);
+        SimulatedProcess process = new SimulatedProcess(identity, time);
+        network.add(process);
+        Membership membership = new Membership(platform.vmListOf(process), time);
+        membership.refresh();
+        process.every(LIST_INTERVAL, membership::refresh);
+        return new EscrowLoadPermits(identity, network.clientOf(process), membership, time, settings);
+    }
+
     /** Kills an entry; the platform notices after a while. */
     public void kill(int number, Duration noticedAfter) {
         Entry entry = entry(number);
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/limits/SimulatedNetwork.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/limits/SimulatedNetwork.java
@@ -67,6 +67,12 @@
         return new Client(process);
     }
 
+    /** Lets an action happen at another process, after the latency between the two. */
+    void travel(SimulatedProcess from, SimulatedProcess to, Runnable action) {
+        messages++;
+        time.after(delay(from, to), () -> to.run(action));
+    }
+
     private void carry(SimulatedProcess from, String address, java.util.function.Consumer<SimulatedProcess> arrival) {
         messages++;
         SimulatedProcess to = processes.get(address);
