Check that no part of a budget is spent by two entries at once

Cause: without the check for gaps in an entry's standing the schedules still passed, because capacity lost earlier hid a short double use of one part. Change: a limiter tells how many parts of an account it may spend; each grant of a schedule checks their sum.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/EscrowLimiter.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/EscrowLimiter.java
@@ -30,6 +30,9 @@
  * <p>Created once by each entry; safe to share between threads.
  */
 public final class EscrowLimiter implements TokenLimiter {
+    /** Equal parts of each budget, and so the largest number of entries that hold one. */
+    public static final int PARTS = Parts.COUNT;
+
     private static final Duration RETRY_UNAVAILABLE = Duration.ofSeconds(1);
 
     private final EscrowSettings settings;
@@ -99,6 +102,11 @@
         return keeper;
     }
 
+    /** Returns how many parts of an account's budget this entry may spend at present. */
+    public int heldParts(String accountId) {
+        return keeper.isStanding() ? homes.heldParts(accountId) : 0;
+    }
+
     /** Returns whether all parts were passed on, so that the process may stop without loss. */
     public boolean isDrained() {
         return homes.isDrained();
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/HomeAccounts.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/HomeAccounts.java
@@ -133,6 +133,10 @@
         return accounts.values().stream().allMatch(HomeAccount::isDrained);
     }
 
+    int heldParts(String accountId) {
+        return home(accountId).map(HomeAccount::heldParts).orElse(0);
+    }
+
     int heldParts() {
         return accounts.values().stream().mapToInt(HomeAccount::heldParts).sum();
     }
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/limits/SimulatedFleet.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/limits/SimulatedFleet.java
@@ -201,6 +201,14 @@
         entry.process().run(() -> entry.limiter().reserve(account, tokens).thenAccept(result));
     }
 
+    /** Returns how many parts of an account's budget the running entries may spend together. */
+    public int heldParts(Account account) {
+        return entries.values().stream()
+                .filter(e -> e.process().isRunning())
+                .mapToInt(e -> e.limiter().heldParts(account.getId()))
+                .sum();
+    }
+
     private Entry entry(int number) {
         Entry entry = entries.get(number);
         if (entry == null) {
--- a/parsleycleat-standin/src/test/java/io/parsleycleat/standin/measure/limits/EscrowScheduleTest.java
+++ b/parsleycleat-standin/src/test/java/io/parsleycleat/standin/measure/limits/EscrowScheduleTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.parsleycleat.core.process.limits.EscrowLimiter;
 import io.parsleycleat.core.process.limits.EscrowSettings;
 import io.parsleycleat.core.process.membership.EpochSettings;
 import io.parsleycleat.wire.configuration.Account;
@@ -41,6 +42,7 @@
         private final int size;
         private final Map<Account, AdmissionHistory> histories = new HashMap<>();
         private int started;
+        private int mostHeld;
 
         Schedule(long seed, List<Fault> faults) {
             this.faults = faults;
@@ -99,6 +101,7 @@
                             account,
                             reserved,
                             result -> result.forEach(reservation -> {
+                                mostHeld = Math.max(mostHeld, fleet.heldParts(account));
                                 history.granted(fleet.network().decidedNanos(), used);
                                 fleet.time()
                                         .after(
@@ -209,6 +212,7 @@
             Schedule schedule = new Schedule(seed, faults);
             schedule.run();
             assertEquals(schedule.overshoot(), 0.0, "seed " + seed);
+            assertTrue(schedule.mostHeld <= EscrowLimiter.PARTS, "seed " + seed + " held " + schedule.mostHeld);
             assertTrue(schedule.granted() > 100, "seed " + seed + " granted only " + schedule.granted());
         }
     }
