--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/load/LoadFleet.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/load/LoadFleet.java
@@ -49,7 +49,11 @@
         Deployment deployment = options.deployment();
         fleet.startLog("--appends-per-second", APPENDS_PER_SECOND, "--records", RECORDS_KEPT);
         fleet.startVmList();
-        fleet.startWeightStore("--loads-per-second", Double.toString(deployment.loadsPerSecond()), "--burst", "1");
+        fleet.startWeightStore(
+                "--loads-per-second",
+                Double.toString(deployment.loadsPerSecond()),
+                "--burst",
+                Double.toString(deployment.loadsPerSecond()));
         IntStream.range(0, deployment.engines()).forEach(this::startEngine);
         IntStream.range(0, deployment.services()).forEach(this::startService);
         IntStream.range(0, options.entries()).forEach(this::startEntry);
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/load/Observations.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/load/Observations.java
@@ -27,6 +27,7 @@
     private int keysSeen;
     private int loads;
     private int loadFailures;
+    private int runsRefused;
 
     /** Reads the records of all upstreams. */
     static Observations read(List<StandInNode> engines, List<StandInNode> services) {
@@ -72,6 +73,10 @@
         return loadFailures;
     }
 
+    int runsRefused() {
+        return runsRefused;
+    }
+
     /** Returns the model and text that tell a request from all others. */
     static String requestKey(String model, String prompt) {
         return model + "\n" + prompt;
@@ -97,6 +102,7 @@
                         .add(at);
             }
             case "LOAD_FAILED" -> loadFailures++;
+            case "RUN_REFUSED" -> runsRefused++;
             case "VIOLATION" -> violations++;
             default -> {
                 // Other events are not needed.
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/load/RunAnalysis.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/load/RunAnalysis.java
@@ -106,7 +106,10 @@
                 Percentiles.ofMillis(inEngine()),
                 Percentiles.ofNanos(durations(Kind.READ)),
                 Percentiles.ofNanos(directReads),
-                Percentiles.ofNanos(durations(Kind.ORDER)));
+                Percentiles.ofNanos(durations(Kind.ORDER)),
+                Percentiles.ofNanos(measured.stream()
+                        .map(o -> o.sentNanos() - o.arrival().atNanos())
+                        .toList()));
     }
 
     private Loads loads() {
@@ -117,7 +120,8 @@
                 done.isEmpty() ? 0 : share(stalls.size(), done.size()),
                 Percentiles.ofMillis(stalls),
                 share(observations.loads(), options.totalSeconds()),
-                observations.loadFailures());
+                observations.loadFailures(),
+                observations.runsRefused());
     }
 
     private Batch batch(FleetSnapshot counted) {
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/load/RunReport.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/load/RunReport.java
@@ -61,6 +61,7 @@
      * @param beforeEngine from the caller's send to the engine's receipt, of requests that waited for no load
      * @param inEngine from the engine's receipt to the caller's first token
      * @param directReads reads of the plain service without the system in between
+     * @param sendDelay how late the load tool itself sent its requests
      */
     record Latency(
             Percentiles firstToken,
@@ -70,15 +71,23 @@
             Percentiles inEngine,
             Percentiles reads,
             Percentiles directReads,
-            Percentiles orders) {}
+            Percentiles orders,
+            Percentiles sendDelay) {}
 
     /**
      * Loads of adapters.
      *
      * @param stalled completions that waited until their adapter was loaded
      * @param stallTime how long they waited
+     * @param runsRefusedByEngine runs that an engine refused, since their adapter was not loaded or too many waited
      */
-    record Loads(int stalled, double stalledShare, Percentiles stallTime, double loadsPerSecond, int loadFailures) {}
+    record Loads(
+            int stalled,
+            double stalledShare,
+            Percentiles stallTime,
+            double loadsPerSecond,
+            int loadFailures,
+            int runsRefusedByEngine) {}
 
     /** How full the engines' batches were, in runs and in distinct adapters a step. */
     record Batch(
