Measure the load tool's requests from when they were due

Cause: the clock of a run started before its requests were prepared, so every request was sent late.

Change: requests are prepared in a lead of two seconds and due relative to the run's own clock.

--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/load/LoadDriver.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/load/LoadDriver.java
@@ -29,6 +29,9 @@
  */
 final class LoadDriver implements AutoCloseable {
     private static final Duration ANSWER_TIMEOUT = Duration.ofMinutes(2);
+    /** Time in which all requests are prepared before the first is due. */
+    private static final Duration LEAD = Duration.ofSeconds(2);
+
     private static final int DIRECT_READS = 200;
     private static final int SIGNIFICANT_DIGITS = 3;
 
@@ -53,15 +56,15 @@
      * @param whenWarm called when the warm-up is over
      */
     List<Outcome> run(List<Arrival> arrivals, Runnable whenWarm) {
-        startNanos = System.nanoTime();
-        startMillis = System.currentTimeMillis();
+        startNanos = System.nanoTime() + LEAD.toNanos();
+        startMillis = System.currentTimeMillis() + LEAD.toMillis();
         loops.schedule(
                 () -> {
                     gaps.reset();
                     whenWarm.run();
                 },
-                options.warmUpSeconds(),
-                TimeUnit.SECONDS);
+                TimeUnit.SECONDS.toNanos(options.warmUpSeconds()) - sinceStart(),
+                TimeUnit.NANOSECONDS);
         List<CompletableFuture<Outcome>> outcomes =
                 arrivals.stream().map(this::sendWhenDue).toList();
         return outcomes.stream().map(CompletableFuture::join).toList();
@@ -109,7 +112,7 @@
                             new CompletionReader(arrival, this::sinceStart, gaps::recordValue, outcome);
                     http.executeRequest(request, reader);
                 },
-                arrival.atNanos(),
+                arrival.atNanos() - sinceStart(),
                 TimeUnit.NANOSECONDS);
         return outcome;
     }
