Share the weight store's loads over the fleet and renew tokens of a passed epoch

Cause: sides loaded without permits, and a run whose tokens were taken just before an epoch ended would have been refused although its account was inside its rate. Change: sides take a permit for each load from the budgets that entries hold, and refuse tokens of an earlier epoch; the entry takes such tokens anew and tries again. The weight store's limits are settings, compared with what it says.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.parsleycleat.core.connection.caller.CallerServer;
+import io.parsleycleat.core.connection.platform.WeightStoreLimits;
 import io.parsleycleat.core.connection.run.RunClient;
 import io.parsleycleat.core.process.admin.Readiness;
 import io.parsleycleat.core.process.common.CrashKnowledge;
@@ -74,6 +75,7 @@
     private void listen() {
         base.start(settings.listen().peers());
         limiter.start(base.scheduler());
+        compareWeightStoreLimits();
         base.startAdmin(settings.listen().admin(), this::readiness);
         operators.start(settings.listen().operators());
         callers.listen(settings.listen().callers());
@@ -140,9 +142,23 @@
                 .log(base.log())
                 .time(base.time())
                 .metrics(base.metrics())
+                .weightStore(settings.platform().weightStoreLimits())
                 .build();
     }
 
+    /** Warns when the settings differ from what the weight store says of itself. */
+    private void compareWeightStoreLimits() {
+        WeightStoreLimits expected = settings.platform().weightStoreLimits();
+        base.weightStore().limits().whenComplete((limits, failure) -> {
+            if (failure != null) {
+                logger.atWarning().log("the weight store's limits cannot be read: %s", failure);
+            } else if (limits.loadsPerSecond() != expected.loadsPerSecond()
+                    || limits.fullSpeedTransits() != expected.fullSpeedTransits()) {
+                logger.atWarning().log("the weight store allows %s, the settings say %s", limits, expected);
+            }
+        });
+    }
+
     private RequestService createService(TokenLimiter tokens) {
         EntrySettings.Requests requests = settings.requests();
         RunClient runs = new RunClient(
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/EngineWork.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/EngineWork.java
@@ -10,6 +10,7 @@
 import io.parsleycleat.core.process.common.ProcessBase;
 import io.parsleycleat.core.process.lease.LeaseSettings;
 import io.parsleycleat.core.process.lease.UpstreamLease;
+import io.parsleycleat.core.process.limits.LoadPermits;
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
@@ -57,6 +58,7 @@
             SideSettings.UpstreamSettings upstream,
             RunQueue queue,
             CrashKnowledge knowledge,
+            LoadPermits permits,
             SideGate gate) {
         this.base = base;
         this.upstream = upstream;
@@ -68,6 +70,7 @@
                 .withMetrics(base.metrics())
                 .withLease(lease::fencingNumber, lease::isHeld)
                 .withRetired(this::isRetired)
+                .withGate(priority -> permits.acquire(priority).thenApply(permit -> permit.map(p -> p::release)))
                 .build();
         this.crashes = new CrashWatch(engine, this::onCrash);
         this.monitor = new EngineMonitor(engine, this::onState);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/SideProcess.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/SideProcess.java
@@ -8,6 +8,8 @@
 import io.parsleycleat.core.process.common.Drain;
 import io.parsleycleat.core.process.common.ProcessBase;
 import io.parsleycleat.core.process.identity.ProcessRole;
+import io.parsleycleat.core.process.limits.EscrowLoadPermits;
+import io.parsleycleat.core.process.limits.EscrowSettings;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.request.execute.SideGate;
@@ -31,6 +33,7 @@
 
     private final SideSettings settings;
     private final ProcessBase base;
+    private final EscrowLoadPermits permits;
     private final FairRunQueue queue;
     private final UpstreamWork work;
     private final RunServer runs;
@@ -41,6 +44,8 @@
         this.settings = settings;
         this.base = new ProcessBase(
                 settings.vm(), ProcessRole.SIDE, settings.listen().peers(), settings.platform(), settings.control());
+        this.permits = new EscrowLoadPermits(
+                base.identity(), base.transport(), base.membership(), base.time(), EscrowSettings.DEFAULT);
         SideSettings.UpstreamSettings upstream = settings.upstream();
         this.queue = new FairRunQueue(
                 QueueSettings.DEFAULT
@@ -49,7 +54,7 @@
                 base.time(),
                 base.metrics());
         this.work = upstream.kind() == SideSettings.Kind.MODEL_ENGINE
-                ? new EngineWork(base, upstream, queue, CrashKnowledge.create(base, notice -> {}), gate())
+                ? new EngineWork(base, upstream, queue, CrashKnowledge.create(base, notice -> {}), permits, gate())
                 : new ServiceWork(base, upstream, queue, gate());
         this.runs = new RunServer(base.transport(), base.scheduler(), work.executor());
     }
@@ -110,7 +115,8 @@
     // Checks of runs
 
     private SideGate gate() {
-        return new SideGate(List.of(this::refuseWhenStopping), List.of(this::refuseKey), List.of());
+        return new SideGate(
+                List.of(this::refuseWhenStopping, this::refuseStaleEpoch), List.of(this::refuseKey), List.of());
     }
 
     private Optional<Refusal> refuseWhenStopping(Start start) {
@@ -123,6 +129,14 @@
         return Optional.empty();
     }
 
+    /** Tokens of an epoch that has passed may be spent by another home already. */
+    private Optional<Refusal> refuseStaleEpoch(Start start) {
+        permits.epochs().observe(start.getEscrowEpoch());
+        return permits.epochs().isStale(start.getEscrowEpoch())
+                ? Optional.of(Refusal.of(ResultCode.EPOCH_STALE).withRetryAfter(RETRY_ELSEWHERE))
+                : Optional.empty();
+    }
+
     private Optional<Refusal> refuseKey(Start start) {
         return start.getKeyId().isEmpty()
                 ? Optional.empty()
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionFlow.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionFlow.java
@@ -85,6 +85,7 @@
         RequestRun run = new RequestRun(
                 context.runTools(),
                 start(plan, admission, trace),
+                admission::renew,
                 selection(plan),
                 trace,
                 sink,
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/EntryContext.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/EntryContext.java
@@ -4,6 +4,7 @@
 import io.parsleycleat.core.connection.caller.CallerExchange;
 import io.parsleycleat.core.connection.caller.CallerRequest;
 import io.parsleycleat.core.connection.caller.ErrorAnswer;
+import io.parsleycleat.core.process.limits.Reservation;
 import io.parsleycleat.core.process.limits.TokenLimiter;
 import io.parsleycleat.core.process.result.Failures;
 import io.parsleycleat.core.process.result.Refusal;
@@ -77,10 +78,13 @@
             return CompletableFuture.completedFuture(Either.left(busy.get()));
         }
         Runnable leave = free ? freeTier::leave : () -> {};
+        return reserve(account, tokens).thenApply(reserved -> reserved.peekLeft(refusal -> leave.run())
+                .map(reservation -> new Admission(reservation, () -> reserve(account, tokens), leave)));
+    }
+
+    private CompletableFuture<Either<Refusal, Reservation>> reserve(Account account, double tokens) {
         return limiter.reserve(account, tokens)
-                .exceptionally(failure -> Either.left(Failures.toRefusal(failure, ResultCode.LIMIT_UNAVAILABLE)))
-                .thenApply(reserved -> reserved.peekLeft(refusal -> leave.run())
-                        .map(reservation -> new Admission(reservation, leave)));
+                .exceptionally(failure -> Either.left(Failures.toRefusal(failure, ResultCode.LIMIT_UNAVAILABLE)));
     }
 
     /** Answers a request with a refusal. */
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
@@ -14,12 +14,15 @@
 import io.parsleycleat.wire.run.AnswerEnd;
 import io.parsleycleat.wire.run.AnswerHead;
 import io.parsleycleat.wire.run.Start;
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -31,13 +34,14 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final RunTools tools;
-    private final Start template;
+    private final Supplier<CompletableFuture<Either<Refusal, Long>>> renewal;
     private final SelectionRequest selection;
     private final RequestTrace trace;
     private final AnswerSink sink;
     private final long deadlineNanos;
     private final Object lock = new Object();
     private final Set<String> excluded = new HashSet<>();
+    private Start template;
     private @Nullable AnswerEnd mayHaveRun;
     private @Nullable RunHandle current;
     private @Nullable ScheduledFuture<?> answerTimer;
@@ -49,12 +53,14 @@
     RequestRun(
             RunTools tools,
             Start template,
+            Supplier<CompletableFuture<Either<Refusal, Long>>> renewal,
             SelectionRequest selection,
             RequestTrace trace,
             AnswerSink sink,
             Duration deadline) {
         this.tools = tools;
         this.template = template;
+        this.renewal = renewal;
         this.selection = selection;
         this.trace = trace;
         this.sink = sink;
@@ -154,21 +160,36 @@
                 mayHaveRun = end;
             }
             suspect |= end.getUpstreamCrashed();
-            excluded.add(chosen.upstreamId());
+            if (code != ResultCode.EPOCH_STALE) {
+                excluded.add(chosen.upstreamId());
+            }
             current = null;
             retry = !cancelled
                     && !finished
                     && RetryRule.mayRetry(code, template.getIdempotent(), sink.isAnswerStarted(), attempts)
                     && tools.retries().tryRetry();
         }
-        if (retry) {
+        if (!retry) {
+            finish(end);
+        } else if (code == ResultCode.EPOCH_STALE) {
+            renewAndAttempt();
+        } else {
             sink.onRetry();
             attempt();
-        } else {
-            finish(end);
         }
     }
 
+    /** Takes the tokens anew in the current epoch; the side that refused is as good as any. */
+    private void renewAndAttempt() {
+        renewal.get().thenAccept(renewed -> renewed.peekLeft(refusal -> finish(end(refusal)))
+                .peek(epoch -> {
+                    synchronized (lock) {
+                        template = template.toBuilder().setEscrowEpoch(epoch).build();
+                    }
+                    attempt();
+                }));
+    }
+
     /** Passes the final result on. After an attempt that may have run, the result never says "not run". */
     private void finish(AnswerEnd end) {
         AnswerEnd result = end;
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RetryRule.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RetryRule.java
@@ -14,7 +14,7 @@
     /** Attempts of one request, the first one included. */
     static final int MAX_ATTEMPTS = 4;
 
-    /** Failures that another upstream may not share. */
+    /** Failures that another attempt may not share. */
     private static final Set<ResultCode> ELSEWHERE = EnumSet.of(
             ResultCode.QUEUE_FULL,
             ResultCode.UPSTREAM_UNREACHABLE,
@@ -23,6 +23,7 @@
             ResultCode.PROCESS_STOPPING,
             ResultCode.LEASE_LAPSED,
             ResultCode.NOT_READY,
+            ResultCode.EPOCH_STALE,
             ResultCode.UPSTREAM_REFUSED);
 
     private RetryRule() {}
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/ServiceFlow.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/ServiceFlow.java
@@ -123,6 +123,7 @@
         RequestRun run = new RequestRun(
                 context.runTools(),
                 start(plan, admission, trace),
+                admission::renew,
                 selection(plan),
                 trace,
                 sink,
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
@@ -146,6 +146,17 @@
         assertEquals(sink.text.toString(), "right");
     }
 
+    @Test
+    public void tokensOfAPassedEpochAreTakenAnew() {
+        sides.add("side-1", (message, channel) -> {
+            boolean stale = message.getStart().getEscrowEpoch() < 2;
+            (stale ? refusing(ResultCode.EPOCH_STALE) : completing("ok")).accept(message, channel);
+        });
+        start(false);
+        assertEquals(sink.ends, List.of(ResultCode.DONE));
+        assertEquals(sides.sent().size(), 2);
+    }
+
     @Test
     public void retriesEndWithTheBudget() {
         RetryBudget budget = new RetryBudget(0);
@@ -168,7 +179,11 @@
                 "a", false, new AdapterVersion("x", "1"), "m", "", 0, "", Set.of(), Duration.ofSeconds(30));
         new RequestRun(
                         tools,
-                        Start.newBuilder().setIdempotent(idempotent).build(),
+                        Start.newBuilder()
+                                .setIdempotent(idempotent)
+                                .setEscrowEpoch(1)
+                                .build(),
+                        () -> CompletableFuture.completedFuture(Either.right(2L)),
                         request,
                         new TraceStore(TimeSource.SYSTEM).begin("r"),
                         sink,
