--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/operators/ChangeResponses.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/operators/ChangeResponses.java
@@ -1,5 +1,7 @@
 package io.parsleycleat.core.process.operators;
 
+import io.parsleycleat.core.process.result.Failures;
+import io.parsleycleat.core.process.result.ParsleycleatException;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.wire.configuration.AuditEntry;
 import io.parsleycleat.wire.configuration.Change;
@@ -30,20 +32,18 @@
         };
     }
 
-    /** Returns the answer to a change of which nothing is known yet. */
-    static ApplyResponse unknown(Change asked) {
-        return withCode(ApplyResponse.newBuilder(), ApplyState.APPLY_STATE_UNKNOWN, ResultCode.CHANGE_UNKNOWN)
-                .setChangeId(asked.getChangeId())
-                .setDetail(ResultCode.CHANGE_UNKNOWN.meaning())
-                .build();
-    }
-
-    /** Returns the answer to a withdrawal that is in force and not in the log yet. */
-    static ApplyResponse notRecorded(Change asked) {
-        ApplyState state = ApplyState.APPLY_STATE_IN_FORCE_NOT_RECORDED;
-        return withCode(ApplyResponse.newBuilder(), state, ResultCode.CHANGE_NOT_RECORDED)
-                .setChangeId(asked.getChangeId())
-                .setDetail(ResultCode.CHANGE_NOT_RECORDED.meaning())
+    /** Returns the answer to a change that was not read back in time. */
+    static ApplyResponse of(Change asked, Throwable failure) {
+        Throwable cause = Failures.unwrap(failure);
+        boolean inForce = cause instanceof ParsleycleatException e && e.code() == ResultCode.CHANGE_NOT_RECORDED;
+        ApplyResponse.Builder answer = inForce
+                ? withCode(
+                        ApplyResponse.newBuilder(),
+                        ApplyState.APPLY_STATE_IN_FORCE_NOT_RECORDED,
+                        ResultCode.CHANGE_NOT_RECORDED)
+                : withCode(ApplyResponse.newBuilder(), ApplyState.APPLY_STATE_UNKNOWN, ResultCode.CHANGE_UNKNOWN);
+        return answer.setChangeId(asked.getChangeId())
+                .setDetail(String.valueOf(cause.getMessage()))
                 .build();
     }
 
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/operators/OperatorsService.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/operators/OperatorsService.java
@@ -152,8 +152,8 @@
 
     // Internals
 
-    private CompletableFuture<ApplyResponse> change(Change asked) {
-        Change change = asked.toBuilder()
+    private CompletableFuture<ApplyResponse> change(Change unstamped) {
+        Change change = unstamped.toBuilder()
                 .setAuthor(OperatorAuthentication.caller().id())
                 .setTimeMillis(time.wallMillis())
                 .build();
@@ -163,14 +163,9 @@
                     .asRuntimeException());
         }
         boolean withdrawal = change.getKind() == ItemKind.ITEM_KIND_KEY && change.hasRemoval();
-        return withdrawal
-                ? store.withdraw(change)
-                        .handle((entry, failure) -> failure == null
-                                ? ChangeResponses.of(change, entry)
-                                : ChangeResponses.notRecorded(change))
-                : store.append(change)
-                        .handle((entry, failure) ->
-                                failure == null ? ChangeResponses.of(change, entry) : ChangeResponses.unknown(change));
+        CompletableFuture<AuditEntry> asked = withdrawal ? store.withdraw(change) : store.append(change);
+        return asked.handle((entry, failure) ->
+                failure == null ? ChangeResponses.of(change, entry) : ChangeResponses.of(change, failure));
     }
 
     private static <T> void answer(StreamObserver<T> out, CompletableFuture<T> future) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/ConfigurationStore.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/ConfigurationStore.java
@@ -4,6 +4,9 @@
 import io.parsleycleat.core.connection.peer.PeerChannel;
 import io.parsleycleat.core.connection.platform.Vm;
 import io.parsleycleat.core.process.identity.ProcessIdentity;
+import io.parsleycleat.core.process.result.Location;
+import io.parsleycleat.core.process.result.PlatformException;
+import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.wire.configuration.AuditEntry;
 import io.parsleycleat.wire.configuration.Change;
 import io.parsleycleat.wire.configuration.Withdrawals;
@@ -141,14 +144,23 @@
     }
 
     /**
-     * Withdraws a key: here and at the other processes at once, and in the log as soon as it can be had. Fails with
-     * code {@code CHANGE_UNKNOWN} when the withdrawal is in force but not recorded yet.
+     * Withdraws a key: here and at the other processes at once, and in the log as soon as it can be had. While it is
+     * not in the log, fails with code {@code CHANGE_NOT_RECORDED} when others have it, too, and with {@code
+     * CHANGE_UNKNOWN} when this process alone has it and would take it along when it is lost.
      */
     public CompletableFuture<AuditEntry> withdraw(Change change) {
         holder.withdraw(List.of(change));
         Withdrawals news = Withdrawals.newBuilder().addChanges(change).build();
-        ranking().allTailersBut(parts.identity().vmName()).forEach(vm -> puller.tell(vm, news));
-        return recorder.record(change);
+        List<Vm> others = ranking().allTailersBut(identity().vmName());
+        AtomicInteger told = new AtomicInteger();
+        others.forEach(vm -> puller.tell(vm, news).thenAccept(done -> told.incrementAndGet()));
+        return recorder.record(change).exceptionallyCompose(failure -> {
+            boolean shared = told.get() > 0 || others.isEmpty();
+            return CompletableFuture.failedFuture(new PlatformException(
+                    shared ? ResultCode.CHANGE_NOT_RECORDED : ResultCode.CHANGE_UNKNOWN,
+                    "in force here and at " + told.get() + " of " + others.size() + " other readers of the log",
+                    Location.of(settings.stream())));
+        });
     }
 
     // Internals
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/LogTailer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/LogTailer.java
@@ -30,7 +30,6 @@
     private static final int PAGE_RECORDS = 500;
     private static final long RETRY_MILLIS = 1_000;
     private static final long EMPTY_ANSWER_PAUSE_MILLIS = 250;
-    private static final int EMPTY_ANSWERS_WITHOUT_PAUSE = 1;
 
     private final StoreParts parts;
     private final StoreSettings settings;
@@ -45,7 +44,6 @@
     // Only touched by the one read at a time.
     private SnapshotAssembler assembler = new SnapshotAssembler();
     private long searchOffset;
-    private int emptyAnswers;
 
     /**
      * Creates a tailer that reads nothing yet.
@@ -95,16 +93,17 @@
         long from = searching ? Math.max(searchOffset, 0) : holder.state().version();
         boolean firstRead = !holder.isReady() && !searching;
         Duration wait = firstRead ? Duration.ZERO : settings.logWait();
+        long startNanos = parts.time().monotonicNanos();
         parts.log().read(settings.stream(), from, PAGE_RECORDS, wait).whenComplete((page, failure) -> {
             if (failure == null) {
-                onPage(from, page);
+                onPage(from, page, startNanos, wait);
             } else {
                 onFailure(Failures.unwrap(failure));
             }
         });
     }
 
-    private void onPage(long from, LogPage page) {
+    private void onPage(long from, LogPage page, long startNanos, Duration wait) {
         noteReachable(true);
         SortedMap<Long, ConfigurationRecord> records = new TreeMap<>();
         page.entries().forEach(entry -> records.put(entry.offset(), parse(entry)));
@@ -118,8 +117,12 @@
             holder.markReady();
             whenAtEnd.accept(page);
         }
-        emptyAnswers = page.entries().isEmpty() ? emptyAnswers + 1 : 0;
-        next(emptyAnswers > EMPTY_ANSWERS_WITHOUT_PAUSE ? EMPTY_ANSWER_PAUSE_MILLIS : 0);
+        next(page.entries().isEmpty() && isEarly(startNanos, wait) ? EMPTY_ANSWER_PAUSE_MILLIS : 0);
+    }
+
+    /** A log that does not hold answers back is not asked without a pause. */
+    private boolean isEarly(long startNanos, Duration wait) {
+        return parts.time().monotonicNanos() - startNanos < wait.toNanos() / 2 || wait.isZero();
     }
 
     private void onRecord(LogEntry entry, ConfigurationRecord record) {
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/version/configuration/FakeLog.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/version/configuration/FakeLog.java
@@ -20,6 +20,7 @@
 final class FakeLog {
     private final VirtualScheduler scheduler;
     private final List<LogEntry> entries = new ArrayList<>();
+    private final List<LogEntry> history = new ArrayList<>();
     private final List<Runnable> waiting = new ArrayList<>();
     private final Set<String> cutOff = new HashSet<>();
     private long earliest;
@@ -53,7 +54,11 @@
     long append(List<ByteString> values) {
         appends++;
         long first = end();
-        values.forEach(v -> entries.add(new LogEntry(end(), scheduler.wallMillis(), v)));
+        values.forEach(v -> {
+            LogEntry entry = new LogEntry(end(), scheduler.wallMillis(), v);
+            entries.add(entry);
+            history.add(entry);
+        });
         List.copyOf(waiting).forEach(scheduler::execute);
         waiting.clear();
         return first;
@@ -71,6 +76,19 @@
         return List.copyOf(entries);
     }
 
+    /** Returns all records that were ever appended. */
+    List<LogEntry> history() {
+        return List.copyOf(history);
+    }
+
+    /** Drops the records that are older than the log keeps them. */
+    void trimOlderThan(Duration retention) {
+        long oldest = scheduler.wallMillis() - retention.toMillis();
+        while (!entries.isEmpty() && entries.get(0).timeMillis() < oldest) {
+            trimTo(earliest + 1);
+        }
+    }
+
     int appends() {
         return appends;
     }
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/version/configuration/KeyWithdrawalTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/version/configuration/KeyWithdrawalTest.java
@@ -4,6 +4,8 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.parsleycleat.core.process.result.Failures;
+import io.parsleycleat.core.process.result.ParsleycleatException;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.version.configuration.FakeFleet.Node;
@@ -68,12 +70,26 @@
         fleet.time.advance(100);
         assertEquals(verdicts(), Set.of(ResultCode.KEY_WITHDRAWN));
         fleet.time.advance(5 * SECONDS);
-        assertTrue(asked.isCompletedExceptionally());
+        assertEquals(code(asked), ResultCode.CHANGE_NOT_RECORDED);
         fleet.log.setOut(false);
         assertTrue(fleet.time.advanceUntil(
                 () -> fleet.node("vm-2-2").store().state().isWithdrawn("k1"), 20 * SECONDS));
     }
 
+    @Test
+    public void aWithdrawalThatNobodyElseHasIsNotSaidToBeInForce() {
+        fleet.log.setOut(true);
+        fleet.sever("vm-1-1");
+        CompletableFuture<AuditEntry> asked = fleet.node("vm-1-1").store().withdraw(Changes.withdrawal("w1", "k1"));
+        fleet.time.advance(5 * SECONDS);
+        assertEquals(code(asked), ResultCode.CHANGE_UNKNOWN);
+    }
+
+    private static ResultCode code(CompletableFuture<AuditEntry> failed) {
+        return failed.handle((entry, failure) -> ((ParsleycleatException) Failures.unwrap(failure)).code())
+                .join();
+    }
+
     @Test
     public void aWithdrawalIsRecordedThoughTheProcessThatTookItIsGone() {
         fleet.log.setOut(true);
