Share loads out between accounts by weight

Cause: a side loaded wanted adapters in the order of arrival, so the account at four times its rate took most of the loads.

Change: LoadShares counts the loads of each account by weight, and the next load goes to the account that had the fewest.

The new test fails without the change (x1 x2 x3 x4 y1 y2).

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/SlotLedger.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/SlotLedger.java
@@ -23,6 +23,7 @@
     private final SlotTableSettings settings;
     private final Predicate<AdapterVersion> retired;
     private final AdapterPopularity popularity;
+    private final LoadShares shares = new LoadShares();
     private final Map<AdapterVersion, Slot> slots = new LinkedHashMap<>();
     private final Map<AdapterVersion, Wanted> wanted = new LinkedHashMap<>();
     /** What the engine is said to hold beyond the slots; it takes room, but no run uses it before a load order. */
@@ -144,7 +145,9 @@
                 .filter(w -> w.priority().compareTo(priority) <= 0)
                 .filter(w -> w.priority() != LoadPriority.FREE || !isFreeShareUsed())
                 .filter(w -> !slots.containsKey(w.adapter))
-                .min(Comparator.comparing(Wanted::priority).thenComparingLong(w -> w.sequence));
+                .min(Comparator.comparing(Wanted::priority)
+                        .thenComparingDouble(w -> shares.used(w.claimant(shares).accountId()))
+                        .thenComparingLong(w -> w.sequence));
         if (next.isEmpty()) {
             return Optional.empty();
         }
@@ -157,6 +160,8 @@
             }
         }
         wanted.remove(adapter);
+        PinRequest claimant = next.get().claimant(shares);
+        shares.charge(claimant.accountId(), claimant.weight());
         Slot slot = new Slot(adapter, ++generations, nowNanos);
         slot.waiters.addAll(next.get().waiters);
         slots.put(adapter, slot);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/Wanted.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/Wanted.java
@@ -27,4 +27,12 @@
                 .min(Comparator.naturalOrder())
                 .orElse(LoadPriority.PREFETCH);
     }
+
+    /** Returns the most urgent waiter whose account had the fewest loads; the load is charged to that account. */
+    PinRequest claimant(LoadShares shares) {
+        return waiters.stream()
+                .map(Waiter::request)
+                .min(Comparator.comparing(PinRequest::priority).thenComparingDouble(r -> shares.used(r.accountId())))
+                .orElseGet(() -> PinRequest.of(adapter, LoadPriority.PREFETCH));
+    }
 }
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/process/slots/EngineSlotTableTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/process/slots/EngineSlotTableTest.java
@@ -258,6 +258,24 @@
         assertEquals(engine.orders, List.of("load b@1"));
     }
 
+    @Test
+    public void loadsAreSharedOutBetweenAccounts() {
+        List<CompletableFuture<Either<Refusal, Runnable>>> permits = gateByHand();
+        List.of("x1", "x2", "x3", "x4").forEach(a -> table.pin(request(a, "x", 2)));
+        List.of("y1", "y2").forEach(a -> table.pin(request(a, "y", 1)));
+        for (int i = 0; i < 6; i++) {
+            permits.get(i).complete(Either.right(() -> {}));
+            engine.completeNext();
+        }
+        assertEquals(
+                engine.orders, List.of("load x1@1", "load y1@1", "load x2@1", "load x3@1", "load y2@1", "load x4@1"));
+    }
+
+    private static PinRequest request(String adapterId, String accountId, int weight) {
+        return new PinRequest(
+                new AdapterVersion(adapterId, "1"), LoadPriority.PAYING, accountId, weight, PinRequest.NO_DEADLINE);
+    }
+
     @Test
     public void pinPastItsDeadlineIsRefused() {
         loaded(A);
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/routing/Load.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/routing/Load.java
@@ -22,9 +22,9 @@
     private static final double SHIFT_MILLIS = 20_000;
     private static final int HOT_RANKS = 100;
     private static final int PREFIXES = 3;
-    private static final double MEAN_TOKENS = 150;
+    private static final double MEAN_TOKENS = 200;
     private static final int MIN_TOKENS = 16;
-    private static final int MAX_TOKENS = 512;
+    private static final int MAX_TOKENS = 800;
     private static final double MILLIS_PER_SECOND = 1000;
 
     private final VirtualTime time;
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/routing/RoutingBenchmark.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/routing/RoutingBenchmark.java
@@ -1,5 +1,7 @@
 package io.parsleycleat.standin.measure.routing;
 
+import io.parsleycleat.core.process.slots.SlotTableSettings;
+import io.parsleycleat.core.request.routing.RoutingSettings;
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Locale;
@@ -30,6 +32,24 @@
     @Option(name = "--chosen", usage = "run the chosen policies only")
     private boolean chosen;
 
+    @Option(name = "--load-weight", usage = "cost of a load relative to its time")
+    private double loadWeight = RoutingSettings.DEFAULT.loadWeight();
+
+    @Option(name = "--spill-millis", usage = "time until the start above which further upstreams are probed")
+    private long spillMillis = RoutingSettings.DEFAULT.spillMillis();
+
+    @Option(name = "--running-millis", usage = "cost of each run that is running")
+    private long runningMillis = RoutingSettings.DEFAULT.runningMillis();
+
+    @Option(name = "--probes", usage = "upstreams probed at first")
+    private int probes = RoutingSettings.DEFAULT.probes();
+
+    @Option(name = "--max-probes", usage = "upstreams probed at most")
+    private int maxProbes = RoutingSettings.DEFAULT.maxProbes();
+
+    @Option(name = "--max-loads", usage = "loads of one side that may be in progress or wait for a permit")
+    private int maxLoads = SlotTableSettings.DEFAULT.maxLoads();
+
     @Option(name = "--help", usage = "print this help", help = true)
     private boolean help;
 
@@ -58,11 +78,20 @@
         List.of(Deployment.MEKDES, Deployment.SCHIEFERPFAD).forEach(deployment -> {
             out.println(deployment.name() + ", seed " + seed + ", " + seconds + " s");
             out.println(Measures.header());
-            policies.forEach(p -> out.println(measure(deployment, p)));
+            policies.forEach(p -> out.println(measure(deployment, adjusted(p))));
             out.println();
         });
     }
 
+    private Policies adjusted(Policies policies) {
+        return new Policies(
+                policies.routing()
+                        .withCosts(loadWeight, spillMillis, runningMillis)
+                        .withProbes(probes, maxProbes),
+                policies.queue(),
+                policies.slots().withMaxLoads(maxLoads));
+    }
+
     private String measure(Deployment deployment, Policies policies) {
         VirtualTime time = new VirtualTime();
         Measures measures = new Measures(time, warmUp);
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/routing/SideModel.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/routing/SideModel.java
@@ -69,8 +69,8 @@
         LoadPriority priority = job.tenant().free() ? LoadPriority.FREE : LoadPriority.PAYING;
         double asked = time.millis();
         long deadline = TimeUnit.MILLISECONDS.toNanos((long) job.arrivedMillis() + deployment.deadlineMillis());
-        PinRequest request =
-                new PinRequest(job.adapter(), priority, job.tenant().id(), 1, deadline);
+        PinRequest request = new PinRequest(
+                job.adapter(), priority, job.tenant().id(), job.tenant().weight(), deadline);
         slots.pin(request).whenComplete((pin, failure) -> {
             if (failure != null) {
                 refused.accept(Failures.toRefusal(failure, ResultCode.LOAD_FAILED));
@@ -89,7 +89,7 @@
         queue.offer(new QueuedRun(
                         job.id(),
                         job.tenant().id(),
-                        1,
+                        job.tenant().weight(),
                         job.tenant().free(),
                         job.maxTokens(),
                         deadline,
