Tell probes the load time that the asking account has to expect

Cause: the estimate counted the wanted adapters of every account. While one account sent several times its rate, the others were refused for a deadline that their own loads would have met, and permits waited in long rows.

Ruled out: too few loads, as accounts inside their rate need less than their share of them.

Change: the estimate counts an account's own wanted adapters and as many of each other account; the free tier counts all paying ones. A side asks for one permit at a time, so that a permit goes to whoever needs it most then.

The new test fails without the change.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/EngineSlotTable.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/EngineSlotTable.java
@@ -115,8 +115,13 @@
         return future;
     }
 
-    /** Returns what a probe for an adapter version is told. */
+    /** Returns what a probe for an adapter version is told when the account is not known. */
     public SlotReport report(AdapterVersion adapter) {
+        return report(adapter, LoadPriority.PAYING, "");
+    }
+
+    /** Returns what a probe of an account for an adapter version is told. */
+    public SlotReport report(AdapterVersion adapter, LoadPriority priority, String accountId) {
         synchronized (lock) {
             Slot slot = ledger.slot(adapter);
             int free = ledger.free();
@@ -130,12 +135,16 @@
                 return new SlotReport(SlotState.SLOT_STATE_LOADING, free, evictable, Math.max(1, left));
             }
             if (ledger.isWanted(adapter)) {
-                return new SlotReport(SlotState.SLOT_STATE_LOADING, free, evictable, expectedLoadMillis(now));
+                return new SlotReport(
+                        SlotState.SLOT_STATE_LOADING, free, evictable, expectedLoadMillis(now, priority, accountId));
             }
             long backoff = history.backoff(adapter, now).toMillis();
             long busy = free + evictable == 0 ? BUSY_SLOTS_MILLIS : 0;
             return new SlotReport(
-                    SlotState.SLOT_STATE_ABSENT, free, evictable, expectedLoadMillis(now) + busy + backoff);
+                    SlotState.SLOT_STATE_ABSENT,
+                    free,
+                    evictable,
+                    expectedLoadMillis(now, priority, accountId) + busy + backoff);
         }
     }
 
@@ -227,7 +236,7 @@
     private void expireWaiters(List<Runnable> after) {
         long now = time.monotonicNanos();
         ledger.removeWaiters(Waiter::isGone);
-        long retryMillis = expectedLoadMillis(now);
+        long retryMillis = expectedLoadMillis(now, LoadPriority.PAYING, "");
         Refusal refusal = Refusal.of(ResultCode.DEADLINE_UNREACHABLE, "the adapter is not loaded before the deadline")
                 .withRetryAfter(Duration.ofMillis(retryMillis));
         fail(ledger.removeWaiters(w -> w.request().isExpired(now)), refusal, after);
@@ -404,16 +413,15 @@
 
     // Estimates
 
-    private long expectedLoadMillis(long now) {
+    private long expectedLoadMillis(long now, LoadPriority priority, String accountId) {
         long oldest = permitsAsked.values().stream()
                 .flatMap(d -> d.stream().limit(1))
                 .mapToLong(asked -> now - asked)
                 .max()
                 .orElse(0);
         double permit = Math.max(history.permitNanos(), (double) oldest);
-        int ahead = ledger.wantedCount();
-        double queued = (double) ahead / settings.maxLoads() * (permit + history.loadNanos());
-        return Math.max(1, millis(queued + permit + history.loadNanos()));
+        int turns = (ledger.loadsUntil(priority, accountId) - 1) / settings.maxLoads() + 1;
+        return Math.max(1, millis(turns * (permit + history.loadNanos())));
     }
 
     private int countPinned() {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/SlotLedger.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/SlotLedger.java
@@ -100,8 +100,24 @@
         return wanted.containsKey(adapter);
     }
 
-    int wantedCount() {
-        return wanted.size();
+    /**
+     * Returns after how many loads a further adapter of the account would be loaded, counted from 1: after the
+     * account's own, and as many of each other account of the class. The free tier comes after all paying accounts.
+     */
+    int loadsUntil(LoadPriority priority, String accountId) {
+        List<String> claimants = claimants(p -> p == priority);
+        long own = claimants.stream().filter(accountId::equals).count();
+        long others =
+                claimants.stream().filter(a -> !a.equals(accountId)).distinct().count();
+        int before = claimants(p -> p.compareTo(priority) < 0).size();
+        return before + (int) Math.min(claimants.size() + 1, (own + 1) * (others + 1));
+    }
+
+    private List<String> claimants(Predicate<LoadPriority> condition) {
+        return wanted.values().stream()
+                .filter(w -> condition.test(w.priority()))
+                .map(w -> w.claimant(shares).accountId())
+                .toList();
     }
 
     /** Returns whether runs of the free tier keep as many slots as they may. */
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/SlotTableSettings.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/SlotTableSettings.java
@@ -25,7 +25,7 @@
     /** The settings that apply unless others are given. */
     public static final SlotTableSettings DEFAULT = new SlotTableSettings(
             256,
-            4,
+            1,
             0.5,
             Duration.ofMillis(500),
             Duration.ofSeconds(30),
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/routing/ProbeResponder.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/routing/ProbeResponder.java
@@ -3,14 +3,15 @@
 import io.parsleycleat.core.connection.peer.FrameRouter;
 import io.parsleycleat.core.connection.peer.PeerChannel;
 import io.parsleycleat.core.connection.upstream.AdapterVersion;
+import io.parsleycleat.core.process.slots.LoadPriority;
 import io.parsleycleat.core.process.slots.SlotReport;
+import io.parsleycleat.core.process.slots.SlotReporter;
 import io.parsleycleat.core.request.queue.RunQueue;
 import io.parsleycleat.wire.peer.Frame;
 import io.parsleycleat.wire.routing.Probe;
 import io.parsleycleat.wire.routing.ProbeAnswer;
 import io.parsleycleat.wire.routing.RoutingMessage;
 import java.util.function.BooleanSupplier;
-import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -24,7 +25,7 @@
     private final String upstreamId;
     private final long sideIncarnation;
     private final RunQueue queue;
-    private @Nullable Function<AdapterVersion, SlotReport> slots;
+    private @Nullable SlotReporter slots;
     private IntSupplier waitingForLoads = () -> 0;
     private Supplier<String> upstreamIncarnation = () -> "";
     private BooleanSupplier leaving = () -> false;
@@ -41,7 +42,7 @@
     // Configuration, before the responder is registered
 
     /** Sets where the state of adapters comes from, and how many runs wait for loads before they are queued. */
-    public ProbeResponder withSlots(Function<AdapterVersion, SlotReport> newSlots, IntSupplier newWaitingForLoads) {
+    public ProbeResponder withSlots(SlotReporter newSlots, IntSupplier newWaitingForLoads) {
         slots = newSlots;
         waitingForLoads = newWaitingForLoads;
         return this;
@@ -86,9 +87,12 @@
                 .setWaitPerRunMillis(toInt(queue.waitPerRunMillis()))
                 .setFreePlaces(Math.max(0, queue.freePlaces(probe.getFreeTier()) - waitingForLoads.getAsInt()))
                 .setExpectedWaitMillis(expectedWait(probe));
-        Function<AdapterVersion, SlotReport> source = slots;
+        SlotReporter source = slots;
         if (source != null && !probe.getAdapterId().isEmpty()) {
-            SlotReport report = source.apply(new AdapterVersion(probe.getAdapterId(), probe.getVersion()));
+            SlotReport report = source.report(
+                    new AdapterVersion(probe.getAdapterId(), probe.getVersion()),
+                    probe.getFreeTier() ? LoadPriority.FREE : LoadPriority.PAYING,
+                    probe.getAccountId());
             answer.setAdapter(report.state())
                     .setFreeSlots(report.freeSlots())
                     .setEvictableSlots(report.evictableSlots())
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/process/slots/EngineSlotTableTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/process/slots/EngineSlotTableTest.java
@@ -271,6 +271,19 @@
                 engine.orders, List.of("load x1@1", "load y1@1", "load x2@1", "load x3@1", "load y2@1", "load x4@1"));
     }
 
+    @Test
+    public void floodOfOneAccountDoesNotLengthenTheLoadsOfAnother() {
+        gateByHand();
+        time.advance(Duration.ofSeconds(1));
+        List.of("x1", "x2", "x3", "x4", "x5", "x6").forEach(a -> table.pin(request(a, "x", 1)));
+        long flooding = table.report(B, LoadPriority.PAYING, "x").expectedLoadMillis();
+        long other = table.report(B, LoadPriority.PAYING, "y").expectedLoadMillis();
+        long free = table.report(B, LoadPriority.FREE, "f").expectedLoadMillis();
+        assertEquals(flooding, 7 * SlotTableSettings.DEFAULT.initialLoadTime().toMillis());
+        assertEquals(other, 2 * SlotTableSettings.DEFAULT.initialLoadTime().toMillis());
+        assertEquals(free, flooding);
+    }
+
     private static PinRequest request(String adapterId, String accountId, int weight) {
         return new PinRequest(
                 new AdapterVersion(adapterId, "1"), LoadPriority.PAYING, accountId, weight, PinRequest.NO_DEADLINE);
