--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/SlotLedger.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/SlotLedger.java
@@ -23,6 +23,7 @@
     private final SlotTableSettings settings;
     private final Predicate<AdapterVersion> retired;
     private final AdapterPopularity popularity;
+    private final LoadShares shares = new LoadShares();
     private final Map<AdapterVersion, Slot> slots = new LinkedHashMap<>();
     private final Map<AdapterVersion, Wanted> wanted = new LinkedHashMap<>();
     /** What the engine is said to hold beyond the slots; it takes room, but no run uses it before a load order. */
@@ -99,8 +100,24 @@
         return wanted.containsKey(adapter);
     }
 
-    int wantedCount() {
-        return wanted.size();
+    /**
+     * Returns after how many loads a further adapter of the account would be loaded, counted from 1: after the
+     * account's own, and as many of each other account of the class. The free tier comes after all paying accounts.
+     */
+    int loadsUntil(LoadPriority priority, String accountId) {
+        List<String> claimants = claimants(p -> p == priority);
+        long own = claimants.stream().filter(accountId::equals).count();
+        long others =
+                claimants.stream().filter(a -> !a.equals(accountId)).distinct().count();
+        int before = claimants(p -> p.compareTo(priority) < 0).size();
+        return before + (int) Math.min(claimants.size() + 1, (own + 1) * (others + 1));
+    }
+
+    private List<String> claimants(Predicate<LoadPriority> condition) {
+        return wanted.values().stream()
+                .filter(w -> condition.test(w.priority()))
+                .map(w -> w.claimant(shares).accountId())
+                .toList();
     }
 
     /** Returns whether runs of the free tier keep as many slots as they may. */
@@ -144,7 +161,9 @@
                 .filter(w -> w.priority().compareTo(priority) <= 0)
                 .filter(w -> w.priority() != LoadPriority.FREE || !isFreeShareUsed())
                 .filter(w -> !slots.containsKey(w.adapter))
-                .min(Comparator.comparing(Wanted::priority).thenComparingLong(w -> w.sequence));
+                .min(Comparator.comparing(Wanted::priority)
+                        .thenComparingDouble(w -> shares.used(w.claimant(shares).accountId()))
+                        .thenComparingLong(w -> w.sequence));
         if (next.isEmpty()) {
             return Optional.empty();
         }
@@ -157,6 +176,8 @@
             }
         }
         wanted.remove(adapter);
+        PinRequest claimant = next.get().claimant(shares);
+        shares.charge(claimant.accountId(), claimant.weight());
         Slot slot = new Slot(adapter, ++generations, nowNanos);
         slot.waiters.addAll(next.get().waiters);
         slots.put(adapter, slot);
