Run scripted scenarios of both deployments over separate processes

Cause: the failures of processes were tried in single parts only, never in the whole system. Change: Gherkin scenarios that an operator can read, over a fleet of real daemons and stand-ins: kills, freezes, planned stops, log outages and lost answers, engines that restart empty, singly and in pairs, with fixed seeds; every run's history goes through all checks.

--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/history/HistoryEvent.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/history/HistoryEvent.java
@@ -12,20 +12,20 @@
  */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
 @JsonSubTypes({
-    @JsonSubTypes.Type(HistoryEvent.Invocation.class),
-    @JsonSubTypes.Type(HistoryEvent.Answer.class),
-    @JsonSubTypes.Type(HistoryEvent.UpstreamRun.class),
-    @JsonSubTypes.Type(HistoryEvent.Unload.class),
-    @JsonSubTypes.Type(HistoryEvent.UpstreamCrash.class),
-    @JsonSubTypes.Type(HistoryEvent.Leaving.class),
-    @JsonSubTypes.Type(HistoryEvent.KeyIssued.class),
-    @JsonSubTypes.Type(HistoryEvent.KeyWithdrawn.class),
-    @JsonSubTypes.Type(HistoryEvent.Limit.class),
-    @JsonSubTypes.Type(HistoryEvent.Ownership.class),
-    @JsonSubTypes.Type(HistoryEvent.ChangeAccepted.class),
-    @JsonSubTypes.Type(HistoryEvent.ItemRead.class),
-    @JsonSubTypes.Type(HistoryEvent.Fault.class),
-    @JsonSubTypes.Type(HistoryEvent.PlannedStop.class)
+    @JsonSubTypes.Type(value = HistoryEvent.Invocation.class, name = "invocation"),
+    @JsonSubTypes.Type(value = HistoryEvent.Answer.class, name = "answer"),
+    @JsonSubTypes.Type(value = HistoryEvent.UpstreamRun.class, name = "upstream-run"),
+    @JsonSubTypes.Type(value = HistoryEvent.Unload.class, name = "unload"),
+    @JsonSubTypes.Type(value = HistoryEvent.UpstreamCrash.class, name = "upstream-crash"),
+    @JsonSubTypes.Type(value = HistoryEvent.Leaving.class, name = "leaving"),
+    @JsonSubTypes.Type(value = HistoryEvent.KeyIssued.class, name = "key-issued"),
+    @JsonSubTypes.Type(value = HistoryEvent.KeyWithdrawn.class, name = "key-withdrawn"),
+    @JsonSubTypes.Type(value = HistoryEvent.Limit.class, name = "limit"),
+    @JsonSubTypes.Type(value = HistoryEvent.Ownership.class, name = "ownership"),
+    @JsonSubTypes.Type(value = HistoryEvent.ChangeAccepted.class, name = "change-accepted"),
+    @JsonSubTypes.Type(value = HistoryEvent.ItemRead.class, name = "item-read"),
+    @JsonSubTypes.Type(value = HistoryEvent.Fault.class, name = "fault"),
+    @JsonSubTypes.Type(value = HistoryEvent.PlannedStop.class, name = "planned-stop")
 })
 @JsonIgnoreProperties(ignoreUnknown = true)
 public sealed interface HistoryEvent {
--- /dev/null
+++ b/parsleycleat-standin/src/test/java/io/parsleycleat/scenario/Deployment.java
@@ -0,0 +1,190 @@
+package io.parsleycleat.scenario;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.parsleycleat.standin.fleet.DaemonNode;
+import io.parsleycleat.standin.fleet.Fleet;
+import io.parsleycleat.standin.fleet.OperatorClient;
+import io.parsleycleat.standin.fleet.Place;
+import io.parsleycleat.standin.fleet.StandInNode;
+import io.parsleycleat.wire.configuration.Account;
+import io.parsleycleat.wire.configuration.Adapter;
+import io.parsleycleat.wire.configuration.Change;
+import io.parsleycleat.wire.configuration.ItemKind;
+import io.parsleycleat.wire.configuration.Route;
+import io.parsleycleat.wire.configuration.Upstream;
+import io.parsleycleat.wire.configuration.UpstreamKind;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** A small fleet of one deployment's kind, configured for one account. Shared by the scenarios that name it. */
+final class Deployment implements AutoCloseable {
+    static final String BASE_MODEL = "base-7b";
+    static final String ADAPTER = "quotes";
+    static final String CRASH_MARKER = "crash-the-engine";
+    private static final String ACCOUNT = "guests";
+    private static final Map<String, Deployment> RUNNING = new ConcurrentHashMap<>();
+
+    private final Fleet fleet = Fleet.create();
+    private final String service;
+    private final List<DaemonNode> entries = new ArrayList<>();
+    private final List<DaemonNode> serviceSides = new ArrayList<>();
+    private final List<DaemonNode> engineSides = new ArrayList<>();
+    private final List<StandInNode> services = new ArrayList<>();
+    private final List<StandInNode> engines = new ArrayList<>();
+    private String key = "";
+
+    private Deployment(String service) {
+        this.service = service;
+    }
+
+    static Deployment of(String name) {
+        return RUNNING.computeIfAbsent(name, n -> switch (n) {
+            case "Mekdes" -> new Deployment("orders").start(2, 1);
+            case "Schieferpfad" -> new Deployment("bookings").start(1, 2);
+            default -> throw new IllegalArgumentException("no deployment " + n);
+        });
+    }
+
+    static void closeAll() {
+        RUNNING.values().forEach(Deployment::close);
+        RUNNING.clear();
+    }
+
+    String service() {
+        return service;
+    }
+
+    Fleet fleet() {
+        return fleet;
+    }
+
+    List<DaemonNode> entries() {
+        return entries;
+    }
+
+    List<DaemonNode> serviceSides() {
+        return serviceSides;
+    }
+
+    List<DaemonNode> engineSides() {
+        return engineSides;
+    }
+
+    List<StandInNode> services() {
+        return services;
+    }
+
+    List<StandInNode> engines() {
+        return engines;
+    }
+
+    String key() {
+        return key;
+    }
+
+    String account() {
+        return ACCOUNT;
+    }
+
+    OperatorClient operator() {
+        return fleet.operator(entries.get(0));
+    }
+
+    /** Replaces an ended daemon by a new process with empty memory. */
+    void restart(List<DaemonNode> nodes, int index) {
+        DaemonNode started = fleet.restart(nodes.get(index));
+        nodes.set(index, started);
+        started.awaitReady(Fleet.START_TIMEOUT);
+    }
+
+    @Override
+    public void close() {
+        fleet.close();
+    }
+
+    private Deployment start(int serviceCount, int engineCount) {
+        Place[] places = {new Place("dc-1", "region-1"), new Place("dc-2", "region-1")};
+        fleet.startPlatform();
+        for (int i = 0; i < serviceCount; i++) {
+            StandInNode node = fleet.startService(service + "-" + i, "--records", "100000");
+            services.add(node);
+            serviceSides.add(fleet.startServiceSide(service + "-side-" + i, places[i], node, service, this::quick));
+        }
+        for (int i = 0; i < engineCount; i++) {
+            StandInNode engine = fleet.startEngine(
+                    "engine-" + i,
+                    "--base-model",
+                    BASE_MODEL,
+                    "--records",
+                    "100000",
+                    "--crash-marker",
+                    CRASH_MARKER,
+                    "--restart-millis",
+                    "300");
+            engines.add(engine);
+            engineSides.add(fleet.startEngineSide("engine-side-" + i, places[i], engine, this::quick));
+        }
+        for (int i = 0; i < places.length; i++) {
+            entries.add(fleet.startEntry("entry-" + i, places[i], this::quick));
+        }
+        entries.forEach(e -> e.awaitReady(Fleet.START_TIMEOUT));
+        serviceSides.forEach(s -> s.awaitReady(Fleet.START_TIMEOUT));
+        engineSides.forEach(s -> s.awaitReady(Fleet.START_TIMEOUT));
+        configure();
+        return this;
+    }
+
+    private ObjectNode quick(ObjectNode settings) {
+        ((ObjectNode) settings.path("platform")).put("vmListIntervalMillis", 200);
+        ((ObjectNode) settings.path("control")).put("leaveDelayMillis", 300).put("drainTimeoutMillis", 5000);
+        if (settings.has("upstream")) {
+            ((ObjectNode) settings.path("upstream")).put("leaseMillis", 1500).put("reportIntervalMillis", 100);
+        }
+        return settings;
+    }
+
+    private void configure() {
+        try (OperatorClient operator = operator()) {
+            List<Change> changes = new ArrayList<>();
+            changes.add(OperatorClient.creation(ItemKind.ITEM_KIND_ACCOUNT, ACCOUNT)
+                    .setAccount(Account.newBuilder()
+                            .setId(ACCOUNT)
+                            .setTokensPerSecond(100_000)
+                            .setBurstTokens(1_000_000)
+                            .setWeight(1))
+                    .build());
+            services.forEach(s -> changes.add(upstream(s, UpstreamKind.UPSTREAM_KIND_PLAIN_SERVICE)));
+            engines.forEach(e -> changes.add(upstream(e, UpstreamKind.UPSTREAM_KIND_MODEL_ENGINE)));
+            operator.applyAll(changes);
+            operator.apply(OperatorClient.creation(ItemKind.ITEM_KIND_ADAPTER, ADAPTER)
+                    .setAdapter(Adapter.newBuilder()
+                            .setId(ADAPTER)
+                            .setBaseModel(BASE_MODEL)
+                            .setOwnerAccountId(ACCOUNT)
+                            .addVersions("1")
+                            .addVersions("2")
+                            .setCurrentVersion("2"))
+                    .build());
+            operator.apply(OperatorClient.creation(ItemKind.ITEM_KIND_ROUTE, service)
+                    .setRoute(Route.newBuilder().setId(service).setService(service))
+                    .build());
+            key = operator.issueKey(ACCOUNT);
+        }
+    }
+
+    private Change upstream(StandInNode node, UpstreamKind kind) {
+        Upstream.Builder upstream =
+                Upstream.newBuilder().setId(node.process().name()).setKind(kind);
+        if (kind == UpstreamKind.UPSTREAM_KIND_MODEL_ENGINE) {
+            upstream.setBaseModel(BASE_MODEL).setChecksFencing(true);
+        } else {
+            upstream.setService(service);
+        }
+        return OperatorClient.creation(
+                        ItemKind.ITEM_KIND_UPSTREAM, node.process().name())
+                .setUpstream(upstream)
+                .build();
+    }
+}
--- /dev/null
+++ b/parsleycleat-standin/src/test/java/io/parsleycleat/scenario/Steps.java
@@ -0,0 +1,191 @@
+package io.parsleycleat.scenario;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.cucumber.java.AfterAll;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.scenario.Traffic.Answered;
+import io.parsleycleat.standin.fleet.DaemonNode;
+import io.parsleycleat.standin.fleet.OperatorClient;
+import io.parsleycleat.standin.history.History;
+import io.parsleycleat.standin.history.HistoryChecks;
+import io.parsleycleat.standin.history.HistoryEvent;
+import io.parsleycleat.standin.history.HistoryRecorder;
+import io.parsleycleat.standin.history.Violation;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** What the scenarios' sentences do. Created by Cucumber for each scenario. */
+public class Steps {
+    private static final long BEGIN_MILLIS = 300;
+    private static final long LAST_MILLIS = 1200;
+    private static final long GAP_MILLIS = 60;
+    private static final long LIMIT_SECONDS = 60;
+    private static final HistoryChecks CHECKS =
+            new HistoryChecks(Duration.ofSeconds(5), Duration.ofSeconds(5), Duration.ofSeconds(15));
+
+    private final HistoryRecorder recorder = new HistoryRecorder();
+    private final List<Answered> answers = new ArrayList<>();
+    private Deployment deployment;
+    private UpstreamRecords records;
+    private Traffic traffic;
+
+    /** Ends all processes. */
+    @AfterAll
+    public static void stopDeployments() {
+        Deployment.closeAll();
+    }
+
+    @Given("the {word} deployment")
+    public void deployment(String name) {
+        deployment = Deployment.of(name);
+        records = new UpstreamRecords(deployment);
+        String key = deployment.key();
+        recorder.add(new HistoryEvent.KeyIssued(
+                0, key.substring(0, key.indexOf('.')), deployment.account(), key.substring(key.indexOf('.') + 1)));
+        recorder.add(new HistoryEvent.Ownership(0, deployment.service(), "", false));
+        recorder.add(new HistoryEvent.Ownership(0, Deployment.ADAPTER, deployment.account(), false));
+        traffic = new Traffic(deployment, recorder, 0);
+    }
+
+    @When("with seed {long} {int} {word} are sent while {}")
+    public void sent(long seed, int count, String what, String disturbances) {
+        traffic = new Traffic(deployment, recorder, seed);
+        CompletableFuture<Void> requests =
+                what.equals("completions") ? traffic.completions(count, GAP_MILLIS) : traffic.orders(count, GAP_MILLIS);
+        List<CompletableFuture<Void>> running = new ArrayList<>(List.of(requests));
+        Disturbance.parse(deployment, disturbances)
+                .forEach(d -> running.add(d.run(recorder, BEGIN_MILLIS, LAST_MILLIS)));
+        await(CompletableFuture.allOf(running.toArray(CompletableFuture<?>[]::new)));
+    }
+
+    @When("an order is sent through each entry, one after the other, with one idempotency key")
+    public void repeated() {
+        String key = traffic.newKey();
+        for (int i = 0; i < deployment.entries().size(); i++) {
+            answers.add(await(traffic.orderOnce(deployment.entries().get(i), "repeat" + key + i, key, key)));
+        }
+    }
+
+    @When("an order is sent through all entries at once with one idempotency key")
+    public void atOnce() {
+        String key = traffic.newKey();
+        List<CompletableFuture<Answered>> sent = new ArrayList<>();
+        for (int i = 0; i < deployment.entries().size() * 4; i++) {
+            DaemonNode entry = deployment.entries().get(i % deployment.entries().size());
+            sent.add(traffic.orderOnce(entry, "once" + key + i, key, key));
+        }
+        sent.forEach(s -> answers.add(await(s)));
+    }
+
+    @When("another order is sent with an idempotency key that was used")
+    public void reused() {
+        String key = traffic.newKey();
+        await(traffic.orderOnce(deployment.entries().get(0), "first" + key, "one", key));
+        answers.add(await(traffic.orderOnce(deployment.entries().get(1), "second" + key, "two", key)));
+    }
+
+    @When("a request that crashes engines is sent {int} times through changing entries")
+    public void crashing(int times) {
+        for (int i = 0; i < times; i++) {
+            DaemonNode entry = deployment.entries().get(i % deployment.entries().size());
+            answers.add(await(traffic.completionOnce(entry, "death", Deployment.CRASH_MARKER, "")));
+        }
+    }
+
+    @When("the key is withdrawn")
+    public void withdrawn() {
+        String key = deployment.key();
+        try (OperatorClient operator = deployment.operator()) {
+            operator.withdrawKey(key.substring(0, key.indexOf('.')));
+        }
+    }
+
+    @Then("requests through every entry are refused within {int} seconds")
+    public void refusedEverywhere(int seconds) {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+        for (DaemonNode entry : deployment.entries()) {
+            int code;
+            do {
+                String key = traffic.newKey();
+                code = await(traffic.orderOnce(entry, "late" + key, "late", key))
+                        .code();
+            } while (code != ResultCode.KEY_WITHDRAWN.number() && System.nanoTime() - deadline < 0);
+            assertEquals(code, ResultCode.KEY_WITHDRAWN.number());
+        }
+    }
+
+    @Then("all answers are the same and the order ran once")
+    public void same() {
+        assertEquals(answers.stream().distinct().count(), 1, answers.toString());
+        assertTrue(answers.get(0).isDone(), answers.toString());
+        whatMustHold();
+    }
+
+    @Then("the order ran once")
+    public void ranOnce() {
+        assertEquals(records.runs().size(), 1, answers.toString());
+        whatMustHold();
+    }
+
+    @Then("the answer is {word}")
+    public void answerIs(String name) {
+        assertEquals(
+                answers.get(answers.size() - 1).code(), ResultCode.valueOf(name).number());
+        whatMustHold();
+    }
+
+    @Then("at most {int} engines crashed and the last answer is {word}")
+    public void crashes(int most, String name) {
+        assertTrue(records.engineEvents("CRASH").size() <= most, "crashes: " + records.engineEvents("CRASH"));
+        answerIs(name);
+    }
+
+    @Then("all {int} are confirmed")
+    public void confirmed(int count) {
+        whatMustHold();
+        assertEquals(traffic.confirmed(), count);
+    }
+
+    @Then("at least {int} are confirmed")
+    public void confirmedAtLeast(int count) {
+        whatMustHold();
+        assertTrue(traffic.confirmed() >= count, "confirmed: " + traffic.confirmed());
+    }
+
+    private void whatMustHold() {
+        records.runs().forEach(recorder::add);
+        History history = recorder.history();
+        List<Violation> violations = CHECKS.check(history);
+        if (!violations.isEmpty()) {
+            keep(history);
+        }
+        assertEquals(violations, List.of());
+        assertEquals(records.engineEvents("VIOLATION"), List.of());
+    }
+
+    /** Keeps a history that was rejected, for finding the cause. */
+    private static void keep(History history) {
+        try {
+            Path directory = Files.createDirectories(Path.of("target", "histories"));
+            Files.writeString(directory.resolve(System.currentTimeMillis() + ".jsonl"), history.toJsonLines());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static <T> T await(CompletableFuture<T> future) {
+        return future.orTimeout(LIMIT_SECONDS, TimeUnit.SECONDS).join();
+    }
+}
--- /dev/null
+++ b/parsleycleat-standin/src/test/resources/scenarios/schieferpfad-bookings.feature
@@ -0,0 +1,34 @@
+Feature: Bookings and itineraries at Schieferpfad Exkursionen
+  A booking is recorded once, and a guest's answer comes whole from the right adapter and version.
+
+  Scenario Outline: Bookings go on while <what>
+    Given the Schieferpfad deployment
+    When with seed <seed> 20 bookings are sent while <what>
+    Then at least <least> are confirmed
+
+    Examples:
+      | seed | least | what                                          |
+      | 41   | 14    | a service side is killed                      |
+      | 42   | 14    | a service side is frozen and the log is slow  |
+
+  Scenario Outline: Itineraries are answered while <what>
+    Given the Schieferpfad deployment
+    When with seed <seed> 25 completions are sent while <what>
+    Then all 25 are confirmed
+
+    Examples:
+      | seed | what                                                       |
+      | 51   | nothing fails                                              |
+      | 52   | an engine side is killed                                   |
+      | 53   | an engine side is frozen                                   |
+      | 54   | an engine restarts empty                                   |
+      | 55   | an entry is killed                                         |
+      | 56   | the log is out                                             |
+      | 57   | an engine side is stopped in the planned way               |
+      | 58   | an engine restarts empty and an entry is frozen            |
+      | 59   | an engine side is frozen and the log hangs                 |
+
+  Scenario: A withdrawn key stops working
+    Given the Schieferpfad deployment
+    When the key is withdrawn
+    Then requests through every entry are refused within 5 seconds
