Add scenarios of withdrawn keys, racing operators and a leaving engine

Cause: the scenario of the withdrawn key used the key's text in place of its id, so nothing was withdrawn. Change: the id without its prefix, and a check of what the operator is told; a withdrawal while the log is out, eight operators who change one account at once, an engine whose VM is leaving.

--- a/parsleycleat-standin/src/test/java/io/parsleycleat/scenario/Deployment.java
+++ b/parsleycleat-standin/src/test/java/io/parsleycleat/scenario/Deployment.java
@@ -1,6 +1,8 @@
 package io.parsleycleat.scenario;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.util.concurrent.Futures;
+import com.google.common.util.concurrent.ListenableFuture;
 import io.parsleycleat.standin.fleet.DaemonNode;
 import io.parsleycleat.standin.fleet.Fleet;
 import io.parsleycleat.standin.fleet.OperatorClient;
@@ -13,9 +15,15 @@
 import io.parsleycleat.wire.configuration.Route;
 import io.parsleycleat.wire.configuration.Upstream;
 import io.parsleycleat.wire.configuration.UpstreamKind;
+import io.parsleycleat.wire.operators.ApplyRequest;
+import io.parsleycleat.wire.operators.ApplyResponse;
+import io.parsleycleat.wire.operators.ApplyState;
+import io.parsleycleat.wire.operators.ListItemsRequest;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 
 /** A small fleet of one deployment's kind, configured for one account. Shared by the scenarios that name it. */
@@ -23,6 +31,7 @@
     static final String BASE_MODEL = "base-7b";
     static final String ADAPTER = "quotes";
     static final String CRASH_MARKER = "crash-the-engine";
+    private static final String KEY_PREFIX = "plc-";
     private static final String ACCOUNT = "guests";
     private static final Map<String, Deployment> RUNNING = new ConcurrentHashMap<>();
 
@@ -88,8 +97,56 @@
         return ACCOUNT;
     }
 
-    OperatorClient operator() {
-        return fleet.operator(entries.get(0));
+    /** Returns the public part of the key. */
+    String keyId() {
+        return key.substring(KEY_PREFIX.length(), key.indexOf('.'));
+    }
+
+    /** Issues another key for the account. */
+    void renewKey() {
+        try (OperatorClient operator = operator(0)) {
+            key = operator.issueKey(ACCOUNT);
+        }
+    }
+
+    OperatorClient operator(int entry) {
+        return fleet.operator(entries.get(entry));
+    }
+
+    /** Changes the account's rate as an operator who saw it in some version. */
+    CompletableFuture<ApplyState> changeRate(OperatorClient operator, long version, double tokensPerSecond) {
+        Change change = Change.newBuilder()
+                .setChangeId(UUID.randomUUID().toString())
+                .setKind(ItemKind.ITEM_KIND_ACCOUNT)
+                .setItemId(ACCOUNT)
+                .setExpectedVersion(version)
+                .setAccount(account(tokensPerSecond))
+                .build();
+        ListenableFuture<ApplyResponse> response = operator.stub()
+                .apply(ApplyRequest.newBuilder().setChange(change).build());
+        CompletableFuture<ApplyState> state = new CompletableFuture<>();
+        response.addListener(() -> state.complete(Futures.getUnchecked(response).getState()), Runnable::run);
+        return state;
+    }
+
+    long accountVersion(OperatorClient operator) {
+        ListItemsRequest request = ListItemsRequest.newBuilder()
+                .setKind(ItemKind.ITEM_KIND_ACCOUNT)
+                .build();
+        return Futures.getUnchecked(operator.stub().listItems(request)).getItemsList().stream()
+                .filter(i -> i.getId().equals(ACCOUNT))
+                .findFirst()
+                .orElseThrow()
+                .getVersion();
+    }
+
+    private static Account account(double tokensPerSecond) {
+        return Account.newBuilder()
+                .setId(ACCOUNT)
+                .setTokensPerSecond(tokensPerSecond)
+                .setBurstTokens(1_000_000)
+                .setWeight(1)
+                .build();
     }
 
     /** Replaces an ended daemon by a new process with empty memory. */
@@ -146,14 +203,10 @@
     }
 
     private void configure() {
-        try (OperatorClient operator = operator()) {
+        try (OperatorClient operator = operator(0)) {
             List<Change> changes = new ArrayList<>();
             changes.add(OperatorClient.creation(ItemKind.ITEM_KIND_ACCOUNT, ACCOUNT)
-                    .setAccount(Account.newBuilder()
-                            .setId(ACCOUNT)
-                            .setTokensPerSecond(100_000)
-                            .setBurstTokens(1_000_000)
-                            .setWeight(1))
+                    .setAccount(account(100_000))
                     .build());
             services.forEach(s -> changes.add(upstream(s, UpstreamKind.UPSTREAM_KIND_PLAIN_SERVICE)));
             engines.forEach(e -> changes.add(upstream(e, UpstreamKind.UPSTREAM_KIND_MODEL_ENGINE)));
--- a/parsleycleat-standin/src/test/java/io/parsleycleat/scenario/Steps.java
+++ b/parsleycleat-standin/src/test/java/io/parsleycleat/scenario/Steps.java
@@ -16,6 +16,7 @@
 import io.parsleycleat.standin.history.HistoryEvent;
 import io.parsleycleat.standin.history.HistoryRecorder;
 import io.parsleycleat.standin.history.Violation;
+import io.parsleycleat.wire.operators.ApplyState;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -25,6 +26,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 /** What the scenarios' sentences do. Created by Cucumber for each scenario. */
 public class Steps {
@@ -33,10 +35,11 @@
     private static final long GAP_MILLIS = 60;
     private static final long LIMIT_SECONDS = 60;
     private static final HistoryChecks CHECKS =
-            new HistoryChecks(Duration.ofSeconds(5), Duration.ofSeconds(5), Duration.ofSeconds(15));
+            new HistoryChecks(Duration.ofSeconds(5), Duration.ofSeconds(2), Duration.ofSeconds(15));
 
     private final HistoryRecorder recorder = new HistoryRecorder();
     private final List<Answered> answers = new ArrayList<>();
+    private final List<ApplyState> states = new ArrayList<>();
     private Deployment deployment;
     private UpstreamRecords records;
     private Traffic traffic;
@@ -52,8 +55,8 @@
         deployment = Deployment.of(name);
         records = new UpstreamRecords(deployment);
         String key = deployment.key();
-        recorder.add(new HistoryEvent.KeyIssued(
-                0, key.substring(0, key.indexOf('.')), deployment.account(), key.substring(key.indexOf('.') + 1)));
+        String secret = key.substring(key.indexOf('.') + 1);
+        recorder.add(new HistoryEvent.KeyIssued(0, deployment.keyId(), deployment.account(), secret));
         recorder.add(new HistoryEvent.Ownership(0, deployment.service(), "", false));
         recorder.add(new HistoryEvent.Ownership(0, Deployment.ADAPTER, deployment.account(), false));
         traffic = new Traffic(deployment, recorder, 0);
@@ -106,9 +109,56 @@
 
     @When("the key is withdrawn")
     public void withdrawn() {
-        String key = deployment.key();
-        try (OperatorClient operator = deployment.operator()) {
-            operator.withdrawKey(key.substring(0, key.indexOf('.')));
+        try (OperatorClient operator = deployment.operator(0)) {
+            ApplyState state = operator.withdrawKey(deployment.keyId()).getState();
+            assertTrue(
+                    state == ApplyState.APPLY_STATE_ACCEPTED || state == ApplyState.APPLY_STATE_IN_FORCE_NOT_RECORDED,
+                    state.name());
+        }
+        recorder.add(new HistoryEvent.KeyWithdrawn(System.currentTimeMillis(), deployment.keyId()));
+    }
+
+    @When("the key is withdrawn while the log is out")
+    public void withdrawnWithoutLog() {
+        Disturbance outage = Disturbance.parse(deployment, "the log is out").get(0);
+        outage.begin().run();
+        try {
+            withdrawn();
+        } finally {
+            outage.end().run();
+        }
+    }
+
+    @When("{int} operators change the rate of one client account at once")
+    public void race(int operators) {
+        List<OperatorClient> clients = List.of(deployment.operator(0), deployment.operator(1));
+        long version = deployment.accountVersion(clients.get(0));
+        List<CompletableFuture<ApplyState>> results = IntStream.range(0, operators)
+                .mapToObj(i -> deployment.changeRate(clients.get(i % clients.size()), version, 100_000 + i))
+                .toList();
+        results.forEach(r -> states.add(await(r)));
+        clients.forEach(OperatorClient::close);
+    }
+
+    @Then("exactly one of them is accepted and the others are told of the conflict")
+    public void oneAccepted() {
+        assertEquals(states.stream().filter(s -> s == ApplyState.APPLY_STATE_ACCEPTED).count(), 1, "" + states);
+        long conflicts = states.stream()
+                .filter(s -> s == ApplyState.APPLY_STATE_CONFLICT)
+                .count();
+        assertEquals(conflicts, states.size() - 1, "" + states);
+    }
+
+    @When("an engine is leaving and with seed {long} {int} completions are sent")
+    public void leaving(long seed, int count) {
+        DaemonNode side = deployment.engineSides().get(0);
+        String engine = deployment.engines().get(0).process().name();
+        deployment.fleet().list(side, true);
+        recorder.add(new HistoryEvent.Leaving(System.currentTimeMillis(), engine));
+        try {
+            sent(seed, count, "completions", "nothing fails");
+        } finally {
+            deployment.fleet().list(side, false);
         }
     }
 
@@ -124,6 +174,8 @@
             } while (code != ResultCode.KEY_WITHDRAWN.number() && System.nanoTime() - deadline < 0);
             assertEquals(code, ResultCode.KEY_WITHDRAWN.number());
         }
+        whatMustHold();
+        deployment.renewKey();
     }
 
     @Then("all answers are the same and the order ran once")
--- a/parsleycleat-standin/src/test/java/io/parsleycleat/scenario/Traffic.java
+++ b/parsleycleat-standin/src/test/java/io/parsleycleat/scenario/Traffic.java
@@ -57,7 +57,7 @@
     /** Sends one order through an entry. */
     CompletableFuture<Answered> orderOnce(DaemonNode entry, String attempt, String order, String idempotencyKey) {
         recorder.add(new HistoryEvent.Invocation(
-                System.currentTimeMillis(), attempt, keyId(), deployment.service(), "", false, idempotencyKey));
+                System.currentTimeMillis(), attempt, deployment.keyId(), deployment.service(), "", false, idempotencyKey));
         RequestBuilder request = post(entry, "/services/" + deployment.service() + "/" + deployment.service())
                 .addHeader("Idempotency-Key", idempotencyKey)
                 .addHeader("x-attempt", attempt)
@@ -68,7 +68,7 @@
     /** Sends one completion through an entry. */
     CompletableFuture<Answered> completionOnce(DaemonNode entry, String attempt, String text, String version) {
         recorder.add(new HistoryEvent.Invocation(
-                System.currentTimeMillis(), attempt, keyId(), Deployment.ADAPTER, version, true, ""));
+                System.currentTimeMillis(), attempt, deployment.keyId(), Deployment.ADAPTER, version, true, ""));
         ObjectNode body = Json.object()
                 .put("model", version.isEmpty() ? Deployment.ADAPTER : Deployment.ADAPTER + "@" + version)
                 .put("prompt", attempt + " " + text)
@@ -132,10 +132,6 @@
         return deployment.entries().get(random.nextInt(deployment.entries().size()));
     }
 
-    private String keyId() {
-        return deployment.key().substring(0, deployment.key().indexOf('.'));
-    }
-
     private RequestBuilder post(DaemonNode entry, String path) {
         return new RequestBuilder("POST")
                 .setUrl(entry.callers() + path)
--- a/parsleycleat-standin/src/test/resources/scenarios/schieferpfad-bookings.feature
+++ b/parsleycleat-standin/src/test/resources/scenarios/schieferpfad-bookings.feature
@@ -28,7 +28,22 @@
       | 58   | an engine restarts empty and an entry is frozen            |
       | 59   | an engine side is frozen and the log hangs                 |
 
+  Scenario: A leaving engine gets nothing new
+    Given the Schieferpfad deployment
+    When an engine is leaving and with seed 61 70 completions are sent
+    Then all 70 are confirmed
+
+  Scenario: Operators race each other
+    Given the Schieferpfad deployment
+    When 8 operators change the rate of one client account at once
+    Then exactly one of them is accepted and the others are told of the conflict
+
   Scenario: A withdrawn key stops working
     Given the Schieferpfad deployment
     When the key is withdrawn
     Then requests through every entry are refused within 5 seconds
+
+  Scenario: A key that is withdrawn while the log is out stops working
+    Given the Schieferpfad deployment
+    When the key is withdrawn while the log is out
+    Then requests through every entry are refused within 5 seconds
