Read the VM list only when it changed, count bytes between processes, measure the daemons' footprint

Cause: at 950 VMs the whole list is about 140 KB, so reading it each second alone would cost six times what a daemon may spend on control; and nothing showed what a daemon costs at rest.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
@@ -1,5 +1,6 @@
 package io.parsleycleat.core.connection.peer;
 
+import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -47,10 +48,20 @@
     private final EventLoopGroup loops;
     private final LongSupplier configurationVersion;
     private final BiConsumer<PeerChannel, Frame> observer;
+    private final TrafficCounter traffic;
     private final Map<Frame.BodyCase, FrameHandler> handlers = new ConcurrentHashMap<>();
     private final Map<String, CompletableFuture<NettyPeerChannel>> outgoing = new ConcurrentHashMap<>();
     private final Map<Channel, Boolean> accepted = new ConcurrentHashMap<>();
 
+    /** Creates a transport whose traffic nobody counts. */
+    public NettyPeerTransport(
+            ProcessIdentity identity,
+            EventLoopGroup loops,
+            LongSupplier configurationVersion,
+            BiConsumer<PeerChannel, Frame> observer) {
+        this(identity, loops, configurationVersion, observer, new TrafficCounter(new MetricRegistry()));
+    }
+
     /**
      * Creates a transport that sends nothing yet.
      *
@@ -61,11 +72,13 @@
             ProcessIdentity identity,
             EventLoopGroup loops,
             LongSupplier configurationVersion,
-            BiConsumer<PeerChannel, Frame> observer) {
+            BiConsumer<PeerChannel, Frame> observer,
+            TrafficCounter traffic) {
         this.identity = identity;
         this.loops = loops;
         this.configurationVersion = configurationVersion;
         this.observer = observer;
+        this.traffic = traffic;
     }
 
     // Public operations
@@ -210,6 +223,7 @@
             @Override
             protected void initChannel(SocketChannel channel) {
                 channel.pipeline()
+                        .addLast(traffic)
                         .addLast(new BoundedFrameDecoder())
                         .addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
                         .addLast(new ProtobufVarint32LengthFieldPrepender())
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/platform/HttpVmList.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/platform/HttpVmList.java
@@ -12,7 +12,8 @@
 import org.asynchttpclient.AsyncHttpClient;
 
 /**
- * The VM list over HTTP, as docs/PLATFORM.md describes it. Rows of roles that are not known are passed over.
+ * The VM list over HTTP, as docs/PLATFORM.md describes it. Rows of roles that are not known are passed over. A list
+ * that has not changed is not sent again, where the platform tags its answers.
  *
  * <p>One a process; safe to share between threads.
  */
@@ -21,6 +22,10 @@
     private static final String PATH = "/vms";
 
     private final JsonHttp http;
+    private volatile Known known = new Known("", List.of());
+
+    /** The newest list with its tag. */
+    private record Known(String tag, List<Vm> vms) {}
 
     /** Creates a client of the list at an address. */
     public HttpVmList(AsyncHttpClient http, URI base) {
@@ -29,14 +34,22 @@
 
     @Override
     public CompletableFuture<List<Vm>> read() {
-        return http.get(PATH, TIMEOUT).thenApply(answer -> {
-            if (!answer.path("vms").isArray()) {
-                throw http.malformed(PATH, "no list vms");
-            }
-            return StreamSupport.stream(answer.path("vms").spliterator(), false)
-                    .flatMap(row -> vm(row).stream())
-                    .toList();
-        });
+        Known before = known;
+        return http.getIfChanged(PATH, before.tag(), TIMEOUT)
+                .thenApply(answer -> answer.map(this::parse).orElse(before).vms());
+    }
+
+    private Known parse(JsonHttp.Tagged answer) {
+        JsonNode rows = answer.body().path("vms");
+        if (!rows.isArray()) {
+            throw http.malformed(PATH, "no list vms");
+        }
+        List<Vm> vms = StreamSupport.stream(rows.spliterator(), false)
+                .flatMap(row -> vm(row).stream())
+                .toList();
+        Known read = new Known(answer.tag(), vms);
+        known = read;
+        return read;
     }
 
     private static Optional<Vm> vm(JsonNode row) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/platform/JsonHttp.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/platform/JsonHttp.java
@@ -8,6 +8,7 @@
 import io.parsleycleat.core.process.result.ResultCode;
 import java.net.URI;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.RequestBuilder;
@@ -22,6 +23,7 @@
     static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int STATUS_OK = 200;
     private static final int STATUS_MULTIPLE_CHOICES = 300;
+    private static final int STATUS_NOT_MODIFIED = 304;
     private static final int STATUS_GONE = 410;
 
     private final AsyncHttpClient http;
@@ -38,6 +40,24 @@
         return execute(new RequestBuilder("GET").setUrl(base + path), path, timeout);
     }
 
+    /** A JSON answer with the tag by which an unchanged one is recognized; an empty tag stands for none. */
+    record Tagged(JsonNode body, String tag) {}
+
+    /** Reads a resource, or nothing when it still has the given tag. */
+    CompletableFuture<Optional<Tagged>> getIfChanged(String path, String tag, Duration timeout) {
+        RequestBuilder request = new RequestBuilder("GET").setUrl(base + path);
+        if (!tag.isEmpty()) {
+            request.setHeader("If-None-Match", tag);
+        }
+        return send(request, path, timeout).thenApply(response -> {
+            if (response.getStatusCode() == STATUS_NOT_MODIFIED) {
+                return Optional.empty();
+            }
+            String newTag = response.getHeader("ETag");
+            return Optional.of(new Tagged(parse(path, response), newTag == null ? "" : newTag));
+        });
+    }
+
     CompletableFuture<JsonNode> post(String path, JsonNode body, Duration timeout) {
         RequestBuilder request = new RequestBuilder("POST")
                 .setUrl(base + path)
@@ -51,6 +71,10 @@
     }
 
     private CompletableFuture<JsonNode> execute(RequestBuilder request, String path, Duration timeout) {
+        return send(request, path, timeout).thenApply(response -> parse(path, response));
+    }
+
+    private CompletableFuture<Response> send(RequestBuilder request, String path, Duration timeout) {
         return http.executeRequest(request.setRequestTimeout(timeout).setReadTimeout(timeout))
                 .toCompletableFuture()
                 .handle((response, failure) -> {
@@ -58,7 +82,7 @@
                         throw new PlatformException(
                                 outage, String.valueOf(failure.getMessage()), new Location(base.toString(), path));
                     }
-                    return parse(path, response);
+                    return response;
                 });
     }
 
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/common/ProcessBase.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/common/ProcessBase.java
@@ -7,6 +7,8 @@
 import io.parsleycleat.core.connection.caller.CallerLimits;
 import io.parsleycleat.core.connection.caller.CallerServer;
 import io.parsleycleat.core.connection.peer.NettyPeerTransport;
+import io.parsleycleat.core.connection.peer.PeerChannel;
+import io.parsleycleat.core.connection.peer.TrafficCounter;
 import io.parsleycleat.core.connection.platform.HttpLogClient;
 import io.parsleycleat.core.connection.platform.HttpVmList;
 import io.parsleycleat.core.connection.platform.HttpWeightStore;
@@ -25,6 +27,8 @@
 import io.parsleycleat.core.version.configuration.StoreSettings;
 import io.parsleycleat.core.version.configuration.keys.CutOffMonitor;
 import io.parsleycleat.core.version.configuration.keys.KeyGate;
+import io.parsleycleat.wire.peer.Frame;
+import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -78,17 +82,14 @@
         this.weightStore = new HttpWeightStore(http, platform.weightStore());
         this.identity = vm.identity(role, IpAddresses.format(peerAddress), time.wallMillis());
         this.membership = new Membership(new HttpVmList(http, platform.vmList()), time);
-        this.transport = new NettyPeerTransport(identity, loops, this::configurationVersion, (from, frame) -> {
-            ConfigurationStore store = known.get();
-            if (store != null) {
-                store.onPeerVersion(from, frame.getConfigurationVersion());
-            }
-        });
+        this.transport = new NettyPeerTransport(
+                identity, loops, this::configurationVersion, this::observe, new TrafficCounter(metrics));
         this.monitor = new CutOffMonitor(time, membership, identity.dataCentre(), control.cutOff());
         this.configuration = new ConfigurationStore(
                 new StoreParts(identity, log, transport, membership, monitor, scheduler, time),
                 StoreSettings.DEFAULTS.withLogRetention(platform.logRetention()));
         known.set(configuration);
+        metrics.gauge("process.heap.bytes", () -> ProcessBase::heapBytes);
         this.keys = new KeyGate(configuration, monitor, control.cutOffPolicy());
     }
 
@@ -115,6 +116,17 @@
                 .awaitUninterruptibly(STOP_TIMEOUT_MILLIS);
     }
 
+    private static long heapBytes() {
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
+    private void observe(PeerChannel from, Frame frame) {
+        ConfigurationStore store = known.get();
+        if (store != null) {
+            store.onPeerVersion(from, frame.getConfigurationVersion());
+        }
+    }
+
     private long configurationVersion() {
         ConfigurationStore store = known.get();
         return store == null ? 0 : store.version();
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/http/HttpExchange.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/http/HttpExchange.java
@@ -110,6 +110,23 @@
         respond(status, JSON, json.toString().getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Answers with JSON and its tag, or without a body when the request names that tag already. */
+    public void respondTagged(JsonNode json) {
+        byte[] content = json.toString().getBytes(StandardCharsets.UTF_8);
+        String tag = '"' + Integer.toHexString(Arrays.hashCode(content)) + '"';
+        boolean unchanged = tag.equals(header("If-None-Match"));
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                unchanged ? HttpResponseStatus.NOT_MODIFIED : HttpResponseStatus.OK,
+                unchanged ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(content));
+        response.headers().set(HttpHeaderNames.ETAG, tag);
+        if (!unchanged) {
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, JSON);
+            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.length);
+        }
+        channel.writeAndFlush(response);
+    }
+
     /** Answers with a body of any type. */
     public void respond(int status, String contentType, byte[] content) {
         ByteBuf buffer = Unpooled.wrappedBuffer(content);
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/platform/VmListStandIn.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/platform/VmListStandIn.java
@@ -91,7 +91,7 @@
             exchange.respond(NOT_FOUND, Json.error("no such resource"));
             return;
         }
-        exchange.respond(OK, list());
+        exchange.respondTagged(list());
     }
 
     private synchronized ObjectNode list() {
