Print the footprint of both roles from one reading

Cause: the lint refuses enum ordinals as indexes, so the module did not build. Change: readings of both roles are a record. Result: mvn package passes with lint.

--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/footprint/FleetFootprint.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/footprint/FleetFootprint.java
@@ -1,7 +1,6 @@
 package io.parsleycleat.standin.measure.footprint;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.parsleycleat.core.process.identity.ProcessRole;
 import io.parsleycleat.standin.fleet.DaemonNode;
 import io.parsleycleat.standin.fleet.Fleet;
 import io.parsleycleat.standin.fleet.FleetException;
@@ -68,6 +67,13 @@
         }
     }
 
+    /** The usage of both roles at one time. */
+    private record Readings(Usage entry, Usage side) {
+        static Readings of(List<DaemonNode> entryNodes, List<DaemonNode> sideNodes) {
+            return new Readings(Usage.of(entryNodes), Usage.of(sideNodes));
+        }
+    }
+
     /** Runs the measurement and prints a table. */
     public static void main(String[] arguments) throws CmdLineException {
         FleetFootprint footprint = new FleetFootprint();
@@ -97,22 +103,21 @@
                     Stream.concat(entryNodes.stream(), sideNodes.stream()).toList();
             all.forEach(n -> n.awaitReady(Fleet.START_TIMEOUT));
             pause(SETTLE);
-            List<Usage> empty = List.of(Usage.of(entryNodes), Usage.of(sideNodes));
+            Readings empty = Readings.of(entryNodes, sideNodes);
             try (OperatorClient operator = fleet.operator(entryNodes.get(0))) {
                 operator.applyAll(IntStream.range(0, adapters)
                         .mapToObj(i -> adapter("a-" + i))
                         .toList());
                 awaitVersion(all, adapters);
                 pause(SETTLE);
-                List<Usage> before = List.of(Usage.of(entryNodes), Usage.of(sideNodes));
+                Readings before = Readings.of(entryNodes, sideNodes);
                 pause(Duration.ofSeconds(idleSeconds));
-                List<Usage> idle = List.of(Usage.of(entryNodes), Usage.of(sideNodes));
+                Readings idle = Readings.of(entryNodes, sideNodes);
                 List<Long> delays = changeOneByOne(operator, all);
-                List<Usage> after = List.of(Usage.of(entryNodes), Usage.of(sideNodes));
-                for (ProcessRole role : ProcessRole.values()) {
-                    int r = role.ordinal();
-                    print(entryCount, sideCount, role, empty.get(r), before.get(r), idle.get(r), after.get(r), delays);
-                }
+                Readings after = Readings.of(entryNodes, sideNodes);
+                String size = String.format("%7d %5d", entryCount, sideCount);
+                print(size + " entry", empty.entry(), before.entry(), idle.entry(), after.entry(), delays);
+                print(size + " side ", empty.side(), before.side(), idle.side(), after.side(), delays);
             }
         }
     }
@@ -128,23 +133,13 @@
         return delays.stream().sorted().toList();
     }
 
-    private void print(
-            int entryCount,
-            int sideCount,
-            ProcessRole role,
-            Usage empty,
-            Usage before,
-            Usage idle,
-            Usage after,
-            List<Long> delays) {
+    private void print(String label, Usage empty, Usage before, Usage idle, Usage after, List<Long> delays) {
         double seconds = idleSeconds;
         double idlePerSecond = (idle.cpuMillis() - before.cpuMillis()) / seconds;
         double bytesPerSecond = (idle.peerBytes() - before.peerBytes()) / seconds;
         System.out.printf(
-                "%7d %5d %-5s %10.2f %13.0f %10.0f %10.0f %12.0f %13.2f %13.0f %15d %15d%n",
-                entryCount,
-                sideCount,
-                role.label(),
+                "%s %10.2f %13.0f %10.0f %10.0f %12.0f %13.2f %13.0f %15d %15d%n",
+                label,
                 idlePerSecond / 10,
                 bytesPerSecond,
                 empty.heapKib(),
