Keep the engine stand-in from blocking itself when a load ends during a report

Cause: the end of a load was told under the slots' lock, and what it told took the engine's lock, while a report holds the engine's lock and takes the slots' lock. An engine that met both at once answered nothing any more.

Change: the end of a load is told without the lock, loaded adapters are a set of their own, and the incarnation is read without a lock.

--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/upstream/AdapterSlots.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/upstream/AdapterSlots.java
@@ -1,21 +1,23 @@
 package io.parsleycleat.standin.upstream;
 
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
-import java.util.stream.Collectors;
 
 /**
  * The adapters that an engine holds or loads, each in one slot.
  *
- * <p>Created by {@link ModelEngineStandIn}; every method holds the slots' lock.
+ * <p>Created by {@link ModelEngineStandIn}; every method holds the slots' lock, but what waits for a load is told of
+ * its end without it.
  */
 final class AdapterSlots {
     private final int limit;
     private final Function<String, CompletableFuture<Void>> fetch;
     private final Map<String, CompletableFuture<Boolean>> held = new LinkedHashMap<>();
+    private final Set<String> ready = new HashSet<>();
 
     /**
      * Creates empty slots.
@@ -45,32 +47,32 @@
     /** Frees an adapter's slot. */
     synchronized void unload(String model) {
         held.remove(model);
+        ready.remove(model);
     }
 
     synchronized void clear() {
         held.clear();
+        ready.clear();
     }
 
     synchronized boolean isLoaded(String model) {
-        CompletableFuture<Boolean> load = held.get(model);
-        return load != null && load.isDone();
+        return ready.contains(model);
     }
 
     synchronized Set<String> loaded() {
-        return held.entrySet().stream()
-                .filter(e -> e.getValue().isDone())
-                .map(Map.Entry::getKey)
-                .collect(Collectors.toUnmodifiableSet());
+        return Set.copyOf(ready);
     }
 
     private void finish(String model, CompletableFuture<Boolean> load, boolean success) {
         boolean kept;
         synchronized (this) {
             kept = success && held.get(model) == load;
-            if (!success) {
+            if (kept) {
+                ready.add(model);
+            } else {
                 held.remove(model, load);
             }
-            load.complete(kept);
         }
+        load.complete(kept);
     }
 }
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/upstream/ModelEngineStandIn.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/upstream/ModelEngineStandIn.java
@@ -45,7 +45,7 @@
     private final BatchScheduler scheduler;
     private final AdapterSlots slots;
     private final Object lock = new Object();
-    private String incarnation = UUID.randomUUID().toString();
+    private volatile String incarnation = UUID.randomUUID().toString();
     private String role = "mixed";
     private long fencingNumber;
     private ObjectNode report = Json.object();
@@ -129,9 +129,7 @@
 
     /** Returns the id of the engine's present life. */
     public String incarnation() {
-        synchronized (lock) {
-            return incarnation;
-        }
+        return incarnation;
     }
 
     @Override
--- a/parsleycleat-standin/src/test/java/io/parsleycleat/standin/upstream/ModelEngineStandInTest.java
+++ b/parsleycleat-standin/src/test/java/io/parsleycleat/standin/upstream/ModelEngineStandInTest.java
@@ -175,6 +175,25 @@
         assertEquals(await(client.state()).loaded(), Set.of(ADAPTER));
     }
 
+    @Test(timeOut = 60_000)
+    public void reportsAndLoadsAtOnceDoNotBlockEachOther() throws Exception {
+        ModelEngineStandIn engine = engine(OPTIONS.withLoads(Duration.ZERO, null));
+        HttpModelEngine client = client(engine);
+        for (int i = 0; i < 200; i++) {
+            List<CompletableFuture<?>> calls = List.of(
+                    client.load(ADAPTER, 1),
+                    client.state(),
+                    client.load(OTHER, 1),
+                    client.state(),
+                    client.state(),
+                    client.state());
+            await(CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new)));
+            await(client.unload(ADAPTER, 1));
+            await(client.unload(OTHER, 1));
+        }
+        assertEquals(engine.loaded(), Set.of());
+    }
+
     @Test
     public void prefixCacheKeepsTheMostRecentBlocks() {
         PrefixCache cache = new PrefixCache(4, e -> {});
