Balance the homes of an account and give unspent loans back

Restricted loads leaked once in 60 s, judged by one home alone, and runs of the simulation differed between processes, since some maps were ordered by identity.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/BudgetPart.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/BudgetPart.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -22,7 +23,7 @@
     private static final double ROUNDING = 1e-6;
 
     /** Room that was lent or borrowed until a time. */
-    private record Loan(double tokens, long untilNanos) {}
+    private record Loan(String id, double tokens, long untilNanos) {}
 
     private double ratePerPart;
     private double burstPerPart;
@@ -35,6 +36,7 @@
     private double returnableSum;
     private double lentRoom;
     private double borrowedRoom;
+    private double keptRoom;
     private long mintedNanos;
 
     /** Creates a budget without any part. Nothing is minted before the given time. */
@@ -61,7 +63,7 @@
         parts++;
         level += kept;
         if (kept < burstPerPart) {
-            lent.addLast(new Loan(burstPerPart - kept, roomUntilNanos));
+            lent.addLast(new Loan("", burstPerPart - kept, roomUntilNanos));
             lentRoom += burstPerPart - kept;
         }
         trim();
@@ -125,26 +127,74 @@
 
     // Loans
 
-    /** Takes out tokens for another home, whose room is not minted again before the time given. */
-    double lend(double wanted, long untilNanos, long now) {
+    /**
+     * Takes out tokens for another home. Their room is not minted again before the time given, but for what the
+     * borrower keeps room for.
+     */
+    double lend(String id, double wanted, double roomKept, long untilNanos, long now) {
         advance(now);
         double tokens = Math.max(0, Math.min(wanted, level));
         if (tokens > 0) {
+            double room = Math.max(0, tokens - roomKept);
             level -= tokens;
-            lent.addLast(new Loan(tokens, untilNanos));
-            lentRoom += tokens;
+            lent.addLast(new Loan(id, room, untilNanos));
+            lentRoom += room;
         }
         return tokens;
     }
 
-    /** Adds borrowed tokens. What is not spent and has no room here is dropped at the time given. */
-    void borrow(double tokens, long untilNanos, long now) {
+    /** Keeps free room for tokens that are to be borrowed, and returns how much of it there is. */
+    double keepRoom(double wanted, long now) {
         advance(now);
+        double free = capacity() - level - returnableSum - borrowedRoom;
+        double room = Math.max(0, Math.min(wanted, free));
+        keptRoom += room;
+        return room;
+    }
+
+    /** Ends the keeping of room. */
+    void freeRoom(double room, long now) {
+        advance(now);
+        keptRoom = Math.max(0, keptRoom - room);
+    }
+
+    /** Adds borrowed tokens. What is not spent and has no room here is dropped at the time given. */
+    void borrow(String id, double tokens, double roomKept, long untilNanos, long now) {
+        freeRoom(roomKept, now);
         if (untilNanos - now > 0) {
+            double room = Math.max(0, tokens - roomKept);
             level += tokens;
-            borrowed.addLast(new Loan(tokens, untilNanos));
-            borrowedRoom += tokens;
+            borrowed.addLast(new Loan(id, room, untilNanos));
+            borrowedRoom += room;
+        }
+    }
+
+    /** Takes lent tokens back, with their room, unless the loan has lapsed. Only the first call has an effect. */
+    void takeBack(String id, double returned, long now) {
+        advance(now);
+        lent.stream().filter(l -> l.id().equals(id)).findFirst().ifPresent(loan -> {
+            lent.remove(loan);
+            lentRoom = lent.isEmpty() ? 0 : lentRoom - loan.tokens();
+            level += Math.max(0, Math.min(returned, loan.tokens()));
+            trim();
+        });
+    }
+
+    /** Takes out what a loan brought and this home has no room of its own for, to give it back. */
+    double removeUnspent(String id, long now) {
+        advance(now);
+        Optional<Loan> found = borrowed.stream().filter(l -> l.id().equals(id)).findFirst();
+        double over = level - Math.max(0, parts * burstPerPart - lentRoom - keptRoom);
+        if (found.isEmpty() || over <= 0) {
+            return 0;
         }
+        Loan loan = found.get();
+        double tokens = Math.min(over, loan.tokens());
+        borrowed.remove(loan);
+        borrowedRoom = borrowed.isEmpty() ? 0 : borrowedRoom - loan.tokens();
+        level -= tokens;
+        trim();
+        return tokens;
     }
 
     double rate() {
@@ -152,7 +202,7 @@
     }
 
     double capacity() {
-        return Math.max(0, parts * burstPerPart - lentRoom) + borrowedRoom;
+        return Math.max(0, parts * burstPerPart - lentRoom - keptRoom) + borrowedRoom;
     }
 
     // Internals
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/EscrowFrameHandler.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/EscrowFrameHandler.java
@@ -31,6 +31,7 @@
             case DEBIT -> debit(from, frame, message.getDebit());
             case SETTLEMENT -> homes.settle(message.getSettlement());
             case LEND -> reply(from, frame, answer.setLendAnswer(homes.lend(message.getLend())));
+            case LEND_RETURN -> homes.takeBack(message.getLendReturn());
             case HAND_OVER -> reply(from, frame, answer.setHandOverAnswer(homes.handOver(message.getHandOver())));
             case EPOCH_PULL -> reply(from, frame, answer.setEpochPage(page(message.getEpochPull())));
             case PRESENCE -> reply(
@@ -72,6 +73,7 @@
             case DEBIT -> message.getDebit().getEpoch();
             case SETTLEMENT -> message.getSettlement().getEpoch();
             case LEND -> message.getLend().getEpoch();
+            case LEND_RETURN -> message.getLendReturn().getEpoch();
             case HAND_OVER -> message.getHandOver().getEpoch();
             case PRESENCE -> message.getPresence().getEpoch();
             default -> 0;
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/EscrowPeers.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/EscrowPeers.java
@@ -14,6 +14,7 @@
 import io.parsleycleat.wire.escrow.HandOverAnswer;
 import io.parsleycleat.wire.escrow.Lend;
 import io.parsleycleat.wire.escrow.LendAnswer;
+import io.parsleycleat.wire.escrow.LendReturn;
 import io.parsleycleat.wire.escrow.Presence;
 import io.parsleycleat.wire.escrow.PresenceAnswer;
 import io.parsleycleat.wire.escrow.Settlement;
@@ -42,6 +43,7 @@
     private final ProcessIdentity identity;
     private final TimeSource time;
     private final Duration timeout;
+    private final Duration lendTimeout;
     private final long retryNanos;
     private final LongAdder sent = new LongAdder();
     private final Map<String, Long> unreachableUntil = new ConcurrentHashMap<>();
@@ -52,6 +54,7 @@
         this.identity = identity;
         this.time = time;
         this.timeout = settings.requestTimeout();
+        this.lendTimeout = settings.lendTimeout();
         this.retryNanos = settings.retryUnreachable().toNanos();
     }
 
@@ -79,19 +82,22 @@
     }
 
     void settle(EpochMember home, Settlement settlement) {
-        sent.increment();
-        client.send(
-                home.getPeerAddress(),
-                Frame.newBuilder().setEscrow(EscrowMessage.newBuilder().setSettlement(settlement)));
+        send(home, EscrowMessage.newBuilder().setSettlement(settlement));
     }
 
     @Override
     public CompletableFuture<LendAnswer> ask(EpochMember home, Lend lend) {
-        return request(home, EscrowMessage.newBuilder().setLend(lend)).thenApply(message -> {
-            LendAnswer answer = message.getLendAnswer();
-            listener.answered(home.getVmName(), home.getPeerAddress(), answer.getEpoch());
-            return answer;
-        });
+        return request(home, EscrowMessage.newBuilder().setLend(lend), lendTimeout)
+                .thenApply(message -> {
+                    LendAnswer answer = message.getLendAnswer();
+                    listener.answered(home.getVmName(), home.getPeerAddress(), answer.getEpoch());
+                    return answer;
+                });
+    }
+
+    @Override
+    public void giveBack(EpochMember home, LendReturn unspent) {
+        send(home, EscrowMessage.newBuilder().setLendReturn(unspent));
     }
 
     CompletableFuture<HandOverAnswer> handOver(EpochMember former, long epoch, String accountId, int part) {
@@ -127,12 +133,21 @@
     }
 
     private CompletableFuture<EscrowMessage> request(EpochMember to, EscrowMessage.Builder message) {
+        return request(to, message, timeout);
+    }
+
+    private CompletableFuture<EscrowMessage> request(EpochMember to, EscrowMessage.Builder message, Duration within) {
         sent.increment();
-        return client.request(to.getPeerAddress(), Frame.newBuilder().setEscrow(message), timeout)
+        return client.request(to.getPeerAddress(), Frame.newBuilder().setEscrow(message), within)
                 .whenComplete((frame, failure) -> note(to.getVmName(), failure))
                 .thenApply(Frame::getEscrow);
     }
 
+    private void send(EpochMember to, EscrowMessage.Builder message) {
+        sent.increment();
+        client.send(to.getPeerAddress(), Frame.newBuilder().setEscrow(message));
+    }
+
     private void note(String vmName, @Nullable Throwable failure) {
         if (failure == null) {
             unreachableUntil.remove(vmName);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/HomeAccount.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/HomeAccount.java
@@ -9,6 +9,7 @@
 import io.parsleycleat.wire.escrow.HandOverAnswer;
 import io.parsleycleat.wire.escrow.Lend;
 import io.parsleycleat.wire.escrow.LendAnswer;
+import io.parsleycleat.wire.escrow.LendReturn;
 import io.parsleycleat.wire.escrow.Settlement;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -16,6 +17,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -35,6 +37,10 @@
     private static final int MAX_LOAN_ROUNDS = 3;
     private static final double MILLIS_PER_SECOND = 1000;
     private static final double ROUNDING_TOKENS = 1e-6;
+    /** Below this share of its own capacity a home asks for tokens of homes that are full. */
+    private static final double BALANCING_LEVEL = 0.7;
+
+    private static final double FULL_LEVEL = 0.8;
 
     /** A debit that waits for a loan. */
     private record Waiting(Debit debit, int rounds, CompletableFuture<DebitDecision> result) {
@@ -196,11 +202,7 @@
                 return known;
             }
             Optional<DebitDecision> decision = decide(debit, now);
-            if (decision.isPresent()) {
-                result.complete(decision.get());
-                return result;
-            }
-            waiting.addLast(new Waiting(debit, 0, result));
+            decision.ifPresentOrElse(result::complete, () -> waiting.addLast(new Waiting(debit, 0, result)));
         }
         borrow();
         return result;
@@ -230,13 +232,20 @@
                 return answer.build();
             }
             long until = now + settings.lendTerm().toNanos();
-            double tokens = budget.lend(request.getTokens(), until, now);
+            double tokens = budget.lend(request.getLendId(), request.getTokens(), request.getKeptRoom(), until, now);
             return answer.setTokens(tokens)
                     .setRemainingTokens(budget.available(now))
                     .build();
         }
     }
 
+    /** Takes back what a borrower could not use. */
+    void takeBack(LendReturn unspent) {
+        synchronized (lock) {
+            budget.takeBack(unspent.getLendId(), unspent.getTokens(), time.monotonicNanos());
+        }
+    }
+
     // Internals: parts
 
     private void adoptPart(PartSlot slot, String owner, Set<String> former, long now) {
@@ -286,13 +295,13 @@
                 : Optional.empty();
     }
 
-    /** Returns what the account lacks for a debit that must leave a rest, judged by what is held here. */
+    /** Returns what the account lacks for a debit that must leave a rest, judged by this home and by all together. */
     private double missingRest(Debit debit, long now) {
         if (debit.getRest() <= 0 || budget.parts() == 0) {
             return 0;
         }
         double share = (double) budget.parts() / Parts.COUNT;
-        double level = budget.available(now) / share;
+        double level = Math.min(budget.available(now) / share, mostReachable(now));
         return debit.getTokens() + debit.getRest() * account.getBurstTokens() - level;
     }
 
@@ -316,25 +325,28 @@
         Map<EpochMember, Lend> requests;
         long asked;
         synchronized (lock) {
-            if (borrowing || waiting.isEmpty()) {
+            asked = time.monotonicNanos();
+            if (borrowing) {
+                return;
+            }
+            requests = waiting.isEmpty() ? balancingRequest(asked) : loanRequests(asked);
+            if (requests.isEmpty() && waiting.isEmpty()) {
                 return;
             }
-            asked = time.monotonicNanos();
-            requests = loanRequests(asked);
             borrowing = true;
         }
         List<CompletableFuture<?>> answers = new ArrayList<>();
         requests.forEach(
                 (home, request) -> answers.add(lenders.ask(home, request).handle((answer, failure) -> {
-                    received(home.getVmName(), failure == null ? answer : null, asked);
+                    received(home.getVmName(), request, failure == null ? answer : null, asked);
                     return answer;
                 })));
-        CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new)).thenRun(this::endRound);
+        CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new)).thenRun(() -> endRound(requests));
     }
 
     private Map<EpochMember, Lend> loanRequests(long now) {
         double missing = waiting.stream().mapToDouble(Waiting::tokens).sum() - budget.available(now);
-        Map<EpochMember, Lend> requests = new HashMap<>();
+        Map<EpochMember, Lend> requests = new LinkedHashMap<>();
         List<EpochMember> richestFirst = others.values().stream()
                 .sorted(Comparator.comparingDouble((EpochMember m) -> -most(m.getVmName(), now))
                         .thenComparing(EpochMember::getVmName))
@@ -344,36 +356,59 @@
             if (missing > 0 && most > 0) {
                 double wanted = Math.min(missing, most);
                 missing -= wanted;
-                requests.put(home, loanRequest(wanted));
+                requests.put(home, loanRequest(wanted, now));
             }
         }
         return requests;
     }
 
-    private Lend loanRequest(double tokens) {
+    /** Asks a home that is full, and so mints nothing, for half of what it has more than this one. */
+    private Map<EpochMember, Lend> balancingRequest(long now) {
+        double level = budget.available(now);
+        if (!standing.getAsBoolean() || budget.parts() == 0 || level > BALANCING_LEVEL * budget.capacity()) {
+            return Map.of();
+        }
+        double perPart = level / budget.parts();
+        return others.values().stream()
+                .filter(m -> perPartOf(m.getVmName(), now) >= FULL_LEVEL * burstPerPart(account))
+                .filter(m -> perPartOf(m.getVmName(), now) > perPart + ROUNDING_TOKENS)
+                .min(Comparator.comparing(EpochMember::getVmName))
+                .map(m -> Map.of(m, loanRequest((perPartOf(m.getVmName(), now) - perPart) / 2, now)))
+                .orElse(Map.of());
+    }
+
+    private double perPartOf(String name, long now) {
+        return most(name, now) / Math.max(1, partCounts.getOrDefault(name, 1));
+    }
+
+    private Lend loanRequest(double tokens, long now) {
         loanCount++;
         return Lend.newBuilder()
                 .setEpoch(epoch.number())
                 .setAccountId(account.getId())
                 .setTokens(tokens)
                 .setLendId(vmName + '/' + loanCount)
+                .setKeptRoom(budget.keepRoom(tokens, now))
                 .build();
     }
 
-    private void received(String lender, @Nullable LendAnswer answer, long asked) {
+    private void received(String lender, Lend request, @Nullable LendAnswer answer, long asked) {
         synchronized (lock) {
             long now = time.monotonicNanos();
             if (answer == null) {
+                budget.freeRoom(request.getKeptRoom(), now);
                 estimates.failed(lender, now + settings.retryUnreachable().toNanos(), now);
                 return;
             }
             estimates.answered(lender, answer.getRemainingTokens(), now);
-            budget.borrow(answer.getTokens(), asked + settings.lendTerm().toNanos(), now);
+            long until = asked + settings.lendTerm().toNanos();
+            budget.borrow(request.getLendId(), answer.getTokens(), request.getKeptRoom(), until, now);
         }
     }
 
-    private void endRound() {
-        Map<Waiting, DebitDecision> decided = new HashMap<>();
+    private void endRound(Map<EpochMember, Lend> requests) {
+        Map<Waiting, DebitDecision> decided = new LinkedHashMap<>();
+        Map<EpochMember, LendReturn> unspent = new LinkedHashMap<>();
         synchronized (lock) {
             borrowing = false;
             long now = time.monotonicNanos();
@@ -386,11 +421,26 @@
                 }
                 decision.ifPresentOrElse(d -> decided.put(w, d), () -> waiting.addLast(w.withRound()));
             });
+            if (waiting.isEmpty()) {
+                requests.forEach((home, request) -> unspent.put(home, removeUnspent(request, now)));
+            }
         }
+        unspent.entrySet().stream()
+                .filter(e -> e.getValue().getTokens() > 0)
+                .forEach(e -> lenders.giveBack(e.getKey(), e.getValue()));
         decided.forEach((w, d) -> w.result().complete(d));
         borrow();
     }
 
+    private LendReturn removeUnspent(Lend request, long now) {
+        return LendReturn.newBuilder()
+                .setEpoch(epoch.number())
+                .setAccountId(account.getId())
+                .setLendId(request.getLendId())
+                .setTokens(budget.removeUnspent(request.getLendId(), now))
+                .build();
+    }
+
     private static double ratePerPart(Account account) {
         return account.getTokensPerSecond() / Parts.COUNT;
     }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/HomeAccounts.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/HomeAccounts.java
@@ -12,6 +12,7 @@
 import io.parsleycleat.wire.escrow.HandOverAnswer;
 import io.parsleycleat.wire.escrow.Lend;
 import io.parsleycleat.wire.escrow.LendAnswer;
+import io.parsleycleat.wire.escrow.LendReturn;
 import io.parsleycleat.wire.escrow.Settlement;
 import java.util.List;
 import java.util.Map;
@@ -117,6 +118,10 @@
                 .build());
     }
 
+    void takeBack(LendReturn unspent) {
+        home(unspent.getAccountId()).ifPresent(a -> a.takeBack(unspent));
+    }
+
     HandOverAnswer handOver(HandOver request) {
         synchronized (changeLock) {
             return home(request.getAccountId())
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/PartSlot.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/PartSlot.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * What an entry knows of one part of one account's budget: whether it holds it, waits for it or has passed it on.
@@ -48,7 +49,7 @@
 
     /** Returns the entries that must give up the part before this one holds it. */
     Set<String> awaited() {
-        return state == State.PENDING ? Set.copyOf(formerOwners) : Set.of();
+        return state == State.PENDING ? new TreeSet<>(formerOwners) : Set.of();
     }
 
     /** Makes this entry the owner from an epoch on, after the entries given. */
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/WeightStoreBudget.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/WeightStoreBudget.java
@@ -19,8 +19,8 @@
     /** After this time a transit counts as ended although nobody said so. */
     private static final double TRANSIT_BOUND_SECONDS = 20;
 
-    private static final double FREE_REST = 0.5;
-    private static final double PREFETCH_REST = 0.7;
+    private static final double FREE_REST = 0.6;
+    private static final double PREFETCH_REST = 0.8;
 
     private WeightStoreBudget() {}
 
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/process/limits/BudgetPartTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/process/limits/BudgetPartTest.java
@@ -58,7 +58,7 @@
     @Test
     public void lentRoomIsNotMintedBeforeItsTerm() {
         BudgetPart part = full(10, 100);
-        assertEquals(part.lend(60, 2 * SECOND, 0), 60, DELTA);
+        assertEquals(part.lend("l", 60, 0, 2 * SECOND, 0), 60, DELTA);
         assertEquals(part.available(2 * SECOND), 40, DELTA);
         assertEquals(part.available(3 * SECOND), 50, DELTA);
     }
@@ -66,13 +66,27 @@
     @Test
     public void borrowedTokensAboveTheBurstAreDroppedAfterTheTerm() {
         BudgetPart part = full(10, 100);
-        part.borrow(60, 2 * SECOND, 0);
+        part.borrow("l", 60, 0, 2 * SECOND, 0);
         assertEquals(part.available(SECOND), 160, DELTA);
         assertEquals(part.available(2 * SECOND), 100, DELTA);
-        part.borrow(50, 2 * SECOND, 3 * SECOND);
+        part.borrow("m", 50, 0, 2 * SECOND, 3 * SECOND);
         assertEquals(part.available(3 * SECOND), 100, DELTA);
     }
 
+    @Test
+    public void unspentLoansGoBackWithTheirRoom() {
+        BudgetPart lender = full(10, 100);
+        BudgetPart borrower = full(10, 100);
+        borrower.borrow("l", lender.lend("l", 60, 0, SECOND, 0), 0, SECOND, 0);
+        double unspent = borrower.removeUnspent("l", 0);
+        assertEquals(unspent, 60, DELTA);
+        assertEquals(borrower.removeUnspent("l", 0), 0, DELTA);
+        lender.takeBack("l", unspent, 0);
+        lender.takeBack("l", unspent, 0);
+        assertEquals(lender.available(0), 100, DELTA);
+        assertEquals(borrower.available(0), 100, DELTA);
+    }
+
     @Test
     public void aPartGoesWithItsShareOfTheTokens() {
         BudgetPart part = full(10, 100);
@@ -104,9 +118,13 @@
             excess = Math.max(0, excess - 20.0 * pause / SECOND);
             int at = random.nextInt(2);
             if (random.nextInt(3) == 0) {
-                double lent = homes[1 - at].lend(random.nextInt(120), now + SECOND, now);
+                double wanted = random.nextInt(120);
+                double room = homes[at].keepRoom(wanted, now);
+                double lent = homes[1 - at].lend("l" + step, wanted, room, now + SECOND, now);
                 if (random.nextInt(4) > 0) {
-                    homes[at].borrow(lent, now + SECOND, now);
+                    homes[at].borrow("l" + step, lent, room, now + SECOND, now);
+                } else {
+                    homes[at].freeRoom(room, now);
                 }
             }
             double tokens = random.nextInt(150);
@@ -115,6 +133,9 @@
                 excess += used;
                 homes[at].settle("d" + step, tokens - used, now);
             }
+            if (random.nextInt(3) == 0) {
+                homes[1 - at].takeBack("l" + step, homes[at].removeUnspent("l" + step, now), now);
+            }
             worst = Math.max(worst, excess);
         }
         return worst;
