Add the scenario of a request that crashes engines

Cause: the bound of two crashes was shown over fakes only. Change: a completion that crashes engines is sent six times through changing entries beside forty others.

--- a/parsleycleat-standin/src/test/resources/scenarios/schieferpfad-bookings.feature
+++ b/parsleycleat-standin/src/test/resources/scenarios/schieferpfad-bookings.feature
@@ -33,6 +33,12 @@
     When an engine is leaving and with seed 61 70 completions are sent
     Then all 70 are confirmed
 
+  Scenario: A request that crashes engines is sent again and again
+    Given the Schieferpfad deployment
+    When with seed 62 40 completions are sent beside one that crashes engines, sent 6 times
+    Then at most 2 engines crashed and the last of these answers is QUARANTINED
+    And all 40 are confirmed
+
   Scenario: Operators race each other
     Given the Schieferpfad deployment
     When 8 operators change the rate of one client account at once
