Keep one close action a connection, and let the last bytes leave at a stop

Cause: every run left an action with its connection, which grew for as long as the connection lived; a stop counted an answer as sent when it was handed over, so the last bytes to a slow reader could be cut; the rest of an answer for a caller who had left was never taken from the side. Change: runs are kept by connection with one action; a stop waits until answers have left; transports close after what was handed to them; parts for a caller who has left count as taken.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
@@ -83,6 +83,11 @@
         return (InetSocketAddress) channel.localAddress();
     }
 
+    /** Closes the connections on which the last answer has left and no request has arrived since. */
+    public void closeIdle() {
+        connections.closeIdle();
+    }
+
     /** Returns how many connections are open. */
     public int openConnections() {
         return connections.open();
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/ConnectionRegistry.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/ConnectionRegistry.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -41,6 +42,15 @@
         return Optional.of(entry);
     }
 
+    /** Closes the connections that carry no request. */
+    void closeIdle() {
+        List<Entry> unused;
+        synchronized (lock) {
+            unused = List.copyOf(idle);
+        }
+        unused.forEach(entry -> entry.channel.close());
+    }
+
     int open() {
         synchronized (lock) {
             return open;
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/NettyCallerExchange.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/NettyCallerExchange.java
@@ -103,6 +103,8 @@
             if (state == State.STARTED) {
                 ByteBuf content = Unpooled.wrappedBuffer(part.asReadOnlyByteBuffer());
                 context.writeAndFlush(new DefaultHttpContent(content)).addListener(f -> written.run());
+            } else {
+                written.run();
             }
         });
     }
@@ -167,8 +169,8 @@
             if (close || !f.isSuccess()) {
                 context.close();
             }
+            whenEnded.run();
         });
-        whenEnded.run();
     }
 
     private void setConnection(HttpResponse response) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
@@ -4,7 +4,9 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -25,6 +27,7 @@
 import io.parsleycleat.wire.peer.Hello;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -41,6 +44,7 @@
     public static final int PROTOCOL_VERSION = 1;
 
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final long CLOSE_TIMEOUT_MILLIS = 500;
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final Duration HELLO_TIMEOUT = Duration.ofSeconds(2);
 
@@ -124,10 +128,18 @@
         return connectNetty(peerAddress).thenApply(channel -> channel);
     }
 
+    /** Closes every connection once what was handed to it has left, waiting for that a bounded time. */
     @Override
     public void close() {
-        accepted.keySet().forEach(Channel::close);
-        outgoing.values().forEach(f -> f.thenAccept(NettyPeerChannel::close));
+        List<Channel> open = List.copyOf(accepted.keySet());
+        open.forEach(channel -> {
+            if (channel instanceof SocketChannel) {
+                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            } else {
+                channel.close();
+            }
+        });
+        open.forEach(channel -> channel.closeFuture().awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS));
     }
 
     // Used by the channels
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunClient.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunClient.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.parsleycleat.core.connection.peer.FrameRouter;
+import io.parsleycleat.core.connection.peer.PeerChannel;
 import io.parsleycleat.core.connection.peer.PeerClient;
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.result.ResultCode;
@@ -19,6 +20,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Starts runs on sides and passes their answers on, resuming them after a lost connection.
@@ -38,6 +40,7 @@
     private final long incarnation;
     private final AtomicLong sequence = new AtomicLong();
     private final Map<RunId, ClientRun> runs = new ConcurrentHashMap<>();
+    private final ChannelRuns<ClientRun> channels = new ChannelRuns<>((run, channel) -> run.connectionLost());
 
     /** Creates a client and registers it for the frames of runs. */
     public RunClient(PeerClient peers, FrameRouter router, ScheduledExecutorService scheduler, long incarnation) {
@@ -83,6 +86,7 @@
         private final RunListener listener;
         private final Object lock = new Object();
         private long nextSequence;
+        private @Nullable PeerChannel current;
         private boolean headSeen;
         private boolean ended;
         private boolean startSent;
@@ -116,9 +120,10 @@
                 }
                 synchronized (lock) {
                     startSent = true;
+                    current = channel;
                 }
                 channel.send(Frame.newBuilder().setRun(first).build());
-                channel.onClose(this::connectionLost);
+                channels.add(channel, this);
             });
         }
 
@@ -162,14 +167,19 @@
 
         private void end(AnswerEnd end) {
             boolean whole;
+            PeerChannel used;
             synchronized (lock) {
                 if (ended) {
                     return;
                 }
+                used = current;
                 whole = end.getCode() != ResultCode.DONE.number() || end.getChunkCount() == nextSequence;
                 ended = true;
             }
             runs.remove(id);
+            if (used != null) {
+                channels.remove(used, this);
+            }
             listener.onEnd(
                     whole
                             ? end
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunServer.java
@@ -30,6 +30,7 @@
     private final ScheduledExecutorService scheduler;
     private final RunStarter starter;
     private final Map<RunId, ServerRun> runs = new ConcurrentHashMap<>();
+    private final ChannelRuns<ServerRun> channels = new ChannelRuns<>(this::lost);
 
     /** Creates a server and registers it for the frames of runs. */
     public RunServer(FrameRouter router, ScheduledExecutorService scheduler, RunStarter starter) {
@@ -38,9 +39,9 @@
         router.register(Frame.BodyCase.RUN, (from, frame) -> receive(from, frame.getRun()));
     }
 
-    /** Returns how many runs have not ended. */
+    /** Returns how many runs have not ended, or whose end is not on its way to an entry that is connected. */
     public long openRuns() {
-        return runs.values().stream().filter(r -> !r.isEnded()).count();
+        return runs.values().stream().filter(r -> !r.isDelivered()).count();
     }
 
     private void receive(PeerChannel from, RunMessage message) {
@@ -87,11 +88,13 @@
 
     private void attach(ServerRun run, PeerChannel channel) {
         run.attach(channel);
-        channel.onClose(() -> {
-            if (run.detach(channel)) {
-                scheduler.schedule(() -> cancelOrphan(run), ORPHAN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-            }
-        });
+        channels.add(channel, run);
+    }
+
+    private void lost(ServerRun run, PeerChannel channel) {
+        if (run.detach(channel)) {
+            scheduler.schedule(() -> cancelOrphan(run), ORPHAN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        }
     }
 
     private void cancelOrphan(ServerRun run) {
@@ -101,6 +104,13 @@
     }
 
     private void expire(RunId id) {
-        scheduler.schedule(() -> runs.remove(id), ORPHAN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        scheduler.schedule(() -> forget(id), ORPHAN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void forget(RunId id) {
+        ServerRun run = runs.remove(id);
+        if (run != null) {
+            run.channel().ifPresent(channel -> channels.remove(channel, run));
+        }
     }
 }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/ServerRun.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/ServerRun.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -172,6 +173,19 @@
         }
     }
 
+    /** Returns whether the whole answer was handed to the connection, or there is none to hand it to. */
+    boolean isDelivered() {
+        synchronized (lock) {
+            return end != null && (endSent || channel == null);
+        }
+    }
+
+    Optional<PeerChannel> channel() {
+        synchronized (lock) {
+            return Optional.ofNullable(channel);
+        }
+    }
+
     boolean isDetached() {
         synchronized (lock) {
             return channel == null;
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
@@ -40,6 +40,7 @@
 public final class EntryProcess {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration OPERATORS_GRACE = Duration.ofSeconds(2);
+    private static final Duration LAST_BYTES_TIMEOUT = Duration.ofSeconds(5);
     private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(3);
     private static final double RETRIES_PER_REQUEST = 0.2;
 
@@ -114,6 +115,7 @@
         service.stop();
         boolean whole = Drain.await(
                 base.scheduler(), service::openRequests, settings.control().drainTimeout());
+        Drain.await(base.scheduler(), this::connectionsWithAnswers, LAST_BYTES_TIMEOUT);
         if (!whole) {
             logger.atWarning().log("%d requests were cut", service.openRequests());
         }
@@ -122,6 +124,12 @@
         base.close();
     }
 
+    /** Returns how many callers' connections are open after closing those whose answers have left. */
+    private long connectionsWithAnswers() {
+        callers.closeIdle();
+        return callers.openConnections();
+    }
+
     private void stopOperators() {
         try {
             operators.stop(OPERATORS_GRACE);
--- a/parsleycleat-daemon/src/main/java/io/parsleycleat/daemon/Daemon.java
+++ b/parsleycleat-daemon/src/main/java/io/parsleycleat/daemon/Daemon.java
@@ -8,6 +8,7 @@
 import io.parsleycleat.core.process.settings.SettingsNode;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Function;
@@ -39,13 +40,16 @@
     private final PrintStream out;
     private final PrintStream err;
 
-    /** A process that was started. */
-    interface RunningProcess {
-        /** Returns what is printed once the process listens. */
-        String listening();
+    /** A process that was started: what is printed once it listens, and how it stops without cutting a request. */
+    record RunningProcess(String listening, Runnable stopper) {
+        RunningProcess {
+            Objects.requireNonNull(listening, "listening");
+            Objects.requireNonNull(stopper, "stopper");
+        }
 
-        /** Stops without cutting a request. */
-        void stop();
+        void stop() {
+            stopper.run();
+        }
     }
 
     Daemon(
--- a/parsleycleat-daemon/src/main/java/io/parsleycleat/daemon/EntryMain.java
+++ b/parsleycleat-daemon/src/main/java/io/parsleycleat/daemon/EntryMain.java
@@ -15,16 +15,6 @@
 
     private static Daemon.RunningProcess start(EntrySettings settings) {
         EntryProcess process = EntryProcess.start(settings);
-        return new Daemon.RunningProcess() {
-            @Override
-            public String listening() {
-                return process.describe();
-            }
-
-            @Override
-            public void stop() {
-                process.stop();
-            }
-        };
+        return new Daemon.RunningProcess(process.describe(), process::stop);
     }
 }
