--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/ConfigurationStore.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/ConfigurationStore.java
@@ -31,6 +31,9 @@
  */
 public final class ConfigurationStore implements ConfigurationSource, AutoCloseable {
     private static final long TICK_MILLIS = 1_000;
+    /** A frame with a higher version mostly brings what is missing, or is followed by it. */
+    private static final long CATCH_UP_MILLIS = 20;
+
     private static final int PEERS_ASKED_FOR_STATE = 5;
 
     private final StoreParts parts;
@@ -43,6 +46,7 @@
     private final ChangeAppender appender;
     private final WithdrawalRecorder recorder;
     private final AtomicBoolean fetching = new AtomicBoolean();
+    private final AtomicBoolean catchingUp = new AtomicBoolean();
     private final AtomicInteger fetchedSources = new AtomicInteger();
     private volatile @Nullable RankedList rankedList;
     private volatile boolean closed;
@@ -91,8 +95,9 @@
     /** Notes the version that a frame of another process carried. */
     public void onPeerVersion(PeerChannel from, long version) {
         parts.monitor().heardPeer();
-        if (holder.isReady() && version > holder.state().version()) {
-            parts.membership().vm(from.hello().getVmName()).ifPresent(puller::pullAtOnce);
+        if (isBehind(version) && catchingUp.compareAndSet(false, true)) {
+            Runnable catchUp = () -> catchUp(from.hello().getVmName(), version);
+            parts.scheduler().schedule(catchUp, CATCH_UP_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -165,6 +170,17 @@
 
     // Internals
 
+    private boolean isBehind(long version) {
+        return holder.isReady() && version > holder.state().version();
+    }
+
+    private void catchUp(String vmName, long version) {
+        catchingUp.set(false);
+        if (isBehind(version)) {
+            parts.membership().vm(vmName).ifPresent(puller::pullAtOnce);
+        }
+    }
+
     private void tick() {
         if (closed) {
             return;
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/SnapshotWriter.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/SnapshotWriter.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
+import io.parsleycleat.core.connection.platform.LogEntry;
 import io.parsleycleat.core.connection.platform.LogPage;
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.version.configuration.snapshot.SnapshotChunks;
@@ -14,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.IntSupplier;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Appends a snapshot to the stream before the log drops the newest one, or the records that no snapshot covers.
@@ -36,6 +38,10 @@
     private final IntSupplier rank;
     private final AtomicBoolean writing = new AtomicBoolean();
     private volatile long urgentSinceMillis;
+    private volatile @Nullable OldestRecord oldest;
+
+    /** The first record that the log keeps. Created when it is read; immutable. */
+    private record OldestRecord(long offset, long timeMillis) {}
 
     SnapshotWriter(StoreParts parts, StoreSettings settings, StateHolder holder, IntSupplier rank) {
         this.parts = parts;
@@ -93,9 +99,17 @@
     }
 
     private CompletableFuture<Optional<Long>> oldestRecordMillis(long earliestOffset) {
+        OldestRecord known = oldest;
+        if (known != null && known.offset() == earliestOffset) {
+            return CompletableFuture.completedFuture(Optional.of(known.timeMillis()));
+        }
         return parts.log()
                 .read(settings.stream(), earliestOffset, 1, Duration.ZERO)
-                .thenApply(page -> page.entries().stream().findFirst().map(e -> e.timeMillis()));
+                .thenApply(page -> {
+                    Optional<LogEntry> first = page.entries().stream().findFirst();
+                    first.ifPresent(entry -> oldest = new OldestRecord(entry.offset(), entry.timeMillis()));
+                    return first.map(LogEntry::timeMillis);
+                });
     }
 
     private CompletableFuture<Boolean> write() {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/snapshot/SnapshotAssembler.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/snapshot/SnapshotAssembler.java
@@ -38,7 +38,8 @@
 
     /** Takes a chunk and returns the snapshot that it completes. Repeated chunks change nothing. */
     public Optional<Assembled> add(long offset, long timeMillis, SnapshotChunk chunk) {
-        if (chunk.getCount() < 1 || chunk.getCount() > MAX_CHUNKS || chunk.getIndex() >= chunk.getCount()) {
+        boolean indexed = chunk.getIndex() >= 0 && chunk.getIndex() < chunk.getCount();
+        if (chunk.getCount() > MAX_CHUNKS || !indexed) {
             return Optional.empty();
         }
         Parts parts = open.computeIfAbsent(chunk.getSnapshotId(), id -> new Parts(chunk, offset, timeMillis));
