--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/version/configuration/StoreFailuresTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/version/configuration/StoreFailuresTest.java
@@ -106,11 +106,15 @@
         FakeFleet fleet = fleet(1, 6);
         TailerRanking ranking =
                 new TailerRanking(fleet.all().stream().map(Node::vm).toList(), 2);
-        ranking.tailers("dc-0").forEach(vm -> fleet.sever(vm.name()));
+        ranking.tailers("dc-0").forEach(vm -> {
+            fleet.sever(vm.name());
+            fleet.log.cutOff(vm.name());
+        });
         List<Node> rest = fleet.all().stream()
                 .filter(n -> !ranking.isTailer("dc-0", n.vm().name()))
                 .toList();
-        change(rest.get(0), Changes.account("c1", "a", 0, 10));
+        fleet.log.append(
+                List.of(Changes.record(Changes.account("c1", "a", 0, 10)).toByteString()));
         assertTrue(fleet.time.advanceUntil(() -> rest.stream().allMatch(n -> knows(n, "a")), 15_000));
     }
 
