Measure what reserving costs, and describe the limits

Cause: nothing said how the limits work, what operators see, and what reserving an upper bound costs.

--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/limits/LimitsComparison.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/limits/LimitsComparison.java
@@ -34,6 +34,9 @@
     @Option(name = "--escrow-only", usage = "leave out the other ways")
     private boolean escrowOnly;
 
+    @Option(name = "--reservations", usage = "compare what is reserved for completions instead")
+    private boolean reservations;
+
     private LimitsComparison() {}
 
     /** Prints the tables. */
@@ -45,6 +48,38 @@
     }
 
     private void print(PrintStream out) {
+        if (reservations) {
+            printReservations(out);
+        } else {
+            printWays(out);
+        }
+    }
+
+    private void printReservations(PrintStream out) {
+        out.println("| entries | reserved | wrongful % | worst account % | overshoot |");
+        out.println("| --- | --- | --- | --- | --- |");
+        SIZES.stream().filter(n -> size == 0 || n == size).forEach(n -> Arrays.stream(CompletionDemand.Rule.values())
+                .forEach(rule -> {
+                    LimitsTrial trial = new LimitsTrial(
+                            seed,
+                            n,
+                            LimitsScenario.BALANCED,
+                            fleet -> fleet::reserve,
+                            random -> CompletionDemand.draw(random, rule));
+                    LimitsTrial.Result r = trial.run(Duration.ofSeconds(seconds));
+                    String name = rule.name().toLowerCase(Locale.ROOT).replace('_', ' ');
+                    out.println(String.format(
+                            Locale.ROOT,
+                            "| %d | %s | %.3f | %.3f | %.1f |",
+                            n,
+                            name,
+                            r.wrongful(),
+                            r.worstWrongful(),
+                            r.overshoot()));
+                }));
+    }
+
+    private void printWays(PrintStream out) {
         out.println(
                 "| entries | scenario | way | wrongful % | worst account % | overshoot | messages | mean ms | p99 ms"
                         + " | use of account 1 |");
