--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/process/limits/BudgetPartTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/process/limits/BudgetPartTest.java
@@ -6,6 +6,7 @@
 
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import org.testng.annotations.Test;
 
 public class BudgetPartTest {
@@ -112,21 +113,14 @@
         long now = 0;
         double excess = 0;
         double worst = 0;
+        LongConsumer arrival = time -> {};
         for (int step = 0; step < 400; step++) {
             long pause = (long) (random.nextDouble() * random.nextDouble() * 4 * SECOND);
             now += pause;
             excess = Math.max(0, excess - 20.0 * pause / SECOND);
+            arrival.accept(now);
             int at = random.nextInt(2);
-            if (random.nextInt(3) == 0) {
-                double wanted = random.nextInt(120);
-                double room = homes[at].keepRoom(wanted, now);
-                double lent = homes[1 - at].lend("l" + step, wanted, room, now + SECOND, now);
-                if (random.nextInt(4) > 0) {
-                    homes[at].borrow("l" + step, lent, room, now + SECOND, now);
-                } else {
-                    homes[at].freeRoom(room, now);
-                }
-            }
+            arrival = random.nextInt(3) == 0 ? lend(homes[1 - at], homes[at], "l" + step, random, now) : time -> {};
             double tokens = random.nextInt(150);
             if (homes[at].debit("d" + step, tokens, now)) {
                 double used = random.nextBoolean() ? tokens : tokens * random.nextDouble();
@@ -134,10 +128,27 @@
                 homes[at].settle("d" + step, tokens - used, now);
             }
             if (random.nextInt(3) == 0) {
-                homes[1 - at].takeBack("l" + step, homes[at].removeUnspent("l" + step, now), now);
+                String id = "l" + (step - 1);
+                homes[1 - at].takeBack(id, homes[at].removeUnspent(id, now), now);
             }
             worst = Math.max(worst, excess);
         }
         return worst;
     }
+
+    /** Lends now and returns what happens at the borrower when the answer arrives, or is lost. */
+    private static LongConsumer lend(BudgetPart lender, BudgetPart borrower, String id, Random random, long now) {
+        double wanted = random.nextInt(120);
+        long until = now + 5 * SECOND;
+        double room = borrower.keepRoom(wanted, now);
+        double lent = lender.lend(id, wanted, room, until, now);
+        boolean lost = random.nextInt(4) == 0;
+        return time -> {
+            if (lost) {
+                borrower.freeRoom(room, time);
+            } else {
+                borrower.borrow(id, lent, room, until, time);
+            }
+        };
+    }
 }
