Add scenarios of a side that wakes beside its successor and of a change that outlives a log outage

Cause: the scenarios had one adapter, so that nothing was ever evicted, and neither a successor nor a replaced entry during an outage. The scenario of the crashing request sent its repeats while no engine was up.

--- a/parsleycleat-standin/src/test/java/io/parsleycleat/scenario/Deployment.java
+++ b/parsleycleat-standin/src/test/java/io/parsleycleat/scenario/Deployment.java
@@ -25,11 +25,13 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.IntStream;
 
 /** A small fleet of one deployment's kind, configured for one account. Shared by the scenarios that name it. */
 final class Deployment implements AutoCloseable {
     static final String BASE_MODEL = "base-7b";
-    static final String ADAPTER = "quotes";
+    static final List<String> ADAPTERS =
+            IntStream.range(0, 6).mapToObj(i -> "quotes-" + i).toList();
     static final String CRASH_MARKER = "crash-the-engine";
     private static final String KEY_PREFIX = "plc-";
     private static final String ACCOUNT = "guests";
@@ -149,6 +151,17 @@
                 .build();
     }
 
+    /** Starts a second side beside an engine whose first one is paused, and makes it the engine's side. */
+    DaemonNode succeed(int engine) {
+        DaemonNode before = engineSides.get(engine);
+        String name = before.vm().name() + "-" + System.nanoTime();
+        DaemonNode successor = fleet.startEngineSide(
+                name, new Place(before.vm().dataCentre(), before.vm().region()), engines.get(engine), this::quick);
+        successor.awaitReady(Fleet.START_TIMEOUT);
+        engineSides.set(engine, successor);
+        return before;
+    }
+
     /** Replaces an ended daemon by a new process with empty memory. */
     void restart(List<DaemonNode> nodes, int index) {
         DaemonNode started = fleet.restart(nodes.get(index));
@@ -163,7 +176,9 @@
 
     private Deployment start(int serviceCount, int engineCount) {
         Place[] places = {new Place("dc-1", "region-1"), new Place("dc-2", "region-1")};
-        fleet.startPlatform();
+        fleet.startLog();
+        fleet.startVmList();
+        fleet.startWeightStore("--loads-per-second", "50", "--burst", "50", "--transit-millis", "40");
         for (int i = 0; i < serviceCount; i++) {
             StandInNode node = fleet.startService(service + "-" + i, "--records", "100000");
             services.add(node);
@@ -176,6 +191,9 @@
                     BASE_MODEL,
                     "--records",
                     "100000",
+                    "--slots",
+                    "3",
+                    "--ignore-fencing",
                     "--crash-marker",
                     CRASH_MARKER,
                     "--restart-millis",
@@ -197,7 +215,10 @@
         ((ObjectNode) settings.path("platform")).put("vmListIntervalMillis", 200);
         ((ObjectNode) settings.path("control")).put("leaveDelayMillis", 300).put("drainTimeoutMillis", 5000);
         if (settings.has("upstream")) {
-            ((ObjectNode) settings.path("upstream")).put("leaseMillis", 1500).put("reportIntervalMillis", 100);
+            ((ObjectNode) settings.path("upstream"))
+                    .put("leaseMillis", 1500)
+                    .put("reportIntervalMillis", 100)
+                    .put("checksFencing", false);
         }
         return settings;
     }
@@ -211,15 +232,7 @@
             services.forEach(s -> changes.add(upstream(s, UpstreamKind.UPSTREAM_KIND_PLAIN_SERVICE)));
             engines.forEach(e -> changes.add(upstream(e, UpstreamKind.UPSTREAM_KIND_MODEL_ENGINE)));
             operator.applyAll(changes);
-            operator.apply(OperatorClient.creation(ItemKind.ITEM_KIND_ADAPTER, ADAPTER)
-                    .setAdapter(Adapter.newBuilder()
-                            .setId(ADAPTER)
-                            .setBaseModel(BASE_MODEL)
-                            .setOwnerAccountId(ACCOUNT)
-                            .addVersions("1")
-                            .addVersions("2")
-                            .setCurrentVersion("2"))
-                    .build());
+            operator.applyAll(ADAPTERS.stream().map(Deployment::adapter).toList());
             operator.apply(OperatorClient.creation(ItemKind.ITEM_KIND_ROUTE, service)
                     .setRoute(Route.newBuilder().setId(service).setService(service))
                     .build());
@@ -227,11 +240,23 @@
         }
     }
 
+    private static Change adapter(String id) {
+        return OperatorClient.creation(ItemKind.ITEM_KIND_ADAPTER, id)
+                .setAdapter(Adapter.newBuilder()
+                        .setId(id)
+                        .setBaseModel(BASE_MODEL)
+                        .setOwnerAccountId(ACCOUNT)
+                        .addVersions("1")
+                        .addVersions("2")
+                        .setCurrentVersion("2"))
+                .build();
+    }
+
     private Change upstream(StandInNode node, UpstreamKind kind) {
         Upstream.Builder upstream =
                 Upstream.newBuilder().setId(node.process().name()).setKind(kind);
         if (kind == UpstreamKind.UPSTREAM_KIND_MODEL_ENGINE) {
-            upstream.setBaseModel(BASE_MODEL).setChecksFencing(true);
+            upstream.setBaseModel(BASE_MODEL);
         } else {
             upstream.setService(service);
         }
--- a/parsleycleat-standin/src/test/java/io/parsleycleat/scenario/Steps.java
+++ b/parsleycleat-standin/src/test/java/io/parsleycleat/scenario/Steps.java
@@ -32,7 +32,9 @@
 public class Steps {
     private static final long BEGIN_MILLIS = 300;
     private static final long LAST_MILLIS = 1200;
+    private static final long ENGINE_RESTART_MILLIS = 1000;
     private static final long GAP_MILLIS = 60;
+    private static final String ITEM = "account";
     private static final long LIMIT_SECONDS = 60;
     private static final HistoryChecks CHECKS =
             new HistoryChecks(Duration.ofSeconds(5), Duration.ofSeconds(2), Duration.ofSeconds(15));
@@ -58,7 +60,7 @@
         String secret = key.substring(key.indexOf('.') + 1);
         recorder.add(new HistoryEvent.KeyIssued(0, deployment.keyId(), deployment.account(), secret));
         recorder.add(new HistoryEvent.Ownership(0, deployment.service(), "", false));
-        recorder.add(new HistoryEvent.Ownership(0, Deployment.ADAPTER, deployment.account(), false));
+        Deployment.ADAPTERS.forEach(a -> recorder.add(new HistoryEvent.Ownership(0, a, deployment.account(), false)));
         traffic = new Traffic(deployment, recorder, 0);
     }
 
@@ -103,9 +105,12 @@
     public void crashing(long seed, int count, int times) {
         traffic = new Traffic(deployment, recorder, seed);
         CompletableFuture<Void> others = traffic.completions(count, GAP_MILLIS);
-        for (int i = 0; i < times; i++) {
-            DaemonNode entry = deployment.entries().get(i % deployment.entries().size());
+        for (int n = 0; n < times; n++) {
+            DaemonNode entry = deployment.entries().get(n % deployment.entries().size());
             answers.add(await(traffic.crash(entry)));
+            // The engine is back before the next repeat.
+            await(CompletableFuture.supplyAsync(
+                    () -> seed, CompletableFuture.delayedExecutor(ENGINE_RESTART_MILLIS, TimeUnit.MILLISECONDS)));
         }
         await(others);
     }
@@ -143,6 +148,50 @@
         clients.forEach(OperatorClient::close);
     }
 
+    @When("a change is accepted, the log goes out and an entry is replaced")
+    public void replacedWithoutLog() {
+        try (OperatorClient operator = deployment.operator(0)) {
+            long before = deployment.accountVersion(operator);
+            assertEquals(await(deployment.changeRate(operator, before, 90_000)), ApplyState.APPLY_STATE_ACCEPTED);
+            long version = deployment.accountVersion(operator);
+            assertTrue(version > before, "the accepted change is not shown");
+            recorder.add(new HistoryEvent.ChangeAccepted(System.currentTimeMillis(), ITEM, version));
+        }
+        Disturbance outage = Disturbance.parse(deployment, "the log is out").get(0);
+        outage.begin().run();
+        try {
+            deployment.entries().get(1).process().kill();
+            deployment.restart(deployment.entries(), 1);
+        } finally {
+            outage.end().run();
+        }
+    }
+
+    @Then("every entry shows the change")
+    public void shown() {
+        for (int i = 0; i < deployment.entries().size(); i++) {
+            try (OperatorClient operator = deployment.operator(i)) {
+                long version = deployment.accountVersion(operator);
+                // The entry was ready, so that the change must be in force in it whatever time has passed.
+                recorder.add(new HistoryEvent.ItemRead(Long.MAX_VALUE, "entry " + i, ITEM, version));
+            }
+        }
+        whatMustHold();
+    }
+
+    @When("the side of an engine is frozen, replaced and wakes while with seed {long} {int} completions are sent")
+    public void succeeded(long seed, int count) {
+        DaemonNode paused = deployment.engineSides().get(0);
+        paused.process().freeze();
+        deployment.succeed(0);
+        CompletableFuture<Void> wake = CompletableFuture.runAsync(
+                () -> paused.process().thaw(), CompletableFuture.delayedExecutor(BEGIN_MILLIS, TimeUnit.MILLISECONDS));
+        sent(seed, count, "completions", "nothing fails");
+        await(wake);
+        deployment.fleet().unlist(paused.vm().name());
+        paused.process().terminate();
+    }
+
     @Then("exactly one of them is accepted and the others are told of the conflict")
     public void oneAccepted() {
         assertEquals(
--- a/parsleycleat-standin/src/test/java/io/parsleycleat/scenario/Traffic.java
+++ b/parsleycleat-standin/src/test/java/io/parsleycleat/scenario/Traffic.java
@@ -54,7 +54,10 @@
 
     /** Asks for completions at equal distances. */
     CompletableFuture<Void> completions(int count, long gapMillis) {
-        return spread(count, gapMillis, i -> completion(name + "-c" + i, i % 3 == 0 ? "1" : "", 0));
+        return spread(count, gapMillis, i -> {
+            String adapter = Deployment.ADAPTERS.get(i % Deployment.ADAPTERS.size());
+            return completion(name + "-c" + i, adapter, i % 4 == 0 ? "1" : "", 0);
+        });
     }
 
     /** Sends one order through an entry. */
@@ -75,12 +78,12 @@
     }
 
     /** Sends one completion through an entry. */
-    CompletableFuture<Answered> completionOnce(DaemonNode entry, String attempt, String text, String version) {
+    CompletableFuture<Answered> completionOnce(DaemonNode entry, String attempt, String adapter, String version) {
         recorder.add(new HistoryEvent.Invocation(
-                System.currentTimeMillis(), attempt, deployment.keyId(), Deployment.ADAPTER, version, true, ""));
+                System.currentTimeMillis(), attempt, deployment.keyId(), adapter, version, true, ""));
         ObjectNode body = Json.object()
-                .put("model", version.isEmpty() ? Deployment.ADAPTER : Deployment.ADAPTER + "@" + version)
-                .put("prompt", attempt + " " + text)
+                .put("model", version.isEmpty() ? adapter : adapter + "@" + version)
+                .put("prompt", attempt + " a quote")
                 .put("max_tokens", MAX_TOKENS);
         return send(post(entry, "/v1/completions").setBody(body.toString()), attempt);
     }
@@ -88,7 +91,7 @@
     /** Sends the completion that crashes engines. It is not part of the history, since each repeat is the same. */
     CompletableFuture<Answered> crash(DaemonNode entry) {
         ObjectNode body = Json.object()
-                .put("model", Deployment.ADAPTER)
+                .put("model", Deployment.ADAPTERS.get(0))
                 .put("prompt", CRASHING + " " + Deployment.CRASH_MARKER)
                 .put("max_tokens", MAX_TOKENS);
         return exchange(post(entry, "/v1/completions").setBody(body.toString()));
@@ -116,11 +119,11 @@
                         : later(() -> order(order, idempotencyKey, attempt + 1)));
     }
 
-    private CompletableFuture<Void> completion(String id, String version, int attempt) {
-        return completionOnce(entry(), id + "-" + attempt, "a quote", version)
+    private CompletableFuture<Void> completion(String id, String adapter, String version, int attempt) {
+        return completionOnce(entry(), id + "-" + attempt, adapter, version)
                 .thenCompose(answer -> answer.isDone() || attempt == MAX_ATTEMPTS
                         ? count(answer)
-                        : later(() -> completion(id, version, attempt + 1)));
+                        : later(() -> completion(id, adapter, version, attempt + 1)));
     }
 
     private CompletableFuture<Void> count(Answered answer) {
--- a/parsleycleat-standin/src/test/resources/scenarios/schieferpfad-bookings.feature
+++ b/parsleycleat-standin/src/test/resources/scenarios/schieferpfad-bookings.feature
@@ -39,6 +39,16 @@
     Then at most 2 engines crashed and the last of these answers is QUARANTINED
     And all 40 are confirmed
 
+  Scenario: A frozen side wakes beside its successor, before an engine that ignores fencing numbers
+    Given the Schieferpfad deployment
+    When the side of an engine is frozen, replaced and wakes while with seed 63 60 completions are sent
+    Then all 60 are confirmed
+
+  Scenario: An accepted change stays while entries are replaced and the log is out
+    Given the Schieferpfad deployment
+    When a change is accepted, the log goes out and an entry is replaced
+    Then every entry shows the change
+
   Scenario: Operators race each other
     Given the Schieferpfad deployment
     When 8 operators change the rate of one client account at once
