Wait for a permit to load instead of refusing the requests that wait

Cause: while the weight store's rate was used up, a completion was refused with 1020, as if its account were above its rate; seen in two tests of the whole path right after a start, when the budgets are still empty. Ruled out: a larger budget at the start, which would let two fleets of homes spend it twice. Change: a side asks again for as long as requests wait; loads are shared out by account, weight and deadline.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/EngineWork.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/EngineWork.java
@@ -70,7 +70,7 @@
                 .withMetrics(base.metrics())
                 .withLease(lease::fencingNumber, lease::isHeld)
                 .withRetired(this::isRetired)
-                .withGate(priority -> permits.acquire(priority).thenApply(permit -> permit.map(p -> p::release)))
+                .withGate(new PatientLoadGate(permits, base.scheduler()))
                 .build();
         this.crashes = new CrashWatch(engine, this::onCrash);
         this.monitor = new EngineMonitor(engine, this::onState);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
@@ -14,6 +14,7 @@
 import io.parsleycleat.core.process.result.UpstreamException;
 import io.parsleycleat.core.process.slots.LoadPriority;
 import io.parsleycleat.core.process.slots.Pin;
+import io.parsleycleat.core.process.slots.PinRequest;
 import io.parsleycleat.core.request.queue.QueuedRun;
 import io.parsleycleat.wire.run.AdapterTarget;
 import io.parsleycleat.wire.run.AnswerEnd;
@@ -71,7 +72,7 @@
             enqueue();
             return;
         }
-        tools.slots().pin(adapter, LoadPriority.PAYING).whenComplete((pinned, failure) -> {
+        tools.slots().pin(pinRequest(LoadPriority.PAYING)).whenComplete((pinned, failure) -> {
             if (failure != null) {
                 finish(refusal(failure));
             } else if (keep(pinned)) {
@@ -80,6 +81,10 @@
         });
     }
 
+    private PinRequest pinRequest(LoadPriority priority) {
+        return new PinRequest(adapter, priority, start.getAccountId(), Math.max(1, start.getWeight()), deadlineNanos);
+    }
+
     private void enqueue() {
         AdapterTarget target = start.getAdapter();
         QueuedRun queued = new QueuedRun(
@@ -110,7 +115,7 @@
             return;
         }
         LoadPriority priority = start.getFreeTier() ? LoadPriority.FREE : LoadPriority.PAYING;
-        tools.slots().pin(adapter, priority).whenComplete((pinned, failure) -> {
+        tools.slots().pin(pinRequest(priority)).whenComplete((pinned, failure) -> {
             if (failure != null) {
                 finish(refusal(failure));
             } else if (keep(pinned)) {
