--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/fleet/Fleet.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/fleet/Fleet.java
@@ -43,7 +43,7 @@
     private final FleetHttp http = new FleetHttp();
     private final FleetSettings settings = new FleetSettings();
     private final List<FleetProcess> processes = new CopyOnWriteArrayList<>();
-    private final Thread endAtShutdown = new Thread(this::endAll, "end of the fleet");
+    private final Thread endAtShutdown = new Thread(this::endAndDelete, "end of the fleet");
     private @Nullable StandInNode log;
     private @Nullable StandInNode vmList;
     private @Nullable StandInNode weightStore;
@@ -209,10 +209,9 @@
 
     @Override
     public void close() {
-        endAll();
+        endAndDelete();
         http.close();
         Runtime.getRuntime().removeShutdownHook(endAtShutdown);
-        deleteFiles();
     }
 
     // Internals
@@ -268,6 +267,11 @@
                 log().uri(), vmList().uri(), weightStore().uri());
     }
 
+    private void endAndDelete() {
+        endAll();
+        deleteFiles();
+    }
+
     private void endAll() {
         processes.forEach(FleetProcess::kill);
         processes.forEach(p -> p.awaitExit(STOP_TIMEOUT));
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/outcome/LedgerMeasurement.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/measure/outcome/LedgerMeasurement.java
@@ -160,8 +160,7 @@
     private synchronized String newKey() {
         long now = System.currentTimeMillis();
         long tail = random.nextLong() >>> (Long.SIZE - KEY_RANDOM_BITS);
-        return String.format(
-                "%08x-%04x-7%03x-8000-%012x", now >>> 16, now & 0xffff, random.nextInt(0x1000), tail);
+        return String.format("%08x-%04x-7%03x-8000-%012x", now >>> 16, now & 0xffff, random.nextInt(0x1000), tail);
     }
 
     private LogClient counting() {
