Reckon a completion's tokens in one place

Cause: the flow and the limits each had a way to bound a prompt's tokens, and the flow charged its own estimate rather than the engine's count. Change: TokenCost is used for the estimate, the reservation and the charge.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionFlow.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionFlow.java
@@ -4,6 +4,7 @@
 import io.parsleycleat.core.connection.caller.CallerExchange;
 import io.parsleycleat.core.connection.caller.CallerRequest;
 import io.parsleycleat.core.connection.upstream.AdapterVersion;
+import io.parsleycleat.core.process.limits.TokenCost;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.request.routing.SelectionRequest;
@@ -48,10 +49,6 @@
         AdapterVersion adapterVersion() {
             return new AdapterVersion(adapter.getId(), version);
         }
-
-        int maxTokens() {
-            return call.promptTokens() + call.maxTokens();
-        }
     }
 
     private Either<Refusal, Plan> plan(Optional<Key> key, CompletionCall call) {
@@ -63,7 +60,7 @@
 
     private void admit(Plan plan, CallerExchange exchange, RequestTrace trace) {
         trace.add("allowed", "account " + plan.account().getId() + ", adapter " + plan.adapterVersion());
-        context.admit(plan.account(), plan.maxTokens())
+        context.admit(plan.account(), plan.call().cost().upperBound())
                 .thenAccept(admitted -> admitted.peekLeft(refusal -> context.refuse(exchange, trace, refusal))
                         .peek(admission -> run(plan, admission, exchange, trace)));
     }
@@ -106,8 +103,8 @@
                         .setAdapterId(plan.adapter().getId())
                         .setVersion(plan.version())
                         .setBaseModel(plan.adapter().getBaseModel())
-                        .setPromptTokens(call.promptTokens())
-                        .setMaxTokens(call.maxTokens())
+                        .setPromptTokens(call.cost().promptTokens())
+                        .setMaxTokens(call.cost().maxTokens())
                         .setPrefixHash(call.prefixHash())
                         .setChat(call.chat()))
                 .setBody(call.body())
@@ -134,6 +131,8 @@
     private static double usedTokens(Plan plan, AnswerEnd end, int tokens) {
         boolean notRun =
                 ResultCode.ofNumber(end.getCode()).map(ResultCode::isNotRun).orElse(false);
-        return notRun ? 0 : plan.call().promptTokens() + Math.max(tokens, end.getGeneratedTokens());
+        TokenCost cost = plan.call().cost();
+        int prompt = end.getPromptTokens() > 0 ? end.getPromptTokens() : cost.promptTokens();
+        return notRun ? 0 : cost.used(prompt, Math.max(tokens, end.getGeneratedTokens()));
     }
 }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionParser.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionParser.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.hash.Hashing;
 import com.google.protobuf.ByteString;
+import io.parsleycleat.core.process.limits.TokenCost;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.vavr.control.Either;
@@ -20,7 +21,7 @@
 final class CompletionParser {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int DEFAULT_MAX_TOKENS = 256;
-    private static final int CHARS_PER_TOKEN = 4;
+    private static final double BYTES_PER_TOKEN = 4;
     private static final int PREFIX_CHARS = 256;
 
     private final int maxTokensLimit;
@@ -81,8 +82,7 @@
                 adapterId,
                 version,
                 streamed,
-                text.length() / CHARS_PER_TOKEN + 1,
-                maxTokens,
+                TokenCost.estimate(text, chat ? prompt.size() : 1, BYTES_PER_TOKEN, maxTokens),
                 prefixHash(text),
                 ByteString.copyFromUtf8(forEngine.toString()));
     }
