Check the deadlines of waiting pins, and write what stand-ins share once

Cause: deadlines of requests that wait for a load were looked at only with the engine's reports; each stand-in repeated the same four methods. Change: the side checks the deadlines ten times a second; the methods are defaults of the stand-ins' interface. Result: the stand-ins' tests pass.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/EngineWork.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/EngineWork.java
@@ -41,6 +41,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int RENEWALS_PER_LEASE = 3;
     private static final Duration LEASE_MARGIN = Duration.ofSeconds(1);
+    private static final Duration PIN_CHECK_INTERVAL = Duration.ofMillis(100);
     private static final Duration RETRY_ELSEWHERE = Duration.ofSeconds(1);
 
     private final ProcessBase base;
@@ -123,6 +124,8 @@
         lease.acquire();
         base.scheduler()
                 .scheduleWithFixedDelay(this::confirmByVmList, 0, LEASE_MARGIN.toMillis(), TimeUnit.MILLISECONDS);
+        base.scheduler()
+                .scheduleWithFixedDelay(slots::expire, 0, PIN_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
         monitor.start(base.scheduler(), Duration.ofMillis(upstream.reportIntervalMillis()));
     }
 
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/platform/LogStandIn.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/platform/LogStandIn.java
@@ -4,13 +4,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.standin.StandIn;
-import io.parsleycleat.standin.http.Faults;
 import io.parsleycleat.standin.http.HttpExchange;
 import io.parsleycleat.standin.http.Json;
 import io.parsleycleat.standin.http.Recorder;
 import io.parsleycleat.standin.http.StandInServer;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.time.Duration;
 import java.util.Base64;
 import java.util.List;
@@ -67,11 +65,6 @@
 
     // Control
 
-    /** Sets how requests are treated from now on. */
-    public void setFaults(Faults faults) {
-        server.setFaults(faults);
-    }
-
     /** Lets the next appends take effect and closes their connections in place of an answer. */
     public void loseAnswers(int count) {
         answersToLose.set(count);
@@ -98,18 +91,8 @@
     }
 
     @Override
-    public InetSocketAddress address() {
-        return server.address();
-    }
-
-    @Override
-    public URI uri() {
-        return server.uri();
-    }
-
-    @Override
-    public void close() {
-        server.close();
+    public StandInServer<Append> server() {
+        return server;
     }
 
     // Requests
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/platform/VmListStandIn.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/platform/VmListStandIn.java
@@ -6,13 +6,11 @@
 import io.parsleycleat.core.process.identity.ProcessRole;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.standin.StandIn;
-import io.parsleycleat.standin.http.Faults;
 import io.parsleycleat.standin.http.HttpExchange;
 import io.parsleycleat.standin.http.Json;
 import io.parsleycleat.standin.http.Recorder;
 import io.parsleycleat.standin.http.StandInServer;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
@@ -49,11 +47,6 @@
 
     // Control
 
-    /** Sets how requests are treated from now on. */
-    public void setFaults(Faults faults) {
-        server.setFaults(faults);
-    }
-
     /** Adds or replaces a row. */
     public void put(Vm vm) {
         change(vm.name(), vm);
@@ -70,18 +63,8 @@
     }
 
     @Override
-    public InetSocketAddress address() {
-        return server.address();
-    }
-
-    @Override
-    public URI uri() {
-        return server.uri();
-    }
-
-    @Override
-    public void close() {
-        server.close();
+    public StandInServer<Row> server() {
+        return server;
     }
 
     // Requests
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/platform/WeightStoreStandIn.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/platform/WeightStoreStandIn.java
@@ -4,13 +4,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.standin.StandIn;
-import io.parsleycleat.standin.http.Faults;
 import io.parsleycleat.standin.http.HttpExchange;
 import io.parsleycleat.standin.http.Json;
 import io.parsleycleat.standin.http.Recorder;
 import io.parsleycleat.standin.http.StandInServer;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -57,11 +55,6 @@
 
     // Control
 
-    /** Sets how requests are treated from now on. */
-    public void setFaults(Faults faults) {
-        server.setFaults(faults);
-    }
-
     /** Lets the next loads fail, whatever their adapter. */
     public void failNext(int count) {
         loadsToFail.set(count);
@@ -85,18 +78,8 @@
     }
 
     @Override
-    public InetSocketAddress address() {
-        return server.address();
-    }
-
-    @Override
-    public URI uri() {
-        return server.uri();
-    }
-
-    @Override
-    public void close() {
-        server.close();
+    public StandInServer<Load> server() {
+        return server;
     }
 
     // Requests
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/upstream/ModelEngineStandIn.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/upstream/ModelEngineStandIn.java
@@ -5,14 +5,12 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.standin.StandIn;
-import io.parsleycleat.standin.http.Faults;
 import io.parsleycleat.standin.http.HttpExchange;
 import io.parsleycleat.standin.http.Json;
 import io.parsleycleat.standin.http.Recorder;
 import io.parsleycleat.standin.http.StandInServer;
 import io.parsleycleat.standin.upstream.EngineEvent.Kind;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -75,11 +73,6 @@
 
     // Control
 
-    /** Sets how requests are treated from now on. */
-    public void setFaults(Faults faults) {
-        server.setFaults(faults);
-    }
-
     /** Loses runs, adapters and cache, closes all connections, and comes back as a new incarnation. */
     public void crash() {
         record(Kind.CRASH, "", "", "");
@@ -133,13 +126,8 @@
     }
 
     @Override
-    public InetSocketAddress address() {
-        return server.address();
-    }
-
-    @Override
-    public URI uri() {
-        return server.uri();
+    public StandInServer<EngineEvent> server() {
+        return server;
     }
 
     @Override
--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/upstream/PlainServiceStandIn.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/upstream/PlainServiceStandIn.java
@@ -2,14 +2,12 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.parsleycleat.standin.StandIn;
-import io.parsleycleat.standin.http.Faults;
 import io.parsleycleat.standin.http.HttpExchange;
 import io.parsleycleat.standin.http.Json;
 import io.parsleycleat.standin.http.Recorder;
 import io.parsleycleat.standin.http.StandInServer;
 import io.parsleycleat.standin.upstream.ServiceBehaviour.Failure;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
@@ -52,11 +50,6 @@
 
     // Control
 
-    /** Sets how requests are treated from now on. */
-    public void setFaults(Faults faults) {
-        server.setFaults(faults);
-    }
-
     /** Sets what is done with the next requests. */
     public void setBehaviour(ServiceBehaviour value) {
         synchronized (lock) {
@@ -75,18 +68,8 @@
     }
 
     @Override
-    public InetSocketAddress address() {
-        return server.address();
-    }
-
-    @Override
-    public URI uri() {
-        return server.uri();
-    }
-
-    @Override
-    public void close() {
-        server.close();
+    public StandInServer<ServiceRun> server() {
+        return server;
     }
 
     // Requests
