--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/EngineWork.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/EngineWork.java
@@ -124,8 +124,7 @@
         lease.acquire();
         base.scheduler()
                 .scheduleWithFixedDelay(this::confirmByVmList, 0, LEASE_MARGIN.toMillis(), TimeUnit.MILLISECONDS);
-        base.scheduler()
-                .scheduleWithFixedDelay(slots::expire, 0, PIN_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+        base.scheduler().scheduleWithFixedDelay(slots::expire, 0, PIN_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
         monitor.start(base.scheduler(), Duration.ofMillis(upstream.reportIntervalMillis()));
     }
 
