Be ready only once a budget can be used

Cause: an entry told the balancer that it was ready before any epoch of the budgets was known, and refused the first requests with 1022 although their accounts were inside their rates. Change: readiness waits once for the budgets; a later outage does not take it back. After: FleetServingTest and EscrowScheduleTest pass.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
@@ -52,6 +52,8 @@
     private final CallerServer callers;
     private final OperatorsServer operators;
     private volatile boolean stopping;
+    /** Set once the budgets could be used; a later outage does not take every entry out of the balancer. */
+    private volatile boolean budgetsSeen;
 
     private EntryProcess(EntrySettings settings) {
         this.settings = settings;
@@ -96,6 +98,12 @@
         if (!base.membership().isRead()) {
             return Readiness.notReady("no VM list yet");
         }
+        if (limiter.isUsable()) {
+            budgetsSeen = true;
+        }
+        if (!budgetsSeen) {
+            return Readiness.notReady("no home of the accounts' budgets yet");
+        }
         return Readiness.READY;
     }
 
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/EscrowLimiter.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/limits/EscrowLimiter.java
@@ -6,6 +6,7 @@
 import io.parsleycleat.core.connection.platform.LogClient;
 import io.parsleycleat.core.connection.platform.WeightStoreLimits;
 import io.parsleycleat.core.process.identity.ProcessIdentity;
+import io.parsleycleat.core.process.membership.Epoch;
 import io.parsleycleat.core.process.membership.EpochKeeper;
 import io.parsleycleat.core.process.membership.EpochSettings;
 import io.parsleycleat.core.process.membership.EpochSource;
@@ -35,6 +36,7 @@
 
     private static final Duration RETRY_UNAVAILABLE = Duration.ofSeconds(1);
 
+    private final String vmName;
     private final EscrowSettings settings;
     private final EpochKeeper keeper;
     private final HomeAccounts homes;
@@ -44,6 +46,7 @@
     private EscrowLimiter(Builder builder) {
         ProcessIdentity identity = require(builder.identity, "identity");
         TimeSource time = require(builder.time, "time");
+        vmName = identity.vmName();
         settings = builder.settings;
         EscrowPeers peers = new EscrowPeers(require(builder.peers, "peers"), identity, time, settings);
         keeper = new EpochKeeper(
@@ -107,6 +110,13 @@
         return keeper.isStanding() ? homes.heldParts(accountId) : 0;
     }
 
+    /** Returns whether budgets can be used: an epoch is known, and this entry is confirmed in it or no member of it. */
+    public boolean isUsable() {
+        Epoch epoch = keeper.epoch();
+        return epoch.number() > 0
+                && (keeper.isStanding() || epoch.member(vmName).isEmpty());
+    }
+
     /** Returns whether all parts were passed on, so that the process may stop without loss. */
     public boolean isDrained() {
         return homes.isDrained();
