Name what requests share contexts, and the load gate after what it does

Cause: a newcomer could not tell from "tools", "ends" and "patient" what the classes are for. Change: EngineContext, ServiceContext, RunContext, AnswerEnds, RetryingLoadGate. Result: names only; the tests of attempts, runs and the gate pass.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
@@ -20,7 +20,7 @@
 import io.parsleycleat.core.request.serve.FreeTierGate;
 import io.parsleycleat.core.request.serve.RequestService;
 import io.parsleycleat.core.request.serve.RetryBudget;
-import io.parsleycleat.core.request.serve.RunTools;
+import io.parsleycleat.core.request.serve.RunContext;
 import io.parsleycleat.core.request.serve.SuspectRouting;
 import io.parsleycleat.core.request.trace.TraceStore;
 import io.parsleycleat.wire.configuration.AuditEntry;
@@ -188,7 +188,7 @@
                 .withRegion(base.identity().region())
                 .withMetrics(base.metrics())
                 .build();
-        RunTools tools = new RunTools(
+        RunContext tools = new RunContext(
                 selector,
                 runs,
                 new RetryBudget(RETRIES_PER_REQUEST),
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/EngineWork.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/EngineWork.java
@@ -17,7 +17,7 @@
 import io.parsleycleat.core.process.slots.EngineMonitor;
 import io.parsleycleat.core.process.slots.EngineSlotTable;
 import io.parsleycleat.core.request.execute.CrashWatch;
-import io.parsleycleat.core.request.execute.EngineTools;
+import io.parsleycleat.core.request.execute.EngineContext;
 import io.parsleycleat.core.request.execute.RunExecutor;
 import io.parsleycleat.core.request.execute.SideGate;
 import io.parsleycleat.core.request.execute.SuspectRules;
@@ -71,11 +71,11 @@
                 .withMetrics(base.metrics())
                 .withLease(lease::fencingNumber, lease::isHeld)
                 .withRetired(this::isRetired)
-                .withGate(new PatientLoadGate(permits, base.scheduler()))
+                .withGate(new RetryingLoadGate(permits, base.scheduler()))
                 .build();
         this.crashes = new CrashWatch(engine, this::onCrash);
         this.monitor = new EngineMonitor(engine, this::onState);
-        this.executor = RunExecutor.ofEngine(new EngineTools(
+        this.executor = RunExecutor.ofEngine(new EngineContext(
                 upstream.id(),
                 engine,
                 slots,
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/PatientLoadGate.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/RetryingLoadGate.java
@@ -19,7 +19,7 @@
  *
  * <p>Created once by a side of a model engine; safe to share between threads.
  */
-final class PatientLoadGate implements LoadGate {
+final class RetryingLoadGate implements LoadGate {
     private static final Duration MIN_DELAY = Duration.ofMillis(20);
     private static final Duration MAX_DELAY = Duration.ofSeconds(1);
     private static final int MAX_ATTEMPTS = 60;
@@ -27,7 +27,7 @@
     private final LoadPermits permits;
     private final ScheduledExecutorService scheduler;
 
-    PatientLoadGate(LoadPermits permits, ScheduledExecutorService scheduler) {
+    RetryingLoadGate(LoadPermits permits, ScheduledExecutorService scheduler) {
         this.permits = permits;
         this.scheduler = scheduler;
     }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/ServiceWork.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/ServiceWork.java
@@ -5,7 +5,7 @@
 import io.parsleycleat.core.connection.upstream.PlainService;
 import io.parsleycleat.core.process.common.ProcessBase;
 import io.parsleycleat.core.request.execute.RunExecutor;
-import io.parsleycleat.core.request.execute.ServiceTools;
+import io.parsleycleat.core.request.execute.ServiceContext;
 import io.parsleycleat.core.request.execute.SideGate;
 import io.parsleycleat.core.request.outcome.LedgerSettings;
 import io.parsleycleat.core.request.outcome.LogIntentLedger;
@@ -41,7 +41,7 @@
                 base.identity().vmName() + "-" + base.identity().incarnation(),
                 LedgerSettings.DEFAULTS);
         this.executor = RunExecutor.ofService(
-                new ServiceTools(upstream.id(), service, queue, gate, ledger, base.time(), base.metrics()));
+                new ServiceContext(upstream.id(), service, queue, gate, ledger, base.time(), base.metrics()));
     }
 
     @Override
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/Ends.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/AnswerEnds.java
@@ -6,8 +6,8 @@
 import java.time.Duration;
 
 /** Makes the ends of answers. Stateless. */
-final class Ends {
-    private Ends() {}
+final class AnswerEnds {
+    private AnswerEnds() {}
 
     /** Returns the end of an answer that is refused. */
     static AnswerEnd.Builder refused(String upstreamId, Refusal refusal) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineTools.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineContext.java
@@ -9,7 +9,7 @@
 import java.util.Objects;
 
 /** What the runs on one model engine share. Created once by the side; safe to share between threads. */
-public record EngineTools(
+public record EngineContext(
         String upstreamId,
         ModelEngine engine,
         SlotTable slots,
@@ -20,7 +20,7 @@
         RecentPrefixes prefixes,
         TimeSource time,
         MetricRegistry metrics) {
-    public EngineTools {
+    public EngineContext {
         Objects.requireNonNull(upstreamId, "upstreamId");
         Objects.requireNonNull(engine, "engine");
         Objects.requireNonNull(slots, "slots");
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
@@ -39,7 +39,7 @@
     private static final int MAX_RESUMES = 2;
     private static final int STATUS_OK = 200;
 
-    private final EngineTools tools;
+    private final EngineContext context;
     private final Start start;
     private final RunAnswer answer;
     private final String runId;
@@ -54,14 +54,14 @@
     private long nextToken;
     private int resumes;
 
-    EngineExecution(EngineTools tools, RunId id, Start start, RunAnswer answer) {
-        this.tools = tools;
+    EngineExecution(EngineContext context, RunId id, Start start, RunAnswer answer) {
+        this.context = context;
         this.start = start;
         this.answer = answer;
         this.runId = RunIds.text(id);
         this.adapter = new AdapterVersion(
                 start.getAdapter().getAdapterId(), start.getAdapter().getVersion());
-        this.deadlineNanos = tools.time().monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(start.getDeadlineMillis());
+        this.deadlineNanos = context.time().monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(start.getDeadlineMillis());
     }
 
     // Before the run
@@ -72,7 +72,7 @@
             enqueue();
             return;
         }
-        tools.slots().pin(pinRequest(LoadPriority.PAYING)).whenComplete((pinned, failure) -> {
+        context.slots().pin(pinRequest(LoadPriority.PAYING)).whenComplete((pinned, failure) -> {
             if (failure != null) {
                 finish(refusal(failure));
             } else if (keep(pinned)) {
@@ -94,10 +94,10 @@
                 start.getFreeTier(),
                 target.getPromptTokens() + target.getMaxTokens(),
                 deadlineNanos,
-                start.getSuspect() || tools.suspects().isSuspect(start.getFingerprint()),
+                start.getSuspect() || context.suspects().isSuspect(start.getFingerprint()),
                 this::takeTurn,
-                refusal -> finish(Ends.refused(tools.upstreamId(), refusal)));
-        tools.queue().offer(queued).ifPresent(refusal -> finish(Ends.refused(tools.upstreamId(), refusal)));
+                refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
+        context.queue().offer(queued).ifPresent(refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
     }
 
     private void takeTurn() {
@@ -106,7 +106,7 @@
             turnTaken = true;
             held = pin;
             if (ended) {
-                tools.queue().finished(runId, 0);
+                context.queue().finished(runId, 0);
                 return;
             }
         }
@@ -115,7 +115,7 @@
             return;
         }
         LoadPriority priority = start.getFreeTier() ? LoadPriority.FREE : LoadPriority.PAYING;
-        tools.slots().pin(pinRequest(priority)).whenComplete((pinned, failure) -> {
+        context.slots().pin(pinRequest(priority)).whenComplete((pinned, failure) -> {
             if (failure != null) {
                 finish(refusal(failure));
             } else if (keep(pinned)) {
@@ -142,15 +142,15 @@
     }
 
     private AnswerEnd.Builder refusal(Throwable failure) {
-        return Ends.refused(tools.upstreamId(), Failures.toRefusal(failure, ResultCode.LOAD_FAILED));
+        return AnswerEnds.refused(context.upstreamId(), Failures.toRefusal(failure, ResultCode.LOAD_FAILED));
     }
 
     // The run
 
     private void run() {
-        Optional<Refusal> refused = tools.gate().beforeRun(start);
+        Optional<Refusal> refused = context.gate().beforeRun(start);
         if (refused.isPresent()) {
-            finish(Ends.refused(tools.upstreamId(), refused.get()));
+            finish(AnswerEnds.refused(context.upstreamId(), refused.get()));
             return;
         }
         synchronized (lock) {
@@ -159,11 +159,11 @@
             }
             handedOver = true;
         }
-        tools.crashes().started(runId, start.getFingerprint());
-        tools.prefixes().note(adapter.adapterId(), start.getAdapter().getPrefixHash());
+        context.crashes().started(runId, start.getFingerprint());
+        context.prefixes().note(adapter.adapterId(), start.getAdapter().getPrefixHash());
         answer.head(AnswerHead.newBuilder()
                 .setStatus(STATUS_OK)
-                .setUpstreamId(tools.upstreamId())
+                .setUpstreamId(context.upstreamId())
                 .build());
         EngineRun run = new EngineRun(
                 runId,
@@ -172,7 +172,7 @@
                 start.getBody().toStringUtf8(),
                 start.getAdapter().getMaxTokens(),
                 start.getFreeTier() ? EngineRun.PRIORITY_FREE : EngineRun.PRIORITY_PAYING);
-        remember(tools.engine().run(run, this));
+        remember(context.engine().run(run, this));
     }
 
     private void remember(EngineHandle started) {
@@ -215,8 +215,8 @@
             breakOff(ResultCode.ANSWER_INCOMPLETE, "the engine's answer is shorter than its count");
             return;
         }
-        tools.suspects().survived(start.getFingerprint());
-        finish(Ends.done(tools.upstreamId())
+        context.suspects().survived(start.getFingerprint());
+        finish(AnswerEnds.done(context.upstreamId())
                 .setFinishReason(finishReason)
                 .setPromptTokens(promptTokens)
                 .setGeneratedTokens(generatedTokens));
@@ -225,12 +225,12 @@
     @Override
     public void onFailure(UpstreamException failure) {
         if (failure.code().isNotRun()) {
-            finish(Ends.failed(tools.upstreamId(), failure.code(), String.valueOf(failure.getMessage())));
+            finish(AnswerEnds.failed(context.upstreamId(), failure.code(), String.valueOf(failure.getMessage())));
             return;
         }
-        tools.crashes().examine(runId).thenAccept(verdict -> {
+        context.crashes().examine(runId).thenAccept(verdict -> {
             if (verdict.crashed()) {
-                finish(Ends.failed(tools.upstreamId(), ResultCode.UPSTREAM_CRASHED, "the engine crashed")
+                finish(AnswerEnds.failed(context.upstreamId(), ResultCode.UPSTREAM_CRASHED, "the engine crashed")
                         .setUpstreamCrashed(true)
                         .addAllCrashedFingerprints(verdict.fingerprints()));
             } else {
@@ -249,19 +249,19 @@
             from = resumes > MAX_RESUMES ? -1 : nextToken;
         }
         if (from < 0) {
-            finish(Ends.failed(tools.upstreamId(), ResultCode.UPSTREAM_LOST, detail));
+            finish(AnswerEnds.failed(context.upstreamId(), ResultCode.UPSTREAM_LOST, detail));
             return;
         }
         logger.atInfo()
                 .with(LogKeys.REQUEST, start.getRequestId())
-                .with(LogKeys.UPSTREAM, tools.upstreamId())
+                .with(LogKeys.UPSTREAM, context.upstreamId())
                 .log("resuming an answer at token %d", from);
-        remember(tools.engine().resume(runId, from, new ResumedAnswer()));
+        remember(context.engine().resume(runId, from, new ResumedAnswer()));
     }
 
     private void breakOff(ResultCode code, String detail) {
-        tools.engine().cancel(runId);
-        finish(Ends.failed(tools.upstreamId(), code, detail));
+        context.engine().cancel(runId);
+        finish(AnswerEnds.failed(context.upstreamId(), code, detail));
     }
 
     // The end
@@ -272,11 +272,11 @@
             running = handedOver;
         }
         if (running) {
-            tools.engine().cancel(runId);
-            finish(Ends.failed(tools.upstreamId(), ResultCode.CANCELLED, "the caller left"));
+            context.engine().cancel(runId);
+            finish(AnswerEnds.failed(context.upstreamId(), ResultCode.CANCELLED, "the caller left"));
         } else {
-            tools.queue().cancel(runId);
-            finish(Ends.failed(tools.upstreamId(), ResultCode.CALLER_GONE, "the caller left"));
+            context.queue().cancel(runId);
+            finish(AnswerEnds.failed(context.upstreamId(), ResultCode.CALLER_GONE, "the caller left"));
         }
     }
 
@@ -298,14 +298,14 @@
         if (open != null) {
             open.detach();
         }
-        tools.crashes().ended(runId);
+        context.crashes().ended(runId);
         if (held != null) {
             held.release();
         }
         if (tookTurn) {
-            tools.queue().finished(runId, tokens);
+            context.queue().finished(runId, tokens);
         }
-        tools.metrics().counter("side.results." + end.getCode()).inc();
+        context.metrics().counter("side.results." + end.getCode()).inc();
         answer.end(end);
     }
 
@@ -325,7 +325,7 @@
         public void onFailure(UpstreamException failure) {
             String detail = String.valueOf(failure.getMessage());
             if (failure.code().isNotRun()) {
-                finish(Ends.failed(tools.upstreamId(), ResultCode.UPSTREAM_LOST, detail));
+                finish(AnswerEnds.failed(context.upstreamId(), ResultCode.UPSTREAM_LOST, detail));
             } else {
                 resume(detail);
             }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/RunExecutor.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/RunExecutor.java
@@ -33,19 +33,21 @@
     }
 
     /** Returns an executor for a model engine. */
-    public static RunExecutor ofEngine(EngineTools tools) {
+    public static RunExecutor ofEngine(EngineContext context) {
         return new RunExecutor(
-                tools.upstreamId(), tools.gate(), Start.TargetCase.ADAPTER, (id, start, answer) -> new EngineExecution(
-                                tools, id, start, answer)
-                        .begin());
+                context.upstreamId(),
+                context.gate(),
+                Start.TargetCase.ADAPTER,
+                (id, start, answer) -> new EngineExecution(context, id, start, answer).begin());
     }
 
     /** Returns an executor for a plain service. */
-    public static RunExecutor ofService(ServiceTools tools) {
+    public static RunExecutor ofService(ServiceContext context) {
         return new RunExecutor(
-                tools.upstreamId(), tools.gate(), Start.TargetCase.SERVICE, (id, start, answer) -> new ServiceExecution(
-                                tools, id, start, answer)
-                        .begin());
+                context.upstreamId(),
+                context.gate(),
+                Start.TargetCase.SERVICE,
+                (id, start, answer) -> new ServiceExecution(context, id, start, answer).begin());
     }
 
     @Override
@@ -54,7 +56,7 @@
                 ? gate.onArrival(start)
                 : Optional.of(Refusal.of(ResultCode.NO_UPSTREAM, "the upstream does not take such requests"));
         if (refused.isPresent()) {
-            answer.end(Ends.refused(upstreamId, refused.get()));
+            answer.end(AnswerEnds.refused(upstreamId, refused.get()));
         } else {
             execution.begin(id, start, answer);
         }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceTools.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceContext.java
@@ -8,7 +8,7 @@
 import java.util.Objects;
 
 /** What the runs on one plain service share. Created once by the side; safe to share between threads. */
-public record ServiceTools(
+public record ServiceContext(
         String upstreamId,
         PlainService service,
         RunQueue queue,
@@ -16,7 +16,7 @@
         IntentLedger ledger,
         TimeSource time,
         MetricRegistry metrics) {
-    public ServiceTools {
+    public ServiceContext {
         Objects.requireNonNull(upstreamId, "upstreamId");
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(queue, "queue");
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceExecution.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceExecution.java
@@ -40,7 +40,7 @@
     /** Largest body that is kept for the ledger; the ledger itself may record less. */
     private static final int MAX_RECORDED_BYTES = 64 * 1024;
 
-    private final ServiceTools tools;
+    private final ServiceContext context;
     private final Start start;
     private final RunAnswer answer;
     private final String runId;
@@ -52,8 +52,8 @@
     private boolean handedOver;
     private boolean ended;
 
-    ServiceExecution(ServiceTools tools, RunId id, Start start, RunAnswer answer) {
-        this.tools = tools;
+    ServiceExecution(ServiceContext context, RunId id, Start start, RunAnswer answer) {
+        this.context = context;
         this.start = start;
         this.answer = answer;
         this.runId = RunIds.text(id);
@@ -69,25 +69,25 @@
                 start.getWeight(),
                 start.getFreeTier(),
                 1,
-                tools.time().monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(start.getDeadlineMillis()),
+                context.time().monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(start.getDeadlineMillis()),
                 start.getSuspect(),
                 this::takeTurn,
-                refusal -> finish(Ends.refused(tools.upstreamId(), refusal)));
-        tools.queue().offer(queued).ifPresent(refusal -> finish(Ends.refused(tools.upstreamId(), refusal)));
+                refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
+        context.queue().offer(queued).ifPresent(refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
     }
 
     private void takeTurn() {
         synchronized (lock) {
             turnTaken = true;
             if (ended) {
-                tools.queue().finished(runId, 0);
+                context.queue().finished(runId, 0);
                 return;
             }
         }
         if (start.getIdempotent()) {
             run();
         } else {
-            tools.ledger().begin(intent()).thenAccept(this::decide);
+            context.ledger().begin(intent()).thenAccept(this::decide);
         }
     }
 
@@ -111,33 +111,33 @@
                 gone = ended;
             }
             if (gone) {
-                tools.ledger().cancel(intent(), run.attemptId());
+                context.ledger().cancel(intent(), run.attemptId());
             } else {
                 run();
             }
         } else if (decision instanceof IntentDecision.Recorded earlier) {
             replay(earlier.outcome());
         } else if (decision instanceof IntentDecision.Refused refused) {
-            finish(Ends.refused(tools.upstreamId(), refused.refusal()));
+            finish(AnswerEnds.refused(context.upstreamId(), refused.refusal()));
         }
     }
 
     private void replay(Outcome outcome) {
         AnswerHead.Builder replayed =
-                AnswerHead.newBuilder().setStatus(outcome.getStatus()).setUpstreamId(tools.upstreamId());
+                AnswerHead.newBuilder().setStatus(outcome.getStatus()).setUpstreamId(context.upstreamId());
         outcome.getHeadersList()
                 .forEach(h -> replayed.addHeaders(
                         Header.newBuilder().setName(h.getName()).setValue(h.getValue())));
         replayed.addHeaders(Header.newBuilder().setName("idempotent-replayed").setValue("true"));
         answer.head(replayed.build());
         answer.chunk(outcome.getBody(), 0);
-        finish(Ends.done(tools.upstreamId()));
+        finish(AnswerEnds.done(context.upstreamId()));
     }
 
     // The run
 
     private void run() {
-        Optional<Refusal> refused = tools.gate().beforeRun(start);
+        Optional<Refusal> refused = context.gate().beforeRun(start);
         boolean gone;
         synchronized (lock) {
             gone = ended;
@@ -145,14 +145,15 @@
         }
         if (gone || refused.isPresent()) {
             releaseIntent();
-            refused.ifPresent(refusal -> finish(Ends.refused(tools.upstreamId(), refusal)));
+            refused.ifPresent(refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
             return;
         }
         ServiceTarget target = start.getService();
         List<Map.Entry<String, String>> headers = target.getHeadersList().stream()
                 .map(h -> Map.entry(h.getName(), h.getValue()))
                 .toList();
-        tools.service().call(new ServiceRequest(target.getMethod(), target.getPath(), headers, start.getBody()), this);
+        context.service()
+                .call(new ServiceRequest(target.getMethod(), target.getPath(), headers, start.getBody()), this);
     }
 
     private void releaseIntent() {
@@ -162,13 +163,13 @@
             attemptId = "";
         }
         if (!attempt.isEmpty()) {
-            tools.ledger().cancel(intent(), attempt);
+            context.ledger().cancel(intent(), attempt);
         }
     }
 
     @Override
     public void onHead(int status, List<Map.Entry<String, String>> headers) {
-        AnswerHead.Builder builder = AnswerHead.newBuilder().setStatus(status).setUpstreamId(tools.upstreamId());
+        AnswerHead.Builder builder = AnswerHead.newBuilder().setStatus(status).setUpstreamId(context.upstreamId());
         headers.forEach(
                 h -> builder.addHeaders(Header.newBuilder().setName(h.getKey()).setValue(h.getValue())));
         AnswerHead received = builder.build();
@@ -200,7 +201,7 @@
     @Override
     public void onEnd() {
         recordOutcome();
-        finish(Ends.done(tools.upstreamId()));
+        finish(AnswerEnds.done(context.upstreamId()));
     }
 
     /** Records the outcome beside the answer; the answer does not wait for the log. */
@@ -221,7 +222,7 @@
                 outcome.setBody(recorded.toByteString());
             }
         }
-        tools.ledger()
+        context.ledger()
                 .complete(start.getService().getService(), outcome.build())
                 .exceptionally(failure -> {
                     logger.atWarning()
@@ -240,9 +241,9 @@
         if (failure.code().isNotRun()) {
             releaseIntent();
         } else if (!attempt.isEmpty()) {
-            tools.ledger().abandon(intent(), attempt);
+            context.ledger().abandon(intent(), attempt);
         }
-        finish(Ends.failed(tools.upstreamId(), failure.code(), String.valueOf(failure.getMessage())));
+        finish(AnswerEnds.failed(context.upstreamId(), failure.code(), String.valueOf(failure.getMessage())));
     }
 
     // The end
@@ -257,10 +258,10 @@
             return;
         }
         if (!running) {
-            tools.queue().cancel(runId);
+            context.queue().cancel(runId);
         }
         ResultCode code = running ? ResultCode.CANCELLED : ResultCode.CALLER_GONE;
-        finish(Ends.failed(tools.upstreamId(), code, "the caller left"));
+        finish(AnswerEnds.failed(context.upstreamId(), code, "the caller left"));
     }
 
     private void finish(AnswerEnd.Builder end) {
@@ -273,9 +274,9 @@
             tookTurn = turnTaken;
         }
         if (tookTurn) {
-            tools.queue().finished(runId, 1);
+            context.queue().finished(runId, 1);
         }
-        tools.metrics().counter("side.results." + end.getCode()).inc();
+        context.metrics().counter("side.results." + end.getCode()).inc();
         answer.end(end);
     }
 }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionFlow.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionFlow.java
@@ -71,7 +71,7 @@
                 trace.requestId(),
                 plan.call().chat(),
                 model,
-                TimeUnit.MILLISECONDS.toSeconds(context.runTools().time().wallMillis()));
+                TimeUnit.MILLISECONDS.toSeconds(context.runContext().time().wallMillis()));
         Timer.Context timer = context.metrics().timer("entry.completions").time();
         CompletionSink sink = new CompletionSink(
                 exchange, trace.requestId(), model, plan.call().streamed(), writer, (end, tokens) -> {
@@ -80,7 +80,7 @@
                     admission.end(usedTokens(plan, end, tokens));
                 });
         RequestRun run = new RequestRun(
-                context.runTools(),
+                context.runContext(),
                 start(plan, admission, trace),
                 admission::renew,
                 selection(plan),
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/EntryContext.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/EntryContext.java
@@ -31,7 +31,7 @@
         ConfigurationSource configuration,
         KeyGate keys,
         TokenLimiter limiter,
-        RunTools runTools,
+        RunContext runContext,
         FreeTierGate freeTier,
         TraceStore traces,
         MetricRegistry metrics,
@@ -67,7 +67,7 @@
     /** Checks the idempotency key of a request that may not be repeated. */
     Either<Refusal, IdempotencyKey> checkIdempotencyKey(String presented) {
         return IdempotencyKey.check(
-                presented, runTools.time().wallMillis(), idempotencyWindow, IDEMPOTENCY_CLOCK_TOLERANCE);
+                presented, runContext.time().wallMillis(), idempotencyWindow, IDEMPOTENCY_CLOCK_TOLERANCE);
     }
 
     /** Takes a request's tokens out of its account's budget. Never fails; a refusal says when to come back. */
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
@@ -33,7 +33,7 @@
 final class RequestRun {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-    private final RunTools tools;
+    private final RunContext context;
     private final Supplier<CompletableFuture<Either<Refusal, Long>>> renewal;
     private final SelectionRequest selection;
     private final RequestTrace trace;
@@ -51,30 +51,30 @@
     private boolean finished;
 
     RequestRun(
-            RunTools tools,
+            RunContext context,
             Start template,
             Supplier<CompletableFuture<Either<Refusal, Long>>> renewal,
             SelectionRequest selection,
             RequestTrace trace,
             AnswerSink sink,
             Duration deadline) {
-        this.tools = tools;
+        this.context = context;
         this.template = template;
         this.renewal = renewal;
         this.selection = selection;
         this.trace = trace;
         this.sink = sink;
-        this.deadlineNanos = tools.time().monotonicNanos() + deadline.toNanos();
+        this.deadlineNanos = context.time().monotonicNanos() + deadline.toNanos();
     }
 
     // Public operations
 
     /** Starts the first attempt. */
     void start() {
-        tools.retries().onRequest();
+        context.retries().onRequest();
         synchronized (lock) {
-            answerTimer = tools.scheduler()
-                    .schedule(this::answerTimedOut, tools.maxAnswerTime().toMillis(), TimeUnit.MILLISECONDS);
+            answerTimer = context.scheduler()
+                    .schedule(this::answerTimedOut, context.maxAnswerTime().toMillis(), TimeUnit.MILLISECONDS);
         }
         attempt();
     }
@@ -101,9 +101,9 @@
                 finish(end(Refusal.of(ResultCode.CALLER_GONE)));
                 return;
             }
-            request = tools.suspects().restrict(selection.withExcluded(excluded), template.getFingerprint());
+            request = context.suspects().restrict(selection.withExcluded(excluded), template.getFingerprint());
         }
-        Optional<Refusal> quarantined = tools.suspects().refusal(template.getFingerprint());
+        Optional<Refusal> quarantined = context.suspects().refusal(template.getFingerprint());
         if (quarantined.isPresent()) {
             finish(end(quarantined.get()));
             return;
@@ -112,7 +112,7 @@
             finish(end(Refusal.of(ResultCode.DEADLINE_UNREACHABLE)));
             return;
         }
-        tools.selector().select(request).whenComplete((chosen, failure) -> {
+        context.selector().select(request).whenComplete((chosen, failure) -> {
             if (failure != null) {
                 finish(end(Failures.toRefusal(failure, ResultCode.NO_UPSTREAM)));
             } else {
@@ -127,13 +127,13 @@
             attempts++;
             start = template.toBuilder()
                     .setAttempt(attempts)
-                    .setSuspect(suspect || tools.suspects().isSuspect(template.getFingerprint()))
+                    .setSuspect(suspect || context.suspects().isSuspect(template.getFingerprint()))
                     .setDeadlineMillis((int) Math.max(1, remainingMillis()))
                     .build();
         }
-        tools.suspects().forward(template.getFingerprint(), chosen.side());
+        context.suspects().forward(template.getFingerprint(), chosen.side());
         trace.add("selected", chosen.upstreamId() + ": " + chosen.reason());
-        tools.runs().start(chosen.side().peerAddress(), start, new Attempt(chosen));
+        context.runs().start(chosen.side().peerAddress(), start, new Attempt(chosen));
     }
 
     private void opened(RunHandle run) {
@@ -167,7 +167,7 @@
             retry = !cancelled
                     && !finished
                     && RetryRule.mayRetry(code, template.getIdempotent(), sink.isAnswerStarted(), attempts)
-                    && tools.retries().tryRetry();
+                    && context.retries().tryRetry();
         }
         if (!retry) {
             finish(end);
@@ -234,7 +234,7 @@
     }
 
     private long remainingMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - tools.time().monotonicNanos());
+        return TimeUnit.NANOSECONDS.toMillis(deadlineNanos - context.time().monotonicNanos());
     }
 
     static AnswerEnd end(Refusal refusal) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RunTools.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RunContext.java
@@ -12,7 +12,7 @@
  *
  * @param maxAnswerTime time until an answer that is still running is broken off
  */
-public record RunTools(
+public record RunContext(
         UpstreamSelector selector,
         RunClient runs,
         RetryBudget retries,
@@ -20,7 +20,7 @@
         ScheduledExecutorService scheduler,
         TimeSource time,
         Duration maxAnswerTime) {
-    public RunTools {
+    public RunContext {
         Objects.requireNonNull(selector, "selector");
         Objects.requireNonNull(runs, "runs");
         Objects.requireNonNull(retries, "retries");
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/ServiceFlow.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/ServiceFlow.java
@@ -121,7 +121,7 @@
             admission.end(notRun ? 0 : TOKENS_PER_CALL);
         });
         RequestRun run = new RequestRun(
-                context.runTools(),
+                context.runContext(),
                 start(plan, admission, trace),
                 admission::renew,
                 selection(plan),
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/process/side/PatientLoadGateTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/process/side/RetryingLoadGateTest.java
@@ -19,7 +19,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-public class PatientLoadGateTest {
+public class RetryingLoadGateTest {
     private static final Refusal USED_UP = Refusal.of(ResultCode.RATE_EXCEEDED).withRetryAfter(Duration.ofMillis(1));
 
     private final AtomicInteger asked = new AtomicInteger();
@@ -43,7 +43,7 @@
         LoadPermit permit = released::incrementAndGet;
         LoadPermits permits = priority -> CompletableFuture.completedFuture(
                 asked.incrementAndGet() < 4 ? Either.left(USED_UP) : Either.right(permit));
-        Either<Refusal, Runnable> granted = new PatientLoadGate(permits, scheduler)
+        Either<Refusal, Runnable> granted = new RetryingLoadGate(permits, scheduler)
                 .acquire(LoadPriority.PAYING)
                 .get(20, TimeUnit.SECONDS);
         assertTrue(granted.isRight(), granted.toString());
@@ -55,7 +55,7 @@
     @Test
     public void givesUpAsAFailedLoadAndNotAsTheAccountsRate() throws Exception {
         LoadPermits permits = priority -> CompletableFuture.failedFuture(USED_UP.toException());
-        Either<Refusal, Runnable> refused = new PatientLoadGate(permits, scheduler)
+        Either<Refusal, Runnable> refused = new RetryingLoadGate(permits, scheduler)
                 .acquire(LoadPriority.FREE)
                 .get(20, TimeUnit.SECONDS);
         assertEquals(refused.getLeft().code(), ResultCode.LOAD_FAILED);
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
@@ -167,7 +167,7 @@
 
     private void start(boolean idempotent) {
         RunClient runs = new RunClient(sides, sides, scheduler, 1);
-        RunTools tools = new RunTools(
+        RunContext tools = new RunContext(
                 new FirstAllowed(),
                 runs,
                 new RetryBudget(1),
