--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
@@ -15,7 +15,6 @@
 import io.parsleycleat.core.process.operators.OperatorsServer;
 import io.parsleycleat.core.process.operators.OperatorsService;
 import io.parsleycleat.core.request.routing.ProbingSelector;
-import io.parsleycleat.core.request.routing.RoutingSettings;
 import io.parsleycleat.core.request.serve.EntryContext;
 import io.parsleycleat.core.request.serve.FreeTierGate;
 import io.parsleycleat.core.request.serve.RequestService;
@@ -184,7 +183,7 @@
                 base.identity().incarnation());
         ProbingSelector selector = ProbingSelector.builder(
                         base.transport(), base.membership(), base.configuration(), base.time())
-                .withSettings(RoutingSettings.DEFAULT.withPolicy(requests.routingPolicy()))
+                .withSettings(requests.routing())
                 .withRegion(base.identity().region())
                 .withMetrics(base.metrics())
                 .build();
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntrySettings.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntrySettings.java
@@ -6,6 +6,7 @@
 import io.parsleycleat.core.process.common.VmSettings;
 import io.parsleycleat.core.process.settings.SettingsNode;
 import io.parsleycleat.core.request.routing.RoutingPolicy;
+import io.parsleycleat.core.request.routing.RoutingSettings;
 import java.net.InetSocketAddress;
 import java.util.Objects;
 
@@ -18,6 +19,8 @@
         CallerLimits callers,
         Requests requests,
         String firstOperatorKeyHash) {
+    private static final int MAX_PROBES = 16;
+    private static final double MAX_LOAD_WEIGHT = 100;
     private static final String HASH_FORM = "[0-9a-f]{64}";
 
     /** The addresses that an entry listens on. */
@@ -39,6 +42,7 @@
      * @param maxTokens most tokens that a completion may ask for
      * @param freeRequests requests of the free tier that are served at once
      * @param idempotencyWindowSeconds how long idempotency keys are remembered
+     * @param routing how upstreams are chosen
      */
     public record Requests(
             int startDeadlineMillis,
@@ -46,7 +50,7 @@
             int maxTokens,
             int freeRequests,
             int idempotencyWindowSeconds,
-            RoutingPolicy routingPolicy) {
+            RoutingSettings routing) {
         static Requests read(SettingsNode node) {
             Requests requests = new Requests(
                     node.integer("startDeadlineMillis", 30_000, 100, 600_000),
@@ -54,10 +58,20 @@
                     node.integer("maxTokens", 4_096, 1, 1_000_000),
                     node.integer("freeRequests", 64, 1, 100_000),
                     node.integer("idempotencyWindowSeconds", 3_600, 10, 604_800),
-                    node.choice("routingPolicy", RoutingPolicy.class, RoutingPolicy.PROBING));
+                    readRouting(node));
             node.end();
             return requests;
         }
+
+        private static RoutingSettings readRouting(SettingsNode node) {
+            RoutingSettings defaults = RoutingSettings.DEFAULT;
+            RoutingPolicy policy = node.choice("routingPolicy", RoutingPolicy.class, defaults.policy());
+            int probes = node.integer("routingProbes", defaults.probes(), 1, MAX_PROBES);
+            int maxProbes = node.integer("routingMaxProbes", defaults.maxProbes(), 1, MAX_PROBES);
+            return defaults.withPolicy(policy)
+                    .withProbes(probes, Math.max(probes, maxProbes))
+                    .withLoadWeight(node.number("routingLoadWeight", defaults.loadWeight(), 0, MAX_LOAD_WEIGHT));
+        }
     }
 
     public EntrySettings {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/routing/RoutingSettings.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/routing/RoutingSettings.java
@@ -25,7 +25,7 @@
         long prefixMillis) {
     /** The settings that apply unless others are given. */
     public static final RoutingSettings DEFAULT =
-            new RoutingSettings(RoutingPolicy.PROBING, 3, 5, Duration.ofMillis(50), 2, 500, 10, 50);
+            new RoutingSettings(RoutingPolicy.PROBING, 2, 2, Duration.ofMillis(50), 6, 500, 10, 50);
 
     public RoutingSettings {
         Objects.requireNonNull(policy, "policy");
@@ -47,6 +47,11 @@
                 policy, newProbes, newMaxProbes, probeTimeout, loadWeight, spillMillis, runningMillis, prefixMillis);
     }
 
+    /** Returns a copy that weighs a load differently against a wait. */
+    public RoutingSettings withLoadWeight(double newLoadWeight) {
+        return withCosts(newLoadWeight, spillMillis, runningMillis);
+    }
+
     /** Returns a copy with other costs. */
     public RoutingSettings withCosts(double newLoadWeight, long newSpillMillis, long newRunningMillis) {
         return new RoutingSettings(
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/run/RunResumeTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/run/RunResumeTest.java
@@ -44,7 +44,10 @@
     private NettyPeerTransport entry;
     private String sideAddress;
     private RunClient client;
-    private final BlockingQueue<RunAnswer> started = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Started> started = new LinkedBlockingQueue<>();
+
+    /** A run that the side was asked to start. */
+    private record Started(RunId id, RunAnswer answer) {}
 
     @BeforeMethod
     public void connect() {
@@ -54,7 +57,7 @@
         side = transport("side-1", ProcessRole.SIDE);
         entry = transport("entry-1", ProcessRole.ENTRY);
         sideAddress = IpAddresses.format(side.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
-        new RunServer(side, scheduler, (id, start, answer) -> started.add(answer));
+        new RunServer(side, scheduler, (id, start, answer) -> started.add(new Started(id, answer)));
         client = new RunClient(entry, entry, scheduler, 7);
     }
 
@@ -70,7 +73,7 @@
     public void answerIsWholeAfterALostConnection() throws Exception {
         Collector collector = new Collector();
         client.start(sideAddress, Start.getDefaultInstance(), collector);
-        RunAnswer answer = take();
+        RunAnswer answer = take().answer();
         answer.head(AnswerHead.newBuilder().setStatus(200).build());
         answer.chunk(ByteString.copyFromUtf8("a"), 1);
         collector.awaitText("a");
@@ -90,7 +93,7 @@
         Collector collector = new Collector();
         collector.consume = false;
         client.start(sideAddress, Start.getDefaultInstance(), collector);
-        RunAnswer answer = take();
+        RunAnswer answer = take().answer();
         ByteString half = ByteString.copyFrom(new byte[RunClient.WINDOW_BYTES / 2]);
         answer.chunk(half, 0);
         answer.chunk(half, 0);
@@ -117,8 +120,7 @@
         other.send(sideAddress, frame(RunMessage.newBuilder().setRunId(id).setStart(Start.getDefaultInstance())));
         RunId next = id.toBuilder().setSequence(2).build();
         other.send(sideAddress, frame(RunMessage.newBuilder().setRunId(next).setStart(Start.getDefaultInstance())));
-        take();
-        assertEquals(started.size(), 0, "only the second run is started");
+        assertEquals(take().id(), next, "only the second run is started");
         other.close();
     }
 
@@ -142,10 +144,10 @@
         assertEquals(end.getCode(), ResultCode.SIDE_LOST.number());
     }
 
-    private RunAnswer take() throws InterruptedException {
-        RunAnswer answer = started.poll(WAIT_SECONDS, TimeUnit.SECONDS);
-        assertTrue(answer != null, "the run was not started");
-        return answer;
+    private Started take() throws InterruptedException {
+        Started run = started.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        assertTrue(run != null, "the run was not started");
+        return run;
     }
 
     private static Frame.Builder frame(RunMessage.Builder message) {
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/routing/ProbingSelectorTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/routing/ProbingSelectorTest.java
@@ -21,6 +21,9 @@
 import org.testng.annotations.Test;
 
 public class ProbingSelectorTest {
+    private static final RoutingSettings THREE_PROBES =
+            RoutingSettings.DEFAULT.withProbes(3, 5).withLoadWeight(2);
+
     private FakeFleet fleet;
     private ProbingSelector selector;
     /** The upstreams in the order of the adapter. */
@@ -30,7 +33,7 @@
     public void createFleet() {
         fleet = new FakeFleet();
         IntStream.range(0, 8).forEach(i -> fleet.addEngine("e" + i, "r"));
-        selector = selector(RoutingSettings.DEFAULT);
+        selector = selector(THREE_PROBES);
         order = RendezvousHash.order("a", List.copyOf(fleet.answers.keySet()), id -> id);
     }
 
@@ -155,7 +158,7 @@
     public void ownRegionComesFirst() {
         fleet = new FakeFleet();
         IntStream.range(0, 8).forEach(i -> fleet.addEngine("e" + i, i < 4 ? "far" : "r"));
-        selector = selector(RoutingSettings.DEFAULT);
+        selector = selector(THREE_PROBES);
         IntStream.range(0, 30)
                 .forEach(i -> chosen(new SelectionRequest(
                         "x",
@@ -184,7 +187,7 @@
         fleet.answers.keySet().forEach(id -> fleet.special.put(id, FakeFleet::timeout));
         assertEquals(refused(completion()), ResultCode.NO_UPSTREAM);
         fleet = new FakeFleet();
-        selector = selector(RoutingSettings.DEFAULT);
+        selector = selector(THREE_PROBES);
         assertEquals(refused(completion()), ResultCode.NO_UPSTREAM);
     }
 
@@ -218,11 +221,11 @@
         order.stream()
                 .filter(id -> !id.equals(order.get(6)))
                 .forEach(id -> fleet.change(id, a -> a.setExpectedWaitMillis(5000)));
-        selector = selector(RoutingSettings.DEFAULT.withPolicy(RoutingPolicy.LEAST_LOADED));
+        selector = selector(THREE_PROBES.withPolicy(RoutingPolicy.LEAST_LOADED));
         assertEquals(chosen(completion()), order.get(6));
-        selector = selector(RoutingSettings.DEFAULT.withPolicy(RoutingPolicy.RENDEZVOUS));
+        selector = selector(THREE_PROBES.withPolicy(RoutingPolicy.RENDEZVOUS));
         assertEquals(chosen(completion()), order.get(0));
-        selector = selector(RoutingSettings.DEFAULT.withPolicy(RoutingPolicy.RANDOM));
+        selector = selector(THREE_PROBES.withPolicy(RoutingPolicy.RANDOM));
         Set<String> seen = new HashSet<>();
         IntStream.range(0, 100).forEach(i -> seen.add(chosen(completion())));
         assertEquals(seen.size(), 8);
