Let an entry that starts in a log outage be ready

Cause: an entry that is replaced while the log is out is a member of the epoch but cannot be confirmed in it, and waited for the budgets until the log was back, although the other homes can be asked. Change: readiness waits for the budgets only while the log can be read. Before: one of 39 scenarios failed after 60 s, "An accepted change stays while entries are replaced and the log is out".

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
@@ -51,7 +51,7 @@
     private final CallerServer callers;
     private final OperatorsServer operators;
     private volatile boolean stopping;
-    /** Set once the budgets could be used; a later outage does not take every entry out of the balancer. */
+    /** Set once the budgets could be used, or the log is out, for which an entry does not leave the balancer. */
     private volatile boolean budgetsSeen;
 
     private EntryProcess(EntrySettings settings) {
@@ -97,7 +97,7 @@
         if (!base.membership().isRead()) {
             return Readiness.notReady("no VM list yet");
         }
-        if (limiter.isUsable()) {
+        if (limiter.isUsable() || !base.configuration().isLogReachable()) {
             budgetsSeen = true;
         }
         if (!budgetsSeen) {
