Ask slow sides once more before a request is refused

Cause: a probe has 50 ms, which a side that has just started, or pauses, does not always keep; with few candidates the request was then refused with 1032 although an upstream was there. Change: when nobody takes the request and some side only did not answer in time, all are asked again with one second. Before: one of 148 tests of the stand-in module failed with 1032 in a run of all tests. After: ProbingSelectorTest and FleetServingTest pass.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/routing/ProbingSelector.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/routing/ProbingSelector.java
@@ -7,6 +7,8 @@
 import io.parsleycleat.core.connection.platform.Vm;
 import io.parsleycleat.core.connection.upstream.AdapterVersion;
 import io.parsleycleat.core.process.membership.Membership;
+import io.parsleycleat.core.process.result.Failures;
+import io.parsleycleat.core.process.result.ParsleycleatException;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.process.time.TimeSource;
@@ -35,6 +37,9 @@
  */
 public final class ProbingSelector implements UpstreamSelector {
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    /** Time for an answer when nobody answered in the usual time, as after a start. */
+    private static final Duration LAST_PASS_TIMEOUT = Duration.ofSeconds(1);
+
     private static final int SERVICE_PROBES = 2;
     private static final int LEAST_LOADED_PROBES = 16;
     private static final long NO_SPILL = Long.MAX_VALUE;
@@ -180,6 +185,10 @@
     // Probes
 
     private CompletableFuture<ProbeAnswer> probe(Vm vm, SelectionRequest request) {
+        return probe(vm, request, settings.probeTimeout());
+    }
+
+    private CompletableFuture<ProbeAnswer> probe(Vm vm, SelectionRequest request, Duration timeout) {
         probes.mark();
         AdapterVersion adapter = request.adapter();
         Probe.Builder probe = Probe.newBuilder()
@@ -191,10 +200,16 @@
         }
         Frame.Builder frame =
                 Frame.newBuilder().setRouting(RoutingMessage.newBuilder().setProbe(probe));
-        return peers.request(vm.peerAddress(), frame, settings.probeTimeout())
+        return peers.request(vm.peerAddress(), frame, timeout)
                 .thenApply(reply -> reply.getRouting().getAnswer());
     }
 
+    private static boolean isTimeout(@Nullable Throwable failure) {
+        return failure != null
+                && Failures.unwrap(failure) instanceof ParsleycleatException e
+                && e.code() == ResultCode.PEER_TIMEOUT;
+    }
+
     /** Remembers what an answer says of its side, and returns whether the side takes requests. */
     private boolean note(Vm vm, @Nullable ProbeAnswer answer) {
         boolean takes = answer != null
@@ -219,6 +234,8 @@
         private final List<Candidate> answered = new ArrayList<>();
         private int sent;
         private int open;
+        private boolean timedOut;
+        private boolean lastPass;
 
         Attempt(SelectionRequest request, RoutingPlan plan) {
             this.request = request;
@@ -242,14 +259,21 @@
                 Vm vm = batch.get(i);
                 int rank = from + i;
                 long sentBefore = health.sentTotal(vm);
-                probe(vm, request).whenComplete((answer, failure) -> onAnswer(vm, rank, sentBefore, answer));
+                probe(vm, request, timeout())
+                        .whenComplete((answer, failure) -> onAnswer(vm, rank, sentBefore, answer, failure));
             }
         }
 
-        private void onAnswer(Vm vm, int rank, long sentBefore, @Nullable ProbeAnswer answer) {
+        private synchronized Duration timeout() {
+            return lastPass ? LAST_PASS_TIMEOUT : settings.probeTimeout();
+        }
+
+        private void onAnswer(
+                Vm vm, int rank, long sentBefore, @Nullable ProbeAnswer answer, @Nullable Throwable failure) {
             boolean takes = note(vm, answer);
             boolean last;
             synchronized (this) {
+                timedOut |= isTimeout(failure);
                 if (takes && answer != null) {
                     answered.add(new Candidate(vm, rank, answer, health.sentTotal(vm) - sentBefore));
                 }
@@ -272,11 +296,23 @@
             if (more) {
                 spills.mark();
                 probeNext(1);
+            } else if (best == null && beginLastPass()) {
+                probeNext(plan.ordered().size());
             } else {
                 result.complete(best == null ? noUpstream() : choose(best));
             }
         }
 
+        /** When nobody takes the request but some were only slow to answer, all are asked once more with more time. */
+        private synchronized boolean beginLastPass() {
+            boolean begins = timedOut && !lastPass;
+            if (begins) {
+                lastPass = true;
+                sent = 0;
+            }
+            return begins;
+        }
+
         private int compare(Candidate a, Candidate b) {
             int byCost =
                     Double.compare(plan.cost().applyAsDouble(a), plan.cost().applyAsDouble(b));
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/routing/ProbingSelectorTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/routing/ProbingSelectorTest.java
@@ -85,6 +85,16 @@
         assertEquals(fleet.probed, order.subList(0, 4));
     }
 
+    @Test
+    public void slowUpstreamsAreAskedOnceMoreBeforeARefusal() {
+        List.copyOf(fleet.answers.keySet())
+                .forEach(id -> fleet.special.put(id, () -> {
+                    fleet.special.remove(id);
+                    return FakeFleet.timeout();
+                }));
+        assertTrue(selector.select(completion()).join().isRight(), "somebody answers the second time");
+    }
+
     @Test
     public void leavingUpstreamGetsNothing() {
         fleet.setLoaded(order.get(0), 0);
