--- a/parsleycleat-standin/src/main/java/io/parsleycleat/standin/load/LoadFleet.java
+++ b/parsleycleat-standin/src/main/java/io/parsleycleat/standin/load/LoadFleet.java
@@ -136,6 +136,8 @@
     private void startEntry(int index) {
         entries.add(fleet.startEntry("entry-" + index, place(index), settings -> {
             ((ObjectNode) settings.path("requests")).put("routingPolicy", options.routingPolicy());
+            ((ObjectNode) settings.path("platform"))
+                    .put("weightStoreLoadsPerSecond", options.deployment().loadsPerSecond());
             return settings;
         }));
     }
