--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
@@ -37,6 +37,7 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Serves HTTP/1.1 and, by prior knowledge or upgrade, HTTP/2 on one address.
@@ -50,7 +51,7 @@
     private static final Duration BUSY_RETRY = Duration.ofSeconds(1);
 
     private final EventLoopGroup loops;
-    private final CallerLimits limits;
+    private final Supplier<CallerLimits> currentLimits;
     private final CallerService service;
     private final ConnectionRegistry connections;
     private final Object lock = new Object();
@@ -60,10 +61,19 @@
 
     /** Creates a server that does not listen yet. */
     public CallerServer(EventLoopGroup loops, CallerLimits limits, CallerService service) {
+        this(loops, () -> limits, service);
+    }
+
+    /**
+     * Creates a server whose limits may change; each connection keeps those of its start.
+     *
+     * @param limits as of now; the number of connections is taken once
+     */
+    public CallerServer(EventLoopGroup loops, Supplier<CallerLimits> limits, CallerService service) {
         this.loops = loops;
-        this.limits = limits;
+        this.currentLimits = limits;
         this.service = service;
-        this.connections = new ConnectionRegistry(limits.maxConnections());
+        this.connections = new ConnectionRegistry(limits.get().maxConnections());
     }
 
     /** Starts to listen and returns the bound address. */
@@ -115,6 +125,7 @@
         @Override
         protected void initChannel(SocketChannel channel) {
             Optional<ConnectionRegistry.Entry> entry = connections.register(channel);
+            CallerLimits limits = currentLimits.get();
             HttpDecoderConfig decoder = new HttpDecoderConfig()
                     .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
                     .setMaxHeaderSize(limits.maxHeaderBytes());
@@ -126,14 +137,14 @@
             HttpServerUpgradeHandler upgrade = new HttpServerUpgradeHandler(
                     codec,
                     protocol -> AsciiString.contentEquals(Http2CodecUtil.HTTP_UPGRADE_PROTOCOL_NAME, protocol)
-                            ? new Http2ServerUpgradeCodec(frameCodec(), multiplexer())
+                            ? new Http2ServerUpgradeCodec(frameCodec(), multiplexer(limits))
                             : null,
                     limits.maxBodyBytes());
             open.add(channel);
             channel.closeFuture().addListener(f -> entry.get().close());
             channel.pipeline()
-                    .addLast(new CleartextHttp2ServerUpgradeHandler(codec, upgrade, new Http2Starter()))
-                    .addLast(new Http1Starter(entry.get()));
+                    .addLast(new CleartextHttp2ServerUpgradeHandler(codec, upgrade, new Http2Starter(limits)))
+                    .addLast(new Http1Starter(entry.get(), limits));
         }
 
         private void refuseBusy(CallerRequest request, CallerExchange exchange) {
@@ -145,9 +156,11 @@
     /** Takes over once the connection turned out to speak HTTP/1.1. */
     private final class Http1Starter extends SimpleChannelInboundHandler<HttpMessage> {
         private final ConnectionRegistry.Entry entry;
+        private final CallerLimits limits;
 
-        Http1Starter(ConnectionRegistry.Entry entry) {
+        Http1Starter(ConnectionRegistry.Entry entry, CallerLimits limits) {
             this.entry = entry;
+            this.limits = limits;
         }
 
         @Override
@@ -181,10 +194,16 @@
 
     /** Takes over once the connection turned out to speak HTTP/2. */
     private final class Http2Starter extends ChannelInitializer<Channel> {
+        private final CallerLimits limits;
+
+        Http2Starter(CallerLimits limits) {
+            this.limits = limits;
+        }
+
         @Override
         protected void initChannel(Channel channel) {
             channel.pipeline()
-                    .addLast(frameCodec(), multiplexer())
+                    .addLast(frameCodec(), multiplexer(limits))
                     .addLast(new IdleStateHandler(0, 0, limits.idleTimeout().toMillis(), TimeUnit.MILLISECONDS))
                     .addLast(new IdleCloser());
         }
@@ -197,7 +216,7 @@
                 .build();
     }
 
-    private Http2MultiplexHandler multiplexer() {
+    private Http2MultiplexHandler multiplexer(CallerLimits limits) {
         return new Http2MultiplexHandler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel stream) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerChannel.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerChannel.java
@@ -3,6 +3,8 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.result.PeerException;
 import io.parsleycleat.core.process.result.ResultCode;
@@ -159,6 +161,18 @@
         actions.forEach(Runnable::run);
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext active, Object event) {
+        if (!(event instanceof IdleStateEvent idle)) {
+            active.fireUserEventTriggered(event);
+        } else if (idle.state() == IdleState.READER_IDLE) {
+            logger.atInfo().with(LogKeys.PEER, address).log("connection closed: nothing arrives on it");
+            active.close();
+        } else {
+            send(Frame.newBuilder().setHello(transport.hello()).build());
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext active, Throwable cause) {
         logger.atWarning()
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import io.netty.handler.timeout.IdleStateHandler;
 import io.parsleycleat.core.process.identity.ProcessIdentity;
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.result.Failures;
@@ -31,6 +32,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 
@@ -46,6 +48,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long CLOSE_TIMEOUT_MILLIS = 500;
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final int SILENT_INTERVALS = 3;
     private static final Duration HELLO_TIMEOUT = Duration.ofSeconds(2);
 
     private final ProcessIdentity identity;
@@ -53,6 +56,7 @@
     private final LongSupplier configurationVersion;
     private final BiConsumer<PeerChannel, Frame> observer;
     private final TrafficCounter traffic;
+    private final Duration keepAlive;
     private final Map<Frame.BodyCase, FrameHandler> handlers = new ConcurrentHashMap<>();
     private final Map<String, CompletableFuture<NettyPeerChannel>> outgoing = new ConcurrentHashMap<>();
     private final Map<Channel, Boolean> accepted = new ConcurrentHashMap<>();
@@ -78,11 +82,28 @@
             LongSupplier configurationVersion,
             BiConsumer<PeerChannel, Frame> observer,
             TrafficCounter traffic) {
+        this(identity, loops, configurationVersion, observer, traffic, Duration.ZERO);
+    }
+
+    /**
+     * Creates a transport that notices silent connections.
+     *
+     * @param keepAlive the pause after which a frame is sent on an idle connection; one on which nothing arrives for
+     *     three times as long is closed. Zero for neither
+     */
+    public NettyPeerTransport(
+            ProcessIdentity identity,
+            EventLoopGroup loops,
+            LongSupplier configurationVersion,
+            BiConsumer<PeerChannel, Frame> observer,
+            TrafficCounter traffic,
+            Duration keepAlive) {
         this.identity = identity;
         this.loops = loops;
         this.configurationVersion = configurationVersion;
         this.observer = observer;
         this.traffic = traffic;
+        this.keepAlive = keepAlive;
     }
 
     // Public operations
@@ -234,6 +255,9 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
+                if (!keepAlive.isZero()) {
+                    channel.pipeline().addLast(idleHandler());
+                }
                 channel.pipeline()
                         .addLast(traffic)
                         .addLast(new BoundedFrameDecoder())
@@ -247,6 +271,11 @@
         };
     }
 
+    private IdleStateHandler idleHandler() {
+        long millis = keepAlive.toMillis();
+        return new IdleStateHandler(SILENT_INTERVALS * millis, millis, 0, TimeUnit.MILLISECONDS);
+    }
+
     /** Refuses frames above the size limit before they are collected. Created for each connection. */
     private static final class BoundedFrameDecoder extends ProtobufVarint32FrameDecoder {
         private static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/logging/Logging.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/logging/Logging.java
@@ -13,9 +13,23 @@
 
     /** Sends records of at least this level to standard error, one JSON object a line. */
     public static void start(String vmName, Level level) {
+        install(new ConsoleHandler(), vmName, level);
+    }
+
+    /**
+     * Sends records of at least this level to standard output, without ever waiting for who reads it.
+     *
+     * @return the handler, which counts what it had to drop
+     */
+    public static AsyncLogHandler startAsync(String vmName, Level level) {
+        AsyncLogHandler handler = new AsyncLogHandler(System.out);
+        install(handler, vmName, level);
+        return handler;
+    }
+
+    private static void install(Handler handler, String vmName, Level level) {
         Logger root = LogManager.getLogManager().getLogger("");
         Arrays.stream(root.getHandlers()).forEach(root::removeHandler);
-        Handler handler = new ConsoleHandler();
         handler.setFormatter(new JsonLogFormatter(vmName));
         handler.setLevel(level);
         root.addHandler(handler);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/routing/RendezvousHash.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/routing/RendezvousHash.java
@@ -6,7 +6,7 @@
 import java.util.function.Function;
 
 /** Orders candidates by rendezvous hashing: each key has an order of its own, and a lost candidate moves no other. */
-final class RendezvousHash {
+public final class RendezvousHash {
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
     private static final long MIX_1 = 0xff51afd7ed558ccdL;
@@ -16,7 +16,7 @@
     private RendezvousHash() {}
 
     /** Returns the candidates in the order of the key. */
-    static <T> List<T> order(String key, List<T> candidates, Function<T, String> id) {
+    public static <T> List<T> order(String key, List<T> candidates, Function<T, String> id) {
         long keyHash = hash(FNV_OFFSET, key);
         return candidates.stream()
                 .map(c -> new Scored<>(c, mix(hash(keyHash, id.apply(c)))))
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/AnswerHead.java
@@ -0,0 +1,28 @@
+package io.parsleycleat.gateway.connection.upstream;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Status and headers of an upstream's answer. Immutable. */
+public record AnswerHead(int status, List<Map.Entry<String, String>> headers) {
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_MULTIPLE_CHOICES = 300;
+
+    public AnswerHead {
+        headers = List.copyOf(headers);
+    }
+
+    /** Returns the first header with a name, whatever its case. */
+    public Optional<String> header(String name) {
+        return headers.stream()
+                .filter(h -> h.getKey().equalsIgnoreCase(name))
+                .map(Map.Entry::getValue)
+                .findFirst();
+    }
+
+    /** Returns whether the status is 2xx. */
+    public boolean isSuccess() {
+        return status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES;
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/IdleBytesGuard.java
@@ -0,0 +1,30 @@
+package io.parsleycleat.gateway.connection.upstream;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Closes a connection when bytes arrive that no request asked for, before the decoder can mix them with an answer.
+ *
+ * <p>Created for each connection; used on its event loop only.
+ */
+final class IdleBytesGuard extends ChannelInboundHandlerAdapter {
+    private @Nullable UpstreamConnection connection;
+
+    void guard(UpstreamConnection newConnection) {
+        connection = newConnection;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        UpstreamConnection current = connection;
+        if (current == null || current.isIdle()) {
+            ReferenceCountUtil.release(message);
+            context.close();
+            return;
+        }
+        context.fireChannelRead(message);
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
@@ -0,0 +1,212 @@
+package io.parsleycleat.gateway.connection.upstream;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One HTTP/1.1 connection to an upstream. It carries one request at a time and is used again only when the answer
+ * before was whole, was the answer to that request, and left no byte behind.
+ *
+ * <p>Created by {@link UpstreamPool}; its state is used on its event loop only.
+ */
+final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
+    private static final String KEEP_ALIVE = "keep-alive";
+    private static final String TIMEOUT = "timeout=";
+
+    private final Channel channel;
+    private final AnswerDecoder decoder;
+    private final BiConsumer<UpstreamConnection, Boolean> whenFree;
+    private @Nullable AnswerListener listener;
+    private boolean written;
+    private boolean reusable;
+    private boolean endsWithConnection;
+    private boolean failed;
+    private long idleSinceNanos;
+    private long idleLimitMillis = Long.MAX_VALUE;
+
+    /**
+     * Wraps a new channel.
+     *
+     * @param whenFree told after each answer whether the connection can be used again
+     */
+    UpstreamConnection(Channel channel, AnswerDecoder decoder, BiConsumer<UpstreamConnection, Boolean> whenFree) {
+        this.channel = channel;
+        this.decoder = decoder;
+        this.whenFree = whenFree;
+    }
+
+    // Used by the pool, on the event loop
+
+    void send(UpstreamRequest request, AnswerListener newListener) {
+        listener = newListener;
+        written = false;
+        reusable = false;
+        endsWithConnection = false;
+        decoder.expect(HttpMethod.valueOf(request.method()));
+        channel.writeAndFlush(encode(request)).addListener(f -> {
+            written = f.isSuccess();
+            if (!f.isSuccess()) {
+                fail(SendFailure.lost("the request could not be written: " + f.cause()));
+            }
+        });
+    }
+
+    /** Closes the connection without telling the listener. */
+    void cancel() {
+        listener = null;
+        channel.close();
+    }
+
+    boolean isUsable(long nowNanos, long maxIdleMillis) {
+        long idleMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - idleSinceNanos);
+        return channel.isActive() && !failed && idleMillis < Math.min(idleLimitMillis, maxIdleMillis);
+    }
+
+    void idleSince(long nowNanos) {
+        idleSinceNanos = nowNanos;
+    }
+
+    boolean isIdle() {
+        return listener == null;
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    /** Lets the upstream wait while the caller does not take what was read. */
+    void setReading(boolean reading) {
+        channel.config().setAutoRead(reading);
+    }
+
+    // Events of the channel
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        AnswerListener current = listener;
+        if (current == null) {
+            context.close();
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            fail(SendFailure.malformed("not a valid HTTP answer"));
+            return;
+        }
+        if (message instanceof HttpResponse response) {
+            readHead(response, current);
+        }
+        if (message instanceof HttpContent content && listener != null) {
+            if (content.content().isReadable()) {
+                current.onBody(copy(content.content()));
+            }
+            if (content instanceof LastHttpContent && listener != null) {
+                readEnd(current);
+            }
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        fail(SendFailure.lost("the upstream closed the connection"));
+        whenFree.accept(this, false);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        fail(SendFailure.lost(String.valueOf(cause.getMessage())));
+        context.close();
+    }
+
+    // Internals
+
+    private void readHead(HttpResponse response, AnswerListener current) {
+        boolean framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+        endsWithConnection = !framed && !decoder.hasNoBody(response.status().code());
+        reusable = HttpUtil.isKeepAlive(response) && !endsWithConnection;
+        String keepAlive = response.headers().get(KEEP_ALIVE);
+        if (keepAlive != null) {
+            idleLimitMillis = idleLimitMillis(keepAlive);
+        }
+        current.onHead(
+                new AnswerHead(response.status().code(), response.headers().entries()));
+    }
+
+    /** Returns for how long the upstream keeps an idle connection, less a part in which it may already be closing. */
+    private static long idleLimitMillis(String keepAlive) {
+        int at = keepAlive.indexOf(TIMEOUT);
+        if (at < 0) {
+            return Long.MAX_VALUE;
+        }
+        String digits = keepAlive.substring(at + TIMEOUT.length()).split("[^0-9]", 2)[0];
+        if (digits.isEmpty() || digits.length() > 6) {
+            return Long.MAX_VALUE;
+        }
+        return Long.parseLong(digits) * 700L;
+    }
+
+    private void readEnd(AnswerListener current) {
+        if (endsWithConnection && failed) {
+            return;
+        }
+        listener = null;
+        boolean free = reusable && written && !decoder.hasLeftover() && channel.isActive();
+        current.onEnd();
+        if (!free) {
+            channel.close();
+        }
+        whenFree.accept(this, free);
+    }
+
+    private void fail(SendFailure failure) {
+        failed = true;
+        AnswerListener current = listener;
+        listener = null;
+        channel.close();
+        if (current != null) {
+            current.onFailure(failure);
+        }
+    }
+
+    private static ByteString copy(ByteBuf content) {
+        return UnsafeByteOperations.unsafeWrap(ByteBufUtil.getBytes(content));
+    }
+
+    private static FullHttpRequest encode(UpstreamRequest request) {
+        DefaultHttpHeaders headers = new DefaultHttpHeaders();
+        request.headers().forEach(h -> headers.add(h.getKey(), h.getValue()));
+        int length = request.body().size();
+        if (length > 0 || Objects.equals(request.method(), "POST")) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
+        }
+        ByteBuf body = Unpooled.wrappedBuffer(request.body().asReadOnlyByteBuffer());
+        return new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(request.method()),
+                request.target(),
+                body,
+                headers,
+                EmptyHttpHeaders.INSTANCE);
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamPools.java
@@ -0,0 +1,51 @@
+package io.parsleycleat.gateway.connection.upstream;
+
+import io.netty.channel.EventLoop;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.gateway.version.upstreams.Upstream;
+import io.parsleycleat.gateway.version.upstreams.UpstreamDirectory;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ToIntFunction;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A pool for each start of an upstream, so that a connection is never used for another upstream at the same address.
+ *
+ * <p>One an entry; safe to share between threads.
+ */
+public final class UpstreamPools {
+    private final EventLoop loop;
+    private final TimeSource time;
+    private final ToIntFunction<Upstream> maxConnections;
+    private final Map<String, UpstreamPool> pools = new ConcurrentHashMap<>();
+
+    /**
+     * Creates pools that follow a directory.
+     *
+     * @param maxConnections how many connections to an upstream this entry may have, as of now
+     */
+    public UpstreamPools(
+            EventLoop loop, TimeSource time, UpstreamDirectory directory, ToIntFunction<Upstream> maxConnections) {
+        this.loop = loop;
+        this.time = time;
+        this.maxConnections = maxConnections;
+        directory.onChange(this::changed);
+    }
+
+    /** Returns the pool of an upstream. */
+    public UpstreamPool of(Upstream upstream) {
+        return pools.computeIfAbsent(
+                upstream.id(),
+                id -> new UpstreamPool(upstream.address(), loop, time, () -> maxConnections.applyAsInt(upstream)));
+    }
+
+    private void changed(@Nullable Upstream before, @Nullable Upstream after) {
+        if (before != null && (after == null || !before.isSameStart(after))) {
+            UpstreamPool pool = pools.remove(before.id());
+            if (pool != null) {
+                pool.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -0,0 +1,294 @@
+package io.parsleycleat.gateway.process.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.parsleycleat.core.connection.caller.CallerLimits;
+import io.parsleycleat.core.connection.caller.CallerServer;
+import io.parsleycleat.core.connection.peer.NettyPeerTransport;
+import io.parsleycleat.core.connection.peer.TrafficCounter;
+import io.parsleycleat.core.process.admin.AdminService;
+import io.parsleycleat.core.process.admin.Readiness;
+import io.parsleycleat.core.process.common.Drain;
+import io.parsleycleat.core.process.identity.ProcessIdentity;
+import io.parsleycleat.core.process.identity.ProcessRole;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.core.request.outcome.CrashSuspects;
+import io.parsleycleat.gateway.connection.upstream.UpstreamPools;
+import io.parsleycleat.gateway.process.members.EntryExchange;
+import io.parsleycleat.gateway.process.members.EntryMembers;
+import io.parsleycleat.gateway.process.members.GateClient;
+import io.parsleycleat.gateway.process.members.StoreLinks;
+import io.parsleycleat.gateway.request.choose.EngineChooser;
+import io.parsleycleat.gateway.request.choose.EngineView;
+import io.parsleycleat.gateway.request.choose.PlainChooser;
+import io.parsleycleat.gateway.request.choose.UpstreamLoads;
+import io.parsleycleat.gateway.request.crash.CrashWatch;
+import io.parsleycleat.gateway.request.forward.CallCodec;
+import io.parsleycleat.gateway.request.forward.ForwardMetrics;
+import io.parsleycleat.gateway.request.forward.ForwardParts;
+import io.parsleycleat.gateway.request.forward.RequestForwarder;
+import io.parsleycleat.gateway.request.limits.AccountBudgets;
+import io.parsleycleat.gateway.request.limits.RetryShare;
+import io.parsleycleat.gateway.version.follow.FollowSettings;
+import io.parsleycleat.gateway.version.follow.KeyedFold;
+import io.parsleycleat.gateway.version.follow.KeyedLog;
+import io.parsleycleat.gateway.version.follow.LogFollower;
+import io.parsleycleat.gateway.version.routes.AdapterVersions;
+import io.parsleycleat.gateway.version.routes.ConfigurationFold;
+import io.parsleycleat.gateway.version.routes.ConfigurationHolder;
+import io.parsleycleat.gateway.version.routes.ServiceSpec;
+import io.parsleycleat.gateway.version.upstreams.DirectoryFold;
+import io.parsleycleat.gateway.version.upstreams.Upstream;
+import io.parsleycleat.gateway.version.upstreams.UpstreamDirectory;
+import io.parsleycleat.wire.gate.EntryRecord;
+import io.parsleycleat.wire.gate.UpstreamCrash;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An entry that forwards callers' requests straight to the upstreams.
+ *
+ * <p>Created once by a main. Requests, connections and timers share one event loop, since the VMs have one core.
+ */
+public final class ForwardEntry {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration KEY_MARGIN = Duration.ofMillis(800);
+    private static final Duration USAGE_INTERVAL = Duration.ofMillis(100);
+    private static final Duration RECORD_INTERVAL = Duration.ofSeconds(5);
+    private static final Duration RECORD_RETRY = Duration.ofMillis(700);
+    private static final Duration PEER_KEEP_ALIVE = Duration.ofSeconds(1);
+    private static final Duration SUSPICION = Duration.ofMinutes(2);
+    private static final Duration LAST_BYTES = Duration.ofMillis(300);
+    /** The balancer asks once a second and needs two refusals; requests arrive until then. */
+    private static final Duration LEAVE_TIME = Duration.ofMillis(2_800);
+    /** Part of the grace time that is kept for the end. */
+    private static final Duration GRACE_MARGIN = Duration.ofMillis(500);
+
+    private static final FollowSettings OPERATORS = FollowSettings.PROMPT;
+    private static final FollowSettings UPSTREAMS =
+            FollowSettings.PROMPT.withMinGap(Duration.ofMillis(400)).withWait(Duration.ofSeconds(2));
+    private static final FollowSettings ENTRIES =
+            FollowSettings.PROMPT.withMinGap(Duration.ofSeconds(2)).withWait(Duration.ofSeconds(8));
+
+    private final ForwardEntrySettings settings;
+    private final StoreLinks store;
+    private final EventLoop loop;
+    private final TimeSource time = TimeSource.SYSTEM;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final ProcessIdentity identity;
+    private final NettyPeerTransport transport;
+    private final ConfigurationHolder configuration = new ConfigurationHolder();
+    private final AdapterVersions versions = new AdapterVersions();
+    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final EntryMembers members;
+    private final AccountBudgets budgets;
+    private final CrashWatch crashes;
+    private final EntryExchange exchange;
+    private final LogFollower operatorsFollower;
+    private final LogFollower upstreamsFollower;
+    private final LogFollower entriesFollower;
+    private final RequestForwarder forwarder;
+    private final CallerServer callers;
+    private volatile boolean stopping;
+    private volatile boolean refusing;
+    private volatile @Nullable Readiness lastReadiness;
+
+    private ForwardEntry(ForwardEntrySettings settings, StoreLinks store, CallCodec codec, EventLoopGroup loops) {
+        this.settings = settings;
+        this.store = store;
+        this.loop = loops.next();
+        this.identity = settings.vm().start(ProcessRole.ENTRY, time);
+        this.transport = new NettyPeerTransport(
+                identity, loops, () -> 0, (from, frame) -> {}, new TrafficCounter(metrics), PEER_KEEP_ALIVE);
+        this.members = new EntryMembers(identity.vmName(), time);
+        this.budgets = new AccountBudgets(time);
+        this.crashes = new CrashWatch(new CrashSuspects(SUSPICION, SUSPICION), time, this::tellCrash);
+        EngineView view = new EngineView(time);
+        this.exchange = new EntryExchange(
+                transport, transport, identity.incarnation(), members::others, budgets, crashes, view, time);
+        this.operatorsFollower = follower(
+                "operators' log",
+                store.operators(),
+                new ConfigurationFold(store.operatorsDecoder(), configuration, versions, time),
+                OPERATORS);
+        this.upstreamsFollower = follower(
+                "upstreams' log", store.upstreams(), new DirectoryFold(store.upstreamDecoder(), directory), UPSTREAMS);
+        this.entriesFollower = follower("entries' log", store.entries(), members, ENTRIES);
+        this.forwarder = createForwarder(codec, view);
+        this.callers = new CallerServer(loops, this::limits, forwarder);
+    }
+
+    // Life cycle
+
+    /** Starts an entry that listens on all its addresses. It is ready once it knows configuration and upstreams. */
+    public static ForwardEntry start(
+            ForwardEntrySettings settings, StoreLinks store, CallCodec codec, EventLoopGroup loops) {
+        ForwardEntry entry = new ForwardEntry(settings, store, codec, loops);
+        entry.listen(loops);
+        return entry;
+    }
+
+    private void listen(EventLoopGroup loops) {
+        configuration.onChange(table -> budgets.setAccounts(table.accounts()));
+        directory.onChange(this::upstreamChanged);
+        operatorsFollower.start();
+        upstreamsFollower.start();
+        entriesFollower.start();
+        transport.listen(settings.vm().peers());
+        callers.listen(settings.callers());
+        new CallerServer(loops, () -> CallerLimits.DEFAULT, new ReadyService(settings.readyPath(), this::readiness))
+                .listen(settings.ready());
+        new CallerServer(loops, () -> CallerLimits.DEFAULT, new AdminService(metrics, this::readiness))
+                .listen(settings.metrics());
+        metrics.gauge("requests.open", () -> forwarder::openRequests);
+        metrics.gauge("configuration.age.millis", () -> operatorsFollower.freshness()::ageMillis);
+        loop.scheduleAtFixedRate(
+                this::exchangeUsage, USAGE_INTERVAL.toMillis(), USAGE_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+        loop.execute(this::writeRecord);
+        logger.atInfo().log("entry started, callers %s, peers %s", settings.callers(), identity.peerAddress());
+    }
+
+    /** Leaves the balancer, answers what has arrived, and ends. */
+    public void stop() {
+        long deadline =
+                time.monotonicNanos() + settings.grace().minus(GRACE_MARGIN).toNanos();
+        stopping = true;
+        callers.drain();
+        logger.atInfo().log("entry stops with %d open requests", forwarder.openRequests());
+        Drain.pause(LEAVE_TIME);
+        refusing = true;
+        Duration left = Duration.ofNanos(Math.max(0, deadline - time.monotonicNanos()));
+        if (!Drain.await(loop, forwarder::openRequests, left)) {
+            logger.atWarning().log("%d requests are cut", forwarder.openRequests());
+        }
+        callers.close();
+        Drain.await(loop, this::connectionsWithAnswers, LAST_BYTES);
+        store.entryWriter().write(identity.vmName(), new byte[0]);
+        Drain.pause(Duration.ofMillis(50));
+        logger.atInfo().log("entry stopped");
+    }
+
+    /** Returns whether the entry can serve, and why not. */
+    public Readiness readiness() {
+        Readiness now = currentReadiness();
+        if (!now.equals(lastReadiness)) {
+            logger.atInfo().log("ready: %s %s", now.ready(), now.reason());
+            lastReadiness = now;
+        }
+        return now;
+    }
+
+    private Readiness currentReadiness() {
+        if (stopping) {
+            return Readiness.notReady("the process is stopping");
+        }
+        if (configuration.current().isEmpty()) {
+            return Readiness.notReady("no configuration yet");
+        }
+        if (!upstreamsFollower.isRead()) {
+            return Readiness.notReady("no upstreams known yet");
+        }
+        if (!forwarder.knowsKeys()) {
+            return Readiness.notReady("the configuration is too old to accept keys");
+        }
+        return Readiness.READY;
+    }
+
+    private long connectionsWithAnswers() {
+        callers.closeIdle();
+        return callers.openConnections();
+    }
+
+    // Parts
+
+    private LogFollower follower(String name, KeyedLog log, KeyedFold fold, FollowSettings follow) {
+        return new LogFollower(name, log, fold, follow, loop, time);
+    }
+
+    private RequestForwarder createForwarder(CallCodec codec, EngineView view) {
+        UpstreamLoads loads = new UpstreamLoads(time, directory);
+        SplittableRandom random = new SplittableRandom(identity.incarnation());
+        ForwardParts parts = new ForwardParts(
+                codec,
+                loop,
+                time,
+                directory,
+                versions,
+                new UpstreamPools(loop, time, directory, this::maxConnections),
+                loads,
+                new PlainChooser(loads, identity.dataCentre(), random::nextDouble),
+                new EngineChooser(view, loads),
+                view,
+                new GateClient(transport, settings.sidePort()),
+                new RetryShare(settings.retries(), time, this::entryCount),
+                crashes,
+                new ForwardMetrics(metrics));
+        RequestForwarder.KnowledgeBounds bounds = new RequestForwarder.KnowledgeBounds(
+                settings.withdrawalBound().minus(KEY_MARGIN), settings.changeBound());
+        return new RequestForwarder(
+                parts,
+                configuration,
+                operatorsFollower.freshness(),
+                budgets,
+                bounds,
+                () -> refusing,
+                random::nextDouble);
+    }
+
+    private CallerLimits limits() {
+        return configuration.current().map(t -> t.limits()).orElse(CallerLimits.DEFAULT);
+    }
+
+    private int entryCount() {
+        return 1 + members.others().size();
+    }
+
+    /** All entries together must stay below what an upstream accepts. */
+    private int maxConnections(Upstream upstream) {
+        int accepted = configuration
+                .current()
+                .flatMap(t -> t.service(upstream.service()))
+                .map(ServiceSpec::maxConnections)
+                .orElse(Integer.MAX_VALUE);
+        return Math.max(4, accepted / entryCount());
+    }
+
+    // Other entries
+
+    private void tellCrash(UpstreamCrash crash) {
+        exchange.tellCrash(crash);
+    }
+
+    private void upstreamChanged(@Nullable Upstream before, @Nullable Upstream after) {
+        boolean startedAnew = before != null && after != null && !before.isSameStart(after);
+        boolean gone = before != null && after == null && !before.leaving();
+        if (before != null && (startedAnew || gone)) {
+            crashes.onDown(before);
+        }
+    }
+
+    private void exchangeUsage() {
+        if (entriesFollower.isRead()) {
+            budgets.setOthers(members.others().keySet());
+            exchange.reportUsage();
+        }
+    }
+
+    private void writeRecord() {
+        if (stopping) {
+            return;
+        }
+        EntryRecord entry = EntryRecord.newBuilder()
+                .setPeerAddress(identity.peerAddress())
+                .setIncarnation(identity.incarnation())
+                .build();
+        store.entryWriter().write(identity.vmName(), entry.toByteArray()).whenComplete((nothing, failure) -> {
+            Duration delay = failure == null ? RECORD_INTERVAL : RECORD_RETRY;
+            loop.schedule(this::writeRecord, delay.toMillis(), TimeUnit.MILLISECONDS);
+        });
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntrySettings.java
@@ -0,0 +1,44 @@
+package io.parsleycleat.gateway.process.entry;
+
+import io.parsleycleat.gateway.process.members.VmIdentity;
+import io.parsleycleat.gateway.request.limits.RetryShare;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * Settings of a forwarding entry. Immutable.
+ *
+ * @param callers where callers connect
+ * @param ready where the balancer asks whether the entry is ready
+ * @param readyPath the path of that question
+ * @param metrics where counters and latencies are served
+ * @param sidePort the port of the sides on their VMs
+ * @param withdrawalBound how soon after a key's withdrawal nothing may run with it
+ * @param changeBound how soon a configuration version is in force
+ * @param retries the fleet's budget of repeats
+ * @param grace how long a stopping process may take
+ */
+public record ForwardEntrySettings(
+        VmIdentity vm,
+        InetSocketAddress callers,
+        InetSocketAddress ready,
+        String readyPath,
+        InetSocketAddress metrics,
+        int sidePort,
+        Duration withdrawalBound,
+        Duration changeBound,
+        RetryShare.Bounds retries,
+        Duration grace) {
+    public ForwardEntrySettings {
+        Objects.requireNonNull(vm, "vm");
+        Objects.requireNonNull(callers, "callers");
+        Objects.requireNonNull(ready, "ready");
+        Objects.requireNonNull(readyPath, "readyPath");
+        Objects.requireNonNull(metrics, "metrics");
+        Objects.requireNonNull(withdrawalBound, "withdrawalBound");
+        Objects.requireNonNull(changeBound, "changeBound");
+        Objects.requireNonNull(retries, "retries");
+        Objects.requireNonNull(grace, "grace");
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/package-info.java
@@ -0,0 +1,5 @@
+/** The entry process. */
+@NullMarked
+package io.parsleycleat.gateway.process.entry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
@@ -0,0 +1,118 @@
+package io.parsleycleat.gateway.process.gate;
+
+import io.parsleycleat.gateway.version.routes.AdapterId;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Which adapters an engine holds, which are on their way, and which are in use.
+ *
+ * <p>An order without an answer may still be carried out until the engine has accepted another one, so its adapter
+ * takes
+ * a place until then.
+ *
+ * <p>Created by {@link EngineGate} under whose lock it is used.
+ */
+final class AdapterTable {
+    private final Map<AdapterId, Long> resident = new HashMap<>();
+    private final Map<AdapterId, Long> coming = new HashMap<>();
+    private final Map<AdapterId, Integer> users = new HashMap<>();
+    private final Map<AdapterId, Long> lastUsedNanos = new HashMap<>();
+    private @Nullable ModelOrder uncertain;
+
+    /** Takes what the engine reports. */
+    void onReport(EngineReport report) {
+        resident.clear();
+        resident.putAll(report.adapters());
+        coming.clear();
+        coming.putAll(report.coming());
+        ModelOrder order = uncertain;
+        if (order != null && report.orders() > order.expectedOrders()) {
+            uncertain = null;
+        }
+    }
+
+    /** Takes an order's outcome, until the next report tells more. */
+    void onOrder(ModelOrder order, ModelOrder.Outcome outcome) {
+        if (outcome == ModelOrder.Outcome.UNKNOWN) {
+            uncertain = order;
+            return;
+        }
+        boolean load = order.operation() == ModelOrder.Operation.LOAD;
+        if (outcome == ModelOrder.Outcome.STARTED && load) {
+            coming.put(order.target(), order.version());
+        } else if (outcome == ModelOrder.Outcome.DONE && !load) {
+            resident.remove(order.target());
+        }
+        if (outcome == ModelOrder.Outcome.STARTED || outcome == ModelOrder.Outcome.DONE) {
+            uncertain = null;
+        }
+    }
+
+    /** Forgets all that an engine held, since it started anew. */
+    void clear() {
+        resident.clear();
+        coming.clear();
+        uncertain = null;
+    }
+
+    void use(AdapterId adapter, long nowNanos) {
+        users.merge(adapter, 1, Integer::sum);
+        lastUsedNanos.put(adapter, nowNanos);
+    }
+
+    void release(AdapterId adapter) {
+        users.computeIfPresent(adapter, (a, n) -> n > 1 ? n - 1 : null);
+    }
+
+    boolean isUsed(AdapterId adapter) {
+        return users.containsKey(adapter);
+    }
+
+    Optional<Long> version(AdapterId adapter) {
+        return Optional.ofNullable(resident.get(adapter));
+    }
+
+    boolean isComing(AdapterId adapter) {
+        return coming.containsKey(adapter);
+    }
+
+    int comingCount() {
+        return coming.size();
+    }
+
+    boolean isUncertain() {
+        return uncertain != null;
+    }
+
+    /** Returns how many places are taken, counting an order that may still be carried out. */
+    int taken() {
+        ModelOrder order = uncertain;
+        boolean extra = order != null
+                && order.operation() == ModelOrder.Operation.LOAD
+                && !resident.containsKey(order.target())
+                && !coming.containsKey(order.target());
+        long replacing = coming.keySet().stream().filter(resident::containsKey).count();
+        return (int) (resident.size() + coming.size() - replacing) + (extra ? 1 : 0);
+    }
+
+    /** Returns the adapter that was used longest ago among those that nobody uses or wants. */
+    Optional<AdapterId> leastRecentlyUsed(Predicate<AdapterId> wanted) {
+        return resident.keySet().stream()
+                .filter(a -> !isUsed(a) && !isComing(a) && !wanted.test(a))
+                .min(Comparator.comparingLong(a -> lastUsedNanos.getOrDefault(a, Long.MIN_VALUE)));
+    }
+
+    Set<AdapterId> residents() {
+        return Set.copyOf(resident.keySet());
+    }
+
+    Set<AdapterId> comings() {
+        return Set.copyOf(coming.keySet());
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -0,0 +1,422 @@
+package io.parsleycleat.gateway.process.gate;
+
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.gateway.version.routes.AdapterId;
+import io.parsleycleat.gateway.version.routes.AdapterVersions;
+import io.parsleycleat.gateway.version.routes.EngineSpec;
+import io.parsleycleat.gateway.version.routes.ModelSpec;
+import io.parsleycleat.wire.gate.GateStatus;
+import io.parsleycleat.wire.gate.RunProgress;
+import io.parsleycleat.wire.gate.StartGrant;
+import io.parsleycleat.wire.gate.StartRequest;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides which requests may start on one model engine, and which adapters it is ordered to hold.
+ *
+ * <p>All requests for the engine ask here, so adapters in use are never replaced, the engine's memory is never promised
+ * twice, and what waits is ordered by urgency. It needs no network: reports, orders and time are passed in.
+ *
+ * <p>One a side; guarded by its own lock.
+ */
+public final class EngineGate {
+    /** Prompt tokens that may be before the engine unread; the rest waits here, where its order can still change. */
+    private static final long MAX_BACKLOG_TOKENS = 10_000;
+    /** Part of the engine's memory that is promised; the rest is left to kept prompts. */
+    private static final double MEMORY_SHARE = 0.95;
+
+    private static final int MAX_COMING = 4;
+    private static final Duration LOAD_ESTIMATE = Duration.ofMillis(260);
+    /** How long after a new version was named its predecessor may still be started. */
+    private static final Duration OLD_VERSION_LIMIT = Duration.ofSeconds(2);
+
+    private static final Duration MODEL_LOAD_GAP = Duration.ofSeconds(3);
+    private static final Duration RETRY_MIN = Duration.ofMillis(100);
+
+    private final AdapterVersions versions;
+    private final TimeSource time;
+    private final AdapterTable adapters = new AdapterTable();
+    private final ReadRate readRate = new ReadRate();
+    private final Map<TicketKey, Granted> granted = new HashMap<>();
+    private final List<Waiting> waiting = new ArrayList<>();
+    private @Nullable EngineSpec spec;
+    private @Nullable EngineReport report;
+    private @Nullable String engineId;
+    private boolean out = true;
+    private long lastModelLoadNanos;
+    private boolean modelLoadTried;
+
+    /** Names a start: who asked, and the number it gave. */
+    public record TicketKey(Object caller, long ticket) {}
+
+    /** A request that may run or runs. */
+    private static final class Granted {
+        private final AdapterId adapter;
+        private final int promptTokens;
+        private final long reservedTokens;
+        private final long nanos;
+        private boolean started;
+
+        Granted(AdapterId adapter, int promptTokens, long reservedTokens, long nanos) {
+            this.adapter = adapter;
+            this.promptTokens = promptTokens;
+            this.reservedTokens = reservedTokens;
+            this.nanos = nanos;
+        }
+    }
+
+    /** A request that waits for its start. */
+    private record Waiting(
+            TicketKey key, AdapterId adapter, StartRequest request, long nanos, Consumer<StartGrant> reply) {
+        boolean isOnTime(long nowNanos) {
+            return nowNanos - nanos < TimeUnit.MILLISECONDS.toNanos(request.getObjectiveMillis());
+        }
+
+        boolean isOver(long nowNanos) {
+            return nowNanos - nanos > TimeUnit.MILLISECONDS.toNanos(request.getWaitMillis());
+        }
+
+        long tokens() {
+            return (long) request.getPromptTokens() + request.getOutputTokens();
+        }
+    }
+
+    /** Creates a gate that grants nothing before the engine's first report. */
+    public EngineGate(AdapterVersions versions, TimeSource time) {
+        this.versions = versions;
+        this.time = time;
+    }
+
+    // What is known
+
+    /** Takes what the configuration says of the engine. */
+    public synchronized void setSpec(EngineSpec newSpec) {
+        spec = newSpec;
+    }
+
+    /** Takes what the engine says of itself. */
+    public synchronized void onReport(EngineReport newReport, String newEngineId) {
+        EngineReport before = report;
+        if (before != null && before.born() != newReport.born()) {
+            adapters.clear();
+            modelLoadTried = false;
+        }
+        report = newReport;
+        engineId = newEngineId;
+        out = false;
+        adapters.onReport(newReport);
+        grantAll();
+    }
+
+    /** Notes that the engine does not answer; what waits is refused at once, since it can run elsewhere. */
+    public synchronized void onEngineOut() {
+        out = true;
+        List.copyOf(waiting).forEach(w -> refuse(w, ResultCode.UPSTREAM_UNREACHABLE, RETRY_MIN));
+    }
+
+    // Requests
+
+    /** Takes a request for a start; the reply is called once, now or later. */
+    public synchronized void request(TicketKey key, StartRequest request, Consumer<StartGrant> reply) {
+        long now = time.monotonicNanos();
+        AdapterId adapter = new AdapterId(request.getModel(), request.getAdapter());
+        if (!adapter.isBaseModel()) {
+            versions.name(adapter, request.getMinVersion(), now);
+        }
+        Waiting asked = new Waiting(key, adapter, request, now, reply);
+        Duration wait = expectedWait(asked);
+        if (out || report == null) {
+            refuse(asked, ResultCode.UPSTREAM_UNREACHABLE, RETRY_MIN);
+        } else if (wait.toMillis() > request.getWaitMillis()) {
+            refuse(asked, ResultCode.QUEUE_FULL, wait.minusMillis(request.getWaitMillis() / 2));
+        } else {
+            waiting.add(asked);
+            grantAll();
+        }
+    }
+
+    /** Takes how a granted or waiting request went on. */
+    public synchronized void progress(TicketKey key, RunProgress.Stage stage) {
+        if (stage == RunProgress.Stage.WITHDRAWN) {
+            waiting.removeIf(w -> w.key().equals(key));
+        }
+        if (stage == RunProgress.Stage.FIRST_EVENT) {
+            firstEvent(granted.get(key));
+        } else {
+            end(granted.remove(key));
+        }
+        grantAll();
+    }
+
+    /** Forgets all requests of a caller that is gone. */
+    public synchronized void callerGone(Object caller) {
+        waiting.removeIf(w -> w.key().caller().equals(caller));
+        List.copyOf(granted.keySet()).stream()
+                .filter(k -> k.caller().equals(caller))
+                .forEach(k -> end(granted.remove(k)));
+        grantAll();
+    }
+
+    /** Refuses what has waited for too long. */
+    public synchronized void expire() {
+        long now = time.monotonicNanos();
+        List.copyOf(waiting).stream()
+                .filter(w -> w.isOver(now))
+                .forEach(w -> refuse(w, ResultCode.QUEUE_FULL, max(expectedWait(w), RETRY_MIN)));
+    }
+
+    private void firstEvent(@Nullable Granted run) {
+        if (run != null && !run.started) {
+            run.started = true;
+            readRate.onFirstEvent(run.promptTokens, run.nanos, time.monotonicNanos());
+        }
+    }
+
+    private void end(@Nullable Granted run) {
+        if (run != null) {
+            adapters.release(run.adapter);
+        }
+    }
+
+    private void refuse(Waiting asked, ResultCode code, Duration retryAfter) {
+        waiting.remove(asked);
+        asked.reply()
+                .accept(StartGrant.newBuilder()
+                        .setRefusalCode(code.number())
+                        .setRetryAfterMillis((int) Math.max(0, retryAfter.toMillis()))
+                        .build());
+    }
+
+    // Granting
+
+    /** Grants what may start, the most urgent first; those that can still be in time go before those that cannot. */
+    private void grantAll() {
+        EngineReport known = report;
+        if (out || known == null || waiting.isEmpty()) {
+            return;
+        }
+        long now = time.monotonicNanos();
+        List.copyOf(waiting).stream().sorted(order(now)).forEach(w -> {
+            if (isUsable(w.adapter(), now) && hasRoom(w, known)) {
+                grant(w, now);
+            }
+        });
+    }
+
+    private static Comparator<Waiting> order(long now) {
+        return Comparator.comparing((Waiting w) -> !w.isOnTime(now))
+                .thenComparingInt(w -> w.request().getPriority())
+                .thenComparingLong(Waiting::nanos);
+    }
+
+    private void grant(Waiting w, long now) {
+        waiting.remove(w);
+        adapters.use(w.adapter(), now);
+        granted.put(w.key(), new Granted(w.adapter(), w.request().getPromptTokens(), w.tokens(), now));
+        w.reply()
+                .accept(StartGrant.newBuilder()
+                        .setVersion(
+                                w.adapter().isBaseModel()
+                                        ? 0
+                                        : adapters.version(w.adapter()).orElse(0L))
+                        .setEngineId(engineId == null ? "" : engineId)
+                        .build());
+    }
+
+    private boolean hasRoom(Waiting w, EngineReport known) {
+        EngineSpec limits = spec;
+        int slots = limits == null ? Integer.MAX_VALUE : limits.slots();
+        boolean memory = reserved() + w.tokens() <= known.memoryTokens() * MEMORY_SHARE || granted.isEmpty();
+        return granted.size() < slots && memory && backlog() < MAX_BACKLOG_TOKENS;
+    }
+
+    /** Returns whether an adapter is there, in a version that may still be started. */
+    private boolean isUsable(AdapterId adapter, long now) {
+        EngineReport known = report;
+        if (known == null || !known.models().contains(adapter.model())) {
+            return false;
+        }
+        if (adapter.isBaseModel()) {
+            return true;
+        }
+        Optional<Long> version = adapters.version(adapter);
+        if (version.isEmpty() || adapters.isComing(adapter)) {
+            return false;
+        }
+        return version.get() >= versions.newest(adapter) || mayUseOld(adapter, now);
+    }
+
+    private boolean mayUseOld(AdapterId adapter, long now) {
+        return now - versions.learntNanos(adapter) < OLD_VERSION_LIMIT.toNanos();
+    }
+
+    private long reserved() {
+        return granted.values().stream().mapToLong(g -> g.reservedTokens).sum();
+    }
+
+    private long backlog() {
+        return granted.values().stream()
+                .filter(g -> !g.started)
+                .mapToLong(g -> g.promptTokens)
+                .sum();
+    }
+
+    private Duration expectedWait(Waiting asked) {
+        int priority = asked.request().getPriority();
+        long ahead = waiting.stream()
+                .filter(w -> w.request().getPriority() <= priority)
+                .mapToLong(w -> w.request().getPromptTokens())
+                .sum();
+        long tokens = Math.max(0, backlog() + ahead - MAX_BACKLOG_TOKENS);
+        Duration reading = Duration.ofMillis((long) (1_000 * tokens / readRate.tokensPerSecond()));
+        return isUsable(asked.adapter(), time.monotonicNanos()) ? reading : max(reading, LOAD_ESTIMATE);
+    }
+
+    private static Duration max(Duration one, Duration other) {
+        return one.compareTo(other) > 0 ? one : other;
+    }
+
+    // Orders
+
+    /** Returns the next order that the engine needs, if any. The last order's outcome must be known to the table. */
+    public synchronized Optional<ModelOrder> nextOrder(long fence) {
+        EngineReport known = report;
+        EngineSpec limits = spec;
+        String id = engineId;
+        if (out || known == null || limits == null || id == null) {
+            return Optional.empty();
+        }
+        OrderMaker make =
+                (operation, target, version) -> new ModelOrder(operation, target, version, known.orders(), fence, id);
+        if (known.models().isEmpty()) {
+            return known.busy() ? Optional.empty() : loadModel(limits, make);
+        }
+        return replaceOldVersion(make).or(() -> loadWanted(limits, make));
+    }
+
+    /** Makes an order for the engine as it was last reported. */
+    @FunctionalInterface
+    private interface OrderMaker {
+        ModelOrder make(ModelOrder.Operation operation, AdapterId target, long version);
+    }
+
+    private Optional<ModelOrder> loadModel(EngineSpec limits, OrderMaker make) {
+        long now = time.monotonicNanos();
+        if (modelLoadTried && now - lastModelLoadNanos < MODEL_LOAD_GAP.toNanos()) {
+            return Optional.empty();
+        }
+        Optional<String> wanted = waiting.stream()
+                .map(w -> w.adapter().model())
+                .findFirst()
+                .or(() -> limits.models().stream().map(ModelSpec::name).findFirst());
+        wanted.ifPresent(m -> {
+            modelLoadTried = true;
+            lastModelLoadNanos = now;
+        });
+        return wanted.map(m -> make.make(ModelOrder.Operation.LOAD, AdapterId.baseModel(m), 0));
+    }
+
+    private Optional<ModelOrder> replaceOldVersion(OrderMaker make) {
+        if (adapters.comingCount() >= MAX_COMING) {
+            return Optional.empty();
+        }
+        return adapters.residents().stream()
+                .filter(a -> adapters.version(a).orElse(0L) < versions.newest(a))
+                .filter(a -> !adapters.isUsed(a) && !adapters.isComing(a))
+                .findFirst()
+                .map(a -> make.make(ModelOrder.Operation.LOAD, a, versions.newest(a)));
+    }
+
+    private Optional<ModelOrder> loadWanted(EngineSpec limits, OrderMaker make) {
+        if (adapters.comingCount() >= MAX_COMING) {
+            return Optional.empty();
+        }
+        long now = time.monotonicNanos();
+        return waiting.stream()
+                .sorted(order(now))
+                .map(Waiting::adapter)
+                .filter(a -> !a.isBaseModel() && adapters.version(a).isEmpty() && !adapters.isComing(a))
+                .findFirst()
+                .flatMap(a -> adapters.taken() < adapterPlaces(limits)
+                        ? Optional.of(make.make(ModelOrder.Operation.LOAD, a, versions.newest(a)))
+                        : adapters.leastRecentlyUsed(this::isWanted)
+                                .map(old -> make.make(ModelOrder.Operation.UNLOAD, old, 0)));
+    }
+
+    private boolean isWanted(AdapterId adapter) {
+        return waiting.stream().anyMatch(w -> w.adapter().equals(adapter));
+    }
+
+    /** Returns how many adapters fit, by places and by memory. */
+    private static int adapterPlaces(EngineSpec limits) {
+        ModelSpec model = limits.models().isEmpty() ? null : limits.models().get(0);
+        if (model == null || limits.models().size() > 1 || model.adapterMegabytes() <= 0) {
+            return limits.adapterSlots();
+        }
+        double free = limits.weightsMegabytes() - model.weightsMegabytes();
+        return Math.min(limits.adapterSlots(), (int) Math.floor(free / model.adapterMegabytes()));
+    }
+
+    /** Takes an order's outcome. */
+    public synchronized void onOrder(ModelOrder order, ModelOrder.Outcome outcome) {
+        if (!order.target().isBaseModel()) {
+            adapters.onOrder(order, outcome);
+        }
+        grantAll();
+    }
+
+    /** Returns whether something is on its way, so that reports matter. */
+    public synchronized boolean isChanging() {
+        EngineReport known = report;
+        return adapters.comingCount() > 0
+                || adapters.isUncertain()
+                || known == null
+                || known.models().isEmpty()
+                || !waiting.isEmpty();
+    }
+
+    // Status
+
+    /** Returns what entries are told. */
+    public synchronized GateStatus status() {
+        EngineReport known = report;
+        GateStatus.Builder status = GateStatus.newBuilder()
+                .setEngineId(engineId == null ? "" : engineId)
+                .setOut(out)
+                .setBacklogTokens(backlog()
+                        + waiting.stream()
+                                .mapToLong(w -> w.request().getPromptTokens())
+                                .sum())
+                .setRunning(granted.size())
+                .setWaiting(waiting.size())
+                .setReservedTokens(
+                        reserved() + waiting.stream().mapToLong(Waiting::tokens).sum())
+                .setTokensPerSecond((int) readRate.tokensPerSecond())
+                .addAllResident(names(adapters.residents().stream()
+                        .filter(a -> isUsable(a, time.monotonicNanos()))
+                        .collect(Collectors.toSet())))
+                .addAllComing(names(adapters.comings()));
+        if (known != null) {
+            status.setBorn(known.born())
+                    .setModelResident(!known.models().isEmpty())
+                    .setTotalTokens(known.memoryTokens());
+        }
+        return status.build();
+    }
+
+    private static List<String> names(Set<AdapterId> ids) {
+        return ids.stream().map(AdapterId::toString).sorted().toList();
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
@@ -0,0 +1,223 @@
+package io.parsleycleat.gateway.process.gate;
+
+import com.google.common.flogger.FluentLogger;
+import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.result.Failures;
+import io.parsleycleat.core.process.time.TimeSource;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads the engine's reports and gives the gate's orders, one call at a time.
+ *
+ * <p>Orders carry a fencing number from the store; without one none is given. After each order comes a report, since
+ * the
+ * next order must name how many were accepted.
+ *
+ * <p>One a side; its steps run on one thread of the scheduler.
+ */
+public final class OrderLoop {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration QUIET_INTERVAL = Duration.ofMillis(500);
+    private static final Duration CHANGING_INTERVAL = Duration.ofMillis(50);
+    private static final Duration FENCE_RETRY = Duration.ofMillis(500);
+    private static final int FAILURES_UNTIL_OUT = 2;
+
+    private final EngineGate gate;
+    private final EngineControl engine;
+    private final FenceSource fences;
+    private final Supplier<Optional<String>> healthPath;
+    private final ScheduledExecutorService thread;
+    private final TimeSource time;
+    private final Runnable afterStep;
+    private boolean calling;
+    private boolean reportNeeded = true;
+    private long lastReportNanos;
+    private long born = -1;
+    private @Nullable String engineId;
+    private int failures;
+    private long fence = -1;
+    private boolean fenceAsked;
+
+    /** Gives fencing numbers, each higher than all before. Implementations are safe to share between threads. */
+    @FunctionalInterface
+    public interface FenceSource {
+        /** Takes the next number. */
+        CompletableFuture<Long> next();
+    }
+
+    /**
+     * Creates a loop that does nothing yet.
+     *
+     * @param healthPath the path of the health check, once the configuration is known
+     * @param thread a scheduler with one thread
+     * @param afterStep runs when something may have changed
+     */
+    public OrderLoop(
+            EngineGate gate,
+            EngineControl engine,
+            FenceSource fences,
+            Supplier<Optional<String>> healthPath,
+            ScheduledExecutorService thread,
+            TimeSource time,
+            Runnable afterStep) {
+        this.gate = gate;
+        this.engine = engine;
+        this.fences = fences;
+        this.healthPath = healthPath;
+        this.thread = thread;
+        this.time = time;
+        this.afterStep = afterStep;
+    }
+
+    /** Starts to read reports. */
+    public void start() {
+        askFence();
+        thread.scheduleWithFixedDelay(this::step, 0, CHANGING_INTERVAL.toMillis() / 2, TimeUnit.MILLISECONDS);
+    }
+
+    /** Looks at once whether an order is needed. */
+    public void wake() {
+        thread.execute(this::step);
+    }
+
+    // Steps, on the thread
+
+    private void step() {
+        gate.expire();
+        afterStep.run();
+        if (calling) {
+            return;
+        }
+        if (!reportNeeded && fence >= 0) {
+            Optional<ModelOrder> order = gate.nextOrder(fence);
+            if (order.isPresent()) {
+                give(order.get());
+                return;
+            }
+        }
+        long interval = (gate.isChanging() ? CHANGING_INTERVAL : QUIET_INTERVAL).toNanos();
+        if (reportNeeded || time.monotonicNanos() - lastReportNanos > interval) {
+            readReport();
+        }
+    }
+
+    private void give(ModelOrder order) {
+        calling = true;
+        engine.order(order)
+                .whenCompleteAsync(
+                        (outcome, failure) -> {
+                            calling = false;
+                            reportNeeded = true;
+                            ordered(order, failure == null ? outcome : ModelOrder.Outcome.UNKNOWN);
+                            step();
+                        },
+                        thread);
+    }
+
+    private void ordered(ModelOrder order, ModelOrder.Outcome outcome) {
+        logger.atInfo()
+                .with(LogKeys.UPSTREAM, order.engineId())
+                .with(LogKeys.ADAPTER, order.target().toString())
+                .log(
+                        "%s version %d after %d orders with fence %d: %s",
+                        order.operation(), order.version(), order.expectedOrders(), order.fence(), outcome);
+        gate.onOrder(order, outcome);
+        if (outcome == ModelOrder.Outcome.FENCED) {
+            fence = -1;
+            askFence();
+        }
+        if (outcome == ModelOrder.Outcome.WRONG_ENGINE) {
+            engineId = null;
+        }
+    }
+
+    private void readReport() {
+        calling = true;
+        lastReportNanos = time.monotonicNanos();
+        engine.report()
+                .whenCompleteAsync(
+                        (report, failure) -> {
+                            calling = false;
+                            if (failure == null) {
+                                reported(report);
+                            } else {
+                                failed(Failures.unwrap(failure));
+                            }
+                        },
+                        thread);
+    }
+
+    private void reported(EngineReport report) {
+        failures = 0;
+        if (report.born() != born) {
+            logger.atInfo().log("engine started at %d, %d orders accepted", report.born(), report.orders());
+            born = report.born();
+            engineId = null;
+        }
+        String id = engineId;
+        if (id == null) {
+            readId(report);
+        } else {
+            reportNeeded = false;
+            gate.onReport(report, id);
+            step();
+        }
+    }
+
+    private void readId(EngineReport report) {
+        Optional<String> path = healthPath.get();
+        if (path.isEmpty()) {
+            return;
+        }
+        calling = true;
+        engine.engineId(path.get())
+                .whenCompleteAsync(
+                        (id, failure) -> {
+                            calling = false;
+                            if (failure == null) {
+                                logger.atInfo().with(LogKeys.UPSTREAM, id).log("engine answers as %s", id);
+                                engineId = id;
+                                reported(report);
+                            } else {
+                                failed(Failures.unwrap(failure));
+                            }
+                        },
+                        thread);
+    }
+
+    private void failed(Throwable failure) {
+        failures++;
+        reportNeeded = true;
+        if (failures == FAILURES_UNTIL_OUT) {
+            logger.atWarning().log("engine does not answer: %s", failure);
+            gate.onEngineOut();
+        }
+    }
+
+    private void askFence() {
+        if (fenceAsked) {
+            return;
+        }
+        fenceAsked = true;
+        fences.next()
+                .whenCompleteAsync(
+                        (number, failure) -> {
+                            fenceAsked = false;
+                            if (failure == null) {
+                                logger.atInfo().log("fencing number %d", number);
+                                fence = number;
+                                step();
+                            } else {
+                                logger.atWarning().log("no fencing number: %s", Failures.unwrap(failure));
+                                thread.schedule(this::askFence, FENCE_RETRY.toMillis(), TimeUnit.MILLISECONDS);
+                            }
+                        },
+                        thread);
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
@@ -0,0 +1,119 @@
+package io.parsleycleat.gateway.process.side;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.parsleycleat.core.connection.caller.CallerLimits;
+import io.parsleycleat.core.connection.caller.CallerServer;
+import io.parsleycleat.core.connection.peer.NettyPeerTransport;
+import io.parsleycleat.core.connection.peer.TrafficCounter;
+import io.parsleycleat.core.process.admin.AdminService;
+import io.parsleycleat.core.process.admin.Readiness;
+import io.parsleycleat.core.process.identity.ProcessRole;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.gateway.process.gate.EngineControl;
+import io.parsleycleat.gateway.process.gate.EngineGate;
+import io.parsleycleat.gateway.process.gate.GateServer;
+import io.parsleycleat.gateway.process.gate.OrderLoop;
+import io.parsleycleat.gateway.process.members.StoreLinks;
+import io.parsleycleat.gateway.version.follow.FollowSettings;
+import io.parsleycleat.gateway.version.follow.LogFollower;
+import io.parsleycleat.gateway.version.routes.AdapterVersions;
+import io.parsleycleat.gateway.version.routes.ConfigurationFold;
+import io.parsleycleat.gateway.version.routes.ConfigurationHolder;
+import io.parsleycleat.gateway.version.routes.RoutingTable;
+import io.parsleycleat.gateway.version.routes.ServiceSpec;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A side: the gate before the model engine on its VM, and the only one that gives it orders.
+ *
+ * <p>Created once by a main. All its work shares one event loop.
+ */
+public final class EngineSide {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration PEER_KEEP_ALIVE = Duration.ofSeconds(1);
+    private static final Duration STATUS_INTERVAL = Duration.ofMillis(150);
+    private static final FollowSettings OPERATORS =
+            FollowSettings.PROMPT.withWait(Duration.ofSeconds(5)).withMinGap(Duration.ofMillis(200));
+
+    private final EngineSideSettings settings;
+    private final TimeSource time = TimeSource.SYSTEM;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final EngineGate gate;
+    private final NettyPeerTransport transport;
+    private final LogFollower follower;
+    private final OrderLoop orders;
+    private final GateServer server;
+
+    private EngineSide(
+            EngineSideSettings settings, StoreLinks store, EngineControl engine, EventLoopGroup loops, EventLoop loop) {
+        this.settings = settings;
+        AdapterVersions versions = new AdapterVersions();
+        ConfigurationHolder configuration = new ConfigurationHolder();
+        this.gate = new EngineGate(versions, time);
+        configuration.onChange(this::configured);
+        this.transport = new NettyPeerTransport(
+                settings.vm().start(ProcessRole.SIDE, time),
+                loops,
+                () -> 0,
+                (from, frame) -> {},
+                new TrafficCounter(metrics),
+                PEER_KEEP_ALIVE);
+        this.orders =
+                new OrderLoop(gate, engine, store.fences(), () -> healthPath(configuration), loop, time, () -> {});
+        this.server = new GateServer(gate, transport, time, orders::wake);
+        this.follower = new LogFollower(
+                "operators' log",
+                store.operators(),
+                new ConfigurationFold(store.operatorsDecoder(), configuration, versions, time),
+                OPERATORS,
+                loop,
+                time);
+    }
+
+    /** Starts a side that listens for entries. */
+    public static EngineSide start(
+            EngineSideSettings settings, StoreLinks store, EngineControl engine, EventLoopGroup loops) {
+        EventLoop loop = loops.next();
+        EngineSide side = new EngineSide(settings, store, engine, loops, loop);
+        side.listen(loops, loop);
+        return side;
+    }
+
+    private void listen(EventLoopGroup loops, EventLoop loop) {
+        transport.listen(settings.vm().peers());
+        follower.start();
+        orders.start();
+        new CallerServer(loops, () -> CallerLimits.DEFAULT, new AdminService(metrics, () -> Readiness.READY))
+                .listen(settings.metrics());
+        metrics.gauge("gate.running", () -> () -> gate.status().getRunning());
+        metrics.gauge("gate.waiting", () -> () -> gate.status().getWaiting());
+        loop.scheduleAtFixedRate(
+                server::tellStatus, STATUS_INTERVAL.toMillis(), STATUS_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+        logger.atInfo().log(
+                "side started for an engine of %s, peers %s",
+                settings.service(), settings.vm().peers());
+    }
+
+    /** Ends at once: runs go on without their side, and what waits is asked for elsewhere. */
+    public void stop() {
+        logger.atInfo().log("side stops");
+        follower.stop();
+        transport.close();
+    }
+
+    private Optional<String> healthPath(ConfigurationHolder configuration) {
+        return configuration
+                .current()
+                .flatMap(t -> t.service(settings.service()))
+                .map(ServiceSpec::healthPath);
+    }
+
+    private void configured(RoutingTable table) {
+        table.service(settings.service()).flatMap(ServiceSpec::engineSpec).ifPresent(gate::setSpec);
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
@@ -0,0 +1,117 @@
+package io.parsleycleat.gateway.request.choose;
+
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.gateway.version.routes.AdapterId;
+import io.parsleycleat.gateway.version.upstreams.Upstream;
+import io.parsleycleat.wire.gate.GateStatus;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * What the sides last told of their engines, and what this entry has asked for since.
+ *
+ * <p>One an entry; safe to share between threads.
+ */
+public final class EngineView {
+    private static final long STALE_MILLIS = 3_000;
+    /** Sides repeat their status more often than this while entries use them. */
+    private static final long SILENT_MILLIS = 1_500;
+
+    private final TimeSource time;
+    private final Map<String, Told> told = new ConcurrentHashMap<>();
+    private final Map<String, Long> silentUntilNanos = new ConcurrentHashMap<>();
+
+    /** A status with the time of its arrival. */
+    private static final class Told {
+        private final GateStatus status;
+        private final Set<String> resident;
+        private final Set<String> coming;
+        private final long nanos;
+        private final AtomicLong askedTokens = new AtomicLong();
+
+        Told(GateStatus status, long nanos) {
+            this.status = status;
+            this.resident = Set.copyOf(status.getResidentList());
+            this.coming = Set.copyOf(status.getComingList());
+            this.nanos = nanos;
+        }
+    }
+
+    /** Where an adapter is. */
+    public enum Place {
+        RESIDENT,
+        COMING,
+        ABSENT
+    }
+
+    /** Creates a view in which nothing was told yet. */
+    public EngineView(TimeSource time) {
+        this.time = time;
+    }
+
+    /** Takes a side's status of its engine. */
+    public void onStatus(GateStatus status) {
+        told.put(status.getEngineId(), new Told(status, time.monotonicNanos()));
+    }
+
+    /** Notes that a start was asked for, so that the next choice counts it before the side tells it. */
+    public void onAsked(Upstream engine, int promptTokens) {
+        Told known = told.get(engine.id());
+        if (known != null) {
+            known.askedTokens.addAndGet(promptTokens);
+        }
+    }
+
+    /** Notes that an engine's side did not answer, so that it is not asked for a while. */
+    public void onSilent(Upstream engine, long millis) {
+        silentUntilNanos.put(engine.id(), time.monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+
+    /** Returns whether the side answers, as far as is known. */
+    public boolean isSideSilent(Upstream engine) {
+        Long until = silentUntilNanos.get(engine.id());
+        if (until != null && time.monotonicNanos() - until < 0) {
+            return true;
+        }
+        Told known = told.get(engine.id());
+        return known != null && time.monotonicNanos() - known.nanos > TimeUnit.MILLISECONDS.toNanos(SILENT_MILLIS);
+    }
+
+    /** Returns the status of this start of an engine, unless it is too old. */
+    public Optional<GateStatus> status(Upstream engine) {
+        return fresh(engine).map(t -> t.status);
+    }
+
+    /** Returns the prompt tokens that are before a new request on an engine. */
+    public long backlogTokens(Upstream engine) {
+        return fresh(engine)
+                .map(t -> t.status.getBacklogTokens() + t.askedTokens.get())
+                .orElse(0L);
+    }
+
+    /** Returns where an adapter is with respect to an engine, by its side or else by the engine's own description. */
+    public Place place(Upstream engine, AdapterId adapter) {
+        String name = adapter.toString();
+        Optional<Told> known = fresh(engine);
+        if (known.isEmpty()) {
+            return engine.residents().containsKey(name) ? Place.RESIDENT : Place.ABSENT;
+        }
+        if (known.get().resident.contains(name)
+                || (adapter.isBaseModel() && known.get().status.getModelResident())) {
+            return Place.RESIDENT;
+        }
+        return known.get().coming.contains(name) ? Place.COMING : Place.ABSENT;
+    }
+
+    private Optional<Told> fresh(Upstream engine) {
+        Told known = told.get(engine.id());
+        boolean usable = known != null
+                && known.status.getBorn() == engine.born()
+                && time.monotonicNanos() - known.nanos < TimeUnit.MILLISECONDS.toNanos(STALE_MILLIS);
+        return usable ? Optional.ofNullable(known) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/PlainChooser.java
@@ -0,0 +1,64 @@
+package io.parsleycleat.gateway.request.choose;
+
+import io.parsleycleat.gateway.version.upstreams.Upstream;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+
+/**
+ * Chooses among the upstreams of a plain service: sound ones before erring ones, then the shortest expected wait, those
+ * of the own data centre first among equals.
+ *
+ * <p>One an entry; safe to share between threads.
+ */
+public final class PlainChooser {
+    /** What leaving the data centre costs, as a share of a slot. */
+    private static final double OTHER_DATA_CENTRE = 0.25;
+    /** Latency, in milliseconds, that weighs as much as one full set of slots. */
+    private static final double LATENCY_SCALE_MILLIS = 200;
+
+    private final UpstreamLoads loads;
+    private final String dataCentre;
+    private final DoubleSupplier random;
+
+    /**
+     * Creates a chooser.
+     *
+     * @param dataCentre the entry's own
+     * @param random numbers from 0 to 1 that spread what is equal
+     */
+    public PlainChooser(UpstreamLoads loads, String dataCentre, DoubleSupplier random) {
+        this.loads = loads;
+        this.dataCentre = dataCentre;
+        this.random = random;
+    }
+
+    /** Returns the best upstream that is not excluded; one that is paused only when there is no other. */
+    public Optional<Upstream> choose(List<Upstream> candidates, Set<String> excluded) {
+        record Scored(Upstream upstream, int standing, double score) {}
+        return candidates.stream()
+                .filter(u -> !excluded.contains(u.id()))
+                .map(u -> new Scored(u, standing(u), score(u)))
+                .min(Comparator.comparingInt(Scored::standing).thenComparingDouble(Scored::score))
+                .map(Scored::upstream);
+    }
+
+    private int standing(Upstream upstream) {
+        UpstreamLoad load = loads.of(upstream);
+        if (load.isPaused()) {
+            return 2;
+        }
+        return load.isErring() ? 1 : 0;
+    }
+
+    private double score(Upstream upstream) {
+        UpstreamLoad load = loads.of(upstream);
+        double busy = (double) load.requests() / Math.max(1, upstream.slots());
+        double near = upstream.dataCentre().equals(dataCentre) ? 0 : OTHER_DATA_CENTRE / Math.max(1, upstream.slots());
+        double slow = load.latencyMillis() / LATENCY_SCALE_MILLIS;
+        double spread = random.getAsDouble() / Math.max(1, upstream.slots()) / 10;
+        return busy + near + slow + spread;
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/crash/CrashWatch.java
@@ -0,0 +1,115 @@
+package io.parsleycleat.gateway.request.crash;
+
+import com.google.common.flogger.FluentLogger;
+import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.core.request.outcome.CrashSuspects;
+import io.parsleycleat.gateway.version.upstreams.Upstream;
+import io.parsleycleat.wire.gate.UpstreamCrash;
+import io.parsleycleat.wire.outcome.CrashReport;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Tells crashes of upstreams from lost connections, and remembers which requests were running at a crash.
+ *
+ * <p>A lost connection alone proves nothing. It counts as a crash once a new connection to the upstream is refused, or
+ * the upstream starts anew, within a short time.
+ *
+ * <p>One an entry; guarded by its own lock.
+ */
+public final class CrashWatch {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration PROOF_WITHIN = Duration.ofSeconds(8);
+
+    private final CrashSuspects suspects;
+    private final TimeSource time;
+    private final Consumer<UpstreamCrash> tellOthers;
+    private final Map<String, List<Lost>> lostByUpstream = new HashMap<>();
+
+    private record Lost(String fingerprint, long nanos) {}
+
+    /**
+     * Creates a watch that has seen nothing.
+     *
+     * @param tellOthers tells the other entries of a crash
+     */
+    public CrashWatch(CrashSuspects suspects, TimeSource time, Consumer<UpstreamCrash> tellOthers) {
+        this.suspects = suspects;
+        this.time = time;
+        this.tellOthers = tellOthers;
+    }
+
+    /** Returns whether a request may be sent on. */
+    public boolean maySend(String fingerprint) {
+        return suspects.standing(fingerprint, time.wallMillis()) != CrashSuspects.Standing.QUARANTINED;
+    }
+
+    /** Notes that a connection broke while a request was running. */
+    public synchronized void onLost(Upstream upstream, String fingerprint) {
+        List<Lost> lost = lostByUpstream.computeIfAbsent(key(upstream), id -> new ArrayList<>());
+        forgetOld(lost);
+        lost.add(new Lost(fingerprint, time.monotonicNanos()));
+    }
+
+    /** Notes that a request ended well. */
+    public void onSurvived(String fingerprint) {
+        suspects.onSurvived(fingerprint, time.wallMillis());
+    }
+
+    /** Notes that an upstream is down: it refuses connections, is gone, or started anew. */
+    public void onDown(Upstream upstream) {
+        Optional<UpstreamCrash> crash = takeCrash(upstream);
+        crash.ifPresent(c -> {
+            logger.atWarning()
+                    .with(LogKeys.UPSTREAM, upstream.id())
+                    .log("upstream crashed with %d requests running", c.getFingerprintsCount());
+            onCrash(c);
+            tellOthers.accept(c);
+        });
+    }
+
+    /** Takes a crash that another entry saw. */
+    public void onCrash(UpstreamCrash crash) {
+        CrashReport report = CrashReport.newBuilder()
+                .setUpstreamId(crash.getUpstreamId())
+                .setUpstreamIncarnation(Long.toString(crash.getIncarnation()))
+                .addAllFingerprints(crash.getFingerprintsList())
+                .build();
+        suspects.onCrash(report, time.wallMillis())
+                .forEach(q -> logger.atWarning().log(
+                        "request %s is not sent on after %d crashes", q.getFingerprint(), q.getCrashes()));
+    }
+
+    private synchronized Optional<UpstreamCrash> takeCrash(Upstream upstream) {
+        List<Lost> lost = lostByUpstream.remove(key(upstream));
+        if (lost == null) {
+            return Optional.empty();
+        }
+        forgetOld(lost);
+        if (lost.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(UpstreamCrash.newBuilder()
+                .setUpstreamId(upstream.id())
+                .setIncarnation(upstream.born())
+                .addAllFingerprints(
+                        lost.stream().map(Lost::fingerprint).distinct().toList())
+                .build());
+    }
+
+    private void forgetOld(List<Lost> lost) {
+        long oldest = time.monotonicNanos() - TimeUnit.MILLISECONDS.toNanos(PROOF_WITHIN.toMillis());
+        lost.removeIf(l -> l.nanos() - oldest < 0);
+    }
+
+    private static String key(Upstream upstream) {
+        return upstream.id() + '/' + upstream.born();
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
@@ -0,0 +1,199 @@
+package io.parsleycleat.gateway.request.forward;
+
+import com.google.common.flogger.FluentLogger;
+import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.result.Failures;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.gateway.request.choose.EngineChooser;
+import io.parsleycleat.gateway.request.choose.EngineView;
+import io.parsleycleat.gateway.version.routes.AdapterId;
+import io.parsleycleat.gateway.version.upstreams.Upstream;
+import io.parsleycleat.wire.gate.RunProgress;
+import io.parsleycleat.wire.gate.StartGrant;
+import io.parsleycleat.wire.gate.StartRequest;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Finds an engine for one request: asks the sides of the best engines, one after another, until one grants a start.
+ *
+ * <p>Created for each send to a model engine; used on the event loop.
+ */
+final class EngineStart {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int MAX_ASKED = 3;
+    private static final Duration ANSWER_SLACK = Duration.ofMillis(300);
+    private static final Duration SIDE_PAUSE = Duration.ofSeconds(1);
+    private static final Duration DEFAULT_RETRY = Duration.ofMillis(500);
+
+    private final ForwardParts parts;
+    private final Ask ask;
+    private final Set<String> excluded;
+    private final Consumer<Started> whenStarted;
+    private final Consumer<Refusal> whenRefused;
+    private int asked;
+    private boolean given;
+    private @Nullable Duration retryAfter;
+    private @Nullable Upstream waitingAt;
+    private long waitingTicket;
+
+    /** What is asked for. */
+    record Ask(
+            String requestId,
+            AdapterId adapter,
+            ForwardRequest.@Nullable TokenCounts tokens,
+            int priority,
+            Duration objectiveLeft,
+            Duration timeLeft) {}
+
+    /**
+     * An engine that may be sent to.
+     *
+     * @param ticket names the start at the engine's side; 0 when the side was not asked
+     * @param adapterVersion the version that the engine holds; 0 when that is not known
+     */
+    record Started(Upstream engine, long ticket, long adapterVersion) {}
+
+    /** Creates a search that excludes some engines by their ids. */
+    EngineStart(
+            ForwardParts parts,
+            Ask ask,
+            Set<String> excluded,
+            Consumer<Started> whenStarted,
+            Consumer<Refusal> whenRefused) {
+        this.parts = parts;
+        this.ask = ask;
+        this.excluded = new HashSet<>(excluded);
+        this.whenStarted = whenStarted;
+        this.whenRefused = whenRefused;
+    }
+
+    /** Asks the best engine of a service. */
+    void next(String service) {
+        List<EngineChooser.Choice> choices =
+                parts.engines().order(parts.directory().usable(service), ask.adapter(), excluded);
+        if (choices.isEmpty() || asked >= MAX_ASKED) {
+            refuse(choices.isEmpty() ? ResultCode.NO_UPSTREAM : ResultCode.QUEUE_FULL);
+            return;
+        }
+        EngineChooser.Choice choice = choices.get(0);
+        excluded.add(choice.engine().id());
+        asked++;
+        if (parts.view().isSideSilent(choice.engine())) {
+            withoutSide(service, choice.engine());
+        } else {
+            askSide(service, choice);
+        }
+    }
+
+    /** Gives the search up; a grant that arrives later is returned. */
+    void cancel() {
+        given = true;
+        Upstream engine = waitingAt;
+        if (engine != null) {
+            parts.gates().tell(engine, waitingTicket, RunProgress.Stage.WITHDRAWN);
+        }
+    }
+
+    private void askSide(String service, EngineChooser.Choice choice) {
+        Upstream engine = choice.engine();
+        long ticket = parts.gates().nextTicket();
+        Duration wait = waitAt(choice);
+        waitingAt = engine;
+        waitingTicket = ticket;
+        parts.view().onAsked(engine, promptTokens());
+        parts.gates()
+                .start(engine, startRequest(ticket, wait), wait.plus(ANSWER_SLACK))
+                .whenCompleteAsync(
+                        (grant, failure) -> {
+                            waitingAt = null;
+                            answered(service, engine, ticket, grant, failure);
+                        },
+                        parts.loop());
+    }
+
+    /** The last engine that is asked may use all the time that is left. */
+    private Duration waitAt(EngineChooser.Choice choice) {
+        Duration usual = ask.objectiveLeft().isNegative()
+                ? ask.timeLeft()
+                : ask.objectiveLeft().plusMillis((long) choice.expectedMillis());
+        boolean last = asked >= MAX_ASKED;
+        return last || usual.compareTo(ask.timeLeft()) > 0 ? ask.timeLeft() : usual;
+    }
+
+    private void answered(
+            String service, Upstream engine, long ticket, @Nullable StartGrant grant, @Nullable Throwable failure) {
+        if (given) {
+            if (grant != null && grant.getRefusalCode() == 0) {
+                parts.gates().tell(engine, ticket, RunProgress.Stage.ENDED);
+            }
+            return;
+        }
+        if (failure != null || grant == null) {
+            logger.atInfo()
+                    .with(LogKeys.REQUEST, ask.requestId())
+                    .with(LogKeys.UPSTREAM, engine.id())
+                    .log("side does not answer: %s", failure == null ? "" : Failures.unwrap(failure));
+            parts.view().onSilent(engine, SIDE_PAUSE.toMillis());
+            parts.gates().tell(engine, ticket, RunProgress.Stage.WITHDRAWN);
+            withoutSide(service, engine);
+        } else if (grant.getRefusalCode() != 0) {
+            noteRetry(Duration.ofMillis(grant.getRetryAfterMillis()));
+            next(service);
+        } else {
+            given = true;
+            whenStarted.accept(new Started(engine, ticket, grant.getVersion()));
+        }
+    }
+
+    /** An engine whose side is away goes on serving what it holds. */
+    private void withoutSide(String service, Upstream engine) {
+        Long version = engine.residents().get(ask.adapter().toString());
+        boolean held = version != null && version >= parts.versions().newest(ask.adapter());
+        if (held && parts.view().place(engine, ask.adapter()) == EngineView.Place.RESIDENT) {
+            given = true;
+            whenStarted.accept(new Started(engine, 0, ask.adapter().isBaseModel() ? 0 : version));
+        } else {
+            next(service);
+        }
+    }
+
+    private void refuse(ResultCode code) {
+        given = true;
+        whenRefused.accept(
+                Refusal.of(code).withRetryAfter(Optional.ofNullable(retryAfter).orElse(DEFAULT_RETRY)));
+    }
+
+    private void noteRetry(Duration after) {
+        Duration known = retryAfter;
+        retryAfter = known == null || after.compareTo(known) < 0 ? after : known;
+    }
+
+    private StartRequest startRequest(long ticket, Duration wait) {
+        ForwardRequest.TokenCounts tokens = ask.tokens();
+        return StartRequest.newBuilder()
+                .setTicket(ticket)
+                .setModel(ask.adapter().model())
+                .setAdapter(ask.adapter().adapter())
+                .setMinVersion(parts.versions().newest(ask.adapter()))
+                .setPromptTokens(promptTokens())
+                .setOutputTokens(tokens == null ? 0 : tokens.output())
+                .setPriority(ask.priority())
+                .setObjectiveMillis((int) Math.max(0, ask.objectiveLeft().toMillis()))
+                .setDeadlineMillis((int) Math.max(0, ask.timeLeft().toMillis()))
+                .setWaitMillis((int) wait.toMillis())
+                .setRequestId(ask.requestId())
+                .build();
+    }
+
+    private int promptTokens() {
+        ForwardRequest.TokenCounts tokens = ask.tokens();
+        return tokens == null ? 0 : tokens.prompt();
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardMetrics.java
@@ -0,0 +1,62 @@
+package io.parsleycleat.gateway.request.forward;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import io.parsleycleat.core.process.result.ResultCode;
+
+/**
+ * Counters and latencies of forwarded requests.
+ *
+ * <p>One an entry; safe to share between threads.
+ */
+public final class ForwardMetrics {
+    private final MetricRegistry registry;
+    private final Counter requests;
+    private final Counter sends;
+    private final Counter repeats;
+    private final Histogram headMillis;
+    private final Histogram firstEventMillis;
+    private final Histogram gateMillis;
+    private final Histogram totalMillis;
+
+    /** Creates the metrics in a registry. */
+    public ForwardMetrics(MetricRegistry registry) {
+        this.registry = registry;
+        this.requests = registry.counter("forward.requests");
+        this.sends = registry.counter("forward.sends");
+        this.repeats = registry.counter("forward.repeats");
+        this.headMillis = registry.histogram("forward.head.millis");
+        this.firstEventMillis = registry.histogram("forward.first_event.millis");
+        this.gateMillis = registry.histogram("forward.gate.millis");
+        this.totalMillis = registry.histogram("forward.total.millis");
+    }
+
+    void onRequest() {
+        requests.inc();
+    }
+
+    void onSend(boolean repeat) {
+        sends.inc();
+        if (repeat) {
+            repeats.inc();
+        }
+    }
+
+    void onGate(long millis) {
+        gateMillis.update(millis);
+    }
+
+    void onHead(long millis) {
+        headMillis.update(millis);
+    }
+
+    void onFirstEvent(long millis) {
+        firstEventMillis.update(millis);
+    }
+
+    void onEnd(ResultCode code, long millis) {
+        registry.counter("forward.result." + code.number()).inc();
+        totalMillis.update(millis);
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -0,0 +1,466 @@
+package io.parsleycleat.gateway.request.forward;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import io.netty.util.concurrent.ScheduledFuture;
+import io.parsleycleat.core.connection.caller.CallerExchange;
+import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.gateway.connection.upstream.AnswerHead;
+import io.parsleycleat.gateway.connection.upstream.SendFailure;
+import io.parsleycleat.gateway.version.routes.Account;
+import io.parsleycleat.gateway.version.routes.RequestKind;
+import io.parsleycleat.gateway.version.routes.Route;
+import io.parsleycleat.gateway.version.routes.ServiceSpec;
+import io.parsleycleat.gateway.version.upstreams.Upstream;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One admitted request on its way: it is sent to an upstream, sent again where that is allowed, and answered.
+ *
+ * <p>Created for each request; used on the event loop.
+ */
+final class Forwarding implements Attempt.Outcome {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** The final answer leaves a little before the caller's own deadline. */
+    private static final Duration DEADLINE_MARGIN = Duration.ofMillis(20);
+
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
+    /** Silence of an upstream on all its connections after which a request that may be repeated is sent elsewhere. */
+    private static final Duration UPSTREAM_SILENCE = Duration.ofMillis(800);
+    /** How long an idempotent request waits for its answer's head, in objectives, before it is sent elsewhere. */
+    private static final double HEAD_OBJECTIVES = 1.3;
+
+    private static final Duration RETRY_SOON = Duration.ofMillis(300);
+    private static final int MAX_SENDS = 4;
+    private static final int MAX_COLLECTED_BYTES = 1024 * 1024;
+    private static final int STATUS_SERVER_ERROR = 500;
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+    private final ForwardParts parts;
+    private final RequestForwarder.Admitted admitted;
+    private final ForwardRequest request;
+    private final Route route;
+    private final String service;
+    private final CallerExchange exchange;
+    private final Consumer<Boolean> whenDone;
+    private final long startNanos;
+    private final Duration limit;
+    private final Set<String> sentTo = new HashSet<>();
+    private final Set<String> avoided = new HashSet<>();
+    private int sends;
+    private boolean mayHaveRun;
+    private boolean done;
+    private @Nullable EngineStart starting;
+    private @Nullable Attempt attempt;
+    private @Nullable AnswerHead wholeHead;
+    private ByteString collected = ByteString.EMPTY;
+    private @Nullable CallerStream stream;
+    private @Nullable ScheduledFuture<?> deadlineTimer;
+    private @Nullable ScheduledFuture<?> checkTimer;
+
+    /**
+     * Creates the forwarding of one request.
+     *
+     * @param whenDone told at the end whether the request may have run
+     */
+    Forwarding(
+            ForwardParts parts,
+            RequestForwarder.Admitted admitted,
+            String service,
+            CallerExchange exchange,
+            Consumer<Boolean> whenDone) {
+        this.parts = parts;
+        this.admitted = admitted;
+        this.request = admitted.request();
+        this.route = admitted.route();
+        this.service = service;
+        this.exchange = exchange;
+        this.whenDone = whenDone;
+        this.startNanos = parts.time().monotonicNanos();
+        this.limit = limit();
+    }
+
+    void start() {
+        exchange.onGone(() -> parts.loop().execute(this::callerLeft));
+        deadlineTimer = parts.loop()
+                .schedule(this::deadlinePassed, Math.max(0, timeLeft().toMillis()), TimeUnit.MILLISECONDS);
+        next();
+    }
+
+    // Sending
+
+    private void next() {
+        if (done) {
+            return;
+        }
+        Optional<ServiceSpec> spec = admitted.table().service(service);
+        if (spec.isPresent() && spec.get().engine() != null && request.adapter() != null) {
+            startOnEngine();
+            return;
+        }
+        Set<String> excluded = new HashSet<>(sentTo);
+        excluded.addAll(avoided);
+        parts.plain()
+                .choose(parts.directory().usable(service), excluded)
+                .ifPresentOrElse(
+                        u -> send(u, 0, 0),
+                        () -> giveUp(Refusal.of(ResultCode.NO_UPSTREAM).withRetryAfter(RETRY_SOON)));
+    }
+
+    private void startOnEngine() {
+        Set<String> excluded = new HashSet<>(avoided);
+        excluded.addAll(sentTo);
+        EngineStart.Ask ask = new EngineStart.Ask(
+                request.id(),
+                java.util.Objects.requireNonNull(request.adapter()),
+                request.tokens(),
+                priority(),
+                route.objective().minus(age()),
+                timeLeft());
+        EngineStart search = new EngineStart(
+                parts,
+                ask,
+                excluded,
+                started -> {
+                    starting = null;
+                    parts.metrics().onGate(age().toMillis());
+                    send(started.engine(), started.ticket(), started.adapterVersion());
+                },
+                refusal -> {
+                    starting = null;
+                    giveUp(refusal);
+                });
+        starting = search;
+        search.next(service);
+    }
+
+    private void send(Upstream upstream, long ticket, long adapterVersion) {
+        sends++;
+        sentTo.add(upstream.id());
+        parts.metrics().onSend(sends > 1);
+        CallerStream current = stream;
+        OptionalLong last = current == null ? OptionalLong.empty() : current.lastEventId();
+        Long resumeAfter = last.isPresent() ? Long.valueOf(last.getAsLong()) : request.resumeAfter();
+        Account account = admitted.account();
+        boolean engine = request.adapter() != null;
+        Attempt sent = new Attempt(parts, upstream, ticket, request.id(), this);
+        attempt = sent;
+        sent.send(
+                request,
+                new SendTerms(
+                        upstream,
+                        timeLeft(),
+                        account == null ? null : account.name(),
+                        engine ? priority() : null,
+                        adapterVersion,
+                        resumeAfter));
+        if (checkTimer == null && route.mayRepeat()) {
+            checkTimer = parts.loop()
+                    .scheduleAtFixedRate(
+                            this::check, CHECK_INTERVAL.toMillis(), CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Sends a request that may run again to another upstream when this one is silent. */
+    private void check() {
+        Attempt current = attempt;
+        if (done || current == null || current.isOver()) {
+            return;
+        }
+        boolean late;
+        if (route.kind() == RequestKind.STREAM) {
+            late = current.age().compareTo(UPSTREAM_SILENCE) > 0
+                    && current.load().silence().compareTo(UPSTREAM_SILENCE) > 0;
+        } else {
+            late = !current.hasHead()
+                    && current.age().toMillis()
+                            > HEAD_OBJECTIVES * route.objective().toMillis();
+        }
+        if (late && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
+            logger.atInfo()
+                    .with(LogKeys.REQUEST, request.id())
+                    .with(LogKeys.UPSTREAM, current.upstream().id())
+                    .log("no answer for %d ms; sent elsewhere", current.age().toMillis());
+            current.load().onFailure();
+            mayHaveRun = true;
+            current.cancel();
+            again();
+        }
+    }
+
+    private boolean mayGoElsewhere() {
+        return sentTo.size() < route.maxUpstreams() && sends < MAX_SENDS && hasOther();
+    }
+
+    private boolean hasOther() {
+        return parts.directory().usable(service).stream()
+                .anyMatch(u -> !sentTo.contains(u.id()) && !avoided.contains(u.id()));
+    }
+
+    private void again() {
+        CallerStream current = stream;
+        if (current != null) {
+            current.cut();
+        }
+        wholeHead = null;
+        collected = ByteString.EMPTY;
+        next();
+    }
+
+    // Outcome of an attempt
+
+    @Override
+    public void onHead(Attempt from, AnswerHead head) {
+        mayHaveRun = true;
+        boolean streams = route.kind() == RequestKind.STREAM && head.isSuccess();
+        if (stream != null) {
+            if (!head.isSuccess()) {
+                from.cancel();
+                broken(from, SendFailure.malformed("status " + head.status() + " for the rest of a stream"));
+            }
+        } else if (streams) {
+            exchange.start(head.status(), parts.codec().callerHeaders(head));
+            stream = new CallerStream(
+                    exchange, route.resumable(), a -> parts.loop().execute(a), this::setReading);
+        } else {
+            wholeHead = head;
+        }
+    }
+
+    private void setReading(boolean reading) {
+        Attempt current = attempt;
+        if (current != null) {
+            current.setReading(reading);
+        }
+    }
+
+    @Override
+    public void onBody(Attempt from, ByteString part) {
+        if (done) {
+            return;
+        }
+        CallerStream current = stream;
+        if (current != null) {
+            if (sends == 1 && current.lastEventId().isEmpty()) {
+                parts.metrics().onFirstEvent(age().toMillis());
+            }
+            current.take(part);
+            return;
+        }
+        collected = collected.concat(part);
+        if (collected.size() > MAX_COLLECTED_BYTES) {
+            passOn();
+        }
+    }
+
+    /** Starts to pass on an answer that is too large to be kept until it is whole. */
+    private void passOn() {
+        AnswerHead head = wholeHead;
+        if (head != null) {
+            exchange.start(head.status(), parts.codec().callerHeaders(head));
+            CallerStream passed =
+                    new CallerStream(exchange, false, a -> parts.loop().execute(a), this::setReading);
+            stream = passed;
+            passed.take(collected);
+            collected = ByteString.EMPTY;
+        }
+    }
+
+    @Override
+    public void onWhole(Attempt from) {
+        if (done) {
+            return;
+        }
+        parts.crashes().onSurvived(request.fingerprint());
+        CallerStream current = stream;
+        if (current != null) {
+            current.end();
+            end(ResultCode.DONE, "streamed");
+            return;
+        }
+        AnswerHead head = wholeHead;
+        if (head == null) {
+            broken(from, SendFailure.malformed("an answer without a head"));
+            return;
+        }
+        if (head.status() >= STATUS_SERVER_ERROR) {
+            from.load().onError();
+            if (route.mayRepeat() && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
+                again();
+                return;
+            }
+        } else {
+            from.load().onSuccess(from.age());
+        }
+        answerWhole(head);
+    }
+
+    private void answerWhole(AnswerHead head) {
+        if (PROMISES.contains(head.status()) && !route.mayRepeat()) {
+            finish(Refusal.of(ResultCode.ANSWER_INCOMPLETE, "status " + head.status() + " although it may have run"));
+            return;
+        }
+        exchange.respond(head.status(), parts.codec().callerHeaders(head), collected);
+        end(ResultCode.DONE, "status " + head.status());
+    }
+
+    @Override
+    public void onNotRun(Attempt from, AnswerFacts answer) {
+        if (done) {
+            return;
+        }
+        logger.atInfo()
+                .with(LogKeys.REQUEST, request.id())
+                .with(LogKeys.UPSTREAM, from.upstream().id())
+                .log("upstream did not run it, wrong upstream %s", answer.wrongUpstream());
+        if (mayGoElsewhere() && parts.retries().tryRepeat(service)) {
+            again();
+        } else {
+            giveUp(Refusal.of(ResultCode.UPSTREAM_REFUSED).withRetryAfter(RETRY_SOON));
+        }
+    }
+
+    @Override
+    public void onFailed(Attempt from, SendFailure failure) {
+        from.load().onFailure();
+        if (failure.connectionLost() && failure.mayHaveRun()) {
+            parts.crashes().onLost(from.upstream(), request.fingerprint());
+        }
+        if (!failure.mayHaveRun()) {
+            parts.crashes().onDown(from.upstream());
+        }
+        if (!done) {
+            broken(from, failure);
+        }
+    }
+
+    private void broken(Attempt from, SendFailure failure) {
+        logger.atInfo()
+                .with(LogKeys.REQUEST, request.id())
+                .with(LogKeys.UPSTREAM, from.upstream().id())
+                .log("no whole answer, may have run %s: %s", failure.mayHaveRun(), failure.detail());
+        if (!failure.mayHaveRun()) {
+            sentTo.remove(from.upstream().id());
+            avoided.add(from.upstream().id());
+            if (sends < MAX_SENDS && hasOther()) {
+                again();
+            } else {
+                giveUp(Refusal.of(ResultCode.UPSTREAM_UNREACHABLE).withRetryAfter(RETRY_SOON));
+            }
+            return;
+        }
+        mayHaveRun = true;
+        boolean allowed = route.mayRepeat() && parts.crashes().maySend(request.fingerprint());
+        if (allowed && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
+            again();
+        } else {
+            finish(Refusal.of(ResultCode.UPSTREAM_LOST, failure.detail()));
+        }
+    }
+
+    // Ends
+
+    /** Ends with a refusal that says "not run", unless an earlier send may have run. */
+    private void giveUp(Refusal refusal) {
+        boolean promise = !mayHaveRun || route.kind() == RequestKind.IDEMPOTENT;
+        finish(promise ? refusal : Refusal.of(ResultCode.UPSTREAM_LOST, refusal.detail()));
+    }
+
+    private void finish(Refusal refusal) {
+        if (done) {
+            return;
+        }
+        if (stream != null) {
+            exchange.abort();
+        } else {
+            parts.codec().refuse(exchange, request.id(), refusal);
+        }
+        end(refusal.code(), refusal.detail());
+    }
+
+    private void deadlinePassed() {
+        if (done) {
+            return;
+        }
+        stopWork();
+        finish(
+                mayHaveRun || sends > 0
+                        ? Refusal.of(ResultCode.DEADLINE_PASSED)
+                        : Refusal.of(ResultCode.DEADLINE_UNREACHABLE).withRetryAfter(RETRY_SOON));
+    }
+
+    private void callerLeft() {
+        if (!done) {
+            stopWork();
+            end(ResultCode.CANCELLED, "the caller left");
+        }
+    }
+
+    private void stopWork() {
+        EngineStart search = starting;
+        if (search != null) {
+            search.cancel();
+        }
+        Attempt current = attempt;
+        if (current != null && !current.isOver()) {
+            mayHaveRun = true;
+            current.cancel();
+        }
+    }
+
+    private void end(ResultCode code, String detail) {
+        done = true;
+        ScheduledFuture<?> timer = deadlineTimer;
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        ScheduledFuture<?> checks = checkTimer;
+        if (checks != null) {
+            checks.cancel(false);
+        }
+        whenDone.accept(mayHaveRun);
+        parts.metrics().onEnd(code, age().toMillis());
+        Attempt last = attempt;
+        logger.atInfo()
+                .with(LogKeys.REQUEST, request.id())
+                .with(LogKeys.CODE, code.number())
+                .with(LogKeys.UPSTREAM, last == null ? "" : last.upstream().id())
+                .log(
+                        "%s in %d ms after %d sends, route %s, configuration %d",
+                        detail,
+                        age().toMillis(),
+                        sends,
+                        route.name(),
+                        admitted.table().version());
+    }
+
+    // Times
+
+    private Duration limit() {
+        Duration own = request.callerDeadline().orElse(route.timeout());
+        Duration shorter = own.compareTo(route.timeout()) < 0 ? own : route.timeout();
+        return shorter.minus(DEADLINE_MARGIN);
+    }
+
+    private Duration age() {
+        return Duration.ofNanos(parts.time().monotonicNanos() - startNanos);
+    }
+
+    private Duration timeLeft() {
+        return limit.minus(age());
+    }
+
+    private int priority() {
+        Account account = admitted.account();
+        return account == null ? route.priority() : account.ownPriority().orElse(route.priority());
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudget.java
@@ -0,0 +1,94 @@
+package io.parsleycleat.gateway.request.limits;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One account's budget over the whole fleet, as one entry keeps it.
+ *
+ * <p>Each entry keeps a replica of the whole budget: it takes off what it admits itself and what the others report. The
+ * part of the rate that belongs to entries that are not heard is not added, because they may be spending it. A new
+ * replica starts empty, so that restarts never add to what may be spent.
+ *
+ * <p>Created by {@link AccountBudgets} under whose lock it is used.
+ */
+final class AccountBudget {
+    private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private final Map<String, Double> reported = new HashMap<>();
+    private double ratePerSecond;
+    private double burst;
+    private double level;
+    private double spent;
+    private double spentSinceReport;
+    private long filledNanos;
+
+    AccountBudget(double ratePerSecond, double burst, long nowNanos) {
+        this.ratePerSecond = ratePerSecond;
+        this.burst = burst;
+        this.filledNanos = nowNanos;
+    }
+
+    void setLimit(double newRate, double newBurst) {
+        ratePerSecond = newRate;
+        burst = newBurst;
+        level = Math.min(level, newBurst);
+    }
+
+    /** Adds what the passed time brings, in the part that this entry may count on. */
+    void fill(long nowNanos, double part) {
+        double seconds = Math.max(0, (nowNanos - filledNanos) / NANOS_PER_SECOND);
+        filledNanos = nowNanos;
+        level = Math.min(burst, level + seconds * ratePerSecond * part);
+    }
+
+    /** Takes a cost if it is there, leaving room for what heard entries may be spending at the same time. */
+    boolean trySpend(double cost, int heardOthers) {
+        double left = level - spentSinceReport * heardOthers;
+        if (left < Math.min(cost, burst)) {
+            return false;
+        }
+        level -= cost;
+        spent += cost;
+        spentSinceReport += cost;
+        return true;
+    }
+
+    void giveBack(double cost) {
+        level = Math.min(burst, level + cost);
+        spent -= cost;
+        spentSinceReport = Math.max(0, spentSinceReport - cost);
+    }
+
+    /** Returns when a cost will be there at the earliest. */
+    Duration timeUntil(double cost, double part) {
+        double missing = Math.min(cost, burst) - level;
+        double perSecond = Math.max(1, ratePerSecond * part);
+        return Duration.ofMillis((long) (1_000 * Math.max(0, missing) / perSecond));
+    }
+
+    /** Takes another entry's total; what it spent since its last report is taken off. */
+    void onReport(String entry, double total) {
+        Double before = reported.put(entry, total);
+        if (before != null) {
+            level -= total - before;
+        }
+    }
+
+    /** Forgets an entry's total, so that what it spent while it was silent, from its own part, is not taken off. */
+    void forget(String entry) {
+        reported.remove(entry);
+    }
+
+    /** Returns the total for the next report. */
+    double report() {
+        spentSinceReport = 0;
+        return spent;
+    }
+
+    double level() {
+        return level;
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/FollowSettings.java
@@ -0,0 +1,33 @@
+package io.parsleycleat.gateway.version.follow;
+
+import java.time.Duration;
+
+/**
+ * How often a log is read.
+ *
+ * @param maxWait how long a read waits for the first new record
+ * @param minGap the pause after a read, so that records gather
+ * @param timeout how long an answer may take beyond the wait
+ * @param retryDelay the pause after a failure
+ * @param outageGrace how long keys that were dropped after an outage have to return
+ */
+public record FollowSettings(
+        Duration maxWait, Duration minGap, Duration timeout, Duration retryDelay, Duration outageGrace) {
+    /** Settings for a log that changes rarely and whose changes matter at once. */
+    public static final FollowSettings PROMPT = new FollowSettings(
+            Duration.ofMillis(1_000),
+            Duration.ofMillis(100),
+            Duration.ofMillis(800),
+            Duration.ofMillis(250),
+            Duration.ofMillis(2_200));
+
+    /** Returns a copy with another wait. */
+    public FollowSettings withWait(Duration newWait) {
+        return new FollowSettings(newWait, minGap, timeout, retryDelay, outageGrace);
+    }
+
+    /** Returns a copy with another pause between reads. */
+    public FollowSettings withMinGap(Duration newMinGap) {
+        return new FollowSettings(maxWait, newMinGap, timeout, retryDelay, outageGrace);
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedLog.java
@@ -0,0 +1,40 @@
+package io.parsleycleat.gateway.version.follow;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** A log that keeps the newest record of each key. Implementations are safe to share between threads. */
+public interface KeyedLog {
+    /**
+     * A part of the newest records.
+     *
+     * @param hasMore whether further keys follow the last one
+     * @param end the offset that the next record will have
+     */
+    record NewestPage(List<KeyedRecord> records, boolean hasMore, long end) {
+        public NewestPage {
+            records = List.copyOf(records);
+        }
+    }
+
+    /**
+     * Records from one offset on, in order.
+     *
+     * @param next where the next read goes on
+     */
+    record Records(List<KeyedRecord> records, long next) {
+        public Records {
+            records = List.copyOf(records);
+        }
+    }
+
+    /** Reads the newest record of each key after the given key; an empty key starts at the first. */
+    CompletableFuture<NewestPage> newest(String afterKey);
+
+    /**
+     * Reads the records from an offset on, waiting at most so long for the first. Fails with
+     * {@code LogTrimmedException} when they are no longer kept.
+     */
+    CompletableFuture<Records> read(long from, Duration wait);
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
@@ -0,0 +1,263 @@
+package io.parsleycleat.gateway.version.follow;
+
+import com.google.common.flogger.FluentLogger;
+import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.result.Failures;
+import io.parsleycleat.core.process.result.LogTrimmedException;
+import io.parsleycleat.core.process.time.TimeSource;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps a fold up to date with a keyed log: one full read, then every further record in order.
+ *
+ * <p>When the log has dropped records that were not read yet, everything is read anew and keys that are missing count
+ * as
+ * dropped. A key's value never goes back to an earlier offset.
+ *
+ * <p>Created once for each log; its steps follow one another, whichever thread they run on.
+ */
+public final class LogFollower {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** Silence after which entries of others may have lapsed although they live. */
+    private static final Duration OUTAGE = Duration.ofMillis(900);
+
+    private final String name;
+    private final KeyedLog log;
+    private final KeyedFold fold;
+    private final FollowSettings settings;
+    private final ScheduledExecutorService scheduler;
+    private final TimeSource time;
+    private final Freshness freshness;
+    private final AtomicLong round = new AtomicLong();
+
+    private final Object lock = new Object();
+    private final Map<String, Long> offsets = new HashMap<>();
+    private long next = -1;
+    private boolean reachable = true;
+    private long lastAnswerNanos;
+    private long graceEndsNanos;
+    private boolean inGrace;
+    private volatile boolean stopped;
+
+    /** Creates a follower that reads nothing yet. */
+    public LogFollower(
+            String name,
+            KeyedLog log,
+            KeyedFold fold,
+            FollowSettings settings,
+            ScheduledExecutorService scheduler,
+            TimeSource time) {
+        this.name = name;
+        this.log = log;
+        this.fold = fold;
+        this.settings = settings;
+        this.scheduler = scheduler;
+        this.time = time;
+        this.freshness = new Freshness(time);
+        this.lastAnswerNanos = time.monotonicNanos();
+    }
+
+    // Public operations
+
+    /** Starts to read. */
+    public void start() {
+        step(round.get());
+    }
+
+    /** Stops to read; answers that are on their way change nothing. */
+    public void stop() {
+        stopped = true;
+        round.incrementAndGet();
+    }
+
+    /** Reads at once, without waiting for the answer of a read that is under way. */
+    public void refresh() {
+        step(round.incrementAndGet());
+    }
+
+    /** Returns how fresh the fold is. */
+    public Freshness freshness() {
+        return freshness;
+    }
+
+    /** Returns whether the whole log has been read once. */
+    public boolean isRead() {
+        synchronized (lock) {
+            return next >= 0;
+        }
+    }
+
+    /** Returns the offset up to which the log was read. */
+    public long offset() {
+        synchronized (lock) {
+            return next;
+        }
+    }
+
+    // Steps
+
+    private void step(long current) {
+        if (stopped || round.get() != current) {
+            return;
+        }
+        Freshness.Moment sent = freshness.now();
+        boolean full = offset() < 0;
+        CompletableFuture<Void> done = full ? readAll() : readOn(current);
+        done.orTimeout(settings.maxWait().plus(settings.timeout()).toMillis(), TimeUnit.MILLISECONDS)
+                .whenComplete(
+                        (nothing, failure) -> after(current, sent, failure == null ? null : Failures.unwrap(failure)));
+    }
+
+    private void after(long current, Freshness.Moment sent, @Nullable Throwable failure) {
+        if (stopped || round.get() != current) {
+            return;
+        }
+        if (failure == null) {
+            answered(sent);
+            again(current, settings.minGap());
+        } else if (failure instanceof LogTrimmedException) {
+            logger.atInfo().log("%s dropped records that were not read; reading all of it", name);
+            synchronized (lock) {
+                next = -1;
+            }
+            again(current, Duration.ZERO);
+        } else {
+            failed(failure);
+            again(current, settings.retryDelay());
+        }
+    }
+
+    private void again(long current, Duration delay) {
+        scheduler.schedule(() -> step(current), delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void answered(Freshness.Moment sent) {
+        freshness.confirm(sent);
+        boolean graceOver;
+        synchronized (lock) {
+            if (!reachable) {
+                logger.atInfo().with(LogKeys.OFFSET, next).log("%s answers again", name);
+            }
+            reachable = true;
+            lastAnswerNanos = time.monotonicNanos();
+            graceOver = inGrace && time.monotonicNanos() - graceEndsNanos >= 0;
+            inGrace = inGrace && !graceOver;
+        }
+        if (graceOver) {
+            fold.endOutage();
+        }
+    }
+
+    private void failed(Throwable failure) {
+        synchronized (lock) {
+            if (reachable) {
+                logger.atWarning().with(LogKeys.OFFSET, next).log("%s does not answer: %s", name, failure);
+            }
+            reachable = false;
+        }
+    }
+
+    /** Begins the time in which lapsed keys may return when the store was silent before this answer. */
+    private void noteContact() {
+        synchronized (lock) {
+            long now = time.monotonicNanos();
+            if (!reachable && now - lastAnswerNanos > OUTAGE.toNanos()) {
+                inGrace = true;
+                graceEndsNanos = now + settings.outageGrace().toNanos();
+            }
+        }
+    }
+
+    // Reading
+
+    private CompletableFuture<Void> readOn(long current) {
+        Duration wait = isGraceRunning() ? Duration.ZERO : settings.maxWait();
+        return log.read(offset(), wait).thenAccept(records -> {
+            if (round.get() == current) {
+                noteContact();
+                apply(records.records());
+                synchronized (lock) {
+                    next = Math.max(next, records.next());
+                }
+            }
+        });
+    }
+
+    private boolean isGraceRunning() {
+        synchronized (lock) {
+            return inGrace;
+        }
+    }
+
+    private CompletableFuture<Void> readAll() {
+        List<KeyedRecord> found = new ArrayList<>();
+        return readPages("", -1, found).thenAccept(end -> {
+            noteContact();
+            applyAll(found);
+            synchronized (lock) {
+                next = Math.max(next, end);
+            }
+        });
+    }
+
+    /** Reads all pages. The end as of the first page is where reading goes on, since pages are no snapshot. */
+    private CompletableFuture<Long> readPages(String afterKey, long firstEnd, List<KeyedRecord> found) {
+        return log.newest(afterKey).thenCompose(page -> {
+            found.addAll(page.records());
+            long end = firstEnd < 0 ? page.end() : firstEnd;
+            if (!page.hasMore() || page.records().isEmpty()) {
+                return CompletableFuture.completedFuture(end);
+            }
+            KeyedRecord last = page.records().get(page.records().size() - 1);
+            return readPages(last.key(), end, found);
+        });
+    }
+
+    private void applyAll(List<KeyedRecord> found) {
+        Set<String> present = new HashSet<>();
+        found.stream().filter(r -> !r.isDrop()).forEach(r -> present.add(r.key()));
+        List<String> missing;
+        synchronized (lock) {
+            missing =
+                    offsets.keySet().stream().filter(k -> !present.contains(k)).toList();
+        }
+        apply(found);
+        missing.forEach(this::drop);
+    }
+
+    private void apply(List<KeyedRecord> records) {
+        records.forEach(r -> {
+            synchronized (lock) {
+                long known = offsets.getOrDefault(r.key(), -1L);
+                if (r.offset() <= known) {
+                    return;
+                }
+                offsets.put(r.key(), r.offset());
+            }
+            if (r.isDrop()) {
+                drop(r.key());
+            } else {
+                fold.put(r.key(), r.value());
+            }
+        });
+    }
+
+    private void drop(String key) {
+        boolean afterOutage;
+        synchronized (lock) {
+            afterOutage = inGrace;
+        }
+        fold.drop(key, afterOutage);
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/Account.java
@@ -0,0 +1,39 @@
+package io.parsleycleat.gateway.version.routes;
+
+import java.util.Objects;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A client account with its keys and its limit over the whole fleet. Immutable.
+ *
+ * @param priority goes before the route's; null when the route's holds
+ * @param countsTokens whether rate and burst are counted in tokens; otherwise in requests
+ * @param ratePerSecond 0 for no limit
+ * @param burst the most that may be spent at once
+ * @param plainTokens what a request without token counts costs
+ */
+public record Account(
+        String name,
+        Set<String> keys,
+        @Nullable Integer priority,
+        boolean countsTokens,
+        double ratePerSecond,
+        double burst,
+        int plainTokens) {
+    public Account {
+        Objects.requireNonNull(name, "name");
+        keys = Set.copyOf(keys);
+    }
+
+    /** Returns the account's own priority, if it has one. */
+    public OptionalInt ownPriority() {
+        return priority == null ? OptionalInt.empty() : OptionalInt.of(priority);
+    }
+
+    /** Returns whether the account has a limit. */
+    public boolean isLimited() {
+        return ratePerSecond > 0;
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/AdapterId.java
@@ -0,0 +1,26 @@
+package io.parsleycleat.gateway.version.routes;
+
+import java.util.Objects;
+
+/** Names an adapter of a model, or the model itself when the adapter's name is empty. */
+public record AdapterId(String model, String adapter) {
+    public AdapterId {
+        Objects.requireNonNull(model, "model");
+        Objects.requireNonNull(adapter, "adapter");
+    }
+
+    /** Returns the name of a base model without an adapter. */
+    public static AdapterId baseModel(String model) {
+        return new AdapterId(model, "");
+    }
+
+    /** Returns whether this names the model itself. */
+    public boolean isBaseModel() {
+        return adapter.isEmpty();
+    }
+
+    @Override
+    public String toString() {
+        return isBaseModel() ? model : model + "/" + adapter;
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/AdapterVersions.java
@@ -0,0 +1,39 @@
+package io.parsleycleat.gateway.version.routes;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * The newest named version of each adapter. Versions never go back.
+ *
+ * <p>One a process; safe to share between threads.
+ */
+public final class AdapterVersions {
+    private final Map<AdapterId, Named> newest = new ConcurrentHashMap<>();
+
+    /** A version and when this process learnt of it. */
+    public record Named(long version, long learntNanos) {}
+
+    /**
+     * Takes a version that was named.
+     *
+     * @return whether it is newer than what was known
+     */
+    public boolean name(AdapterId adapter, long version, long nowNanos) {
+        long before = newest(adapter);
+        newest.merge(adapter, new Named(version, nowNanos), (old, n) -> n.version() > old.version() ? n : old);
+        return version > before;
+    }
+
+    /** Returns the newest named version, or 0 when none was named. */
+    public long newest(AdapterId adapter) {
+        Named named = newest.get(adapter);
+        return named == null ? 0 : named.version();
+    }
+
+    /** Returns when the newest version was learnt, in nanoseconds of the steady clock; 0 when none was named. */
+    public long learntNanos(AdapterId adapter) {
+        Named named = newest.get(adapter);
+        return named == null ? 0 : named.learntNanos();
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationDecoder.java
@@ -0,0 +1,18 @@
+package io.parsleycleat.gateway.version.routes;
+
+import java.util.Optional;
+
+/**
+ * Decodes the records that operators write. A record that cannot be read, or is of another kind, decodes to nothing.
+ * Implementations are stateless and safe to share.
+ */
+public interface ConfigurationDecoder {
+    /** A version that was named for an adapter. */
+    record NamedVersion(AdapterId adapter, long version) {}
+
+    /** Decodes a configuration version. */
+    Optional<RoutingTable> table(String key, byte[] value);
+
+    /** Decodes a named adapter version. */
+    Optional<NamedVersion> version(String key, byte[] value);
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationFold.java
@@ -0,0 +1,55 @@
+package io.parsleycleat.gateway.version.routes;
+
+import com.google.common.flogger.FluentLogger;
+import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.gateway.version.follow.KeyedFold;
+import java.util.Optional;
+
+/**
+ * Brings operators' records into force. A record that cannot be read changes nothing, and so does a dropped one.
+ *
+ * <p>One a process; called by one follower.
+ */
+public final class ConfigurationFold implements KeyedFold {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final ConfigurationDecoder decoder;
+    private final ConfigurationHolder holder;
+    private final AdapterVersions versions;
+    private final TimeSource time;
+
+    /** Creates a fold into a process's configuration and versions. */
+    public ConfigurationFold(
+            ConfigurationDecoder decoder, ConfigurationHolder holder, AdapterVersions versions, TimeSource time) {
+        this.decoder = decoder;
+        this.holder = holder;
+        this.versions = versions;
+        this.time = time;
+    }
+
+    @Override
+    public void put(String key, byte[] value) {
+        Optional<RoutingTable> table = decoder.table(key, value);
+        table.ifPresent(holder::offer);
+        if (table.isPresent()) {
+            return;
+        }
+        decoder.version(key, value)
+                .ifPresentOrElse(
+                        named -> {
+                            if (versions.name(named.adapter(), named.version(), time.monotonicNanos())) {
+                                logger.atInfo()
+                                        .with(LogKeys.ADAPTER, named.adapter().toString())
+                                        .log("version %d named", named.version());
+                            }
+                        },
+                        () -> logger.atWarning().log(
+                                "operators' record %s of %d bytes is passed over", key, value.length));
+    }
+
+    @Override
+    public void drop(String key, boolean afterOutage) {
+        logger.atInfo().log("operators' record %s was dropped; what it said stays in force", key);
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/EngineSpec.java
@@ -0,0 +1,24 @@
+package io.parsleycleat.gateway.version.routes;
+
+import java.util.List;
+
+/**
+ * What the engines of a service can hold and run. Immutable.
+ *
+ * @param slots requests that run at once
+ * @param memoryTokens memory for prompts and answers
+ * @param weightsMegabytes memory for models and adapters together
+ * @param adapterSlots adapters that are held or on their way at once
+ * @param loadsPerSecond loads of models that the weight store allows, over all engines
+ */
+public record EngineSpec(
+        int slots,
+        int memoryTokens,
+        double weightsMegabytes,
+        int adapterSlots,
+        double loadsPerSecond,
+        List<ModelSpec> models) {
+    public EngineSpec {
+        models = List.copyOf(models);
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ModelSpec.java
@@ -0,0 +1,12 @@
+package io.parsleycleat.gateway.version.routes;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/** A base model that a service's engines can hold. */
+public record ModelSpec(String name, double weightsMegabytes, double adapterMegabytes, Duration loadTime) {
+    public ModelSpec {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(loadTime, "loadTime");
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/Route.java
@@ -0,0 +1,62 @@
+package io.parsleycleat.gateway.version.routes;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * How requests to one host and path prefix are served. Immutable.
+ *
+ * @param pathPrefix begins and ends with a slash
+ * @param shares the services, at least one
+ * @param timeout the longest time that a caller is kept waiting for the end of its answer
+ * @param objective the time within which an answer is of full use; to the first event for streams
+ * @param priority 0 is the most urgent
+ * @param maxUpstreams to how many upstreams one request may be sent
+ * @param open whether requests need no key
+ * @param resumable whether a stream that broke off may be continued by another upstream
+ */
+public record Route(
+        String name,
+        String host,
+        String pathPrefix,
+        RequestKind kind,
+        List<ServiceShare> shares,
+        Duration timeout,
+        Duration objective,
+        int priority,
+        int maxUpstreams,
+        boolean open,
+        boolean resumable) {
+    public Route {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(kind, "kind");
+        shares = List.copyOf(shares);
+        Objects.requireNonNull(timeout, "timeout");
+        Objects.requireNonNull(objective, "objective");
+        if (shares.isEmpty()) {
+            throw new IllegalArgumentException("route " + name + " has no service");
+        }
+        if (!pathPrefix.startsWith("/") || !pathPrefix.endsWith("/")) {
+            throw new IllegalArgumentException("path prefix must begin and end with a slash: " + pathPrefix);
+        }
+    }
+
+    /** Returns whether a request may run again after it may have run. */
+    public boolean mayRepeat() {
+        return kind == RequestKind.IDEMPOTENT || (kind == RequestKind.STREAM && resumable);
+    }
+
+    /** Returns the service for a point between 0 (included) and 1 (excluded) on the scale of all shares. */
+    public String serviceAt(double point) {
+        double left = point * shares.stream().mapToDouble(ServiceShare::weight).sum();
+        for (ServiceShare share : shares) {
+            left -= share.weight();
+            if (left < 0) {
+                return share.service();
+            }
+        }
+        return shares.get(shares.size() - 1).service();
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/Upstream.java
@@ -0,0 +1,37 @@
+package io.parsleycleat.gateway.version.upstreams;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * An upstream as it last described itself. Immutable.
+ *
+ * @param id names one start of the upstream, mostly; {@code born} tells starts with the same id apart
+ * @param born Unix milliseconds of its start
+ * @param leaving whether it takes no new requests
+ * @param slots requests that it runs at once
+ * @param residents version by name of the adapters that it holds, MODEL/NAME; a base model stands with its own name
+ */
+public record Upstream(
+        String id,
+        String service,
+        InetSocketAddress address,
+        String dataCentre,
+        long born,
+        boolean leaving,
+        int slots,
+        Map<String, Long> residents) {
+    public Upstream {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(address, "address");
+        Objects.requireNonNull(dataCentre, "dataCentre");
+        residents = Map.copyOf(residents);
+    }
+
+    /** Returns whether both describe the same start of the same upstream. */
+    public boolean isSameStart(Upstream other) {
+        return id.equals(other.id) && born == other.born && address.equals(other.address);
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
@@ -0,0 +1,92 @@
+package io.parsleycleat.gateway.version.upstreams;
+
+import com.google.common.flogger.FluentLogger;
+import io.parsleycleat.core.process.logging.LogKeys;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiConsumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The upstreams that can be used, by id and by service.
+ *
+ * <p>An entry that lapsed while the store was away may come back shortly after the store does, so removals that arrive
+ * then are put off until the grace time is over; all others hold at once.
+ *
+ * <p>One a process; safe to share between threads.
+ */
+public final class UpstreamDirectory {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final Map<String, Upstream> upstreams = new ConcurrentHashMap<>();
+    private final Map<String, Boolean> lapsed = new ConcurrentHashMap<>();
+    private final List<BiConsumer<@Nullable Upstream, @Nullable Upstream>> listeners = new CopyOnWriteArrayList<>();
+
+    /** Calls back with each upstream's description before and after a change; null where there is none. */
+    public void onChange(BiConsumer<@Nullable Upstream, @Nullable Upstream> listener) {
+        listeners.add(listener);
+    }
+
+    /** Takes an upstream's newest description. */
+    public void put(Upstream upstream) {
+        lapsed.remove(upstream.id());
+        Upstream before = upstreams.put(upstream.id(), upstream);
+        if (before == null || !before.isSameStart(upstream)) {
+            logger.atInfo()
+                    .with(LogKeys.UPSTREAM, upstream.id())
+                    .log("upstream of %s at %s, started %d", upstream.service(), upstream.address(), upstream.born());
+        } else if (before.leaving() != upstream.leaving()) {
+            logger.atInfo().with(LogKeys.UPSTREAM, upstream.id()).log("upstream leaving: %s", upstream.leaving());
+        }
+        tell(before, upstream);
+    }
+
+    /** Removes an upstream that is gone. */
+    public void remove(String id) {
+        lapsed.remove(id);
+        Upstream before = upstreams.remove(id);
+        if (before != null) {
+            logger.atInfo().with(LogKeys.UPSTREAM, id).log("upstream of %s is gone", before.service());
+            tell(before, null);
+        }
+    }
+
+    /** Notes that an upstream's entry lapsed while the store was away, so that it may come back. */
+    public void lapse(String id) {
+        if (upstreams.containsKey(id)) {
+            lapsed.put(id, true);
+        }
+    }
+
+    /** Removes the upstreams whose lapsed entries did not come back. */
+    public void endGrace() {
+        List.copyOf(lapsed.keySet()).forEach(this::remove);
+    }
+
+    /** Returns an upstream by its id. */
+    public Optional<Upstream> find(String id) {
+        return Optional.ofNullable(upstreams.get(id));
+    }
+
+    /** Returns the upstreams of a service that take new requests. */
+    public List<Upstream> usable(String service) {
+        return upstreams.values().stream()
+                .filter(u -> !u.leaving() && u.service().equals(service))
+                .toList();
+    }
+
+    /** Returns all upstreams. */
+    public List<Upstream> all() {
+        return List.copyOf(upstreams.values());
+    }
+
+    private void tell(@Nullable Upstream before, @Nullable Upstream after) {
+        if (!Objects.equals(before, after)) {
+            listeners.forEach(l -> l.accept(before, after));
+        }
+    }
+}
