--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ScriptedUpstream.java
@@ -0,0 +1,113 @@
+package io.parsleycleat.gateway.connection;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+
+/**
+ * An upstream that answers each request with the bytes that a test gives it. Each connection has its own thread; a
+ * request is a head with an optional body of a given length.
+ */
+public final class ScriptedUpstream implements AutoCloseable {
+    private final ServerSocket server;
+    private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+    private final Script script;
+
+    /** Answers one request; returns false to end the connection. */
+    @FunctionalInterface
+    public interface Script {
+        boolean answer(String request, Socket connection) throws IOException;
+    }
+
+    public ScriptedUpstream(Script script) {
+        this.script = script;
+        try {
+            server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        Thread accepting = new Thread(this::accept, "scripted-upstream");
+        accepting.setDaemon(true);
+        accepting.start();
+    }
+
+    public InetSocketAddress address() {
+        return (InetSocketAddress) server.getLocalSocketAddress();
+    }
+
+    /** Returns the next request that arrived. */
+    public String takeRequest() throws InterruptedException {
+        return requests.take();
+    }
+
+    /** Returns how many requests arrived that were not taken. */
+    public int waitingRequests() {
+        return requests.size();
+    }
+
+    public static void write(Socket connection, String bytes) throws IOException {
+        connection.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
+        connection.getOutputStream().flush();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket connection = server.accept();
+                Thread serving = new Thread(() -> serve(connection), "scripted-connection");
+                serving.setDaemon(true);
+                serving.start();
+            }
+        } catch (IOException expected) {
+            // The test closed the server.
+        }
+    }
+
+    private void serve(Socket connection) {
+        try (connection) {
+            connection.setTcpNoDelay(true);
+            boolean more = true;
+            while (more) {
+                String request = read(connection.getInputStream());
+                if (request.isEmpty()) {
+                    return;
+                }
+                requests.add(request);
+                more = script.answer(request, connection);
+            }
+        } catch (IOException expected) {
+            // The other side closed the connection.
+        }
+    }
+
+    private static String read(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        int next = in.read();
+        while (next >= 0) {
+            head.append((char) next);
+            if (head.length() >= 4 && head.substring(head.length() - 4).equals("\r\n\r\n")) {
+                break;
+            }
+            next = in.read();
+        }
+        String text = head.toString();
+        int at = text.toLowerCase(java.util.Locale.ROOT).indexOf("content-length: ");
+        if (at < 0) {
+            return text;
+        }
+        int length = Integer.parseInt(text.substring(at + 16, text.indexOf('\r', at)));
+        return text + new String(in.readNBytes(length), StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamPoolTest.java
@@ -0,0 +1,231 @@
+package io.parsleycleat.gateway.connection;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.gateway.connection.upstream.AnswerHead;
+import io.parsleycleat.gateway.connection.upstream.AnswerListener;
+import io.parsleycleat.gateway.connection.upstream.SendFailure;
+import io.parsleycleat.gateway.connection.upstream.UpstreamPool;
+import io.parsleycleat.gateway.connection.upstream.UpstreamRequest;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.Test;
+
+public class UpstreamPoolTest {
+    private final EventLoopGroup loops = new NioEventLoopGroup(1);
+
+    @AfterClass
+    public void close() {
+        loops.shutdownGracefully();
+    }
+
+    /** What one send came to. */
+    private static class Recorded implements AnswerListener {
+        private final CompletableFuture<String> result = new CompletableFuture<>();
+        private final StringBuilder body = new StringBuilder();
+        private volatile AnswerHead head;
+
+        @Override
+        public void onHead(AnswerHead answer) {
+            head = answer;
+        }
+
+        @Override
+        public void onBody(ByteString part) {
+            body.append(part.toStringUtf8());
+        }
+
+        @Override
+        public void onEnd() {
+            result.complete("whole " + head.status() + " " + body);
+        }
+
+        @Override
+        public void onFailure(SendFailure failed) {
+            result.complete("failed, may have run " + failed.mayHaveRun());
+        }
+    }
+
+    private UpstreamPool pool(InetSocketAddress address) {
+        return new UpstreamPool(address, loops.next(), TimeSource.SYSTEM, () -> 10);
+    }
+
+    private static UpstreamRequest request(String body) {
+        return new UpstreamRequest("POST", "/x", "r1", List.of(Map.entry("Host", "h")), ByteString.copyFromUtf8(body));
+    }
+
+    private static String send(UpstreamPool pool) {
+        Recorded recorded = new Recorded();
+        pool.send(request("hello"), recorded);
+        return recorded.result.join();
+    }
+
+    private static String answer(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    @Test
+    public void aWholeAnswerLeavesItsConnectionForTheNextRequest() throws Exception {
+        AtomicInteger connections = new AtomicInteger();
+        Set<Integer> ports = ConcurrentHashMap.newKeySet();
+        try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
+            if (ports.add(c.getPort())) {
+                connections.incrementAndGet();
+            }
+            ScriptedUpstream.write(c, answer("ok"));
+            return true;
+        })) {
+            UpstreamPool pool = pool(upstream.address());
+            assertEquals(send(pool), "whole 200 ok");
+            assertEquals(send(pool), "whole 200 ok");
+            assertEquals(connections.get(), 1);
+            assertTrue(upstream.takeRequest().endsWith("hello"));
+        }
+    }
+
+    @Test
+    public void bytesBehindAnAnswerAreNotTheNextOnes() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
+            String extra = calls.incrementAndGet() == 1 ? answer("stray") : "";
+            ScriptedUpstream.write(c, answer("ok") + extra);
+            return true;
+        })) {
+            UpstreamPool pool = pool(upstream.address());
+            assertEquals(send(pool), "whole 200 ok");
+            assertEquals(send(pool), "whole 200 ok");
+        }
+    }
+
+    @Test
+    public void anAnswerThatBreaksOffIsNotWhole() throws Exception {
+        try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
+            ScriptedUpstream.write(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+            return false;
+        })) {
+            assertEquals(send(pool(upstream.address())), "failed, may have run true");
+        }
+    }
+
+    @Test
+    public void chunksThatBreakOffAreNotWhole() throws Exception {
+        try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
+            ScriptedUpstream.write(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+            return false;
+        })) {
+            assertEquals(send(pool(upstream.address())), "failed, may have run true");
+        }
+    }
+
+    @Test
+    public void anAnswerWithoutLengthEndsWithItsConnection() throws Exception {
+        try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
+            ScriptedUpstream.write(c, "HTTP/1.1 200 OK\r\n\r\nall of it");
+            return false;
+        })) {
+            assertEquals(send(pool(upstream.address())), "whole 200 all of it");
+        }
+    }
+
+    @Test
+    public void anAnswerWithoutLengthThatIsResetIsNotWhole() throws Exception {
+        CountDownLatch bodySeen = new CountDownLatch(1);
+        try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
+            ScriptedUpstream.write(c, "HTTP/1.1 200 OK\r\n\r\nhalf");
+            try {
+                bodySeen.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            c.setSoLinger(true, 0);
+            return false;
+        })) {
+            Recorded recorded = new Recorded() {
+                @Override
+                public void onBody(ByteString part) {
+                    super.onBody(part);
+                    bodySeen.countDown();
+                }
+            };
+            pool(upstream.address()).send(request("hello"), recorded);
+            assertEquals(recorded.result.join(), "failed, may have run true");
+        }
+    }
+
+    @Test
+    public void bytesThatAreNoAnswerAreAFailure() throws Exception {
+        try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
+            ScriptedUpstream.write(c, "nonsense that is no answer\r\n\r\n");
+            return false;
+        })) {
+            assertEquals(send(pool(upstream.address())), "failed, may have run true");
+        }
+    }
+
+    @Test
+    public void aRefusedConnectionProvesThatNothingRan() throws Exception {
+        InetSocketAddress free;
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            free = (InetSocketAddress) probe.getLocalSocketAddress();
+        }
+        assertEquals(send(pool(free)), "failed, may have run false");
+    }
+
+    @Test
+    public void givingUpClosesTheConnection() throws Exception {
+        CountDownLatch closed = new CountDownLatch(1);
+        CountDownLatch arrived = new CountDownLatch(1);
+        try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
+            arrived.countDown();
+            if (c.getInputStream().read() < 0) {
+                closed.countDown();
+            }
+            return false;
+        })) {
+            UpstreamPool.Sent sent = pool(upstream.address()).send(request("hello"), new Recorded());
+            arrived.await();
+            sent.cancel();
+            closed.await();
+        }
+    }
+
+    @Test
+    public void connectionsAreNotOpenedBeyondTheLimit() throws Exception {
+        CountDownLatch arrived = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
+            arrived.countDown();
+            try {
+                release.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            ScriptedUpstream.write(c, answer("ok"));
+            return true;
+        })) {
+            UpstreamPool pool = new UpstreamPool(upstream.address(), loops.next(), TimeSource.SYSTEM, () -> 1);
+            Recorded first = new Recorded();
+            pool.send(request("hello"), first);
+            arrived.await();
+            assertEquals(send(pool), "failed, may have run false");
+            assertFalse(first.result.isDone());
+            release.countDown();
+            assertEquals(first.result.join(), "whole 200 ok");
+        }
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
@@ -0,0 +1,259 @@
+package io.parsleycleat.gateway.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.process.gate.EngineGate;
+import io.parsleycleat.gateway.process.gate.EngineReport;
+import io.parsleycleat.gateway.process.gate.ModelOrder;
+import io.parsleycleat.gateway.version.routes.AdapterId;
+import io.parsleycleat.gateway.version.routes.AdapterVersions;
+import io.parsleycleat.gateway.version.routes.EngineSpec;
+import io.parsleycleat.gateway.version.routes.ModelSpec;
+import io.parsleycleat.wire.gate.RunProgress;
+import io.parsleycleat.wire.gate.StartGrant;
+import io.parsleycleat.wire.gate.StartRequest;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class EngineGateTest {
+    private static final long FENCE = 7;
+    private static final EngineSpec SPEC =
+            new EngineSpec(8, 20_000, 1_100, 3, 2, List.of(new ModelSpec("m", 1_000, 10, Duration.ofMillis(700))));
+
+    private MovedTime time;
+    private AdapterVersions versions;
+    private EngineGate gate;
+    private Map<Long, StartGrant> answers;
+    private List<Long> granted;
+    private Object entry;
+    private long orders;
+    private long born;
+
+    private void report(Map<AdapterId, Long> adapters, Map<AdapterId, Long> coming) {
+        gate.setSpec(SPEC);
+        gate.onReport(new EngineReport(born, orders, false, Set.of("m"), adapters, coming, 0, 0, 20_000), "engine-1");
+    }
+
+    private static AdapterId adapter(String name) {
+        return new AdapterId("m", name);
+    }
+
+    private static StartRequest.Builder ask(long ticket, String adapter, int promptTokens) {
+        return StartRequest.newBuilder()
+                .setTicket(ticket)
+                .setModel("m")
+                .setAdapter(adapter)
+                .setPromptTokens(promptTokens)
+                .setOutputTokens(100)
+                .setObjectiveMillis(1_000)
+                .setDeadlineMillis(15_000)
+                .setWaitMillis(5_000)
+                .setPriority(1);
+    }
+
+    private void request(StartRequest.Builder request) {
+        long ticket = request.getTicket();
+        gate.request(new EngineGate.TicketKey(entry, ticket), request.build(), grant -> {
+            answers.put(ticket, grant);
+            if (grant.getRefusalCode() == 0) {
+                granted.add(ticket);
+            }
+        });
+    }
+
+    private void progress(long ticket, RunProgress.Stage stage) {
+        gate.progress(new EngineGate.TicketKey(entry, ticket), stage);
+    }
+
+    private Optional<ModelOrder> order() {
+        return gate.nextOrder(FENCE);
+    }
+
+    @BeforeMethod
+    public void setUp() {
+        time = new MovedTime();
+        versions = new AdapterVersions();
+        gate = new EngineGate(versions, time);
+        answers = new HashMap<>();
+        granted = new ArrayList<>();
+        entry = "entry-1";
+        born = 1;
+        orders = 0;
+    }
+
+    @Test
+    public void aResidentAdapterIsGrantedAtOnceWithItsVersion() {
+        report(Map.of(adapter("a"), 4L), Map.of());
+        request(ask(1, "a", 100));
+        assertEquals(answers.get(1L).getVersion(), 4);
+        assertEquals(answers.get(1L).getEngineId(), "engine-1");
+    }
+
+    @Test
+    public void anAbsentAdapterIsLoadedOnceForAllThatWait() {
+        report(Map.of(), Map.of());
+        request(ask(1, "a", 100));
+        request(ask(2, "a", 100));
+        ModelOrder load = order().orElseThrow();
+        assertEquals(load.operation(), ModelOrder.Operation.LOAD);
+        assertEquals(load.target(), adapter("a"));
+        assertEquals(load.fence(), FENCE);
+        gate.onOrder(load, ModelOrder.Outcome.STARTED);
+        assertTrue(order().isEmpty());
+        orders++;
+        report(Map.of(adapter("a"), 1L), Map.of());
+        assertEquals(granted, List.of(1L, 2L));
+    }
+
+    @Test
+    public void anAdapterInUseIsNeverReplaced() {
+        report(Map.of(adapter("a"), 1L, adapter("b"), 1L, adapter("c"), 1L), Map.of());
+        request(ask(1, "a", 100));
+        request(ask(2, "b", 100));
+        request(ask(3, "c", 100));
+        request(ask(4, "d", 100));
+        assertTrue(order().isEmpty());
+        progress(2, RunProgress.Stage.ENDED);
+        ModelOrder unload = order().orElseThrow();
+        assertEquals(unload.operation(), ModelOrder.Operation.UNLOAD);
+        assertEquals(unload.target(), adapter("b"));
+    }
+
+    @Test
+    public void anOrderWithoutAnswerTakesAPlaceUntilAnotherIsAccepted() {
+        report(Map.of(adapter("a"), 1L, adapter("b"), 1L), Map.of());
+        request(ask(1, "c", 100));
+        gate.onOrder(order().orElseThrow(), ModelOrder.Outcome.UNKNOWN);
+        report(Map.of(adapter("a"), 1L, adapter("b"), 1L), Map.of());
+        ModelOrder next = order().orElseThrow();
+        assertEquals(next.operation(), ModelOrder.Operation.UNLOAD, "three places are taken");
+        gate.onOrder(next, ModelOrder.Outcome.DONE);
+        orders++;
+        AdapterId kept = next.target().equals(adapter("a")) ? adapter("b") : adapter("a");
+        report(Map.of(kept, 1L), Map.of());
+        assertEquals(order().orElseThrow().operation(), ModelOrder.Operation.LOAD);
+    }
+
+    @Test
+    public void memoryIsNotPromisedTwice() {
+        report(Map.of(adapter("a"), 1L), Map.of());
+        request(ask(1, "a", 9_000));
+        progress(1, RunProgress.Stage.FIRST_EVENT);
+        request(ask(2, "a", 9_000));
+        progress(2, RunProgress.Stage.FIRST_EVENT);
+        request(ask(3, "a", 2_000));
+        assertEquals(granted, List.of(1L, 2L));
+        progress(1, RunProgress.Stage.ENDED);
+        assertEquals(granted, List.of(1L, 2L, 3L));
+    }
+
+    /** Load pattern: a surge of less urgent requests stands before the engine as an urgent one arrives. */
+    @Test
+    public void urgentRequestsPassThoseThatWait() {
+        report(Map.of(adapter("a"), 1L), Map.of());
+        request(ask(1, "a", 11_000));
+        request(ask(2, "a", 3_000).setPriority(2));
+        request(ask(3, "a", 1_000).setPriority(0));
+        progress(1, RunProgress.Stage.FIRST_EVENT);
+        progress(1, RunProgress.Stage.ENDED);
+        assertEquals(granted, List.of(1L, 3L, 2L));
+    }
+
+    /** Load pattern: overload, in which some can no longer be in time. */
+    @Test
+    public void thoseThatCanStillBeInTimeGoFirst() {
+        report(Map.of(adapter("a"), 1L), Map.of());
+        request(ask(1, "a", 11_000));
+        request(ask(2, "a", 3_000));
+        time.passMillis(1_500);
+        request(ask(3, "a", 3_000));
+        progress(1, RunProgress.Stage.FIRST_EVENT);
+        progress(1, RunProgress.Stage.ENDED);
+        assertEquals(granted, List.of(1L, 3L, 2L));
+    }
+
+    /** Load pattern: a surge that the engine cannot read in the time that its callers have. */
+    @Test
+    public void whatCannotStartInTimeIsRefusedOnArrivalWithATime() {
+        report(Map.of(adapter("a"), 1L), Map.of());
+        request(ask(1, "a", 11_000));
+        request(ask(2, "a", 60_000).setWaitMillis(10_000));
+        request(ask(3, "a", 1_000).setWaitMillis(500));
+        assertEquals(answers.get(3L).getRefusalCode(), ResultCode.QUEUE_FULL.number());
+        assertTrue(answers.get(3L).getRetryAfterMillis() > 500);
+    }
+
+    @Test
+    public void whatHasWaitedForTooLongIsRefused() {
+        report(Map.of(), Map.of());
+        request(ask(1, "a", 100).setWaitMillis(600));
+        gate.expire();
+        assertFalse(answers.containsKey(1L));
+        time.passMillis(700);
+        gate.expire();
+        assertEquals(answers.get(1L).getRefusalCode(), ResultCode.QUEUE_FULL.number());
+    }
+
+    @Test
+    public void aNewVersionIsLoadedOnceNobodyUsesTheOldOne() {
+        report(Map.of(adapter("a"), 1L), Map.of());
+        request(ask(1, "a", 100));
+        versions.name(adapter("a"), 2, time.monotonicNanos());
+        assertTrue(order().isEmpty());
+        progress(1, RunProgress.Stage.ENDED);
+        ModelOrder load = order().orElseThrow();
+        assertEquals(load.version(), 2);
+        assertEquals(load.operation(), ModelOrder.Operation.LOAD);
+    }
+
+    @Test
+    public void anOldVersionIsNotStartedLongAfterTheNewOneWasNamed() {
+        report(Map.of(adapter("a"), 1L), Map.of());
+        versions.name(adapter("a"), 2, time.monotonicNanos());
+        request(ask(1, "a", 100));
+        assertEquals(granted, List.of(1L));
+        time.passMillis(2_100);
+        request(ask(2, "a", 100));
+        assertEquals(granted, List.of(1L));
+    }
+
+    @Test
+    public void anEngineThatStartsAnewHoldsNothing() {
+        report(Map.of(adapter("a"), 1L), Map.of());
+        born = 2;
+        gate.onReport(new EngineReport(born, 0, false, Set.of(), Map.of(), Map.of(), 0, 0, 20_000), "engine-1");
+        request(ask(1, "a", 100));
+        ModelOrder load = order().orElseThrow();
+        assertTrue(load.target().isBaseModel());
+        gate.onOrder(load, ModelOrder.Outcome.STARTED);
+        assertTrue(order().isEmpty(), "one load of the model at a time");
+    }
+
+    @Test
+    public void whatWaitsIsRefusedWhenTheEngineIsOut() {
+        report(Map.of(), Map.of());
+        request(ask(1, "a", 100));
+        gate.onEngineOut();
+        assertEquals(answers.get(1L).getRefusalCode(), ResultCode.UPSTREAM_UNREACHABLE.number());
+    }
+
+    @Test
+    public void theRunsOfAnEntryThatIsGoneHoldNothing() {
+        report(Map.of(adapter("a"), 1L), Map.of());
+        request(ask(1, "a", 9_000));
+        assertEquals(gate.status().getRunning(), 1);
+        gate.callerGone(entry);
+        assertEquals(gate.status().getRunning(), 0);
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
@@ -0,0 +1,122 @@
+package io.parsleycleat.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.request.limits.AccountBudgets;
+import io.parsleycleat.gateway.version.routes.Account;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class AccountBudgetsTest {
+    private static final double RATE = 1_000;
+    private static final Account ACCOUNT = new Account("tailors", Set.of("k"), null, true, RATE, RATE, 10);
+
+    private MovedTime time;
+
+    private AccountBudgets entry(Set<String> others) {
+        AccountBudgets budgets = new AccountBudgets(time);
+        budgets.setAccounts(List.of(ACCOUNT));
+        budgets.setOthers(others);
+        return budgets;
+    }
+
+    private static double spendAll(AccountBudgets budgets, double cost) {
+        return IntStream.range(0, 10_000)
+                        .takeWhile(i -> budgets.trySpend(ACCOUNT, cost).isEmpty())
+                        .count()
+                * cost;
+    }
+
+    @BeforeMethod
+    public void setUp() {
+        time = new MovedTime();
+    }
+
+    @Test
+    public void aReplicaStartsEmptySoThatRestartsAddNothing() {
+        AccountBudgets budgets = entry(Set.of());
+        assertFalse(budgets.trySpend(ACCOUNT, 10).isEmpty());
+        time.passMillis(500);
+        assertEquals(spendAll(budgets, 10), 500, 20);
+    }
+
+    @Test
+    public void nothingIsAddedBeforeTheOthersAreKnown() {
+        AccountBudgets budgets = new AccountBudgets(time);
+        budgets.setAccounts(List.of(ACCOUNT));
+        time.passMillis(5_000);
+        assertEquals(budgets.level("tailors"), 0.0, 0.001);
+    }
+
+    @Test
+    public void whatOthersAdmitIsTakenOff() {
+        AccountBudgets budgets = entry(Set.of("b"));
+        budgets.onReport("b", Map.of("tailors", 0.0));
+        time.passMillis(1_000);
+        budgets.onReport("b", Map.of("tailors", 700.0));
+        assertEquals(budgets.level("tailors"), 300, 1);
+    }
+
+    @Test
+    public void thePartOfASilentEntryIsLeftToIt() {
+        AccountBudgets budgets = entry(Set.of("b", "c", "d"));
+        time.passMillis(2_000);
+        assertEquals(budgets.level("tailors"), 500, 1);
+    }
+
+    @Test
+    public void whatASilentEntrySpentFromItsPartIsNotTakenOffAgain() {
+        AccountBudgets budgets = entry(Set.of("b"));
+        budgets.onReport("b", Map.of("tailors", 100.0));
+        time.passMillis(4_000);
+        budgets.onReport("b", Map.of("tailors", 2_100.0));
+        assertTrue(budgets.level("tailors") > 900, "level " + budgets.level("tailors"));
+    }
+
+    /** Load pattern: one account asks for eight times its rate at every entry. */
+    @Test
+    public void entriesTogetherStayWithinTheLimitUnderEightTimesTheRate() {
+        List<String> names = List.of("a", "b", "c", "d", "e");
+        List<AccountBudgets> entries = names.stream()
+                .map(n -> entry(
+                        Set.copyOf(names.stream().filter(o -> !o.equals(n)).toList())))
+                .toList();
+        double admitted = 0;
+        for (int step = 0; step < 100; step++) {
+            time.passMillis(100);
+            for (AccountBudgets entry : entries) {
+                for (int i = 0; i < 16; i++) {
+                    admitted += entry.trySpend(ACCOUNT, 10).isEmpty() ? 10 : 0;
+                }
+            }
+            IntStream.range(0, names.size()).forEach(from -> {
+                Map<String, Double> totals = entries.get(from).report();
+                IntStream.range(0, names.size()).filter(to -> to != from).forEach(to -> entries.get(to)
+                        .onReport(names.get(from), totals));
+            });
+        }
+        assertTrue(admitted <= 10 * RATE + RATE, "admitted " + admitted);
+        assertTrue(admitted >= 0.85 * 10 * RATE, "admitted " + admitted);
+    }
+
+    @Test
+    public void aCostAboveTheBurstIsTakenFromAFullBudget() {
+        AccountBudgets budgets = entry(Set.of());
+        time.passMillis(1_000);
+        assertTrue(budgets.trySpend(ACCOUNT, 3 * RATE).isEmpty());
+        assertFalse(budgets.trySpend(ACCOUNT, 1).isEmpty());
+    }
+
+    @Test
+    public void aRefusalTellsWhenTheCostWillBeThere() {
+        AccountBudgets budgets = entry(Set.of());
+        assertEquals(budgets.trySpend(ACCOUNT, 400).orElseThrow().toMillis(), 400);
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EventSplitterTest.java
@@ -0,0 +1,49 @@
+package io.parsleycleat.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+
+import com.google.protobuf.ByteString;
+import io.parsleycleat.gateway.request.events.EventSplitter;
+import java.util.OptionalLong;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class EventSplitterTest {
+    private EventSplitter splitter;
+
+    private String take(String part) {
+        return splitter.take(ByteString.copyFromUtf8(part)).toStringUtf8();
+    }
+
+    @BeforeMethod
+    public void setUp() {
+        splitter = new EventSplitter();
+    }
+
+    @Test
+    public void onlyWholeEventsPass() {
+        assertEquals(take("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+        assertEquals(take("ta: b\n"), "");
+        assertEquals(take("\nid: 3"), "id: 2\ndata: b\n\n");
+    }
+
+    @Test
+    public void theLastWholeEventIsKnown() {
+        assertEquals(splitter.lastEventId(), OptionalLong.empty());
+        take("id: 7\ndata: a\n\nid: 8\ndata: b");
+        assertEquals(splitter.lastEventId(), OptionalLong.of(7));
+    }
+
+    @Test
+    public void aCutEventIsForgotten() {
+        take("id: 1\ndata: a\n\nid: 2\nda");
+        assertEquals(splitter.takeRest().toStringUtf8(), "id: 2\nda");
+        assertEquals(take("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+    }
+
+    @Test
+    public void idsThatAreNoNumbersAreIgnored() {
+        take("id: x\ndata: a\n\nid: 99999999999999999999\ndata: b\n\n");
+        assertEquals(splitter.lastEventId(), OptionalLong.empty());
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RetryShareTest.java
@@ -0,0 +1,51 @@
+package io.parsleycleat.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+
+import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.request.limits.RetryShare;
+import java.time.Duration;
+import java.util.stream.IntStream;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class RetryShareTest {
+    private MovedTime time;
+    private RetryShare share;
+
+    private long repeats(int tries) {
+        return IntStream.range(0, tries).filter(i -> share.tryRepeat("orders")).count();
+    }
+
+    @BeforeMethod
+    public void setUp() {
+        time = new MovedTime();
+        share = new RetryShare(new RetryShare.Bounds(0.2, 40, Duration.ofSeconds(10)), time, () -> 4);
+    }
+
+    @Test
+    public void withoutRequestsOnlyHalfOfTheEqualPartIsThere() {
+        assertEquals(repeats(100), 5);
+    }
+
+    @Test
+    public void requestsAddTheirRatio() {
+        IntStream.range(0, 100).forEach(i -> share.onRequest("orders"));
+        assertEquals(repeats(100), 25);
+    }
+
+    @Test
+    public void theBudgetComesBackAfterTheWindow() {
+        repeats(100);
+        time.passMillis(9_000);
+        assertEquals(repeats(100), 0);
+        time.passMillis(1_100);
+        assertEquals(repeats(100), 5);
+    }
+
+    @Test
+    public void servicesDoNotShare() {
+        IntStream.range(0, 100).forEach(i -> share.onRequest("models"));
+        assertEquals(repeats(100), 5);
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
@@ -0,0 +1,164 @@
+package io.parsleycleat.gateway.version;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.parsleycleat.core.process.result.Location;
+import io.parsleycleat.core.process.result.LogTrimmedException;
+import io.parsleycleat.core.process.result.PlatformException;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.StepScheduler;
+import io.parsleycleat.gateway.version.follow.FollowSettings;
+import io.parsleycleat.gateway.version.follow.KeyedFold;
+import io.parsleycleat.gateway.version.follow.KeyedLog;
+import io.parsleycleat.gateway.version.follow.KeyedRecord;
+import io.parsleycleat.gateway.version.follow.LogFollower;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class LogFollowerTest {
+    private MovedTime time;
+    private StepScheduler scheduler;
+    private MemoryLog log;
+    private List<String> seen;
+    private LogFollower follower;
+
+    /** A keyed log in memory whose reads never wait. */
+    private static final class MemoryLog implements KeyedLog {
+        private final List<KeyedRecord> records = new ArrayList<>();
+        private long first;
+        private boolean down;
+
+        void add(String key, String value) {
+            records.add(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), records.size()));
+        }
+
+        @Override
+        public CompletableFuture<NewestPage> newest(String afterKey) {
+            if (down) {
+                return out();
+            }
+            List<KeyedRecord> newest = records.stream()
+                    .filter(r -> !r.isDrop()
+                            && records.stream()
+                                    .noneMatch(o ->
+                                            o.offset() > r.offset() && o.key().equals(r.key())))
+                    .toList();
+            return CompletableFuture.completedFuture(new NewestPage(newest, false, records.size()));
+        }
+
+        @Override
+        public CompletableFuture<Records> read(long from, Duration wait) {
+            if (down) {
+                return out();
+            }
+            if (from < first) {
+                return CompletableFuture.failedFuture(new LogTrimmedException("log", from, first));
+            }
+            List<KeyedRecord> found =
+                    records.stream().filter(r -> r.offset() >= from).toList();
+            return CompletableFuture.completedFuture(new Records(found, records.size()));
+        }
+
+        private static <T> CompletableFuture<T> out() {
+            return CompletableFuture.failedFuture(
+                    new PlatformException(ResultCode.LOG_OUT, "down", Location.of("log")));
+        }
+    }
+
+    private final class Recorder implements KeyedFold {
+        @Override
+        public void put(String key, byte[] value) {
+            seen.add(key + "=" + new String(value, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void drop(String key, boolean afterOutage) {
+            seen.add("-" + key + (afterOutage ? " after outage" : ""));
+        }
+
+        @Override
+        public void endOutage() {
+            seen.add("end of grace");
+        }
+    }
+
+    @BeforeMethod
+    public void setUp() {
+        time = new MovedTime();
+        scheduler = new StepScheduler(time);
+        log = new MemoryLog();
+        seen = new ArrayList<>();
+        follower = new LogFollower("log", log, new Recorder(), FollowSettings.PROMPT, scheduler, time);
+    }
+
+    @Test
+    public void allIsReadOnceThenOnlyWhatIsNew() {
+        log.add("a", "1");
+        follower.start();
+        assertTrue(follower.isRead());
+        log.add("a", "2");
+        log.add("b", "1");
+        scheduler.runFor(Duration.ofMillis(300));
+        assertEquals(seen, List.of("a=1", "a=2", "b=1"));
+    }
+
+    @Test
+    public void afterLostHistoryAllIsReadAnewAndMissingKeysAreDropped() {
+        log.add("a", "1");
+        log.add("b", "1");
+        follower.start();
+        log.add("a", "2");
+        log.add("b", "");
+        log.first = 4;
+        scheduler.runFor(Duration.ofMillis(300));
+        assertEquals(seen, List.of("a=1", "b=1", "a=2", "-b"));
+    }
+
+    @Test
+    public void freshnessIsNotConfirmedWhileTheStoreIsOut() {
+        follower.start();
+        log.down = true;
+        scheduler.runFor(Duration.ofSeconds(3));
+        assertFalse(follower.freshness().isYoungerThan(Duration.ofSeconds(2)));
+        log.down = false;
+        scheduler.runFor(Duration.ofMillis(400));
+        assertTrue(follower.freshness().isYoungerThan(Duration.ofSeconds(1)));
+    }
+
+    @Test
+    public void keysDroppedRightAfterAnOutageHaveTimeToReturn() {
+        log.add("a", "1");
+        log.add("b", "1");
+        follower.start();
+        log.down = true;
+        scheduler.runFor(Duration.ofSeconds(2));
+        log.add("a", "");
+        log.add("b", "");
+        log.down = false;
+        scheduler.runFor(Duration.ofMillis(400));
+        assertEquals(seen.subList(2, 4), List.of("-a after outage", "-b after outage"));
+        log.add("a", "2");
+        scheduler.runFor(Duration.ofSeconds(3));
+        assertEquals(seen.subList(4, 6), List.of("a=2", "end of grace"));
+        log.add("a", "");
+        scheduler.runFor(Duration.ofMillis(300));
+        assertEquals(seen.get(6), "-a");
+    }
+
+    @Test
+    public void anAnswerThatWasAskedForBeforeTheStopChangesNothing() {
+        follower.start();
+        follower.stop();
+        log.add("a", "1");
+        scheduler.runFor(Duration.ofSeconds(2));
+        assertEquals(seen, List.of());
+    }
+}
