--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
@@ -24,7 +24,8 @@
 public final class OrderLoop {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration QUIET_INTERVAL = Duration.ofMillis(500);
-    private static final Duration CHANGING_INTERVAL = Duration.ofMillis(50);
+    private static final Duration CHANGING_INTERVAL = Duration.ofMillis(40);
+    private static final Duration STEP_INTERVAL = Duration.ofMillis(50);
     private static final Duration FENCE_RETRY = Duration.ofMillis(500);
     private static final int FAILURES_UNTIL_OUT = 2;
 
@@ -78,7 +79,7 @@
     /** Starts to read reports. */
     public void start() {
         askFence();
-        thread.scheduleWithFixedDelay(this::step, 0, CHANGING_INTERVAL.toMillis() / 2, TimeUnit.MILLISECONDS);
+        thread.scheduleWithFixedDelay(this::step, 0, STEP_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Looks at once whether an order is needed. */
