Send to the engine that runs now, read prompts in pieces, and start budgets with a part

Ruled out: a slow start (sides answer 1.6 s, entries 1.9 s after the loss of power), late first events (p99 654 ms). Change: a grant names the engine's present id and start, a later start at an address replaces the one before, the gate bounds what is read at once by the routes' limit of pauses, a budget starts with its part of half the burst, an absent adapter is loaded at its first places before it is spread, and no engine is waited for longer than its use.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -70,7 +70,7 @@
 
     private static final FollowSettings OPERATORS = FollowSettings.PROMPT;
     private static final FollowSettings UPSTREAMS =
-            FollowSettings.PROMPT.withMinGap(Duration.ofMillis(400)).withWait(Duration.ofSeconds(2));
+            FollowSettings.PROMPT.withMinGap(Duration.ofMillis(550)).withWait(Duration.ofSeconds(2));
     private static final FollowSettings ENTRIES =
             FollowSettings.PROMPT.withMinGap(Duration.ofSeconds(2)).withWait(Duration.ofSeconds(8));
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -34,6 +34,12 @@
 public final class EngineGate {
     /** Prompt tokens that may be before the engine unread; the rest waits here, where its order can still change. */
     private static final long MAX_BACKLOG_TOKENS = 10_000;
+    /** Prompt tokens that an engine reads in one step at the most; a larger backlog makes its steps no longer. */
+    private static final long STEP_TOKENS = 2_000;
+
+    private static final long MIN_BACKLOG_TOKENS = 1_500;
+    /** Time of a step beside the reading of prompts. */
+    private static final Duration STEP_TIME = Duration.ofMillis(15);
     /** Part of the engine's memory that is promised; the rest is left to kept prompts. */
     private static final double MEMORY_SHARE = 0.95;
 
@@ -52,6 +58,7 @@
     private final Map<TicketKey, Granted> granted = new HashMap<>();
     private final List<Waiting> waiting = new ArrayList<>();
     private @Nullable EngineSpec spec;
+    private Duration pauseLimit = Duration.ZERO;
     private @Nullable EngineReport report;
     private @Nullable String engineId;
     private boolean out = true;
@@ -101,9 +108,14 @@
 
     // What is known
 
-    /** Takes what the configuration says of the engine. */
-    public synchronized void setSpec(EngineSpec newSpec) {
+    /**
+     * Takes what the configuration says of the engine.
+     *
+     * @param newPauseLimit the longest pause between events with which a stream is still of full use; zero for any
+     */
+    public synchronized void setSpec(EngineSpec newSpec, Duration newPauseLimit) {
         spec = newSpec;
+        pauseLimit = newPauseLimit;
     }
 
     /** Takes what the engine says of itself. */
@@ -232,6 +244,7 @@
                                         ? 0
                                         : adapters.version(w.adapter()).orElse(0L))
                         .setEngineId(engineId == null ? "" : engineId)
+                        .setEngineBorn(report == null ? 0 : report.born())
                         .build());
     }
 
@@ -239,7 +252,27 @@
         EngineSpec limits = spec;
         int slots = limits == null ? Integer.MAX_VALUE : limits.slots();
         boolean memory = reserved() + w.tokens() <= known.memoryTokens() * MEMORY_SHARE || granted.isEmpty();
-        return granted.size() < slots && memory && backlog() < MAX_BACKLOG_TOKENS;
+        return granted.size() < slots && memory && isBacklogShort(w);
+    }
+
+    private boolean isBacklogShort(Waiting w) {
+        long backlog = backlog();
+        return backlog == 0 || backlog + w.request().getPromptTokens() <= maxBacklog();
+    }
+
+    /**
+     * Returns how many prompt tokens may be before the engine unread. An event comes after several steps, and reading
+     * prompts lengthens each of them; what is read at once must not lengthen the pauses between events beyond their
+     * limit.
+     */
+    private long maxBacklog() {
+        EngineSpec limits = spec;
+        if (limits == null || pauseLimit.isZero()) {
+            return MAX_BACKLOG_TOKENS;
+        }
+        double stepMillis = (double) pauseLimit.toMillis() / Math.max(1, limits.eventTokens()) - STEP_TIME.toMillis();
+        double tokens = stepMillis * readRate.tokensPerSecond() / 1_000;
+        return tokens >= STEP_TOKENS ? MAX_BACKLOG_TOKENS : Math.max(MIN_BACKLOG_TOKENS, (long) tokens);
     }
 
     /** Returns whether an adapter is there, in a version that may still be started. */
@@ -279,7 +312,7 @@
                 .filter(w -> w.request().getPriority() <= priority)
                 .mapToLong(w -> w.request().getPromptTokens())
                 .sum();
-        long tokens = Math.max(0, backlog() + ahead - MAX_BACKLOG_TOKENS);
+        long tokens = Math.max(0, backlog() + ahead - maxBacklog());
         Duration reading = Duration.ofMillis((long) (1_000 * tokens / readRate.tokensPerSecond()));
         return isUsable(asked.adapter(), time.monotonicNanos()) ? reading : max(reading, LOAD_ESTIMATE);
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
@@ -114,6 +114,8 @@
     }
 
     private void configured(RoutingTable table) {
-        table.service(settings.service()).flatMap(ServiceSpec::engineSpec).ifPresent(gate::setSpec);
+        table.service(settings.service())
+                .flatMap(ServiceSpec::engineSpec)
+                .ifPresent(spec -> gate.setSpec(spec, table.pauseLimit(settings.service())));
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
@@ -21,16 +21,18 @@
  * <p>One an entry; safe to share between threads.
  */
 public final class EngineChooser {
-    /** Time that a load takes, in milliseconds; less on engines that held the adapter before. */
-    private static final double LOAD_MILLIS = 260;
+    /** Time that a load takes, in milliseconds, with what it takes away from other loads. */
+    private static final double LOAD_MILLIS = 450;
 
     private static final double COMING_MILLIS = 130;
     private static final double MODEL_ABSENT_MILLIS = 1_500;
     private static final double ERRING_MILLIS = 1_000;
     private static final double PAUSED_MILLIS = 5_000;
     private static final double OUT_MILLIS = 3_000;
-    /** What one place further down the adapter's order costs. */
+    /** What one place further down the adapter's order costs on an engine that holds it. */
     private static final double RANK_MILLIS = 12;
+    /** The same on one that does not hold it, since an engine loads faster what it held before. */
+    private static final double ABSENT_RANK_MILLIS = 60;
     /** What a request that runs already adds, since steps grow with the batch. */
     private static final double RUNNING_MILLIS = 3;
     /** What memory that is nearly used up adds. */
@@ -67,7 +69,7 @@
     private Choice choice(Upstream engine, AdapterId adapter, int rank) {
         EngineView.Place place = view.place(engine, adapter);
         Optional<GateStatus> status = view.status(engine);
-        double expected = rank * RANK_MILLIS + placeMillis(place) + healthMillis(engine);
+        double expected = rank * rankMillis(place) + placeMillis(place) + healthMillis(engine);
         if (status.isPresent()) {
             GateStatus s = status.get();
             expected += view.backlogTokens(engine) / tokensPerMilli(s);
@@ -85,6 +87,10 @@
         return silent + (load.isPaused() ? PAUSED_MILLIS : 0) + (load.isErring() ? ERRING_MILLIS : 0);
     }
 
+    private static double rankMillis(EngineView.Place place) {
+        return place == EngineView.Place.ABSENT ? ABSENT_RANK_MILLIS : RANK_MILLIS;
+    }
+
     private static double placeMillis(EngineView.Place place) {
         return switch (place) {
             case RESIDENT -> 0;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
@@ -29,6 +29,9 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int MAX_ASKED = 3;
     private static final Duration ANSWER_SLACK = Duration.ofMillis(300);
+    /** How long an engine is waited for when the answer will be late anyway. */
+    private static final Duration MIN_WAIT = Duration.ofMillis(1_200);
+
     private static final Duration SIDE_PAUSE = Duration.ofSeconds(1);
     private static final Duration DEFAULT_RETRY = Duration.ofMillis(500);
 
@@ -118,13 +121,11 @@
                         parts.loop());
     }
 
-    /** The last engine that is asked may use all the time that is left. */
+    /** A caller is better told early to come back than held for long, so the wait at an engine has a limit. */
     private Duration waitAt(EngineChooser.Choice choice) {
-        Duration usual = ask.objectiveLeft().isNegative()
-                ? ask.timeLeft()
-                : ask.objectiveLeft().plusMillis((long) choice.expectedMillis());
-        boolean last = asked >= MAX_ASKED;
-        return last || usual.compareTo(ask.timeLeft()) > 0 ? ask.timeLeft() : usual;
+        Duration wanted = ask.objectiveLeft().plusMillis((long) choice.expectedMillis());
+        Duration wait = wanted.compareTo(MIN_WAIT) < 0 ? MIN_WAIT : wanted;
+        return wait.compareTo(ask.timeLeft()) > 0 ? ask.timeLeft() : wait;
     }
 
     private void answered(
@@ -148,8 +149,19 @@
             next(service);
         } else {
             given = true;
-            whenStarted.accept(new Started(engine, ticket, grant.getVersion()));
+            whenStarted.accept(new Started(granted(engine, grant), ticket, grant.getVersion()));
+        }
+    }
+
+    /** The side answers for the engine that runs beside it now, which may have started anew under another id. */
+    private Upstream granted(Upstream asked, StartGrant grant) {
+        if (asked.id().equals(grant.getEngineId()) && asked.born() == grant.getEngineBorn()) {
+            return asked;
         }
+        return parts.directory()
+                .find(grant.getEngineId())
+                .filter(u -> u.born() == grant.getEngineBorn())
+                .orElseGet(() -> asked.withStart(grant.getEngineId(), grant.getEngineBorn()));
     }
 
     /** An engine whose side is away goes on serving what it holds. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudget.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudget.java
@@ -10,7 +10,7 @@
  *
  * <p>Each entry keeps a replica of the whole budget: it takes off what it admits itself and what the others report. The
  * part of the rate that belongs to entries that are not heard is not added, because they may be spending it. A new
- * replica starts empty, so that restarts never add to what may be spent.
+ * replica starts with a small part of the burst, which its entry's own part of the rate would have brought meanwhile.
  *
  * <p>Created by {@link AccountBudgets} under whose lock it is used.
  */
@@ -37,6 +37,11 @@
         level = Math.min(level, newBurst);
     }
 
+    /** Adds a part of the burst once, at the start. */
+    void begin(double part) {
+        level = Math.min(burst, level + burst * part);
+    }
+
     /** Adds what the passed time brings, in the part that this entry may count on. */
     void fill(long nowNanos, double part) {
         double seconds = Math.max(0, (nowNanos - filledNanos) / NANOS_PER_SECOND);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
@@ -20,6 +20,9 @@
     /** Silence after which an entry is taken to spend its own part unheard. */
     private static final Duration HEARD_WITHIN = Duration.ofMillis(1_500);
 
+    /** Part of the burst with which all entries together start; the bound leaves room for twice as much. */
+    private static final double START_PART = 0.5;
+
     private final TimeSource time;
     private final Map<String, AccountBudget> budgets = new HashMap<>();
     private final Map<String, Long> heardNanos = new HashMap<>();
@@ -48,7 +51,10 @@
     public synchronized void setOthers(Set<String> newOthers) {
         fillAll();
         others = Set.copyOf(newOthers);
-        othersKnown = true;
+        if (!othersKnown) {
+            othersKnown = true;
+            budgets.values().forEach(b -> b.begin(START_PART / (1.0 + others.size())));
+        }
         heardNanos.keySet().retainAll(others);
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/EngineSpec.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/EngineSpec.java
@@ -9,6 +9,7 @@
  * @param memoryTokens memory for prompts and answers
  * @param weightsMegabytes memory for models and adapters together
  * @param adapterSlots adapters that are held or on their way at once
+ * @param eventTokens output tokens that one event of a stream holds
  * @param loadsPerSecond loads of models that the weight store allows, over all engines
  */
 public record EngineSpec(
@@ -16,6 +17,7 @@
         int memoryTokens,
         double weightsMegabytes,
         int adapterSlots,
+        int eventTokens,
         double loadsPerSecond,
         List<ModelSpec> models) {
     public EngineSpec {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/Route.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/Route.java
@@ -11,6 +11,7 @@
  * @param shares the services, at least one
  * @param timeout the longest time that a caller is kept waiting for the end of its answer
  * @param objective the time within which an answer is of full use; to the first event for streams
+ * @param pauseLimit the longest pause between events with which a stream is of full use; zero for any
  * @param priority 0 is the most urgent
  * @param maxUpstreams to how many upstreams one request may be sent
  * @param open whether requests need no key
@@ -24,6 +25,7 @@
         List<ServiceShare> shares,
         Duration timeout,
         Duration objective,
+        Duration pauseLimit,
         int priority,
         int maxUpstreams,
         boolean open,
@@ -35,6 +37,7 @@
         shares = List.copyOf(shares);
         Objects.requireNonNull(timeout, "timeout");
         Objects.requireNonNull(objective, "objective");
+        Objects.requireNonNull(pauseLimit, "pauseLimit");
         if (shares.isEmpty()) {
             throw new IllegalArgumentException("route " + name + " has no service");
         }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/RoutingTable.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/RoutingTable.java
@@ -1,6 +1,7 @@
 package io.parsleycleat.gateway.version.routes;
 
 import io.parsleycleat.core.connection.caller.CallerLimits;
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
@@ -61,6 +62,17 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /** Returns the shortest limit of pauses among the routes that lead to a service; zero when none has one. */
+    public Duration pauseLimit(String service) {
+        return routesByHost.values().stream()
+                .flatMap(List::stream)
+                .filter(r -> !r.pauseLimit().isZero()
+                        && r.shares().stream().anyMatch(s -> s.service().equals(service)))
+                .map(Route::pauseLimit)
+                .min(Comparator.naturalOrder())
+                .orElse(Duration.ZERO);
+    }
+
     /** Returns the account that holds a key. */
     public Optional<Account> accountOfKey(String key) {
         return Optional.ofNullable(accountsByKey.get(key));
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/Upstream.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/Upstream.java
@@ -30,6 +30,11 @@
         residents = Map.copyOf(residents);
     }
 
+    /** Returns a later start of this upstream at the same address, which is not known to hold anything. */
+    public Upstream withStart(String newId, long newBorn) {
+        return new Upstream(newId, service, address, dataCentre, newBorn, false, slots, Map.of());
+    }
+
     /** Returns whether both describe the same start of the same upstream. */
     public boolean isSameStart(Upstream other) {
         return id.equals(other.id) && born == other.born && address.equals(other.address);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
@@ -17,6 +17,10 @@
  * <p>An entry that lapsed while the store was away may come back shortly after the store does, so removals that arrive
  * then are put off until the grace time is over; all others hold at once.
  *
+ * <p>An upstream that starts anew at its address, under another id, takes the place of the one before, whose entry
+ * stays
+ * in the store until it lapses.
+ *
  * <p>One a process; safe to share between threads.
  */
 public final class UpstreamDirectory {
@@ -75,7 +79,7 @@
     /** Returns the upstreams of a service that take new requests. */
     public List<Upstream> usable(String service) {
         return upstreams.values().stream()
-                .filter(u -> !u.leaving() && u.service().equals(service))
+                .filter(u -> !u.leaving() && u.service().equals(service) && !isReplaced(u))
                 .toList();
     }
 
@@ -84,6 +88,11 @@
         return List.copyOf(upstreams.values());
     }
 
+    private boolean isReplaced(Upstream upstream) {
+        return upstreams.values().stream()
+                .anyMatch(o -> o.address().equals(upstream.address()) && o.born() > upstream.born());
+    }
+
     private void tell(@Nullable Upstream before, @Nullable Upstream after) {
         if (!Objects.equals(before, after)) {
             listeners.forEach(l -> l.accept(before, after));
