Test forwarding over loopback against upstreams that misbehave

Change: tests for at most once, true refusals, resumed and cut streams, timeouts, callers that leave, unknown and withdrawn keys under old knowledge, a suspended VM, and requests that crash upstreams.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/result/ResultCode.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/result/ResultCode.java
@@ -52,7 +52,6 @@
     FAILURE_BEFORE_RUN(1049, ResultClass.NOT_RUN, 500, "An unexpected failure before the run; see the process's log."),
 
     SUSPECT_REFUSED(1050, ResultClass.NOT_RUN, 503, "The request crashed upstreams and is not sent to another."),
-    RETRIES_EXHAUSTED(1051, ResultClass.NOT_RUN, 503, "No upstream took the request and the retry budget is used up."),
 
     UPSTREAM_CRASHED(2001, ResultClass.MAY_HAVE_RUN, 502, "The upstream crashed while the request ran."),
     UPSTREAM_LOST(2002, ResultClass.MAY_HAVE_RUN, 502, "The connection to the upstream was lost."),
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
@@ -0,0 +1,457 @@
+package io.parsleycleat.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.parsleycleat.core.connection.caller.CallerExchange;
+import io.parsleycleat.core.connection.caller.CallerLimits;
+import io.parsleycleat.core.connection.caller.CallerRequest;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.core.request.outcome.CrashSuspects;
+import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.connection.ScriptedUpstream;
+import io.parsleycleat.gateway.connection.upstream.AnswerHead;
+import io.parsleycleat.gateway.connection.upstream.UpstreamPools;
+import io.parsleycleat.gateway.connection.upstream.UpstreamRequest;
+import io.parsleycleat.gateway.process.members.GateClient;
+import io.parsleycleat.gateway.request.choose.EngineChooser;
+import io.parsleycleat.gateway.request.choose.EngineView;
+import io.parsleycleat.gateway.request.choose.PlainChooser;
+import io.parsleycleat.gateway.request.choose.UpstreamLoads;
+import io.parsleycleat.gateway.request.crash.CrashWatch;
+import io.parsleycleat.gateway.request.forward.AnswerFacts;
+import io.parsleycleat.gateway.request.forward.CallCodec;
+import io.parsleycleat.gateway.request.forward.ForwardMetrics;
+import io.parsleycleat.gateway.request.forward.ForwardParts;
+import io.parsleycleat.gateway.request.forward.ForwardRequest;
+import io.parsleycleat.gateway.request.forward.RequestForwarder;
+import io.parsleycleat.gateway.request.forward.SendTerms;
+import io.parsleycleat.gateway.request.limits.AccountBudgets;
+import io.parsleycleat.gateway.request.limits.RetryShare;
+import io.parsleycleat.gateway.version.follow.Freshness;
+import io.parsleycleat.gateway.version.routes.Account;
+import io.parsleycleat.gateway.version.routes.AdapterVersions;
+import io.parsleycleat.gateway.version.routes.ConfigurationHolder;
+import io.parsleycleat.gateway.version.routes.RequestKind;
+import io.parsleycleat.gateway.version.routes.Route;
+import io.parsleycleat.gateway.version.routes.RoutingTable;
+import io.parsleycleat.gateway.version.routes.ServiceShare;
+import io.parsleycleat.gateway.version.routes.ServiceSpec;
+import io.parsleycleat.gateway.version.upstreams.Upstream;
+import io.parsleycleat.gateway.version.upstreams.UpstreamDirectory;
+import io.vavr.control.Either;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class ForwardingTest {
+    private static final Account ACCOUNT = new Account("tailors", Set.of("key"), null, false, 0, 0, 1);
+    private static final String NOT_RUN = "HTTP/1.1 503 Busy\r\nid: 1\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+
+    private final EventLoopGroup loops = new NioEventLoopGroup(1);
+    private final EventLoop loop = loops.next();
+    private MovedTime wallForKnowledge;
+    private UpstreamDirectory directory;
+    private ConfigurationHolder configuration;
+    private Freshness freshness;
+    private RequestForwarder forwarder;
+    private CrashWatch watch;
+
+    @AfterClass
+    public void close() {
+        loops.shutdownGracefully();
+    }
+
+    @BeforeMethod
+    public void setUp() {
+        wallForKnowledge = new MovedTime();
+        directory = new UpstreamDirectory();
+        configuration = new ConfigurationHolder();
+        freshness = new Freshness(wallForKnowledge);
+        CrashSuspects suspects = new CrashSuspects(Duration.ofMinutes(1), Duration.ofMinutes(1));
+        watch = new CrashWatch(suspects, TimeSource.SYSTEM, c -> {});
+        UpstreamLoads loads = new UpstreamLoads(TimeSource.SYSTEM, directory);
+        EngineView view = new EngineView(TimeSource.SYSTEM);
+        ForwardParts parts = new ForwardParts(
+                new PlainCodec(),
+                loop,
+                TimeSource.SYSTEM,
+                directory,
+                new AdapterVersions(),
+                new UpstreamPools(loop, TimeSource.SYSTEM, directory, u -> 10),
+                loads,
+                new PlainChooser(loads, "here", () -> 0),
+                new EngineChooser(view, loads),
+                view,
+                new GateClient(null, 1),
+                new RetryShare(new RetryShare.Bounds(1, 100, Duration.ofSeconds(10)), TimeSource.SYSTEM, () -> 1),
+                watch,
+                new ForwardMetrics(new MetricRegistry()));
+        forwarder = new RequestForwarder(
+                parts,
+                configuration,
+                freshness,
+                new AccountBudgets(TimeSource.SYSTEM),
+                new RequestForwarder.KnowledgeBounds(Duration.ofSeconds(4), Duration.ofSeconds(2)),
+                () -> false,
+                () -> 0);
+    }
+
+    /** The calls of these tests: the key and the id in headers of their own. */
+    private static final class PlainCodec implements CallCodec {
+        @Override
+        public Either<Refusal, ForwardRequest> decode(CallerRequest r) {
+            return Either.right(new ForwardRequest(
+                    "1",
+                    r.method(),
+                    "h",
+                    r.uri(),
+                    r.header("key").orElse(null),
+                    Duration.ofSeconds(20),
+                    null,
+                    null,
+                    null,
+                    List.of(Map.entry("Host", "h")),
+                    r.body()));
+        }
+
+        @Override
+        public UpstreamRequest encode(ForwardRequest r, SendTerms terms) {
+            List<Map.Entry<String, String>> headers = new ArrayList<>(r.headers());
+            if (terms.resumeAfter() != null) {
+                headers.add(Map.entry("after", terms.resumeAfter().toString()));
+            }
+            return new UpstreamRequest(r.method(), r.target(), r.id(), headers, r.body());
+        }
+
+        @Override
+        public AnswerFacts facts(AnswerHead head) {
+            return new AnswerFacts(
+                    head.header("not-run").isPresent(), false, head.header("id").orElse(null), null);
+        }
+
+        @Override
+        public List<Map.Entry<String, String>> callerHeaders(AnswerHead head) {
+            return List.of();
+        }
+
+        @Override
+        public void refuse(CallerExchange exchange, String id, Refusal refusal) {
+            exchange.respond(
+                    refusal.code().httpStatus(),
+                    List.of(),
+                    ByteString.copyFromUtf8(refusal.code().name()));
+        }
+    }
+
+    /** What a caller gets. */
+    private static final class Caller implements CallerExchange {
+        private final CompletableFuture<String> answer = new CompletableFuture<>();
+        private final CompletableFuture<Runnable> gone = new CompletableFuture<>();
+        private final StringBuilder body = new StringBuilder();
+        private int status;
+
+        @Override
+        public void respond(int newStatus, List<Map.Entry<String, String>> headers, ByteString content) {
+            answer.complete(newStatus + " " + content.toStringUtf8());
+        }
+
+        @Override
+        public void start(int newStatus, List<Map.Entry<String, String>> headers) {
+            status = newStatus;
+        }
+
+        @Override
+        public void write(ByteString part, Runnable written) {
+            body.append(part.toStringUtf8());
+            written.run();
+        }
+
+        @Override
+        public void end() {
+            answer.complete(status + " streamed " + body.toString().replace("\n", ";"));
+        }
+
+        @Override
+        public void abort() {
+            answer.complete("cut after " + body.toString().replace("\n", ";"));
+        }
+
+        @Override
+        public void onGone(Runnable action) {
+            gone.complete(action);
+        }
+    }
+
+    private void configure(RequestKind kind, boolean resumable, int maxUpstreams, Duration timeout) {
+        Route route = new Route(
+                "r",
+                "h",
+                "/p/",
+                kind,
+                List.of(new ServiceShare("s", 1)),
+                timeout,
+                Duration.ofSeconds(10),
+                Duration.ZERO,
+                1,
+                maxUpstreams,
+                false,
+                resumable);
+        configuration.offer(new RoutingTable(
+                1,
+                List.of(route),
+                List.of(new ServiceSpec("s", "/h", 10, null)),
+                List.of(ACCOUNT),
+                CallerLimits.DEFAULT));
+        freshness.confirm(freshness.now());
+    }
+
+    private void upstream(String id, InetSocketAddress address) {
+        directory.put(new Upstream(id, "s", address, "here", 1, false, 8, Map.of()));
+    }
+
+    private Caller ask(String path, String key) {
+        Caller caller = new Caller();
+        List<Map.Entry<String, String>> headers = key == null ? List.of() : List.of(Map.entry("key", key));
+        forwarder.handle(new CallerRequest("POST", path, headers, ByteString.copyFromUtf8("order")), caller);
+        return caller;
+    }
+
+    private String answer() {
+        return ask("/p/x", "key").answer.join();
+    }
+
+    private static String whole(String body) {
+        return "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static ScriptedUpstream.Script says(String bytes, boolean keep) {
+        return (request, connection) -> {
+            ScriptedUpstream.write(connection, bytes);
+            return keep;
+        };
+    }
+
+    private static InetSocketAddress refusing() throws Exception {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) probe.getLocalSocketAddress();
+        }
+    }
+
+    @Test
+    public void anAnswerComesBackWhole() throws Exception {
+        configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
+        try (ScriptedUpstream one = new ScriptedUpstream(says(whole("done"), true))) {
+            upstream("a", one.address());
+            assertEquals(answer(), "200 done");
+        }
+    }
+
+    @Test
+    public void aRequestThatMayHaveRunOnceIsNotSentAgain() throws Exception {
+        configure(RequestKind.ONCE, false, 2, Duration.ofSeconds(20));
+        try (ScriptedUpstream one = new ScriptedUpstream(says("", false));
+                ScriptedUpstream two = new ScriptedUpstream(says("", false))) {
+            upstream("a", one.address());
+            upstream("b", two.address());
+            assertEquals(answer(), "502 " + ResultCode.UPSTREAM_LOST);
+            assertEquals(one.waitingRequests() + two.waitingRequests(), 1);
+        }
+    }
+
+    @Test
+    public void aRequestThatCannotHaveLeftIsSentElsewhere() throws Exception {
+        configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
+        try (ScriptedUpstream two = new ScriptedUpstream(says(whole("done"), true))) {
+            upstream("a", refusing());
+            upstream("b", two.address());
+            assertEquals(answer(), "200 done");
+        }
+    }
+
+    @Test
+    public void aRefusalOfTheUpstreamAllowsAnother() throws Exception {
+        configure(RequestKind.ONCE, false, 2, Duration.ofSeconds(20));
+        try (ScriptedUpstream one = new ScriptedUpstream(says(NOT_RUN, true));
+                ScriptedUpstream two = new ScriptedUpstream(says(whole("done"), true))) {
+            upstream("a", one.address());
+            upstream("b", two.address());
+            assertEquals(answer(), "200 done");
+        }
+    }
+
+    @Test
+    public void oneUpstreamIsTheLimitWhereTheRouteSaysSo() throws Exception {
+        configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
+        try (ScriptedUpstream one = new ScriptedUpstream(says(NOT_RUN, true));
+                ScriptedUpstream two = new ScriptedUpstream(says(NOT_RUN, true))) {
+            upstream("a", one.address());
+            upstream("b", two.address());
+            assertEquals(answer(), "503 " + ResultCode.UPSTREAM_REFUSED);
+            assertEquals(one.waitingRequests() + two.waitingRequests(), 1);
+        }
+    }
+
+    @Test
+    public void aStatusThatPromisesNotToHaveRunIsNotPassedOnWithoutThatStatement() throws Exception {
+        configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
+        try (ScriptedUpstream one =
+                new ScriptedUpstream(says("HTTP/1.1 503 x\r\nid: 1\r\nContent-Length: 0\r\n\r\n", true))) {
+            upstream("a", one.address());
+            assertEquals(answer(), "502 " + ResultCode.ANSWER_INCOMPLETE);
+        }
+    }
+
+    @Test
+    public void theAnswerToAnotherRequestIsNotPassedOn() throws Exception {
+        configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
+        try (ScriptedUpstream one = new ScriptedUpstream(says(whole("done").replace("id: 1", "id: 2"), true))) {
+            upstream("a", one.address());
+            assertEquals(answer(), "502 " + ResultCode.UPSTREAM_LOST);
+        }
+    }
+
+    @Test
+    public void aBrokenStreamThatMayBeResumedGoesOnBehindItsLastWholeEvent() throws Exception {
+        configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
+        String start = "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        ScriptedUpstream.Script script = (request, connection) -> {
+            if (request.contains("after: 2")) {
+                ScriptedUpstream.write(connection, start + "c\r\nid: 3\nc: c\n\n\r\n0\r\n\r\n");
+                return true;
+            }
+            ScriptedUpstream.write(connection, start + "1a\r\nid: 1\na: a\n\nid: 2\nb: b\n\nid\r\n");
+            return false;
+        };
+        try (ScriptedUpstream one = new ScriptedUpstream(script);
+                ScriptedUpstream two = new ScriptedUpstream(script)) {
+            upstream("a", one.address());
+            upstream("b", two.address());
+            assertEquals(answer(), "200 streamed id: 1;a: a;;id: 2;b: b;;id: 3;c: c;;");
+        }
+    }
+
+    @Test
+    public void aBrokenStreamThatMayNotBeResumedIsCut() throws Exception {
+        configure(RequestKind.STREAM, false, 2, Duration.ofSeconds(20));
+        String bytes = "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+        try (ScriptedUpstream one = new ScriptedUpstream(says(bytes, false))) {
+            upstream("a", one.address());
+            assertEquals(answer(), "cut after half");
+        }
+    }
+
+    @Test
+    public void theRoutesTimeoutEndsAWaitWithoutAPromise() throws Exception {
+        configure(RequestKind.ONCE, false, 1, Duration.ofMillis(300));
+        CountDownLatch end = new CountDownLatch(1);
+        try (ScriptedUpstream one = new ScriptedUpstream((r, c) -> {
+            try {
+                end.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return false;
+        })) {
+            upstream("a", one.address());
+            assertEquals(answer(), "504 " + ResultCode.DEADLINE_PASSED);
+            end.countDown();
+        }
+    }
+
+    @Test
+    public void aCallerThatLeavesEndsTheWorkAtTheUpstream() throws Exception {
+        configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
+        CountDownLatch closed = new CountDownLatch(1);
+        try (ScriptedUpstream one = new ScriptedUpstream((r, c) -> {
+            if (c.getInputStream().read() < 0) {
+                closed.countDown();
+            }
+            return false;
+        })) {
+            upstream("a", one.address());
+            Caller caller = ask("/p/x", "key");
+            one.takeRequest();
+            caller.gone.join().run();
+            closed.await();
+            assertFalse(caller.answer.isDone());
+        }
+    }
+
+    @Test
+    public void withoutConfigurationNothingIsDenied() {
+        assertEquals(answer(), "503 " + ResultCode.NOT_READY);
+    }
+
+    @Test
+    public void unknownRoutesAndKeysAreDeniedByFreshKnowledgeOnly() {
+        configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
+        assertEquals(ask("/other/x", "key").answer.join(), "404 " + ResultCode.ROUTE_UNKNOWN);
+        assertEquals(ask("/p/x", "other").answer.join(), "401 " + ResultCode.KEY_UNKNOWN);
+        assertEquals(ask("/p/x", null).answer.join(), "401 " + ResultCode.KEY_MISSING);
+        wallForKnowledge.passMillis(2_500);
+        assertEquals(ask("/other/x", "key").answer.join(), "503 " + ResultCode.CUT_OFF);
+        assertEquals(ask("/p/x", "other").answer.join(), "503 " + ResultCode.CUT_OFF);
+    }
+
+    @Test
+    public void noKeyIsAcceptedWhereItsWithdrawalCouldBeUnknown() {
+        configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
+        wallForKnowledge.passMillis(4_100);
+        assertEquals(answer(), "503 " + ResultCode.CUT_OFF);
+    }
+
+    @Test
+    public void aSuspensionOfTheVmCountsAgainstKeys() {
+        configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
+        wallForKnowledge.moveWall(7_000);
+        assertEquals(answer(), "503 " + ResultCode.CUT_OFF);
+    }
+
+    @Test
+    public void aRequestThatCrashedTwoUpstreamsIsNotSentToAThird() throws Exception {
+        configure(RequestKind.IDEMPOTENT, false, 2, Duration.ofSeconds(20));
+        for (int crash = 1; crash <= 2; crash++) {
+            String id = "crash-" + crash;
+            try (ScriptedUpstream one = new ScriptedUpstream(says("", false))) {
+                upstream(id, one.address());
+                assertEquals(answer(), "502 " + ResultCode.UPSTREAM_LOST);
+            }
+            CompletableFuture<Void> seen = new CompletableFuture<>();
+            loop.execute(() -> {
+                directory.remove(id);
+                seen.complete(null);
+            });
+            seen.join();
+            watch.onDown(new Upstream(
+                    id,
+                    "s",
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+                    "here",
+                    1,
+                    false,
+                    8,
+                    Map.of()));
+        }
+        assertEquals(answer(), "503 " + ResultCode.SUSPECT_REFUSED);
+        assertTrue(directory.all().isEmpty());
+    }
+}
