--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/HttpClients.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/HttpClients.java
@@ -24,6 +24,7 @@
                 .setMaxRequestRetry(0)
                 .setFollowRedirect(false)
                 .setCookieStore(null)
+                .setSslEngineFactory(new LazySslEngineFactory())
                 .setConnectTimeout(CONNECT_TIMEOUT)
                 .setPooledConnectionIdleTimeout(IDLE_CONNECTION_TTL)
                 .setUserAgent("parsleycleat");
