Order a replacement once, and give a cut entry's part of the rates back sooner

Ruled out: orders repeated after lost answers (each was answered 202). Change: an accepted load counts as on its way until its version is there; records of entries are renewed every 2.5 s and lapse after 7.5 s, and an entry whose own record is older than 6 s adds nothing to its budgets; absent adapters are spread later.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -58,7 +58,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration KEY_MARGIN = Duration.ofMillis(800);
     private static final Duration USAGE_INTERVAL = Duration.ofMillis(100);
-    private static final Duration RECORD_INTERVAL = Duration.ofSeconds(5);
+    private static final Duration RECORD_INTERVAL = Duration.ofMillis(2_500);
     private static final Duration RECORD_RETRY = Duration.ofMillis(700);
     private static final Duration PEER_KEEP_ALIVE = Duration.ofSeconds(1);
     private static final Duration SUSPICION = Duration.ofMinutes(2);
@@ -72,7 +72,7 @@
     private static final FollowSettings UPSTREAMS =
             FollowSettings.PROMPT.withMinGap(Duration.ofMillis(550)).withWait(Duration.ofSeconds(2));
     private static final FollowSettings ENTRIES =
-            FollowSettings.PROMPT.withMinGap(Duration.ofSeconds(2)).withWait(Duration.ofSeconds(8));
+            FollowSettings.PROMPT.withMinGap(Duration.ofMillis(1_500)).withWait(Duration.ofSeconds(2));
 
     private final ForwardEntrySettings settings;
     private final StoreLinks store;
@@ -273,6 +273,8 @@
 
     private void exchangeUsage() {
         if (entriesFollower.isRead()) {
+            members.storeSilentFor(entriesFollower.freshness().age());
+            budgets.setSpending(members.isOwnRecordKnown());
             budgets.setOthers(members.others().keySet());
             exchange.reportUsage();
         }
@@ -286,7 +288,11 @@
                 .setPeerAddress(identity.peerAddress())
                 .setIncarnation(identity.incarnation())
                 .build();
+        long sentNanos = time.monotonicNanos();
         store.entryWriter().write(identity.vmName(), entry.toByteArray()).whenComplete((nothing, failure) -> {
+            if (failure == null) {
+                members.ownRecordWritten(sentNanos);
+            }
             Duration delay = failure == null ? RECORD_INTERVAL : RECORD_RETRY;
             loop.schedule(this::writeRecord, delay.toMillis(), TimeUnit.MILLISECONDS);
         });
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
@@ -1,6 +1,7 @@
 package io.parsleycleat.gateway.process.gate;
 
 import io.parsleycleat.gateway.version.routes.AdapterId;
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
@@ -16,29 +17,49 @@
  * takes
  * a place until then.
  *
+ * <p>Reports do not list an adapter whose version is being replaced as on its way, so an accepted load counts as such
+ * until
+ * its version is there, or its time is over.
+ *
  * <p>Created by {@link EngineGate} under whose lock it is used.
  */
 final class AdapterTable {
+    /** Time after which a load that was accepted and is not there is not expected any more. */
+    private static final Duration LOAD_LIMIT = Duration.ofSeconds(4);
+
     private final Map<AdapterId, Long> resident = new HashMap<>();
     private final Map<AdapterId, Long> coming = new HashMap<>();
+    private final Map<AdapterId, Accepted> accepted = new HashMap<>();
     private final Map<AdapterId, Integer> users = new HashMap<>();
     private final Map<AdapterId, Long> lastUsedNanos = new HashMap<>();
     private @Nullable ModelOrder uncertain;
 
+    /** A load that the engine accepted. */
+    private record Accepted(long version, long nanos) {}
+
     /** Takes what the engine reports. */
-    void onReport(EngineReport report) {
+    void onReport(EngineReport report, long nowNanos) {
         resident.clear();
         resident.putAll(report.adapters());
         coming.clear();
         coming.putAll(report.coming());
+        accepted.entrySet()
+                .removeIf(e -> isThere(e.getKey(), e.getValue().version())
+                        || nowNanos - e.getValue().nanos() > LOAD_LIMIT.toNanos());
+        accepted.forEach((adapter, load) -> coming.putIfAbsent(adapter, load.version()));
         ModelOrder order = uncertain;
         if (order != null && report.orders() > order.expectedOrders()) {
             uncertain = null;
         }
     }
 
+    private boolean isThere(AdapterId adapter, long version) {
+        Long held = resident.get(adapter);
+        return held != null && held >= version;
+    }
+
     /** Takes an order's outcome, until the next report tells more. */
-    void onOrder(ModelOrder order, ModelOrder.Outcome outcome) {
+    void onOrder(ModelOrder order, ModelOrder.Outcome outcome, long nowNanos) {
         if (outcome == ModelOrder.Outcome.UNKNOWN) {
             uncertain = order;
             return;
@@ -46,6 +67,7 @@
         boolean load = order.operation() == ModelOrder.Operation.LOAD;
         if (outcome == ModelOrder.Outcome.STARTED && load) {
             coming.put(order.target(), order.version());
+            accepted.put(order.target(), new Accepted(order.version(), nowNanos));
         } else if (outcome == ModelOrder.Outcome.DONE && !load) {
             resident.remove(order.target());
         }
@@ -58,6 +80,7 @@
     void clear() {
         resident.clear();
         coming.clear();
+        accepted.clear();
         uncertain = null;
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -128,7 +128,7 @@
         report = newReport;
         engineId = newEngineId;
         out = false;
-        adapters.onReport(newReport);
+        adapters.onReport(newReport, time.monotonicNanos());
         grantAll();
     }
 
@@ -405,7 +405,7 @@
     /** Takes an order's outcome. */
     public synchronized void onOrder(ModelOrder order, ModelOrder.Outcome outcome) {
         if (!order.target().isBaseModel()) {
-            adapters.onOrder(order, outcome);
+            adapters.onOrder(order, outcome, time.monotonicNanos());
         }
         grantAll();
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
@@ -19,11 +19,19 @@
  */
 public final class EntryMembers implements KeyedFold {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final Duration LAPSE = Duration.ofSeconds(13);
+    /** Age at which another entry's record has lapsed. */
+    private static final Duration LAPSE = Duration.ofMillis(7_500);
+    /** Age of the own record from which this entry spends nothing, earlier than the others count on it. */
+    private static final Duration OWN_LAPSE = Duration.ofSeconds(6);
+    /** Silence of the store after which the age of records says nothing. */
+    private static final Duration STORE_SILENCE = Duration.ofSeconds(4);
 
     private final String self;
     private final TimeSource time;
     private final Map<String, Seen> seen = new HashMap<>();
+    private boolean storeSilent;
+    private boolean ownWritten;
+    private long ownNanos;
 
     private record Seen(EntryRecord entry, long nanos) {}
 
@@ -56,6 +64,31 @@
         }
     }
 
+    /** Notes that the own record was written by a call that was sent at the given time. */
+    public synchronized void ownRecordWritten(long sentNanos) {
+        ownWritten = true;
+        ownNanos = sentNanos;
+    }
+
+    /** Returns whether the others still count on this entry, so that it may spend its part. */
+    public synchronized boolean isOwnRecordKnown() {
+        return ownWritten && time.monotonicNanos() - ownNanos < OWN_LAPSE.toNanos();
+    }
+
+    /**
+     * Takes how long the store has been silent. After a silence all records count as just renewed, since their writers
+     * had
+     * no way to renew them.
+     */
+    public synchronized void storeSilentFor(Duration silence) {
+        boolean silent = silence.compareTo(STORE_SILENCE) > 0;
+        if (silent || storeSilent) {
+            long now = time.monotonicNanos();
+            seen.replaceAll((name, s) -> new Seen(s.entry(), now));
+        }
+        storeSilent = silent;
+    }
+
     /** Returns the peer addresses of the other entries by their names. */
     public synchronized Map<String, String> others() {
         long oldest = time.monotonicNanos() - LAPSE.toNanos();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
@@ -22,7 +22,7 @@
  */
 public final class EngineChooser {
     /** Time that a load takes, in milliseconds, with what it takes away from other loads. */
-    private static final double LOAD_MILLIS = 450;
+    private static final double LOAD_MILLIS = 600;
 
     private static final double COMING_MILLIS = 130;
     private static final double MODEL_ABSENT_MILLIS = 1_500;
@@ -32,7 +32,7 @@
     /** What one place further down the adapter's order costs on an engine that holds it. */
     private static final double RANK_MILLIS = 12;
     /** The same on one that does not hold it, since an engine loads faster what it held before. */
-    private static final double ABSENT_RANK_MILLIS = 60;
+    private static final double ABSENT_RANK_MILLIS = 80;
     /** What a request that runs already adds, since steps grow with the batch. */
     private static final double RUNNING_MILLIS = 3;
     /** What memory that is nearly used up adds. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
@@ -30,6 +30,8 @@
     /** Nothing is added before the others are known, since they may be spending all of it. */
     private boolean othersKnown;
 
+    private boolean adding = true;
+
     /** Creates budgets without accounts. */
     public AccountBudgets(TimeSource time) {
         this.time = time;
@@ -58,6 +60,15 @@
         heardNanos.keySet().retainAll(others);
     }
 
+    /**
+     * Says whether the others count on this entry. While they do not, nothing is added here; what is left may be spent,
+     * since it was added before.
+     */
+    public synchronized void setSpending(boolean mayAdd) {
+        fillAll();
+        adding = mayAdd;
+    }
+
     /** Takes what another entry has admitted since its start. */
     public synchronized void onReport(String entry, Map<String, Double> totals) {
         fillAll();
@@ -120,7 +131,7 @@
 
     /** Returns the part of the rate that does not belong to entries which are not heard. */
     private double part() {
-        return othersKnown ? (1.0 + heardOthers()) / (1.0 + others.size()) : 0;
+        return othersKnown && adding ? (1.0 + heardOthers()) / (1.0 + others.size()) : 0;
     }
 
     private int heardOthers() {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
@@ -288,4 +288,32 @@
         assertEquals(answers.get(1L).getEngineId(), "engine-2");
         assertEquals(answers.get(1L).getEngineBorn(), 9);
     }
+
+    @Test
+    public void aReplacementIsOrderedOnceAndItsAdapterIsNotStartedMeanwhile() {
+        report(Map.of(adapter("a"), 1L), Map.of());
+        versions.name(adapter("a"), 2, time.monotonicNanos());
+        ModelOrder load = order().orElseThrow();
+        gate.onOrder(load, ModelOrder.Outcome.STARTED);
+        orders++;
+        report(Map.of(adapter("a"), 1L), Map.of());
+        assertTrue(order().isEmpty(), "the report does not list a replacement as on its way");
+        request(ask(1, "a", 100));
+        assertEquals(granted, List.of());
+        report(Map.of(adapter("a"), 2L), Map.of());
+        assertEquals(granted, List.of(1L));
+        assertEquals(answers.get(1L).getVersion(), 2);
+    }
+
+    @Test
+    public void aLoadThatNeverArrivesIsOrderedAgain() {
+        report(Map.of(), Map.of());
+        request(ask(1, "a", 100).setWaitMillis(20_000));
+        gate.onOrder(order().orElseThrow(), ModelOrder.Outcome.STARTED);
+        report(Map.of(), Map.of());
+        assertTrue(order().isEmpty());
+        time.passMillis(4_100);
+        report(Map.of(), Map.of());
+        assertEquals(order().orElseThrow().target(), adapter("a"));
+    }
 }
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
@@ -0,0 +1,78 @@
+package io.parsleycleat.gateway.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.process.members.EntryMembers;
+import io.parsleycleat.wire.gate.EntryRecord;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class EntryMembersTest {
+    private static final byte[] RECORD =
+            EntryRecord.newBuilder().setPeerAddress("10.0.0.2:7600").build().toByteArray();
+
+    private MovedTime time;
+    private EntryMembers members;
+
+    @BeforeMethod
+    public void setUp() {
+        time = new MovedTime();
+        members = new EntryMembers("self", time);
+    }
+
+    @Test
+    public void othersAreKnownByTheirRecordsAndTheEntryItselfIsNone() {
+        members.put("self", RECORD);
+        members.put("b", RECORD);
+        assertEquals(members.others(), Map.of("b", "10.0.0.2:7600"));
+        members.drop("b", false);
+        assertEquals(members.others(), Map.of());
+    }
+
+    @Test
+    public void aRecordThatIsNotRenewedLapses() {
+        members.put("b", RECORD);
+        time.passMillis(7_000);
+        assertEquals(members.others().keySet(), Set.of("b"));
+        time.passMillis(600);
+        assertEquals(members.others().keySet(), Set.of());
+    }
+
+    @Test
+    public void nobodyLapsesWhileTheStoreIsSilentNorRightAfter() {
+        members.put("b", RECORD);
+        time.passMillis(5_000);
+        members.storeSilentFor(Duration.ofSeconds(5));
+        time.passMillis(6_000);
+        members.storeSilentFor(Duration.ofSeconds(11));
+        members.storeSilentFor(Duration.ZERO);
+        time.passMillis(7_000);
+        assertEquals(members.others().keySet(), Set.of("b"));
+    }
+
+    @Test
+    public void anEntryStopsToSpendBeforeTheOthersCountItOut() {
+        assertFalse(members.isOwnRecordKnown());
+        members.ownRecordWritten(time.monotonicNanos());
+        members.put("b", RECORD);
+        time.passMillis(5_900);
+        assertTrue(members.isOwnRecordKnown());
+        time.passMillis(200);
+        assertFalse(members.isOwnRecordKnown());
+        assertEquals(members.others().keySet(), Set.of("b"));
+    }
+
+    @Test
+    public void aRecordThatCannotBeReadChangesNothing() {
+        members.put("b", RECORD);
+        members.put("b", "\u00ff\u00ff not a record".getBytes(StandardCharsets.ISO_8859_1));
+        assertEquals(members.others(), Map.of("b", "10.0.0.2:7600"));
+    }
+}
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
@@ -134,4 +134,12 @@
         AccountBudgets budgets = entry(Set.of());
         assertEquals(budgets.trySpend(ACCOUNT, 900).orElseThrow().toMillis(), 400);
     }
+
+    @Test
+    public void anEntryThatTheOthersDoNotCountOnAddsNothing() {
+        AccountBudgets budgets = entry(Set.of());
+        budgets.setSpending(false);
+        time.passMillis(3_000);
+        assertEquals(budgets.level("tailors"), 500, 1);
+    }
 }
