Pass over an adapter that the engine does not give up

Ruled out: another order under way (nothing was on its way), a second holder (all 409 came to the same side). Change: such an adapter is passed over as the one to replace for 0.7 s.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
@@ -27,9 +27,12 @@
     /** Time after which a load that was accepted and is not there is not expected any more. */
     private static final Duration LOAD_LIMIT = Duration.ofSeconds(4);
 
+    private static final Duration KEPT_PAUSE = Duration.ofMillis(700);
+
     private final Map<AdapterId, Long> resident = new HashMap<>();
     private final Map<AdapterId, Long> coming = new HashMap<>();
     private final Map<AdapterId, Accepted> accepted = new HashMap<>();
+    private final Map<AdapterId, Long> keptNanos = new HashMap<>();
     private final Map<AdapterId, Integer> users = new HashMap<>();
     private final Map<AdapterId, Long> lastUsedNanos = new HashMap<>();
     private @Nullable ModelOrder uncertain;
@@ -65,6 +68,9 @@
             return;
         }
         boolean load = order.operation() == ModelOrder.Operation.LOAD;
+        if (outcome == ModelOrder.Outcome.CONFLICT && !load) {
+            keptNanos.put(order.target(), nowNanos);
+        }
         if (outcome == ModelOrder.Outcome.STARTED && load) {
             coming.put(order.target(), order.version());
             accepted.put(order.target(), new Accepted(order.version(), nowNanos));
@@ -81,6 +87,7 @@
         resident.clear();
         coming.clear();
         accepted.clear();
+        keptNanos.clear();
         uncertain = null;
     }
 
@@ -124,9 +131,15 @@
         return (int) (resident.size() + coming.size() - replacing) + (extra ? 1 : 0);
     }
 
-    /** Returns the adapter that was used longest ago among those that nobody uses or wants. */
-    Optional<AdapterId> leastRecentlyUsed(Predicate<AdapterId> wanted) {
+    /**
+     * Returns the adapter that was used longest ago among those that nobody uses or wants. One that the engine would
+     * not
+     * give up, since a run that was left behind still uses it, is passed over for a while.
+     */
+    Optional<AdapterId> leastRecentlyUsed(Predicate<AdapterId> wanted, long nowNanos) {
+        keptNanos.values().removeIf(nanos -> nowNanos - nanos > KEPT_PAUSE.toNanos());
         return resident.keySet().stream()
+                .filter(a -> !keptNanos.containsKey(a))
                 .filter(a -> !isUsed(a) && !isComing(a) && !wanted.test(a))
                 .min(Comparator.comparingLong(a -> lastUsedNanos.getOrDefault(a, Long.MIN_VALUE)));
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -384,7 +384,7 @@
                 .findFirst()
                 .flatMap(a -> adapters.taken() < adapterPlaces(limits)
                         ? Optional.of(make.make(ModelOrder.Operation.LOAD, a, versions.newest(a)))
-                        : adapters.leastRecentlyUsed(this::isWanted)
+                        : adapters.leastRecentlyUsed(this::isWanted, now)
                                 .map(old -> make.make(ModelOrder.Operation.UNLOAD, old, 0)));
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
@@ -316,4 +316,19 @@
         report(Map.of(), Map.of());
         assertEquals(order().orElseThrow().target(), adapter("a"));
     }
+
+    @Test
+    public void anAdapterThatTheEngineDoesNotGiveUpIsPassedOverForAWhile() {
+        report(Map.of(adapter("a"), 1L, adapter("b"), 1L, adapter("c"), 1L), Map.of());
+        request(ask(1, "d", 100).setWaitMillis(20_000));
+        ModelOrder first = order().orElseThrow();
+        gate.onOrder(first, ModelOrder.Outcome.CONFLICT);
+        ModelOrder second = order().orElseThrow();
+        assertFalse(second.target().equals(first.target()));
+        gate.onOrder(second, ModelOrder.Outcome.CONFLICT);
+        gate.onOrder(order().orElseThrow(), ModelOrder.Outcome.CONFLICT);
+        assertTrue(order().isEmpty());
+        time.passMillis(800);
+        assertTrue(order().isPresent());
+    }
 }
