Prefer engines that held an adapter, and refuse what gets no place in time

An engine has 21 places, so adapters of the tail are unloaded soon, and their next request went to any engine, by rank and queue, although the engine that held it last loads it again ten times as fast and without the store. Ruled out: reading of prompts (requests for resident adapters started after 0 ms at the same engines). Change: entries remember what each start of an engine held; such an engine is expected to load in 90 ms. A side measures how often an adapter falls out of use, refuses at once what would wait too long for a place, and tells entries how long a further adapter waits. An upstream whose answers fail is tried again when its failures are old; before, one that was not used kept its mark for good. Own records that are not written are logged. Unused parts are gone. Tests: EngineChooserTest and two cases of EngineGateTest; the case of the failing upstream fails without the change.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -13,6 +13,7 @@
 import io.parsleycleat.core.process.common.Drain;
 import io.parsleycleat.core.process.identity.ProcessIdentity;
 import io.parsleycleat.core.process.identity.ProcessRole;
+import io.parsleycleat.core.process.result.Failures;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.core.request.outcome.CrashSuspects;
 import io.parsleycleat.gateway.connection.upstream.UpstreamPools;
@@ -60,9 +61,14 @@
     private static final Duration USAGE_INTERVAL = Duration.ofMillis(100);
     private static final Duration RECORD_INTERVAL = Duration.ofMillis(2_500);
     private static final Duration RECORD_RETRY = Duration.ofMillis(700);
+    /** Part of the budgets' slack that entries may use up before they hear of each other; starts need the rest. */
+    private static final double TOLERATED_PART = 0.25;
+
     private static final Duration PEER_KEEP_ALIVE = Duration.ofSeconds(1);
     private static final Duration SUSPICION = Duration.ofMinutes(2);
     private static final Duration LAST_BYTES = Duration.ofMillis(300);
+    /** How long the end of the process waits for its record to be dropped. */
+    private static final Duration LAST_WRITE = Duration.ofMillis(200);
     /** The balancer asks once a second and needs two refusals; requests arrive until then. */
     private static final Duration LEAVE_TIME = Duration.ofMillis(2_800);
     /** Part of the grace time that is kept for the end. */
@@ -96,6 +102,7 @@
     private volatile boolean stopping;
     private volatile boolean refusing;
     private volatile @Nullable Readiness lastReadiness;
+    private volatile boolean recordWriteFails;
 
     private ForwardEntry(ForwardEntrySettings settings, StoreLinks store, CallCodec codec, EventLoopGroup loops) {
         this.settings = settings;
@@ -105,7 +112,7 @@
         this.transport = new NettyPeerTransport(
                 identity, loops, () -> 0, (from, frame) -> {}, new TrafficCounter(metrics), PEER_KEEP_ALIVE);
         this.members = new EntryMembers(identity.vmName(), time);
-        this.budgets = new AccountBudgets(time);
+        this.budgets = new AccountBudgets(time, settings.budgetSlack() * TOLERATED_PART);
         this.crashes = new CrashWatch(new CrashSuspects(SUSPICION, SUSPICION), time, this::tellCrash);
         EngineView view = new EngineView(time);
         this.exchange = new EntryExchange(
@@ -167,8 +174,7 @@
         }
         callers.close();
         Drain.await(loop, this::connectionsWithAnswers, LAST_BYTES);
-        store.entryWriter().write(identity.vmName(), new byte[0]);
-        Drain.pause(Duration.ofMillis(50));
+        dropRecord();
         logger.atInfo().log("entry stopped");
     }
 
@@ -284,17 +290,40 @@
         if (stopping) {
             return;
         }
-        EntryRecord entry = EntryRecord.newBuilder()
-                .setPeerAddress(identity.peerAddress())
-                .setIncarnation(identity.incarnation())
-                .build();
+        EntryRecord entry =
+                EntryRecord.newBuilder().setPeerAddress(identity.peerAddress()).build();
         long sentNanos = time.monotonicNanos();
         store.entryWriter().write(identity.vmName(), entry.toByteArray()).whenComplete((nothing, failure) -> {
             if (failure == null) {
                 members.ownRecordWritten(sentNanos);
             }
+            noteRecordWrite(failure);
             Duration delay = failure == null ? RECORD_INTERVAL : RECORD_RETRY;
             loop.schedule(this::writeRecord, delay.toMillis(), TimeUnit.MILLISECONDS);
         });
     }
+
+    /** Logs the first failure in a row and the end of it; each renewal repeats the write. */
+    private void noteRecordWrite(@Nullable Throwable failure) {
+        if (failure != null && !recordWriteFails) {
+            logger.atWarning().log("own record is not written, tried again: %s", Failures.unwrap(failure));
+        } else if (failure == null && recordWriteFails) {
+            logger.atInfo().log("own record is written again");
+        }
+        recordWriteFails = failure != null;
+    }
+
+    /** Drops the own record, so that the others use this entry's part of the rates before the record lapses. */
+    private void dropRecord() {
+        store.entryWriter()
+                .write(identity.vmName(), new byte[0])
+                .orTimeout(LAST_WRITE.toMillis(), TimeUnit.MILLISECONDS)
+                .handle((nothing, failure) -> failure)
+                .thenAccept(failure -> {
+                    if (failure != null) {
+                        logger.atWarning().log("own record is not dropped, it lapses: %s", Failures.unwrap(failure));
+                    }
+                })
+                .join();
+    }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntrySettings.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntrySettings.java
@@ -16,6 +16,7 @@
  * @param sidePort the port of the sides on their VMs
  * @param withdrawalBound how soon after a key's withdrawal nothing may run with it
  * @param changeBound how soon a configuration version is in force
+ * @param budgetSlack what all entries together may admit beyond an account's budget
  * @param retries the fleet's budget of repeats
  * @param grace how long a stopping process may take
  */
@@ -28,6 +29,7 @@
         int sidePort,
         Duration withdrawalBound,
         Duration changeBound,
+        double budgetSlack,
         RetryShare.Bounds retries,
         Duration grace) {
     public ForwardEntrySettings {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
@@ -96,8 +96,10 @@
         lastUsedNanos.put(adapter, nowNanos);
     }
 
-    void release(AdapterId adapter) {
+    /** Returns whether nobody uses the adapter any more. */
+    boolean release(AdapterId adapter) {
         users.computeIfPresent(adapter, (a, n) -> n > 1 ? n - 1 : null);
+        return !users.containsKey(adapter);
     }
 
     boolean isUsed(AdapterId adapter) {
@@ -131,6 +133,13 @@
         return (int) (resident.size() + coming.size() - replacing) + (extra ? 1 : 0);
     }
 
+    /** Returns how many adapters could be unloaded for others. */
+    int replaceable(Predicate<AdapterId> wanted) {
+        return (int) resident.keySet().stream()
+                .filter(a -> !isUsed(a) && !isComing(a) && !wanted.test(a))
+                .count();
+    }
+
     /**
      * Returns the adapter that was used longest ago among those that nobody uses or wants. One that the engine would
      * not
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -55,6 +55,7 @@
     private final TimeSource time;
     private final AdapterTable adapters = new AdapterTable();
     private final ReadRate readRate = new ReadRate();
+    private final PlaceRate placeRate = new PlaceRate();
     private final Map<TicketKey, Granted> granted = new HashMap<>();
     private final List<Waiting> waiting = new ArrayList<>();
     private @Nullable EngineSpec spec;
@@ -197,8 +198,8 @@
     }
 
     private void end(@Nullable Granted run) {
-        if (run != null) {
-            adapters.release(run.adapter);
+        if (run != null && adapters.release(run.adapter)) {
+            placeRate.onFreed(time.monotonicNanos());
         }
     }
 
@@ -314,7 +315,31 @@
                 .sum();
         long tokens = Math.max(0, backlog() + ahead - maxBacklog());
         Duration reading = Duration.ofMillis((long) (1_000 * tokens / readRate.tokensPerSecond()));
-        return isUsable(asked.adapter(), time.monotonicNanos()) ? reading : max(reading, LOAD_ESTIMATE);
+        return isUsable(asked.adapter(), time.monotonicNanos()) ? reading : max(reading, loadWait(asked.adapter()));
+    }
+
+    /** An adapter that is absent needs a place, which falls free when the last run with another adapter ends. */
+    private Duration loadWait(AdapterId adapter) {
+        return isAbsent(adapter) && !isWanted(adapter) ? placeWait().plus(LOAD_ESTIMATE) : LOAD_ESTIMATE;
+    }
+
+    /** Returns how long one more absent adapter waits for its place, behind those that wait already. */
+    private Duration placeWait() {
+        EngineSpec limits = spec;
+        if (limits == null) {
+            return Duration.ZERO;
+        }
+        long wanted = waiting.stream()
+                .map(Waiting::adapter)
+                .filter(this::isAbsent)
+                .distinct()
+                .count();
+        long free = (long) adapterPlaces(limits) - adapters.taken() + adapters.replaceable(this::isWanted);
+        return placeRate.timeToFree(wanted + 1 - free, time.monotonicNanos());
+    }
+
+    private boolean isAbsent(AdapterId adapter) {
+        return !adapter.isBaseModel() && adapters.version(adapter).isEmpty() && !adapters.isComing(adapter);
     }
 
     private static Duration max(Duration one, Duration other) {
@@ -380,7 +405,7 @@
         return waiting.stream()
                 .sorted(order(now))
                 .map(Waiting::adapter)
-                .filter(a -> !a.isBaseModel() && adapters.version(a).isEmpty() && !adapters.isComing(a))
+                .filter(this::isAbsent)
                 .findFirst()
                 .flatMap(a -> adapters.taken() < adapterPlaces(limits)
                         ? Optional.of(make.make(ModelOrder.Operation.LOAD, a, versions.newest(a)))
@@ -437,6 +462,7 @@
                 .setReservedTokens(
                         reserved() + waiting.stream().mapToLong(Waiting::tokens).sum())
                 .setTokensPerSecond((int) readRate.tokensPerSecond())
+                .setPlaceWaitMillis((int) placeWait().toMillis())
                 .addAllResident(names(adapters.residents().stream()
                         .filter(a -> isUsable(a, time.monotonicNanos()))
                         .collect(Collectors.toSet())))
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
@@ -14,7 +14,8 @@
 /**
  * Orders the engines of a service for a request by the expected time to its first event.
  *
- * <p>An adapter that is absent costs a load. Engines earlier in the adapter's rendezvous order are preferred a little,
+ * <p>An adapter that is absent costs a load, a short one at an engine that held it before. Engines earlier in the
+ * adapter's rendezvous order are preferred a little,
  * so
  * that all entries load it in the same places and an adapter spreads over more engines only as its demand grows.
  *
@@ -25,6 +26,9 @@
     private static final double LOAD_MILLIS = 600;
 
     private static final double COMING_MILLIS = 130;
+    /** Time that it takes an engine to load what it held before. */
+    private static final double RELOAD_MILLIS = 90;
+
     private static final double MODEL_ABSENT_MILLIS = 1_500;
     private static final double ERRING_MILLIS = 1_000;
     private static final double PAUSED_MILLIS = 5_000;
@@ -77,6 +81,7 @@
             expected += memoryMillis(s);
             expected += s.getModelResident() ? 0 : MODEL_ABSENT_MILLIS;
             expected += s.getOut() ? OUT_MILLIS : 0;
+            expected += needsPlace(place) ? s.getPlaceWaitMillis() : 0;
         }
         return new Choice(engine, expected, place);
     }
@@ -95,10 +100,15 @@
         return switch (place) {
             case RESIDENT -> 0;
             case COMING -> COMING_MILLIS;
+            case HELD_BEFORE -> RELOAD_MILLIS;
             case ABSENT -> LOAD_MILLIS;
         };
     }
 
+    private static boolean needsPlace(EngineView.Place place) {
+        return place == EngineView.Place.ABSENT || place == EngineView.Place.HELD_BEFORE;
+    }
+
     private static double memoryMillis(GateStatus status) {
         if (status.getTotalTokens() == 0) {
             return 0;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
@@ -4,12 +4,16 @@
 import io.parsleycleat.gateway.version.routes.AdapterId;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import io.parsleycleat.wire.gate.GateStatus;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
 
 /**
  * What the sides last told of their engines, and what this entry has asked for since.
@@ -18,6 +22,8 @@
  */
 public final class EngineView {
     private static final long STALE_MILLIS = 3_000;
+    /** Adapters that an engine is taken to load faster, since it had them before; engines keep about this many. */
+    private static final int HELD_LIMIT = 100;
     /** Sides repeat their status more often than this while entries use them. */
     private static final long SILENT_MILLIS = 1_500;
 
@@ -30,21 +36,40 @@
         private final GateStatus status;
         private final Set<String> resident;
         private final Set<String> coming;
+        private final Set<String> held;
         private final long nanos;
         private final AtomicLong askedTokens = new AtomicLong();
 
-        Told(GateStatus status, long nanos) {
+        Told(GateStatus status, @Nullable Told before, long nanos) {
             this.status = status;
             this.resident = Set.copyOf(status.getResidentList());
             this.coming = Set.copyOf(status.getComingList());
+            this.held = heldNow(before, status.getBorn(), resident);
             this.nanos = nanos;
         }
+
+        /** Returns the adapters that an engine held last, those that it holds now at the end. */
+        private static Set<String> heldNow(@Nullable Told before, long born, Set<String> resident) {
+            if (before == null || before.status.getBorn() != born) {
+                return resident;
+            }
+            if (before.resident.equals(resident)) {
+                return before.held;
+            }
+            LinkedHashSet<String> held = new LinkedHashSet<>(before.held);
+            held.removeAll(resident);
+            held.addAll(resident);
+            List<String> names = new ArrayList<>(held);
+            return new LinkedHashSet<>(names.subList(Math.max(0, names.size() - HELD_LIMIT), names.size()));
+        }
     }
 
     /** Where an adapter is. */
     public enum Place {
         RESIDENT,
         COMING,
+        /** Not there now, but this start of the engine held it before and so loads it faster. */
+        HELD_BEFORE,
         ABSENT
     }
 
@@ -55,7 +80,7 @@
 
     /** Takes a side's status of its engine. */
     public void onStatus(GateStatus status) {
-        told.put(status.getEngineId(), new Told(status, time.monotonicNanos()));
+        told.compute(status.getEngineId(), (id, before) -> new Told(status, before, time.monotonicNanos()));
     }
 
     /** Notes that a start was asked for, so that the next choice counts it before the side tells it. */
@@ -104,7 +129,10 @@
                 || (adapter.isBaseModel() && known.get().status.getModelResident())) {
             return Place.RESIDENT;
         }
-        return known.get().coming.contains(name) ? Place.COMING : Place.ABSENT;
+        if (known.get().coming.contains(name)) {
+            return Place.COMING;
+        }
+        return known.get().held.contains(name) ? Place.HELD_BEFORE : Place.ABSENT;
     }
 
     private Optional<Told> fresh(Upstream engine) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLoad.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLoad.java
@@ -18,12 +18,15 @@
     private static final double WEIGHT = 0.2;
     /** Share of failed answers above which an upstream is used only when there is no better one. */
     private static final double MAX_ERROR_SHARE = 0.3;
+    /** Time in which the weight of old failures halves, so that an upstream that is not used is tried again. */
+    private static final Duration ERROR_HALF_LIFE = Duration.ofSeconds(3);
 
     private final TimeSource time;
     private int open;
     private int reportedElsewhere;
     private double latencyMillis;
     private double errorShare;
+    private long errorShareNanos;
     private int failuresInRow;
     private long pausedUntilNanos;
     private boolean paused;
@@ -33,6 +36,7 @@
     public UpstreamLoad(TimeSource time) {
         this.time = time;
         this.heardNanos = time.monotonicNanos();
+        this.errorShareNanos = heardNanos;
     }
 
     /** Notes that bytes arrived from the upstream, on any connection. */
@@ -64,13 +68,13 @@
     public synchronized void onSuccess(Duration latency) {
         failuresInRow = 0;
         paused = false;
-        errorShare *= 1 - WEIGHT;
+        noteOutcome(0);
         latencyMillis += WEIGHT * (latency.toMillis() - latencyMillis);
     }
 
     /** Notes an answer that says that the upstream failed. */
     public synchronized void onError() {
-        errorShare += WEIGHT * (1 - errorShare);
+        noteOutcome(1);
     }
 
     /** Notes that there was no answer, or no connection. */
@@ -89,7 +93,7 @@
 
     /** Returns whether many of the last answers were failures. */
     public synchronized boolean isErring() {
-        return errorShare > MAX_ERROR_SHARE;
+        return errorShareNow() > MAX_ERROR_SHARE;
     }
 
     /** Returns how many requests the upstream has, as far as this entry knows. */
@@ -101,4 +105,15 @@
     public synchronized double latencyMillis() {
         return latencyMillis;
     }
+
+    private void noteOutcome(double failed) {
+        double before = errorShareNow();
+        errorShare = before + WEIGHT * (failed - before);
+        errorShareNanos = time.monotonicNanos();
+    }
+
+    private double errorShareNow() {
+        double halvings = (double) (time.monotonicNanos() - errorShareNanos) / ERROR_HALF_LIFE.toNanos();
+        return errorShare * Math.pow(2, -halvings);
+    }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
@@ -31,6 +31,8 @@
     private static final Duration ANSWER_SLACK = Duration.ofMillis(300);
     /** How long an engine is waited for when the answer will be late anyway. */
     private static final Duration MIN_WAIT = Duration.ofMillis(1_200);
+    /** How far beyond its objective a request waits at an engine that is expected to take long. */
+    private static final long MAX_EXTRA_MILLIS = 1_000;
 
     private static final Duration SIDE_PAUSE = Duration.ofSeconds(1);
     private static final Duration DEFAULT_RETRY = Duration.ofMillis(500);
@@ -123,7 +125,7 @@
 
     /** A caller is better told early to come back than held for long, so the wait at an engine has a limit. */
     private Duration waitAt(EngineChooser.Choice choice) {
-        Duration wanted = ask.objectiveLeft().plusMillis((long) choice.expectedMillis());
+        Duration wanted = ask.objectiveLeft().plusMillis((long) Math.min(MAX_EXTRA_MILLIS, choice.expectedMillis()));
         Duration wait = wanted.compareTo(MIN_WAIT) < 0 ? MIN_WAIT : wanted;
         return wait.compareTo(ask.timeLeft()) > 0 ? ask.timeLeft() : wait;
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardRequest.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardRequest.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -59,11 +58,6 @@
         return mark < 0 ? target : target.substring(0, mark);
     }
 
-    /** Returns the last event that the caller has, if it asks for the rest of a stream. */
-    public OptionalLong resume() {
-        return resumeAfter == null ? OptionalLong.empty() : OptionalLong.of(resumeAfter);
-    }
-
     /** Returns how long the caller waits, if it said so. */
     public Optional<Duration> callerDeadline() {
         return Optional.ofNullable(deadline);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
@@ -81,11 +81,6 @@
         round.incrementAndGet();
     }
 
-    /** Reads at once, without waiting for the answer of a read that is under way. */
-    public void refresh() {
-        step(round.incrementAndGet());
-    }
-
     /** Returns how fresh the fold is. */
     public Freshness freshness() {
         return freshness;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
@@ -331,4 +331,36 @@
         time.passMillis(800);
         assertTrue(order().isPresent());
     }
+
+    /** Pattern: more adapters of the tail are asked for than the engine has places, all of which are in use. */
+    @Test
+    public void aRequestWhoseAdapterGetsNoPlaceInTimeIsRefusedAtOnce() {
+        report(Map.of(adapter("a"), 1L, adapter("b"), 1L, adapter("c"), 1L), Map.of());
+        request(ask(1, "a", 100));
+        request(ask(2, "b", 100));
+        request(ask(3, "c", 100));
+        time.passMillis(1_000);
+        progress(3, RunProgress.Stage.ENDED);
+        request(ask(4, "c", 100));
+        time.passMillis(1_000);
+        assertEquals(granted, List.of(1L, 2L, 3L, 4L));
+
+        request(ask(5, "d", 100).setWaitMillis(200));
+        assertEquals(answers.get(5L).getRefusalCode(), ResultCode.QUEUE_FULL.number());
+        assertTrue(answers.get(5L).getRetryAfterMillis() >= 1_000, "back when a place may be free");
+        assertTrue(gate.status().getPlaceWaitMillis() >= 1_000, "entries choose another engine");
+
+        request(ask(6, "a", 100).setWaitMillis(200));
+        assertTrue(granted.contains(6L), "an adapter that is there needs no place");
+    }
+
+    /** Pattern: places are in use by nobody, and adapters of the tail come one after another. */
+    @Test
+    public void aPlaceThatNobodyUsesIsNoReasonToWait() {
+        report(Map.of(adapter("a"), 1L, adapter("b"), 1L, adapter("c"), 1L), Map.of());
+        request(ask(1, "a", 100));
+        request(ask(2, "d", 100).setWaitMillis(400));
+        assertFalse(answers.containsKey(2L));
+        assertEquals(order().orElseThrow().operation(), ModelOrder.Operation.UNLOAD);
+    }
 }
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
@@ -0,0 +1,155 @@
+package io.parsleycleat.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.request.choose.EngineChooser;
+import io.parsleycleat.gateway.request.choose.EngineView;
+import io.parsleycleat.gateway.request.choose.UpstreamLoads;
+import io.parsleycleat.gateway.version.routes.AdapterId;
+import io.parsleycleat.gateway.version.upstreams.Upstream;
+import io.parsleycleat.gateway.version.upstreams.UpstreamDirectory;
+import io.parsleycleat.wire.gate.GateStatus;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class EngineChooserTest {
+    private static final AdapterId ADAPTER = new AdapterId("m0", "tail-17");
+    private static final int ENGINES = 5;
+
+    private MovedTime time;
+    private EngineView view;
+    private UpstreamLoads loads;
+    private EngineChooser chooser;
+    private List<Upstream> engines;
+
+    @BeforeMethod
+    public void setUp() {
+        time = new MovedTime();
+        view = new EngineView(time);
+        loads = new UpstreamLoads(time, new UpstreamDirectory());
+        chooser = new EngineChooser(view, loads);
+        engines =
+                IntStream.range(0, ENGINES).mapToObj(EngineChooserTest::engine).toList();
+        engines.forEach(e -> tell(e, 1, 0, List.of()));
+    }
+
+    private static Upstream engine(int i) {
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 100 + i);
+        return new Upstream("e" + i, "lm", address, "bole", 1, false, 64, Map.of());
+    }
+
+    private void tell(Upstream engine, long born, long backlog, List<String> resident) {
+        view.onStatus(GateStatus.newBuilder()
+                .setEngineId(engine.id())
+                .setBorn(born)
+                .setModelResident(true)
+                .setTotalTokens(100_000)
+                .setBacklogTokens(backlog)
+                .setTokensPerSecond(15_000)
+                .addAllResident(resident)
+                .build());
+    }
+
+    private List<Upstream> order() {
+        return chooser.order(engines, ADAPTER, Set.of()).stream()
+                .map(EngineChooser.Choice::engine)
+                .toList();
+    }
+
+    private Upstream best() {
+        return order().get(0);
+    }
+
+    /** Pattern: many entries ask for an adapter that no engine holds. */
+    @Test
+    public void aColdAdapterHasTheSameHomeForAllEntries() {
+        EngineChooser other = new EngineChooser(new EngineView(time), loads);
+        assertEquals(other.order(engines, ADAPTER, Set.of()).get(0).engine(), best());
+    }
+
+    /** Pattern: adapters of the tail are asked for again after hotter ones took their places. */
+    @Test
+    public void anEngineThatHeldAnAdapterBeforeGoesBeforeItsHome() {
+        Upstream last = order().get(ENGINES - 1);
+        tell(last, 1, 0, List.of(ADAPTER.toString()));
+        tell(last, 1, 0, List.of("m0/hot"));
+        assertEquals(best(), last);
+        assertEquals(view.place(last, ADAPTER), EngineView.Place.HELD_BEFORE);
+    }
+
+    /** Pattern: an engine restarts empty. */
+    @Test
+    public void aStartedEngineHeldNothingBefore() {
+        Upstream last = order().get(ENGINES - 1);
+        tell(last, 1, 0, List.of(ADAPTER.toString()));
+        tell(last, 2, 0, List.of());
+        Upstream startedAnew = last.withStart(last.id(), 2);
+        assertEquals(view.place(startedAnew, ADAPTER), EngineView.Place.ABSENT);
+    }
+
+    /** Pattern: far more adapters pass through an engine than it keeps. */
+    @Test
+    public void whatWasHeldLongAgoIsForgotten() {
+        Upstream home = best();
+        tell(home, 1, 0, List.of(ADAPTER.toString()));
+        IntStream.range(0, 50)
+                .forEach(i -> tell(home, 1, 0, List.of("m0/x" + 3 * i, "m0/x" + (3 * i + 1), "m0/x" + (3 * i + 2))));
+        assertEquals(view.place(home, ADAPTER), EngineView.Place.ABSENT);
+        assertEquals(view.place(home, new AdapterId("m0", "x149")), EngineView.Place.RESIDENT);
+        assertEquals(view.place(home, new AdapterId("m0", "x100")), EngineView.Place.HELD_BEFORE);
+    }
+
+    /** Pattern: a short queue at an adapter's home; another load would cost more than it saves. */
+    @Test
+    public void aShortQueueIsNoReasonForAnotherLoad() {
+        Upstream home = best();
+        tell(home, 1, 4_000, List.of(ADAPTER.toString()));
+        assertEquals(best(), home);
+    }
+
+    /** Pattern: one adapter gets most of the requests. */
+    @Test
+    public void aHotAdapterSpreadsWhenItsHomeIsBusy() {
+        Upstream home = best();
+        tell(home, 1, 40_000, List.of(ADAPTER.toString()));
+        assertNotEquals(best(), home);
+    }
+
+    /** Pattern: requests of one moment, before the sides could tell of any. */
+    @Test
+    public void whatWasJustAskedForCountsAtOnce() {
+        Upstream home = best();
+        view.onAsked(home, 40_000);
+        assertNotEquals(best(), home);
+    }
+
+    /** Pattern: an engine fails its answers though it says that it is well. */
+    @Test
+    public void anErringEngineIsLeftAndTriedAgainLater() {
+        Upstream home = best();
+        IntStream.range(0, 10).forEach(i -> loads.of(home).onError());
+        assertTrue(loads.of(home).isErring());
+        assertNotEquals(best(), home);
+        time.passMillis(10_000);
+        engines.forEach(e -> tell(e, 1, 0, List.of()));
+        assertFalse(loads.of(home).isErring());
+        assertEquals(best(), home);
+    }
+
+    /** Pattern: all engines of a service fail at once. */
+    @Test
+    public void allErringEnginesStayInUse() {
+        engines.forEach(e -> IntStream.range(0, 10).forEach(i -> loads.of(e).onError()));
+        assertEquals(order().size(), ENGINES);
+    }
+}
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
@@ -109,7 +109,7 @@
                 parts,
                 configuration,
                 freshness,
-                new AccountBudgets(TimeSource.SYSTEM),
+                new AccountBudgets(TimeSource.SYSTEM, 0),
                 new RequestForwarder.KnowledgeBounds(Duration.ofSeconds(4), Duration.ofSeconds(2)),
                 () -> false,
                 () -> 0);
