Give an order without answer again after 100 ms

A side waited 400 ms (480 with the timer's tick) for each and neither read reports nor gave other orders meanwhile; starts waited up to 1.4 s. Ruled out: the loads themselves (280 ms) and the places of the engine (21, few in use then). Change: the loop takes an order without answer for unknown after 100 ms. The next one names the same number of accepted orders, so the engine takes one of them at the most, whenever they arrive. Result: OrderLoopTest, which fails with the limit of before: the start is granted after 960 ms.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
@@ -26,6 +26,9 @@
     private static final Duration QUIET_INTERVAL = Duration.ofMillis(500);
     private static final Duration CHANGING_INTERVAL = Duration.ofMillis(40);
     private static final Duration STEP_INTERVAL = Duration.ofMillis(50);
+    /** Engines answer orders at once; without an answer nothing else is ordered, and requests wait. */
+    private static final Duration ANSWER_LIMIT = Duration.ofMillis(100);
+
     private static final Duration FENCE_RETRY = Duration.ofMillis(500);
     private static final int FAILURES_UNTIL_OUT = 2;
 
@@ -110,15 +113,17 @@
 
     private void give(ModelOrder order) {
         calling = true;
-        engine.order(order)
-                .whenCompleteAsync(
-                        (outcome, failure) -> {
-                            calling = false;
-                            reportNeeded = true;
-                            ordered(order, failure == null ? outcome : ModelOrder.Outcome.UNKNOWN);
-                            step();
-                        },
-                        thread);
+        CompletableFuture<ModelOrder.Outcome> answer = engine.order(order);
+        thread.schedule(
+                () -> answer.complete(ModelOrder.Outcome.UNKNOWN), ANSWER_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+        answer.whenCompleteAsync(
+                (outcome, failure) -> {
+                    calling = false;
+                    reportNeeded = true;
+                    ordered(order, failure == null ? outcome : ModelOrder.Outcome.UNKNOWN);
+                    step();
+                },
+                thread);
     }
 
     private void ordered(ModelOrder order, ModelOrder.Outcome outcome) {
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderLoopTest.java
@@ -0,0 +1,137 @@
+package io.parsleycleat.gateway.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.StepScheduler;
+import io.parsleycleat.gateway.process.gate.EngineControl;
+import io.parsleycleat.gateway.process.gate.EngineGate;
+import io.parsleycleat.gateway.process.gate.EngineReport;
+import io.parsleycleat.gateway.process.gate.ModelOrder;
+import io.parsleycleat.gateway.process.gate.OrderLoop;
+import io.parsleycleat.gateway.version.routes.AdapterId;
+import io.parsleycleat.gateway.version.routes.AdapterVersions;
+import io.parsleycleat.gateway.version.routes.EngineSpec;
+import io.parsleycleat.gateway.version.routes.ModelSpec;
+import io.parsleycleat.wire.gate.StartGrant;
+import io.parsleycleat.wire.gate.StartRequest;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class OrderLoopTest {
+    private static final EngineSpec SPEC =
+            new EngineSpec(8, 20_000, 1_100, 3, 3, 2, List.of(new ModelSpec("m", 1_000, 10, Duration.ofMillis(700))));
+
+    private MovedTime time;
+    private StepScheduler thread;
+    private EngineGate gate;
+    private ScriptedEngine engine;
+    private List<StartGrant> grants;
+
+    /** Carries out orders at once, but for those that get no answer. */
+    private final class ScriptedEngine implements EngineControl {
+        private final Map<AdapterId, Long> adapters = new HashMap<>();
+        private final List<ModelOrder> orders = new ArrayList<>();
+        private long accepted;
+        private int unanswered;
+        private boolean lostAfterAcceptance;
+
+        @Override
+        public CompletableFuture<EngineReport> report() {
+            return CompletableFuture.completedFuture(
+                    new EngineReport(1, accepted, false, Set.of("m"), adapters, Map.of(), 0, 0, 20_000));
+        }
+
+        @Override
+        public CompletableFuture<String> engineId(String healthPath) {
+            return CompletableFuture.completedFuture("engine-1");
+        }
+
+        @Override
+        public CompletableFuture<ModelOrder.Outcome> order(ModelOrder order) {
+            orders.add(order);
+            if (unanswered > 0) {
+                unanswered--;
+                if (lostAfterAcceptance) {
+                    accept(order);
+                }
+                return new CompletableFuture<>();
+            }
+            if (order.expectedOrders() != accepted) {
+                return CompletableFuture.completedFuture(ModelOrder.Outcome.CONFLICT);
+            }
+            accept(order);
+            return CompletableFuture.completedFuture(ModelOrder.Outcome.STARTED);
+        }
+
+        private void accept(ModelOrder order) {
+            accepted++;
+            adapters.put(order.target(), 1L);
+        }
+    }
+
+    @BeforeMethod
+    public void setUp() {
+        time = new MovedTime();
+        thread = new StepScheduler(time);
+        gate = new EngineGate(new AdapterVersions(), time);
+        gate.setSpec(SPEC, Duration.ZERO);
+        engine = new ScriptedEngine();
+        grants = new ArrayList<>();
+        OrderLoop loop = new OrderLoop(
+                gate,
+                engine,
+                () -> CompletableFuture.completedFuture(7L),
+                () -> Optional.of("/health"),
+                thread,
+                time,
+                () -> {});
+        loop.start();
+        thread.runFor(Duration.ofMillis(200));
+    }
+
+    private void ask(long ticket, String adapter) {
+        StartRequest request = StartRequest.newBuilder()
+                .setTicket(ticket)
+                .setModel("m")
+                .setAdapter(adapter)
+                .setPromptTokens(100)
+                .setObjectiveMillis(800)
+                .setWaitMillis(1_200)
+                .build();
+        gate.request(new EngineGate.TicketKey("entry", ticket), request, grants::add);
+    }
+
+    /** Pattern: a third of the orders gets no answer for seconds while callers wait for their adapters. */
+    @Test
+    public void anOrderWithoutAnswerIsGivenAgainBeforeTheObjectiveIsOver() {
+        engine.unanswered = 2;
+        ask(1, "a");
+        thread.runFor(Duration.ofMillis(450));
+        assertEquals(grants.size(), 1);
+        assertEquals(engine.orders.size(), 3);
+        assertTrue(
+                engine.orders.stream().allMatch(o -> o.expectedOrders() == 0),
+                "only one of them can be accepted, whenever the others arrive");
+    }
+
+    /** Pattern: the order is accepted and its answer is lost. */
+    @Test
+    public void anAcceptedOrderWithoutAnswerIsNotGivenAgain() {
+        engine.unanswered = 1;
+        engine.lostAfterAcceptance = true;
+        ask(1, "a");
+        thread.runFor(Duration.ofMillis(450));
+        assertEquals(grants.size(), 1);
+        assertEquals(engine.orders.size(), 1);
+    }
+}
