Tell callers refused at a start to come back soon, and begin budgets at once

Cause: an entry that has just started does not know its part of the rates. The time until a budget is filled was then worked out with a rate of 1 a second: a caller short of 891 tokens was told to come back after 891 s, and clients honour a third of the time they have left, so they came back seconds later. The budgets also began with the next report, up to 100 ms after the others were known, while all callers asked again. Ruled out: the models' loads, which these requests never reached. Change: without a known part the caller comes back after 250 ms; budgets begin as soon as the others are known. Result: aCallerRefusedBeforeTheOthersAreKnownComesBackSoon fails before (892 s).

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -59,6 +59,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration KEY_MARGIN = Duration.ofMillis(800);
     private static final Duration USAGE_INTERVAL = Duration.ofMillis(100);
+    private static final Duration OTHERS_POLL = Duration.ofMillis(10);
     private static final Duration RECORD_INTERVAL = Duration.ofMillis(2_500);
     private static final Duration RECORD_RETRY = Duration.ofMillis(700);
     /** Part of the budgets' slack that entries may use up before they hear of each other; starts need the rest. */
@@ -156,6 +157,7 @@
         loop.scheduleAtFixedRate(
                 this::exchangeUsage, USAGE_INTERVAL.toMillis(), USAGE_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
         loop.execute(this::writeRecord);
+        loop.execute(this::awaitOthers);
         logger.atInfo().log("entry started, callers %s, peers %s", settings.callers(), identity.peerAddress());
     }
 
@@ -277,6 +279,15 @@
         }
     }
 
+    /** Budgets are empty until the others are known; callers wait for it, so that is not left to the next report. */
+    private void awaitOthers() {
+        if (entriesFollower.isRead()) {
+            exchangeUsage();
+        } else {
+            loop.schedule(this::awaitOthers, OTHERS_POLL.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void exchangeUsage() {
         if (entriesFollower.isRead()) {
             members.storeSilentFor(entriesFollower.freshness().age());
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudget.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudget.java
@@ -18,6 +18,8 @@
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
     /** Time between two reports of another entry. */
     private static final long REPORT_MILLIS = 100;
+    /** Time in which an entry that has just started, or was cut, mostly learns its part of the rates. */
+    private static final long PART_UNKNOWN_MILLIS = 250;
 
     private final Map<String, Double> reported = new HashMap<>();
     private double ratePerSecond;
@@ -75,9 +77,10 @@
 
     /** Returns when a cost will be there at the earliest, not before the others have reported once more. */
     Duration timeUntil(double cost, double part) {
-        double missing = Math.min(cost, burst) - level;
-        double perSecond = Math.max(1, ratePerSecond * part);
-        return Duration.ofMillis(Math.max(REPORT_MILLIS, (long) (1_000 * Math.max(0, missing) / perSecond)));
+        double missing = Math.max(0, Math.min(cost, burst) - level);
+        double perSecond = ratePerSecond * part;
+        long millis = perSecond > 0 ? (long) (1_000 * missing / perSecond) : PART_UNKNOWN_MILLIS;
+        return Duration.ofMillis(Math.max(REPORT_MILLIS, millis));
     }
 
     /** Takes another entry's total; what it spent since its last report is taken off. */
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
@@ -7,6 +7,7 @@
 import io.parsleycleat.gateway.MovedTime;
 import io.parsleycleat.gateway.request.limits.AccountBudgets;
 import io.parsleycleat.gateway.version.routes.Account;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -196,4 +197,13 @@
         spendAll(budgets, 100);
         assertTrue(budgets.trySpend(ACCOUNT, 100).orElseThrow().toMillis() >= 100);
     }
+
+    /** Load pattern: all entries were lost, and all callers ask again before the entries know each other. */
+    @Test
+    public void aCallerRefusedBeforeTheOthersAreKnownComesBackSoon() {
+        AccountBudgets budgets = new AccountBudgets(time, 0);
+        budgets.setAccounts(List.of(ACCOUNT));
+        Duration after = budgets.trySpend(ACCOUNT, 900).orElseThrow();
+        assertTrue(after.compareTo(Duration.ofMillis(500)) < 0, "back after " + after);
+    }
 }
