--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FollowScheduleTest.java
@@ -0,0 +1,151 @@
+package io.parsleycleat.gateway.version;
+
+import static org.testng.Assert.assertEquals;
+
+import io.parsleycleat.core.process.result.Location;
+import io.parsleycleat.core.process.result.LogTrimmedException;
+import io.parsleycleat.core.process.result.PlatformException;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.StepScheduler;
+import io.parsleycleat.gateway.version.follow.FollowSettings;
+import io.parsleycleat.gateway.version.follow.KeyedFold;
+import io.parsleycleat.gateway.version.follow.KeyedLog;
+import io.parsleycleat.gateway.version.follow.KeyedRecord;
+import io.parsleycleat.gateway.version.follow.LogFollower;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
+import org.testng.annotations.Test;
+
+/**
+ * Follows a log through random schedules of writes, drops, trimmed records, pages that are no snapshot, answers of the
+ * past, outages and late answers: what a key says never goes back, and after calm the fold says what the log says.
+ */
+public class FollowScheduleTest {
+    private static final int SEEDS = 200;
+    private static final int STEPS = 300;
+    private static final int KEYS = 6;
+    private static final int PAGE = 2;
+
+    @Test
+    public void noKeyGoesBackAndAllKeysArriveInTheEnd() {
+        List<String> faults = IntStream.range(0, SEEDS)
+                .boxed()
+                .flatMap(seed -> new Schedule(seed).run().stream().map(f -> "seed " + seed + ": " + f))
+                .toList();
+        assertEquals(faults, List.of());
+    }
+
+    private static final class Schedule implements KeyedLog, KeyedFold {
+        private final SplittableRandom random;
+        private final MovedTime time = new MovedTime();
+        private final StepScheduler thread = new StepScheduler(time);
+        private final List<KeyedRecord> records = new ArrayList<>();
+        private final TreeMap<String, KeyedRecord> newest = new TreeMap<>();
+        private final Map<String, Long> folded = new HashMap<>();
+        private final List<String> faults = new ArrayList<>();
+        private long first;
+        private boolean calm;
+
+        Schedule(int seed) {
+            this.random = new SplittableRandom(seed);
+        }
+
+        List<String> run() {
+            LogFollower follower = new LogFollower("log", this, this, FollowSettings.PROMPT, thread, time);
+            follower.start();
+            for (int step = 0; step < STEPS; step++) {
+                write();
+                thread.runFor(Duration.ofMillis(random.nextInt(300)));
+            }
+            calm = true;
+            thread.runFor(Duration.ofSeconds(20));
+            Map<String, Long> said = new HashMap<>();
+            newest.forEach((key, r) -> said.put(key, r.offset()));
+            if (!folded.equals(said)) {
+                faults.add("the fold has " + folded + ", the log " + said);
+            }
+            return faults;
+        }
+
+        private void write() {
+            String key = "k" + random.nextInt(KEYS);
+            int kind = random.nextInt(10);
+            if (kind < 6) {
+                add(key, Integer.toString(records.size()));
+            } else if (kind == 6) {
+                add(key, "");
+            } else if (kind == 7) {
+                first = records.size() - random.nextInt(Math.min(3, records.size()) + 1);
+            }
+        }
+
+        private void add(String key, String value) {
+            KeyedRecord added = new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), records.size());
+            records.add(added);
+            if (added.isDrop()) {
+                newest.remove(key);
+            } else {
+                newest.put(key, added);
+            }
+        }
+
+        @Override
+        public CompletableFuture<NewestPage> newest(String afterKey) {
+            return answer(() -> {
+                List<KeyedRecord> page = newest.tailMap(afterKey, false).values().stream()
+                        .limit(PAGE)
+                        .toList();
+                boolean more = !page.isEmpty()
+                        && newest.higherKey(page.get(page.size() - 1).key()) != null;
+                return new NewestPage(page, more, records.size());
+            });
+        }
+
+        @Override
+        public CompletableFuture<Records> read(long from, Duration wait) {
+            if (from < first) {
+                return CompletableFuture.failedFuture(new LogTrimmedException("log", from, first));
+            }
+            return answer(() -> new Records(List.copyOf(records.subList((int) from, records.size())), records.size()));
+        }
+
+        /** Answers now or later, with what holds now; some calls fail. */
+        private <T> CompletableFuture<T> answer(Supplier<T> work) {
+            int kind = calm ? 0 : random.nextInt(20);
+            if (kind == 19) {
+                return CompletableFuture.failedFuture(
+                        new PlatformException(ResultCode.LOG_OUT, "down", Location.of("log")));
+            }
+            T value = work.get();
+            CompletableFuture<T> answer = new CompletableFuture<>();
+            long millis = kind > 16 ? random.nextInt(100, 700) : random.nextInt(1, 30);
+            thread.schedule(() -> answer.complete(value), millis, TimeUnit.MILLISECONDS);
+            return answer;
+        }
+
+        @Override
+        public void put(String key, byte[] value) {
+            long offset = Long.parseLong(new String(value, StandardCharsets.UTF_8));
+            Long before = folded.put(key, offset);
+            if (before != null && before > offset) {
+                faults.add(key + " goes back from " + before + " to " + offset);
+            }
+        }
+
+        @Override
+        public void drop(String key, boolean afterOutage) {
+            folded.remove(key);
+        }
+    }
+}
