--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/ConfigurationHolderTest.java
@@ -0,0 +1,48 @@
+package io.parsleycleat.gateway.version;
+
+import static org.testng.Assert.assertEquals;
+
+import io.parsleycleat.core.connection.caller.CallerLimits;
+import io.parsleycleat.gateway.version.routes.ConfigurationHolder;
+import io.parsleycleat.gateway.version.routes.RoutingTable;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+import org.testng.annotations.Test;
+
+public class ConfigurationHolderTest {
+    private static RoutingTable version(long number) {
+        return new RoutingTable(number, List.of(), List.of(), List.of(), CallerLimits.DEFAULT);
+    }
+
+    private static long inForce(ConfigurationHolder holder) {
+        return holder.current().orElseThrow().version();
+    }
+
+    @Test
+    public void anOlderVersionIsNotTakenBackNorTold() {
+        ConfigurationHolder holder = new ConfigurationHolder();
+        List<Long> told = new ArrayList<>();
+        holder.onChange(table -> told.add(table.version()));
+        LongStream.of(1, 3, 2, 3, 4, 1).forEach(n -> holder.offer(version(n)));
+        assertEquals(inForce(holder), 4);
+        assertEquals(told, List.of(1L, 3L, 4L));
+    }
+
+    /** Versions in random orders, as a log read anew and late answers hand them on; seeds 0 to 199. */
+    @Test
+    public void inEveryOrderTheVersionInForceOnlyRises() {
+        for (int seed = 0; seed < 200; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            ConfigurationHolder holder = new ConfigurationHolder();
+            long newest = 0;
+            for (int i = 0; i < 50; i++) {
+                long offered = random.nextLong(1, 40);
+                newest = Math.max(newest, offered);
+                holder.offer(version(offered));
+                assertEquals(inForce(holder), newest, "seed " + seed);
+            }
+        }
+    }
+}
