--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
@@ -33,8 +33,8 @@
 import org.testng.annotations.Test;
 
 /**
- * Runs a side's gate and order loop through random schedules of lost, late and slow orders, restarts of engine and side,
- * new versions and callers that leave. The engine checks what it is ordered; its clock is the schedule's.
+ * Runs a side's gate and order loop through random schedules of lost, late and slow orders, restarts of engine and
+ * side, new versions and callers that leave. The engine checks what it is ordered; its clock is the schedule's.
  */
 public class OrderScheduleTest {
     private static final int SEEDS = 200;
