--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
@@ -54,7 +54,7 @@
                 .boxed()
                 .flatMap(seed -> new Schedule(seed).run().stream().map(f -> "seed " + seed + ": " + f))
                 .toList();
-        assertEquals(faults, List.of());
+        assertEquals(String.join("\n", faults), "");
     }
 
     /** One random schedule. */
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScheduleTest.java
@@ -44,7 +44,7 @@
                 .boxed()
                 .flatMap(seed -> new Schedule(seed).run().stream().map(f -> "seed " + seed + ": " + f))
                 .toList();
-        assertEquals(faults, List.of());
+        assertEquals(String.join("\n", faults), "");
     }
 
     /** A report that arrives at a step. */
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FollowScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FollowScheduleTest.java
@@ -43,7 +43,7 @@
                 .boxed()
                 .flatMap(seed -> new Schedule(seed).run().stream().map(f -> "seed " + seed + ": " + f))
                 .toList();
-        assertEquals(faults, List.of());
+        assertEquals(String.join("\n", faults), "");
     }
 
     private static final class Schedule implements KeyedLog, KeyedFold {
