Tell an engine's status with each grant, and at a rate that its entries do not raise

Cause: each side told its status to every entry that had asked within 30 s, every 150 ms while it changed: worked out, 42 sides x 33 entries x 6.6 = 9,100 messages of 600 bytes a second, five sixths of them between data centres; growing with entries times engines.

Ruled out: statuses with grants alone: a side that freezes would be found by the time limit of a start only, and an engine whose places change looks free to entries that ask seldom.

Change: a grant or refusal brings the status along when the last one is older than 150 ms; beside that a side sends at most 40 statuses a second, shared by the entries that asked within 5 s, and says when the next one comes; a side is taken to be silent when three announced ones fail to come. A last status says that none follows.

Before and after (GateServerTest, load that changes all the time, statuses a side sends in a second to 5, 33, 100, 350 entries): 33, 218, 660, 2310 (worked out) -> at most 40 and those with grants, the bound of the test.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/GateServer.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/GateServer.java
@@ -12,6 +12,7 @@
 import io.parsleycleat.wire.gate.StartRequest;
 import io.parsleycleat.wire.peer.Frame;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -24,9 +25,13 @@
 public final class GateServer {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** An entry that has asked for nothing for so long is told nothing more. */
-    private static final Duration INTEREST = Duration.ofSeconds(30);
+    private static final Duration INTEREST = Duration.ofSeconds(5);
     /** An unchanged status is repeated, so that entries notice a side that is silent. */
     private static final Duration REPEAT = Duration.ofMillis(500);
+    /** A changed status is told at least so much later than the one before. */
+    private static final Duration MIN_GAP = Duration.ofMillis(150);
+    /** Statuses that a side sends in a second at most, to however many entries. */
+    private static final int MAX_PER_SECOND = 40;
 
     private final EngineGate gate;
     private final TimeSource time;
@@ -35,12 +40,44 @@
 
     /** What an entry was last told. */
     private static final class Interested {
-        private volatile long askedNanos;
+        private long askedNanos;
+        private boolean expects;
         private GateStatus told = GateStatus.getDefaultInstance();
         private long toldNanos;
 
-        Interested(long nanos) {
-            askedNanos = nanos;
+        /** Notes that the entry has asked for a start, and so expects statuses. */
+        private synchronized void onAsk(long now) {
+            askedNanos = now;
+            if (!expects) {
+                expects = true;
+                told = GateStatus.getDefaultInstance();
+                toldNanos = now - INTEREST.toNanos();
+            }
+        }
+
+        private synchronized boolean isOver(long now) {
+            return now - askedNanos > INTEREST.toNanos();
+        }
+
+        private synchronized boolean isDue(GateStatus status, long now, Duration gap, Duration repeat) {
+            long since = now - toldNanos;
+            return expects && (since >= repeat.toNanos() || (since >= gap.toNanos() && !status.equals(told)));
+        }
+
+        private synchronized boolean expects() {
+            return expects;
+        }
+
+        private synchronized boolean isToldWithin(Duration gap, long now) {
+            return expects && now - toldNanos < gap.toNanos();
+        }
+
+        /** Notes a status and returns it with the time of the next one; none follows the last one. */
+        private synchronized GateStatus tell(GateStatus status, long now, Duration next) {
+            told = status;
+            toldNanos = now;
+            expects = !next.isZero();
+            return status.toBuilder().setNextMillis((int) next.toMillis()).build();
         }
     }
 
@@ -58,26 +95,43 @@
 
     /** Tells the interested entries what has changed. */
     public void tellStatus() {
+        List<Map.Entry<PeerChannel, Interested>> expecting =
+                entries.entrySet().stream().filter(e -> e.getValue().expects()).toList();
+        if (expecting.isEmpty()) {
+            return;
+        }
         GateStatus status = gate.status();
         if (status.getEngineId().isEmpty()) {
             return;
         }
         long now = time.monotonicNanos();
-        entries.forEach((channel, entry) -> {
-            if (now - entry.askedNanos > INTEREST.toNanos()) {
-                return;
+        Duration gap = gap(expecting.size());
+        Duration repeat = longer(gap, REPEAT);
+        expecting.forEach(e -> {
+            Interested entry = e.getValue();
+            if (entry.isOver(now)) {
+                send(e.getKey(), entry.tell(status, now, Duration.ZERO));
+            } else if (entry.isDue(status, now, gap, repeat)) {
+                send(e.getKey(), entry.tell(status, now, repeat));
             }
-            if (status.equals(entry.told) && now - entry.toldNanos < REPEAT.toNanos()) {
-                return;
-            }
-            entry.told = status;
-            entry.toldNanos = now;
-            channel.send(Frame.newBuilder()
-                    .setGate(GateMessage.newBuilder().setStatus(status))
-                    .build());
         });
     }
 
+    /** The more entries use the engine, the less often each of them is told. */
+    private static Duration gap(int entries) {
+        return longer(MIN_GAP, Duration.ofSeconds(entries).dividedBy(MAX_PER_SECOND));
+    }
+
+    private static Duration longer(Duration one, Duration other) {
+        return one.compareTo(other) > 0 ? one : other;
+    }
+
+    private static void send(PeerChannel to, GateStatus status) {
+        to.send(Frame.newBuilder()
+                .setGate(GateMessage.newBuilder().setStatus(status))
+                .build());
+    }
+
     private void handle(PeerChannel from, Frame frame) {
         GateMessage message = frame.getGate();
         switch (message.getMessageCase()) {
@@ -93,19 +147,35 @@
 
     private void start(PeerChannel from, Frame frame, StartRequest request) {
         long now = time.monotonicNanos();
-        entries.computeIfAbsent(from, channel -> {
-                    channel.onClose(() -> left(channel));
-                    return new Interested(now);
-                })
-                .askedNanos = now;
+        Interested entry = entries.computeIfAbsent(from, channel -> {
+            channel.onClose(() -> left(channel));
+            return new Interested();
+        });
+        entry.onAsk(now);
         gate.request(new EngineGate.TicketKey(from, request.getTicket()), request, grant -> {
             log(request, grant, now);
+            StartGrant answer = withStatus(grant, entry);
             from.reply(
-                    frame, Frame.newBuilder().setGate(GateMessage.newBuilder().setGrant(grant)));
+                    frame, Frame.newBuilder().setGate(GateMessage.newBuilder().setGrant(answer)));
         });
         wake.run();
     }
 
+    /** An answer brings the status along, unless one was just told. */
+    private StartGrant withStatus(StartGrant grant, Interested entry) {
+        long now = time.monotonicNanos();
+        if (entry.isToldWithin(MIN_GAP, now)) {
+            return grant;
+        }
+        GateStatus status = gate.status();
+        long expecting = entries.values().stream().filter(Interested::expects).count();
+        return status.getEngineId().isEmpty()
+                ? grant
+                : grant.toBuilder()
+                        .setStatus(entry.tell(status, now, longer(gap((int) expecting + 1), REPEAT)))
+                        .build();
+    }
+
     private void log(StartRequest request, StartGrant grant, long askedNanos) {
         long millis = TimeUnit.NANOSECONDS.toMillis(time.monotonicNanos() - askedNanos);
         if (grant.getRefusalCode() != 0) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
@@ -24,8 +24,8 @@
     private static final long STALE_MILLIS = 3_000;
     /** Adapters that an engine is taken to load faster, since it had them before; engines keep about this many. */
     private static final int HELD_LIMIT = 100;
-    /** Sides repeat their status more often than this while entries use them. */
-    private static final long SILENT_MILLIS = 1_500;
+    /** Statuses that fail to come until a side is taken to be silent. */
+    private static final int MISSED_STATUSES = 3;
 
     private final TimeSource time;
     private final Map<String, Told> told = new ConcurrentHashMap<>();
@@ -48,6 +48,12 @@
             this.nanos = nanos;
         }
 
+        /** Returns whether the side sends nothing although it said that it would. */
+        boolean isMissed(long now) {
+            long next = TimeUnit.MILLISECONDS.toNanos(status.getNextMillis());
+            return next > 0 && now - nanos > MISSED_STATUSES * next;
+        }
+
         /** Returns the adapters that an engine held last, those that it holds now at the end. */
         private static Set<String> heldNow(@Nullable Told before, long born, Set<String> resident) {
             if (before == null || before.status.getBorn() != born) {
@@ -103,7 +109,7 @@
             return true;
         }
         Told known = told.get(engine.id());
-        return known != null && time.monotonicNanos() - known.nanos > TimeUnit.MILLISECONDS.toNanos(SILENT_MILLIS);
+        return known != null && known.isMissed(time.monotonicNanos());
     }
 
     /** Returns the status of this start of an engine, unless it is too old. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
@@ -118,6 +118,9 @@
                 .whenCompleteAsync(
                         (grant, failure) -> {
                             waitingAt = null;
+                            if (grant != null && grant.hasStatus()) {
+                                parts.view().onStatus(grant.getStatus());
+                            }
                             answered(service, engine, ticket, grant, failure);
                         },
                         parts.loop());
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/GateServerTest.java
@@ -0,0 +1,175 @@
+package io.parsleycleat.gateway.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.parsleycleat.core.connection.peer.FrameHandler;
+import io.parsleycleat.core.connection.peer.PeerChannel;
+import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.process.gate.EngineGate;
+import io.parsleycleat.gateway.process.gate.EngineReport;
+import io.parsleycleat.gateway.process.gate.GateServer;
+import io.parsleycleat.gateway.version.routes.AdapterId;
+import io.parsleycleat.gateway.version.routes.AdapterVersions;
+import io.parsleycleat.gateway.version.routes.EngineSpec;
+import io.parsleycleat.gateway.version.routes.ModelSpec;
+import io.parsleycleat.wire.gate.GateMessage;
+import io.parsleycleat.wire.gate.GateStatus;
+import io.parsleycleat.wire.gate.RunProgress;
+import io.parsleycleat.wire.gate.StartRequest;
+import io.parsleycleat.wire.peer.Frame;
+import io.parsleycleat.wire.peer.Hello;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class GateServerTest {
+    private static final int TICK_MILLIS = 150;
+
+    private MovedTime time;
+    private FrameHandler handler;
+    private GateServer server;
+    private long tickets;
+
+    @BeforeMethod
+    public void setUp() {
+        time = new MovedTime();
+        EngineGate gate = new EngineGate(new AdapterVersions(), time);
+        gate.setSpec(
+                new EngineSpec(
+                        800, 2_000_000, 1_100, 3, 3, 2, List.of(new ModelSpec("m", 1_000, 10, Duration.ofMillis(700)))),
+                Duration.ZERO);
+        Map<AdapterId, Long> resident = Map.of(new AdapterId("m", "a"), 1L);
+        gate.onReport(new EngineReport(1, 0, false, Set.of("m"), resident, Map.of(), 0, 0, 2_000_000), "engine-1");
+        server = new GateServer(gate, (kind, h) -> handler = h, time, () -> {});
+    }
+
+    private void ask(Entry entry) {
+        StartRequest start = StartRequest.newBuilder()
+                .setTicket(++tickets)
+                .setModel("m")
+                .setAdapter("a")
+                .setPromptTokens(10)
+                .setWaitMillis(1_000)
+                .setObjectiveMillis(1_000)
+                .build();
+        handler.handle(
+                entry,
+                Frame.newBuilder()
+                        .setGate(GateMessage.newBuilder().setStart(start))
+                        .build());
+    }
+
+    private void endLast(Entry entry) {
+        RunProgress ended = RunProgress.newBuilder()
+                .setTicket(tickets)
+                .setStage(RunProgress.Stage.ENDED)
+                .build();
+        handler.handle(
+                entry,
+                Frame.newBuilder()
+                        .setGate(GateMessage.newBuilder().setProgress(ended))
+                        .build());
+    }
+
+    private void tick(int ticks) {
+        IntStream.range(0, ticks).forEach(i -> {
+            time.passMillis(TICK_MILLIS);
+            server.tellStatus();
+        });
+    }
+
+    @Test
+    public void anAnswerBringsTheStatusAndTellsWhenTheNextOneComes() {
+        Entry entry = new Entry();
+        ask(entry);
+        GateStatus status = entry.grantStatuses().get(0);
+        assertEquals(status.getRunning(), 1);
+        assertTrue(status.getNextMillis() > 0);
+    }
+
+    @Test
+    public void anAnswerRightAfterAStatusBringsNone() {
+        Entry entry = new Entry();
+        ask(entry);
+        ask(entry);
+        assertEquals(entry.grantStatuses().size(), 1);
+    }
+
+    @Test
+    public void anEntryThatAsksNoMoreIsToldALastTime() {
+        Entry entry = new Entry();
+        ask(entry);
+        tick(60);
+        List<GateStatus> statuses = entry.statuses();
+        assertEquals(statuses.get(statuses.size() - 1).getNextMillis(), 0);
+        int told = statuses.size();
+        tick(60);
+        assertEquals(entry.statuses().size(), told);
+        ask(entry);
+        assertEquals(entry.grantStatuses().size(), 2);
+    }
+
+    /** Load pattern: an engine whose load changes all the time is used by ever more entries. */
+    @Test
+    public void theStatusesOfASideDoNotGrowWithItsEntries() {
+        for (int count : new int[] {5, 33, 100, 350}) {
+            setUp();
+            List<Entry> entries =
+                    IntStream.range(0, count).mapToObj(i -> new Entry()).toList();
+            entries.forEach(this::ask);
+            int ticks = 20;
+            for (int i = 0; i < ticks; i++) {
+                ask(entries.get(i % 2));
+                endLast(entries.get(i % 2));
+                tick(1);
+            }
+            long sent = entries.stream().mapToLong(e -> e.statuses().size()).sum();
+            double seconds = ticks * TICK_MILLIS / 1_000.0;
+            assertTrue(sent <= (40 + 10) * seconds, sent + " statuses to " + count + " entries");
+            assertTrue(count > 33 || !entries.get(4).statuses().isEmpty(), "told without asking again");
+        }
+    }
+
+    /** One entry's connection, which keeps what is sent. */
+    private static final class Entry implements PeerChannel {
+        private final List<GateMessage> sent = new ArrayList<>();
+
+        List<GateStatus> statuses() {
+            return sent.stream()
+                    .filter(GateMessage::hasStatus)
+                    .map(GateMessage::getStatus)
+                    .toList();
+        }
+
+        List<GateStatus> grantStatuses() {
+            return sent.stream()
+                    .filter(m -> m.hasGrant() && m.getGrant().hasStatus())
+                    .map(m -> m.getGrant().getStatus())
+                    .toList();
+        }
+
+        @Override
+        public Hello hello() {
+            return Hello.getDefaultInstance();
+        }
+
+        @Override
+        public void send(Frame frame) {
+            sent.add(frame.getGate());
+        }
+
+        @Override
+        public boolean isWritable() {
+            return true;
+        }
+
+        @Override
+        public void onClose(Runnable action) {}
+    }
+}
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
@@ -70,6 +70,21 @@
         return order().get(0);
     }
 
+    @Test
+    public void aSideIsSilentOnlyWhenAStatusThatItAnnouncedFailsToCome() {
+        Upstream engine = engines.get(0);
+        GateStatus status =
+                GateStatus.newBuilder().setEngineId(engine.id()).setBorn(1).build();
+        view.onStatus(status.toBuilder().setNextMillis(500).build());
+        time.passMillis(1_490);
+        assertFalse(view.isSideSilent(engine));
+        time.passMillis(20);
+        assertTrue(view.isSideSilent(engine));
+        view.onStatus(status);
+        time.passMillis(10_000);
+        assertFalse(view.isSideSilent(engine), "none was announced");
+    }
+
     /** Pattern: many entries ask for an adapter that no engine holds. */
     @Test
     public void aColdAdapterHasTheSameHomeForAllEntries() {
