Read the store's logs once a data centre, where the bounds leave time for it

Cause: each entry followed three logs by itself, 3.9 calls a second of it counting its own record: worked out 129 a second for 33 entries, priced, and growing with the entries.

Ruled out: a reader that pushes what it read. A frame that was long on its way would look fresh; a question's age is counted from when it was asked. One reader for all data centres: it would be priced by the bytes between them.

Change: entries of a data centre form a tree by rendezvous hashing, eight below one; an entry asks the one above it for the records from an offset on, waits 300 ms at most, and learns how old the answer is. Who cannot tell (behind, cut from the store, just started) says so, and the asker reads the store for 3 s. The follower's freshness counts the answer's age, so keys and readiness keep their bounds. Where a bound is too short for the detour (2 s at three sites), logs are read as before.

Before and after (LogRelayTest, calls in 5 s for 1, 6, 70 entries of a data centre, one log): 5, 27, 318 (worked out) -> 10 at most, the bound of the test. A frozen reader is passed over within 0.7 s; one that is cut off from the store within 0.8 of the bound.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -20,6 +20,7 @@
 import io.parsleycleat.gateway.process.members.EntryExchange;
 import io.parsleycleat.gateway.process.members.EntryMembers;
 import io.parsleycleat.gateway.process.members.GateClient;
+import io.parsleycleat.gateway.process.members.LogRelay;
 import io.parsleycleat.gateway.process.members.StoreLinks;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
@@ -76,6 +77,7 @@
     private static final FollowSettings OPERATORS = FollowSettings.PROMPT;
     private static final FollowSettings UPSTREAMS =
             FollowSettings.PROMPT.withMinGap(Duration.ofMillis(550)).withWait(Duration.ofSeconds(2));
+    private static final Duration RELAYED_ENTRIES_GAP = Duration.ofSeconds(1);
     private static final FollowSettings ENTRIES =
             FollowSettings.PROMPT.withMinGap(Duration.ofMillis(1_500)).withWait(Duration.ofSeconds(2));
 
@@ -90,6 +92,7 @@
     private final AdapterVersions versions = new AdapterVersions();
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final EntryMembers members;
+    private final LogRelay relay;
     private final BudgetHomes homes;
     private final AccountBudgets budgets;
     private final CrashWatch crashes;
@@ -115,16 +118,23 @@
         this.homes = new BudgetHomes(identity.vmName(), settings.budgetSlack(), time, this::isStanding);
         this.crashes = new CrashWatch(new CrashSuspects(SUSPICION, SUSPICION), time, this::tellCrash);
         EngineView view = new EngineView(time);
-        this.exchange = new EntryExchange(transport, transport, members::others, homes, crashes, view);
+        this.relay = LogRelay.create(transport, identity, members, time, loop);
+        this.exchange = new EntryExchange(transport, transport, members::others, homes, crashes, view, relay);
         this.budgets = new AccountBudgets(identity.vmName(), homes, exchange, time);
         this.operatorsFollower = follower(
                 "operators' log",
                 store.operators(),
                 new ConfigurationFold(store.operatorsDecoder(), configuration, versions, time),
-                OPERATORS);
+                OPERATORS,
+                settings.changeBound());
         this.upstreamsFollower = follower(
-                "upstreams' log", store.upstreams(), new DirectoryFold(store.upstreamDecoder(), directory), UPSTREAMS);
-        this.entriesFollower = follower("entries' log", store.entries(), members, ENTRIES);
+                "upstreams' log",
+                store.upstreams(),
+                new DirectoryFold(store.upstreamDecoder(), directory),
+                UPSTREAMS,
+                settings.drainBound());
+        this.entriesFollower =
+                follower("entries' log", store.entries(), members, entries(settings), EntryMembers.OTHERS_UNKNOWN);
         this.forwarder = createForwarder(codec, view);
         this.callers = new CallerServer(loops, this::limits, forwarder);
     }
@@ -211,8 +221,26 @@
 
     // Parts
 
-    private LogFollower follower(String name, KeyedLog log, KeyedFold fold, FollowSettings follow) {
-        return new LogFollower(name, log, fold, follow, loop, time);
+    /**
+     * Creates the follower of a log, through another entry of the data centre where the bound leaves time for that.
+     *
+     * @param bound how late a change may become known here
+     */
+    private LogFollower follower(String name, KeyedLog log, KeyedFold fold, FollowSettings base, Duration bound) {
+        return LogRelay.relaying(base, bound)
+                .map(follow -> {
+                    LogFollower follower = new LogFollower(name, relay.relayed(name, log), fold, follow, loop, time);
+                    relay.serve(name, follower);
+                    return follower;
+                })
+                .orElseGet(() -> new LogFollower(name, log, fold, base, loop, time));
+    }
+
+    /** Where the other logs are relayed, few entries read this one, and may read it more often. */
+    private static FollowSettings entries(ForwardEntrySettings settings) {
+        return LogRelay.relaying(UPSTREAMS, settings.drainBound()).isPresent()
+                ? ENTRIES.withMinGap(RELAYED_ENTRIES_GAP)
+                : ENTRIES;
     }
 
     private RequestForwarder createForwarder(CallCodec codec, EngineView view) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntrySettings.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntrySettings.java
@@ -17,6 +17,7 @@
  * @param sidePort the port of the sides on their VMs
  * @param withdrawalBound how soon after a key's withdrawal nothing may run with it
  * @param changeBound how soon a configuration version is in force
+ * @param drainBound how soon nothing may be sent any more to an upstream that leaves
  * @param budgetSlack what all entries together may admit beyond an account's budget
  * @param retries the fleet's budget of repeats
  * @param grace how long a stopping process may take
@@ -30,6 +31,7 @@
         int sidePort,
         Duration withdrawalBound,
         Duration changeBound,
+        Duration drainBound,
         BudgetHomes.Slack budgetSlack,
         RetryShare.Bounds retries,
         Duration grace) {
@@ -41,6 +43,7 @@
         Objects.requireNonNull(metrics, "metrics");
         Objects.requireNonNull(withdrawalBound, "withdrawalBound");
         Objects.requireNonNull(changeBound, "changeBound");
+        Objects.requireNonNull(drainBound, "drainBound");
         Objects.requireNonNull(budgetSlack, "budgetSlack");
         Objects.requireNonNull(retries, "retries");
         Objects.requireNonNull(grace, "grace");
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryExchange.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryExchange.java
@@ -35,6 +35,7 @@
     private final BudgetHomes homes;
     private final CrashWatch crashes;
     private final EngineView view;
+    private final LogRelay relay;
 
     /** Creates an exchange and registers it for its frames. */
     public EntryExchange(
@@ -43,12 +44,14 @@
             Supplier<Map<String, String>> others,
             BudgetHomes homes,
             CrashWatch crashes,
-            EngineView view) {
+            EngineView view,
+            LogRelay relay) {
         this.peers = peers;
         this.others = others;
         this.homes = homes;
         this.crashes = crashes;
         this.view = view;
+        this.relay = relay;
         frames.register(Frame.BodyCase.GATE, this::handle);
     }
 
@@ -93,6 +96,7 @@
             case STATUS -> view.onStatus(message.getStatus());
             case CRASH -> crashes.onCrash(message.getCrash());
             case DRAW -> from.reply(frame, frame(GateMessage.newBuilder().setDrawn(drawn(message.getDraw()))));
+            case READ -> relay.onRead(from, frame);
             case UNSPENT -> homes.giveBack(
                     message.getUnspent().getAccount(), message.getUnspent().getTokens());
             default -> {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
@@ -25,7 +25,7 @@
     /** Age of the own record from which others may soon count this entry as gone. */
     private static final Duration OWN_LAPSE = Duration.ofSeconds(6);
     /** Age of what was read of the others from which one of them may have come that is not known here. */
-    private static final Duration OTHERS_UNKNOWN = Duration.ofSeconds(4);
+    public static final Duration OTHERS_UNKNOWN = Duration.ofSeconds(4);
     /** Time after which all others know of an entry that has come, or do not stand themselves. */
     private static final Duration SETTLE = OTHERS_UNKNOWN.plusMillis(250);
     /** Age of the record of this VM's earlier process below which no other entry counts the VM as gone. */
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
@@ -0,0 +1,218 @@
+package io.parsleycleat.gateway.process.members;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import io.parsleycleat.core.connection.peer.PeerChannel;
+import io.parsleycleat.core.connection.peer.PeerClient;
+import io.parsleycleat.core.process.identity.ProcessIdentity;
+import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.result.Failures;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.gateway.version.follow.FollowSettings;
+import io.parsleycleat.gateway.version.follow.KeyedLog;
+import io.parsleycleat.gateway.version.follow.KeyedRecord;
+import io.parsleycleat.gateway.version.follow.LogFollower;
+import io.parsleycleat.wire.gate.FoundRecord;
+import io.parsleycleat.wire.gate.GateMessage;
+import io.parsleycleat.wire.gate.RecordsFound;
+import io.parsleycleat.wire.gate.RecordsRead;
+import io.parsleycleat.wire.peer.Frame;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * Lets one entry of a data centre read the logs for the others, so that the store is not read by each of them.
+ *
+ * <p>An entry asks the one before it in the tree, instead of the store, and learns how old the answer is; what it
+ * knows is as fresh as that, counted from when it asked. When the other one cannot tell, or does not answer soon, it
+ * reads the log itself.
+ *
+ * <p>One an entry; safe to share between threads.
+ */
+public final class LogRelay {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** How long an asked entry waits for the first record, short so that a silent one is noticed early. */
+    private static final Duration MAX_WAIT = Duration.ofMillis(300);
+
+    /** With a shorter wait, the one reader would call the store as often as the others together. */
+    private static final Duration MIN_STORE_WAIT = Duration.ofMillis(400);
+
+    private static final Duration ANSWER_SLACK = Duration.ofMillis(200);
+    /** How much older than usual what the store answered may be. */
+    private static final Duration LATE = Duration.ofMillis(250);
+    /** What each entry between adds: its own question waited, and so does the next one. */
+    private static final Duration HOP = MAX_WAIT.multipliedBy(2).plusMillis(50);
+    /** Time for which an entry that did not help is not asked again. */
+    private static final Duration UNUSABLE = Duration.ofSeconds(3);
+
+    private final PeerClient peers;
+    private final Supplier<ReadTree.Place> place;
+    private final TimeSource time;
+    private final ScheduledExecutorService scheduler;
+    private final Map<String, LogFollower> served = new ConcurrentHashMap<>();
+    private volatile long unusableUntilNanos;
+
+    /** Creates a relay without logs. */
+    LogRelay(PeerClient peers, Supplier<ReadTree.Place> place, TimeSource time, ScheduledExecutorService scheduler) {
+        this.peers = peers;
+        this.place = place;
+        this.time = time;
+        this.scheduler = scheduler;
+        this.unusableUntilNanos = time.monotonicNanos();
+    }
+
+    /** Creates the relay of an entry. */
+    public static LogRelay create(
+            PeerClient peers,
+            ProcessIdentity identity,
+            EntryMembers members,
+            TimeSource time,
+            ScheduledExecutorService scheduler) {
+        return new LogRelay(
+                peers,
+                () -> ReadTree.place(identity.vmName(), identity.dataCentre(), members.members()),
+                time,
+                scheduler);
+    }
+
+    /**
+     * Returns how to read a log so that relaying it keeps a bound, or nothing when the bound is too short for that.
+     *
+     * @param base how the log is read without relaying
+     * @param bound how late a change may become known here while this entry reaches the store
+     */
+    public static Optional<FollowSettings> relaying(FollowSettings base, Duration bound) {
+        Duration pauses = base.minGap().plus(base.minGap().dividedBy(LogFollower.RELAYED_GAP_PARTS));
+        Duration hops = LATE.plus(MAX_WAIT).plus(ANSWER_SLACK);
+        Duration left = bound.multipliedBy(4).dividedBy(5).minus(pauses).minus(hops);
+        Duration wait = left.dividedBy(2);
+        if (wait.compareTo(MIN_STORE_WAIT) < 0) {
+            return Optional.empty();
+        }
+        return Optional.of(wait.compareTo(base.maxWait()) < 0 ? base.withWait(wait) : base);
+    }
+
+    /** Answers others from what a follower has read. */
+    public void serve(String log, LogFollower follower) {
+        served.put(log, follower);
+    }
+
+    /** Returns a log that is read through another entry where that is possible. */
+    public KeyedLog relayed(String log, KeyedLog direct) {
+        return new KeyedLog() {
+            @Override
+            public CompletableFuture<NewestPage> newest(String afterKey) {
+                return direct.newest(afterKey);
+            }
+
+            @Override
+            public CompletableFuture<Records> read(long from, Duration wait) {
+                return usableParent()
+                        .map(parent -> readThrough(parent, log, from, wait, direct))
+                        .orElseGet(() -> direct.read(from, wait));
+            }
+        };
+    }
+
+    // Asking
+
+    private Optional<String> usableParent() {
+        return time.monotonicNanos() - unusableUntilNanos < 0
+                ? Optional.empty()
+                : place.get().parent();
+    }
+
+    private CompletableFuture<KeyedLog.Records> readThrough(
+            String parent, String log, long from, Duration wait, KeyedLog direct) {
+        Duration asked = wait.compareTo(MAX_WAIT) < 0 ? wait : MAX_WAIT;
+        Duration timeout = asked.plus(ANSWER_SLACK);
+        RecordsRead.Builder read =
+                RecordsRead.newBuilder().setLog(log).setFrom(from).setWaitMillis((int) asked.toMillis());
+        return peers.request(
+                        parent,
+                        Frame.newBuilder().setGate(GateMessage.newBuilder().setRead(read)),
+                        timeout)
+                .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+                .handle((frame, failure) -> {
+                    if (frame != null && frame.getGate().getFound().getKnown()) {
+                        return CompletableFuture.completedFuture(
+                                records(frame.getGate().getFound()));
+                    }
+                    unusableUntilNanos = time.monotonicNanos() + UNUSABLE.toNanos();
+                    logger.atInfo()
+                            .with(LogKeys.PEER, parent)
+                            .log(
+                                    "%s is read here for %d ms: %s",
+                                    log,
+                                    UNUSABLE.toMillis(),
+                                    failure == null ? "the entry asked cannot tell" : Failures.unwrap(failure));
+                    return direct.read(from, Duration.ZERO);
+                })
+                .thenCompose(answer -> answer);
+    }
+
+    private static KeyedLog.Records records(RecordsFound found) {
+        List<KeyedRecord> records = found.getRecordsList().stream()
+                .map(r -> new KeyedRecord(r.getKey(), r.getValue().toByteArray(), r.getOffset()))
+                .toList();
+        return new KeyedLog.Records(records, found.getNext(), Duration.ofMillis(found.getAgeMillis()), true);
+    }
+
+    // Answering
+
+    /** Answers an entry's question, now or when there is a record or its wait is over. */
+    void onRead(PeerChannel from, Frame frame) {
+        RecordsRead read = frame.getGate().getRead();
+        LogFollower follower = served.get(read.getLog());
+        if (follower == null || !isFresh(follower)) {
+            reply(from, frame, RecordsFound.getDefaultInstance());
+            return;
+        }
+        long wait = Math.min(MAX_WAIT.toMillis(), read.getWaitMillis());
+        CompletableFuture<Void> change = follower.mirror().readBeyond(read.getFrom());
+        change.thenRun(() -> reply(from, frame, found(follower, read.getFrom())));
+        if (!change.isDone()) {
+            scheduler.schedule(() -> change.complete(null), wait, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private RecordsFound found(LogFollower follower, long from) {
+        int age = follower.freshness().ageMillis();
+        return follower.mirror()
+                .from(from)
+                .filter(r -> isFresh(follower))
+                .map(r -> RecordsFound.newBuilder()
+                        .setKnown(true)
+                        .setNext(r.next())
+                        .setAgeMillis(age)
+                        .addAllRecords(r.records().stream().map(LogRelay::found).toList())
+                        .build())
+                .orElseGet(RecordsFound::getDefaultInstance);
+    }
+
+    private static FoundRecord found(KeyedRecord record) {
+        return FoundRecord.newBuilder()
+                .setKey(record.key())
+                .setValue(ByteString.copyFrom(record.value()))
+                .setOffset(record.offset())
+                .build();
+    }
+
+    /** An entry that has lost the store, or lags behind, does not hold the others back. */
+    private boolean isFresh(LogFollower follower) {
+        Duration limit =
+                follower.usualAge().plus(LATE).plus(HOP.multipliedBy(place.get().depth()));
+        return follower.isReachable() && follower.freshness().isYoungerThan(limit);
+    }
+
+    private static void reply(PeerChannel to, Frame frame, RecordsFound found) {
+        to.reply(frame, Frame.newBuilder().setGate(GateMessage.newBuilder().setFound(found)));
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/ReadTree.java
@@ -0,0 +1,48 @@
+package io.parsleycleat.gateway.process.members;
+
+import io.parsleycleat.core.request.routing.RendezvousHash;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/**
+ * Through which entry each entry of a data centre reads the logs: a tree whose root reads the store.
+ *
+ * <p>All entries with the same view of the others see the same tree. Stateless.
+ */
+final class ReadTree {
+    /** Entries that read through one. */
+    private static final int FAN_OUT = 8;
+
+    private ReadTree() {}
+
+    /**
+     * An entry's place.
+     *
+     * @param depth how many entries are between this one and the store
+     * @param parent the peer address of the entry to read through; absent at the root
+     */
+    record Place(int depth, Optional<String> parent) {}
+
+    /** Returns an entry's place among the others, of which those of its data centre count. */
+    static Place place(String self, String dataCentre, Map<String, EntryMembers.Member> others) {
+        List<String> names = Stream.concat(
+                        Stream.of(self),
+                        others.entrySet().stream()
+                                .filter(e -> e.getValue().dataCentre().equals(dataCentre))
+                                .map(Map.Entry::getKey))
+                .toList();
+        List<String> order = RendezvousHash.order(dataCentre, names, n -> n);
+        int rank = order.indexOf(self);
+        if (rank == 0) {
+            return new Place(0, Optional.empty());
+        }
+        String parent = order.get((rank - 1) / FAN_OUT);
+        return new Place(depth(rank), Optional.ofNullable(others.get(parent)).map(EntryMembers.Member::peerAddress));
+    }
+
+    private static int depth(int rank) {
+        return (int) Stream.iterate(rank, r -> r > 0, r -> (r - 1) / FAN_OUT).count();
+    }
+}
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/FollowSettings.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/FollowSettings.java
@@ -21,6 +21,11 @@
             Duration.ofMillis(250),
             Duration.ofMillis(2_200));
 
+    /** Returns how old the newest answer becomes at most: it was asked a wait ago, and the next one takes as long. */
+    public Duration usualAge() {
+        return maxWait.multipliedBy(2).plus(minGap);
+    }
+
     /** Returns a copy with another wait. */
     public FollowSettings withWait(Duration newWait) {
         return new FollowSettings(newWait, minGap, timeout, retryDelay, outageGrace);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/Freshness.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/Freshness.java
@@ -20,7 +20,12 @@
     private long wallMillis;
 
     /** A point in time on both clocks. */
-    public record Moment(long steadyNanos, long wallMillis) {}
+    public record Moment(long steadyNanos, long wallMillis) {
+        /** Returns the moment that was so much earlier. */
+        public Moment minus(Duration age) {
+            return new Moment(steadyNanos - age.toNanos(), wallMillis - age.toMillis());
+        }
+    }
 
     /** Creates knowledge that was never confirmed. */
     public Freshness(TimeSource time) {
@@ -32,11 +37,14 @@
         return new Moment(time.monotonicNanos(), time.wallMillis());
     }
 
-    /** Notes an answer to a question that was sent at the given moment. */
-    public synchronized void confirm(Moment sent) {
+    /** Notes an answer that tells the state of the given moment; an older one than before changes nothing. */
+    public synchronized void confirm(Moment moment) {
+        if (confirmed && moment.steadyNanos() - steadyNanos < 0) {
+            return;
+        }
         confirmed = true;
-        steadyNanos = sent.steadyNanos();
-        wallMillis = sent.wallMillis();
+        steadyNanos = moment.steadyNanos();
+        wallMillis = moment.wallMillis();
     }
 
     /** Returns the age, or the longest duration when nothing was ever confirmed. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedLog.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedLog.java
@@ -22,11 +22,18 @@
      * Records from one offset on, in order.
      *
      * @param next where the next read goes on
+     * @param age the time since the log itself was asked, as of the answer
+     * @param relayed whether another process answered that had read the log
      */
-    record Records(List<KeyedRecord> records, long next) {
+    record Records(List<KeyedRecord> records, long next, Duration age, boolean relayed) {
         public Records {
             records = List.copyOf(records);
         }
+
+        /** Creates an answer of the log itself. */
+        public Records(List<KeyedRecord> records, long next) {
+            this(records, next, Duration.ZERO, false);
+        }
     }
 
     /** Reads the newest record of each key after the given key; an empty key starts at the first. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
@@ -7,15 +7,13 @@
 import io.parsleycleat.core.process.time.TimeSource;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -31,6 +29,8 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** Silence after which entries of others may have lapsed although they live. */
     private static final Duration OUTAGE = Duration.ofMillis(900);
+    /** Reading through another entry costs the store nothing, so the pause between reads is this much shorter. */
+    public static final int RELAYED_GAP_PARTS = 4;
 
     private final String name;
     private final KeyedLog log;
@@ -42,9 +42,10 @@
     private final AtomicLong round = new AtomicLong();
 
     private final Object lock = new Object();
-    private final Map<String, Long> offsets = new HashMap<>();
+    private final LogMirror mirror = new LogMirror();
     private long next = -1;
     private boolean reachable = true;
+    private boolean relayed;
     private long lastAnswerNanos;
     private long graceEndsNanos;
     private boolean inGrace;
@@ -93,6 +94,23 @@
         }
     }
 
+    /** Returns what was read, for others to go on from. */
+    public LogMirror mirror() {
+        return mirror;
+    }
+
+    /** Returns whether the log answers, as far as is known. */
+    public boolean isReachable() {
+        synchronized (lock) {
+            return reachable && next >= 0;
+        }
+    }
+
+    /** Returns how old what was read becomes at most while the log answers. */
+    public Duration usualAge() {
+        return settings.usualAge();
+    }
+
     /** Returns the offset up to which the log was read. */
     public long offset() {
         synchronized (lock) {
@@ -108,19 +126,21 @@
         }
         Freshness.Moment sent = freshness.now();
         boolean full = offset() < 0;
-        CompletableFuture<Void> done = full ? readAll() : readOn(current);
+        CompletableFuture<KeyedLog.Records> done = full ? readAll() : readOn(current);
         done.orTimeout(settings.maxWait().plus(settings.timeout()).toMillis(), TimeUnit.MILLISECONDS)
-                .whenComplete(
-                        (nothing, failure) -> after(current, sent, failure == null ? null : Failures.unwrap(failure)));
+                .whenComplete((answer, failure) ->
+                        after(current, sent, answer, failure == null ? null : Failures.unwrap(failure)));
     }
 
-    private void after(long current, Freshness.Moment sent, @Nullable Throwable failure) {
+    private void after(
+            long current, Freshness.Moment sent, KeyedLog.@Nullable Records answer, @Nullable Throwable failure) {
         if (stopped || round.get() != current) {
             return;
         }
-        if (failure == null) {
-            answered(sent);
-            again(current, settings.minGap());
+        if (answer != null) {
+            answered(sent.minus(answer.age()));
+            noteRelayed(answer.relayed());
+            again(current, answer.relayed() ? settings.minGap().dividedBy(RELAYED_GAP_PARTS) : settings.minGap());
         } else if (failure instanceof LogTrimmedException) {
             logger.atInfo().log("%s dropped records that were not read; reading all of it", name);
             synchronized (lock) {
@@ -128,7 +148,7 @@
             }
             again(current, Duration.ZERO);
         } else {
-            failed(failure);
+            failed(failure == null ? new IllegalStateException("no answer") : failure);
             again(current, settings.retryDelay());
         }
     }
@@ -137,8 +157,17 @@
         scheduler.schedule(() -> step(current), delay.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private void answered(Freshness.Moment sent) {
-        freshness.confirm(sent);
+    private void noteRelayed(boolean now) {
+        if (now != relayed) {
+            logger.atInfo()
+                    .with(LogKeys.OFFSET, offset())
+                    .log("%s is read %s", name, now ? "by another entry" : "here");
+            relayed = now;
+        }
+    }
+
+    private void answered(Freshness.Moment known) {
+        freshness.confirm(known);
         boolean graceOver;
         synchronized (lock) {
             if (!reachable) {
@@ -176,16 +205,18 @@
 
     // Reading
 
-    private CompletableFuture<Void> readOn(long current) {
+    private CompletableFuture<KeyedLog.Records> readOn(long current) {
         Duration wait = isGraceRunning() ? Duration.ZERO : settings.maxWait();
-        return log.read(offset(), wait).thenAccept(records -> {
+        return log.read(offset(), wait).thenApply(answer -> {
             if (round.get() == current) {
                 noteContact();
-                apply(records.records());
+                apply(answer.records());
                 synchronized (lock) {
-                    next = Math.max(next, records.next());
+                    next = Math.max(next, answer.next());
                 }
+                mirror.readTo(answer.next());
             }
+            return answer;
         });
     }
 
@@ -195,14 +226,16 @@
         }
     }
 
-    private CompletableFuture<Void> readAll() {
+    private CompletableFuture<KeyedLog.Records> readAll() {
         List<KeyedRecord> found = new ArrayList<>();
-        return readPages("", -1, found).thenAccept(end -> {
+        return readPages("", -1, found).thenApply(end -> {
             noteContact();
             applyAll(found);
             synchronized (lock) {
                 next = Math.max(next, end);
             }
+            mirror.fullyReadTo(end);
+            return new KeyedLog.Records(found, end);
         });
     }
 
@@ -220,26 +253,15 @@
     }
 
     private void applyAll(List<KeyedRecord> found) {
-        Set<String> present = new HashSet<>();
-        found.stream().filter(r -> !r.isDrop()).forEach(r -> present.add(r.key()));
-        List<String> missing;
-        synchronized (lock) {
-            missing =
-                    offsets.keySet().stream().filter(k -> !present.contains(k)).toList();
-        }
+        Set<String> present =
+                found.stream().filter(r -> !r.isDrop()).map(KeyedRecord::key).collect(Collectors.toSet());
+        List<String> missing = mirror.dropMissing(present);
         apply(found);
         missing.forEach(this::drop);
     }
 
     private void apply(List<KeyedRecord> records) {
-        records.forEach(r -> {
-            synchronized (lock) {
-                long known = offsets.getOrDefault(r.key(), -1L);
-                if (r.offset() <= known) {
-                    return;
-                }
-                offsets.put(r.key(), r.offset());
-            }
+        records.stream().filter(mirror::accept).forEach(r -> {
             if (r.isDrop()) {
                 drop(r.key());
             } else {
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogMirror.java
@@ -0,0 +1,101 @@
+package io.parsleycleat.gateway.version.follow;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The newest record of each key that a follower has read, from which other processes can go on.
+ *
+ * <p>Created by {@link LogFollower}; guarded by its own lock.
+ */
+public final class LogMirror {
+    private static final byte[] NO_VALUE = {};
+    /** Dropped keys that are remembered; a reader that is further behind reads the log itself. */
+    private static final int MAX_DROPPED = 1_000;
+
+    private final Map<String, KeyedRecord> newest = new HashMap<>();
+    private final List<CompletableFuture<Void>> waiting = new ArrayList<>();
+    private long first = Long.MAX_VALUE;
+    private long next = -1;
+
+    LogMirror() {}
+
+    /** Takes a record and returns whether it is newer than what was known of its key. */
+    synchronized boolean accept(KeyedRecord record) {
+        KeyedRecord known = newest.get(record.key());
+        if (known != null && record.offset() <= known.offset()) {
+            return false;
+        }
+        newest.put(record.key(), record);
+        return true;
+    }
+
+    /** Drops the keys that a full read did not show, and returns them. */
+    synchronized List<String> dropMissing(Set<String> present) {
+        List<KeyedRecord> missing = newest.values().stream()
+                .filter(r -> !r.isDrop() && !present.contains(r.key()))
+                .toList();
+        missing.forEach(r -> newest.put(r.key(), new KeyedRecord(r.key(), NO_VALUE, r.offset())));
+        return missing.stream().map(KeyedRecord::key).toList();
+    }
+
+    /** Notes a full read, which does not tell what was dropped before its end. */
+    void fullyReadTo(long end) {
+        synchronized (this) {
+            first = Math.max(next, end);
+        }
+        readTo(end);
+    }
+
+    /** Notes up to where the log was read, and wakes those that wait for it. */
+    void readTo(long end) {
+        List<CompletableFuture<Void>> woken;
+        synchronized (this) {
+            woken = end > next ? List.copyOf(waiting) : List.of();
+            waiting.removeAll(woken);
+            next = Math.max(next, end);
+            forgetDropped();
+        }
+        woken.forEach(w -> w.complete(null));
+    }
+
+    /** Returns the records from an offset on, or nothing when this mirror cannot tell all of them. */
+    public synchronized Optional<KeyedLog.Records> from(long offset) {
+        if (next < 0 || offset < first) {
+            return Optional.empty();
+        }
+        List<KeyedRecord> records = newest.values().stream()
+                .filter(r -> r.offset() >= offset)
+                .sorted(Comparator.comparingLong(KeyedRecord::offset))
+                .toList();
+        return Optional.of(new KeyedLog.Records(records, next));
+    }
+
+    /** Returns what completes when the log has been read beyond an offset; at once when it was. */
+    public synchronized CompletableFuture<Void> readBeyond(long offset) {
+        if (next > offset) {
+            return CompletableFuture.completedFuture(null);
+        }
+        CompletableFuture<Void> change = new CompletableFuture<>();
+        waiting.add(change);
+        change.whenComplete((nothing, failure) -> forget(change));
+        return change;
+    }
+
+    private synchronized void forget(CompletableFuture<Void> change) {
+        waiting.remove(change);
+    }
+
+    private void forgetDropped() {
+        if (newest.values().stream().filter(KeyedRecord::isDrop).count() > MAX_DROPPED) {
+            newest.values().removeIf(KeyedRecord::isDrop);
+            first = next;
+        }
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
@@ -0,0 +1,312 @@
+package io.parsleycleat.gateway.process.members;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.parsleycleat.core.connection.peer.PeerChannel;
+import io.parsleycleat.core.connection.peer.PeerClient;
+import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.StepScheduler;
+import io.parsleycleat.gateway.version.follow.FollowSettings;
+import io.parsleycleat.gateway.version.follow.KeyedFold;
+import io.parsleycleat.gateway.version.follow.KeyedLog;
+import io.parsleycleat.gateway.version.follow.KeyedRecord;
+import io.parsleycleat.gateway.version.follow.LogFollower;
+import io.parsleycleat.wire.peer.Frame;
+import io.parsleycleat.wire.peer.Hello;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class LogRelayTest {
+    private static final String LOG = "operators' log";
+    private static final Duration BOUND = Duration.ofSeconds(3);
+    private static final Duration A_WHILE = Duration.ofSeconds(5);
+
+    private MovedTime time;
+    private StepScheduler scheduler;
+    private Store store;
+    private Map<String, Entry> entries;
+    private Set<String> frozen;
+
+    @BeforeMethod
+    public void setUp() {
+        time = new MovedTime();
+        scheduler = new StepScheduler(time);
+        store = new Store();
+        entries = new HashMap<>();
+        frozen = new HashSet<>();
+    }
+
+    private void start(int count) {
+        List<String> names =
+                IntStream.range(0, count).mapToObj(i -> "entry-" + i).toList();
+        names.forEach(n -> entries.put(n, new Entry(n, names)));
+        entries.values().forEach(e -> e.follower.start());
+        scheduler.runFor(A_WHILE);
+    }
+
+    private Entry root() {
+        return entries.values().stream()
+                .filter(e -> e.place().depth() == 0)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private List<Entry> others() {
+        return entries.values().stream().filter(e -> e.place().depth() > 0).toList();
+    }
+
+    /** Load pattern: ever more entries of a data centre follow the same log. */
+    @Test
+    public void theCallsToTheStoreDoNotGrowWithTheEntries() {
+        for (int count : new int[] {1, 6, 70}) {
+            setUp();
+            start(count);
+            long before = store.reads;
+            scheduler.runFor(A_WHILE);
+            assertTrue(store.reads - before <= A_WHILE.toSeconds() * 2, (store.reads - before) + " of " + count);
+        }
+    }
+
+    @Test
+    public void aRecordReachesAllEntriesSoonAfterItsRoot() {
+        start(70);
+        store.add("k", "1");
+        scheduler.runFor(Duration.ofMillis(400));
+        entries.values().forEach(e -> assertEquals(e.seen.get("k"), "1", e.name));
+        store.add("k", "");
+        scheduler.runFor(Duration.ofMillis(400));
+        entries.values().forEach(e -> assertEquals(e.seen.get("k"), null, e.name));
+    }
+
+    @Test
+    public void whatIsRelayedIsAsOldAsTheStoresAnswer() {
+        start(3);
+        store.down.addAll(entries.keySet());
+        long lastReadNanos = store.lastReadNanos;
+        scheduler.runFor(Duration.ofMillis(800));
+        long storeAge = TimeUnit.NANOSECONDS.toMillis(time.monotonicNanos() - lastReadNanos);
+        others().forEach(e -> assertTrue(e.follower.freshness().ageMillis() >= storeAge, e.name));
+    }
+
+    /** Pattern: the entry that reads for the others freezes. */
+    @Test
+    public void aFrozenRootIsPassedOverWithinHalfASecond() {
+        start(6);
+        frozen.add(root().name);
+        store.add("k", "2");
+        scheduler.runFor(Duration.ofMillis(700));
+        others().forEach(e -> assertEquals(e.seen.get("k"), "2", e.name));
+    }
+
+    /** Pattern: the entry that reads for the others is cut off from the store, which serves the others. */
+    @Test
+    public void aRootThatIsCutFromTheStoreIsPassedOver() {
+        start(6);
+        store.down.add(root().name);
+        scheduler.runFor(Duration.ofMillis(100));
+        store.add("k", "2");
+        scheduler.runFor(BOUND.multipliedBy(4).dividedBy(5));
+        others().forEach(e -> assertEquals(e.seen.get("k"), "2", e.name));
+        others().forEach(e -> assertTrue(e.follower.freshness().isYoungerThan(BOUND), e.name));
+    }
+
+    @Test
+    public void afterTheRootIsBackItReadsForTheOthersAgain() {
+        start(6);
+        frozen.add(root().name);
+        scheduler.runFor(A_WHILE);
+        frozen.clear();
+        scheduler.runFor(A_WHILE);
+        long before = store.reads;
+        scheduler.runFor(A_WHILE);
+        assertTrue(store.reads - before <= A_WHILE.toSeconds() * 2, "reads " + (store.reads - before));
+    }
+
+    @Test
+    public void anEntryBehindTheStartOfItsRootReadsTheLogItself() {
+        start(2);
+        long behind = others().get(0).follower.offset();
+        store.add("k", "1");
+        store.add("k", "");
+        Entry restarted = new Entry(root().name, List.copyOf(entries.keySet()));
+        restarted.follower.start();
+        assertFalse(restarted.follower.mirror().from(behind).isPresent(), "it cannot know what was dropped");
+        assertTrue(restarted.follower.mirror().from(behind + 2).isPresent());
+    }
+
+    @Test
+    public void aBoundThatIsTooShortForRelayingLeavesTheLogToBeReadDirectly() {
+        assertFalse(
+                LogRelay.relaying(FollowSettings.PROMPT, Duration.ofSeconds(2)).isPresent());
+        Duration wait = LogRelay.relaying(FollowSettings.PROMPT, Duration.ofSeconds(3))
+                .orElseThrow()
+                .maxWait();
+        assertTrue(wait.compareTo(FollowSettings.PROMPT.maxWait()) < 0);
+        assertEquals(
+                LogRelay.relaying(FollowSettings.PROMPT, Duration.ofSeconds(10)),
+                java.util.Optional.of(FollowSettings.PROMPT));
+    }
+
+    @Test
+    public void aTreeHasOneRootADataCentreAndABoundedFanOut() {
+        Map<String, EntryMembers.Member> members = IntStream.range(0, 300)
+                .boxed()
+                .collect(Collectors.toMap(
+                        i -> "entry-" + i, i -> new EntryMembers.Member("entry-" + i, i % 3 == 0 ? "north" : "south")));
+        Map<String, Long> children = members.entrySet().stream()
+                .map(e -> ReadTree.place(e.getKey(), e.getValue().dataCentre(), without(members, e.getKey())))
+                .filter(p -> p.parent().isPresent())
+                .collect(Collectors.groupingBy(p -> p.parent().orElseThrow(), Collectors.counting()));
+        assertEquals(children.values().stream().mapToLong(c -> c).sum(), 298);
+        assertTrue(children.values().stream().allMatch(c -> c <= 8));
+        children.keySet().forEach(p -> assertTrue(members.containsKey(p)));
+    }
+
+    private static Map<String, EntryMembers.Member> without(Map<String, EntryMembers.Member> members, String name) {
+        Map<String, EntryMembers.Member> others = new HashMap<>(members);
+        others.remove(name);
+        return others;
+    }
+
+    /** The store's log; a read waits for a record until its time is over. */
+    private final class Store {
+        private final List<KeyedRecord> records = new ArrayList<>();
+        private final List<CompletableFuture<Void>> waiting = new ArrayList<>();
+        private final Set<String> down = new HashSet<>();
+        private long reads;
+        private long lastReadNanos;
+
+        void add(String key, String value) {
+            records.add(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), records.size()));
+            List<CompletableFuture<Void>> woken = List.copyOf(waiting);
+            waiting.clear();
+            woken.forEach(w -> w.complete(null));
+        }
+
+        KeyedLog asSeenBy(String entry) {
+            return new KeyedLog() {
+                @Override
+                public CompletableFuture<NewestPage> newest(String afterKey) {
+                    Map<String, KeyedRecord> newest = new HashMap<>();
+                    records.forEach(r -> newest.put(r.key(), r));
+                    List<KeyedRecord> live =
+                            newest.values().stream().filter(r -> !r.isDrop()).toList();
+                    return CompletableFuture.completedFuture(new NewestPage(live, false, records.size()));
+                }
+
+                @Override
+                public CompletableFuture<Records> read(long from, Duration wait) {
+                    if (down.contains(entry)) {
+                        return CompletableFuture.failedFuture(new IllegalStateException("down"));
+                    }
+                    reads++;
+                    lastReadNanos = time.monotonicNanos();
+                    CompletableFuture<Void> change = new CompletableFuture<>();
+                    if (from < records.size() || wait.isZero()) {
+                        change.complete(null);
+                    } else {
+                        waiting.add(change);
+                        scheduler.schedule(() -> change.complete(null), wait.toMillis(), TimeUnit.MILLISECONDS);
+                    }
+                    return change.thenApply(
+                            c -> new Records(List.copyOf(records.subList((int) from, records.size())), records.size()));
+                }
+            };
+        }
+    }
+
+    /** An entry of one data centre, which is its own peer address. */
+    private final class Entry implements KeyedFold, PeerClient {
+        private final String name;
+        private final Map<String, EntryMembers.Member> others;
+        private final LogRelay relay;
+        private final LogFollower follower;
+        private final Map<String, String> seen = new HashMap<>();
+
+        Entry(String name, List<String> names) {
+            this.name = name;
+            this.others = names.stream()
+                    .filter(n -> !n.equals(name))
+                    .collect(Collectors.toMap(n -> n, n -> new EntryMembers.Member(n, "north")));
+            this.relay = new LogRelay(this, this::place, time, scheduler);
+            this.follower = new LogFollower(
+                    LOG,
+                    relay.relayed(LOG, store.asSeenBy(name)),
+                    this,
+                    LogRelay.relaying(FollowSettings.PROMPT, BOUND).orElseThrow(),
+                    scheduler,
+                    time);
+            relay.serve(LOG, follower);
+        }
+
+        ReadTree.Place place() {
+            return ReadTree.place(name, "north", others);
+        }
+
+        @Override
+        public void put(String key, byte[] value) {
+            seen.put(key, new String(value, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void drop(String key, boolean afterOutage) {
+            seen.remove(key);
+        }
+
+        @Override
+        public CompletableFuture<Frame> request(String peerAddress, Frame.Builder frame, Duration timeout) {
+            CompletableFuture<Frame> answer = new CompletableFuture<>();
+            scheduler.schedule(
+                    () -> answer.completeExceptionally(new IllegalStateException("no answer in time")),
+                    timeout.toMillis(),
+                    TimeUnit.MILLISECONDS);
+            if (!frozen.contains(peerAddress)) {
+                entries.get(peerAddress).relay.onRead(new Reply(answer), frame.build());
+            }
+            return answer;
+        }
+
+        @Override
+        public void send(String peerAddress, Frame.Builder frame) {}
+
+        @Override
+        public CompletableFuture<PeerChannel> connect(String peerAddress) {
+            return CompletableFuture.failedFuture(new IllegalStateException("not used"));
+        }
+    }
+
+    /** Where an answer goes. */
+    private record Reply(CompletableFuture<Frame> answer) implements PeerChannel {
+        @Override
+        public Hello hello() {
+            return Hello.getDefaultInstance();
+        }
+
+        @Override
+        public void send(Frame frame) {
+            answer.complete(frame);
+        }
+
+        @Override
+        public boolean isWritable() {
+            return true;
+        }
+
+        @Override
+        public void onClose(Runnable action) {}
+    }
+}
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
@@ -120,7 +120,7 @@
     private static AccountBudgets budgets() {
         BudgetHomes.Slack slack = new BudgetHomes.Slack(0, Duration.ofSeconds(8));
         BudgetHomes homes = new BudgetHomes("here", slack, TimeSource.SYSTEM, () -> true);
-        EntryExchange exchange = new EntryExchange(null, (kind, handler) -> {}, Map::of, homes, null, null);
+        EntryExchange exchange = new EntryExchange(null, (kind, handler) -> {}, Map::of, homes, null, null, null);
         return new AccountBudgets("here", homes, exchange, TimeSource.SYSTEM);
     }
 
