Ask the next home of a budget beside one that is slow to answer

Ruled out: a longer time limit alone, since a home that is down would hold each first request that long. Asking all homes at once: four times the messages, and tokens in places where nobody needs them.

Change: after 80 ms the next home is asked as well; the time limit is 400 ms. What a slow home gives is kept. A draw refuses once all homes have answered or failed.

Before and after: aSlowHomeDoesNotHoldARequestWhoseTokensAnotherHomeHas fails before (held for the time limit).

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -120,7 +120,7 @@
         EngineView view = new EngineView(time);
         this.relay = LogRelay.create(transport, identity, members, time, loop);
         this.exchange = new EntryExchange(transport, transport, members::others, homes, crashes, view, relay);
-        this.budgets = new AccountBudgets(identity.vmName(), homes, exchange, time);
+        this.budgets = new AccountBudgets(identity.vmName(), homes, exchange, time, loop);
         this.operatorsFollower = follower(
                 "operators' log",
                 store.operators(),
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryExchange.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryExchange.java
@@ -27,8 +27,8 @@
  * <p>One an entry; safe to share between threads.
  */
 public final class EntryExchange implements BudgetPeers {
-    /** A home answers from memory; one that takes longer is passed over. */
-    private static final Duration DRAW_TIMEOUT = Duration.ofMillis(200);
+    /** A home answers from memory, but right after a start it may be busy; one that takes longer is passed over. */
+    private static final Duration DRAW_TIMEOUT = Duration.ofMillis(400);
 
     private final PeerClient peers;
     private final Supplier<Map<String, String>> others;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -36,6 +37,7 @@
     private final BudgetHomes homes;
     private final BudgetPeers peers;
     private final TimeSource time;
+    private final ScheduledExecutorService scheduler;
     private final Map<String, AccountDraws> draws = new ConcurrentHashMap<>();
     private final Map<String, Long> silentUntilNanos = new ConcurrentHashMap<>();
 
@@ -48,11 +50,13 @@
     public record Shortage(double drawn, Duration retryAfter) {}
 
     /** Creates budgets without accounts. */
-    public AccountBudgets(String self, BudgetHomes homes, BudgetPeers peers, TimeSource time) {
+    public AccountBudgets(
+            String self, BudgetHomes homes, BudgetPeers peers, TimeSource time, ScheduledExecutorService scheduler) {
         this.self = self;
         this.homes = homes;
         this.peers = peers;
         this.time = time;
+        this.scheduler = scheduler;
     }
 
     /** Takes the accounts of a configuration version. */
@@ -64,7 +68,8 @@
         draws.keySet().retainAll(limited.keySet());
         limited.forEach((name, account) -> draws.computeIfAbsent(
                         name,
-                        n -> new AccountDraws(account, () -> answering(account), this::draw, this::giveBackTo, time))
+                        n -> new AccountDraws(
+                                account, () -> answering(account), this::draw, this::giveBackTo, time, scheduler))
                 .setAccount(account));
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -16,8 +17,9 @@
 /**
  * The tokens of one account that an entry has drawn and not spent yet, and the requests that wait for more.
  *
- * <p>One draw is under way at a time; it goes from home to home until the waiting requests have their tokens. When all
- * homes together have too few, what waits is refused at once, and what was drawn goes back.
+ * <p>One draw is under way at a time; it goes from home to home until the waiting requests have their tokens, to the
+ * next one also when a home is slow to answer. When all homes together have too few, what waits is refused at once,
+ * and what was drawn goes back.
  *
  * <p>Created by {@link AccountBudgets}; guarded by its own lock.
  */
@@ -33,12 +35,16 @@
     /** The pause when no home answers; one mostly restarts within it. */
     private static final Duration UNANSWERED_PAUSE = Duration.ofMillis(500);
 
+    /** Time after which the next home is asked beside one that has not answered yet. */
+    private static final Duration SLOW = Duration.ofMillis(80);
+
     private static final double ROUNDING = 1e-6;
 
     private final Supplier<List<String>> homes;
     private final Draw draw;
     private final GiveBack handBack;
     private final TimeSource time;
+    private final ScheduledExecutorService scheduler;
     private final Deque<Waiting> waiting = new ArrayDeque<>();
     private final List<String> untried = new ArrayList<>();
     private Account account;
@@ -49,6 +55,8 @@
     private long drawnNanos;
     private @Nullable String lastHome;
     private boolean drawing;
+    private int unanswered;
+    private long draws;
     private double refusedCost = Double.MAX_VALUE;
     private long pausedUntilNanos;
 
@@ -74,12 +82,19 @@
         }
     }
 
-    AccountDraws(Account account, Supplier<List<String>> homes, Draw draw, GiveBack handBack, TimeSource time) {
+    AccountDraws(
+            Account account,
+            Supplier<List<String>> homes,
+            Draw draw,
+            GiveBack handBack,
+            TimeSource time,
+            ScheduledExecutorService scheduler) {
         this.account = account;
         this.homes = homes;
         this.draw = draw;
         this.handBack = handBack;
         this.time = time;
+        this.scheduler = scheduler;
         this.drawnNanos = time.monotonicNanos();
         this.pausedUntilNanos = drawnNanos;
     }
@@ -105,6 +120,7 @@
                 return answer;
             }
             drawing = true;
+            draws++;
             gained = 0;
             perSecond = 0;
             untried.clear();
@@ -134,26 +150,41 @@
         handBack.to(home, account.name(), unspent);
     }
 
+    /** Asks the next home, if the draw needs one; ends the draw when none is left and all have answered. */
     private void drawNext() {
         String home;
         double needed;
         double ahead;
+        long current;
         synchronized (this) {
-            if (untried.isEmpty()) {
-                home = null;
-                needed = 0;
-                ahead = 0;
-            } else {
-                home = untried.remove(0);
-                needed = Math.max(0, waiting.stream().mapToDouble(Waiting::cost).sum() - tokens);
-                ahead = ahead();
+            if (!drawing || (untried.isEmpty() && unanswered > 0)) {
+                return;
             }
+            home = untried.isEmpty() ? null : untried.remove(0);
+            unanswered += home == null ? 0 : 1;
+            needed = Math.max(0, waiting.stream().mapToDouble(Waiting::cost).sum() - tokens);
+            ahead = ahead();
+            current = draws;
         }
         if (home == null) {
             refuseWaiting();
             return;
         }
-        draw.from(home, account.name(), needed, ahead).whenComplete((drawn, failure) -> drawn(home, drawn));
+        CompletableFuture<BudgetPeers.Drawn> answer = draw.from(home, account.name(), needed, ahead);
+        answer.whenComplete((drawn, failure) -> drawn(home, drawn));
+        if (!answer.isDone()) {
+            scheduler.schedule(() -> drawFurther(current, answer), SLOW.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void drawFurther(long draw, CompletableFuture<BudgetPeers.Drawn> slow) {
+        boolean underWay;
+        synchronized (this) {
+            underWay = drawing && draws == draw && !slow.isDone();
+        }
+        if (underWay) {
+            drawNext();
+        }
     }
 
     /** Tokens for the requests to come, by what was spent since the last draw. */
@@ -163,20 +194,17 @@
     }
 
     private void drawn(String home, BudgetPeers.@Nullable Drawn drawn) {
-        if (drawn == null) {
-            drawNext();
-            return;
-        }
         List<Answer> answers;
-        boolean more;
         synchronized (this) {
-            tokens += drawn.tokens();
-            gained += drawn.tokens();
-            perSecond += drawn.perSecond();
-            lastHome = drawn.tokens() > 0 ? home : lastHome;
+            unanswered--;
+            if (drawn != null) {
+                tokens += drawn.tokens();
+                gained += drawn.tokens();
+                perSecond += drawn.perSecond();
+                lastHome = drawn.tokens() > 0 ? home : lastHome;
+            }
             answers = serveWaiting();
-            more = !waiting.isEmpty();
-            if (!more) {
+            if (drawing && waiting.isEmpty()) {
                 drawing = false;
                 drawnNanos = time.monotonicNanos();
                 spentSinceDraw =
@@ -184,9 +212,7 @@
             }
         }
         answers.forEach(Answer::give);
-        if (more) {
-            drawNext();
-        }
+        drawNext();
     }
 
     private List<Answer> serveWaiting() {
@@ -204,6 +230,9 @@
         String home;
         double unspent;
         synchronized (this) {
+            if (!drawing) {
+                return;
+            }
             Duration wait = wait(waiting.isEmpty() ? 0 : waiting.getFirst().cost() - tokens);
             AccountBudgets.Shortage shortage = new AccountBudgets.Shortage(tokens, wait);
             answers = waiting.stream()
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.StepScheduler;
 import io.parsleycleat.gateway.request.limits.AccountBudgets;
 import io.parsleycleat.gateway.request.limits.BudgetHomes;
 import io.parsleycleat.gateway.request.limits.BudgetPeers;
@@ -24,6 +25,7 @@
     private static final Account ACCOUNT = account("tailors", RATE);
 
     private MovedTime time;
+    private StepScheduler scheduler;
 
     private static Account account(String name, double rate) {
         return new Account(name, Set.of(name), null, true, rate, rate, 10);
@@ -50,6 +52,7 @@
     @BeforeMethod
     public void setUp() {
         time = new MovedTime();
+        scheduler = new StepScheduler(time);
     }
 
     @Test
@@ -80,7 +83,7 @@
     @Test
     public void nothingIsGivenBeforeTheOthersAreKnown() {
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
-        AccountBudgets budgets = new AccountBudgets("a", homes, new NoPeers(), time);
+        AccountBudgets budgets = new AccountBudgets("a", homes, new NoPeers(), time, scheduler);
         budgets.setAccounts(List.of(ACCOUNT));
         time.passMillis(5_000);
         assertTrue(budgets.spend(ACCOUNT, 1).join().isPresent());
@@ -203,7 +206,7 @@
     public void requestsThatWaitForOneDrawAreServedInTheirOrder() {
         List<CompletableFuture<BudgetPeers.Drawn>> draws = new ArrayList<>();
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
-        AccountBudgets budgets = new AccountBudgets("a", homes, new HeldPeers(draws), time);
+        AccountBudgets budgets = new AccountBudgets("a", homes, new HeldPeers(draws), time, scheduler);
         budgets.setAccounts(List.of(ACCOUNT));
         budgets.setOthers(Set.of("b"));
         CompletableFuture<Optional<AccountBudgets.Shortage>> first = budgets.spend(ACCOUNT, 400);
@@ -214,6 +217,44 @@
         assertTrue(second.join().isPresent());
     }
 
+    /** Load pattern: all entries have just started, and a home is too busy to answer at once. */
+    @Test
+    public void aSlowHomeDoesNotHoldARequestWhoseTokensAnotherHomeHas() {
+        List<CompletableFuture<BudgetPeers.Drawn>> draws = new ArrayList<>();
+        BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
+        AccountBudgets budgets = new AccountBudgets("a", homes, new HeldPeers(draws), time, scheduler);
+        budgets.setAccounts(List.of(ACCOUNT));
+        budgets.setOthers(Set.of("b", "c", "d"));
+        CompletableFuture<Optional<AccountBudgets.Shortage>> request = budgets.spend(ACCOUNT, 400);
+        scheduler.runFor(Duration.ofMillis(79));
+        assertEquals(draws.size(), 1);
+        scheduler.runFor(Duration.ofMillis(1));
+        assertEquals(draws.size(), 2);
+        draws.get(1).complete(new BudgetPeers.Drawn(400, 250));
+        assertEquals(request.join(), Optional.empty());
+        draws.get(0).complete(new BudgetPeers.Drawn(100, 250));
+        assertTrue(budgets.spend(ACCOUNT, 100).isDone(), "what a slow home gave is kept");
+        scheduler.runFor(Duration.ofSeconds(1));
+        assertEquals(draws.size(), 2);
+    }
+
+    @Test
+    public void aDrawWaitsForTheSlowHomesBeforeItRefuses() {
+        List<CompletableFuture<BudgetPeers.Drawn>> draws = new ArrayList<>();
+        BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
+        AccountBudgets budgets = new AccountBudgets("a", homes, new HeldPeers(draws), time, scheduler);
+        budgets.setAccounts(List.of(ACCOUNT));
+        budgets.setOthers(Set.of("b", "c", "d"));
+        CompletableFuture<Optional<AccountBudgets.Shortage>> request = budgets.spend(ACCOUNT, 900);
+        scheduler.runFor(Duration.ofMillis(240));
+        assertEquals(draws.size(), 3);
+        draws.get(0).complete(new BudgetPeers.Drawn(100, 250));
+        draws.get(1).completeExceptionally(new IllegalStateException("no answer in time"));
+        assertFalse(request.isDone());
+        draws.get(2).complete(new BudgetPeers.Drawn(100, 250));
+        assertTrue(request.join().isPresent());
+    }
+
     @Test
     public void whatWasTakenForARequestThatDidNotRunIsSpentByTheNext() {
         BudgetFleet fleet = fleet(1);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
@@ -1,6 +1,7 @@
 package io.parsleycleat.gateway.request;
 
 import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.StepScheduler;
 import io.parsleycleat.gateway.request.limits.AccountBudgets;
 import io.parsleycleat.gateway.request.limits.BudgetHomes;
 import io.parsleycleat.gateway.request.limits.BudgetPeers;
@@ -20,6 +21,7 @@
     static final BudgetHomes.Slack NO_SLACK = new BudgetHomes.Slack(0, Duration.ofSeconds(8));
 
     private final MovedTime time;
+    private final StepScheduler scheduler;
     private final BudgetHomes.Slack slack;
     private final List<Account> accounts;
     private final List<String> names;
@@ -31,6 +33,7 @@
 
     BudgetFleet(MovedTime time, int entries, BudgetHomes.Slack slack, List<Account> accounts) {
         this.time = time;
+        this.scheduler = new StepScheduler(time);
         this.slack = slack;
         this.accounts = accounts;
         this.names = IntStream.range(0, entries).mapToObj(i -> "entry-" + i).toList();
@@ -41,7 +44,7 @@
     void start(String name) {
         BudgetHomes started = new BudgetHomes(name, slack, time, () -> !fallen.contains(name));
         homes.put(name, started);
-        budgets.put(name, new AccountBudgets(name, started, new Peers(name), time));
+        budgets.put(name, new AccountBudgets(name, started, new Peers(name), time, scheduler));
         budgets.get(name).setAccounts(accounts);
         budgets.get(name).setOthers(names.stream().filter(o -> !o.equals(name)).collect(Collectors.toSet()));
         down.remove(name);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScheduleTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 
 import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.StepScheduler;
 import io.parsleycleat.gateway.request.limits.AccountBudgets;
 import io.parsleycleat.gateway.request.limits.BudgetHomes;
 import io.parsleycleat.gateway.request.limits.BudgetPeers;
@@ -54,6 +55,7 @@
     private static final class Schedule {
         private final SplittableRandom random;
         private final MovedTime time = new MovedTime();
+        private final StepScheduler scheduler = new StepScheduler(time);
         private final AccountBudgets[] entries = new AccountBudgets[ENTRIES];
         private final BudgetHomes[] homes = new BudgetHomes[ENTRIES];
         private final int[] lives = new int[ENTRIES];
@@ -99,7 +101,7 @@
             endCut(entry, step);
             homes[entry] = new BudgetHomes(
                     name(entry), new BudgetHomes.Slack(SLACK, Duration.ofSeconds(8)), time, () -> stands(entry));
-            entries[entry] = new AccountBudgets(name(entry), homes[entry], new Peers(entry), time);
+            entries[entry] = new AccountBudgets(name(entry), homes[entry], new Peers(entry), time, scheduler);
             entries[entry].setAccounts(List.of(ACCOUNT));
             lives[entry]++;
             downUntil[entry] = step;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
@@ -117,11 +117,11 @@
                 () -> 0);
     }
 
-    private static AccountBudgets budgets() {
+    private AccountBudgets budgets() {
         BudgetHomes.Slack slack = new BudgetHomes.Slack(0, Duration.ofSeconds(8));
         BudgetHomes homes = new BudgetHomes("here", slack, TimeSource.SYSTEM, () -> true);
         EntryExchange exchange = new EntryExchange(null, (kind, handler) -> {}, Map::of, homes, null, null, null);
-        return new AccountBudgets("here", homes, exchange, TimeSource.SYSTEM);
+        return new AccountBudgets("here", homes, exchange, TimeSource.SYSTEM, loop);
     }
 
     /** The calls of these tests: the key and the id in headers of their own. */
