Load the adapters first that most requests wait for, as many at once as the store serves

Requests behind many other loads were taken in with the wait of one load, waited for up to 1.2 s and were then refused.

Ruled out: a fixed smaller number, since the store's limit is 8 to 40 by deployment and not in the configuration. Permits over the fleet: each load would wait for an answer from elsewhere, and the loads of a calm time need none.

Change: a side orders fewer loads at once when they take clearly longer than the shortest ones it has seen, and more when they do not, from 1 to 4 (LoadPace). Of the absent adapters the one that most requests can still be in time for is loaded first, unless the first request has waited for half of its objective. The expected wait counts the loads before; a request that cannot wait for them is refused on arrival with a time to come back, and entries learn of it with the status.

Before and after (LoadPaceTest, 13 engines, 20 adapters each): the mean time of the first 52 loads is below 0.8 of the one with four at once, the mean and the last of all not later.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -35,6 +36,8 @@
     private final Map<AdapterId, Long> keptNanos = new HashMap<>();
     private final Map<AdapterId, Integer> users = new HashMap<>();
     private final Map<AdapterId, Long> lastUsedNanos = new HashMap<>();
+    private final Set<AdapterId> heldBefore = new HashSet<>();
+    private final LoadPace pace = new LoadPace();
     private @Nullable ModelOrder uncertain;
 
     /** A load that the engine accepted. */
@@ -46,6 +49,8 @@
         resident.putAll(report.adapters());
         coming.clear();
         coming.putAll(report.coming());
+        accepted.forEach((adapter, load) -> noteLoaded(adapter, load, nowNanos));
+        heldBefore.addAll(resident.keySet());
         accepted.entrySet()
                 .removeIf(e -> isThere(e.getKey(), e.getValue().version())
                         || nowNanos - e.getValue().nanos() > LOAD_LIMIT.toNanos());
@@ -56,6 +61,13 @@
         }
     }
 
+    /** An engine loads what it held before from its own disk, which tells nothing of the store. */
+    private void noteLoaded(AdapterId adapter, Accepted load, long nowNanos) {
+        if (isThere(adapter, load.version()) && !heldBefore.contains(adapter)) {
+            pace.onLoaded(load.nanos(), nowNanos);
+        }
+    }
+
     private boolean isThere(AdapterId adapter, long version) {
         Long held = resident.get(adapter);
         return held != null && held >= version;
@@ -88,9 +100,15 @@
         coming.clear();
         accepted.clear();
         keptNanos.clear();
+        heldBefore.clear();
         uncertain = null;
     }
 
+    /** Returns how fast adapters come from the store. */
+    LoadPace pace() {
+        return pace;
+    }
+
     void use(AdapterId adapter, long nowNanos) {
         users.merge(adapter, 1, Integer::sum);
         lastUsedNanos.put(adapter, nowNanos);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -12,13 +12,11 @@
 import io.parsleycleat.wire.gate.StartRequest;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -43,8 +41,6 @@
     /** Part of the engine's memory that is promised; the rest is left to kept prompts. */
     private static final double MEMORY_SHARE = 0.95;
 
-    private static final int MAX_COMING = 4;
-    private static final Duration LOAD_ESTIMATE = Duration.ofMillis(260);
     /** How long after a new version was named its predecessor may still be started. */
     private static final Duration OLD_VERSION_LIMIT = Duration.ofSeconds(2);
 
@@ -57,7 +53,7 @@
     private final ReadRate readRate = new ReadRate();
     private final PlaceRate placeRate = new PlaceRate();
     private final Map<TicketKey, Granted> granted = new HashMap<>();
-    private final List<Waiting> waiting = new ArrayList<>();
+    private final List<WaitingStart> waiting = new ArrayList<>();
     private @Nullable EngineSpec spec;
     private Duration pauseLimit = Duration.ZERO;
     private @Nullable EngineReport report;
@@ -85,22 +81,6 @@
         }
     }
 
-    /** A request that waits for its start. */
-    private record Waiting(
-            TicketKey key, AdapterId adapter, StartRequest request, long nanos, Consumer<StartGrant> reply) {
-        boolean isOnTime(long nowNanos) {
-            return nowNanos - nanos < TimeUnit.MILLISECONDS.toNanos(request.getObjectiveMillis());
-        }
-
-        boolean isOver(long nowNanos) {
-            return nowNanos - nanos > TimeUnit.MILLISECONDS.toNanos(request.getWaitMillis());
-        }
-
-        long tokens() {
-            return (long) request.getPromptTokens() + request.getOutputTokens();
-        }
-    }
-
     /** Creates a gate that grants nothing before the engine's first report. */
     public EngineGate(AdapterVersions versions, TimeSource time) {
         this.versions = versions;
@@ -148,7 +128,7 @@
         if (!adapter.isBaseModel()) {
             versions.name(adapter, request.getMinVersion(), now);
         }
-        Waiting asked = new Waiting(key, adapter, request, now, reply);
+        WaitingStart asked = new WaitingStart(key, adapter, request, now, reply);
         Duration wait = expectedWait(asked);
         if (out || report == null) {
             refuse(asked, ResultCode.UPSTREAM_UNREACHABLE, RETRY_MIN);
@@ -203,7 +183,7 @@
         }
     }
 
-    private void refuse(Waiting asked, ResultCode code, Duration retryAfter) {
+    private void refuse(WaitingStart asked, ResultCode code, Duration retryAfter) {
         waiting.remove(asked);
         asked.reply()
                 .accept(StartGrant.newBuilder()
@@ -221,20 +201,14 @@
             return;
         }
         long now = time.monotonicNanos();
-        List.copyOf(waiting).stream().sorted(order(now)).forEach(w -> {
+        List.copyOf(waiting).stream().sorted(WaitingStart.order(now)).forEach(w -> {
             if (isUsable(w.adapter(), now) && hasRoom(w, known)) {
                 grant(w, now);
             }
         });
     }
 
-    private static Comparator<Waiting> order(long now) {
-        return Comparator.comparing((Waiting w) -> !w.isOnTime(now))
-                .thenComparingInt(w -> w.request().getPriority())
-                .thenComparingLong(Waiting::nanos);
-    }
-
-    private void grant(Waiting w, long now) {
+    private void grant(WaitingStart w, long now) {
         waiting.remove(w);
         adapters.use(w.adapter(), now);
         granted.put(w.key(), new Granted(w.adapter(), w.request().getPromptTokens(), w.tokens(), now));
@@ -249,14 +223,14 @@
                         .build());
     }
 
-    private boolean hasRoom(Waiting w, EngineReport known) {
+    private boolean hasRoom(WaitingStart w, EngineReport known) {
         EngineSpec limits = spec;
         int slots = limits == null ? Integer.MAX_VALUE : limits.slots();
         boolean memory = reserved() + w.tokens() <= known.memoryTokens() * MEMORY_SHARE || granted.isEmpty();
         return granted.size() < slots && memory && isBacklogShort(w);
     }
 
-    private boolean isBacklogShort(Waiting w) {
+    private boolean isBacklogShort(WaitingStart w) {
         long backlog = backlog();
         return backlog == 0 || backlog + w.request().getPromptTokens() <= maxBacklog();
     }
@@ -307,7 +281,7 @@
                 .sum();
     }
 
-    private Duration expectedWait(Waiting asked) {
+    private Duration expectedWait(WaitingStart asked) {
         int priority = asked.request().getPriority();
         long ahead = waiting.stream()
                 .filter(w -> w.request().getPriority() <= priority)
@@ -318,9 +292,24 @@
         return isUsable(asked.adapter(), time.monotonicNanos()) ? reading : max(reading, loadWait(asked.adapter()));
     }
 
-    /** An adapter that is absent needs a place, which falls free when the last run with another adapter ends. */
+    /** An adapter that is absent needs a place, and its load waits for those that are wanted already. */
     private Duration loadWait(AdapterId adapter) {
-        return isAbsent(adapter) && !isWanted(adapter) ? placeWait().plus(LOAD_ESTIMATE) : LOAD_ESTIMATE;
+        if (!isAbsent(adapter)) {
+            return adapters.pace().timeBehind(0);
+        }
+        long wanted = wantedLoads();
+        boolean isNew = !isWanted(adapter);
+        Duration loading = adapters.pace().timeBehind(adapters.comingCount() + (isNew ? wanted : wanted / 2));
+        return isNew ? placeWait().plus(loading) : loading;
+    }
+
+    /** Returns how many absent adapters requests wait for. */
+    private long wantedLoads() {
+        return waiting.stream()
+                .map(WaitingStart::adapter)
+                .filter(this::isAbsent)
+                .distinct()
+                .count();
     }
 
     /** Returns how long one more absent adapter waits for its place, behind those that wait already. */
@@ -329,13 +318,8 @@
         if (limits == null) {
             return Duration.ZERO;
         }
-        long wanted = waiting.stream()
-                .map(Waiting::adapter)
-                .filter(this::isAbsent)
-                .distinct()
-                .count();
-        long free = (long) adapterPlaces(limits) - adapters.taken() + adapters.replaceable(this::isWanted);
-        return placeRate.timeToFree(wanted + 1 - free, time.monotonicNanos());
+        long free = (long) limits.adapterPlaces() - adapters.taken() + adapters.replaceable(this::isWanted);
+        return placeRate.timeToFree(wantedLoads() + 1 - free, time.monotonicNanos());
     }
 
     private boolean isAbsent(AdapterId adapter) {
@@ -387,7 +371,7 @@
     }
 
     private Optional<ModelOrder> replaceOldVersion(OrderMaker make) {
-        if (adapters.comingCount() >= MAX_COMING) {
+        if (adapters.comingCount() >= adapters.pace().atOnce()) {
             return Optional.empty();
         }
         return adapters.residents().stream()
@@ -398,16 +382,14 @@
     }
 
     private Optional<ModelOrder> loadWanted(EngineSpec limits, OrderMaker make) {
-        if (adapters.comingCount() >= MAX_COMING) {
+        if (adapters.comingCount() >= adapters.pace().atOnce()) {
             return Optional.empty();
         }
         long now = time.monotonicNanos();
-        return waiting.stream()
-                .sorted(order(now))
-                .map(Waiting::adapter)
-                .filter(this::isAbsent)
-                .findFirst()
-                .flatMap(a -> adapters.taken() < adapterPlaces(limits)
+        List<WaitingStart> absent =
+                waiting.stream().filter(w -> isAbsent(w.adapter())).toList();
+        return WaitingStart.nextLoad(absent, now)
+                .flatMap(a -> adapters.taken() < limits.adapterPlaces()
                         ? Optional.of(make.make(ModelOrder.Operation.LOAD, a, versions.newest(a)))
                         : adapters.leastRecentlyUsed(this::isWanted, now)
                                 .map(old -> make.make(ModelOrder.Operation.UNLOAD, old, 0)));
@@ -417,16 +399,6 @@
         return waiting.stream().anyMatch(w -> w.adapter().equals(adapter));
     }
 
-    /** Returns how many adapters fit, by places and by memory. */
-    private static int adapterPlaces(EngineSpec limits) {
-        ModelSpec model = limits.models().isEmpty() ? null : limits.models().get(0);
-        if (model == null || limits.models().size() > 1 || model.adapterMegabytes() <= 0) {
-            return limits.adapterSlots();
-        }
-        double free = limits.weightsMegabytes() - model.weightsMegabytes();
-        return Math.min(limits.adapterSlots(), (int) Math.floor(free / model.adapterMegabytes()));
-    }
-
     /** Takes an order's outcome. */
     public synchronized void onOrder(ModelOrder order, ModelOrder.Outcome outcome) {
         if (!order.target().isBaseModel()) {
@@ -459,10 +431,10 @@
                                 .sum())
                 .setRunning(granted.size())
                 .setWaiting(waiting.size())
-                .setReservedTokens(
-                        reserved() + waiting.stream().mapToLong(Waiting::tokens).sum())
+                .setReservedTokens(reserved()
+                        + waiting.stream().mapToLong(WaitingStart::tokens).sum())
                 .setTokensPerSecond((int) readRate.tokensPerSecond())
-                .setPlaceWaitMillis((int) placeWait().toMillis())
+                .setPlaceWaitMillis((int) placeWait().plus(loadQueue()).toMillis())
                 .addAllResident(names(adapters.residents().stream()
                         .filter(a -> isUsable(a, time.monotonicNanos()))
                         .collect(Collectors.toSet())))
@@ -475,6 +447,12 @@
         return status.build();
     }
 
+    /** Returns how much longer than alone a further adapter's load takes. */
+    private Duration loadQueue() {
+        LoadPace pace = adapters.pace();
+        return pace.timeBehind(adapters.comingCount() + wantedLoads()).minus(pace.timeBehind(0));
+    }
+
     private static List<String> names(Set<AdapterId> ids) {
         return ids.stream().map(AdapterId::toString).sorted().toList();
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/EngineSpec.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/EngineSpec.java
@@ -23,4 +23,14 @@
     public EngineSpec {
         models = List.copyOf(models);
     }
+
+    /** Returns how many adapters fit, by places and by memory. */
+    public int adapterPlaces() {
+        ModelSpec model = models.isEmpty() ? null : models.get(0);
+        if (model == null || models.size() > 1 || model.adapterMegabytes() <= 0) {
+            return adapterSlots;
+        }
+        double free = weightsMegabytes - model.weightsMegabytes();
+        return Math.min(adapterSlots, (int) Math.floor(free / model.adapterMegabytes()));
+    }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
@@ -363,4 +363,44 @@
         assertFalse(answers.containsKey(2L));
         assertEquals(order().orElseThrow().operation(), ModelOrder.Operation.UNLOAD);
     }
+
+    /** Pattern: after a loss of all, requests for many adapters come at once, for some of them several. */
+    @Test
+    public void theAdapterThatMostRequestsWaitForIsLoadedFirst() {
+        report(Map.of(), Map.of());
+        request(ask(1, "a", 100));
+        request(ask(2, "b", 100));
+        request(ask(3, "b", 100));
+        assertEquals(order().orElseThrow().target(), adapter("b"));
+    }
+
+    @Test
+    public void aRequestThatHasWaitedForLongIsNotPassedAnyMore() {
+        report(Map.of(), Map.of());
+        request(ask(1, "a", 100));
+        time.passMillis(600);
+        request(ask(2, "b", 100));
+        request(ask(3, "b", 100));
+        assertEquals(order().orElseThrow().target(), adapter("a"));
+    }
+
+    /** Pattern: more adapters are asked for at once than can be loaded in time. */
+    @Test
+    public void aRequestBehindMoreLoadsThanItCanWaitForIsRefusedAtOnce() {
+        gate.setSpec(
+                new EngineSpec(
+                        64, 200_000, 2_000, 40, 3, 2, List.of(new ModelSpec("m", 1_000, 10, Duration.ofMillis(700)))),
+                Duration.ZERO);
+        gate.onReport(
+                new EngineReport(born, orders, false, Set.of("m"), Map.of(), Map.of(), 0, 0, 200_000), "engine-1");
+        for (long ticket = 1; ticket <= 12; ticket++) {
+            request(ask(ticket, "a" + ticket, 100).setWaitMillis(1_200));
+        }
+        assertFalse(answers.containsKey(3L), "it can wait for the few before it");
+        assertEquals(answers.get(12L).getRefusalCode(), ResultCode.QUEUE_FULL.number());
+        assertTrue(answers.get(12L).getRetryAfterMillis() > 0);
+        assertTrue(gate.status().getPlaceWaitMillis() > 500, "entries choose another engine");
+        request(ask(20, "a1", 100).setWaitMillis(1_200));
+        assertFalse(answers.containsKey(20L), "its adapter is wanted already");
+    }
 }
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/gate/LoadPaceTest.java
@@ -0,0 +1,107 @@
+package io.parsleycleat.gateway.process.gate;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class LoadPaceTest {
+    private static final double ALONE_MILLIS = 250;
+
+    private LoadPace pace;
+    private long nowMillis;
+
+    @BeforeMethod
+    public void setUp() {
+        pace = new LoadPace();
+        nowMillis = 1_000;
+    }
+
+    private void load(long millis) {
+        long from = nowMillis;
+        nowMillis += millis;
+        pace.onLoaded(TimeUnit.MILLISECONDS.toNanos(from), TimeUnit.MILLISECONDS.toNanos(nowMillis));
+    }
+
+    @Test
+    public void loadsThatTakeTheShortestTimeLetMoreBeOrdered() {
+        IntStream.range(0, 10).forEach(i -> load(250));
+        assertEquals(pace.atOnce(), 4);
+        assertEquals(pace.timeBehind(0).toMillis(), 251, 10);
+        assertEquals(pace.timeBehind(4).toMillis(), 502, 20);
+    }
+
+    @Test
+    public void loadsThatTakeLongerLetFewerBeOrderedButAlwaysOne() {
+        IntStream.range(0, 10).forEach(i -> load(250));
+        IntStream.range(0, 10).forEach(i -> load(800));
+        assertEquals(pace.atOnce(), 1);
+        IntStream.range(0, 10).forEach(i -> load(255));
+        assertEquals(pace.atOnce(), 4);
+    }
+
+    /**
+     * Load pattern: all engines have lost what they held, and each needs twenty adapters from a store that serves
+     * sixteen loads at full speed.
+     */
+    @Test
+    public void afterALossOfAllTheFirstAdaptersComeSoonerThanWithFourAtOnceAndTheLastNotLater() {
+        List<Double> paced = play(13, 20, true);
+        List<Double> fixed = play(13, 20, false);
+        assertTrue(mean(paced) <= mean(fixed), mean(paced) + " against " + mean(fixed));
+        double first = mean(paced.subList(0, 52));
+        assertTrue(first < 0.8 * mean(fixed.subList(0, 52)), "the first of each engine after " + first);
+        assertTrue(last(paced) <= 1.1 * last(fixed), last(paced) + " against " + last(fixed));
+    }
+
+    private static double mean(List<Double> times) {
+        return times.stream().mapToDouble(t -> t).average().orElse(0);
+    }
+
+    private static double last(List<Double> times) {
+        return times.get(times.size() - 1);
+    }
+
+    /** Returns when loads end, with a store that slows all of them beyond sixteen in proportion. */
+    private static List<Double> play(int engines, int adapters, boolean paced) {
+        List<LoadPace> paces = new ArrayList<>();
+        List<Deque<double[]>> running = new ArrayList<>();
+        int[] left = new int[engines];
+        IntStream.range(0, engines).forEach(e -> {
+            paces.add(new LoadPace());
+            running.add(new ArrayDeque<>());
+            left[e] = adapters;
+        });
+        List<Double> ends = new ArrayList<>();
+        double step = 5;
+        for (double now = 0; ends.size() < engines * adapters; now += step) {
+            for (int e = 0; e < engines; e++) {
+                int limit = paced ? paces.get(e).atOnce() : 4;
+                while (left[e] > 0 && running.get(e).size() < limit) {
+                    left[e]--;
+                    running.get(e).add(new double[] {now, ALONE_MILLIS});
+                }
+            }
+            int total = running.stream().mapToInt(Deque::size).sum();
+            double work = step / Math.max(1, total / 16.0);
+            for (int e = 0; e < engines; e++) {
+                running.get(e).forEach(l -> l[1] -= work);
+                double end = now + step;
+                LoadPace pace = paces.get(e);
+                running.get(e).stream().filter(l -> l[1] <= 0).forEach(l -> {
+                    ends.add(end);
+                    pace.onLoaded((long) (l[0] * 1e6), (long) (end * 1e6));
+                });
+                running.get(e).removeIf(l -> l[1] <= 0);
+            }
+        }
+        return ends;
+    }
+}
