--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
@@ -1,5 +1,6 @@
 package io.parsleycleat.gateway.request.limits;
 
+import com.google.common.flogger.FluentLogger;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.gateway.version.routes.Account;
 import java.time.Duration;
@@ -26,6 +27,7 @@
  * <p>Created by {@link AccountBudgets}; guarded by its own lock.
  */
 final class AccountDraws {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** For how long the tokens drawn ahead should last. */
     private static final Duration AHEAD = Duration.ofMillis(150);
     /** Time after which tokens that were drawn go back; homes count on it. */
@@ -104,6 +106,15 @@
     }
 
     synchronized void setAccount(Account newAccount) {
+        if (newAccount.ratePerSecond() != account.ratePerSecond() || newAccount.burst() != account.burst()) {
+            logger.atInfo().log(
+                    "account %s has a rate of %.0f and a burst of %.0f, before %.0f and %.0f",
+                    newAccount.name(),
+                    newAccount.ratePerSecond(),
+                    newAccount.burst(),
+                    account.ratePerSecond(),
+                    account.burst());
+        }
         account = newAccount;
     }
 
