End upstreams' bytes that are no answer and do not end

Cause: an upstream in trouble may send bytes without end, in a head or a body. A resumable stream kept them all in memory while it waited for the end of an event, and looked through all of them again with each part. A refusal was taken at the end of its body, so one that did not end held its request until the deadline, though it was known not to have run.

Looked for and not found: a head, a status line or a chunk size without end (the decoder's limits end them); a body without length (passed on with back pressure until the caller or the deadline ends it).

Change: an event above 256 KB ends the attempt as malformed, and the stream goes on elsewhere where it may; only the new part is looked through. A refusal counts from its head; of its body 64 KB or half a second are read for the sake of the connection, which is closed after that.

Before and after: EndlessAnswerTest, EventSplitterTest.bytesWithoutEndAreNoEvent: an event without end and both refusals fail before (out of memory, or held to the deadline); all pass.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/events/EventSplitter.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/events/EventSplitter.java
@@ -1,8 +1,6 @@
 package io.parsleycleat.gateway.request.events;
 
 import com.google.protobuf.ByteString;
-import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.OptionalLong;
 
 /**
@@ -11,24 +9,34 @@
  * <p>Created for each stream that may be resumed; used by one thread at a time.
  */
 public final class EventSplitter {
-    private static final String ID_FIELD = "id:";
+    /** An event that is longer is none: an upstream in trouble may send bytes without end. */
+    public static final int MAX_EVENT_BYTES = 256 * 1024;
+
+    private static final ByteString ID_FIELD = ByteString.copyFromUtf8("id:");
     private static final int MAX_DIGITS = 18;
+    private static final int DECIMAL = 10;
 
     private ByteString rest = ByteString.EMPTY;
     private long lastId = -1;
 
     /** Takes the next bytes and returns all events that are whole by now. */
     public ByteString take(ByteString part) {
-        ByteString all = rest.concat(part);
-        int end = lastEventEnd(all);
-        ByteString whole = all.substring(0, end);
-        rest = all.substring(end);
-        if (!whole.isEmpty()) {
-            noteIds(whole);
+        int end = lastEventEnd(part);
+        if (end == 0) {
+            rest = rest.concat(part);
+            return ByteString.EMPTY;
         }
+        ByteString whole = rest.concat(part.substring(0, end));
+        rest = part.substring(end);
+        noteIds(whole);
         return whole;
     }
 
+    /** Returns whether more bytes wait for the end of their event than an event has. */
+    public boolean isEventTooLong() {
+        return rest.size() > MAX_EVENT_BYTES;
+    }
+
     /** Returns the bytes of an event that is not whole, and forgets them. */
     public ByteString takeRest() {
         ByteString left = rest;
@@ -41,23 +49,38 @@
         return lastId < 0 ? OptionalLong.empty() : OptionalLong.of(lastId);
     }
 
-    private static int lastEventEnd(ByteString bytes) {
-        for (int i = bytes.size() - 1; i > 0; i--) {
-            if (bytes.byteAt(i) == '\n' && bytes.byteAt(i - 1) == '\n') {
+    /** Returns the index behind the last empty line of a part, whose first line may have begun in the rest. */
+    private int lastEventEnd(ByteString part) {
+        for (int i = part.size() - 1; i > 0; i--) {
+            if (part.byteAt(i) == '\n' && part.byteAt(i - 1) == '\n') {
                 return i + 1;
             }
         }
-        return 0;
+        boolean across =
+                !part.isEmpty() && part.byteAt(0) == '\n' && !rest.isEmpty() && rest.byteAt(rest.size() - 1) == '\n';
+        return across ? 1 : 0;
     }
 
     private void noteIds(ByteString whole) {
-        Arrays.stream(whole.toString(StandardCharsets.UTF_8).split("\n"))
-                .filter(line -> line.startsWith(ID_FIELD))
-                .map(line -> line.substring(ID_FIELD.length()).trim())
-                .filter(id ->
-                        !id.isEmpty() && id.length() <= MAX_DIGITS && id.chars().allMatch(Character::isDigit))
-                .mapToLong(Long::parseLong)
-                .max()
-                .ifPresent(id -> lastId = Math.max(lastId, id));
+        int start = 0;
+        for (int i = 0; i < whole.size(); i++) {
+            if (whole.byteAt(i) == '\n') {
+                noteId(whole.substring(start, i));
+                start = i + 1;
+            }
+        }
+    }
+
+    private void noteId(ByteString line) {
+        if (!line.startsWith(ID_FIELD)) {
+            return;
+        }
+        String id = line.substring(ID_FIELD.size()).toStringUtf8().trim();
+        boolean isNumber = !id.isEmpty()
+                && id.length() <= MAX_DIGITS
+                && id.chars().allMatch(c -> Character.digit(c, DECIMAL) >= 0);
+        if (isNumber) {
+            lastId = Math.max(lastId, Long.parseLong(id));
+        }
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -9,6 +9,7 @@
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import io.parsleycleat.wire.gate.RunProgress;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -17,6 +18,11 @@
  * <p>Created by {@link Forwarding} for each send; used on the event loop.
  */
 final class Attempt implements AnswerListener {
+    /** What is read of an answer that is not passed on, so that its connection can be used again. */
+    private static final int MAX_IGNORED_BYTES = 64 * 1024;
+    /** How long the end of such an answer is waited for. */
+    private static final Duration IGNORED_LIMIT = Duration.ofMillis(500);
+
     private final ForwardParts parts;
     private final Upstream upstream;
     private final long ticket;
@@ -28,7 +34,9 @@
     private @Nullable AnswerHead head;
     private @Nullable AnswerFacts facts;
     private boolean over;
+    private boolean ended;
     private boolean eventSeen;
+    private int ignoredBytes;
 
     /** Takes what an attempt comes to. */
     interface Outcome {
@@ -125,16 +133,36 @@
         head = answer;
         facts = read;
         parts.metrics().onHead(age().toMillis());
-        if (!isNotRun(read)) {
+        if (isNotRun(read)) {
+            notRun(read);
+        } else {
             outcome.onHead(this, answer);
         }
     }
 
+    /** The head tells all; the rest is read for the sake of the connection, as long as there is not much of it. */
+    private void notRun(AnswerFacts read) {
+        end(read.wrongUpstream() ? RunProgress.Stage.NOT_HELD : RunProgress.Stage.ENDED);
+        parts.loop().schedule(this::dropIgnored, IGNORED_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+        outcome.onNotRun(this, read);
+    }
+
+    private void dropIgnored() {
+        UpstreamPool.Sent current = sent;
+        if (!ended && current != null) {
+            ended = true;
+            current.cancel();
+        }
+    }
+
     @Override
     public void onBody(ByteString part) {
         load.onHeard();
-        AnswerFacts read = facts;
-        if (over || read == null || isNotRun(read)) {
+        if (over || facts == null) {
+            ignoredBytes += part.size();
+            if (ignoredBytes > MAX_IGNORED_BYTES) {
+                dropIgnored();
+            }
             return;
         }
         if (!eventSeen) {
@@ -147,31 +175,22 @@
 
     @Override
     public void onEnd() {
-        AnswerFacts read = facts;
-        if (over || read == null) {
+        ended = true;
+        if (over || facts == null) {
             return;
         }
-        if (isNotRun(read)) {
-            end(read.wrongUpstream() ? RunProgress.Stage.NOT_HELD : RunProgress.Stage.ENDED);
-            outcome.onNotRun(this, read);
-        } else {
-            end(RunProgress.Stage.ENDED);
-            outcome.onWhole(this);
-        }
+        end(RunProgress.Stage.ENDED);
+        outcome.onWhole(this);
     }
 
     @Override
     public void onFailure(SendFailure failure) {
+        ended = true;
         if (over) {
             return;
         }
-        AnswerFacts read = facts;
         end(RunProgress.Stage.ENDED);
-        if (read != null && isNotRun(read)) {
-            outcome.onNotRun(this, read);
-        } else {
-            outcome.onFailed(this, failure);
-        }
+        outcome.onFailed(this, failure);
     }
 
     private void giveUp(SendFailure failure) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerStream.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerStream.java
@@ -43,6 +43,11 @@
         write(resumable ? splitter.take(part) : part);
     }
 
+    /** Returns whether what came last is no event, since it does not end. */
+    boolean isEventTooLong() {
+        return splitter.isEventTooLong();
+    }
+
     /** Ends the answer as whole. */
     void end() {
         write(splitter.takeRest());
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -9,6 +9,7 @@
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.gateway.connection.upstream.AnswerHead;
 import io.parsleycleat.gateway.connection.upstream.SendFailure;
+import io.parsleycleat.gateway.request.events.EventSplitter;
 import io.parsleycleat.gateway.version.routes.Account;
 import io.parsleycleat.gateway.version.routes.RequestKind;
 import io.parsleycleat.gateway.version.routes.Route;
@@ -254,6 +255,10 @@
                 parts.metrics().onFirstEvent(age().toMillis());
             }
             current.take(part);
+            if (current.isEventTooLong()) {
+                from.cancel();
+                onFailed(from, SendFailure.malformed("an event above " + EventSplitter.MAX_EVENT_BYTES + " bytes"));
+            }
             return;
         }
         collected = collected.concat(part);
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EndlessAnswerTest.java
@@ -0,0 +1,102 @@
+package io.parsleycleat.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.gateway.connection.ScriptedUpstream;
+import io.parsleycleat.gateway.version.routes.RequestKind;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Upstreams in trouble that send bytes which are no answer, or no end of one. */
+public class EndlessAnswerTest extends ForwardingFixture {
+    /** Sends bytes, once the test is ready, until the connection is closed, and tells then how many. */
+    private static ScriptedUpstream.Script saysWithoutEnd(
+            String start, String repeated, CompletableFuture<String> ready, CompletableFuture<Long> whenClosed) {
+        return (request, connection) -> {
+            ready.join();
+            long sent = 0;
+            try {
+                ScriptedUpstream.write(connection, start);
+                while (true) {
+                    ScriptedUpstream.write(connection, repeated);
+                    sent += repeated.length();
+                }
+            } catch (IOException expected) {
+                whenClosed.complete(sent);
+                return false;
+            }
+        };
+    }
+
+    @DataProvider
+    public Object[][] bytesWithoutEnd() {
+        String chunk = "2710\r\n" + "x".repeat(10_000) + "\r\n";
+        return new Object[][] {
+            {"a head", "HTTP/1.1 200 OK\r\nid: 1\r\n", "more: bytes\r\n"},
+            {"a line", "", "no answer "},
+            {"a chunk's size", "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+            {"an event", "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n", chunk},
+            {"a body without length", "HTTP/1.1 200 OK\r\nid: 1\r\n\r\n", "y".repeat(10_000)},
+        };
+    }
+
+    /** An upstream in trouble sends bytes that are no answer until we close; the caller is served elsewhere. */
+    @Test(dataProvider = "bytesWithoutEnd")
+    public void bytesWithoutEndEndTheirConnectionAndTheStreamGoesOnElsewhere(String what, String start, String repeated)
+            throws Exception {
+        configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
+        CompletableFuture<Long> closed = new CompletableFuture<>();
+        CompletableFuture<String> ready = new CompletableFuture<>();
+        String events = "id: 1\ndata: a\n\n";
+        try (ScriptedUpstream one = new ScriptedUpstream(saysWithoutEnd(start, repeated, ready, closed));
+                ScriptedUpstream two = new ScriptedUpstream(says(whole(events), true))) {
+            upstream("a", one.address());
+            Caller caller = ask("/p/x", "key");
+            one.takeRequest();
+            upstream("b", two.address());
+            ready.complete("the other upstream is known");
+            assertEquals(caller.answer.join(), "200 streamed id: 1;data: a;;", what);
+            assertTrue(closed.join() < 32_000_000, what + ": " + closed.join() + " bytes were taken");
+        }
+    }
+
+    @Test
+    public void aRefusalWhoseBodyDoesNotEndIsPassedAtItsHead() throws Exception {
+        configure(RequestKind.ONCE, false, 2, Duration.ofSeconds(20));
+        CompletableFuture<Long> closed = new CompletableFuture<>();
+        CompletableFuture<String> ready = new CompletableFuture<>();
+        String head = "HTTP/1.1 503 Busy\r\nid: 1\r\nnot-run: 1\r\n\r\n";
+        try (ScriptedUpstream one = new ScriptedUpstream(saysWithoutEnd(head, "z".repeat(1_000), ready, closed));
+                ScriptedUpstream two = new ScriptedUpstream(says(whole("done"), true))) {
+            upstream("a", one.address());
+            Caller caller = ask("/p/x", "key");
+            one.takeRequest();
+            upstream("b", two.address());
+            ready.complete("the other upstream is known");
+            assertEquals(caller.answer.join(), "200 done");
+            assertTrue(closed.join() < 32_000_000, closed.join() + " bytes were taken");
+        }
+    }
+
+    /** The end of the body never comes; the connection is given up, so that its place is free. */
+    @Test
+    public void aRefusalWhoseBodyStallsGivesItsConnectionUp() throws Exception {
+        configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
+        CompletableFuture<Integer> end = new CompletableFuture<>();
+        String head = "HTTP/1.1 503 Busy\r\nid: 1\r\nnot-run: 1\r\nContent-Length: 100\r\n\r\n";
+        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
+            ScriptedUpstream.write(connection, head);
+            end.complete(connection.getInputStream().read());
+            return false;
+        })) {
+            upstream("a", one.address());
+            assertEquals(answer(), "503 " + ResultCode.UPSTREAM_REFUSED);
+            assertEquals(end.join(), Integer.valueOf(-1));
+        }
+    }
+}
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EventSplitterTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EventSplitterTest.java
@@ -46,4 +46,22 @@
         take("id: x\ndata: a\n\nid: 99999999999999999999\ndata: b\n\n");
         assertEquals(splitter.lastEventId(), OptionalLong.empty());
     }
+
+    @Test
+    public void anEmptyLineThatIsCutBetweenPartsEndsItsEvent() {
+        assertEquals(take("id: 1\n"), "");
+        assertEquals(take("\n"), "id: 1\n\n");
+        assertEquals(splitter.lastEventId(), OptionalLong.of(1));
+    }
+
+    @Test
+    public void bytesWithoutEndAreNoEvent() {
+        String part = "x".repeat(10_000);
+        int parts = 0;
+        while (!splitter.isEventTooLong()) {
+            assertEquals(take(part), "");
+            parts++;
+        }
+        assertEquals(parts, EventSplitter.MAX_EVENT_BYTES / part.length() + 1);
+    }
 }
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -0,0 +1,261 @@
+package io.parsleycleat.gateway.request;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.parsleycleat.core.connection.caller.CallerExchange;
+import io.parsleycleat.core.connection.caller.CallerLimits;
+import io.parsleycleat.core.connection.caller.CallerRequest;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.core.request.outcome.CrashSuspects;
+import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.connection.ScriptedUpstream;
+import io.parsleycleat.gateway.connection.upstream.AnswerHead;
+import io.parsleycleat.gateway.connection.upstream.UpstreamPools;
+import io.parsleycleat.gateway.connection.upstream.UpstreamRequest;
+import io.parsleycleat.gateway.process.members.EntryExchange;
+import io.parsleycleat.gateway.process.members.GateClient;
+import io.parsleycleat.gateway.request.choose.EngineChooser;
+import io.parsleycleat.gateway.request.choose.EngineView;
+import io.parsleycleat.gateway.request.choose.PlainChooser;
+import io.parsleycleat.gateway.request.choose.UpstreamLoads;
+import io.parsleycleat.gateway.request.crash.CrashWatch;
+import io.parsleycleat.gateway.request.forward.AnswerFacts;
+import io.parsleycleat.gateway.request.forward.CallCodec;
+import io.parsleycleat.gateway.request.forward.ForwardMetrics;
+import io.parsleycleat.gateway.request.forward.ForwardParts;
+import io.parsleycleat.gateway.request.forward.ForwardRequest;
+import io.parsleycleat.gateway.request.forward.RequestForwarder;
+import io.parsleycleat.gateway.request.forward.SendTerms;
+import io.parsleycleat.gateway.request.limits.AccountBudgets;
+import io.parsleycleat.gateway.request.limits.BudgetHomes;
+import io.parsleycleat.gateway.request.limits.RetryShare;
+import io.parsleycleat.gateway.version.follow.Freshness;
+import io.parsleycleat.gateway.version.routes.Account;
+import io.parsleycleat.gateway.version.routes.AdapterVersions;
+import io.parsleycleat.gateway.version.routes.ConfigurationHolder;
+import io.parsleycleat.gateway.version.routes.RequestKind;
+import io.parsleycleat.gateway.version.routes.Route;
+import io.parsleycleat.gateway.version.routes.RoutingTable;
+import io.parsleycleat.gateway.version.routes.ServiceShare;
+import io.parsleycleat.gateway.version.routes.ServiceSpec;
+import io.parsleycleat.gateway.version.upstreams.Upstream;
+import io.parsleycleat.gateway.version.upstreams.UpstreamDirectory;
+import io.vavr.control.Either;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeMethod;
+
+/** A forwarder in one process, before upstreams that a test scripts. Its callers keep what they get. */
+abstract class ForwardingFixture {
+    static final Account ACCOUNT = new Account("tailors", Set.of("key"), null, false, 0, 0, 1);
+    static final String NOT_RUN = "HTTP/1.1 503 Busy\r\nid: 1\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+
+    final EventLoopGroup loops = new NioEventLoopGroup(1);
+    final EventLoop loop = loops.next();
+    MovedTime wallForKnowledge;
+    UpstreamDirectory directory;
+    ConfigurationHolder configuration;
+    Freshness freshness;
+    RequestForwarder forwarder;
+    CrashWatch watch;
+
+    @AfterClass
+    public void close() {
+        loops.shutdownGracefully();
+    }
+
+    @BeforeMethod
+    public void setUp() {
+        wallForKnowledge = new MovedTime();
+        directory = new UpstreamDirectory();
+        configuration = new ConfigurationHolder();
+        freshness = new Freshness(wallForKnowledge);
+        CrashSuspects suspects = new CrashSuspects(Duration.ofMinutes(1), Duration.ofMinutes(1));
+        watch = new CrashWatch(suspects, TimeSource.SYSTEM, c -> {});
+        UpstreamLoads loads = new UpstreamLoads(TimeSource.SYSTEM, directory);
+        EngineView view = new EngineView(TimeSource.SYSTEM);
+        ForwardParts parts = new ForwardParts(
+                new PlainCodec(),
+                loop,
+                TimeSource.SYSTEM,
+                directory,
+                new AdapterVersions(),
+                new UpstreamPools(loop, TimeSource.SYSTEM, directory, u -> 10),
+                loads,
+                new PlainChooser(loads, "here", () -> 0),
+                new EngineChooser(view, loads),
+                view,
+                new GateClient(null, 1),
+                new RetryShare(new RetryShare.Bounds(1, 100, Duration.ofSeconds(10)), TimeSource.SYSTEM, () -> 1),
+                watch,
+                new ForwardMetrics(new MetricRegistry()));
+        forwarder = new RequestForwarder(
+                parts,
+                configuration,
+                freshness,
+                budgets(),
+                new RequestForwarder.KnowledgeBounds(Duration.ofSeconds(4), Duration.ofSeconds(2)),
+                () -> false,
+                () -> 0);
+    }
+
+    private AccountBudgets budgets() {
+        BudgetHomes.Slack slack = new BudgetHomes.Slack(0, Duration.ofSeconds(8));
+        BudgetHomes homes = new BudgetHomes("here", slack, TimeSource.SYSTEM, () -> true);
+        EntryExchange exchange = new EntryExchange(null, (kind, handler) -> {}, Map::of, homes, null, null, null);
+        return new AccountBudgets("here", homes, exchange, TimeSource.SYSTEM, loop);
+    }
+
+    /** The calls of these tests: the key and the id in headers of their own. */
+    static final class PlainCodec implements CallCodec {
+        @Override
+        public Either<Refusal, ForwardRequest> decode(CallerRequest r) {
+            return Either.right(new ForwardRequest(
+                    "1",
+                    r.method(),
+                    "h",
+                    r.uri(),
+                    r.header("key").orElse(null),
+                    Duration.ofSeconds(20),
+                    null,
+                    null,
+                    null,
+                    List.of(Map.entry("Host", "h")),
+                    r.body()));
+        }
+
+        @Override
+        public UpstreamRequest encode(ForwardRequest r, SendTerms terms) {
+            List<Map.Entry<String, String>> headers = new ArrayList<>(r.headers());
+            if (terms.resumeAfter() != null) {
+                headers.add(Map.entry("after", terms.resumeAfter().toString()));
+            }
+            return new UpstreamRequest(r.method(), r.target(), r.id(), headers, r.body());
+        }
+
+        @Override
+        public AnswerFacts facts(AnswerHead head) {
+            return new AnswerFacts(
+                    head.header("not-run").isPresent(), false, head.header("id").orElse(null), null);
+        }
+
+        @Override
+        public List<Map.Entry<String, String>> callerHeaders(AnswerHead head) {
+            return List.of();
+        }
+
+        @Override
+        public void refuse(CallerExchange exchange, String id, Refusal refusal) {
+            exchange.respond(
+                    refusal.code().httpStatus(),
+                    List.of(),
+                    ByteString.copyFromUtf8(refusal.code().name()));
+        }
+    }
+
+    /** What a caller gets. */
+    static final class Caller implements CallerExchange {
+        final CompletableFuture<String> answer = new CompletableFuture<>();
+        final CompletableFuture<Runnable> gone = new CompletableFuture<>();
+        private final StringBuilder body = new StringBuilder();
+        private int status;
+
+        @Override
+        public void respond(int newStatus, List<Map.Entry<String, String>> headers, ByteString content) {
+            answer.complete(newStatus + " " + content.toStringUtf8());
+        }
+
+        @Override
+        public void start(int newStatus, List<Map.Entry<String, String>> headers) {
+            status = newStatus;
+        }
+
+        @Override
+        public void write(ByteString part, Runnable written) {
+            body.append(part.toStringUtf8());
+            written.run();
+        }
+
+        @Override
+        public void end() {
+            answer.complete(status + " streamed " + body.toString().replace("\n", ";"));
+        }
+
+        @Override
+        public void abort() {
+            answer.complete("cut after " + body.toString().replace("\n", ";"));
+        }
+
+        @Override
+        public void onGone(Runnable action) {
+            gone.complete(action);
+        }
+    }
+
+    void configure(RequestKind kind, boolean resumable, int maxUpstreams, Duration timeout) {
+        Route route = new Route(
+                "r",
+                "h",
+                "/p/",
+                kind,
+                List.of(new ServiceShare("s", 1)),
+                timeout,
+                Duration.ofSeconds(10),
+                Duration.ZERO,
+                1,
+                maxUpstreams,
+                false,
+                resumable);
+        configuration.offer(new RoutingTable(
+                1,
+                List.of(route),
+                List.of(new ServiceSpec("s", "/h", 10, null)),
+                List.of(ACCOUNT),
+                CallerLimits.DEFAULT));
+        freshness.confirm(freshness.now());
+    }
+
+    void upstream(String id, InetSocketAddress address) {
+        directory.put(new Upstream(id, "s", address, "here", 1, false, 8, Map.of()));
+    }
+
+    Caller ask(String path, String key) {
+        Caller caller = new Caller();
+        List<Map.Entry<String, String>> headers = key == null ? List.of() : List.of(Map.entry("key", key));
+        forwarder.handle(new CallerRequest("POST", path, headers, ByteString.copyFromUtf8("order")), caller);
+        return caller;
+    }
+
+    String answer() {
+        return ask("/p/x", "key").answer.join();
+    }
+
+    static String whole(String body) {
+        return "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    static ScriptedUpstream.Script says(String bytes, boolean keep) {
+        return (request, connection) -> {
+            ScriptedUpstream.write(connection, bytes);
+            return keep;
+        };
+    }
+
+    static InetSocketAddress refusing() throws Exception {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) probe.getLocalSocketAddress();
+        }
+    }
+}
