--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/platform/JsonHttp.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/platform/JsonHttp.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.parsleycleat.core.connection.upstream.LimitedAnswer;
 import io.parsleycleat.core.process.result.Location;
 import io.parsleycleat.core.process.result.PlatformException;
 import io.parsleycleat.core.process.result.ResultCode;
@@ -21,6 +22,9 @@
  */
 final class JsonHttp {
     static final ObjectMapper MAPPER = new ObjectMapper();
+    /** The largest answers are a thousand records of a log. */
+    private static final long MAX_ANSWER_BYTES = 64L * 1024 * 1024;
+
     private static final int STATUS_OK = 200;
     private static final int STATUS_MULTIPLE_CHOICES = 300;
     private static final int STATUS_NOT_MODIFIED = 304;
@@ -75,15 +79,14 @@
     }
 
     private CompletableFuture<Response> send(RequestBuilder request, String path, Duration timeout) {
-        return http.executeRequest(request.setRequestTimeout(timeout).setReadTimeout(timeout))
-                .toCompletableFuture()
-                .handle((response, failure) -> {
-                    if (failure != null) {
-                        throw new PlatformException(
-                                outage, String.valueOf(failure.getMessage()), new Location(base.toString(), path));
-                    }
-                    return response;
-                });
+        RequestBuilder bounded = request.setRequestTimeout(timeout).setReadTimeout(timeout);
+        return LimitedAnswer.of(http, bounded.build(), MAX_ANSWER_BYTES).handle((response, failure) -> {
+            if (failure != null) {
+                throw new PlatformException(
+                        outage, String.valueOf(failure.getMessage()), new Location(base.toString(), path));
+            }
+            return response;
+        });
     }
 
     private JsonNode parse(String path, Response response) {
