--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
@@ -104,6 +104,7 @@
         logger.atInfo().log("side stops");
         follower.stop();
         transport.close();
+        logger.atInfo().log("side stopped");
     }
 
     private Optional<String> healthPath(ConfigurationHolder configuration) {
