Look for a silent upstream when it can be late, and write parts of answers without a detour

Each open request that may be repeated looked ten times a second whether its upstream is silent, and each event went through the event loop's queue three times.

Ruled out: fewer statuses: entries would choose with older knowledge. Collecting events before they are written: they would be late.

Change: the look is due when the upstream can be late at the earliest, at most ten times a second. A part of an answer is written at once where no earlier action of the same answer is queued.

Before and after: ForwardingTest gets the cases that decide when a look is needed (silent from the start, after the head, after an event, a read without answer); they pass before and after.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/NettyCallerExchange.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/NettyCallerExchange.java
@@ -21,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -42,6 +43,9 @@
     private final boolean headRequest;
     private final Runnable whenEnded;
     private final List<Runnable> goneActions = new ArrayList<>();
+    /** Actions that have not run yet; a part is written at once only when it passes none of them. */
+    private final AtomicInteger queued = new AtomicInteger();
+
     private State state = State.WAITING;
     private boolean gone;
     private boolean announcedClose;
@@ -99,14 +103,20 @@
 
     @Override
     public void write(ByteString part, Runnable written) {
-        onLoop(() -> {
-            if (state == State.STARTED) {
-                ByteBuf content = Unpooled.wrappedBuffer(part.asReadOnlyByteBuffer());
-                context.writeAndFlush(new DefaultHttpContent(content)).addListener(f -> written.run());
-            } else {
-                written.run();
-            }
-        });
+        if (context.executor().inEventLoop() && queued.get() == 0) {
+            writeNow(part, written);
+        } else {
+            onLoop(() -> writeNow(part, written));
+        }
+    }
+
+    private void writeNow(ByteString part, Runnable written) {
+        if (state == State.STARTED) {
+            ByteBuf content = Unpooled.wrappedBuffer(part.asReadOnlyByteBuffer());
+            context.writeAndFlush(new DefaultHttpContent(content)).addListener(f -> written.run());
+        } else {
+            written.run();
+        }
     }
 
     @Override
@@ -181,6 +191,10 @@
     }
 
     private void onLoop(Runnable action) {
-        context.executor().execute(action);
+        queued.incrementAndGet();
+        context.executor().execute(() -> {
+            queued.decrementAndGet();
+            action.run();
+        });
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -34,7 +34,8 @@
     /** The final answer leaves a little before the caller's own deadline. */
     private static final Duration DEADLINE_MARGIN = Duration.ofMillis(20);
 
-    private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
+    /** The least time between two looks whether an upstream is silent; each wakes the process. */
+    private static final Duration MIN_CHECK_GAP = Duration.ofMillis(100);
     /** Silence of an upstream on all its connections after which a request that may be repeated is sent elsewhere. */
     private static final Duration UPSTREAM_SILENCE = Duration.ofMillis(800);
     /** How long an idempotent request waits for its answer's head, in objectives, before it is sent elsewhere. */
@@ -165,27 +166,39 @@
                         adapterVersion,
                         resumeAfter));
         if (checkTimer == null && route.mayRepeat()) {
-            checkTimer = parts.loop()
-                    .scheduleAtFixedRate(
-                            this::check, CHECK_INTERVAL.toMillis(), CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+            checkAgainAfter(timeUntilLate(sent));
         }
     }
 
+    private void checkAgainAfter(Duration time) {
+        long millis = Math.max(MIN_CHECK_GAP.toMillis(), time.toMillis() + 1);
+        checkTimer = parts.loop().schedule(this::check, millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns when an attempt counts as late at the earliest, if nothing more comes; not above zero when it is. */
+    private Duration timeUntilLate(Attempt current) {
+        if (route.kind() == RequestKind.STREAM) {
+            Duration silence = current.load().silence();
+            return UPSTREAM_SILENCE.minus(silence.compareTo(current.age()) < 0 ? silence : current.age());
+        }
+        long limitMillis = (long) (HEAD_OBJECTIVES * route.objective().toMillis());
+        return Duration.ofMillis(limitMillis).minus(current.age());
+    }
+
     /** Sends a request that may run again to another upstream when this one is silent. */
     private void check() {
         Attempt current = attempt;
-        if (done || current == null || current.isOver()) {
+        if (done) {
             return;
         }
-        boolean late;
-        if (route.kind() == RequestKind.STREAM) {
-            late = current.age().compareTo(UPSTREAM_SILENCE) > 0
-                    && current.load().silence().compareTo(UPSTREAM_SILENCE) > 0;
-        } else {
-            late = !current.hasHead()
-                    && current.age().toMillis()
-                            > HEAD_OBJECTIVES * route.objective().toMillis();
+        if (current == null || current.isOver()) {
+            checkAgainAfter(MIN_CHECK_GAP);
+            return;
         }
+        boolean hasAnswered = route.kind() != RequestKind.STREAM && current.hasHead();
+        Duration left = timeUntilLate(current);
+        checkAgainAfter(left);
+        boolean late = !hasAnswered && (left.isNegative() || left.isZero());
         if (late && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
             logger.atInfo()
                     .with(LogKeys.REQUEST, request.id())
@@ -230,13 +243,20 @@
             }
         } else if (streams) {
             exchange.start(head.status(), parts.codec().callerHeaders(head));
-            stream = new CallerStream(
-                    exchange, route.resumable(), a -> parts.loop().execute(a), this::setReading);
+            stream = new CallerStream(exchange, route.resumable(), this::onLoop, this::setReading);
         } else {
             wholeHead = head;
         }
     }
 
+    private void onLoop(Runnable action) {
+        if (parts.loop().inEventLoop()) {
+            action.run();
+        } else {
+            parts.loop().execute(action);
+        }
+    }
+
     private void setReading(boolean reading) {
         Attempt current = attempt;
         if (current != null) {
@@ -272,8 +292,7 @@
         AnswerHead head = wholeHead;
         if (head != null) {
             exchange.start(head.status(), parts.codec().callerHeaders(head));
-            CallerStream passed =
-                    new CallerStream(exchange, false, a -> parts.loop().execute(a), this::setReading);
+            CallerStream passed = new CallerStream(exchange, false, this::onLoop, this::setReading);
             stream = passed;
             passed.take(collected);
             collected = ByteString.EMPTY;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -205,6 +205,10 @@
     }
 
     void configure(RequestKind kind, boolean resumable, int maxUpstreams, Duration timeout) {
+        configure(kind, resumable, maxUpstreams, timeout, Duration.ofSeconds(10));
+    }
+
+    void configure(RequestKind kind, boolean resumable, int maxUpstreams, Duration timeout, Duration objective) {
         Route route = new Route(
                 "r",
                 "h",
@@ -212,7 +216,7 @@
                 kind,
                 List.of(new ServiceShare("s", 1)),
                 timeout,
-                Duration.ofSeconds(10),
+                objective,
                 Duration.ZERO,
                 1,
                 maxUpstreams,
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class ForwardingTest extends ForwardingFixture {
@@ -215,4 +216,42 @@
         assertEquals(answer(), "503 " + ResultCode.SUSPECT_REFUSED);
         assertTrue(directory.all().isEmpty());
     }
+
+    @DataProvider
+    public Object[][] beginnings() {
+        String head = "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 30\r\n\r\n";
+        return new Object[][] {{"nothing", ""}, {"a head", head}, {"an event", head + "id: 1\ndata: a\n\n"}};
+    }
+
+    /** An upstream falls silent; what may be repeated goes on at another one, from the last event that came. */
+    @Test(dataProvider = "beginnings")
+    public void aStreamWhoseUpstreamFallsSilentGoesOnElsewhere(String what, String beginning) throws Exception {
+        configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
+        String rest = beginning.contains("data") ? "" : "id: 1\ndata: a\n\n";
+        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
+                    ScriptedUpstream.write(connection, beginning);
+                    return connection.getInputStream().read() >= 0;
+                });
+                ScriptedUpstream two = new ScriptedUpstream(says(whole(rest + "id: 2\ndata: b\n\n"), true))) {
+            upstream("a", one.address());
+            Caller caller = ask("/p/x", "key");
+            one.takeRequest();
+            upstream("b", two.address());
+            assertEquals(caller.answer.join(), "200 streamed id: 1;data: a;;id: 2;data: b;;", what);
+        }
+    }
+
+    @Test
+    public void aReadThatIsNotAnsweredForLongIsSentElsewhere() throws Exception {
+        configure(RequestKind.IDEMPOTENT, false, 2, Duration.ofSeconds(20), Duration.ofMillis(200));
+        try (ScriptedUpstream one = new ScriptedUpstream(
+                        (request, connection) -> connection.getInputStream().read() >= 0);
+                ScriptedUpstream two = new ScriptedUpstream(says(whole("done"), true))) {
+            upstream("a", one.address());
+            Caller caller = ask("/p/x", "key");
+            one.takeRequest();
+            upstream("b", two.address());
+            assertEquals(caller.answer.join(), "200 done");
+        }
+    }
 }
