Log no cut requests where none is open

Cause: a stop whose time is over at once logged that 0 requests are cut. Change: the line comes only where some are open.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -179,8 +179,10 @@
         Drain.pause(LEAVE_TIME);
         refusing = true;
         Duration left = Duration.ofNanos(Math.max(0, deadline - time.monotonicNanos()));
-        if (!Drain.await(loop, forwarder::openRequests, left)) {
-            logger.atWarning().log("%d requests are cut", forwarder.openRequests());
+        boolean allAnswered = Drain.await(loop, forwarder::openRequests, left);
+        int cut = forwarder.openRequests();
+        if (!allAnswered && cut > 0) {
+            logger.atWarning().log("%d requests are cut", cut);
         }
         callers.close();
         Drain.await(loop, this::connectionsWithAnswers, LAST_BYTES);
