Order the homes anew only when an entry comes or goes, and draw ahead by the time between draws

Ten times a second each entry built the order of homes anew and hashed all entries for every account, a cost that grows with fleet and accounts. Each draw built a map of all entries to find one address.

Ruled out: nothing else was tried.

Change: an unchanged set of entries changes nothing; a draw looks one address up; it asks for requests to come only when the last draw is younger than 150 ms.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -119,7 +119,7 @@
         this.crashes = new CrashWatch(new CrashSuspects(SUSPICION, SUSPICION), time, this::tellCrash);
         EngineView view = new EngineView(time);
         this.relay = LogRelay.create(transport, identity, members, time, loop);
-        this.exchange = new EntryExchange(transport, transport, members::others, homes, crashes, view, relay);
+        this.exchange = new EntryExchange(transport, transport, members, homes, crashes, view, relay);
         this.budgets = new AccountBudgets(identity.vmName(), homes, exchange, time, loop);
         this.operatorsFollower = follower(
                 "operators' log",
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryExchange.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryExchange.java
@@ -16,10 +16,9 @@
 import io.parsleycleat.wire.gate.UpstreamCrash;
 import io.parsleycleat.wire.peer.Frame;
 import java.time.Duration;
-import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 
 /**
  * What an entry asks and tells the others, and takes from them and from the sides.
@@ -31,7 +30,7 @@
     private static final Duration DRAW_TIMEOUT = Duration.ofMillis(400);
 
     private final PeerClient peers;
-    private final Supplier<Map<String, String>> others;
+    private final EntryMembers members;
     private final BudgetHomes homes;
     private final CrashWatch crashes;
     private final EngineView view;
@@ -41,13 +40,13 @@
     public EntryExchange(
             PeerClient peers,
             FrameRouter frames,
-            Supplier<Map<String, String>> others,
+            EntryMembers members,
             BudgetHomes homes,
             CrashWatch crashes,
             EngineView view,
             LogRelay relay) {
         this.peers = peers;
-        this.others = others;
+        this.members = members;
         this.homes = homes;
         this.crashes = crashes;
         this.view = view;
@@ -57,14 +56,14 @@
 
     @Override
     public CompletableFuture<Drawn> draw(String entry, String account, double needed, double ahead) {
-        String address = others.get().get(entry);
-        if (address == null) {
+        Optional<String> address = members.addressOf(entry);
+        if (address.isEmpty()) {
             return CompletableFuture.failedFuture(
                     new PeerException(ResultCode.PEER_UNREACHABLE, "its record has lapsed", entry));
         }
         BudgetDraw.Builder draw =
                 BudgetDraw.newBuilder().setAccount(account).setNeeded(needed).setAhead(ahead);
-        return peers.request(address, frame(GateMessage.newBuilder().setDraw(draw)), DRAW_TIMEOUT)
+        return peers.request(address.get(), frame(GateMessage.newBuilder().setDraw(draw)), DRAW_TIMEOUT)
                 .orTimeout(DRAW_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .thenApply(answer -> {
                     BudgetGrant grant = answer.getGate().getDrawn();
@@ -74,17 +73,16 @@
 
     @Override
     public void giveBack(String entry, String account, double tokens) {
-        String address = others.get().get(entry);
-        if (address != null) {
+        members.addressOf(entry).ifPresent(address -> {
             BudgetReturn.Builder unspent =
                     BudgetReturn.newBuilder().setAccount(account).setTokens(tokens);
             peers.send(address, frame(GateMessage.newBuilder().setUnspent(unspent)));
-        }
+        });
     }
 
     /** Tells the others that an upstream crashed. */
     public void tellCrash(UpstreamCrash crash) {
-        others.get()
+        members.others()
                 .values()
                 .forEach(address ->
                         peers.send(address, frame(GateMessage.newBuilder().setCrash(crash))));
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Collectors;
 
 /**
@@ -167,6 +168,13 @@
         return present;
     }
 
+    /** Returns the peer address of another entry, if there is one of that name. */
+    public synchronized Optional<String> addressOf(String name) {
+        return Optional.ofNullable(seen.get(name))
+                .filter(s -> time.monotonicNanos() - s.nanos() < LAPSE.toNanos())
+                .map(s -> s.entry().getPeerAddress());
+    }
+
     /** Returns the peer addresses of the other entries by their names. */
     public Map<String, String> others() {
         return members().entrySet().stream()
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
@@ -28,8 +28,8 @@
  */
 final class AccountDraws {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** For how long the tokens drawn ahead should last. */
-    private static final Duration AHEAD = Duration.ofMillis(150);
+    /** Draws that follow each other sooner ask for the requests to come as well. */
+    private static final Duration FREQUENT = Duration.ofMillis(150);
     /** Time after which tokens that were drawn go back; homes count on it. */
     private static final Duration KEPT = Duration.ofMillis(500);
     /** Homes that had too few tokens are left alone for so long. */
@@ -57,7 +57,6 @@
     private double gained;
     private double perSecond;
     private double spentSinceDraw;
-    private int requestsSinceDraw;
     private long drawnNanos;
     private @Nullable String lastHome;
     private boolean drawing;
@@ -208,13 +207,9 @@
         homes.apply(account).stream().filter(asked::add).forEach(untried::add);
     }
 
-    /** Tokens for the requests to come, by what was spent since the last draw; none where requests are rare. */
+    /** Tokens for the requests to come: as many as since the last draw, unless that was some time ago. */
     private double ahead() {
-        if (requestsSinceDraw < 2) {
-            return 0;
-        }
-        double nanos = Math.max(AHEAD.toNanos(), sinceDraw());
-        return spentSinceDraw * AHEAD.toNanos() / nanos;
+        return sinceDraw() < FREQUENT.toNanos() ? spentSinceDraw : 0;
     }
 
     private void drawn(String home, BudgetPeers.@Nullable Drawn drawn) {
@@ -289,7 +284,6 @@
     private void take(double cost) {
         tokens = Math.max(0, tokens - cost);
         spentSinceDraw += cost;
-        requestsSinceDraw++;
     }
 
     private long sinceDraw() {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetHomes.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetHomes.java
@@ -40,6 +40,7 @@
     private final BooleanSupplier standing;
     private final Map<String, Account> accounts = new HashMap<>();
     private final Map<String, Held> held = new HashMap<>();
+    private Set<String> entries;
     private HomeOrder order;
     private boolean membersKnown;
     private boolean accountsKnown;
@@ -76,7 +77,8 @@
         this.slack = slack;
         this.time = time;
         this.standing = standing;
-        this.order = new HomeOrder(Set.of(self), slack.tokensPerPart());
+        this.entries = Set.of(self);
+        this.order = new HomeOrder(entries, slack.tokensPerPart());
     }
 
     /** Takes the accounts of a configuration version. */
@@ -94,7 +96,12 @@
 
     /** Takes the names of the other entries that are known to exist. */
     public synchronized void setOthers(Set<String> others) {
-        order = new HomeOrder(withSelf(others), slack.tokensPerPart());
+        Set<String> newEntries = withSelf(others);
+        if (membersKnown && newEntries.equals(entries)) {
+            return;
+        }
+        entries = newEntries;
+        order = new HomeOrder(entries, slack.tokensPerPart());
         boolean start = !membersKnown;
         membersKnown = true;
         accounts.values().forEach(a -> settle(a, start ? startTokens(a) : 0));
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
@@ -278,6 +278,34 @@
         assertEquals(homes.draw("tailors", 2 * RATE, 0).tokens(), RATE / 2, 0);
     }
 
+    /** An entry that draws once now and then leaves the rest to the others; one that draws often keeps some ahead. */
+    @Test
+    public void onlyFrequentRequestsAreDrawnForAhead() {
+        List<Double> ahead = new ArrayList<>();
+        BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
+        BudgetPeers peers = new NoPeers() {
+            @Override
+            public CompletableFuture<Drawn> draw(String entry, String account, double needed, double more) {
+                ahead.add(more);
+                return CompletableFuture.completedFuture(new Drawn(needed + more, 500));
+            }
+        };
+        AccountBudgets budgets = new AccountBudgets("z", homes, peers, time, scheduler);
+        budgets.setAccounts(List.of(account("large", 1_000_000)));
+        budgets.setOthers(Set.of("a", "b", "c", "d", "e", "f"));
+        IntStream.range(0, 5).forEach(i -> {
+            time.passMillis(400);
+            budgets.handBackUnspent();
+            budgets.spend(account("large", 1_000_000), 10).join();
+        });
+        assertEquals(ahead, List.of(0.0, 0.0, 0.0, 0.0, 0.0));
+        IntStream.range(0, 20).forEach(i -> {
+            time.passMillis(10);
+            budgets.spend(account("large", 1_000_000), 10).join();
+        });
+        assertTrue(ahead.stream().anyMatch(a -> a > 0));
+    }
+
     @Test
     public void anAccountThatIsAddedBeginsWithItsBurst() {
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -17,6 +17,7 @@
 import io.parsleycleat.gateway.connection.upstream.UpstreamPools;
 import io.parsleycleat.gateway.connection.upstream.UpstreamRequest;
 import io.parsleycleat.gateway.process.members.EntryExchange;
+import io.parsleycleat.gateway.process.members.EntryMembers;
 import io.parsleycleat.gateway.process.members.GateClient;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
@@ -114,7 +115,8 @@
     private AccountBudgets budgets() {
         BudgetHomes.Slack slack = new BudgetHomes.Slack(0, Duration.ofSeconds(8));
         BudgetHomes homes = new BudgetHomes("here", slack, TimeSource.SYSTEM, () -> true);
-        EntryExchange exchange = new EntryExchange(null, (kind, handler) -> {}, Map::of, homes, null, null, null);
+        EntryMembers members = new EntryMembers("here", TimeSource.SYSTEM);
+        EntryExchange exchange = new EntryExchange(null, (kind, handler) -> {}, members, homes, null, null, null);
         return new AccountBudgets("here", homes, exchange, TimeSource.SYSTEM, loop);
     }
 
