Let entries go on gaining budgets after an outage of the store, and help out while a home gains nothing

After an outage of some 3.5 s every entry found its own record too old, saw two renewals of others, one before and one after the outage, took that for a store that had worked for them, and settled anew: for 4.25 s nobody's budget gained. Besides, a home that has just come, after a stop or in place of another, answers that it has nothing, so that nobody asked the deputy.

Change: only as many renewals as a working store brings in that time tell of one, three at the least. A home that gains nothing says so, and the deputy is asked then as well.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -62,7 +62,6 @@
     private static final Duration KEY_MARGIN = Duration.ofMillis(800);
     private static final Duration MEMBERS_INTERVAL = Duration.ofMillis(100);
     private static final Duration OTHERS_POLL = Duration.ofMillis(10);
-    private static final Duration RECORD_INTERVAL = Duration.ofMillis(2_500);
     private static final Duration RECORD_RETRY = Duration.ofMillis(700);
     private static final Duration PEER_KEEP_ALIVE = Duration.ofSeconds(1);
     private static final Duration SUSPICION = Duration.ofMinutes(2);
@@ -343,7 +342,7 @@
                 members.ownRecordWritten(sentNanos);
             }
             noteRecordWrite(failure);
-            Duration delay = failure == null ? RECORD_INTERVAL : RECORD_RETRY;
+            Duration delay = failure == null ? EntryMembers.RENEWAL : RECORD_RETRY;
             loop.schedule(this::writeRecord, delay.toMillis(), TimeUnit.MILLISECONDS);
         });
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
@@ -31,8 +31,10 @@
     private static final Duration SETTLE = OTHERS_UNKNOWN.plusMillis(250);
     /** Age of the record of this VM's earlier process below which no other entry counts the VM as gone. */
     private static final Duration RESTART = Duration.ofSeconds(5);
-    /** Renewals of another entry while this one could not write that tell of a store which worked for the others. */
-    private static final int RENEWALS_OF_WORKING_STORE = 2;
+    /** Time between two renewals of a record. */
+    public static final Duration RENEWAL = Duration.ofMillis(2_500);
+    /** Renewals of another entry right before and right after an outage of the store for all. */
+    private static final int RENEWALS_AROUND_OUTAGE = 2;
     /** Silence of the store after which the age of records says nothing. */
     private static final Duration STORE_SILENCE = Duration.ofSeconds(4);
 
@@ -46,6 +48,7 @@
     private long ownNanos;
     private long standsFromNanos;
     private boolean mayHaveLapsed;
+    private long silentNanos;
 
     /** Another entry as its record tells. */
     public record Member(String peerAddress, String dataCentre) {}
@@ -106,6 +109,7 @@
             standsFromNanos = restarted ? sentNanos : sentNanos + SETTLE.toNanos();
         } else if (sentNanos - ownNanos > OWN_LAPSE.toNanos()) {
             mayHaveLapsed = true;
+            silentNanos = sentNanos - ownNanos;
         } else if (!mayHaveLapsed) {
             renewals.clear();
         }
@@ -134,7 +138,8 @@
         if (now - ownNanos < readAge.toNanos()) {
             return;
         }
-        boolean lapsed = renewals.values().stream().anyMatch(n -> n >= RENEWALS_OF_WORKING_STORE);
+        long ofWorkingStore = Math.max(RENEWALS_AROUND_OUTAGE + 1, silentNanos / RENEWAL.toNanos() - 1);
+        boolean lapsed = renewals.values().stream().anyMatch(n -> n >= ofWorkingStore);
         standsFromNanos = lapsed ? ownNanos + SETTLE.toNanos() : ownNanos;
         mayHaveLapsed = false;
         renewals.clear();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
@@ -69,7 +69,8 @@
         draws.keySet().retainAll(limited.keySet());
         limited.forEach((name, account) -> draws.computeIfAbsent(
                         name,
-                        n -> new AccountDraws(account, this::answering, this::draw, this::giveBackTo, time, scheduler))
+                        n -> new AccountDraws(
+                                account, this::answering, homes::deputy, this::draw, this::giveBackTo, time, scheduler))
                 .setAccount(account));
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
@@ -45,6 +45,7 @@
     private static final double ROUNDING = 1e-6;
 
     private final Function<Account, List<String>> homes;
+    private final Function<Account, Optional<String>> deputy;
     private final Draw draw;
     private final GiveBack handBack;
     private final TimeSource time;
@@ -90,12 +91,14 @@
     AccountDraws(
             Account account,
             Function<Account, List<String>> homes,
+            Function<Account, Optional<String>> deputy,
             Draw draw,
             GiveBack handBack,
             TimeSource time,
             ScheduledExecutorService scheduler) {
         this.account = account;
         this.homes = homes;
+        this.deputy = deputy;
         this.draw = draw;
         this.handBack = handBack;
         this.time = time;
@@ -202,11 +205,15 @@
         }
     }
 
-    /** A home that does not answer is made up for by the deputy, so who is to be asked may change meanwhile. */
     private void addUntried() {
         homes.apply(account).stream().filter(asked::add).forEach(untried::add);
     }
 
+    /** A home that does not answer, or gains nothing for now, is made up for by the deputy. */
+    private void addDeputy() {
+        deputy.apply(account).filter(asked::add).ifPresent(untried::add);
+    }
+
     /** Tokens for the requests to come: as many as since the last draw, unless that was some time ago. */
     private double ahead() {
         return sinceDraw() < FREQUENT.toNanos() ? spentSinceDraw : 0;
@@ -216,9 +223,10 @@
         List<Answer> answers;
         synchronized (this) {
             unanswered--;
-            if (drawn == null) {
-                addUntried();
-            } else {
+            if (drawn == null || drawn.perSecond() <= 0) {
+                addDeputy();
+            }
+            if (drawn != null) {
                 tokens += drawn.tokens();
                 gained += drawn.tokens();
                 perSecond += drawn.perSecond();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetHomes.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetHomes.java
@@ -114,12 +114,13 @@
             return BudgetPeers.Drawn.NOTHING;
         }
         TokenBucket bucket = part.bucket();
-        bucket.fill(time.monotonicNanos(), standing.getAsBoolean());
+        boolean gains = standing.getAsBoolean();
+        bucket.fill(time.monotonicNanos(), gains);
         double tokens = bucket.take(needed);
         boolean spare = tokens >= needed && part.role() == Role.HOME;
         return new BudgetPeers.Drawn(
                 tokens + (spare ? bucket.take(Math.min(ahead, bucket.level() * AHEAD_PART)) : 0),
-                bucket.ratePerSecond());
+                gains ? bucket.ratePerSecond() : 0);
     }
 
     /** Takes back what was drawn and not spent. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetPeers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetPeers.java
@@ -8,7 +8,7 @@
      * Tokens that a home gave.
      *
      * @param tokens how many, possibly fewer than were needed
-     * @param perSecond what the home's part gains in a second
+     * @param perSecond what the home's part gains in a second; zero while it gains nothing
      */
     record Drawn(double tokens, double perSecond) {
         /** What an entry gives that is no home of the account. */
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
@@ -137,6 +137,31 @@
         }
     }
 
+    /** Load pattern: a VM comes, or is back after a stop, and is home of a small account but gains nothing yet. */
+    @Test
+    public void aDeputyServesASmallAccountWhoseHomeHasJustCome() {
+        BudgetHomes.Slack slack = new BudgetHomes.Slack(8 * RATE, Duration.ofSeconds(8));
+        BudgetFleet fleet = new BudgetFleet(time, 6, slack, List.of(ACCOUNT));
+        passTenths(fleet, 100);
+        for (String home : fleet.names()) {
+            fleet.start(home);
+            fleet.fall(home);
+            String entry = fleet.names().stream()
+                    .filter(n -> !n.equals(home))
+                    .findFirst()
+                    .orElseThrow();
+            long served = IntStream.range(0, 20)
+                    .filter(i -> {
+                        passTenths(fleet, 2);
+                        return fleet.spend(entry, ACCOUNT, 100);
+                    })
+                    .count();
+            assertEquals(served, 20, "with " + home + " as it comes");
+            fleet.stand(home);
+            passTenths(fleet, 100);
+        }
+    }
+
     @Test
     public void anEntryThatOthersMayCountAsGoneGivesWhatItHasAndGainsNothing() {
         BudgetFleet fleet = fleet(1);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
@@ -59,6 +59,10 @@
         fallen.add(name);
     }
 
+    void stand(String name) {
+        fallen.remove(name);
+    }
+
     List<String> names() {
         return names;
     }
