Send nothing to upstreams that leave or want a pause

Cause: an engine now says in all its answers that it leaves, and may say with a refusal for how long it wants nothing. Neither was read: an entry went on sending until the store told of the leaving, and hammered a full service. Ruled out: marking it in the directory, since the mark has to outlive the upstream's description and ends with the next start; taking it into the load of an upstream, which is dropped with the description. Change: one view of the starts that refuse, asked at each choice, at each repeat and resume, and once more when a side's grant comes back; a caller is told the earliest time that an upstream named, spread.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -25,6 +25,7 @@
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
 import io.parsleycleat.gateway.request.choose.PlainChooser;
+import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
 import io.parsleycleat.gateway.request.crash.CrashWatch;
 import io.parsleycleat.gateway.request.forward.CallCodec;
@@ -255,6 +256,7 @@
                 versions,
                 new UpstreamPools(loop, time, directory, this::maxConnections),
                 loads,
+                new UpstreamAvailability(time, random::nextDouble),
                 new PlainChooser(loads, identity.dataCentre(), random::nextDouble),
                 new EngineChooser(view, loads),
                 view,
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/AnswerFacts.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/AnswerFacts.java
@@ -1,5 +1,6 @@
 package io.parsleycleat.gateway.request.forward;
 
+import java.time.Duration;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 
@@ -10,9 +11,16 @@
  * @param wrongUpstream whether another upstream, or another adapter version, was meant
  * @param requestId the id of the request that is answered; null when the answer names none
  * @param load what the upstream said of its load; null when it said nothing
+ * @param leaving whether the upstream says that it leaves
+ * @param pause for how long an upstream that turned the request away wants no other; null when it said nothing
  */
 public record AnswerFacts(
-        boolean notRun, boolean wrongUpstream, @Nullable String requestId, @Nullable ReportedLoad load) {
+        boolean notRun,
+        boolean wrongUpstream,
+        @Nullable String requestId,
+        @Nullable ReportedLoad load,
+        boolean leaving,
+        @Nullable Duration pause) {
     /** Requests that run and wait at an upstream, and how many run at once. */
     public record ReportedLoad(int running, int waiting, int slots) {}
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -126,6 +126,7 @@
             giveUp(SendFailure.malformed("the answer belongs to another request"));
             return;
         }
+        noteAvailability(read);
         AnswerFacts.ReportedLoad reported = read.load();
         if (reported != null) {
             load.onReport(reported.running(), reported.waiting());
@@ -140,6 +141,16 @@
         }
     }
 
+    private void noteAvailability(AnswerFacts read) {
+        if (read.leaving()) {
+            parts.availability().onLeaving(upstream);
+        }
+        Duration pause = read.pause();
+        if (pause != null) {
+            parts.availability().onPause(upstream, pause);
+        }
+    }
+
     /** The head tells all; the rest is read for the sake of the connection, as long as there is not much of it. */
     private void notRun(AnswerFacts read) {
         end(read.wrongUpstream() ? RunProgress.Stage.NOT_HELD : RunProgress.Stage.ENDED);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
@@ -81,10 +81,9 @@
 
     /** Asks the best engine of a service. */
     void next(String service) {
-        List<EngineChooser.Choice> choices =
-                parts.engines().order(parts.directory().usable(service), ask.adapter(), excluded);
+        List<EngineChooser.Choice> choices = parts.engines().order(parts.usable(service), ask.adapter(), excluded);
         if (choices.isEmpty() || asked >= MAX_ASKED) {
-            refuse(choices.isEmpty() ? ResultCode.NO_UPSTREAM : ResultCode.QUEUE_FULL);
+            refuse(service, choices.isEmpty() ? ResultCode.NO_UPSTREAM : ResultCode.QUEUE_FULL);
             return;
         }
         EngineChooser.Choice choice = choices.get(0);
@@ -153,11 +152,21 @@
             noteRetry(Duration.ofMillis(grant.getRetryAfterMillis()));
             next(service);
         } else {
-            given = true;
-            whenStarted.accept(new Started(granted(engine, grant), ticket, grant.getVersion()));
+            start(service, granted(engine, grant), ticket, grant.getVersion());
         }
     }
 
+    /** An engine may have said that it leaves while its side held the start back. */
+    private void start(String service, Upstream engine, long ticket, long version) {
+        if (!parts.availability().takes(engine)) {
+            parts.gates().tell(engine, ticket, RunProgress.Stage.ENDED);
+            next(service);
+            return;
+        }
+        given = true;
+        whenStarted.accept(new Started(engine, ticket, version));
+    }
+
     /** The side answers for the engine that runs beside it now, which may have started anew under another id. */
     private Upstream granted(Upstream asked, StartGrant grant) {
         if (asked.id().equals(grant.getEngineId()) && asked.born() == grant.getEngineBorn()) {
@@ -181,10 +190,12 @@
         }
     }
 
-    private void refuse(ResultCode code) {
+    private void refuse(String service, ResultCode code) {
         given = true;
-        whenRefused.accept(
-                Refusal.of(code).withRetryAfter(Optional.ofNullable(retryAfter).orElse(DEFAULT_RETRY)));
+        Duration wait = Optional.ofNullable(retryAfter)
+                .or(() -> parts.comeBackAfter(service))
+                .orElse(DEFAULT_RETRY);
+        whenRefused.accept(Refusal.of(code).withRetryAfter(wait));
     }
 
     private void noteRetry(Duration after) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardParts.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardParts.java
@@ -7,11 +7,16 @@
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
 import io.parsleycleat.gateway.request.choose.PlainChooser;
+import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
 import io.parsleycleat.gateway.request.crash.CrashWatch;
 import io.parsleycleat.gateway.request.limits.RetryShare;
 import io.parsleycleat.gateway.version.routes.AdapterVersions;
+import io.parsleycleat.gateway.version.upstreams.Upstream;
 import io.parsleycleat.gateway.version.upstreams.UpstreamDirectory;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
 
 /**
  * The parts of an entry that every forwarded request uses.
@@ -26,10 +31,21 @@
         AdapterVersions versions,
         UpstreamPools pools,
         UpstreamLoads loads,
+        UpstreamAvailability availability,
         PlainChooser plain,
         EngineChooser engines,
         EngineView view,
         GateClient gates,
         RetryShare retries,
         CrashWatch crashes,
-        ForwardMetrics metrics) {}
+        ForwardMetrics metrics) {
+    /** Returns the upstreams of a service that may be sent to now. */
+    List<Upstream> usable(String service) {
+        return availability.taking(directory.usable(service));
+    }
+
+    /** Returns when a caller should come back to a service whose upstreams all want a pause. */
+    Optional<Duration> comeBackAfter(String service) {
+        return availability.comeBackAfter(directory.usable(service));
+    }
+}
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -112,10 +112,10 @@
         Set<String> excluded = new HashSet<>(sentTo);
         excluded.addAll(avoided);
         parts.plain()
-                .choose(parts.directory().usable(service), excluded)
+                .choose(parts.usable(service), excluded)
                 .ifPresentOrElse(
                         u -> send(u, 0, 0),
-                        () -> giveUp(Refusal.of(ResultCode.NO_UPSTREAM).withRetryAfter(RETRY_SOON)));
+                        () -> giveUp(Refusal.of(ResultCode.NO_UPSTREAM).withRetryAfter(comeBackAfter())));
     }
 
     private void startOnEngine() {
@@ -216,8 +216,13 @@
     }
 
     private boolean hasOther() {
-        return parts.directory().usable(service).stream()
-                .anyMatch(u -> !sentTo.contains(u.id()) && !avoided.contains(u.id()));
+        return parts.usable(service).stream().anyMatch(u -> !sentTo.contains(u.id()) && !avoided.contains(u.id()));
+    }
+
+    /** Returns when a caller should come back who is refused since no upstream takes the request now. */
+    private Duration comeBackAfter() {
+        boolean anyTakes = !parts.usable(service).isEmpty();
+        return anyTakes ? RETRY_SOON : parts.comeBackAfter(service).orElse(RETRY_SOON);
     }
 
     private void again() {
@@ -349,7 +354,7 @@
         if (mayGoElsewhere() && parts.retries().tryRepeat(service)) {
             again();
         } else {
-            giveUp(Refusal.of(ResultCode.UPSTREAM_REFUSED).withRetryAfter(RETRY_SOON));
+            giveUp(Refusal.of(ResultCode.UPSTREAM_REFUSED).withRetryAfter(comeBackAfter()));
         }
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -22,6 +22,7 @@
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
 import io.parsleycleat.gateway.request.choose.PlainChooser;
+import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
 import io.parsleycleat.gateway.request.crash.CrashWatch;
 import io.parsleycleat.gateway.request.forward.AnswerFacts;
@@ -61,6 +62,7 @@
 /** A forwarder in one process, before upstreams that a test scripts. Its callers keep what they get. */
 abstract class ForwardingFixture {
     static final Account ACCOUNT = new Account("tailors", Set.of("key"), null, false, 0, 0, 1);
+    static final String PAUSE = "HTTP/1.1 503 Busy\r\nid: 1\r\nnot-run: 1\r\npause: 60000\r\nContent-Length: 0\r\n\r\n";
     static final String NOT_RUN = "HTTP/1.1 503 Busy\r\nid: 1\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
 
     final EventLoopGroup loops = new NioEventLoopGroup(1);
@@ -95,6 +97,7 @@
                 new AdapterVersions(),
                 new UpstreamPools(loop, TimeSource.SYSTEM, directory, u -> 10),
                 loads,
+                new UpstreamAvailability(TimeSource.SYSTEM, () -> 0),
                 new PlainChooser(loads, "here", () -> 0),
                 new EngineChooser(view, loads),
                 view,
@@ -150,7 +153,15 @@
         @Override
         public AnswerFacts facts(AnswerHead head) {
             return new AnswerFacts(
-                    head.header("not-run").isPresent(), false, head.header("id").orElse(null), null);
+                    head.header("not-run").isPresent(),
+                    false,
+                    head.header("id").orElse(null),
+                    null,
+                    head.header("leaving").isPresent(),
+                    head.header("pause")
+                            .map(Long::valueOf)
+                            .map(Duration::ofMillis)
+                            .orElse(null));
         }
 
         @Override
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityForwardingTest.java
@@ -0,0 +1,102 @@
+package io.parsleycleat.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.gateway.connection.ScriptedUpstream;
+import io.parsleycleat.gateway.version.routes.RequestKind;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import org.testng.annotations.Test;
+
+/** Requests to a service some or all of whose upstreams said that they want none. */
+public class UpstreamAvailabilityForwardingTest extends ForwardingFixture {
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+    private static final String LAST_ANSWER = whole("last").replace("id: 1", "id: 1\r\nleaving: 1");
+
+    @Test
+    public void anUpstreamThatLeavesGetsNothingMoreOnItsKeptConnection() throws Exception {
+        configure(RequestKind.ONCE, false, 1, TIMEOUT);
+        try (ScriptedUpstream one = new ScriptedUpstream(says(LAST_ANSWER, true))) {
+            upstream("a", one.address());
+            assertEquals(answer(), "200 last");
+            assertEquals(answer(), "503 " + ResultCode.NO_UPSTREAM);
+            assertEquals(one.waitingRequests(), 1);
+        }
+    }
+
+    @Test
+    public void leavingHoldsAlsoWhenTheDescriptionGoesAndComesBack() throws Exception {
+        configure(RequestKind.ONCE, false, 1, TIMEOUT);
+        try (ScriptedUpstream one = new ScriptedUpstream(says(LAST_ANSWER, true))) {
+            upstream("a", one.address());
+            assertEquals(answer(), "200 last");
+            directory.remove("a");
+            upstream("a", one.address());
+            assertEquals(answer(), "503 " + ResultCode.NO_UPSTREAM);
+            upstream("b", one.address());
+            assertEquals(answer(), "200 last");
+        }
+    }
+
+    @Test
+    public void aFailureThatSaysThatItLeavesCountsToo() throws Exception {
+        configure(RequestKind.IDEMPOTENT, false, 2, TIMEOUT);
+        String failure = "HTTP/1.1 500 x\r\nid: 1\r\nleaving: 1\r\nContent-Length: 0\r\n\r\n";
+        try (ScriptedUpstream one = new ScriptedUpstream(says(failure, true));
+                ScriptedUpstream two = new ScriptedUpstream(says(whole("done"), true))) {
+            upstream("a", one.address());
+            assertEquals(answer(), "500 ");
+            upstream("b", two.address());
+            assertEquals(answer(), "200 done");
+            assertEquals(one.waitingRequests(), 1);
+        }
+    }
+
+    /** The stream began before the upstream said that it leaves, and is finished by another one. */
+    @Test
+    public void aStreamIsNotResumedAtAnUpstreamThatLeaves() throws Exception {
+        configure(RequestKind.STREAM, true, 3, TIMEOUT);
+        CountDownLatch cut = new CountDownLatch(1);
+        String beginning = "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n";
+        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
+                    ScriptedUpstream.write(connection, beginning);
+                    awaitUninterruptibly(cut);
+                    return false;
+                });
+                ScriptedUpstream two = new ScriptedUpstream(says(LAST_ANSWER, true));
+                ScriptedUpstream three = new ScriptedUpstream(says(whole("id: 2\ndata: b\n\n"), true))) {
+            upstream("a", one.address());
+            Caller caller = ask("/p/x", "key");
+            one.takeRequest();
+            upstream("b", two.address());
+            ask("/p/x", "key").answer.join();
+            upstream("c", three.address());
+            cut.countDown();
+            assertEquals(caller.answer.join(), "200 streamed id: 1;data: a;;id: 2;data: b;;");
+            assertEquals(two.waitingRequests(), 1);
+        }
+    }
+
+    @Test
+    public void anUpstreamThatWantsAPauseGetsNothingUntilItIsOver() throws Exception {
+        configure(RequestKind.ONCE, false, 2, TIMEOUT);
+        try (ScriptedUpstream one = new ScriptedUpstream(says(PAUSE, true));
+                ScriptedUpstream two = new ScriptedUpstream(says(whole("done"), true))) {
+            upstream("a", one.address());
+            assertEquals(answer(), "503 " + ResultCode.UPSTREAM_REFUSED);
+            assertEquals(answer(), "503 " + ResultCode.NO_UPSTREAM);
+            upstream("b", two.address());
+            assertEquals(answer(), "200 done");
+            assertEquals(one.waitingRequests(), 1);
+        }
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityTest.java
@@ -0,0 +1,82 @@
+package io.parsleycleat.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
+import io.parsleycleat.gateway.version.upstreams.Upstream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Upstreams that leave, and a service whose upstreams all ask for a pause. */
+public class UpstreamAvailabilityTest {
+    private final Upstream one = upstream("a", 1);
+    private final Upstream two = upstream("b", 1);
+    private MovedTime time;
+    private double spread;
+    private UpstreamAvailability availability;
+
+    @BeforeMethod
+    public void setUp() {
+        time = new MovedTime();
+        spread = 0;
+        availability = new UpstreamAvailability(time, () -> spread);
+    }
+
+    private static Upstream upstream(String id, long born) {
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+        return new Upstream(id, "s", address, "here", born, false, 8, Map.of());
+    }
+
+    @Test
+    public void oneThatLeavesTakesNothingUntilItsNextStart() {
+        availability.onLeaving(one);
+        availability.onPause(one, Duration.ofSeconds(1));
+        time.passMillis(1_000_000);
+        assertFalse(availability.takes(one));
+        assertTrue(availability.takes(upstream("a", 2)));
+        assertTrue(availability.takes(upstream("c", 1)));
+        assertEquals(availability.taking(List.of(one, two)), List.of(two));
+    }
+
+    @Test
+    public void aPauseLastsAsLongAsWasSaidAndIsNotShortenedByALaterAnswer() {
+        availability.onPause(one, Duration.ofMillis(2_500));
+        availability.onPause(one, Duration.ofMillis(100));
+        time.passMillis(2_499);
+        assertFalse(availability.takes(one));
+        time.passMillis(1);
+        assertTrue(availability.takes(one));
+    }
+
+    @Test
+    public void figuresThatMakeNoSenseAreBounded() {
+        availability.onPause(one, Duration.ofSeconds(-5));
+        assertTrue(availability.takes(one));
+        availability.onPause(one, Duration.ofSeconds(Long.MAX_VALUE / 2));
+        assertFalse(availability.takes(one));
+        time.passMillis(Duration.ofMinutes(10).toMillis());
+        assertTrue(availability.takes(one));
+    }
+
+    @Test
+    public void callersComeBackForTheFirstOneAndNotAllAtOnce() {
+        assertEquals(availability.comeBackAfter(List.of(one, two)), Optional.empty());
+        availability.onPause(one, Duration.ofSeconds(4));
+        availability.onPause(two, Duration.ofSeconds(2));
+        assertEquals(availability.comeBackAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(2)));
+        spread = 1;
+        assertEquals(availability.comeBackAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(3)));
+        availability.onLeaving(two);
+        spread = 0;
+        assertEquals(availability.comeBackAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(4)));
+    }
+}
