Read logs anew that were restored from an older copy

Cause: the store may come back from a copy some seconds old, with offsets given out again and an era one higher in all its answers. A reader went on from its offset: it waited for ever, skipped records or mixed those of two eras; a side's fencing number, the offset of an appended record, came twice. Ruled out: a marker of the era beside offsets that are compared alone, as relays hand them on. Change: a place in a log is its era and its offset together, in followers, mirrors and relays; a reader that sees a later era reads all anew. What it knew stays in use and gets no younger until lost records had time to be written again; a key that it saw dropped stays so until it is written anew; a missing one may return; a leaving upstream stays leaving, an earlier start is not believed. An answer of an earlier era changes nothing.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -162,6 +162,7 @@
         new CallerServer(loops, () -> CallerLimits.DEFAULT, new AdminService(metrics, this::readiness))
                 .listen(settings.metrics());
         metrics.gauge("requests.open", () -> forwarder::openRequests);
+        metrics.gauge("operators.log.era", () -> operatorsFollower::era);
         metrics.gauge("configuration.age.millis", () -> operatorsFollower.freshness()::ageMillis);
         loop.scheduleAtFixedRate(
                 this::followMembers, MEMBERS_INTERVAL.toMillis(), MEMBERS_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
@@ -81,7 +81,7 @@
 
     @Override
     public synchronized void drop(String key, boolean afterOutage) {
-        if (seen.remove(key) != null) {
+        if (!afterOutage && seen.remove(key) != null) {
             logger.atInfo().with(LogKeys.PEER, key).log("entry left");
         }
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
@@ -12,6 +12,7 @@
 import io.parsleycleat.gateway.version.follow.KeyedLog;
 import io.parsleycleat.gateway.version.follow.KeyedRecord;
 import io.parsleycleat.gateway.version.follow.LogFollower;
+import io.parsleycleat.gateway.version.follow.LogPosition;
 import io.parsleycleat.wire.gate.FoundRecord;
 import io.parsleycleat.wire.gate.GateMessage;
 import io.parsleycleat.wire.gate.RecordsFound;
@@ -113,7 +114,7 @@
             }
 
             @Override
-            public CompletableFuture<Records> read(long from, Duration wait) {
+            public CompletableFuture<Records> read(LogPosition from, Duration wait) {
                 return usableParent()
                         .map(parent -> readThrough(parent, log, from, wait, direct))
                         .orElseGet(() -> direct.read(from, wait));
@@ -130,11 +131,14 @@
     }
 
     private CompletableFuture<KeyedLog.Records> readThrough(
-            String parent, String log, long from, Duration wait, KeyedLog direct) {
+            String parent, String log, LogPosition from, Duration wait, KeyedLog direct) {
         Duration asked = wait.compareTo(MAX_WAIT) < 0 ? wait : MAX_WAIT;
         Duration timeout = asked.plus(ANSWER_SLACK);
-        RecordsRead.Builder read =
-                RecordsRead.newBuilder().setLog(log).setFrom(from).setWaitMillis((int) asked.toMillis());
+        RecordsRead.Builder read = RecordsRead.newBuilder()
+                .setLog(log)
+                .setEra(from.era())
+                .setFrom(from.offset())
+                .setWaitMillis((int) asked.toMillis());
         return peers.request(
                         parent,
                         Frame.newBuilder().setGate(GateMessage.newBuilder().setRead(read)),
@@ -162,7 +166,8 @@
         List<KeyedRecord> records = found.getRecordsList().stream()
                 .map(r -> new KeyedRecord(r.getKey(), r.getValue().toByteArray(), r.getOffset()))
                 .toList();
-        return new KeyedLog.Records(records, found.getNext(), Duration.ofMillis(found.getAgeMillis()), true);
+        LogPosition next = new LogPosition(found.getEra(), found.getNext());
+        return new KeyedLog.Records(records, next, Duration.ofMillis(found.getAgeMillis()), true);
     }
 
     // Answering
@@ -176,21 +181,23 @@
             return;
         }
         long wait = Math.min(MAX_WAIT.toMillis(), read.getWaitMillis());
-        CompletableFuture<Void> change = follower.mirror().readBeyond(read.getFrom());
-        change.thenRun(() -> reply(from, frame, found(follower, read.getFrom())));
+        LogPosition place = new LogPosition(read.getEra(), read.getFrom());
+        CompletableFuture<Void> change = follower.mirror().readBeyond(place);
+        change.thenRun(() -> reply(from, frame, found(follower, place)));
         if (!change.isDone()) {
             scheduler.schedule(() -> change.complete(null), wait, TimeUnit.MILLISECONDS);
         }
     }
 
-    private RecordsFound found(LogFollower follower, long from) {
+    private RecordsFound found(LogFollower follower, LogPosition from) {
         int age = follower.freshness().ageMillis();
         return follower.mirror()
                 .from(from)
                 .filter(r -> isFresh(follower))
                 .map(r -> RecordsFound.newBuilder()
                         .setKnown(true)
-                        .setNext(r.next())
+                        .setEra(r.next().era())
+                        .setNext(r.next().offset())
                         .setAgeMillis(age)
                         .addAllRecords(r.records().stream().map(LogRelay::found).toList())
                         .build())
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedLog.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedLog.java
@@ -10,9 +10,9 @@
      * A part of the newest records.
      *
      * @param hasMore whether further keys follow the last one
-     * @param end the offset that the next record will have
+     * @param end where the next record will be
      */
-    record NewestPage(List<KeyedRecord> records, boolean hasMore, long end) {
+    record NewestPage(List<KeyedRecord> records, boolean hasMore, LogPosition end) {
         public NewestPage {
             records = List.copyOf(records);
         }
@@ -21,17 +21,17 @@
     /**
      * Records from one offset on, in order.
      *
-     * @param next where the next read goes on
+     * @param next where the next read goes on; in another era than asked for, the records say nothing
      * @param age the time since the log itself was asked, as of the answer
      * @param relayed whether another process answered that had read the log
      */
-    record Records(List<KeyedRecord> records, long next, Duration age, boolean relayed) {
+    record Records(List<KeyedRecord> records, LogPosition next, Duration age, boolean relayed) {
         public Records {
             records = List.copyOf(records);
         }
 
         /** Creates an answer of the log itself. */
-        public Records(List<KeyedRecord> records, long next) {
+        public Records(List<KeyedRecord> records, LogPosition next) {
             this(records, next, Duration.ZERO, false);
         }
     }
@@ -40,8 +40,8 @@
     CompletableFuture<NewestPage> newest(String afterKey);
 
     /**
-     * Reads the records from an offset on, waiting at most so long for the first. Fails with
+     * Reads the records from a place on, waiting at most so long for the first. Fails with
      * {@code LogTrimmedException} when they are no longer kept.
      */
-    CompletableFuture<Records> read(long from, Duration wait);
+    CompletableFuture<Records> read(LogPosition from, Duration wait);
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
@@ -23,6 +23,9 @@
  * as
  * dropped. A key's value never goes back to an earlier offset.
  *
+ * <p>A log that was restored from an older copy is read anew as well. What was known stays in use, and counts as old as
+ * it was until those who wrote the lost records have had time to write them again.
+ *
  * <p>Created once for each log; its steps follow one another, whichever thread they run on.
  */
 public final class LogFollower {
@@ -43,7 +46,9 @@
 
     private final Object lock = new Object();
     private final LogMirror mirror = new LogMirror();
-    private long next = -1;
+    private @Nullable LogPosition next;
+    private long era;
+    private boolean restored;
     private boolean reachable = true;
     private boolean relayed;
     private long lastAnswerNanos;
@@ -90,7 +95,7 @@
     /** Returns whether the whole log has been read once. */
     public boolean isRead() {
         synchronized (lock) {
-            return next >= 0;
+            return next != null;
         }
     }
 
@@ -102,7 +107,7 @@
     /** Returns whether the log answers, as far as is known. */
     public boolean isReachable() {
         synchronized (lock) {
-            return reachable && next >= 0;
+            return reachable && next != null;
         }
     }
 
@@ -111,8 +116,20 @@
         return settings.usualAge();
     }
 
-    /** Returns the offset up to which the log was read. */
+    /** Returns the offset up to which the log was read; -1 while all of it has to be read. */
     public long offset() {
+        LogPosition place = place();
+        return place == null ? -1 : place.offset();
+    }
+
+    /** Returns how often the log was restored from an older copy, as far as is known. */
+    public long era() {
+        synchronized (lock) {
+            return era;
+        }
+    }
+
+    private @Nullable LogPosition place() {
         synchronized (lock) {
             return next;
         }
@@ -125,8 +142,8 @@
             return;
         }
         Freshness.Moment sent = freshness.now();
-        boolean full = offset() < 0;
-        CompletableFuture<KeyedLog.Records> done = full ? readAll() : readOn(current);
+        LogPosition from = place();
+        CompletableFuture<KeyedLog.Records> done = from == null ? readAll() : readOn(current, from);
         done.orTimeout(settings.maxWait().plus(settings.timeout()).toMillis(), TimeUnit.MILLISECONDS)
                 .whenComplete((answer, failure) ->
                         after(current, sent, answer, failure == null ? null : Failures.unwrap(failure)));
@@ -137,22 +154,34 @@
         if (stopped || round.get() != current) {
             return;
         }
-        if (answer != null) {
+        if (answer != null && answer.next().era() > era()) {
+            logger.atWarning().log(
+                    "%s was restored from an older copy, era %d after %d; reading all of it",
+                    name, answer.next().era(), era());
+            readAnew(current);
+        } else if (answer != null && answer.next().era() < era()) {
+            failed(new IllegalStateException("an answer of era " + answer.next().era() + " after one of era " + era()));
+            again(current, settings.retryDelay());
+        } else if (answer != null) {
             answered(sent.minus(answer.age()));
             noteRelayed(answer.relayed());
             again(current, answer.relayed() ? settings.minGap().dividedBy(RELAYED_GAP_PARTS) : settings.minGap());
         } else if (failure instanceof LogTrimmedException) {
             logger.atInfo().log("%s dropped records that were not read; reading all of it", name);
-            synchronized (lock) {
-                next = -1;
-            }
-            again(current, Duration.ZERO);
+            readAnew(current);
         } else {
             failed(failure == null ? new IllegalStateException("no answer") : failure);
             again(current, settings.retryDelay());
         }
     }
 
+    private void readAnew(long current) {
+        synchronized (lock) {
+            next = null;
+        }
+        again(current, Duration.ZERO);
+    }
+
     private void again(long current, Duration delay) {
         scheduler.schedule(() -> step(current), delay.toMillis(), TimeUnit.MILLISECONDS);
     }
@@ -167,16 +196,21 @@
     }
 
     private void answered(Freshness.Moment known) {
-        freshness.confirm(known);
         boolean graceOver;
+        boolean complete;
         synchronized (lock) {
             if (!reachable) {
-                logger.atInfo().with(LogKeys.OFFSET, next).log("%s answers again", name);
+                logger.atInfo().with(LogKeys.OFFSET, offset()).log("%s answers again", name);
             }
             reachable = true;
             lastAnswerNanos = time.monotonicNanos();
             graceOver = inGrace && time.monotonicNanos() - graceEndsNanos >= 0;
             inGrace = inGrace && !graceOver;
+            restored = restored && inGrace;
+            complete = !restored;
+        }
+        if (complete) {
+            freshness.confirm(known);
         }
         if (graceOver) {
             fold.endOutage();
@@ -186,7 +220,7 @@
     private void failed(Throwable failure) {
         synchronized (lock) {
             if (reachable) {
-                logger.atWarning().with(LogKeys.OFFSET, next).log("%s does not answer: %s", name, failure);
+                logger.atWarning().with(LogKeys.OFFSET, offset()).log("%s does not answer: %s", name, failure);
             }
             reachable = false;
         }
@@ -205,21 +239,27 @@
 
     // Reading
 
-    private CompletableFuture<KeyedLog.Records> readOn(long current) {
+    private CompletableFuture<KeyedLog.Records> readOn(long current, LogPosition from) {
         Duration wait = isGraceRunning() ? Duration.ZERO : settings.maxWait();
-        return log.read(offset(), wait).thenApply(answer -> {
-            if (round.get() == current) {
+        return log.read(from, wait).thenApply(answer -> {
+            if (round.get() == current && answer.next().era() == from.era()) {
                 noteContact();
                 apply(answer.records());
-                synchronized (lock) {
-                    next = Math.max(next, answer.next());
-                }
-                mirror.readTo(answer.next());
+                goOnFrom(answer.next());
+                mirror.readTo(answer.next().offset());
             }
             return answer;
         });
     }
 
+    private void goOnFrom(LogPosition place) {
+        synchronized (lock) {
+            LogPosition known = next;
+            boolean later = known == null || known.era() != place.era() || place.offset() > known.offset();
+            next = later ? place : known;
+        }
+    }
+
     private boolean isGraceRunning() {
         synchronized (lock) {
             return inGrace;
@@ -228,22 +268,28 @@
 
     private CompletableFuture<KeyedLog.Records> readAll() {
         List<KeyedRecord> found = new ArrayList<>();
-        return readPages("", -1, found).thenApply(end -> {
-            noteContact();
-            applyAll(found);
-            synchronized (lock) {
-                next = Math.max(next, end);
+        return readPages("", null, found).thenApply(end -> {
+            if (end.era() >= era()) {
+                noteContact();
+                noteEra(end.era(), found);
+                applyAll(found);
+                goOnFrom(end);
+                mirror.fullyReadTo(end.offset());
             }
-            mirror.fullyReadTo(end);
             return new KeyedLog.Records(found, end);
         });
     }
 
     /** Reads all pages. The end as of the first page is where reading goes on, since pages are no snapshot. */
-    private CompletableFuture<Long> readPages(String afterKey, long firstEnd, List<KeyedRecord> found) {
+    private CompletableFuture<LogPosition> readPages(
+            String afterKey, @Nullable LogPosition firstEnd, List<KeyedRecord> found) {
         return log.newest(afterKey).thenCompose(page -> {
+            LogPosition end = firstEnd == null ? page.end() : firstEnd;
+            if (page.end().era() != end.era()) {
+                return CompletableFuture.failedFuture(
+                        new IllegalStateException("the log was restored between two pages of it"));
+            }
             found.addAll(page.records());
-            long end = firstEnd < 0 ? page.end() : firstEnd;
             if (!page.hasMore() || page.records().isEmpty()) {
                 return CompletableFuture.completedFuture(end);
             }
@@ -252,6 +298,25 @@
         });
     }
 
+    /** Goes over to a later era, in which records that its copy lacks are still to be written again. */
+    private void noteEra(long newEra, List<KeyedRecord> copied) {
+        boolean first;
+        synchronized (lock) {
+            if (newEra == era) {
+                return;
+            }
+            first = era == 0 && mirror.isEmpty();
+            era = newEra;
+            if (!first) {
+                restored = true;
+                inGrace = true;
+                graceEndsNanos = time.monotonicNanos() + settings.outageGrace().toNanos();
+            }
+        }
+        logger.atInfo().log("%s is read in era %d", name, newEra);
+        mirror.beginEra(newEra, copied);
+    }
+
     private void applyAll(List<KeyedRecord> found) {
         Set<String> present =
                 found.stream().filter(r -> !r.isDrop()).map(KeyedRecord::key).collect(Collectors.toSet());
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogMirror.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogMirror.java
@@ -18,9 +18,12 @@
     private static final byte[] NO_VALUE = {};
     /** Dropped keys that are remembered; a reader that is further behind reads the log itself. */
     private static final int MAX_DROPPED = 1_000;
+    /** The offset of what was read in an earlier era. */
+    private static final long BEFORE_ALL = -1;
 
     private final Map<String, KeyedRecord> newest = new HashMap<>();
     private final List<CompletableFuture<Void>> waiting = new ArrayList<>();
+    private long era;
     private long first = Long.MAX_VALUE;
     private long next = -1;
 
@@ -36,6 +39,32 @@
         return true;
     }
 
+    /**
+     * Goes over to a later era. What is known stays until a record of that era replaces it; but a key that was dropped
+     * stays so until it is written anew, as the copy may be older than the drop.
+     *
+     * @param copied the records that the log has at the beginning of the era
+     */
+    synchronized void beginEra(long newEra, List<KeyedRecord> copied) {
+        era = newEra;
+        first = Long.MAX_VALUE;
+        next = -1;
+        newest.replaceAll((key, r) -> new KeyedRecord(key, r.value(), BEFORE_ALL));
+        copied.stream()
+                .filter(r -> isDropped(r.key()))
+                .forEach(r -> newest.put(r.key(), new KeyedRecord(r.key(), NO_VALUE, r.offset())));
+    }
+
+    /** Returns whether nothing was read yet. */
+    synchronized boolean isEmpty() {
+        return next < 0 && newest.isEmpty();
+    }
+
+    private boolean isDropped(String key) {
+        KeyedRecord known = newest.get(key);
+        return known != null && known.isDrop();
+    }
+
     /** Drops the keys that a full read did not show, and returns them. */
     synchronized List<String> dropMissing(Set<String> present) {
         List<KeyedRecord> missing = newest.values().stream()
@@ -65,21 +94,21 @@
         woken.forEach(w -> w.complete(null));
     }
 
-    /** Returns the records from an offset on, or nothing when this mirror cannot tell all of them. */
-    public synchronized Optional<KeyedLog.Records> from(long offset) {
-        if (next < 0 || offset < first) {
+    /** Returns the records from a place on, or nothing when this mirror cannot tell all of them. */
+    public synchronized Optional<KeyedLog.Records> from(LogPosition from) {
+        if (next < 0 || from.era() != era || from.offset() < first) {
             return Optional.empty();
         }
         List<KeyedRecord> records = newest.values().stream()
-                .filter(r -> r.offset() >= offset)
+                .filter(r -> r.offset() >= from.offset())
                 .sorted(Comparator.comparingLong(KeyedRecord::offset))
                 .toList();
-        return Optional.of(new KeyedLog.Records(records, next));
+        return Optional.of(new KeyedLog.Records(records, new LogPosition(era, next)));
     }
 
-    /** Returns what completes when the log has been read beyond an offset; at once when it was. */
-    public synchronized CompletableFuture<Void> readBeyond(long offset) {
-        if (next > offset) {
+    /** Returns what completes when the log has been read beyond a place; at once when it was, or is of another era. */
+    public synchronized CompletableFuture<Void> readBeyond(LogPosition place) {
+        if (place.era() != era || next > place.offset()) {
             return CompletableFuture.completedFuture(null);
         }
         CompletableFuture<Void> change = new CompletableFuture<>();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/Upstream.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/Upstream.java
@@ -35,6 +35,11 @@
         return new Upstream(newId, service, address, dataCentre, newBorn, false, slots, Map.of());
     }
 
+    /** Returns a copy that takes no new requests. */
+    Upstream asLeaving() {
+        return leaving ? this : new Upstream(id, service, address, dataCentre, born, true, slots, residents);
+    }
+
     /** Returns whether both describe the same start of the same upstream. */
     public boolean isSameStart(Upstream other) {
         return id.equals(other.id) && born == other.born && address.equals(other.address);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
@@ -35,10 +35,22 @@
         listeners.add(listener);
     }
 
-    /** Takes an upstream's newest description. */
-    public void put(Upstream upstream) {
-        lapsed.remove(upstream.id());
-        Upstream before = upstreams.put(upstream.id(), upstream);
+    /**
+     * Takes an upstream's newest description. A store that was restored from an older copy may tell again of an earlier
+     * start, or of the time before an upstream began to leave; neither is believed.
+     */
+    public void put(Upstream described) {
+        lapsed.remove(described.id());
+        Upstream before = upstreams.get(described.id());
+        if (before != null && before.born() > described.born()) {
+            logger.atInfo()
+                    .with(LogKeys.UPSTREAM, described.id())
+                    .log("a description of the earlier start %d is passed over", described.born());
+            return;
+        }
+        boolean stillLeaving = before != null && before.leaving() && before.isSameStart(described);
+        Upstream upstream = stillLeaving ? described.asLeaving() : described;
+        upstreams.put(upstream.id(), upstream);
         if (before == null || !before.isSameStart(upstream)) {
             logger.atInfo()
                     .with(LogKeys.UPSTREAM, upstream.id())
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
@@ -13,6 +13,7 @@
 import io.parsleycleat.gateway.version.follow.KeyedLog;
 import io.parsleycleat.gateway.version.follow.KeyedRecord;
 import io.parsleycleat.gateway.version.follow.LogFollower;
+import io.parsleycleat.gateway.version.follow.LogPosition;
 import io.parsleycleat.wire.peer.Frame;
 import io.parsleycleat.wire.peer.Hello;
 import java.nio.charset.StandardCharsets;
@@ -144,8 +145,11 @@
         store.add("k", "");
         Entry restarted = new Entry(root().name, List.copyOf(entries.keySet()));
         restarted.follower.start();
-        assertFalse(restarted.follower.mirror().from(behind).isPresent(), "it cannot know what was dropped");
-        assertTrue(restarted.follower.mirror().from(behind + 2).isPresent());
+        assertFalse(
+                restarted.follower.mirror().from(new LogPosition(0, behind)).isPresent(),
+                "it cannot know what was dropped");
+        assertTrue(
+                restarted.follower.mirror().from(new LogPosition(0, behind + 2)).isPresent());
     }
 
     @Test
@@ -205,25 +209,27 @@
                     records.forEach(r -> newest.put(r.key(), r));
                     List<KeyedRecord> live =
                             newest.values().stream().filter(r -> !r.isDrop()).toList();
-                    return CompletableFuture.completedFuture(new NewestPage(live, false, records.size()));
+                    return CompletableFuture.completedFuture(
+                            new NewestPage(live, false, new LogPosition(0, records.size())));
                 }
 
                 @Override
-                public CompletableFuture<Records> read(long from, Duration wait) {
+                public CompletableFuture<Records> read(LogPosition from, Duration wait) {
                     if (down.contains(entry)) {
                         return CompletableFuture.failedFuture(new IllegalStateException("down"));
                     }
                     reads++;
                     lastReadNanos = time.monotonicNanos();
                     CompletableFuture<Void> change = new CompletableFuture<>();
-                    if (from < records.size() || wait.isZero()) {
+                    if (from.offset() < records.size() || wait.isZero()) {
                         change.complete(null);
                     } else {
                         waiting.add(change);
                         scheduler.schedule(() -> change.complete(null), wait.toMillis(), TimeUnit.MILLISECONDS);
                     }
-                    return change.thenApply(
-                            c -> new Records(List.copyOf(records.subList((int) from, records.size())), records.size()));
+                    return change.thenApply(c -> new Records(
+                            List.copyOf(records.subList((int) from.offset(), records.size())),
+                            new LogPosition(0, records.size())));
                 }
             };
         }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FollowScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FollowScheduleTest.java
@@ -13,6 +13,7 @@
 import io.parsleycleat.gateway.version.follow.KeyedLog;
 import io.parsleycleat.gateway.version.follow.KeyedRecord;
 import io.parsleycleat.gateway.version.follow.LogFollower;
+import io.parsleycleat.gateway.version.follow.LogPosition;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -108,16 +109,18 @@
                         .toList();
                 boolean more = !page.isEmpty()
                         && newest.higherKey(page.get(page.size() - 1).key()) != null;
-                return new NewestPage(page, more, records.size());
+                return new NewestPage(page, more, new LogPosition(0, records.size()));
             });
         }
 
         @Override
-        public CompletableFuture<Records> read(long from, Duration wait) {
-            if (from < first) {
-                return CompletableFuture.failedFuture(new LogTrimmedException("log", from, first));
+        public CompletableFuture<Records> read(LogPosition from, Duration wait) {
+            if (from.offset() < first) {
+                return CompletableFuture.failedFuture(new LogTrimmedException("log", from.offset(), first));
             }
-            return answer(() -> new Records(List.copyOf(records.subList((int) from, records.size())), records.size()));
+            return answer(() -> new Records(
+                    List.copyOf(records.subList((int) from.offset(), records.size())),
+                    new LogPosition(0, records.size())));
         }
 
         /** Answers now or later, with what holds now; some calls fail. */
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
@@ -15,6 +15,7 @@
 import io.parsleycleat.gateway.version.follow.KeyedLog;
 import io.parsleycleat.gateway.version.follow.KeyedRecord;
 import io.parsleycleat.gateway.version.follow.LogFollower;
+import io.parsleycleat.gateway.version.follow.LogPosition;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -34,12 +35,19 @@
     private static final class MemoryLog implements KeyedLog {
         private final List<KeyedRecord> records = new ArrayList<>();
         private long first;
+        private long era;
         private boolean down;
 
         void add(String key, String value) {
             records.add(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), records.size()));
         }
 
+        /** Comes back from a copy with so many records, in a later era. */
+        void restore(int copied) {
+            records.subList(copied, records.size()).clear();
+            era++;
+        }
+
         @Override
         public CompletableFuture<NewestPage> newest(String afterKey) {
             if (down) {
@@ -51,20 +59,21 @@
                                     .noneMatch(o ->
                                             o.offset() > r.offset() && o.key().equals(r.key())))
                     .toList();
-            return CompletableFuture.completedFuture(new NewestPage(newest, false, records.size()));
+            return CompletableFuture.completedFuture(
+                    new NewestPage(newest, false, new LogPosition(era, records.size())));
         }
 
         @Override
-        public CompletableFuture<Records> read(long from, Duration wait) {
+        public CompletableFuture<Records> read(LogPosition from, Duration wait) {
             if (down) {
                 return out();
             }
-            if (from < first) {
-                return CompletableFuture.failedFuture(new LogTrimmedException("log", from, first));
+            if (from.offset() < first || from.offset() > records.size()) {
+                return CompletableFuture.failedFuture(new LogTrimmedException("log", from.offset(), first));
             }
             List<KeyedRecord> found =
-                    records.stream().filter(r -> r.offset() >= from).toList();
-            return CompletableFuture.completedFuture(new Records(found, records.size()));
+                    records.stream().filter(r -> r.offset() >= from.offset()).toList();
+            return CompletableFuture.completedFuture(new Records(found, new LogPosition(era, records.size())));
         }
 
         private static <T> CompletableFuture<T> out() {
@@ -153,6 +162,73 @@
         assertEquals(seen.get(6), "-a");
     }
 
+    @Test
+    public void aRestoredLogIsReadAnewAlsoWhereItsOffsetsHaveComeAgain() {
+        log.add("a", "1");
+        log.add("b", "1");
+        follower.start();
+        log.restore(1);
+        log.add("c", "1");
+        log.add("b", "2");
+        scheduler.runFor(Duration.ofMillis(300));
+        assertEquals(seen, List.of("a=1", "b=1", "a=1", "c=1", "b=2"));
+        assertEquals(follower.era(), 1);
+    }
+
+    @Test
+    public void whatARestoredLogLacksHasTimeToBeWrittenAgain() {
+        log.add("a", "1");
+        log.add("b", "1");
+        follower.start();
+        log.restore(1);
+        scheduler.runFor(Duration.ofMillis(300));
+        assertEquals(seen, List.of("a=1", "b=1", "a=1", "-b after outage"));
+        log.add("b", "1");
+        scheduler.runFor(Duration.ofSeconds(3));
+        assertEquals(seen.subList(4, 6), List.of("b=1", "end of grace"));
+    }
+
+    @Test
+    public void aKeyThatWasDroppedStaysSoUntilItIsWrittenInTheNewEra() {
+        log.add("a", "1");
+        follower.start();
+        log.add("a", "");
+        scheduler.runFor(Duration.ofMillis(300));
+        log.restore(1);
+        scheduler.runFor(Duration.ofSeconds(3));
+        assertEquals(seen, List.of("a=1", "-a", "end of grace"));
+        log.add("a", "2");
+        scheduler.runFor(Duration.ofMillis(300));
+        assertEquals(seen.get(3), "a=2");
+    }
+
+    @Test
+    public void knowledgeGetsNoYoungerUntilLostRecordsCouldBeWrittenAgain() {
+        log.add("a", "1");
+        log.add("b", "1");
+        follower.start();
+        log.restore(1);
+        scheduler.runFor(Duration.ofMillis(2_000));
+        assertTrue(
+                follower.freshness().age().toMillis() >= 1_900,
+                follower.freshness().age() + " old");
+        scheduler.runFor(Duration.ofMillis(1_000));
+        assertTrue(follower.freshness().isYoungerThan(Duration.ofMillis(500)));
+    }
+
+    @Test
+    public void anAnswerOfAnEarlierEraChangesNothing() {
+        log.add("a", "1");
+        follower.start();
+        log.restore(1);
+        scheduler.runFor(Duration.ofSeconds(3));
+        log.era--;
+        log.add("a", "old");
+        scheduler.runFor(Duration.ofSeconds(1));
+        log.era++;
+        assertFalse(seen.contains("a=old"), seen.toString());
+    }
+
     @Test
     public void anAnswerThatWasAskedForBeforeTheStopChangesNothing() {
         follower.start();
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/RestoredLogScheduleTest.java
@@ -0,0 +1,188 @@
+package io.parsleycleat.gateway.version;
+
+import static org.testng.Assert.assertEquals;
+
+import io.parsleycleat.core.process.result.Location;
+import io.parsleycleat.core.process.result.LogTrimmedException;
+import io.parsleycleat.core.process.result.PlatformException;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.StepScheduler;
+import io.parsleycleat.gateway.version.follow.FollowSettings;
+import io.parsleycleat.gateway.version.follow.KeyedFold;
+import io.parsleycleat.gateway.version.follow.KeyedLog;
+import io.parsleycleat.gateway.version.follow.KeyedRecord;
+import io.parsleycleat.gateway.version.follow.LogFollower;
+import io.parsleycleat.gateway.version.follow.LogPosition;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
+import org.testng.annotations.Test;
+
+/**
+ * Follows a log that comes back from older copies, also twice in a row, while answers of earlier eras are still on their
+ * way. The writers write again what was lost, after a while. Versions that a reader has taken never go back, and after
+ * calm it knows what the log says.
+ */
+public class RestoredLogScheduleTest {
+    private static final int SEEDS = 200;
+    private static final int STEPS = 200;
+    private static final int KEYS = 5;
+    private static final int PAGE = 2;
+    private static final int MAX_LOST = 6;
+
+    @Test
+    public void versionsNeverGoBackAndReadersConverge() {
+        List<String> faults = IntStream.range(0, SEEDS)
+                .boxed()
+                .flatMap(seed -> new Schedule(seed).run().stream().map(f -> "seed " + seed + ": " + f))
+                .toList();
+        assertEquals(String.join("\n", faults), "");
+    }
+
+    private static final class Schedule implements KeyedLog, KeyedFold {
+        private final SplittableRandom random;
+        private final MovedTime time = new MovedTime();
+        private final StepScheduler thread = new StepScheduler(time);
+        private final List<KeyedRecord> records = new ArrayList<>();
+        /** What the writers last wrote, whether the log still has it or not. */
+        private final Map<String, Long> written = new HashMap<>();
+
+        private final Map<String, Long> folded = new HashMap<>();
+        private final List<String> faults = new ArrayList<>();
+        private long versions;
+        private long era;
+        private boolean calm;
+
+        Schedule(int seed) {
+            this.random = new SplittableRandom(seed);
+        }
+
+        List<String> run() {
+            LogFollower follower = new LogFollower("log", this, this, FollowSettings.PROMPT, thread, time);
+            follower.start();
+            for (int step = 0; step < STEPS; step++) {
+                act();
+                thread.runFor(Duration.ofMillis(random.nextInt(250)));
+            }
+            calm = true;
+            thread.runFor(Duration.ofSeconds(20));
+            if (!folded.equals(written)) {
+                faults.add("the reader knows " + folded + ", written was " + written);
+            }
+            return faults;
+        }
+
+        private void act() {
+            int kind = random.nextInt(20);
+            if (kind < 10) {
+                write("k" + random.nextInt(KEYS));
+            } else if (kind < 12) {
+                restore();
+            }
+        }
+
+        private void write(String key) {
+            versions++;
+            written.put(key, versions);
+            append(key, versions);
+        }
+
+        private void append(String key, long version) {
+            byte[] value = Long.toString(version).getBytes(StandardCharsets.UTF_8);
+            records.add(new KeyedRecord(key, value, records.size()));
+        }
+
+        /** Loses the newest records; the writers notice within two seconds. */
+        private void restore() {
+            int lost = random.nextInt(Math.min(MAX_LOST, records.size()) + 1);
+            records.subList(records.size() - lost, records.size()).clear();
+            era++;
+            long millis = random.nextInt(2_000);
+            thread.schedule(this::writeAgain, millis, TimeUnit.MILLISECONDS);
+        }
+
+        private void writeAgain() {
+            Map<String, Long> kept = new HashMap<>();
+            newest().forEach((key, r) -> kept.put(key, version(r)));
+            written.forEach((key, version) -> {
+                if (!version.equals(kept.get(key))) {
+                    append(key, version);
+                }
+            });
+        }
+
+        private TreeMap<String, KeyedRecord> newest() {
+            TreeMap<String, KeyedRecord> newest = new TreeMap<>();
+            records.forEach(r -> newest.put(r.key(), r));
+            return newest;
+        }
+
+        private static long version(KeyedRecord record) {
+            return Long.parseLong(new String(record.value(), StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public CompletableFuture<NewestPage> newest(String afterKey) {
+            return answer(() -> {
+                TreeMap<String, KeyedRecord> all = newest();
+                List<KeyedRecord> page = all.tailMap(afterKey, false).values().stream()
+                        .limit(PAGE)
+                        .toList();
+                boolean more = !page.isEmpty()
+                        && all.higherKey(page.get(page.size() - 1).key()) != null;
+                return new NewestPage(page, more, end());
+            });
+        }
+
+        @Override
+        public CompletableFuture<Records> read(LogPosition from, Duration wait) {
+            if (from.offset() > records.size()) {
+                return CompletableFuture.failedFuture(new LogTrimmedException("log", from.offset(), records.size()));
+            }
+            return answer(() -> new Records(
+                    List.copyOf(records.subList((int) Math.min(from.offset(), records.size()), records.size())),
+                    end()));
+        }
+
+        private LogPosition end() {
+            return new LogPosition(era, records.size());
+        }
+
+        /** Answers with what holds now, at once or later; some calls fail. */
+        private <T> CompletableFuture<T> answer(Supplier<T> work) {
+            int kind = calm ? 0 : random.nextInt(20);
+            if (kind == 19) {
+                return CompletableFuture.failedFuture(
+                        new PlatformException(ResultCode.LOG_OUT, "down", Location.of("log")));
+            }
+            T value = work.get();
+            CompletableFuture<T> answer = new CompletableFuture<>();
+            long millis = kind > 14 ? random.nextInt(100, 700) : random.nextInt(1, 30);
+            thread.schedule(() -> answer.complete(value), millis, TimeUnit.MILLISECONDS);
+            return answer;
+        }
+
+        /** Keeps the highest version, as configurations and adapter versions do. */
+        @Override
+        public void put(String key, byte[] value) {
+            folded.merge(key, Long.parseLong(new String(value, StandardCharsets.UTF_8)), Math::max);
+        }
+
+        @Override
+        public void drop(String key, boolean afterOutage) {
+            if (!afterOutage) {
+                faults.add(key + " counts as gone although only the store lost it");
+            }
+        }
+    }
+}
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/UpstreamDirectoryTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/UpstreamDirectoryTest.java
@@ -46,6 +46,18 @@
         assertEquals(usable(), List.of("new"));
     }
 
+    /** A store that was restored from an older copy tells what was said before. */
+    @Test
+    public void anOlderDescriptionEndsNoLeavingAndBringsNoEarlierStartBack() {
+        directory.put(upstream("a", 1, 1, true));
+        directory.put(upstream("a", 1, 1, false));
+        directory.put(upstream("b", 2, 5, false));
+        directory.put(upstream("b", 2, 4, true));
+        assertEquals(usable(), List.of("b"));
+        directory.put(upstream("a", 1, 2, false));
+        assertEquals(usable(), List.of("a", "b"));
+    }
+
     @Test
     public void aLapsedEntryStaysUntilTheGraceIsOver() {
         directory.put(upstream("a", 1, 1, false));
