Leave an entry's record at a planned stop

Cause: an entry that stops drops its record, so its next start counts as new to the others and gains no budget for 4.25 s; while all are restarted in turn, requests inside their accounts' rates are refused. Ruled out: asking the others whether they know the newcomer, which needs them to answer during the same restarts. A VM that stops for good lapses after 7.5 s, as one that is lost; its deputy serves so long.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -50,6 +50,7 @@
 import io.parsleycleat.wire.gate.UpstreamCrash;
 import java.time.Duration;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -67,7 +68,7 @@
     private static final Duration PEER_KEEP_ALIVE = Duration.ofSeconds(1);
     private static final Duration SUSPICION = Duration.ofMinutes(2);
     private static final Duration LAST_BYTES = Duration.ofMillis(300);
-    /** How long the end of the process waits for its record to be dropped. */
+    /** How long the end of the process waits for its record to be written. */
     private static final Duration LAST_WRITE = Duration.ofMillis(200);
     /** The balancer asks once a second and needs two refusals; requests arrive until then. */
     private static final Duration LEAVE_TIME = Duration.ofMillis(2_800);
@@ -104,6 +105,7 @@
     private final CallerServer callers;
     private volatile boolean stopping;
     private volatile boolean refusing;
+    private volatile boolean ended;
     private volatile @Nullable Readiness lastReadiness;
     private volatile boolean recordWriteFails;
 
@@ -187,7 +189,7 @@
         }
         callers.close();
         Drain.await(loop, this::connectionsWithAnswers, LAST_BYTES);
-        dropRecord();
+        leaveRecord();
         logger.atInfo().log("entry stopped");
     }
 
@@ -335,12 +337,11 @@
     }
 
     private void writeRecord() {
-        if (stopping) {
+        if (ended) {
             return;
         }
-        EntryRecord entry = members.ownRecord(identity.peerAddress(), identity.dataCentre());
         long sentNanos = time.monotonicNanos();
-        store.entryWriter().write(identity.vmName(), entry.toByteArray()).whenComplete((nothing, failure) -> {
+        writeOwnRecord().whenComplete((nothing, failure) -> {
             if (failure == null) {
                 members.ownRecordWritten(sentNanos);
             }
@@ -350,6 +351,11 @@
         });
     }
 
+    private CompletableFuture<Void> writeOwnRecord() {
+        EntryRecord entry = members.ownRecord(identity.peerAddress(), identity.dataCentre());
+        return store.entryWriter().write(identity.vmName(), entry.toByteArray());
+    }
+
     /** Logs the first failure in a row and the end of it; each renewal repeats the write. */
     private void noteRecordWrite(@Nullable Throwable failure) {
         if (failure != null && !recordWriteFails) {
@@ -360,15 +366,18 @@
         recordWriteFails = failure != null;
     }
 
-    /** Drops the own record, so that the others use this entry's part of the rates before the record lapses. */
-    private void dropRecord() {
-        store.entryWriter()
-                .write(identity.vmName(), new byte[0])
+    /**
+     * Renews the own record a last time: after a planned stop this VM mostly starts again before it lapses, and then
+     * goes on with its parts of the budgets at once.
+     */
+    private void leaveRecord() {
+        ended = true;
+        writeOwnRecord()
                 .orTimeout(LAST_WRITE.toMillis(), TimeUnit.MILLISECONDS)
                 .handle((nothing, failure) -> failure)
                 .thenAccept(failure -> {
                     if (failure != null) {
-                        logger.atWarning().log("own record is not dropped, it lapses: %s", Failures.unwrap(failure));
+                        logger.atWarning().log("own record is not renewed at the end: %s", Failures.unwrap(failure));
                     }
                 })
                 .join();
