--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
@@ -64,7 +64,8 @@
     @Test
     public void anEntryStopsToStandBeforeTheOthersCountItOut() {
         assertFalse(stands());
-        members.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
+        members.put(
+                "self", members.ownRecord("10.0.0.1:7600", "north", Map.of()).toByteArray());
         members.ownRecordWritten(time.monotonicNanos());
         members.put("b", RECORD);
         time.passMillis(5_900);
@@ -85,17 +86,19 @@
 
     @Test
     public void aRestartWithinTheLifeOfTheRecordStandsAtOnce() {
-        members.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
+        members.put(
+                "self", members.ownRecord("10.0.0.1:7600", "north", Map.of()).toByteArray());
         time.passMillis(4_900);
         EntryMembers restarted = new EntryMembers("self", time);
-        restarted.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
+        restarted.put(
+                "self", members.ownRecord("10.0.0.1:7600", "north", Map.of()).toByteArray());
         restarted.ownRecordWritten(time.monotonicNanos());
         assertTrue(restarted.isStanding(Duration.ZERO));
     }
 
     @Test
     public void aRestartAfterTheLifeOfTheRecordWaitsLikeANewEntry() {
-        byte[] old = members.ownRecord("10.0.0.1:7600", "north").toByteArray();
+        byte[] old = members.ownRecord("10.0.0.1:7600", "north", Map.of()).toByteArray();
         time.passMillis(5_100);
         EntryMembers restarted = new EntryMembers("self", time);
         restarted.put("self", old);
@@ -105,7 +108,8 @@
 
     @Test
     public void nobodyStandsWhoMayNotKnowOfANewEntry() {
-        members.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
+        members.put(
+                "self", members.ownRecord("10.0.0.1:7600", "north", Map.of()).toByteArray());
         members.ownRecordWritten(time.monotonicNanos());
         assertFalse(members.isStanding(Duration.ofMillis(4_001)));
         assertTrue(members.isStanding(Duration.ofMillis(3_999)));
@@ -114,7 +118,8 @@
     /** Of two entries whose views differ, the old home stops to stand before the new one begins. */
     @Test
     public void anEntryThatWasCutFromTheStoreSettlesAgain() {
-        members.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
+        members.put(
+                "self", members.ownRecord("10.0.0.1:7600", "north", Map.of()).toByteArray());
         members.ownRecordWritten(time.monotonicNanos());
         time.passMillis(8_000);
         members.ownRecordWritten(time.monotonicNanos());
@@ -129,7 +134,8 @@
 
     @Test
     public void anEntryStandsAtOnceAfterAStoreThatWasSilentForAll() {
-        members.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
+        members.put(
+                "self", members.ownRecord("10.0.0.1:7600", "north", Map.of()).toByteArray());
         members.ownRecordWritten(time.monotonicNanos());
         time.passMillis(2_400);
         members.put("b", RECORD);
