--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetPart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetPart.java
@@ -98,7 +98,7 @@
     boolean wantsMore(long nowNanos) {
         double low = LOW_PART * Math.max(bucket.burst(), recordedAhead);
         boolean isLow = bucket.level() + recordedAhead < low && room(nowNanos) > 0;
-        if (role == Role.DEPUTY || windowSeconds == 0 || !isLow) {
+        if (role == Role.DEPUTY || !isLow) {
             return false;
         }
         double step = Math.max(2 * recordedAhead, FIRST_STEP_SECONDS * bucket.ratePerSecond());
@@ -122,9 +122,9 @@
         wantedAhead = 0;
     }
 
-    /** Returns what the window still leaves; without a window the rate alone decides. */
+    /** Returns what the window still leaves. */
     private double room(long nowNanos) {
-        return windowSeconds == 0 ? Double.MAX_VALUE : capacity() - given.sum(nowNanos);
+        return capacity() - given.sum(nowNanos);
     }
 
     private double capacity() {
