--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -49,12 +49,9 @@
 import io.parsleycleat.wire.gate.EntryRecord;
 import io.parsleycleat.wire.gate.UpstreamCrash;
 import java.time.Duration;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -109,8 +106,6 @@
     private volatile boolean stopping;
     private volatile boolean refusing;
     private volatile boolean ended;
-    private final AtomicBoolean aheadWanted = new AtomicBoolean();
-    private boolean recordWriting;
     private volatile @Nullable Readiness lastReadiness;
     private volatile boolean recordWriteFails;
 
@@ -122,13 +117,7 @@
         this.transport = new NettyPeerTransport(
                 identity, loops, () -> 0, (from, frame) -> {}, new TrafficCounter(metrics), PEER_KEEP_ALIVE);
         this.members = new EntryMembers(identity.vmName(), time);
-        this.homes = new BudgetHomes(
-                identity.vmName(),
-                settings.budgetSlack(),
-                time,
-                this::isStanding,
-                members::earlierAhead,
-                this::recordAheadSoon);
+        this.homes = new BudgetHomes(identity.vmName(), settings.budgetSlack(), time, this::isStanding);
         this.crashes = new CrashWatch(new CrashSuspects(SUSPICION, SUSPICION), time, this::tellCrash);
         EngineView view = new EngineView(time);
         this.relay = LogRelay.create(transport, identity, members, time, loop);
@@ -351,54 +340,20 @@
         if (ended) {
             return;
         }
-        if (recordWriting) {
-            loop.schedule(this::writeRecord, MEMBERS_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
-            return;
-        }
-        writeOneRecord(failure -> {
+        long sentNanos = time.monotonicNanos();
+        writeOwnRecord().whenComplete((nothing, failure) -> {
+            if (failure == null) {
+                members.ownRecordWritten(sentNanos);
+            }
+            noteRecordWrite(failure);
             Duration delay = failure == null ? EntryMembers.RENEWAL : RECORD_RETRY;
             loop.schedule(this::writeRecord, delay.toMillis(), TimeUnit.MILLISECONDS);
         });
     }
 
-    /** Writes the record, one write at a time, since the order of two under way is not known. */
-    private void writeOneRecord(Consumer<@Nullable Throwable> whenDone) {
-        recordWriting = true;
-        aheadWanted.set(false);
-        writeOwnRecord()
-                .whenCompleteAsync(
-                        (nothing, failure) -> {
-                            recordWriting = false;
-                            noteRecordWrite(failure);
-                            whenDone.accept(failure);
-                            if (failure == null && aheadWanted.get()) {
-                                recordAhead();
-                            }
-                        },
-                        loop);
-    }
-
     private CompletableFuture<Void> writeOwnRecord() {
-        Map<String, Double> ahead = homes.aheadToRecord();
-        EntryRecord entry = members.ownRecord(identity.peerAddress(), identity.dataCentre(), ahead);
-        long sentNanos = time.monotonicNanos();
-        return store.entryWriter().write(identity.vmName(), entry.toByteArray()).thenRun(() -> {
-            members.ownRecordWritten(sentNanos);
-            homes.onRecorded(ahead);
-        });
-    }
-
-    /** Records at once that budgets may be ahead of their rates, or as soon as no other write is under way. */
-    private void recordAheadSoon() {
-        if (aheadWanted.compareAndSet(false, true)) {
-            loop.execute(this::recordAhead);
-        }
-    }
-
-    private void recordAhead() {
-        if (!ended && !recordWriting && entriesFollower.isRead()) {
-            writeOneRecord(failure -> {});
-        }
+        EntryRecord entry = members.ownRecord(identity.peerAddress(), identity.dataCentre());
+        return store.entryWriter().write(identity.vmName(), entry.toByteArray());
     }
 
     /** Logs the first failure in a row and the end of it; each renewal repeats the write. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
@@ -5,14 +5,12 @@
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.gateway.version.follow.KeyedFold;
-import io.parsleycleat.wire.gate.BudgetAhead;
 import io.parsleycleat.wire.gate.EntryRecord;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 /**
  * The other entries, as their records in the store tell. An entry renews its record; one that is not renewed for a
@@ -44,7 +42,6 @@
     private final TimeSource time;
     private final Map<String, Seen> seen = new HashMap<>();
     private boolean storeSilent;
-    private EntryRecord earlier = EntryRecord.getDefaultInstance();
     private final Map<String, Integer> renewals = new HashMap<>();
     private boolean restarted;
     private boolean ownWritten;
@@ -91,42 +88,18 @@
 
     /** Before this process has written, the own record is that of the VM's earlier process. */
     private void noteOwn(EntryRecord entry) {
-        if (ownWritten) {
-            return;
-        }
-        earlier = entry;
         long age = time.wallMillis() - entry.getWrittenMillis();
-        if (age >= 0 && age < RESTART.toMillis()) {
+        if (!ownWritten && age >= 0 && age < RESTART.toMillis()) {
             restarted = true;
         }
     }
 
-    /** Returns how far ahead of the rate an earlier holder of a part of an account's budget may have been, in tokens. */
-    public synchronized double earlierAhead(String account) {
-        return Stream.concat(Stream.of(earlier), seen.values().stream().map(Seen::entry))
-                .flatMap(e -> e.getAheadList().stream())
-                .filter(a -> a.getAccount().equals(account))
-                .mapToDouble(BudgetAhead::getTokens)
-                .max()
-                .orElse(0);
-    }
-
-    /**
-     * Returns the record that this entry writes now.
-     *
-     * @param ahead how far the parts of budgets may be ahead of their rates, in tokens
-     */
-    public EntryRecord ownRecord(String peerAddress, String dataCentre, Map<String, Double> ahead) {
+    /** Returns the record that this entry writes now. */
+    public EntryRecord ownRecord(String peerAddress, String dataCentre) {
         return EntryRecord.newBuilder()
                 .setPeerAddress(peerAddress)
                 .setDataCentre(dataCentre)
                 .setWrittenMillis(time.wallMillis())
-                .addAllAhead(ahead.entrySet().stream()
-                        .map(e -> BudgetAhead.newBuilder()
-                                .setAccount(e.getKey())
-                                .setTokens(e.getValue())
-                                .build())
-                        .toList())
                 .build();
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetHomes.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetHomes.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
-import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
@@ -20,8 +19,7 @@
  * The parts of accounts' budgets that this entry is the home of.
  *
  * <p>A part gains its share of the rate while this entry stands: while it is sure that no other entry counts it as
- * gone. A part that comes to this entry from another one begins empty, as its tokens may have been spent there, and as
- * far behind as its earlier holder may have been ahead of the rate.
+ * gone. A part that comes to this entry from another one begins empty, as its tokens may have been spent there.
  *
  * <p>A deputy holds no part of the rate, but a part of the slack that all entries together may admit beyond the
  * budget, for the time in which a home does not answer.
@@ -40,10 +38,8 @@
     private final Slack slack;
     private final TimeSource time;
     private final BooleanSupplier standing;
-    private final ToDoubleFunction<String> earlierAhead;
-    private final Runnable recordWanted;
     private final Map<String, Account> accounts = new HashMap<>();
-    private final Map<String, BudgetPart> held = new HashMap<>();
+    private final Map<String, Held> held = new HashMap<>();
     private Set<String> entries;
     private HomeOrder order;
     private boolean membersKnown;
@@ -62,36 +58,25 @@
         }
     }
 
-    /** Where a part comes from that was not here before. */
-    private enum Origin {
-        /** The account is new. */
-        NEW,
-        /** This process has just started; the tokens of its start were not given by anybody. */
-        STARTED,
-        /** Another entry may have held it until now. */
-        MOVED
+    /** What this entry is for an account. */
+    private enum Role {
+        HOME,
+        DEPUTY
     }
 
+    /** A part, or a deputy's share of the slack. */
+    private record Held(Role role, TokenBucket bucket) {}
+
     /**
      * Creates homes without accounts and other entries.
      *
      * @param standing whether no other entry can count this one as gone now
-     * @param earlierAhead how far ahead of the rate the records allow an earlier holder of a part of an account
-     * @param recordWanted asks for {@link #aheadToRecord} to be recorded soon; called under the lock
      */
-    public BudgetHomes(
-            String self,
-            Slack slack,
-            TimeSource time,
-            BooleanSupplier standing,
-            ToDoubleFunction<String> earlierAhead,
-            Runnable recordWanted) {
+    public BudgetHomes(String self, Slack slack, TimeSource time, BooleanSupplier standing) {
         this.self = self;
         this.slack = slack;
         this.time = time;
         this.standing = standing;
-        this.earlierAhead = earlierAhead;
-        this.recordWanted = recordWanted;
         this.entries = Set.of(self);
         this.order = new HomeOrder(entries, slack.tokensPerPart());
     }
@@ -105,7 +90,7 @@
                 .collect(Collectors.toMap(Account::name, Function.identity(), (a, b) -> b)));
         held.keySet().retainAll(accounts.keySet());
         boolean later = accountsKnown && membersKnown;
-        accounts.values().forEach(a -> settle(a, later && !before.containsKey(a.name()) ? Origin.NEW : Origin.MOVED));
+        accounts.values().forEach(a -> settle(a, later && !before.containsKey(a.name()) ? a.burst() : 0));
         accountsKnown = true;
     }
 
@@ -119,56 +104,33 @@
         order = new HomeOrder(entries, slack.tokensPerPart());
         boolean start = !membersKnown;
         membersKnown = true;
-        accounts.values().forEach(a -> settle(a, start ? Origin.STARTED : Origin.MOVED));
+        accounts.values().forEach(a -> settle(a, start ? startTokens(a) : 0));
     }
 
     /** Gives tokens of an account's part, what is needed first. */
     public synchronized BudgetPeers.Drawn draw(String account, double needed, double ahead) {
-        BudgetPart part = held.get(account);
+        Held part = held.get(account);
         if (part == null || !isAmount(needed) || !isAmount(ahead)) {
             return BudgetPeers.Drawn.NOTHING;
         }
-        long now = time.monotonicNanos();
+        TokenBucket bucket = part.bucket();
         boolean gains = standing.getAsBoolean();
-        part.fill(now, gains);
-        double tokens = part.take(needed, now);
-        boolean spare = tokens >= needed && part.role() == BudgetPart.Role.HOME;
-        double more = spare ? part.take(Math.min(ahead, part.available(now) * AHEAD_PART), now) : 0;
-        if (gains && part.wantsMore(now)) {
-            recordWanted.run();
-        }
-        return new BudgetPeers.Drawn(tokens + more, gains ? part.ratePerSecond() : 0);
+        bucket.fill(time.monotonicNanos(), gains);
+        double tokens = bucket.take(needed);
+        boolean spare = tokens >= needed && part.role() == Role.HOME;
+        return new BudgetPeers.Drawn(
+                tokens + (spare ? bucket.take(Math.min(ahead, bucket.level() * AHEAD_PART)) : 0),
+                gains ? bucket.ratePerSecond() : 0);
     }
 
     /** Takes back what was drawn and not spent. */
     public synchronized void giveBack(String account, double tokens) {
-        BudgetPart part = held.get(account);
+        Held part = held.get(account);
         if (part != null && isAmount(tokens)) {
-            part.put(tokens, time.monotonicNanos());
+            part.bucket().put(tokens);
         }
     }
 
-    /**
-     * Returns how far ahead of the rate the next record should allow the parts to be. It is taken to be on its way, so
-     * it has to be recorded.
-     */
-    public synchronized Map<String, Double> aheadToRecord() {
-        Map<String, Double> ahead = new HashMap<>();
-        held.forEach((account, part) -> {
-            double tokens = part.aheadToRecord();
-            part.onRecordSent(tokens);
-            if (tokens > 0) {
-                ahead.put(account, tokens);
-            }
-        });
-        return ahead;
-    }
-
-    /** Takes what was recorded by a call that was answered. */
-    public synchronized void onRecorded(Map<String, Double> ahead) {
-        held.forEach((account, part) -> part.onRecorded(ahead.getOrDefault(account, 0.0)));
-    }
-
     /** Returns the homes on which this entry draws for an account, in order; none before others are known. */
     synchronized List<String> drawOrder(Account account) {
         return membersKnown ? order.drawOrder(account, self) : List.of();
@@ -192,43 +154,36 @@
     /**
      * Sets an account's part to the present limits and role.
      *
-     * @param origin where a part comes from that was not here
+     * @param firstTokens what a part that was not here begins with, over all homes
      */
-    private void settle(Account account, Origin origin) {
+    private void settle(Account account, double firstTokens) {
         if (!membersKnown) {
             return;
         }
         int parts = order.parts(account);
-        BudgetPart.Role role = role(order.homes(account).indexOf(self), parts);
+        Role role = role(order.homes(account).indexOf(self), parts);
         if (role == null) {
             held.remove(account.name());
             return;
         }
-        boolean home = role == BudgetPart.Role.HOME;
+        boolean home = role == Role.HOME;
         double burst = home ? account.burst() / parts : slack.tokens() * DEPUTY_PART;
         double rate = home ? account.ratePerSecond() / parts : burst / seconds(slack.window());
         long now = time.monotonicNanos();
-        BudgetPart known = held.get(account.name());
-        if (known != null && known.role() == role) {
-            known.fill(now, standing.getAsBoolean());
-            known.setLimit(rate, burst);
-        } else if (home && origin != Origin.NEW) {
-            double first = origin == Origin.STARTED ? startTokens(account) / parts : 0;
-            TokenBucket bucket = new TokenBucket(rate, burst, first, now);
-            held.put(
-                    account.name(),
-                    BudgetPart.taken(slack.window(), bucket, earlierAhead.applyAsDouble(account.name()), now));
+        Held known = held.get(account.name());
+        if (known == null || known.role() != role) {
+            held.put(account.name(), new Held(role, new TokenBucket(rate, burst, home ? firstTokens / parts : 0, now)));
         } else {
-            TokenBucket bucket = new TokenBucket(rate, burst, home ? burst : 0, now);
-            held.put(account.name(), BudgetPart.unused(role, slack.window(), bucket, now));
+            known.bucket().fill(now, standing.getAsBoolean());
+            known.bucket().setLimit(rate, burst);
         }
     }
 
-    private static BudgetPart.@Nullable Role role(int rank, int parts) {
+    private static @Nullable Role role(int rank, int parts) {
         if (rank < 0) {
             return null;
         }
-        return rank < parts ? BudgetPart.Role.HOME : BudgetPart.Role.DEPUTY;
+        return rank < parts ? Role.HOME : Role.DEPUTY;
     }
 
     private static boolean isAmount(double tokens) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/TokenBucket.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/TokenBucket.java
@@ -3,12 +3,12 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Tokens that come at a rate and are kept up to a burst. They may be taken before they have come.
+ * Tokens that come at a rate and are kept up to a burst.
  *
- * <p>Created by {@link BudgetHomes}, whose lock guards it. Time is passed in, as monotonic nanoseconds.
+ * <p>Created by {@link BudgetHomes} under whose lock it is used. Time is passed in, as monotonic nanoseconds.
  */
 final class TokenBucket {
-    static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
     private double ratePerSecond;
     private double burst;
@@ -29,19 +29,18 @@
         level = Math.min(level, newBurst);
     }
 
-    /** Adds what the passed time brings, or lets it pass without adding; returns what it brings. */
-    double fill(long nowNanos, boolean adding) {
+    /** Adds what the passed time brings, or lets it pass without adding. */
+    void fill(long nowNanos, boolean adding) {
         double seconds = Math.max(0, (nowNanos - filledNanos) / NANOS_PER_SECOND);
         filledNanos = nowNanos;
         if (adding) {
             level = Math.min(burst, level + seconds * ratePerSecond);
         }
-        return seconds * ratePerSecond;
     }
 
-    /** Takes what is there of a number of tokens, and some that are still to come, and returns it. */
-    double take(double wanted, double ahead) {
-        double taken = Math.max(0, Math.min(wanted, level + ahead));
+    /** Takes what is there of a number of tokens, and returns it. */
+    double take(double wanted) {
+        double taken = Math.max(0, Math.min(wanted, level));
         level -= taken;
         return taken;
     }
@@ -54,10 +53,6 @@
         return level;
     }
 
-    double burst() {
-        return burst;
-    }
-
     double ratePerSecond() {
         return ratePerSecond;
     }
