Join comment lines that the formatter had broken after one word

Cause: comments a little too long were cut so that one word stood alone on a line. Change: the words are joined to the next line. Before and after: comments only. Result: reads as meant.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
@@ -15,12 +15,10 @@
  * Which adapters an engine holds, which are on their way, and which are in use.
  *
  * <p>An order without an answer may still be carried out until the engine has accepted another one, so its adapter
- * takes
- * a place until then.
+ * takes a place until then.
  *
  * <p>Reports do not list an adapter whose version is being replaced as on its way, so an accepted load counts as such
- * until
- * its version is there, or its time is over.
+ * until its version is there, or its time is over.
  *
  * <p>Created by {@link EngineGate} under whose lock it is used.
  */
@@ -165,8 +163,7 @@
 
     /**
      * Returns the adapter that was used longest ago among those that nobody uses or wants. One that the engine would
-     * not
-     * give up, since a run that was left behind still uses it, is passed over for a while.
+     * not give up, since a run that was left behind still uses it, is passed over for a while.
      */
     Optional<AdapterId> leastRecentlyUsed(Predicate<AdapterId> wanted, long nowNanos) {
         keptNanos.values().removeIf(nanos -> nowNanos - nanos > KEPT_PAUSE.toNanos());
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
@@ -16,8 +16,7 @@
  * Reads the engine's reports and gives the gate's orders, one call at a time.
  *
  * <p>Orders carry a fencing number from the store; without one none is given. After each order comes a report, since
- * the
- * next order must name how many were accepted.
+ * the next order must name how many were accepted.
  *
  * <p>One a side; its steps run on one thread of the scheduler.
  */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
@@ -14,8 +14,7 @@
 
 /**
  * The other entries, as their records in the store tell. An entry renews its record; one that is not renewed for a
- * while
- * is gone.
+ * while is gone.
  *
  * <p>One an entry; guarded by its own lock.
  */
@@ -148,8 +147,7 @@
 
     /**
      * Takes how long the store has been silent. After a silence all records count as just renewed, since their writers
-     * had
-     * no way to renew them.
+     * had no way to renew them.
      */
     public synchronized void storeSilentFor(Duration silence) {
         boolean silent = silence.compareTo(STORE_SILENCE) > 0;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
@@ -16,8 +16,7 @@
  *
  * <p>An adapter that is absent costs a load, a short one at an engine that held it before. Engines earlier in the
  * adapter's rendezvous order are preferred a little,
- * so
- * that all entries load it in the same places and an adapter spreads over more engines only as its demand grows.
+ * so that all entries load it in the same places and an adapter spreads over more engines only as its demand grows.
  *
  * <p>One an entry; safe to share between threads.
  */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/Freshness.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/Freshness.java
@@ -8,8 +8,7 @@
  * How old the newest confirmed knowledge is, counted from when the question was sent.
  *
  * <p>The steady clock stands still while a VM is suspended and the time of day may jump, so the age is the larger one
- * of
- * both clocks.
+ * of both clocks.
  *
  * <p>One a followed log; safe to share between threads.
  */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
@@ -20,8 +20,7 @@
  * Keeps a fold up to date with a keyed log: one full read, then every further record in order.
  *
  * <p>When the log has dropped records that were not read yet, everything is read anew and keys that are missing count
- * as
- * dropped. A key's value never goes back to an earlier offset.
+ * as dropped. A key's value never goes back to an earlier offset.
  *
  * <p>A log that was restored from an older copy is read anew as well. What was known stays in use, and counts as old as
  * it was until those who wrote the lost records have had time to write them again.
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
@@ -18,8 +18,7 @@
  * then are put off until the grace time is over; all others hold at once.
  *
  * <p>An upstream that starts anew at its address, under another id, takes the place of the one before, whose entry
- * stays
- * in the store until it lapses.
+ * stays in the store until it lapses.
  *
  * <p>One a process; safe to share between threads.
  */
