--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
@@ -27,6 +27,19 @@
         members = new EntryMembers("self", time);
     }
 
+    /** Pattern: the store comes back from a copy that lacks an entry's record. */
+    @Test
+    public void anEntryWhoseRecordOnlyTheStoreLostStaysUntilItLapses() {
+        members.put("b", RECORD);
+        members.drop("b", true);
+        assertTrue(members.others().containsKey("b"));
+        time.passMillis(7_501);
+        assertFalse(members.others().containsKey("b"));
+        members.put("b", RECORD);
+        members.drop("b", false);
+        assertFalse(members.others().containsKey("b"));
+    }
+
     @Test
     public void othersAreKnownByTheirRecordsAndTheEntryItselfIsNone() {
         members.put("self", RECORD);
