--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
@@ -40,8 +40,8 @@
     }
 
     /**
-     * Returns the adapter that the most requests wait for which can still be in time once it is loaded, unless the first
-     * of them has waited for long. Those that will be late anyway come after them.
+     * Returns the adapter that the most requests wait for which can still be in time once it is loaded, unless the
+     * first of them has waited for long. Those that will be late anyway come after them.
      *
      * @param absent the requests whose adapters are absent
      * @param loadTime how long an adapter's load takes
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/RestoredLogScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/RestoredLogScheduleTest.java
@@ -29,9 +29,9 @@
 import org.testng.annotations.Test;
 
 /**
- * Follows a log that comes back from older copies, also twice in a row, while answers of earlier eras are still on their
- * way. The writers write again what was lost, after a while. Versions that a reader has taken never go back, and after
- * calm it knows what the log says.
+ * Follows a log that comes back from older copies, also twice in a row, while answers of earlier eras are still on
+ * their way. The writers write again what was lost, after a while. Versions that a reader has taken never go back, and
+ * after calm it knows what the log says.
  */
 public class RestoredLogScheduleTest {
     private static final int SEEDS = 200;
