--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
@@ -102,11 +102,6 @@
         uncertain = null;
     }
 
-    /** Returns how long a load of an adapter takes that has none before it; one that was held before takes no time. */
-    Duration loadTime(AdapterId adapter) {
-        return heldBefore.contains(adapter) ? Duration.ZERO : pace.timeBehind(0);
-    }
-
     /** Returns how fast adapters come from the store. */
     LoadPace pace() {
         return pace;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -388,7 +388,7 @@
         long now = time.monotonicNanos();
         List<WaitingStart> absent =
                 waiting.stream().filter(w -> isAbsent(w.adapter())).toList();
-        return WaitingStart.nextLoad(absent, now, adapters::loadTime)
+        return WaitingStart.nextLoad(absent, now)
                 .flatMap(a -> adapters.taken() < limits.adapterPlaces()
                         ? Optional.of(make.make(ModelOrder.Operation.LOAD, a, versions.newest(a)))
                         : adapters.leastRecentlyUsed(this::isWanted, now)
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
@@ -3,7 +3,6 @@
 import io.parsleycleat.gateway.version.routes.AdapterId;
 import io.parsleycleat.wire.gate.StartGrant;
 import io.parsleycleat.wire.gate.StartRequest;
-import java.time.Duration;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
@@ -11,8 +10,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Function;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /**
@@ -30,29 +27,21 @@
 
     /** Those that can still be in time go before those that cannot, then the most urgent, then the first. */
     static Comparator<WaitingStart> order(long nowNanos) {
-        return order(w -> w.isOnTime(nowNanos));
-    }
-
-    private static Comparator<WaitingStart> order(Predicate<WaitingStart> inTime) {
-        return Comparator.comparing((WaitingStart w) -> !inTime.test(w))
+        return Comparator.comparing((WaitingStart w) -> !w.isOnTime(nowNanos))
                 .thenComparingInt(w -> w.request().getPriority())
                 .thenComparingLong(WaitingStart::nanos);
     }
 
     /**
-     * Returns the adapter that the most requests wait for which can still be in time once it is loaded, unless the
-     * first of them has waited for long. Those that will be late anyway come after them.
+     * Returns the adapter that the most requests wait for which can still be in time, unless the first request has
+     * waited for long.
      *
      * @param absent the requests whose adapters are absent
-     * @param loadTime how long an adapter's load takes
      */
-    static Optional<AdapterId> nextLoad(
-            List<WaitingStart> absent, long nowNanos, Function<AdapterId, Duration> loadTime) {
-        Predicate<WaitingStart> inTime =
-                w -> w.isOnTime(nowNanos + loadTime.apply(w.adapter()).toNanos());
-        List<WaitingStart> ordered = absent.stream().sorted(order(inTime)).toList();
+    static Optional<AdapterId> nextLoad(List<WaitingStart> absent, long nowNanos) {
+        List<WaitingStart> ordered = absent.stream().sorted(order(nowNanos)).toList();
         Map<AdapterId, Long> demand = ordered.stream()
-                .filter(inTime)
+                .filter(w -> w.isOnTime(nowNanos))
                 .collect(Collectors.groupingBy(WaitingStart::adapter, Collectors.counting()));
         if (demand.isEmpty() || ordered.get(0).isImpatient(nowNanos)) {
             return ordered.stream().map(WaitingStart::adapter).findFirst();
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
@@ -374,21 +374,6 @@
         assertEquals(order().orElseThrow().target(), adapter("b"));
     }
 
-    /** Pattern: an engine has lost all, and more requests wait for adapters than the store brings in time. */
-    @Test
-    public void aRequestThatItsLoadMakesLateWaitsBehindThoseThatCanBeInTime() {
-        report(Map.of(), Map.of());
-        request(ask(1, "a", 100));
-        time.passMillis(800);
-        request(ask(2, "b", 100));
-        ModelOrder first = order().orElseThrow();
-        assertEquals(first.target(), adapter("b"));
-        gate.onOrder(first, ModelOrder.Outcome.STARTED);
-        orders++;
-        report(Map.of(adapter("b"), 1L), Map.of());
-        assertEquals(order().orElseThrow().target(), adapter("a"));
-    }
-
     @Test
     public void aRequestThatHasWaitedForLongIsNotPassedAnyMore() {
         report(Map.of(), Map.of());
