Rename the components of the engine's report to the usual terms

Cause: born, busy and coming did not say what they hold or in which unit.

Change: EngineReport's components name their content and unit; fields on the wire keep their names.

Result: EngineGateTest, GateServerTest, OrderLoopTest, OrderScheduleTest and LoadPaceTest pass.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
@@ -44,9 +44,9 @@
     /** Takes what the engine reports. */
     void onReport(EngineReport report, long nowNanos) {
         resident.clear();
-        resident.putAll(report.adapters());
+        resident.putAll(report.residentAdapters());
         coming.clear();
-        coming.putAll(report.coming());
+        coming.putAll(report.loadingAdapters());
         accepted.forEach((adapter, load) -> noteLoaded(adapter, load, nowNanos));
         heldBefore.addAll(resident.keySet());
         accepted.entrySet()
@@ -54,7 +54,7 @@
                         || nowNanos - e.getValue().nanos() > LOAD_LIMIT.toNanos());
         accepted.forEach((adapter, load) -> coming.putIfAbsent(adapter, load.version()));
         ModelOrder order = uncertain;
-        if (order != null && report.orders() > order.expectedOrders()) {
+        if (order != null && report.acceptedOrders() > order.expectedOrders()) {
             uncertain = null;
         }
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -102,7 +102,7 @@
     /** Takes what the engine says of itself. */
     public synchronized void onReport(EngineReport newReport, String newEngineId) {
         EngineReport before = report;
-        if (before != null && before.born() != newReport.born()) {
+        if (before != null && before.startedAtMillis() != newReport.startedAtMillis()) {
             adapters.clear();
             modelLoadTried = false;
         }
@@ -219,7 +219,7 @@
                                         ? 0
                                         : adapters.version(w.adapter()).orElse(0L))
                         .setEngineId(engineId == null ? "" : engineId)
-                        .setEngineBorn(report == null ? 0 : report.born())
+                        .setEngineBorn(report == null ? 0 : report.startedAtMillis())
                         .build());
     }
 
@@ -253,7 +253,7 @@
     /** Returns whether an adapter is there, in a version that may still be started. */
     private boolean isUsable(AdapterId adapter, long now) {
         EngineReport known = report;
-        if (known == null || !known.models().contains(adapter.model())) {
+        if (known == null || !known.residentModels().contains(adapter.model())) {
             return false;
         }
         if (adapter.isBaseModel()) {
@@ -340,10 +340,10 @@
         if (out || known == null || limits == null || id == null) {
             return Optional.empty();
         }
-        OrderMaker make =
-                (operation, target, version) -> new ModelOrder(operation, target, version, known.orders(), fence, id);
-        if (known.models().isEmpty()) {
-            return known.busy() ? Optional.empty() : loadModel(limits, make);
+        OrderMaker make = (operation, target, version) ->
+                new ModelOrder(operation, target, version, known.acceptedOrders(), fence, id);
+        if (known.residentModels().isEmpty()) {
+            return known.modelChanging() ? Optional.empty() : loadModel(limits, make);
         }
         return replaceOldVersion(make).or(() -> loadWanted(limits, make));
     }
@@ -413,7 +413,7 @@
         return adapters.comingCount() > 0
                 || adapters.isUncertain()
                 || known == null
-                || known.models().isEmpty()
+                || known.residentModels().isEmpty()
                 || !waiting.isEmpty();
     }
 
@@ -440,8 +440,8 @@
                         .collect(Collectors.toSet())))
                 .addAllComing(names(adapters.comings()));
         if (known != null) {
-            status.setBorn(known.born())
-                    .setModelResident(!known.models().isEmpty())
+            status.setBorn(known.startedAtMillis())
+                    .setModelResident(!known.residentModels().isEmpty())
                     .setTotalTokens(known.memoryTokens());
         }
         return status.build();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
@@ -160,9 +160,10 @@
 
     private void reported(EngineReport report) {
         failures = 0;
-        if (report.born() != born) {
-            logger.atInfo().log("engine started at %d, %d orders accepted", report.born(), report.orders());
-            born = report.born();
+        if (report.startedAtMillis() != born) {
+            logger.atInfo().log(
+                    "engine started at %d, %d orders accepted", report.startedAtMillis(), report.acceptedOrders());
+            born = report.startedAtMillis();
             engineId = null;
         }
         String id = engineId;
