Rename the engine client's methods, the fencing token and the metrics address

Cause: report(), engineId() and order() did not say that they call the engine, and a fence is a fencing token.

Change: Methods of EngineControl, components of ModelOrder and EngineSideSettings, and FencingTokenSource.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
@@ -54,7 +54,7 @@
                         || nowNanos - e.getValue().nanos() > LOAD_LIMIT.toNanos());
         accepted.forEach((adapter, load) -> coming.putIfAbsent(adapter, load.version()));
         ModelOrder order = uncertain;
-        if (order != null && report.acceptedOrders() > order.expectedOrders()) {
+        if (order != null && report.acceptedOrders() > order.expectedAcceptedOrders()) {
             uncertain = null;
         }
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/ModelOrder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/ModelOrder.java
@@ -8,11 +8,16 @@
  *
  * @param target the adapter, or the base model
  * @param version the adapter's version; 0 for the newest
- * @param expectedOrders how many orders the engine must have accepted, or else it refuses this one
- * @param fence the fencing number of the side that gives the order
+ * @param expectedAcceptedOrders how many orders the engine must have accepted, or else it refuses this one
+ * @param fencingToken the fencing number of the side that gives the order
  */
 public record ModelOrder(
-        Operation operation, AdapterId target, long version, long expectedOrders, long fence, String engineId) {
+        Operation operation,
+        AdapterId target,
+        long version,
+        long expectedAcceptedOrders,
+        long fencingToken,
+        String engineId) {
     /** What the engine is to do. */
     public enum Operation {
         LOAD,
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
@@ -33,7 +33,7 @@
 
     private final EngineGate gate;
     private final EngineControl engine;
-    private final FenceSource fences;
+    private final FencingTokenSource fences;
     private final Supplier<Optional<String>> healthPath;
     private final ScheduledExecutorService thread;
     private final TimeSource time;
@@ -49,7 +49,7 @@
 
     /** Gives fencing numbers, each higher than all before. Implementations are safe to share between threads. */
     @FunctionalInterface
-    public interface FenceSource {
+    public interface FencingTokenSource {
         /** Takes the next number. */
         CompletableFuture<Long> next();
     }
@@ -64,7 +64,7 @@
     public OrderLoop(
             EngineGate gate,
             EngineControl engine,
-            FenceSource fences,
+            FencingTokenSource fences,
             Supplier<Optional<String>> healthPath,
             ScheduledExecutorService thread,
             TimeSource time,
@@ -112,7 +112,7 @@
 
     private void give(ModelOrder order) {
         calling = true;
-        CompletableFuture<ModelOrder.Outcome> answer = engine.order(order);
+        CompletableFuture<ModelOrder.Outcome> answer = engine.sendOrder(order);
         thread.schedule(
                 () -> answer.complete(ModelOrder.Outcome.UNKNOWN), ANSWER_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
         answer.whenCompleteAsync(
@@ -131,7 +131,11 @@
                 .with(LogKeys.ADAPTER, order.target().toString())
                 .log(
                         "%s version %d after %d orders with fence %d: %s",
-                        order.operation(), order.version(), order.expectedOrders(), order.fence(), outcome);
+                        order.operation(),
+                        order.version(),
+                        order.expectedAcceptedOrders(),
+                        order.fencingToken(),
+                        outcome);
         gate.onOrder(order, outcome);
         if (outcome == ModelOrder.Outcome.FENCED) {
             fence = -1;
@@ -145,7 +149,7 @@
     private void readReport() {
         calling = true;
         lastReportNanos = time.monotonicNanos();
-        engine.report()
+        engine.fetchReport()
                 .whenCompleteAsync(
                         (report, failure) -> {
                             calling = false;
@@ -182,7 +186,7 @@
             return;
         }
         calling = true;
-        engine.engineId(path.get())
+        engine.fetchEngineId(path.get())
                 .whenCompleteAsync(
                         (id, failure) -> {
                             calling = false;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/StoreLinks.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/StoreLinks.java
@@ -24,4 +24,4 @@
         BiFunction<String, byte[], Optional<Upstream>> upstreamDecoder,
         KeyedLog entries,
         KeyedWriter entryWriter,
-        OrderLoop.FenceSource fences) {}
+        OrderLoop.FencingTokenSource fences) {}
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
@@ -89,7 +89,7 @@
         follower.start();
         orders.start();
         new CallerServer(loops, () -> CallerLimits.DEFAULT, new AdminService(metrics, () -> Readiness.READY))
-                .listen(settings.metrics());
+                .listen(settings.metricsAddress());
         metrics.gauge("gate.running", () -> () -> gate.status().getRunning());
         metrics.gauge("gate.waiting", () -> () -> gate.status().getWaiting());
         loop.scheduleAtFixedRate(
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSideSettings.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSideSettings.java
@@ -8,12 +8,12 @@
  * Settings of a side beside a model engine. Immutable.
  *
  * @param service the service that the engine belongs to
- * @param metrics where counters are served
+ * @param metricsAddress where counters are served
  */
-public record EngineSideSettings(VmIdentity vm, String service, InetSocketAddress metrics) {
+public record EngineSideSettings(VmIdentity vm, String service, InetSocketAddress metricsAddress) {
     public EngineSideSettings {
         Objects.requireNonNull(vm, "vm");
         Objects.requireNonNull(service, "service");
-        Objects.requireNonNull(metrics, "metrics");
+        Objects.requireNonNull(metricsAddress, "metrics");
     }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
@@ -108,7 +108,7 @@
         ModelOrder load = order().orElseThrow();
         assertEquals(load.operation(), ModelOrder.Operation.LOAD);
         assertEquals(load.target(), adapter("a"));
-        assertEquals(load.fence(), FENCE);
+        assertEquals(load.fencingToken(), FENCE);
         gate.onOrder(load, ModelOrder.Outcome.STARTED);
         assertTrue(order().isEmpty());
         orders++;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderLoopTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderLoopTest.java
@@ -46,18 +46,18 @@
         private boolean lostAfterAcceptance;
 
         @Override
-        public CompletableFuture<EngineReport> report() {
+        public CompletableFuture<EngineReport> fetchReport() {
             return CompletableFuture.completedFuture(
                     new EngineReport(1, accepted, false, Set.of("m"), adapters, Map.of(), 0, 0, 20_000));
         }
 
         @Override
-        public CompletableFuture<String> engineId(String healthPath) {
+        public CompletableFuture<String> fetchEngineId(String healthPath) {
             return CompletableFuture.completedFuture("engine-1");
         }
 
         @Override
-        public CompletableFuture<ModelOrder.Outcome> order(ModelOrder order) {
+        public CompletableFuture<ModelOrder.Outcome> sendOrder(ModelOrder order) {
             orders.add(order);
             if (unanswered > 0) {
                 unanswered--;
@@ -66,7 +66,7 @@
                 }
                 return new CompletableFuture<>();
             }
-            if (order.expectedOrders() != accepted) {
+            if (order.expectedAcceptedOrders() != accepted) {
                 return CompletableFuture.completedFuture(ModelOrder.Outcome.CONFLICT);
             }
             accept(order);
@@ -120,7 +120,7 @@
         assertEquals(grants.size(), 1);
         assertEquals(engine.orders.size(), 3);
         assertTrue(
-                engine.orders.stream().allMatch(o -> o.expectedOrders() == 0),
+                engine.orders.stream().allMatch(o -> o.expectedAcceptedOrders() == 0),
                 "only one of them can be accepted, whenever the others arrive");
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
@@ -198,17 +198,17 @@
             }
 
             @Override
-            public CompletableFuture<EngineReport> report() {
+            public CompletableFuture<EngineReport> fetchReport() {
                 return owner.dead ? new CompletableFuture<>() : later(engine::report, random.nextInt(1, 10));
             }
 
             @Override
-            public CompletableFuture<String> engineId(String healthPath) {
+            public CompletableFuture<String> fetchEngineId(String healthPath) {
                 return later(() -> "i-" + engine.born, 1);
             }
 
             @Override
-            public CompletableFuture<ModelOrder.Outcome> order(ModelOrder order) {
+            public CompletableFuture<ModelOrder.Outcome> sendOrder(ModelOrder order) {
                 if (owner.dead) {
                     return new CompletableFuture<>();
                 }
@@ -271,11 +271,11 @@
                 if (!order.engineId().equals("i-" + born)) {
                     return ModelOrder.Outcome.WRONG_ENGINE;
                 }
-                if (order.fence() < fence) {
+                if (order.fencingToken() < fence) {
                     return ModelOrder.Outcome.FENCED;
                 }
-                fence = order.fence();
-                if (order.expectedOrders() != accepted) {
+                fence = order.fencingToken();
+                if (order.expectedAcceptedOrders() != accepted) {
                     return ModelOrder.Outcome.CONFLICT;
                 }
                 return order.operation() == ModelOrder.Operation.LOAD ? load(order) : unload(order);
