Reword the comments of the gate and the side

Cause: Comments described admission and adapter loading in terms private to the project.

Change: Comments use the usual terms; reasons and limits are kept.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
@@ -12,20 +12,21 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Which adapters an engine holds, which are on their way, and which are in use.
+ * Tracks which adapters are resident on an engine, which are being loaded, and which are in use.
  *
- * <p>An order without an answer may still be carried out until the engine has accepted another one, so its adapter
- * takes a place until then.
+ * <p>The engine may still carry out an unanswered order until it has accepted another one, so the adapter of that order
+ * occupies a slot until then.
  *
- * <p>Reports do not list an adapter whose version is being replaced as on its way, so an accepted load counts as such
- * until its version is there, or its time is over.
+ * <p>Reports do not list an adapter as loading while a new version replaces a resident one. An accepted load therefore
+ * counts as in progress until its version is resident or it has timed out.
  *
- * <p>Created by {@link EngineGate} under whose lock it is used.
+ * <p>Created by {@link EngineGate}, which guards it with its lock.
  */
 final class AdapterTable {
-    /** Time after which a load that was accepted and is not there is not expected any more. */
+    /** Time after which an accepted load that has not completed is considered lost. */
     private static final Duration LOAD_LIMIT = Duration.ofSeconds(4);
 
+    /** Time for which an adapter is not unloaded after the engine has refused to unload it. */
     private static final Duration KEPT_PAUSE = Duration.ofMillis(700);
 
     private final Map<AdapterId, Long> resident = new HashMap<>();
@@ -38,10 +39,10 @@
     private final LoadPace pace = new LoadPace();
     private @Nullable ModelOrder uncertain;
 
-    /** A load that the engine accepted. */
+    /** A load order that the engine accepted, and when. */
     private record Accepted(long version, long nanos) {}
 
-    /** Takes what the engine reports. */
+    /** Replaces the engine's state by a new report. */
     void onReport(EngineReport report, long nowNanos) {
         resident.clear();
         resident.putAll(report.residentAdapters());
@@ -59,7 +60,10 @@
         }
     }
 
-    /** An engine loads what it held before from its own disk, which tells nothing of the store. */
+    /**
+     * Records the duration of a completed load from the weight store. An adapter that was resident before is loaded
+     * from the engine's own disk, so its load time does not measure the store and is ignored.
+     */
     private void noteLoaded(AdapterId adapter, Accepted load, long nowNanos) {
         if (isThere(adapter, load.version()) && !heldBefore.contains(adapter)) {
             pace.onLoaded(load.nanos(), nowNanos);
@@ -71,7 +75,7 @@
         return held != null && held >= version;
     }
 
-    /** Takes an order's outcome, until the next report tells more. */
+    /** Applies the outcome of an order until the next report replaces the state. */
     void onOrder(ModelOrder order, ModelOrder.Outcome outcome, long nowNanos) {
         if (outcome == ModelOrder.Outcome.UNKNOWN) {
             uncertain = order;
@@ -92,7 +96,7 @@
         }
     }
 
-    /** Forgets all that an engine held, since it started anew. */
+    /** Discards the engine's state after a restart; use counts and measured load times remain. */
     void clear() {
         resident.clear();
         coming.clear();
@@ -102,7 +106,7 @@
         uncertain = null;
     }
 
-    /** Returns how fast adapters come from the store. */
+    /** Returns the limit of concurrent loads, which also estimates load times. */
     LoadPace pace() {
         return pace;
     }
@@ -112,7 +116,7 @@
         lastUsedNanos.put(adapter, nowNanos);
     }
 
-    /** Returns whether nobody uses the adapter any more. */
+    /** Ends one use of the adapter and returns whether it is now unused. */
     boolean release(AdapterId adapter) {
         users.computeIfPresent(adapter, (a, n) -> n > 1 ? n - 1 : null);
         return !users.containsKey(adapter);
@@ -138,7 +142,7 @@
         return uncertain != null;
     }
 
-    /** Returns how many places are taken, counting an order that may still be carried out. */
+    /** Returns the number of occupied adapter slots, including that of an unanswered load order. */
     int taken() {
         ModelOrder order = uncertain;
         boolean extra = order != null
@@ -149,7 +153,7 @@
         return (int) (resident.size() + coming.size() - replacing) + (extra ? 1 : 0);
     }
 
-    /** Returns how many adapters could be unloaded for others. */
+    /** Returns the number of resident adapters that can be unloaded to make room for others. */
     int replaceable(Predicate<AdapterId> wanted) {
         return (int) resident.keySet().stream()
                 .filter(a -> !isUsed(a) && !isComing(a) && !wanted.test(a))
@@ -157,8 +161,8 @@
     }
 
     /**
-     * Returns the adapter that was used longest ago among those that nobody uses or wants. One that the engine would
-     * not give up, since a run that was left behind still uses it, is passed over for a while.
+     * Returns the least recently used adapter among those that no request uses or waits for. An adapter that the engine
+     * refused to unload, because an abandoned run still uses it, is skipped for a while.
      */
     Optional<AdapterId> leastRecentlyUsed(Predicate<AdapterId> wanted, long nowNanos) {
         keptNanos.values().removeIf(nanos -> nowNanos - nanos > KEPT_PAUSE.toNanos());
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineControl.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineControl.java
@@ -2,14 +2,14 @@
 
 import java.util.concurrent.CompletableFuture;
 
-/** Asks and orders the engine beside a side. Implementations are safe to share between threads. */
+/** Client for the control interface of the engine that a side serves. Implementations are thread-safe. */
 public interface EngineControl {
-    /** Returns what the engine says of itself now. */
+    /** Fetches the engine's current report. */
     CompletableFuture<EngineReport> fetchReport();
 
-    /** Returns the id under which the engine answers now, at the path of its service's health check. */
+    /** Fetches the engine's current id from the health check path of its service. */
     CompletableFuture<String> fetchEngineId(String healthPath);
 
-    /** Gives an order; completes without failure, with {@code UNKNOWN} when there was no answer. */
+    /** Sends an order. The future never fails; it completes with {@code UNKNOWN} when the engine does not answer. */
     CompletableFuture<ModelOrder.Outcome> sendOrder(ModelOrder order);
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -22,26 +22,28 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Decides which requests may start on one model engine, and which adapters it is ordered to hold.
+ * Admission control for one model engine: decides which requests may start, and which adapters the engine loads and
+ * unloads.
  *
- * <p>All requests for the engine ask here, so adapters in use are never replaced, the engine's memory is never promised
- * twice, and what waits is ordered by urgency. It needs no network: reports, orders and time are passed in.
+ * <p>Every request to the engine needs a grant from this class. Adapters in use are therefore never replaced, the
+ * engine's memory is never reserved twice, and waiting requests are ordered by urgency. The class does no I/O: reports,
+ * order outcomes and time are passed in.
  *
- * <p>One a side; guarded by its own lock.
+ * <p>One instance per side; thread-safe, guarded by its own lock.
  */
 public final class EngineGate {
-    /** Prompt tokens that may be before the engine unread; the rest waits here, where its order can still change. */
+    /** Prompt tokens granted before their prefill; further requests queue here, where they can still be reordered. */
     private static final long MAX_BACKLOG_TOKENS = 10_000;
-    /** Prompt tokens that an engine reads in one step at the most; a larger backlog makes its steps no longer. */
+    /** Prompt tokens that an engine prefills per step at most; a larger backlog does not lengthen its steps. */
     private static final long STEP_TOKENS = 2_000;
 
     private static final long MIN_BACKLOG_TOKENS = 1_500;
-    /** Time of a step beside the reading of prompts. */
+    /** Duration of an engine step without prefill. */
     private static final Duration STEP_TIME = Duration.ofMillis(15);
-    /** Part of the engine's memory that is promised; the rest is left to kept prompts. */
+    /** Share of the engine's memory that requests may reserve; the rest is left to the prompt cache. */
     private static final double MEMORY_SHARE = 0.95;
 
-    /** How long after a new version was named its predecessor may still be started. */
+    /** Time for which the previous version of an adapter is still granted after a newer one became known. */
     private static final Duration OLD_VERSION_LIMIT = Duration.ofSeconds(2);
 
     private static final Duration MODEL_LOAD_GAP = Duration.ofSeconds(3);
@@ -62,10 +64,10 @@
     private long lastModelLoadNanos;
     private boolean modelLoadTried;
 
-    /** Names a start: who asked, and the number it gave. */
+    /** Identifies a start request by its caller and the caller's ticket number. */
     public record TicketKey(Object caller, long ticket) {}
 
-    /** A request that may run or runs. */
+    /** A request that was granted and has not ended. */
     private static final class Granted {
         private final AdapterId adapter;
         private final int promptTokens;
@@ -81,25 +83,25 @@
         }
     }
 
-    /** Creates a gate that grants nothing before the engine's first report. */
+    /** Creates a gate that refuses all requests until the first report of the engine. */
     public EngineGate(AdapterVersions versions, TimeSource time) {
         this.versions = versions;
         this.time = time;
     }
 
-    // What is known
+    // Engine state
 
     /**
-     * Takes what the configuration says of the engine.
+     * Sets the engine's limits from the configuration.
      *
-     * @param newPauseLimit the longest pause between events with which a stream is still of full use; zero for any
+     * @param newPauseLimit the longest acceptable time between two events of a stream; zero for no limit
      */
     public synchronized void setSpec(EngineSpec newSpec, Duration newPauseLimit) {
         spec = newSpec;
         pauseLimit = newPauseLimit;
     }
 
-    /** Takes what the engine says of itself. */
+    /** Applies a report of the engine and marks the engine as reachable. */
     public synchronized void onReport(EngineReport newReport, String newEngineId) {
         EngineReport before = report;
         if (before != null && before.startedAtMillis() != newReport.startedAtMillis()) {
@@ -113,7 +115,7 @@
         grantAll();
     }
 
-    /** Notes that the engine does not answer; what waits is refused at once, since it can run elsewhere. */
+    /** Marks the engine as unreachable and refuses all waiting requests, which can run on another engine. */
     public synchronized void onEngineOut() {
         out = true;
         List.copyOf(waiting).forEach(w -> refuse(w, ResultCode.UPSTREAM_UNREACHABLE, RETRY_MIN));
@@ -121,7 +123,7 @@
 
     // Requests
 
-    /** Takes a request for a start; the reply is called once, now or later. */
+    /** Requests a start. The reply is called at most once, possibly before this method returns. */
     public synchronized void request(TicketKey key, StartRequest request, Consumer<StartGrant> reply) {
         long now = time.monotonicNanos();
         AdapterId adapter = new AdapterId(request.getModel(), request.getAdapter());
@@ -140,7 +142,7 @@
         }
     }
 
-    /** Takes how a granted or waiting request went on. */
+    /** Applies the progress of a granted or waiting request. */
     public synchronized void progress(TicketKey key, RunProgress.Stage stage) {
         if (stage == RunProgress.Stage.WITHDRAWN) {
             waiting.removeIf(w -> w.key().equals(key));
@@ -153,7 +155,7 @@
         grantAll();
     }
 
-    /** Forgets all requests of a caller that is gone. */
+    /** Drops all requests of a disconnected caller and releases what they use. */
     public synchronized void callerGone(Object caller) {
         waiting.removeIf(w -> w.key().caller().equals(caller));
         List.copyOf(granted.keySet()).stream()
@@ -162,7 +164,7 @@
         grantAll();
     }
 
-    /** Refuses what has waited for too long. */
+    /** Refuses the requests that have waited longer than their limit. */
     public synchronized void expire() {
         long now = time.monotonicNanos();
         List.copyOf(waiting).stream()
@@ -194,7 +196,7 @@
 
     // Granting
 
-    /** Grants what may start, the most urgent first; those that can still be in time go before those that cannot. */
+    /** Grants all requests that fit, the most urgent first; those past their objective come last. */
     private void grantAll() {
         EngineReport known = report;
         if (out || known == null || waiting.isEmpty()) {
@@ -236,9 +238,9 @@
     }
 
     /**
-     * Returns how many prompt tokens may be before the engine unread. An event comes after several steps, and reading
-     * prompts lengthens each of them; what is read at once must not lengthen the pauses between events beyond their
-     * limit.
+     * Returns the number of prompt tokens that may await prefill on the engine. Each stream event takes several engine
+     * steps, and prefill lengthens every one of them. The backlog is limited so that the time between two events stays
+     * within its limit.
      */
     private long maxBacklog() {
         EngineSpec limits = spec;
@@ -250,7 +252,7 @@
         return tokens >= STEP_TOKENS ? MAX_BACKLOG_TOKENS : Math.max(MIN_BACKLOG_TOKENS, (long) tokens);
     }
 
-    /** Returns whether an adapter is there, in a version that may still be started. */
+    /** Returns whether the adapter is resident in a version that may be granted. */
     private boolean isUsable(AdapterId adapter, long now) {
         EngineReport known = report;
         if (known == null || !known.residentModels().contains(adapter.model())) {
@@ -292,7 +294,7 @@
         return isUsable(asked.adapter(), time.monotonicNanos()) ? reading : max(reading, loadWait(asked.adapter()));
     }
 
-    /** An adapter that is absent needs a place, and its load waits for those that are wanted already. */
+    /** Returns the expected wait for the adapter's load: for a slot, and behind the loads that are already queued. */
     private Duration loadWait(AdapterId adapter) {
         if (!isAbsent(adapter)) {
             return adapters.pace().timeBehind(0);
@@ -303,7 +305,7 @@
         return isNew ? placeWait().plus(loading) : loading;
     }
 
-    /** Returns how many absent adapters requests wait for. */
+    /** Returns the number of absent adapters that requests wait for. */
     private long wantedLoads() {
         return waiting.stream()
                 .map(WaitingStart::adapter)
@@ -312,7 +314,7 @@
                 .count();
     }
 
-    /** Returns how long one more absent adapter waits for its place, behind those that wait already. */
+    /** Returns the expected wait of one more absent adapter for a slot, behind those already waiting. */
     private Duration placeWait() {
         EngineSpec limits = spec;
         if (limits == null) {
@@ -332,7 +334,7 @@
 
     // Orders
 
-    /** Returns the next order that the engine needs, if any. The last order's outcome must be known to the table. */
+    /** Returns the next order for the engine, if any. The outcome of the previous order must have been passed in. */
     public synchronized Optional<ModelOrder> nextOrder(long fence) {
         EngineReport known = report;
         EngineSpec limits = spec;
@@ -348,7 +350,7 @@
         return replaceOldVersion(make).or(() -> loadWanted(limits, make));
     }
 
-    /** Makes an order for the engine as it was last reported. */
+    /** Creates orders that match the engine's last report. */
     @FunctionalInterface
     private interface OrderMaker {
         ModelOrder make(ModelOrder.Operation operation, AdapterId target, long version);
@@ -399,7 +401,7 @@
         return waiting.stream().anyMatch(w -> w.adapter().equals(adapter));
     }
 
-    /** Takes an order's outcome. */
+    /** Applies the outcome of an order and grants the requests that can now start. */
     public synchronized void onOrder(ModelOrder order, ModelOrder.Outcome outcome) {
         if (!order.target().isBaseModel()) {
             adapters.onOrder(order, outcome, time.monotonicNanos());
@@ -407,7 +409,7 @@
         grantAll();
     }
 
-    /** Returns whether something is on its way, so that reports matter. */
+    /** Returns whether loads, an unanswered order or waiting requests call for frequent reports. */
     public synchronized boolean isChanging() {
         EngineReport known = report;
         return adapters.comingCount() > 0
@@ -419,7 +421,7 @@
 
     // Status
 
-    /** Returns what entries are told. */
+    /** Returns the status that is sent to entries. */
     public synchronized GateStatus status() {
         EngineReport known = report;
         GateStatus.Builder status = GateStatus.newBuilder()
@@ -447,7 +449,7 @@
         return status.build();
     }
 
-    /** Returns how much longer than alone a further adapter's load takes. */
+    /** Returns how much queued and running loads delay the load of one more adapter. */
     private Duration loadQueue() {
         LoadPace pace = adapters.pace();
         return pace.timeBehind(adapters.comingCount() + wantedLoads()).minus(pace.timeBehind(0));
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineReport.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineReport.java
@@ -5,15 +5,17 @@
 import java.util.Set;
 
 /**
- * What an engine says of itself. Immutable.
+ * State of a model engine as reported by the engine. Immutable.
  *
- * @param startedAtMillis Unix milliseconds of its start
- * @param acceptedOrders how many orders it has accepted since its start
- * @param modelChanging whether it loads or unloads a model
- * @param residentModels base models that it holds
- * @param residentAdapters version by adapter that it holds
- * @param loadingAdapters version by adapter that is on its way to it
- * @param memoryTokens memory for prompts and answers
+ * @param startedAtMillis start time of the engine in Unix milliseconds
+ * @param acceptedOrders number of orders accepted since the engine's start
+ * @param modelChanging whether a base model is being loaded or unloaded
+ * @param residentModels names of the resident base models
+ * @param residentAdapters version of each resident adapter
+ * @param loadingAdapters version of each adapter that is being loaded
+ * @param runningRequests number of requests that run on the engine
+ * @param waitingRequests number of requests in the engine's own queue
+ * @param memoryTokens capacity for prompts and answers in tokens
  */
 public record EngineReport(
         long startedAtMillis,
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/GateServer.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/GateServer.java
@@ -18,19 +18,22 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Brings entries' frames to the gate, and the gate's status to the entries that use it.
+ * Passes frames from entries to the gate, and sends the gate's status to the entries that use it.
  *
- * <p>One a side; safe to share between threads.
+ * <p>A start request subscribes an entry to statuses. The subscription ends when the entry has not sent a start request
+ * for a while.
+ *
+ * <p>One instance per side; thread-safe.
  */
 public final class GateServer {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** An entry that has asked for nothing for so long is told nothing more. */
+    /** Time without a start request after which an entry is sent no more statuses. */
     private static final Duration INTEREST = Duration.ofSeconds(5);
-    /** An unchanged status is repeated, so that entries notice a side that is silent. */
+    /** Interval at which an unchanged status is sent again, so that entries can detect a failed side. */
     private static final Duration REPEAT = Duration.ofMillis(500);
-    /** A changed status is told at least so much later than the one before. */
+    /** Minimum time between two statuses for one entry. */
     private static final Duration MIN_GAP = Duration.ofMillis(150);
-    /** Statuses that a side sends in a second at most, to however many entries. */
+    /** Maximum rate of statuses of a side, over all entries. */
     private static final int MAX_PER_SECOND = 40;
 
     private final EngineGate gate;
@@ -38,14 +41,14 @@
     private final Runnable wake;
     private final Map<PeerChannel, Interested> entries = new ConcurrentHashMap<>();
 
-    /** What an entry was last told. */
+    /** The last status sent to an entry, and whether the entry expects more. */
     private static final class Interested {
         private long askedNanos;
         private boolean expects;
         private GateStatus told = GateStatus.getDefaultInstance();
         private long toldNanos;
 
-        /** Notes that the entry has asked for a start, and so expects statuses. */
+        /** Records a start request, which subscribes the entry to statuses. */
         private synchronized void onAsk(long now) {
             askedNanos = now;
             if (!expects) {
@@ -72,7 +75,7 @@
             return expects && now - toldNanos < gap.toNanos();
         }
 
-        /** Notes a status and returns it with the time of the next one; none follows the last one. */
+        /** Records a status as sent and returns it with the time until the next; zero marks the last one. */
         private synchronized GateStatus tell(GateStatus status, long now, Duration next) {
             told = status;
             toldNanos = now;
@@ -82,9 +85,9 @@
     }
 
     /**
-     * Creates a server and registers it for its frames.
+     * Creates a server and registers it as the handler of gate frames.
      *
-     * @param wake runs when a request may need an order
+     * @param wake called after each start request, which may need an order to the engine
      */
     public GateServer(EngineGate gate, FrameRouter frames, TimeSource time, Runnable wake) {
         this.gate = gate;
@@ -93,7 +96,7 @@
         frames.register(Frame.BodyCase.GATE, this::handle);
     }
 
-    /** Tells the interested entries what has changed. */
+    /** Sends the status to each subscribed entry that is due for one. */
     public void tellStatus() {
         List<Map.Entry<PeerChannel, Interested>> expecting =
                 entries.entrySet().stream().filter(e -> e.getValue().expects()).toList();
@@ -117,7 +120,7 @@
         });
     }
 
-    /** The more entries use the engine, the less often each of them is told. */
+    /** Returns the status interval per entry; it grows with the number of entries to bound the side's total rate. */
     private static Duration gap(int entries) {
         return longer(MIN_GAP, Duration.ofSeconds(entries).dividedBy(MAX_PER_SECOND));
     }
@@ -161,7 +164,7 @@
         wake.run();
     }
 
-    /** An answer brings the status along, unless one was just told. */
+    /** Adds the current status to an answer, unless the entry was sent one recently. */
     private StartGrant withStatus(StartGrant grant, Interested entry) {
         long now = time.monotonicNanos();
         if (entry.isToldWithin(MIN_GAP, now)) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/ModelOrder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/ModelOrder.java
@@ -4,12 +4,13 @@
 import java.util.Objects;
 
 /**
- * An order to an engine. Immutable.
+ * An order to an engine to load or unload a base model or an adapter. Immutable.
  *
- * @param target the adapter, or the base model
+ * @param target the adapter or base model
  * @param version the adapter's version; 0 for the newest
- * @param expectedAcceptedOrders how many orders the engine must have accepted, or else it refuses this one
- * @param fencingToken the fencing number of the side that gives the order
+ * @param expectedAcceptedOrders the number of orders that the engine must have accepted so far; otherwise it refuses
+ * @param fencingToken the fencing token of the side that sends the order
+ * @param engineId the engine that must carry out the order
  */
 public record ModelOrder(
         Operation operation,
@@ -18,27 +19,27 @@
         long expectedAcceptedOrders,
         long fencingToken,
         String engineId) {
-    /** What the engine is to do. */
+    /** The operation to carry out. */
     public enum Operation {
         LOAD,
         UNLOAD
     }
 
-    /** What came of an order. */
+    /** The result of an order. */
     public enum Outcome {
-        /** It is being carried out. */
+        /** The engine accepted the order and is carrying it out. */
         STARTED,
-        /** It holds already. */
+        /** The requested state holds already. */
         DONE,
-        /** Another order is under way, or other orders were accepted since the last report. */
+        /** Another order is in progress, or other orders were accepted since the last report. */
         CONFLICT,
-        /** A higher fencing number was seen. */
+        /** The engine has received a higher fencing token. */
         FENCED,
-        /** The engine does not know such an order. */
+        /** The engine does not support the order. */
         INVALID,
-        /** The address belongs to another engine by now. */
+        /** Another engine now uses the address. */
         WRONG_ENGINE,
-        /** There was no answer: it may have been accepted, or may still be. */
+        /** No answer arrived; the order may have been accepted, or may be accepted later. */
         UNKNOWN
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
@@ -13,19 +13,19 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Reads the engine's reports and gives the gate's orders, one call at a time.
+ * Fetches the engine's reports and sends the gate's orders, one call at a time.
  *
- * <p>Orders carry a fencing number from the store; without one none is given. After each order comes a report, since
- * the next order must name how many were accepted.
+ * <p>Each order carries a fencing token from the store; without a token no order is sent. A report is fetched after
+ * each order, since the next order must contain the number of accepted orders.
  *
- * <p>One a side; its steps run on one thread of the scheduler.
+ * <p>One instance per side; all steps run on the scheduler's single thread.
  */
 public final class OrderLoop {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration QUIET_INTERVAL = Duration.ofMillis(500);
     private static final Duration CHANGING_INTERVAL = Duration.ofMillis(40);
     private static final Duration STEP_INTERVAL = Duration.ofMillis(50);
-    /** Engines answer orders at once; without an answer nothing else is ordered, and requests wait. */
+    /** Engines answer orders immediately. No other order is sent while one awaits its answer, and requests wait. */
     private static final Duration ANSWER_LIMIT = Duration.ofMillis(100);
 
     private static final Duration FENCE_RETRY = Duration.ofMillis(500);
@@ -47,19 +47,19 @@
     private long fence = -1;
     private boolean fenceAsked;
 
-    /** Gives fencing numbers, each higher than all before. Implementations are safe to share between threads. */
+    /** Issues fencing tokens, each higher than all previous ones. Implementations are thread-safe. */
     @FunctionalInterface
     public interface FencingTokenSource {
-        /** Takes the next number. */
+        /** Issues the next token. */
         CompletableFuture<Long> next();
     }
 
     /**
-     * Creates a loop that does nothing yet.
+     * Creates a loop without starting it.
      *
-     * @param healthPath the path of the health check, once the configuration is known
-     * @param thread a scheduler with one thread
-     * @param afterStep runs when something may have changed
+     * @param healthPath returns the path of the health check, or nothing until the configuration is known
+     * @param thread a single-threaded scheduler
+     * @param afterStep called in each step, after expired requests were refused
      */
     public OrderLoop(
             EngineGate gate,
@@ -78,18 +78,18 @@
         this.afterStep = afterStep;
     }
 
-    /** Starts to read reports. */
+    /** Requests a fencing token and starts the periodic steps. */
     public void start() {
         askFence();
         thread.scheduleWithFixedDelay(this::step, 0, STEP_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    /** Looks at once whether an order is needed. */
+    /** Runs a step as soon as possible, to send an order if one is needed. */
     public void wake() {
         thread.execute(this::step);
     }
 
-    // Steps, on the thread
+    // Steps, which run on the scheduler's thread
 
     private void step() {
         gate.expire();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/PlaceRate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/PlaceRate.java
@@ -4,22 +4,23 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * How often an adapter of an engine falls out of use, so that its place can be given to another one.
+ * Moving average of the time between two releases of an engine's adapters. An adapter is released when its last request
+ * ends, and its slot can then be used for another adapter.
  *
- * <p>Created by {@link EngineGate} under whose lock it is used.
+ * <p>Created by {@link EngineGate}, which guards it with its lock.
  */
 final class PlaceRate {
     private static final double FIRST_GUESS_MILLIS = 100;
-    /** Part that a new observation has in the mean. */
+    /** Weight of a new observation in the moving average. */
     private static final double WEIGHT = 0.2;
-    /** Longer gaps tell of an idle engine, not of its places. */
+    /** Longer intervals are caused by an idle engine, and count as this much. */
     private static final double MAX_GAP_MILLIS = 1_500;
 
     private double gapMillis = FIRST_GUESS_MILLIS;
     private long lastNanos;
     private boolean seen;
 
-    /** Notes that nobody uses an adapter any more. */
+    /** Records that an adapter is no longer in use. */
     void onFreed(long nowNanos) {
         if (seen) {
             gapMillis += WEIGHT * (gapSinceLast(nowNanos) - gapMillis);
@@ -28,7 +29,7 @@
         seen = true;
     }
 
-    /** Returns how long it takes until a number of places fall free. */
+    /** Returns the expected time until a number of slots are released. */
     Duration timeToFree(long places, long nowNanos) {
         double gap = seen ? Math.max(gapMillis, gapSinceLast(nowNanos)) : gapMillis;
         return places <= 0 ? Duration.ZERO : Duration.ofMillis((long) (places * gap));
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/ReadRate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/ReadRate.java
@@ -3,24 +3,24 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * How fast an engine reads prompts, judged by when the first events of its runs came.
+ * Moving average of an engine's prefill rate, measured by the first events of its runs.
  *
- * <p>Created by {@link EngineGate} under whose lock it is used.
+ * <p>Created by {@link EngineGate}, which guards it with its lock.
  */
 final class ReadRate {
     private static final double FIRST_GUESS = 15_000;
     private static final double MIN = 6_000;
     private static final double MAX = 40_000;
-    /** Part that a new observation has in the mean. */
+    /** Weight of a new observation in the moving average. */
     private static final double WEIGHT = 0.05;
-    /** Prompts below this size tell more of the engine's steps than of its reading. */
+    /** The time of shorter prompts depends more on the duration of engine steps than on the prefill rate. */
     private static final int MIN_PROMPT_TOKENS = 500;
 
     private double tokensPerSecond = FIRST_GUESS;
     private long lastNanos;
     private boolean seen;
 
-    /** Takes the first event of a run that was granted at some time. */
+    /** Records the first event of a run. Prefill is assumed to begin at the grant or at the previous first event. */
     void onFirstEvent(int promptTokens, long grantedNanos, long nowNanos) {
         long since = seen ? Math.max(grantedNanos, lastNanos) : grantedNanos;
         lastNanos = nowNanos;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
@@ -13,19 +13,19 @@
 import java.util.stream.Collectors;
 
 /**
- * A request that waits for its start, and the order among those that do.
+ * A start request in the gate's queue, with the rules that order the queue.
  *
- * <p>Created by {@link EngineGate} for each request; immutable.
+ * <p>Created by {@link EngineGate} for each request. Immutable.
  *
- * @param nanos when it was asked for
- * @param reply takes the one answer
+ * @param nanos arrival time on the monotonic clock, in nanoseconds
+ * @param reply called once with the answer
  */
 record WaitingStart(
         EngineGate.TicketKey key, AdapterId adapter, StartRequest request, long nanos, Consumer<StartGrant> reply) {
-    /** Part of its objective after which a request's adapter is loaded before those that more requests wait for. */
+    /** Share of its objective after which the first request's adapter is loaded before those in higher demand. */
     private static final double PATIENT_PART = 0.5;
 
-    /** Those that can still be in time go before those that cannot, then the most urgent, then the first. */
+    /** Orders requests within their objective before others, then by priority, then by arrival. */
     static Comparator<WaitingStart> order(long nowNanos) {
         return Comparator.comparing((WaitingStart w) -> !w.isOnTime(nowNanos))
                 .thenComparingInt(w -> w.request().getPriority())
@@ -33,10 +33,10 @@
     }
 
     /**
-     * Returns the adapter that the most requests wait for which can still be in time, unless the first request has
-     * waited for long.
+     * Returns the adapter to load next: the one that most requests within their objective wait for, or the adapter of
+     * the first request once that has waited for a large share of its objective.
      *
-     * @param absent the requests whose adapters are absent
+     * @param absent the requests whose adapters are neither resident nor being loaded
      */
     static Optional<AdapterId> nextLoad(List<WaitingStart> absent, long nowNanos) {
         List<WaitingStart> ordered = absent.stream().sorted(order(nowNanos)).toList();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/package-info.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/package-info.java
@@ -1,4 +1,4 @@
-/** The side's gate before a model engine: starts, adapters, orders. */
+/** Admission control and adapter management of a side for its model engine. */
 @NullMarked
 package io.parsleycleat.gateway.process.gate;
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
@@ -29,9 +29,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A side: the gate before the model engine on its VM, and the only one that gives it orders.
+ * The process that controls the model engine on its VM: it admits requests and is the only sender of orders.
  *
- * <p>Created once by a main. All its work shares one event loop.
+ * <p>Created once by the main class. Order loop, log follower and status timer share one event loop.
  */
 public final class EngineSide {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -75,7 +75,7 @@
                 time);
     }
 
-    /** Starts a side that listens for entries. */
+    /** Starts a side that accepts connections from entries. */
     public static EngineSide start(
             EngineSideSettings settings, StoreLinks store, EngineControl engine, EventLoopGroup loops) {
         EventLoop loop = loops.next();
@@ -99,7 +99,7 @@
                 settings.service(), settings.vm().peers());
     }
 
-    /** Ends at once: runs go on without their side, and what waits is asked for elsewhere. */
+    /** Stops immediately. Running requests continue on the engine; entries send waiting ones to another side. */
     public void stop() {
         logger.atInfo().log("side stops");
         follower.stop();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSideSettings.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSideSettings.java
@@ -5,10 +5,11 @@
 import java.util.Objects;
 
 /**
- * Settings of a side beside a model engine. Immutable.
+ * Settings of a side process for a model engine. Immutable.
  *
- * @param service the service that the engine belongs to
- * @param metricsAddress where counters are served
+ * @param vm identity and addresses of the VM on which the side runs
+ * @param service name of the service to which the engine belongs
+ * @param metricsAddress listen address for the metrics
  */
 public record EngineSideSettings(VmIdentity vm, String service, InetSocketAddress metricsAddress) {
     public EngineSideSettings {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/package-info.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/package-info.java
@@ -1,4 +1,4 @@
-/** The side process. */
+/** The side process, which controls access to one model engine. */
 @NullMarked
 package io.parsleycleat.gateway.process.side;
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
@@ -158,7 +158,7 @@
         assertEquals(granted, List.of(1L, 2L, 3L));
     }
 
-    /** Load pattern: a surge of less urgent requests stands before the engine as an urgent one arrives. */
+    /** An urgent request arrives while less urgent ones wait. Without ordering by priority it would be granted last. */
     @Test
     public void urgentRequestsPassThoseThatWait() {
         report(Map.of(adapter("a"), 1L), Map.of());
@@ -170,7 +170,7 @@
         assertEquals(granted, List.of(1L, 3L, 2L));
     }
 
-    /** Load pattern: overload, in which some can no longer be in time. */
+    /** Under overload, requests past their objective must not delay those that can still meet it. */
     @Test
     public void thoseThatCanStillBeInTimeGoFirst() {
         report(Map.of(adapter("a"), 1L), Map.of());
@@ -183,7 +183,7 @@
         assertEquals(granted, List.of(1L, 3L, 2L));
     }
 
-    /** Load pattern: a surge that the engine cannot read in the time that its callers have. */
+    /** The prefill of the queued prompts takes longer than the callers' wait limits. */
     @Test
     public void whatCannotStartInTimeIsRefusedOnArrivalWithATime() {
         report(Map.of(adapter("a"), 1L), Map.of());
@@ -257,7 +257,7 @@
         assertEquals(gate.status().getRunning(), 0);
     }
 
-    /** Load pattern: prompts arrive without a break while streams run, whose events hold three tokens. */
+    /** Prompts arrive continuously while streams with three tokens per event run; prefill delays these events. */
     @Test
     public void promptsAreReadInPiecesThatKeepThePausesOfStreamsShort() {
         report(Map.of(adapter("a"), 1L), Map.of());
@@ -332,7 +332,7 @@
         assertTrue(order().isPresent());
     }
 
-    /** Pattern: more adapters of the tail are asked for than the engine has places, all of which are in use. */
+    /** More adapters are requested than the engine has slots, and all resident adapters are in use. */
     @Test
     public void aRequestWhoseAdapterGetsNoPlaceInTimeIsRefusedAtOnce() {
         report(Map.of(adapter("a"), 1L, adapter("b"), 1L, adapter("c"), 1L), Map.of());
@@ -354,7 +354,7 @@
         assertTrue(granted.contains(6L), "an adapter that is there needs no place");
     }
 
-    /** Pattern: places are in use by nobody, and adapters of the tail come one after another. */
+    /** Resident adapters that are not in use can be replaced, so their slots count as free. */
     @Test
     public void aPlaceThatNobodyUsesIsNoReasonToWait() {
         report(Map.of(adapter("a"), 1L, adapter("b"), 1L, adapter("c"), 1L), Map.of());
@@ -364,7 +364,7 @@
         assertEquals(order().orElseThrow().operation(), ModelOrder.Operation.UNLOAD);
     }
 
-    /** Pattern: after a loss of all, requests for many adapters come at once, for some of them several. */
+    /** After the engine has lost its adapters, many are requested at once, some of them by several requests. */
     @Test
     public void theAdapterThatMostRequestsWaitForIsLoadedFirst() {
         report(Map.of(), Map.of());
@@ -384,7 +384,7 @@
         assertEquals(order().orElseThrow().target(), adapter("a"));
     }
 
-    /** Pattern: more adapters are asked for at once than can be loaded in time. */
+    /** More adapters are requested at once than can be loaded within the wait limit. */
     @Test
     public void aRequestBehindMoreLoadsThanItCanWaitForIsRefusedAtOnce() {
         gate.setSpec(
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/GateServerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/GateServerTest.java
@@ -115,7 +115,7 @@
         assertEquals(entry.grantStatuses().size(), 2);
     }
 
-    /** Load pattern: an engine whose load changes all the time is used by ever more entries. */
+    /** The status changes all the time while the number of entries grows; the total rate must stay bounded. */
     @Test
     public void theStatusesOfASideDoNotGrowWithItsEntries() {
         for (int count : new int[] {5, 33, 100, 350}) {
@@ -136,7 +136,7 @@
         }
     }
 
-    /** One entry's connection, which keeps what is sent. */
+    /** The connection of one entry, which records all sent messages. */
     private static final class Entry implements PeerChannel {
         private final List<GateMessage> sent = new ArrayList<>();
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderLoopTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderLoopTest.java
@@ -37,7 +37,7 @@
     private ScriptedEngine engine;
     private List<StartGrant> grants;
 
-    /** Carries out orders at once, but for those that get no answer. */
+    /** Carries out orders immediately, except for a set number of orders that it leaves unanswered. */
     private final class ScriptedEngine implements EngineControl {
         private final Map<AdapterId, Long> adapters = new HashMap<>();
         private final List<ModelOrder> orders = new ArrayList<>();
@@ -111,7 +111,7 @@
         gate.request(new EngineGate.TicketKey("entry", ticket), request, grants::add);
     }
 
-    /** Pattern: a third of the orders gets no answer for seconds while callers wait for their adapters. */
+    /** Unanswered orders must not delay the load until the waiting request has missed its objective. */
     @Test
     public void anOrderWithoutAnswerIsGivenAgainBeforeTheObjectiveIsOver() {
         engine.unanswered = 2;
@@ -124,7 +124,7 @@
                 "only one of them can be accepted, whenever the others arrive");
     }
 
-    /** Pattern: the order is accepted and its answer is lost. */
+    /** The engine accepts the order, but its answer is lost. */
     @Test
     public void anAcceptedOrderWithoutAnswerIsNotGivenAgain() {
         engine.unanswered = 1;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
@@ -33,8 +33,8 @@
 import org.testng.annotations.Test;
 
 /**
- * Runs a side's gate and order loop through random schedules of lost, late and slow orders, restarts of engine and
- * side, new versions and callers that leave. The engine checks what it is ordered; its clock is the schedule's.
+ * Runs a side's gate and order loop through random schedules of lost, late and slow orders, engine and side restarts,
+ * new adapter versions and caller disconnects. A simulated engine checks every order, on the schedule's virtual clock.
  */
 public class OrderScheduleTest {
     private static final int SEEDS = 200;
@@ -42,7 +42,7 @@
     private static final int ADAPTERS = 8;
     private static final int STEPS = 600;
     private static final long WAIT_MILLIS = 1_200;
-    /** The loop looks for what has waited too long every 50 ms. */
+    /** Tolerance for the order loop, which checks for expired requests every 50 ms. */
     private static final long WAIT_SLACK_MILLIS = 200;
 
     private static final EngineSpec SPEC = new EngineSpec(
@@ -123,7 +123,7 @@
             return new AdapterId("m", "a" + number);
         }
 
-        /** One start of the side's process. */
+        /** One incarnation of the side process. */
         private final class Side {
             private final EngineGate gate = new EngineGate(versions, time);
             private boolean dead;
@@ -189,7 +189,7 @@
             }
         }
 
-        /** What one start of a side reaches the engine by; a side that is gone hears and orders nothing. */
+        /** Connection of one side incarnation to the engine; a stopped side gets no answers and sends no orders. */
         private final class Link implements EngineControl {
             private final Side owner;
 
@@ -234,7 +234,7 @@
             }
         }
 
-        /** The engine: takes orders by their count and fence, and would crash with more adapters than places. */
+        /** The engine; checks the order count and fencing token, and records a fault when adapters exceed its slots. */
         private final class Engine {
             private final Map<AdapterId, Long> resident = new HashMap<>();
             private final Map<AdapterId, Long> coming = new HashMap<>();
@@ -296,7 +296,7 @@
                 return ModelOrder.Outcome.STARTED;
             }
 
-            /** A replacement waits for the runs with the version before. */
+            /** Completes a load. A replacement is delayed until no run uses the previous version. */
             private void arrive(AdapterId adapter, long start) {
                 if (start != born || !coming.containsKey(adapter)) {
                     return;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/gate/LoadPaceTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/gate/LoadPaceTest.java
@@ -48,8 +48,8 @@
     }
 
     /**
-     * Load pattern: all engines have lost what they held, and each needs twenty adapters from a store that serves
-     * sixteen loads at full speed.
+     * All engines have lost their adapters, and each loads twenty from a store that serves sixteen loads at full speed.
+     * A fixed limit of four loads per engine would delay the first ones.
      */
     @Test
     public void afterALossOfAllTheFirstAdaptersComeSoonerThanWithFourAtOnceAndTheLastNotLater() {
@@ -69,7 +69,7 @@
         return times.get(times.size() - 1);
     }
 
-    /** Returns when loads end, with a store that slows all of them beyond sixteen in proportion. */
+    /** Returns the end times of all loads, for a store that slows down in proportion beyond sixteen loads. */
     private static List<Double> play(int engines, int adapters, boolean paced) {
         List<LoadPace> paces = new ArrayList<>();
         List<Deque<double[]>> running = new ArrayList<>();
