Rename the keyed log listener and the read settings

Cause: "fold", "prompt" and "gap" did not say what the types and settings do.

Change: names only, by the compiler's resolution, with all uses and tests.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -36,8 +36,8 @@
 import io.parsleycleat.gateway.request.limits.BudgetHomes;
 import io.parsleycleat.gateway.request.limits.RetryShare;
 import io.parsleycleat.gateway.version.follow.FollowSettings;
-import io.parsleycleat.gateway.version.follow.KeyedFold;
 import io.parsleycleat.gateway.version.follow.KeyedLog;
+import io.parsleycleat.gateway.version.follow.KeyedLogListener;
 import io.parsleycleat.gateway.version.follow.LogFollower;
 import io.parsleycleat.gateway.version.routes.AdapterVersions;
 import io.parsleycleat.gateway.version.routes.ConfigurationFold;
@@ -75,12 +75,12 @@
     /** Part of the grace time that is kept for the end. */
     private static final Duration GRACE_MARGIN = Duration.ofMillis(500);
 
-    private static final FollowSettings OPERATORS = FollowSettings.PROMPT;
+    private static final FollowSettings OPERATORS = FollowSettings.LOW_LATENCY;
     private static final FollowSettings UPSTREAMS =
-            FollowSettings.PROMPT.withMinGap(Duration.ofMillis(550)).withWait(Duration.ofSeconds(2));
+            FollowSettings.LOW_LATENCY.withReadPause(Duration.ofMillis(550)).withMaxWait(Duration.ofSeconds(2));
     private static final Duration RELAYED_ENTRIES_GAP = Duration.ofSeconds(1);
     private static final FollowSettings ENTRIES =
-            FollowSettings.PROMPT.withMinGap(Duration.ofMillis(1_500)).withWait(Duration.ofSeconds(2));
+            FollowSettings.LOW_LATENCY.withReadPause(Duration.ofMillis(1_500)).withMaxWait(Duration.ofSeconds(2));
 
     private final ForwardEntrySettings settings;
     private final StoreLinks store;
@@ -210,7 +210,7 @@
         if (configuration.current().isEmpty()) {
             return Readiness.notReady("no configuration yet");
         }
-        if (!upstreamsFollower.isRead()) {
+        if (!upstreamsFollower.isFullyRead()) {
             return Readiness.notReady("no upstreams known yet");
         }
         if (!forwarder.knowsKeys()) {
@@ -231,7 +231,8 @@
      *
      * @param bound how late a change may become known here
      */
-    private LogFollower follower(String name, KeyedLog log, KeyedFold fold, FollowSettings base, Duration bound) {
+    private LogFollower follower(
+            String name, KeyedLog log, KeyedLogListener fold, FollowSettings base, Duration bound) {
         return LogRelay.relaying(base, bound)
                 .map(follow -> {
                     LogFollower follower = new LogFollower(name, relay.relayed(name, log), fold, follow, loop, time);
@@ -244,7 +245,7 @@
     /** Where the other logs are relayed, few entries read this one, and may read it more often. */
     private static FollowSettings entries(ForwardEntrySettings settings) {
         return LogRelay.relaying(UPSTREAMS, settings.drainBound()).isPresent()
-                ? ENTRIES.withMinGap(RELAYED_ENTRIES_GAP)
+                ? ENTRIES.withReadPause(RELAYED_ENTRIES_GAP)
                 : ENTRIES;
     }
 
@@ -316,7 +317,7 @@
      * process is read before it is replaced.
      */
     private void awaitOthers() {
-        if (entriesFollower.isRead()) {
+        if (entriesFollower.isFullyRead()) {
             writeRecord();
             followMembers();
         } else {
@@ -325,7 +326,7 @@
     }
 
     private void followMembers() {
-        if (entriesFollower.isRead()) {
+        if (entriesFollower.isFullyRead()) {
             members.storeSilentFor(entriesFollower.freshness().age());
             budgets.setOthers(members.others().keySet());
             budgets.handBackUnspent();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
@@ -4,7 +4,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.time.TimeSource;
-import io.parsleycleat.gateway.version.follow.KeyedFold;
+import io.parsleycleat.gateway.version.follow.KeyedLogListener;
 import io.parsleycleat.wire.gate.EntryRecord;
 import java.time.Duration;
 import java.util.HashMap;
@@ -18,7 +18,7 @@
  *
  * <p>One an entry; guarded by its own lock.
  */
-public final class EntryMembers implements KeyedFold {
+public final class EntryMembers implements KeyedLogListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** Age at which another entry's record has lapsed. */
     private static final Duration LAPSE = Duration.ofMillis(7_500);
@@ -61,7 +61,7 @@
     }
 
     @Override
-    public synchronized void put(String key, byte[] value) {
+    public synchronized void onPut(String key, byte[] value) {
         try {
             EntryRecord entry = EntryRecord.parseFrom(value);
             if (key.equals(self)) {
@@ -79,7 +79,7 @@
     }
 
     @Override
-    public synchronized void drop(String key, boolean afterOutage) {
+    public synchronized void onDelete(String key, boolean afterOutage) {
         if (!afterOutage && seen.remove(key) != null) {
             logger.atInfo().with(LogKeys.PEER, key).log("entry left");
         }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
@@ -90,14 +90,14 @@
      * @param bound how late a change may become known here while this entry reaches the store
      */
     public static Optional<FollowSettings> relaying(FollowSettings base, Duration bound) {
-        Duration pauses = base.minGap().plus(base.minGap().dividedBy(LogFollower.RELAYED_GAP_PARTS));
+        Duration pauses = base.readPause().plus(base.readPause().dividedBy(LogFollower.RELAYED_PAUSE_DIVISOR));
         Duration hops = LATE.plus(MAX_WAIT).plus(ANSWER_SLACK);
         Duration left = bound.multipliedBy(4).dividedBy(5).minus(pauses).minus(hops);
         Duration wait = left.dividedBy(2);
         if (wait.compareTo(MIN_STORE_WAIT) < 0) {
             return Optional.empty();
         }
-        return Optional.of(wait.compareTo(base.maxWait()) < 0 ? base.withWait(wait) : base);
+        return Optional.of(wait.compareTo(base.maxWait()) < 0 ? base.withMaxWait(wait) : base);
     }
 
     /** Answers others from what a follower has read. */
@@ -109,8 +109,8 @@
     public KeyedLog relayed(String log, KeyedLog direct) {
         return new KeyedLog() {
             @Override
-            public CompletableFuture<NewestPage> newest(String afterKey) {
-                return direct.newest(afterKey);
+            public CompletableFuture<NewestPage> readNewest(String afterKey) {
+                return direct.readNewest(afterKey);
             }
 
             @Override
@@ -182,7 +182,7 @@
         }
         long wait = Math.min(MAX_WAIT.toMillis(), read.getWaitMillis());
         LogPosition place = new LogPosition(read.getEra(), read.getFrom());
-        CompletableFuture<Void> change = follower.mirror().readBeyond(place);
+        CompletableFuture<Void> change = follower.mirror().whenReadBeyond(place);
         change.thenRun(() -> reply(from, frame, found(follower, place)));
         if (!change.isDone()) {
             scheduler.schedule(() -> change.complete(null), wait, TimeUnit.MILLISECONDS);
@@ -192,7 +192,7 @@
     private RecordsFound found(LogFollower follower, LogPosition from) {
         int age = follower.freshness().ageMillis();
         return follower.mirror()
-                .from(from)
+                .recordsFrom(from)
                 .filter(r -> isFresh(follower))
                 .map(r -> RecordsFound.newBuilder()
                         .setKnown(true)
@@ -214,8 +214,9 @@
 
     /** An entry that has lost the store, or lags behind, does not hold the others back. */
     private boolean isFresh(LogFollower follower) {
-        Duration limit =
-                follower.usualAge().plus(LATE).plus(HOP.multipliedBy(place.get().depth()));
+        Duration limit = follower.maxNormalAge()
+                .plus(LATE)
+                .plus(HOP.multipliedBy(place.get().depth()));
         return follower.isReachable() && follower.freshness().isYoungerThan(limit);
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/StoreLinks.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/StoreLinks.java
@@ -2,7 +2,7 @@
 
 import io.parsleycleat.gateway.process.gate.OrderLoop;
 import io.parsleycleat.gateway.version.follow.KeyedLog;
-import io.parsleycleat.gateway.version.follow.KeyedWriter;
+import io.parsleycleat.gateway.version.follow.KeyedLogWriter;
 import io.parsleycleat.gateway.version.routes.ConfigurationDecoder;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import java.util.Optional;
@@ -23,5 +23,5 @@
         KeyedLog upstreams,
         BiFunction<String, byte[], Optional<Upstream>> upstreamDecoder,
         KeyedLog entries,
-        KeyedWriter entryWriter,
+        KeyedLogWriter entryWriter,
         OrderLoop.FenceSource fences) {}
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
@@ -38,7 +38,7 @@
     private static final Duration PEER_KEEP_ALIVE = Duration.ofSeconds(1);
     private static final Duration STATUS_INTERVAL = Duration.ofMillis(150);
     private static final FollowSettings OPERATORS =
-            FollowSettings.PROMPT.withWait(Duration.ofSeconds(10)).withMinGap(Duration.ofMillis(200));
+            FollowSettings.LOW_LATENCY.withMaxWait(Duration.ofSeconds(10)).withReadPause(Duration.ofMillis(200));
 
     private final EngineSideSettings settings;
     private final TimeSource time = TimeSource.SYSTEM;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/FollowSettings.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/FollowSettings.java
@@ -6,15 +6,15 @@
  * How often a log is read.
  *
  * @param maxWait how long a read waits for the first new record
- * @param minGap the pause after a read, so that records gather
+ * @param readPause the pause after a read, so that records gather
  * @param timeout how long an answer may take beyond the wait
  * @param retryDelay the pause after a failure
  * @param outageGrace how long keys that were dropped after an outage have to return
  */
 public record FollowSettings(
-        Duration maxWait, Duration minGap, Duration timeout, Duration retryDelay, Duration outageGrace) {
+        Duration maxWait, Duration readPause, Duration timeout, Duration retryDelay, Duration outageGrace) {
     /** Settings for a log that changes rarely and whose changes matter at once. */
-    public static final FollowSettings PROMPT = new FollowSettings(
+    public static final FollowSettings LOW_LATENCY = new FollowSettings(
             Duration.ofMillis(1_000),
             Duration.ofMillis(100),
             Duration.ofMillis(800),
@@ -22,17 +22,17 @@
             Duration.ofMillis(2_200));
 
     /** Returns how old the newest answer becomes at most: it was asked a wait ago, and the next one takes as long. */
-    public Duration usualAge() {
-        return maxWait.multipliedBy(2).plus(minGap);
+    public Duration maxNormalAge() {
+        return maxWait.multipliedBy(2).plus(readPause);
     }
 
     /** Returns a copy with another wait. */
-    public FollowSettings withWait(Duration newWait) {
-        return new FollowSettings(newWait, minGap, timeout, retryDelay, outageGrace);
+    public FollowSettings withMaxWait(Duration newWait) {
+        return new FollowSettings(newWait, readPause, timeout, retryDelay, outageGrace);
     }
 
     /** Returns a copy with another pause between reads. */
-    public FollowSettings withMinGap(Duration newMinGap) {
+    public FollowSettings withReadPause(Duration newMinGap) {
         return new FollowSettings(maxWait, newMinGap, timeout, retryDelay, outageGrace);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedLog.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedLog.java
@@ -37,7 +37,7 @@
     }
 
     /** Reads the newest record of each key after the given key; an empty key starts at the first. */
-    CompletableFuture<NewestPage> newest(String afterKey);
+    CompletableFuture<NewestPage> readNewest(String afterKey);
 
     /**
      * Reads the records from a place on, waiting at most so long for the first. Fails with
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedFold.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedLogListener.java
@@ -1,17 +1,17 @@
 package io.parsleycleat.gateway.version.follow;
 
 /** Takes the changes of a keyed log in order. Called by one follower at a time. */
-public interface KeyedFold {
+public interface KeyedLogListener {
     /** Takes the newest value of a key. */
-    void put(String key, byte[] value);
+    void onPut(String key, byte[] value);
 
     /**
      * Takes that a key has no value any more.
      *
      * @param afterOutage whether the store has only just come back, so that the key may return at once
      */
-    void drop(String key, boolean afterOutage);
+    void onDelete(String key, boolean afterOutage);
 
     /** Called when keys that were dropped after an outage had time to return. */
-    default void endOutage() {}
+    default void onOutageGraceEnd() {}
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedWriter.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedLogWriter.java
@@ -4,7 +4,7 @@
 
 /** Writes to a log that keeps the newest record of each key. Implementations are safe to share between threads. */
 @FunctionalInterface
-public interface KeyedWriter {
+public interface KeyedLogWriter {
     /** Writes a key's value, or drops the key when the value is empty. */
     CompletableFuture<Void> write(String key, byte[] value);
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedRecord.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedRecord.java
@@ -15,7 +15,7 @@
     }
 
     /** Returns whether the key has no value any more. */
-    public boolean isDrop() {
+    public boolean isTombstone() {
         return value.length == 0;
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
@@ -32,11 +32,11 @@
     /** Silence after which entries of others may have lapsed although they live. */
     private static final Duration OUTAGE = Duration.ofMillis(900);
     /** Reading through another entry costs the store nothing, so the pause between reads is this much shorter. */
-    public static final int RELAYED_GAP_PARTS = 4;
+    public static final int RELAYED_PAUSE_DIVISOR = 4;
 
     private final String name;
     private final KeyedLog log;
-    private final KeyedFold fold;
+    private final KeyedLogListener fold;
     private final FollowSettings settings;
     private final ScheduledExecutorService scheduler;
     private final TimeSource time;
@@ -59,7 +59,7 @@
     public LogFollower(
             String name,
             KeyedLog log,
-            KeyedFold fold,
+            KeyedLogListener fold,
             FollowSettings settings,
             ScheduledExecutorService scheduler,
             TimeSource time) {
@@ -92,7 +92,7 @@
     }
 
     /** Returns whether the whole log has been read once. */
-    public boolean isRead() {
+    public boolean isFullyRead() {
         synchronized (lock) {
             return next != null;
         }
@@ -111,8 +111,8 @@
     }
 
     /** Returns how old what was read becomes at most while the log answers. */
-    public Duration usualAge() {
-        return settings.usualAge();
+    public Duration maxNormalAge() {
+        return settings.maxNormalAge();
     }
 
     /** Returns the offset up to which the log was read; -1 while all of it has to be read. */
@@ -164,7 +164,9 @@
         } else if (answer != null) {
             answered(sent.minus(answer.age()));
             noteRelayed(answer.relayed());
-            again(current, answer.relayed() ? settings.minGap().dividedBy(RELAYED_GAP_PARTS) : settings.minGap());
+            again(
+                    current,
+                    answer.relayed() ? settings.readPause().dividedBy(RELAYED_PAUSE_DIVISOR) : settings.readPause());
         } else if (failure instanceof LogTrimmedException) {
             logger.atInfo().log("%s dropped records that were not read; reading all of it", name);
             readAnew(current);
@@ -212,7 +214,7 @@
             freshness.confirm(known);
         }
         if (graceOver) {
-            fold.endOutage();
+            fold.onOutageGraceEnd();
         }
     }
 
@@ -282,7 +284,7 @@
     /** Reads all pages. The end as of the first page is where reading goes on, since pages are no snapshot. */
     private CompletableFuture<LogPosition> readPages(
             String afterKey, @Nullable LogPosition firstEnd, List<KeyedRecord> found) {
-        return log.newest(afterKey).thenCompose(page -> {
+        return log.readNewest(afterKey).thenCompose(page -> {
             LogPosition end = firstEnd == null ? page.end() : firstEnd;
             if (page.end().era() != end.era()) {
                 return CompletableFuture.failedFuture(
@@ -317,8 +319,10 @@
     }
 
     private void applyAll(List<KeyedRecord> found) {
-        Set<String> present =
-                found.stream().filter(r -> !r.isDrop()).map(KeyedRecord::key).collect(Collectors.toSet());
+        Set<String> present = found.stream()
+                .filter(r -> !r.isTombstone())
+                .map(KeyedRecord::key)
+                .collect(Collectors.toSet());
         List<String> missing = mirror.dropMissing(present);
         apply(found);
         missing.forEach(this::drop);
@@ -326,10 +330,10 @@
 
     private void apply(List<KeyedRecord> records) {
         records.stream().filter(mirror::accept).forEach(r -> {
-            if (r.isDrop()) {
+            if (r.isTombstone()) {
                 drop(r.key());
             } else {
-                fold.put(r.key(), r.value());
+                fold.onPut(r.key(), r.value());
             }
         });
     }
@@ -339,6 +343,6 @@
         synchronized (lock) {
             afterOutage = inGrace;
         }
-        fold.drop(key, afterOutage);
+        fold.onDelete(key, afterOutage);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogMirror.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogMirror.java
@@ -62,13 +62,13 @@
 
     private boolean isDropped(String key) {
         KeyedRecord known = newest.get(key);
-        return known != null && known.isDrop();
+        return known != null && known.isTombstone();
     }
 
     /** Drops the keys that a full read did not show, and returns them. */
     synchronized List<String> dropMissing(Set<String> present) {
         List<KeyedRecord> missing = newest.values().stream()
-                .filter(r -> !r.isDrop() && !present.contains(r.key()))
+                .filter(r -> !r.isTombstone() && !present.contains(r.key()))
                 .toList();
         missing.forEach(r -> newest.put(r.key(), new KeyedRecord(r.key(), NO_VALUE, r.offset())));
         return missing.stream().map(KeyedRecord::key).toList();
@@ -95,7 +95,7 @@
     }
 
     /** Returns the records from a place on, or nothing when this mirror cannot tell all of them. */
-    public synchronized Optional<KeyedLog.Records> from(LogPosition from) {
+    public synchronized Optional<KeyedLog.Records> recordsFrom(LogPosition from) {
         if (next < 0 || from.era() != era || from.offset() < first) {
             return Optional.empty();
         }
@@ -107,7 +107,7 @@
     }
 
     /** Returns what completes when the log has been read beyond a place; at once when it was, or is of another era. */
-    public synchronized CompletableFuture<Void> readBeyond(LogPosition place) {
+    public synchronized CompletableFuture<Void> whenReadBeyond(LogPosition place) {
         if (place.era() != era || next > place.offset()) {
             return CompletableFuture.completedFuture(null);
         }
@@ -122,8 +122,8 @@
     }
 
     private void forgetDropped() {
-        if (newest.values().stream().filter(KeyedRecord::isDrop).count() > MAX_DROPPED) {
-            newest.values().removeIf(KeyedRecord::isDrop);
+        if (newest.values().stream().filter(KeyedRecord::isTombstone).count() > MAX_DROPPED) {
+            newest.values().removeIf(KeyedRecord::isTombstone);
             first = next;
         }
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationFold.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationFold.java
@@ -3,7 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.time.TimeSource;
-import io.parsleycleat.gateway.version.follow.KeyedFold;
+import io.parsleycleat.gateway.version.follow.KeyedLogListener;
 import java.util.Optional;
 
 /**
@@ -11,7 +11,7 @@
  *
  * <p>One a process; called by one follower.
  */
-public final class ConfigurationFold implements KeyedFold {
+public final class ConfigurationFold implements KeyedLogListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final ConfigurationDecoder decoder;
@@ -29,7 +29,7 @@
     }
 
     @Override
-    public void put(String key, byte[] value) {
+    public void onPut(String key, byte[] value) {
         Optional<RoutingTable> table = decoder.table(key, value);
         table.ifPresent(holder::offer);
         if (table.isPresent()) {
@@ -49,7 +49,7 @@
     }
 
     @Override
-    public void drop(String key, boolean afterOutage) {
+    public void onDelete(String key, boolean afterOutage) {
         logger.atInfo().log("operators' record %s was dropped; what it said stays in force", key);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/DirectoryFold.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/DirectoryFold.java
@@ -2,7 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.parsleycleat.core.process.logging.LogKeys;
-import io.parsleycleat.gateway.version.follow.KeyedFold;
+import io.parsleycleat.gateway.version.follow.KeyedLogListener;
 import java.util.Optional;
 import java.util.function.BiFunction;
 
@@ -11,7 +11,7 @@
  *
  * <p>One a process; called by one follower.
  */
-public final class DirectoryFold implements KeyedFold {
+public final class DirectoryFold implements KeyedLogListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final BiFunction<String, byte[], Optional<Upstream>> decoder;
@@ -28,14 +28,14 @@
     }
 
     @Override
-    public void put(String key, byte[] value) {
+    public void onPut(String key, byte[] value) {
         decoder.apply(key, value).ifPresentOrElse(directory::put, () -> logger.atWarning()
                 .with(LogKeys.UPSTREAM, key)
                 .log("a description of %d bytes cannot be read", value.length));
     }
 
     @Override
-    public void drop(String key, boolean afterOutage) {
+    public void onDelete(String key, boolean afterOutage) {
         if (afterOutage) {
             directory.lapse(key);
         } else {
@@ -44,7 +44,7 @@
     }
 
     @Override
-    public void endOutage() {
+    public void onOutageGraceEnd() {
         directory.endGrace();
     }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
@@ -30,28 +30,28 @@
     /** Pattern: the store comes back from a copy that lacks an entry's record. */
     @Test
     public void anEntryWhoseRecordOnlyTheStoreLostStaysUntilItLapses() {
-        members.put("b", RECORD);
-        members.drop("b", true);
+        members.onPut("b", RECORD);
+        members.onDelete("b", true);
         assertTrue(members.others().containsKey("b"));
         time.passMillis(7_501);
         assertFalse(members.others().containsKey("b"));
-        members.put("b", RECORD);
-        members.drop("b", false);
+        members.onPut("b", RECORD);
+        members.onDelete("b", false);
         assertFalse(members.others().containsKey("b"));
     }
 
     @Test
     public void othersAreKnownByTheirRecordsAndTheEntryItselfIsNone() {
-        members.put("self", RECORD);
-        members.put("b", RECORD);
+        members.onPut("self", RECORD);
+        members.onPut("b", RECORD);
         assertEquals(members.others(), Map.of("b", "10.0.0.2:7600"));
-        members.drop("b", false);
+        members.onDelete("b", false);
         assertEquals(members.others(), Map.of());
     }
 
     @Test
     public void aRecordThatIsNotRenewedLapses() {
-        members.put("b", RECORD);
+        members.onPut("b", RECORD);
         time.passMillis(7_000);
         assertEquals(members.others().keySet(), Set.of("b"));
         time.passMillis(600);
@@ -60,7 +60,7 @@
 
     @Test
     public void nobodyLapsesWhileTheStoreIsSilentNorRightAfter() {
-        members.put("b", RECORD);
+        members.onPut("b", RECORD);
         time.passMillis(5_000);
         members.storeSilentFor(Duration.ofSeconds(5));
         time.passMillis(6_000);
@@ -77,9 +77,9 @@
     @Test
     public void anEntryStopsToStandBeforeTheOthersCountItOut() {
         assertFalse(stands());
-        members.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
+        members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         members.ownRecordWritten(time.monotonicNanos());
-        members.put("b", RECORD);
+        members.onPut("b", RECORD);
         time.passMillis(5_900);
         assertTrue(stands());
         time.passMillis(200);
@@ -98,10 +98,10 @@
 
     @Test
     public void aRestartWithinTheLifeOfTheRecordStandsAtOnce() {
-        members.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
+        members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         time.passMillis(4_900);
         EntryMembers restarted = new EntryMembers("self", time);
-        restarted.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
+        restarted.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         restarted.ownRecordWritten(time.monotonicNanos());
         assertTrue(restarted.isStanding(Duration.ZERO));
     }
@@ -111,14 +111,14 @@
         byte[] old = members.ownRecord("10.0.0.1:7600", "north").toByteArray();
         time.passMillis(5_100);
         EntryMembers restarted = new EntryMembers("self", time);
-        restarted.put("self", old);
+        restarted.onPut("self", old);
         restarted.ownRecordWritten(time.monotonicNanos());
         assertFalse(restarted.isStanding(Duration.ZERO));
     }
 
     @Test
     public void nobodyStandsWhoMayNotKnowOfANewEntry() {
-        members.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
+        members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         members.ownRecordWritten(time.monotonicNanos());
         assertFalse(members.isStanding(Duration.ofMillis(4_001)));
         assertTrue(members.isStanding(Duration.ofMillis(3_999)));
@@ -127,13 +127,13 @@
     /** Of two entries whose views differ, the old home stops to stand before the new one begins. */
     @Test
     public void anEntryThatWasCutFromTheStoreSettlesAgain() {
-        members.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
+        members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         members.ownRecordWritten(time.monotonicNanos());
         time.passMillis(8_000);
         members.ownRecordWritten(time.monotonicNanos());
-        members.put("b", RECORD);
-        members.put("b", RECORD);
-        members.put("b", RECORD);
+        members.onPut("b", RECORD);
+        members.onPut("b", RECORD);
+        members.onPut("b", RECORD);
         time.passMillis(200);
         assertFalse(stands());
         time.passMillis(4_100);
@@ -142,21 +142,21 @@
 
     @Test
     public void anEntryStandsAtOnceAfterAStoreThatWasSilentForAll() {
-        members.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
+        members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         members.ownRecordWritten(time.monotonicNanos());
         time.passMillis(2_400);
-        members.put("b", RECORD);
+        members.onPut("b", RECORD);
         time.passMillis(5_600);
         members.ownRecordWritten(time.monotonicNanos());
-        members.put("b", RECORD);
+        members.onPut("b", RECORD);
         time.passMillis(200);
         assertTrue(stands(), "others renewed theirs right before and right after");
     }
 
     @Test
     public void aRecordThatCannotBeReadChangesNothing() {
-        members.put("b", RECORD);
-        members.put("b", "\u00ff\u00ff not a record".getBytes(StandardCharsets.ISO_8859_1));
+        members.onPut("b", RECORD);
+        members.onPut("b", "\u00ff\u00ff not a record".getBytes(StandardCharsets.ISO_8859_1));
         assertEquals(members.others(), Map.of("b", "10.0.0.2:7600"));
     }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
@@ -9,8 +9,8 @@
 import io.parsleycleat.gateway.MovedTime;
 import io.parsleycleat.gateway.StepScheduler;
 import io.parsleycleat.gateway.version.follow.FollowSettings;
-import io.parsleycleat.gateway.version.follow.KeyedFold;
 import io.parsleycleat.gateway.version.follow.KeyedLog;
+import io.parsleycleat.gateway.version.follow.KeyedLogListener;
 import io.parsleycleat.gateway.version.follow.KeyedRecord;
 import io.parsleycleat.gateway.version.follow.LogFollower;
 import io.parsleycleat.gateway.version.follow.LogPosition;
@@ -146,23 +146,30 @@
         Entry restarted = new Entry(root().name, List.copyOf(entries.keySet()));
         restarted.follower.start();
         assertFalse(
-                restarted.follower.mirror().from(new LogPosition(0, behind)).isPresent(),
+                restarted
+                        .follower
+                        .mirror()
+                        .recordsFrom(new LogPosition(0, behind))
+                        .isPresent(),
                 "it cannot know what was dropped");
-        assertTrue(
-                restarted.follower.mirror().from(new LogPosition(0, behind + 2)).isPresent());
+        assertTrue(restarted
+                .follower
+                .mirror()
+                .recordsFrom(new LogPosition(0, behind + 2))
+                .isPresent());
     }
 
     @Test
     public void aBoundThatIsTooShortForRelayingLeavesTheLogToBeReadDirectly() {
-        assertFalse(
-                LogRelay.relaying(FollowSettings.PROMPT, Duration.ofSeconds(2)).isPresent());
-        Duration wait = LogRelay.relaying(FollowSettings.PROMPT, Duration.ofSeconds(3))
+        assertFalse(LogRelay.relaying(FollowSettings.LOW_LATENCY, Duration.ofSeconds(2))
+                .isPresent());
+        Duration wait = LogRelay.relaying(FollowSettings.LOW_LATENCY, Duration.ofSeconds(3))
                 .orElseThrow()
                 .maxWait();
-        assertTrue(wait.compareTo(FollowSettings.PROMPT.maxWait()) < 0);
+        assertTrue(wait.compareTo(FollowSettings.LOW_LATENCY.maxWait()) < 0);
         assertEquals(
-                LogRelay.relaying(FollowSettings.PROMPT, Duration.ofSeconds(10)),
-                java.util.Optional.of(FollowSettings.PROMPT));
+                LogRelay.relaying(FollowSettings.LOW_LATENCY, Duration.ofSeconds(10)),
+                java.util.Optional.of(FollowSettings.LOW_LATENCY));
     }
 
     @Test
@@ -204,11 +211,12 @@
         KeyedLog asSeenBy(String entry) {
             return new KeyedLog() {
                 @Override
-                public CompletableFuture<NewestPage> newest(String afterKey) {
+                public CompletableFuture<NewestPage> readNewest(String afterKey) {
                     Map<String, KeyedRecord> newest = new HashMap<>();
                     records.forEach(r -> newest.put(r.key(), r));
-                    List<KeyedRecord> live =
-                            newest.values().stream().filter(r -> !r.isDrop()).toList();
+                    List<KeyedRecord> live = newest.values().stream()
+                            .filter(r -> !r.isTombstone())
+                            .toList();
                     return CompletableFuture.completedFuture(
                             new NewestPage(live, false, new LogPosition(0, records.size())));
                 }
@@ -236,7 +244,7 @@
     }
 
     /** An entry of one data centre, which is its own peer address. */
-    private final class Entry implements KeyedFold, PeerClient {
+    private final class Entry implements KeyedLogListener, PeerClient {
         private final String name;
         private final Map<String, EntryMembers.Member> others;
         private final LogRelay relay;
@@ -253,7 +261,7 @@
                     LOG,
                     relay.relayed(LOG, store.asSeenBy(name)),
                     this,
-                    LogRelay.relaying(FollowSettings.PROMPT, BOUND).orElseThrow(),
+                    LogRelay.relaying(FollowSettings.LOW_LATENCY, BOUND).orElseThrow(),
                     scheduler,
                     time);
             relay.serve(LOG, follower);
@@ -264,12 +272,12 @@
         }
 
         @Override
-        public void put(String key, byte[] value) {
+        public void onPut(String key, byte[] value) {
             seen.put(key, new String(value, StandardCharsets.UTF_8));
         }
 
         @Override
-        public void drop(String key, boolean afterOutage) {
+        public void onDelete(String key, boolean afterOutage) {
             seen.remove(key);
         }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FollowScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FollowScheduleTest.java
@@ -9,8 +9,8 @@
 import io.parsleycleat.gateway.MovedTime;
 import io.parsleycleat.gateway.StepScheduler;
 import io.parsleycleat.gateway.version.follow.FollowSettings;
-import io.parsleycleat.gateway.version.follow.KeyedFold;
 import io.parsleycleat.gateway.version.follow.KeyedLog;
+import io.parsleycleat.gateway.version.follow.KeyedLogListener;
 import io.parsleycleat.gateway.version.follow.KeyedRecord;
 import io.parsleycleat.gateway.version.follow.LogFollower;
 import io.parsleycleat.gateway.version.follow.LogPosition;
@@ -47,7 +47,7 @@
         assertEquals(String.join("\n", faults), "");
     }
 
-    private static final class Schedule implements KeyedLog, KeyedFold {
+    private static final class Schedule implements KeyedLog, KeyedLogListener {
         private final SplittableRandom random;
         private final MovedTime time = new MovedTime();
         private final StepScheduler thread = new StepScheduler(time);
@@ -63,7 +63,7 @@
         }
 
         List<String> run() {
-            LogFollower follower = new LogFollower("log", this, this, FollowSettings.PROMPT, thread, time);
+            LogFollower follower = new LogFollower("log", this, this, FollowSettings.LOW_LATENCY, thread, time);
             follower.start();
             for (int step = 0; step < STEPS; step++) {
                 write();
@@ -94,7 +94,7 @@
         private void add(String key, String value) {
             KeyedRecord added = new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), records.size());
             records.add(added);
-            if (added.isDrop()) {
+            if (added.isTombstone()) {
                 newest.remove(key);
             } else {
                 newest.put(key, added);
@@ -102,7 +102,7 @@
         }
 
         @Override
-        public CompletableFuture<NewestPage> newest(String afterKey) {
+        public CompletableFuture<NewestPage> readNewest(String afterKey) {
             return answer(() -> {
                 List<KeyedRecord> page = newest.tailMap(afterKey, false).values().stream()
                         .limit(PAGE)
@@ -138,7 +138,7 @@
         }
 
         @Override
-        public void put(String key, byte[] value) {
+        public void onPut(String key, byte[] value) {
             long offset = Long.parseLong(new String(value, StandardCharsets.UTF_8));
             Long before = folded.put(key, offset);
             if (before != null && before > offset) {
@@ -147,7 +147,7 @@
         }
 
         @Override
-        public void drop(String key, boolean afterOutage) {
+        public void onDelete(String key, boolean afterOutage) {
             folded.remove(key);
         }
     }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
@@ -11,8 +11,8 @@
 import io.parsleycleat.gateway.MovedTime;
 import io.parsleycleat.gateway.StepScheduler;
 import io.parsleycleat.gateway.version.follow.FollowSettings;
-import io.parsleycleat.gateway.version.follow.KeyedFold;
 import io.parsleycleat.gateway.version.follow.KeyedLog;
+import io.parsleycleat.gateway.version.follow.KeyedLogListener;
 import io.parsleycleat.gateway.version.follow.KeyedRecord;
 import io.parsleycleat.gateway.version.follow.LogFollower;
 import io.parsleycleat.gateway.version.follow.LogPosition;
@@ -49,12 +49,12 @@
         }
 
         @Override
-        public CompletableFuture<NewestPage> newest(String afterKey) {
+        public CompletableFuture<NewestPage> readNewest(String afterKey) {
             if (down) {
                 return out();
             }
             List<KeyedRecord> newest = records.stream()
-                    .filter(r -> !r.isDrop()
+                    .filter(r -> !r.isTombstone()
                             && records.stream()
                                     .noneMatch(o ->
                                             o.offset() > r.offset() && o.key().equals(r.key())))
@@ -82,19 +82,19 @@
         }
     }
 
-    private final class Recorder implements KeyedFold {
+    private final class Recorder implements KeyedLogListener {
         @Override
-        public void put(String key, byte[] value) {
+        public void onPut(String key, byte[] value) {
             seen.add(key + "=" + new String(value, StandardCharsets.UTF_8));
         }
 
         @Override
-        public void drop(String key, boolean afterOutage) {
+        public void onDelete(String key, boolean afterOutage) {
             seen.add("-" + key + (afterOutage ? " after outage" : ""));
         }
 
         @Override
-        public void endOutage() {
+        public void onOutageGraceEnd() {
             seen.add("end of grace");
         }
     }
@@ -105,14 +105,14 @@
         scheduler = new StepScheduler(time);
         log = new MemoryLog();
         seen = new ArrayList<>();
-        follower = new LogFollower("log", log, new Recorder(), FollowSettings.PROMPT, scheduler, time);
+        follower = new LogFollower("log", log, new Recorder(), FollowSettings.LOW_LATENCY, scheduler, time);
     }
 
     @Test
     public void allIsReadOnceThenOnlyWhatIsNew() {
         log.add("a", "1");
         follower.start();
-        assertTrue(follower.isRead());
+        assertTrue(follower.isFullyRead());
         log.add("a", "2");
         log.add("b", "1");
         scheduler.runFor(Duration.ofMillis(300));
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/RestoredLogScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/RestoredLogScheduleTest.java
@@ -9,8 +9,8 @@
 import io.parsleycleat.gateway.MovedTime;
 import io.parsleycleat.gateway.StepScheduler;
 import io.parsleycleat.gateway.version.follow.FollowSettings;
-import io.parsleycleat.gateway.version.follow.KeyedFold;
 import io.parsleycleat.gateway.version.follow.KeyedLog;
+import io.parsleycleat.gateway.version.follow.KeyedLogListener;
 import io.parsleycleat.gateway.version.follow.KeyedRecord;
 import io.parsleycleat.gateway.version.follow.LogFollower;
 import io.parsleycleat.gateway.version.follow.LogPosition;
@@ -49,7 +49,7 @@
         assertEquals(String.join("\n", faults), "");
     }
 
-    private static final class Schedule implements KeyedLog, KeyedFold {
+    private static final class Schedule implements KeyedLog, KeyedLogListener {
         private final SplittableRandom random;
         private final MovedTime time = new MovedTime();
         private final StepScheduler thread = new StepScheduler(time);
@@ -68,7 +68,7 @@
         }
 
         List<String> run() {
-            LogFollower follower = new LogFollower("log", this, this, FollowSettings.PROMPT, thread, time);
+            LogFollower follower = new LogFollower("log", this, this, FollowSettings.LOW_LATENCY, thread, time);
             follower.start();
             for (int step = 0; step < STEPS; step++) {
                 act();
@@ -132,7 +132,7 @@
         }
 
         @Override
-        public CompletableFuture<NewestPage> newest(String afterKey) {
+        public CompletableFuture<NewestPage> readNewest(String afterKey) {
             return answer(() -> {
                 TreeMap<String, KeyedRecord> all = newest();
                 List<KeyedRecord> page = all.tailMap(afterKey, false).values().stream()
@@ -174,12 +174,12 @@
 
         /** Keeps the highest version, as configurations and adapter versions do. */
         @Override
-        public void put(String key, byte[] value) {
+        public void onPut(String key, byte[] value) {
             folded.merge(key, Long.parseLong(new String(value, StandardCharsets.UTF_8)), Math::max);
         }
 
         @Override
-        public void drop(String key, boolean afterOutage) {
+        public void onDelete(String key, boolean afterOutage) {
             if (!afterOutage) {
                 faults.add(key + " counts as gone although only the store lost it");
             }
