Rename configuration types and fields after what they hold

Cause: "fold", "name", "offer" and "objective" did not say what is stored or returned.

Change: names only, by the compiler's resolution, with all uses and tests.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -40,8 +40,8 @@
 import io.parsleycleat.gateway.version.follow.KeyedLogListener;
 import io.parsleycleat.gateway.version.follow.LogFollower;
 import io.parsleycleat.gateway.version.routes.AdapterVersions;
-import io.parsleycleat.gateway.version.routes.ConfigurationFold;
 import io.parsleycleat.gateway.version.routes.ConfigurationHolder;
+import io.parsleycleat.gateway.version.routes.ConfigurationUpdater;
 import io.parsleycleat.gateway.version.routes.ServiceSpec;
 import io.parsleycleat.gateway.version.upstreams.DirectoryFold;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
@@ -126,7 +126,7 @@
         this.operatorsFollower = follower(
                 "operators' log",
                 store.operators(),
-                new ConfigurationFold(store.operatorsDecoder(), configuration, versions, time),
+                new ConfigurationUpdater(store.operatorsDecoder(), configuration, versions, time),
                 OPERATORS,
                 settings.changeBound());
         this.upstreamsFollower = follower(
@@ -152,7 +152,7 @@
     }
 
     private void listen(EventLoopGroup loops) {
-        configuration.onChange(table -> budgets.setAccounts(table.accounts()));
+        configuration.addListener(table -> budgets.setAccounts(table.accounts()));
         directory.onChange(this::upstreamChanged);
         operatorsFollower.start();
         upstreamsFollower.start();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -126,7 +126,7 @@
         long now = time.monotonicNanos();
         AdapterId adapter = new AdapterId(request.getModel(), request.getAdapter());
         if (!adapter.isBaseModel()) {
-            versions.name(adapter, request.getMinVersion(), now);
+            versions.recordVersion(adapter, request.getMinVersion(), now);
         }
         WaitingStart asked = new WaitingStart(key, adapter, request, now, reply);
         Duration wait = expectedWait(asked);
@@ -245,7 +245,8 @@
         if (limits == null || pauseLimit.isZero()) {
             return MAX_BACKLOG_TOKENS;
         }
-        double stepMillis = (double) pauseLimit.toMillis() / Math.max(1, limits.eventTokens()) - STEP_TIME.toMillis();
+        double stepMillis =
+                (double) pauseLimit.toMillis() / Math.max(1, limits.tokensPerEvent()) - STEP_TIME.toMillis();
         double tokens = stepMillis * readRate.tokensPerSecond() / 1_000;
         return tokens >= STEP_TOKENS ? MAX_BACKLOG_TOKENS : Math.max(MIN_BACKLOG_TOKENS, (long) tokens);
     }
@@ -263,11 +264,11 @@
         if (version.isEmpty() || adapters.isComing(adapter)) {
             return false;
         }
-        return version.get() >= versions.newest(adapter) || mayUseOld(adapter, now);
+        return version.get() >= versions.newestVersion(adapter) || mayUseOld(adapter, now);
     }
 
     private boolean mayUseOld(AdapterId adapter, long now) {
-        return now - versions.learntNanos(adapter) < OLD_VERSION_LIMIT.toNanos();
+        return now - versions.receivedNanos(adapter) < OLD_VERSION_LIMIT.toNanos();
     }
 
     private long reserved() {
@@ -318,7 +319,7 @@
         if (limits == null) {
             return Duration.ZERO;
         }
-        long free = (long) limits.adapterPlaces() - adapters.taken() + adapters.replaceable(this::isWanted);
+        long free = (long) limits.maxResidentAdapters() - adapters.taken() + adapters.replaceable(this::isWanted);
         return placeRate.timeToFree(wantedLoads() + 1 - free, time.monotonicNanos());
     }
 
@@ -375,10 +376,10 @@
             return Optional.empty();
         }
         return adapters.residents().stream()
-                .filter(a -> adapters.version(a).orElse(0L) < versions.newest(a))
+                .filter(a -> adapters.version(a).orElse(0L) < versions.newestVersion(a))
                 .filter(a -> !adapters.isUsed(a) && !adapters.isComing(a))
                 .findFirst()
-                .map(a -> make.make(ModelOrder.Operation.LOAD, a, versions.newest(a)));
+                .map(a -> make.make(ModelOrder.Operation.LOAD, a, versions.newestVersion(a)));
     }
 
     private Optional<ModelOrder> loadWanted(EngineSpec limits, OrderMaker make) {
@@ -389,8 +390,8 @@
         List<WaitingStart> absent =
                 waiting.stream().filter(w -> isAbsent(w.adapter())).toList();
         return WaitingStart.nextLoad(absent, now)
-                .flatMap(a -> adapters.taken() < limits.adapterPlaces()
-                        ? Optional.of(make.make(ModelOrder.Operation.LOAD, a, versions.newest(a)))
+                .flatMap(a -> adapters.taken() < limits.maxResidentAdapters()
+                        ? Optional.of(make.make(ModelOrder.Operation.LOAD, a, versions.newestVersion(a)))
                         : adapters.leastRecentlyUsed(this::isWanted, now)
                                 .map(old -> make.make(ModelOrder.Operation.UNLOAD, old, 0)));
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
@@ -20,8 +20,8 @@
 import io.parsleycleat.gateway.version.follow.FollowSettings;
 import io.parsleycleat.gateway.version.follow.LogFollower;
 import io.parsleycleat.gateway.version.routes.AdapterVersions;
-import io.parsleycleat.gateway.version.routes.ConfigurationFold;
 import io.parsleycleat.gateway.version.routes.ConfigurationHolder;
+import io.parsleycleat.gateway.version.routes.ConfigurationUpdater;
 import io.parsleycleat.gateway.version.routes.RoutingTable;
 import io.parsleycleat.gateway.version.routes.ServiceSpec;
 import java.time.Duration;
@@ -55,7 +55,7 @@
         AdapterVersions versions = new AdapterVersions();
         ConfigurationHolder configuration = new ConfigurationHolder();
         this.gate = new EngineGate(versions, time);
-        configuration.onChange(this::configured);
+        configuration.addListener(this::configured);
         this.transport = new NettyPeerTransport(
                 settings.vm().start(ProcessRole.SIDE, time),
                 loops,
@@ -69,7 +69,7 @@
         this.follower = new LogFollower(
                 "operators' log",
                 store.operators(),
-                new ConfigurationFold(store.operatorsDecoder(), configuration, versions, time),
+                new ConfigurationUpdater(store.operatorsDecoder(), configuration, versions, time),
                 OPERATORS,
                 loop,
                 time);
@@ -117,6 +117,6 @@
     private void configured(RoutingTable table) {
         table.service(settings.service())
                 .flatMap(ServiceSpec::engineSpec)
-                .ifPresent(spec -> gate.setSpec(spec, table.pauseLimit(settings.service())));
+                .ifPresent(spec -> gate.setSpec(spec, table.maxEventPause(settings.service())));
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
@@ -181,7 +181,7 @@
     /** An engine whose side is away goes on serving what it holds. */
     private void withoutSide(String service, Upstream engine) {
         Long version = engine.residents().get(ask.adapter().toString());
-        boolean held = version != null && version >= parts.versions().newest(ask.adapter());
+        boolean held = version != null && version >= parts.versions().newestVersion(ask.adapter());
         if (held && parts.view().place(engine, ask.adapter()) == EngineView.Place.RESIDENT) {
             given = true;
             whenStarted.accept(new Started(engine, 0, ask.adapter().isBaseModel() ? 0 : version));
@@ -209,7 +209,7 @@
                 .setTicket(ticket)
                 .setModel(ask.adapter().model())
                 .setAdapter(ask.adapter().adapter())
-                .setMinVersion(parts.versions().newest(ask.adapter()))
+                .setMinVersion(parts.versions().newestVersion(ask.adapter()))
                 .setPromptTokens(promptTokens())
                 .setOutputTokens(tokens == null ? 0 : tokens.output())
                 .setPriority(ask.priority())
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -126,7 +126,7 @@
                 java.util.Objects.requireNonNull(request.adapter()),
                 request.tokens(),
                 priority(),
-                route.objective().minus(age()),
+                route.latencyObjective().minus(age()),
                 timeLeft());
         EngineStart search = new EngineStart(
                 parts,
@@ -165,7 +165,7 @@
                         engine ? priority() : null,
                         adapterVersion,
                         resumeAfter));
-        if (checkTimer == null && route.mayRepeat()) {
+        if (checkTimer == null && route.isRetryable()) {
             checkAgainAfter(timeUntilLate(sent));
         }
     }
@@ -181,7 +181,7 @@
             Duration silence = current.load().silence();
             return UPSTREAM_SILENCE.minus(silence.compareTo(current.age()) < 0 ? silence : current.age());
         }
-        long limitMillis = (long) (HEAD_OBJECTIVES * route.objective().toMillis());
+        long limitMillis = (long) (HEAD_OBJECTIVES * route.latencyObjective().toMillis());
         return Duration.ofMillis(limitMillis).minus(current.age());
     }
 
@@ -323,7 +323,7 @@
         }
         if (head.status() >= STATUS_SERVER_ERROR) {
             from.load().onError();
-            if (route.mayRepeat() && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
+            if (route.isRetryable() && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
                 again();
                 return;
             }
@@ -334,7 +334,7 @@
     }
 
     private void answerWhole(AnswerHead head) {
-        if (PROMISES.contains(head.status()) && !route.mayRepeat()) {
+        if (PROMISES.contains(head.status()) && !route.isRetryable()) {
             finish(Refusal.of(ResultCode.ANSWER_INCOMPLETE, "status " + head.status() + " although it may have run"));
             return;
         }
@@ -388,7 +388,7 @@
             return;
         }
         mayHaveRun = true;
-        boolean allowed = route.mayRepeat() && parts.crashes().maySend(request.fingerprint());
+        boolean allowed = route.isRetryable() && parts.crashes().maySend(request.fingerprint());
         if (allowed && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
             again();
         } else {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
@@ -114,7 +114,7 @@
         if (!parts.crashes().maySend(request.fingerprint())) {
             return Either.left(Refusal.of(ResultCode.SUSPECT_REFUSED).withRetryAfter(Duration.ofSeconds(60)));
         }
-        if (route.get().open() || !table.needsKeys()) {
+        if (route.get().open() || !table.requiresKeys()) {
             return Either.right(new Admitted(request, table, route.get(), null, 0));
         }
         return account(request, table)
@@ -192,7 +192,7 @@
             return 1;
         }
         ForwardRequest.TokenCounts tokens = request.tokens();
-        return tokens == null ? account.plainTokens() : tokens.sum();
+        return tokens == null ? account.defaultRequestTokens() : tokens.sum();
     }
 
     /** Something unknown may have been added since the configuration was read, so a late reader does not deny it. */
@@ -210,7 +210,7 @@
 
     private void forward(Admitted admitted, CallerExchange exchange) {
         open.incrementAndGet();
-        String service = admitted.route().serviceAt(random.getAsDouble());
+        String service = admitted.route().selectService(random.getAsDouble());
         parts.retries().onRequest(service);
         Forwarding forwarding = new Forwarding(parts, admitted, service, exchange, ran -> {
             open.decrementAndGet();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/Account.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/Account.java
@@ -12,7 +12,7 @@
  * @param countsTokens whether rate and burst are counted in tokens; otherwise in requests
  * @param ratePerSecond 0 for no limit
  * @param burst the most that may be spent at once
- * @param plainTokens what a request without token counts costs
+ * @param defaultRequestTokens what a request without token counts costs
  */
 public record Account(
         String name,
@@ -21,7 +21,7 @@
         boolean countsTokens,
         double ratePerSecond,
         double burst,
-        int plainTokens) {
+        int defaultRequestTokens) {
     public Account {
         Objects.requireNonNull(name, "name");
         keys = Set.copyOf(keys);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/AdapterVersions.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/AdapterVersions.java
@@ -9,31 +9,32 @@
  * <p>One a process; safe to share between threads.
  */
 public final class AdapterVersions {
-    private final Map<AdapterId, Named> newest = new ConcurrentHashMap<>();
+    private final Map<AdapterId, KnownVersion> newestVersion = new ConcurrentHashMap<>();
 
     /** A version and when this process learnt of it. */
-    public record Named(long version, long learntNanos) {}
+    public record KnownVersion(long version, long receivedNanos) {}
 
     /**
      * Takes a version that was named.
      *
      * @return whether it is newer than what was known
      */
-    public boolean name(AdapterId adapter, long version, long nowNanos) {
-        long before = newest(adapter);
-        newest.merge(adapter, new Named(version, nowNanos), (old, n) -> n.version() > old.version() ? n : old);
+    public boolean recordVersion(AdapterId adapter, long version, long nowNanos) {
+        long before = newestVersion(adapter);
+        newestVersion.merge(
+                adapter, new KnownVersion(version, nowNanos), (old, n) -> n.version() > old.version() ? n : old);
         return version > before;
     }
 
     /** Returns the newest named version, or 0 when none was named. */
-    public long newest(AdapterId adapter) {
-        Named named = newest.get(adapter);
+    public long newestVersion(AdapterId adapter) {
+        KnownVersion named = newestVersion.get(adapter);
         return named == null ? 0 : named.version();
     }
 
     /** Returns when the newest version was learnt, in nanoseconds of the steady clock; 0 when none was named. */
-    public long learntNanos(AdapterId adapter) {
-        Named named = newest.get(adapter);
-        return named == null ? 0 : named.learntNanos();
+    public long receivedNanos(AdapterId adapter) {
+        KnownVersion named = newestVersion.get(adapter);
+        return named == null ? 0 : named.receivedNanos();
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationHolder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationHolder.java
@@ -20,12 +20,12 @@
     private final List<Consumer<RoutingTable>> listeners = new CopyOnWriteArrayList<>();
 
     /** Calls back with each version that comes into force. */
-    public void onChange(Consumer<RoutingTable> listener) {
+    public void addListener(Consumer<RoutingTable> listener) {
         listeners.add(listener);
     }
 
     /** Takes a version into force, unless a later one is known. */
-    public void offer(RoutingTable table) {
+    public void applyIfNewer(RoutingTable table) {
         RoutingTable before = current.getAndAccumulate(
                 table, (old, offered) -> old == null || offered.version() > old.version() ? offered : old);
         if (before != null && before.version() >= table.version()) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationFold.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationUpdater.java
@@ -11,7 +11,7 @@
  *
  * <p>One a process; called by one follower.
  */
-public final class ConfigurationFold implements KeyedLogListener {
+public final class ConfigurationUpdater implements KeyedLogListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final ConfigurationDecoder decoder;
@@ -20,7 +20,7 @@
     private final TimeSource time;
 
     /** Creates a fold into a process's configuration and versions. */
-    public ConfigurationFold(
+    public ConfigurationUpdater(
             ConfigurationDecoder decoder, ConfigurationHolder holder, AdapterVersions versions, TimeSource time) {
         this.decoder = decoder;
         this.holder = holder;
@@ -31,14 +31,14 @@
     @Override
     public void onPut(String key, byte[] value) {
         Optional<RoutingTable> table = decoder.table(key, value);
-        table.ifPresent(holder::offer);
+        table.ifPresent(holder::applyIfNewer);
         if (table.isPresent()) {
             return;
         }
         decoder.version(key, value)
                 .ifPresentOrElse(
                         named -> {
-                            if (versions.name(named.adapter(), named.version(), time.monotonicNanos())) {
+                            if (versions.recordVersion(named.adapter(), named.version(), time.monotonicNanos())) {
                                 logger.atInfo()
                                         .with(LogKeys.ADAPTER, named.adapter().toString())
                                         .log("version %d named", named.version());
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/EngineSpec.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/EngineSpec.java
@@ -6,18 +6,18 @@
  * What the engines of a service can hold and run. Immutable.
  *
  * @param slots requests that run at once
- * @param memoryTokens memory for prompts and answers
+ * @param kvCacheTokens memory for prompts and answers
  * @param weightsMegabytes memory for models and adapters together
  * @param adapterSlots adapters that are held or on their way at once
- * @param eventTokens output tokens that one event of a stream holds
+ * @param tokensPerEvent output tokens that one event of a stream holds
  * @param loadsPerSecond loads of models that the weight store allows, over all engines
  */
 public record EngineSpec(
         int slots,
-        int memoryTokens,
+        int kvCacheTokens,
         double weightsMegabytes,
         int adapterSlots,
-        int eventTokens,
+        int tokensPerEvent,
         double loadsPerSecond,
         List<ModelSpec> models) {
     public EngineSpec {
@@ -25,7 +25,7 @@
     }
 
     /** Returns how many adapters fit, by places and by memory. */
-    public int adapterPlaces() {
+    public int maxResidentAdapters() {
         ModelSpec model = models.isEmpty() ? null : models.get(0);
         if (model == null || models.size() > 1 || model.adapterMegabytes() <= 0) {
             return adapterSlots;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/Route.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/Route.java
@@ -10,8 +10,8 @@
  * @param pathPrefix begins and ends with a slash
  * @param shares the services, at least one
  * @param timeout the longest time that a caller is kept waiting for the end of its answer
- * @param objective the time within which an answer is of full use; to the first event for streams
- * @param pauseLimit the longest pause between events with which a stream is of full use; zero for any
+ * @param latencyObjective the time within which an answer is of full use; to the first event for streams
+ * @param maxEventPause the longest pause between events with which a stream is of full use; zero for any
  * @param priority 0 is the most urgent
  * @param maxUpstreams to how many upstreams one request may be sent
  * @param open whether requests need no key
@@ -24,8 +24,8 @@
         RequestKind kind,
         List<ServiceShare> shares,
         Duration timeout,
-        Duration objective,
-        Duration pauseLimit,
+        Duration latencyObjective,
+        Duration maxEventPause,
         int priority,
         int maxUpstreams,
         boolean open,
@@ -36,8 +36,8 @@
         Objects.requireNonNull(kind, "kind");
         shares = List.copyOf(shares);
         Objects.requireNonNull(timeout, "timeout");
-        Objects.requireNonNull(objective, "objective");
-        Objects.requireNonNull(pauseLimit, "pauseLimit");
+        Objects.requireNonNull(latencyObjective, "objective");
+        Objects.requireNonNull(maxEventPause, "pauseLimit");
         if (shares.isEmpty()) {
             throw new IllegalArgumentException("route " + name + " has no service");
         }
@@ -47,12 +47,12 @@
     }
 
     /** Returns whether a request may run again after it may have run. */
-    public boolean mayRepeat() {
+    public boolean isRetryable() {
         return kind == RequestKind.IDEMPOTENT || (kind == RequestKind.STREAM && resumable);
     }
 
     /** Returns the service for a point between 0 (included) and 1 (excluded) on the scale of all shares. */
-    public String serviceAt(double point) {
+    public String selectService(double point) {
         double left = point * shares.stream().mapToDouble(ServiceShare::weight).sum();
         for (ServiceShare share : shares) {
             left -= share.weight();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/RoutingTable.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/RoutingTable.java
@@ -63,12 +63,12 @@
     }
 
     /** Returns the shortest limit of pauses among the routes that lead to a service; zero when none has one. */
-    public Duration pauseLimit(String service) {
+    public Duration maxEventPause(String service) {
         return routesByHost.values().stream()
                 .flatMap(List::stream)
-                .filter(r -> !r.pauseLimit().isZero()
+                .filter(r -> !r.maxEventPause().isZero()
                         && r.shares().stream().anyMatch(s -> s.service().equals(service)))
-                .map(Route::pauseLimit)
+                .map(Route::maxEventPause)
                 .min(Comparator.naturalOrder())
                 .orElse(Duration.ZERO);
     }
@@ -84,7 +84,7 @@
     }
 
     /** Returns whether requests need a key, unless their route is open. */
-    public boolean needsKeys() {
+    public boolean requiresKeys() {
         return !accounts.isEmpty();
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
@@ -209,7 +209,7 @@
     public void aNewVersionIsLoadedOnceNobodyUsesTheOldOne() {
         report(Map.of(adapter("a"), 1L), Map.of());
         request(ask(1, "a", 100));
-        versions.name(adapter("a"), 2, time.monotonicNanos());
+        versions.recordVersion(adapter("a"), 2, time.monotonicNanos());
         assertTrue(order().isEmpty());
         progress(1, RunProgress.Stage.ENDED);
         ModelOrder load = order().orElseThrow();
@@ -220,7 +220,7 @@
     @Test
     public void anOldVersionIsNotStartedLongAfterTheNewOneWasNamed() {
         report(Map.of(adapter("a"), 1L), Map.of());
-        versions.name(adapter("a"), 2, time.monotonicNanos());
+        versions.recordVersion(adapter("a"), 2, time.monotonicNanos());
         request(ask(1, "a", 100));
         assertEquals(granted, List.of(1L));
         time.passMillis(2_100);
@@ -292,7 +292,7 @@
     @Test
     public void aReplacementIsOrderedOnceAndItsAdapterIsNotStartedMeanwhile() {
         report(Map.of(adapter("a"), 1L), Map.of());
-        versions.name(adapter("a"), 2, time.monotonicNanos());
+        versions.recordVersion(adapter("a"), 2, time.monotonicNanos());
         ModelOrder load = order().orElseThrow();
         gate.onOrder(load, ModelOrder.Outcome.STARTED);
         orders++;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
@@ -99,7 +99,7 @@
             if (kind < 70) {
                 side.ask(random.nextInt(ADAPTERS));
             } else if (kind < 72) {
-                versions.name(adapter(random.nextInt(ADAPTERS)), random.nextInt(1, 5), time.monotonicNanos());
+                versions.recordVersion(adapter(random.nextInt(ADAPTERS)), random.nextInt(1, 5), time.monotonicNanos());
             } else if (kind == 72) {
                 engine.restart();
             } else if (kind == 73) {
@@ -306,7 +306,7 @@
                     return;
                 }
                 coming.remove(adapter);
-                resident.put(adapter, Math.max(1, versions.newest(adapter)));
+                resident.put(adapter, Math.max(1, versions.newestVersion(adapter)));
             }
 
             private ModelOrder.Outcome unload(ModelOrder order) {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -235,7 +235,7 @@
                 maxUpstreams,
                 false,
                 resumable);
-        configuration.offer(new RoutingTable(
+        configuration.applyIfNewer(new RoutingTable(
                 1,
                 List.of(route),
                 List.of(new ServiceSpec("s", "/h", 10, null)),
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/ConfigurationHolderTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/ConfigurationHolderTest.java
@@ -24,8 +24,8 @@
     public void anOlderVersionIsNotTakenBackNorTold() {
         ConfigurationHolder holder = new ConfigurationHolder();
         List<Long> told = new ArrayList<>();
-        holder.onChange(table -> told.add(table.version()));
-        LongStream.of(1, 3, 2, 3, 4, 1).forEach(n -> holder.offer(version(n)));
+        holder.addListener(table -> told.add(table.version()));
+        LongStream.of(1, 3, 2, 3, 4, 1).forEach(n -> holder.applyIfNewer(version(n)));
         assertEquals(inForce(holder), 4);
         assertEquals(told, List.of(1L, 3L, 4L));
     }
@@ -40,7 +40,7 @@
             for (int i = 0; i < 50; i++) {
                 long offered = random.nextLong(1, 40);
                 newest = Math.max(newest, offered);
-                holder.offer(version(offered));
+                holder.applyIfNewer(version(offered));
                 assertEquals(inForce(holder), newest, "seed " + seed);
             }
         }
