Rename the upstream directory's updater and expiry methods

Cause: "born", "lapse" and "fold" are figurative or private to the project.

Change: names only, by the compiler's resolution, with all uses and tests.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamPools.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamPools.java
@@ -30,7 +30,7 @@
         this.loop = loop;
         this.time = time;
         this.maxConnections = maxConnections;
-        directory.onChange(this::changed);
+        directory.addListener(this::changed);
     }
 
     /** Returns the pool of an upstream. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -43,9 +43,9 @@
 import io.parsleycleat.gateway.version.routes.ConfigurationHolder;
 import io.parsleycleat.gateway.version.routes.ConfigurationUpdater;
 import io.parsleycleat.gateway.version.routes.ServiceSpec;
-import io.parsleycleat.gateway.version.upstreams.DirectoryFold;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import io.parsleycleat.gateway.version.upstreams.UpstreamDirectory;
+import io.parsleycleat.gateway.version.upstreams.UpstreamDirectoryUpdater;
 import io.parsleycleat.wire.gate.EntryRecord;
 import io.parsleycleat.wire.gate.UpstreamCrash;
 import java.time.Duration;
@@ -132,7 +132,7 @@
         this.upstreamsFollower = follower(
                 "upstreams' log",
                 store.upstreams(),
-                new DirectoryFold(store.upstreamDecoder(), directory),
+                new UpstreamDirectoryUpdater(store.upstreamDecoder(), directory),
                 UPSTREAMS,
                 settings.drainBound());
         this.entriesFollower =
@@ -153,7 +153,7 @@
 
     private void listen(EventLoopGroup loops) {
         configuration.addListener(table -> budgets.setAccounts(table.accounts()));
-        directory.onChange(this::upstreamChanged);
+        directory.addListener(this::upstreamChanged);
         operatorsFollower.start();
         upstreamsFollower.start();
         entriesFollower.start();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
@@ -129,7 +129,7 @@
         String name = adapter.toString();
         Optional<Told> known = fresh(engine);
         if (known.isEmpty()) {
-            return engine.residents().containsKey(name) ? Place.RESIDENT : Place.ABSENT;
+            return engine.residentAdapters().containsKey(name) ? Place.RESIDENT : Place.ABSENT;
         }
         if (known.get().resident.contains(name)
                 || (adapter.isBaseModel() && known.get().status.getModelResident())) {
@@ -144,7 +144,7 @@
     private Optional<Told> fresh(Upstream engine) {
         Told known = told.get(engine.id());
         boolean usable = known != null
-                && known.status.getBorn() == engine.born()
+                && known.status.getBorn() == engine.startMillis()
                 && time.monotonicNanos() - known.nanos < TimeUnit.MILLISECONDS.toNanos(STALE_MILLIS);
         return usable ? Optional.ofNullable(known) : Optional.empty();
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamAvailability.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamAvailability.java
@@ -40,7 +40,7 @@
     /** One start of an upstream. */
     private record Start(String id, long born) {
         static Start of(Upstream upstream) {
-            return new Start(upstream.id(), upstream.born());
+            return new Start(upstream.id(), upstream.startMillis());
         }
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLoads.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLoads.java
@@ -19,7 +19,7 @@
     /** Creates loads that follow a directory. */
     public UpstreamLoads(TimeSource time, UpstreamDirectory directory) {
         this.time = time;
-        directory.onChange(this::changed);
+        directory.addListener(this::changed);
     }
 
     /** Returns the load of an upstream. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/crash/CrashWatch.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/crash/CrashWatch.java
@@ -98,7 +98,7 @@
         }
         return Optional.of(UpstreamCrash.newBuilder()
                 .setUpstreamId(upstream.id())
-                .setIncarnation(upstream.born())
+                .setIncarnation(upstream.startMillis())
                 .addAllFingerprints(
                         lost.stream().map(Lost::fingerprint).distinct().toList())
                 .build());
@@ -110,6 +110,6 @@
     }
 
     private static String key(Upstream upstream) {
-        return upstream.id() + '/' + upstream.born();
+        return upstream.id() + '/' + upstream.startMillis();
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
@@ -169,18 +169,18 @@
 
     /** The side answers for the engine that runs beside it now, which may have started anew under another id. */
     private Upstream granted(Upstream asked, StartGrant grant) {
-        if (asked.id().equals(grant.getEngineId()) && asked.born() == grant.getEngineBorn()) {
+        if (asked.id().equals(grant.getEngineId()) && asked.startMillis() == grant.getEngineBorn()) {
             return asked;
         }
         return parts.directory()
                 .find(grant.getEngineId())
-                .filter(u -> u.born() == grant.getEngineBorn())
+                .filter(u -> u.startMillis() == grant.getEngineBorn())
                 .orElseGet(() -> asked.withStart(grant.getEngineId(), grant.getEngineBorn()));
     }
 
     /** An engine whose side is away goes on serving what it holds. */
     private void withoutSide(String service, Upstream engine) {
-        Long version = engine.residents().get(ask.adapter().toString());
+        Long version = engine.residentAdapters().get(ask.adapter().toString());
         boolean held = version != null && version >= parts.versions().newestVersion(ask.adapter());
         if (held && parts.view().place(engine, ask.adapter()) == EngineView.Place.RESIDENT) {
             given = true;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
@@ -30,7 +30,7 @@
     private final List<BiConsumer<@Nullable Upstream, @Nullable Upstream>> listeners = new CopyOnWriteArrayList<>();
 
     /** Calls back with each upstream's description before and after a change; null where there is none. */
-    public void onChange(BiConsumer<@Nullable Upstream, @Nullable Upstream> listener) {
+    public void addListener(BiConsumer<@Nullable Upstream, @Nullable Upstream> listener) {
         listeners.add(listener);
     }
 
@@ -41,10 +41,10 @@
     public void put(Upstream described) {
         lapsed.remove(described.id());
         Upstream before = upstreams.get(described.id());
-        if (before != null && before.born() > described.born()) {
+        if (before != null && before.startMillis() > described.startMillis()) {
             logger.atInfo()
                     .with(LogKeys.UPSTREAM, described.id())
-                    .log("a description of the earlier start %d is passed over", described.born());
+                    .log("a description of the earlier start %d is passed over", described.startMillis());
             return;
         }
         boolean stillLeaving = before != null && before.leaving() && before.isSameStart(described);
@@ -53,7 +53,9 @@
         if (before == null || !before.isSameStart(upstream)) {
             logger.atInfo()
                     .with(LogKeys.UPSTREAM, upstream.id())
-                    .log("upstream of %s at %s, started %d", upstream.service(), upstream.address(), upstream.born());
+                    .log(
+                            "upstream of %s at %s, started %d",
+                            upstream.service(), upstream.address(), upstream.startMillis());
         } else if (before.leaving() != upstream.leaving()) {
             logger.atInfo().with(LogKeys.UPSTREAM, upstream.id()).log("upstream leaving: %s", upstream.leaving());
         }
@@ -71,14 +73,14 @@
     }
 
     /** Notes that an upstream's entry lapsed while the store was away, so that it may come back. */
-    public void lapse(String id) {
+    public void markExpired(String id) {
         if (upstreams.containsKey(id)) {
             lapsed.put(id, true);
         }
     }
 
     /** Removes the upstreams whose lapsed entries did not come back. */
-    public void endGrace() {
+    public void removeExpired() {
         List.copyOf(lapsed.keySet()).forEach(this::remove);
     }
 
@@ -101,7 +103,7 @@
 
     private boolean isReplaced(Upstream upstream) {
         return upstreams.values().stream()
-                .anyMatch(o -> o.address().equals(upstream.address()) && o.born() > upstream.born());
+                .anyMatch(o -> o.address().equals(upstream.address()) && o.startMillis() > upstream.startMillis());
     }
 
     private void tell(@Nullable Upstream before, @Nullable Upstream after) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/DirectoryFold.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectoryUpdater.java
@@ -11,7 +11,7 @@
  *
  * <p>One a process; called by one follower.
  */
-public final class DirectoryFold implements KeyedLogListener {
+public final class UpstreamDirectoryUpdater implements KeyedLogListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final BiFunction<String, byte[], Optional<Upstream>> decoder;
@@ -22,7 +22,8 @@
      *
      * @param decoder reads an upstream's description by its id, or nothing when it is not well-formed
      */
-    public DirectoryFold(BiFunction<String, byte[], Optional<Upstream>> decoder, UpstreamDirectory directory) {
+    public UpstreamDirectoryUpdater(
+            BiFunction<String, byte[], Optional<Upstream>> decoder, UpstreamDirectory directory) {
         this.decoder = decoder;
         this.directory = directory;
     }
@@ -37,7 +38,7 @@
     @Override
     public void onDelete(String key, boolean afterOutage) {
         if (afterOutage) {
-            directory.lapse(key);
+            directory.markExpired(key);
         } else {
             directory.remove(key);
         }
@@ -45,6 +46,6 @@
 
     @Override
     public void onOutageGraceEnd() {
-        directory.endGrace();
+        directory.removeExpired();
     }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/UpstreamDirectoryTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/UpstreamDirectoryTest.java
@@ -62,11 +62,11 @@
     public void aLapsedEntryStaysUntilTheGraceIsOver() {
         directory.put(upstream("a", 1, 1, false));
         directory.put(upstream("b", 2, 1, false));
-        directory.lapse("a");
-        directory.lapse("b");
+        directory.markExpired("a");
+        directory.markExpired("b");
         assertEquals(usable(), List.of("a", "b"));
         directory.put(upstream("b", 2, 1, false));
-        directory.endGrace();
+        directory.removeExpired();
         assertEquals(usable(), List.of("b"));
     }
 }
