--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationFold.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationUpdater.java
@@ -3,7 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.time.TimeSource;
-import io.parsleycleat.gateway.version.follow.KeyedFold;
+import io.parsleycleat.gateway.version.follow.KeyedLogListener;
 import java.util.Optional;
 
 /**
@@ -11,7 +11,7 @@
  *
  * <p>One a process; called by one follower.
  */
-public final class ConfigurationFold implements KeyedFold {
+public final class ConfigurationUpdater implements KeyedLogListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final ConfigurationDecoder decoder;
@@ -20,7 +20,7 @@
     private final TimeSource time;
 
     /** Creates a fold into a process's configuration and versions. */
-    public ConfigurationFold(
+    public ConfigurationUpdater(
             ConfigurationDecoder decoder, ConfigurationHolder holder, AdapterVersions versions, TimeSource time) {
         this.decoder = decoder;
         this.holder = holder;
@@ -29,16 +29,16 @@
     }
 
     @Override
-    public void put(String key, byte[] value) {
+    public void onPut(String key, byte[] value) {
         Optional<RoutingTable> table = decoder.table(key, value);
-        table.ifPresent(holder::offer);
+        table.ifPresent(holder::applyIfNewer);
         if (table.isPresent()) {
             return;
         }
         decoder.version(key, value)
                 .ifPresentOrElse(
                         named -> {
-                            if (versions.name(named.adapter(), named.version(), time.monotonicNanos())) {
+                            if (versions.recordVersion(named.adapter(), named.version(), time.monotonicNanos())) {
                                 logger.atInfo()
                                         .with(LogKeys.ADAPTER, named.adapter().toString())
                                         .log("version %d named", named.version());
@@ -49,7 +49,7 @@
     }
 
     @Override
-    public void drop(String key, boolean afterOutage) {
+    public void onDelete(String key, boolean afterOutage) {
         logger.atInfo().log("operators' record %s was dropped; what it said stays in force", key);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/DirectoryFold.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectoryUpdater.java
@@ -2,7 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.parsleycleat.core.process.logging.LogKeys;
-import io.parsleycleat.gateway.version.follow.KeyedFold;
+import io.parsleycleat.gateway.version.follow.KeyedLogListener;
 import java.util.Optional;
 import java.util.function.BiFunction;
 
@@ -11,7 +11,7 @@
  *
  * <p>One a process; called by one follower.
  */
-public final class DirectoryFold implements KeyedFold {
+public final class UpstreamDirectoryUpdater implements KeyedLogListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final BiFunction<String, byte[], Optional<Upstream>> decoder;
@@ -22,29 +22,30 @@
      *
      * @param decoder reads an upstream's description by its id, or nothing when it is not well-formed
      */
-    public DirectoryFold(BiFunction<String, byte[], Optional<Upstream>> decoder, UpstreamDirectory directory) {
+    public UpstreamDirectoryUpdater(
+            BiFunction<String, byte[], Optional<Upstream>> decoder, UpstreamDirectory directory) {
         this.decoder = decoder;
         this.directory = directory;
     }
 
     @Override
-    public void put(String key, byte[] value) {
+    public void onPut(String key, byte[] value) {
         decoder.apply(key, value).ifPresentOrElse(directory::put, () -> logger.atWarning()
                 .with(LogKeys.UPSTREAM, key)
                 .log("a description of %d bytes cannot be read", value.length));
     }
 
     @Override
-    public void drop(String key, boolean afterOutage) {
+    public void onDelete(String key, boolean afterOutage) {
         if (afterOutage) {
-            directory.lapse(key);
+            directory.markExpired(key);
         } else {
             directory.remove(key);
         }
     }
 
     @Override
-    public void endOutage() {
-        directory.endGrace();
+    public void onOutageGraceEnd() {
+        directory.removeExpired();
     }
 }
