Name the upstream connection types after HTTP responses and connection pools

Cause: "answer", "pool" and "sent" did not say that these types hold a response, connections and a pending request. Change: rename the types and methods of the upstream connections that other packages use, with all their uses.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/AnswerHead.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/ResponseHead.java
@@ -5,11 +5,11 @@
 import java.util.Optional;
 
 /** Status and headers of an upstream's answer. Immutable. */
-public record AnswerHead(int status, List<Map.Entry<String, String>> headers) {
+public record ResponseHead(int status, List<Map.Entry<String, String>> headers) {
     private static final int STATUS_OK = 200;
     private static final int STATUS_MULTIPLE_CHOICES = 300;
 
-    public AnswerHead {
+    public ResponseHead {
         headers = List.copyOf(headers);
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/AnswerListener.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/ResponseListener.java
@@ -3,9 +3,9 @@
 import com.google.protobuf.ByteString;
 
 /** Takes one answer of an upstream, on the connection's event loop. One of the last two methods is called last. */
-public interface AnswerListener {
+public interface ResponseListener {
     /** Takes status and headers. */
-    void onHead(AnswerHead head);
+    void onHead(ResponseHead head);
 
     /** Takes a part of the body. */
     void onBody(ByteString part);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/SendFailure.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/SendFailure.java
@@ -19,12 +19,12 @@
     }
 
     /** Returns the loss of the connection after bytes left. */
-    public static SendFailure lost(String detail) {
+    public static SendFailure connectionBroken(String detail) {
         return new SendFailure(true, true, detail);
     }
 
     /** Returns an answer that cannot be used. */
-    public static SendFailure malformed(String detail) {
+    public static SendFailure invalidResponse(String detail) {
         return new SendFailure(true, false, detail);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
@@ -29,7 +29,7 @@
  * One HTTP/1.1 connection to an upstream. It carries one request at a time and is used again only when the answer
  * before was whole, was the answer to that request, and left no byte behind.
  *
- * <p>Created by {@link UpstreamPool}; its state is used on its event loop only.
+ * <p>Created by {@link UpstreamConnectionPool}; its state is used on its event loop only.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final String KEEP_ALIVE = "keep-alive";
@@ -38,7 +38,7 @@
     private final Channel channel;
     private final AnswerDecoder decoder;
     private final BiConsumer<UpstreamConnection, Boolean> whenFree;
-    private @Nullable AnswerListener listener;
+    private @Nullable ResponseListener listener;
     private boolean written;
     private boolean reusable;
     private boolean endsWithConnection;
@@ -59,7 +59,7 @@
 
     // Used by the pool, on the event loop
 
-    void send(UpstreamRequest request, AnswerListener newListener) {
+    void send(UpstreamRequest request, ResponseListener newListener) {
         listener = newListener;
         written = false;
         reusable = false;
@@ -68,7 +68,7 @@
         channel.writeAndFlush(encode(request)).addListener(f -> {
             written = f.isSuccess();
             if (!f.isSuccess()) {
-                fail(SendFailure.lost("the request could not be written: " + f.cause()));
+                fail(SendFailure.connectionBroken("the request could not be written: " + f.cause()));
             }
         });
     }
@@ -105,13 +105,13 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-        AnswerListener current = listener;
+        ResponseListener current = listener;
         if (current == null) {
             context.close();
             return;
         }
         if (message.decoderResult().isFailure()) {
-            fail(SendFailure.malformed("not a valid HTTP answer"));
+            fail(SendFailure.invalidResponse("not a valid HTTP answer"));
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -129,19 +129,19 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        fail(SendFailure.lost("the upstream closed the connection"));
+        fail(SendFailure.connectionBroken("the upstream closed the connection"));
         whenFree.accept(this, false);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail(SendFailure.lost(String.valueOf(cause.getMessage())));
+        fail(SendFailure.connectionBroken(String.valueOf(cause.getMessage())));
         context.close();
     }
 
     // Internals
 
-    private void readHead(HttpResponse response, AnswerListener current) {
+    private void readHead(HttpResponse response, ResponseListener current) {
         boolean framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
         endsWithConnection = !framed && !decoder.hasNoBody(response.status().code());
         reusable = HttpUtil.isKeepAlive(response) && !endsWithConnection;
@@ -150,7 +150,7 @@
             idleLimitMillis = idleLimitMillis(keepAlive);
         }
         current.onHead(
-                new AnswerHead(response.status().code(), response.headers().entries()));
+                new ResponseHead(response.status().code(), response.headers().entries()));
     }
 
     /** Returns for how long the upstream keeps an idle connection, less a part in which it may already be closing. */
@@ -166,7 +166,7 @@
         return Long.parseLong(digits) * 700L;
     }
 
-    private void readEnd(AnswerListener current) {
+    private void readEnd(ResponseListener current) {
         if (endsWithConnection && failed) {
             return;
         }
@@ -181,7 +181,7 @@
 
     private void fail(SendFailure failure) {
         failed = true;
-        AnswerListener current = listener;
+        ResponseListener current = listener;
         listener = null;
         channel.close();
         if (current != null) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamPool.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
@@ -24,7 +24,7 @@
  *
  * <p>Created for each upstream; its state is used on one event loop, to which calls from other threads are passed.
  */
-public final class UpstreamPool {
+public final class UpstreamConnectionPool {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
     private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
@@ -45,7 +45,8 @@
      *
      * @param maxConnections how many may be open, as of now
      */
-    public UpstreamPool(InetSocketAddress address, EventLoop loop, TimeSource time, IntSupplier maxConnections) {
+    public UpstreamConnectionPool(
+            InetSocketAddress address, EventLoop loop, TimeSource time, IntSupplier maxConnections) {
         this.address = address;
         this.loop = loop;
         this.time = time;
@@ -53,7 +54,7 @@
     }
 
     /** A request under way. */
-    public interface Sent {
+    public interface InFlightRequest {
         /** Gives the request up; the listener hears nothing more. */
         void cancel();
 
@@ -62,7 +63,7 @@
     }
 
     /** Sends a request on an idle connection, or on a new one. */
-    public Sent send(UpstreamRequest request, AnswerListener listener) {
+    public InFlightRequest send(UpstreamRequest request, ResponseListener listener) {
         Sending sending = new Sending(request, listener);
         if (loop.inEventLoop()) {
             start(sending);
@@ -162,7 +163,7 @@
         protected void initChannel(SocketChannel channel) {
             AnswerDecoder decoder = new AnswerDecoder();
             IdleBytesGuard guard = new IdleBytesGuard();
-            UpstreamConnection connection = new UpstreamConnection(channel, decoder, UpstreamPool.this::free);
+            UpstreamConnection connection = new UpstreamConnection(channel, decoder, UpstreamConnectionPool.this::free);
             guard.guard(connection);
             channel.pipeline().addLast(new OpenCounter(), guard, decoder, new HttpRequestEncoder(), connection);
         }
@@ -178,13 +179,13 @@
     }
 
     /** One request on its way. Used on the event loop, but for the calls that are passed there. */
-    private final class Sending implements Sent {
+    private final class Sending implements InFlightRequest {
         private final UpstreamRequest request;
-        private final AnswerListener listener;
+        private final ResponseListener listener;
         private @Nullable UpstreamConnection connection;
         private boolean cancelled;
 
-        Sending(UpstreamRequest request, AnswerListener listener) {
+        Sending(UpstreamRequest request, ResponseListener listener) {
             this.request = request;
             this.listener = listener;
         }
@@ -226,9 +227,9 @@
     }
 
     /** Forgets the connection at the answer's end, so that a late call does not touch the next request on it. */
-    private record Ending(Sending sending) implements AnswerListener {
+    private record Ending(Sending sending) implements ResponseListener {
         @Override
-        public void onHead(AnswerHead head) {
+        public void onHead(ResponseHead head) {
             sending.listener.onHead(head);
         }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamPools.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPools.java
@@ -14,18 +14,18 @@
  *
  * <p>One an entry; safe to share between threads.
  */
-public final class UpstreamPools {
+public final class UpstreamConnectionPools {
     private final EventLoop loop;
     private final TimeSource time;
     private final ToIntFunction<Upstream> maxConnections;
-    private final Map<String, UpstreamPool> pools = new ConcurrentHashMap<>();
+    private final Map<String, UpstreamConnectionPool> pools = new ConcurrentHashMap<>();
 
     /**
      * Creates pools that follow a directory.
      *
      * @param maxConnections how many connections to an upstream this entry may have, as of now
      */
-    public UpstreamPools(
+    public UpstreamConnectionPools(
             EventLoop loop, TimeSource time, UpstreamDirectory directory, ToIntFunction<Upstream> maxConnections) {
         this.loop = loop;
         this.time = time;
@@ -34,15 +34,16 @@
     }
 
     /** Returns the pool of an upstream. */
-    public UpstreamPool of(Upstream upstream) {
+    public UpstreamConnectionPool poolFor(Upstream upstream) {
         return pools.computeIfAbsent(
                 upstream.id(),
-                id -> new UpstreamPool(upstream.address(), loop, time, () -> maxConnections.applyAsInt(upstream)));
+                id -> new UpstreamConnectionPool(
+                        upstream.address(), loop, time, () -> maxConnections.applyAsInt(upstream)));
     }
 
     private void changed(@Nullable Upstream before, @Nullable Upstream after) {
         if (before != null && (after == null || !before.isSameStart(after))) {
-            UpstreamPool pool = pools.remove(before.id());
+            UpstreamConnectionPool pool = pools.remove(before.id());
             if (pool != null) {
                 pool.close();
             }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -16,7 +16,7 @@
 import io.parsleycleat.core.process.result.Failures;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.core.request.outcome.CrashSuspects;
-import io.parsleycleat.gateway.connection.upstream.UpstreamPools;
+import io.parsleycleat.gateway.connection.upstream.UpstreamConnectionPools;
 import io.parsleycleat.gateway.process.members.EntryExchange;
 import io.parsleycleat.gateway.process.members.EntryMembers;
 import io.parsleycleat.gateway.process.members.GateClient;
@@ -257,7 +257,7 @@
                 time,
                 directory,
                 versions,
-                new UpstreamPools(loop, time, directory, this::maxConnections),
+                new UpstreamConnectionPools(loop, time, directory, this::maxConnections),
                 loads,
                 new UpstreamAvailability(time, random::nextDouble),
                 new PlainChooser(loads, identity.dataCentre(), random::nextDouble),
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -1,10 +1,10 @@
 package io.parsleycleat.gateway.request.forward;
 
 import com.google.protobuf.ByteString;
-import io.parsleycleat.gateway.connection.upstream.AnswerHead;
-import io.parsleycleat.gateway.connection.upstream.AnswerListener;
+import io.parsleycleat.gateway.connection.upstream.ResponseHead;
+import io.parsleycleat.gateway.connection.upstream.ResponseListener;
 import io.parsleycleat.gateway.connection.upstream.SendFailure;
-import io.parsleycleat.gateway.connection.upstream.UpstreamPool;
+import io.parsleycleat.gateway.connection.upstream.UpstreamConnectionPool;
 import io.parsleycleat.gateway.request.choose.UpstreamLoad;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import io.parsleycleat.wire.gate.RunProgress;
@@ -17,7 +17,7 @@
  *
  * <p>Created by {@link Forwarding} for each send; used on the event loop.
  */
-final class Attempt implements AnswerListener {
+final class Attempt implements ResponseListener {
     /** What is read of an answer that is not passed on, so that its connection can be used again. */
     private static final int MAX_IGNORED_BYTES = 64 * 1024;
     /** How long the end of such an answer is waited for. */
@@ -30,8 +30,8 @@
     private final long startNanos;
     private final String requestId;
     private final Outcome outcome;
-    private UpstreamPool.@Nullable Sent sent;
-    private @Nullable AnswerHead head;
+    private UpstreamConnectionPool.@Nullable InFlightRequest sent;
+    private @Nullable ResponseHead head;
     private @Nullable AnswerFacts facts;
     private boolean over;
     private boolean ended;
@@ -41,7 +41,7 @@
     /** Takes what an attempt comes to. */
     interface Outcome {
         /** Takes the head of an answer that belongs to the request and was run. */
-        void onHead(Attempt attempt, AnswerHead answer);
+        void onHead(Attempt attempt, ResponseHead answer);
 
         /** Takes a part of that answer's body. */
         void onBody(Attempt attempt, ByteString part);
@@ -73,7 +73,7 @@
 
     void send(ForwardRequest request, SendTerms terms) {
         load.onSend();
-        sent = parts.pools().of(upstream).send(parts.codec().encode(request, terms), this);
+        sent = parts.pools().poolFor(upstream).send(parts.codec().encode(request, terms), this);
     }
 
     /** Gives the attempt up; the upstream sees its connection close. */
@@ -81,7 +81,7 @@
         if (over) {
             return;
         }
-        UpstreamPool.Sent current = sent;
+        UpstreamConnectionPool.InFlightRequest current = sent;
         if (current != null) {
             current.cancel();
         }
@@ -89,7 +89,7 @@
     }
 
     void setReading(boolean reading) {
-        UpstreamPool.Sent current = sent;
+        UpstreamConnectionPool.InFlightRequest current = sent;
         if (current != null) {
             current.setReading(reading);
         }
@@ -119,11 +119,11 @@
     // Answer
 
     @Override
-    public void onHead(AnswerHead answer) {
+    public void onHead(ResponseHead answer) {
         load.onHeard();
         AnswerFacts read = parts.codec().facts(answer);
         if (!read.answers(requestId)) {
-            giveUp(SendFailure.malformed("the answer belongs to another request"));
+            giveUp(SendFailure.invalidResponse("the answer belongs to another request"));
             return;
         }
         noteAvailability(read);
@@ -159,7 +159,7 @@
     }
 
     private void dropIgnored() {
-        UpstreamPool.Sent current = sent;
+        UpstreamConnectionPool.InFlightRequest current = sent;
         if (!ended && current != null) {
             ended = true;
             current.cancel();
@@ -205,7 +205,7 @@
     }
 
     private void giveUp(SendFailure failure) {
-        UpstreamPool.Sent current = sent;
+        UpstreamConnectionPool.InFlightRequest current = sent;
         if (current != null) {
             current.cancel();
         }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallCodec.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallCodec.java
@@ -3,7 +3,7 @@
 import io.parsleycleat.core.connection.caller.CallerExchange;
 import io.parsleycleat.core.connection.caller.CallerRequest;
 import io.parsleycleat.core.process.result.Refusal;
-import io.parsleycleat.gateway.connection.upstream.AnswerHead;
+import io.parsleycleat.gateway.connection.upstream.ResponseHead;
 import io.parsleycleat.gateway.connection.upstream.UpstreamRequest;
 import io.vavr.control.Either;
 import java.util.List;
@@ -21,10 +21,10 @@
     UpstreamRequest encode(ForwardRequest request, SendTerms terms);
 
     /** Decodes what an answer says beside its body. */
-    AnswerFacts facts(AnswerHead head);
+    AnswerFacts facts(ResponseHead head);
 
     /** Returns the headers of an answer that the caller gets. */
-    List<Map.Entry<String, String>> callerHeaders(AnswerHead head);
+    List<Map.Entry<String, String>> callerHeaders(ResponseHead head);
 
     /** Sends a refusal as the whole answer; the id is empty when the request could not be decoded. */
     void refuse(CallerExchange exchange, String requestId, Refusal refusal);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardParts.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardParts.java
@@ -2,7 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.parsleycleat.core.process.time.TimeSource;
-import io.parsleycleat.gateway.connection.upstream.UpstreamPools;
+import io.parsleycleat.gateway.connection.upstream.UpstreamConnectionPools;
 import io.parsleycleat.gateway.process.members.GateClient;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
@@ -29,7 +29,7 @@
         TimeSource time,
         UpstreamDirectory directory,
         AdapterVersions versions,
-        UpstreamPools pools,
+        UpstreamConnectionPools pools,
         UpstreamLoads loads,
         UpstreamAvailability availability,
         PlainChooser plain,
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -7,7 +7,7 @@
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
-import io.parsleycleat.gateway.connection.upstream.AnswerHead;
+import io.parsleycleat.gateway.connection.upstream.ResponseHead;
 import io.parsleycleat.gateway.connection.upstream.SendFailure;
 import io.parsleycleat.gateway.request.events.EventSplitter;
 import io.parsleycleat.gateway.version.routes.Account;
@@ -63,7 +63,7 @@
     private boolean done;
     private @Nullable EngineStart starting;
     private @Nullable Attempt attempt;
-    private @Nullable AnswerHead wholeHead;
+    private @Nullable ResponseHead wholeHead;
     private ByteString collected = ByteString.EMPTY;
     private @Nullable CallerStream stream;
     private @Nullable ScheduledFuture<?> deadlineTimer;
@@ -238,13 +238,13 @@
     // Outcome of an attempt
 
     @Override
-    public void onHead(Attempt from, AnswerHead head) {
+    public void onHead(Attempt from, ResponseHead head) {
         mayHaveRun = true;
         boolean streams = route.kind() == RequestKind.STREAM && head.isSuccess();
         if (stream != null) {
             if (!head.isSuccess()) {
                 from.cancel();
-                broken(from, SendFailure.malformed("status " + head.status() + " for the rest of a stream"));
+                broken(from, SendFailure.invalidResponse("status " + head.status() + " for the rest of a stream"));
             }
         } else if (streams) {
             exchange.start(head.status(), parts.codec().callerHeaders(head));
@@ -282,7 +282,9 @@
             current.take(part);
             if (current.isEventTooLong()) {
                 from.cancel();
-                onFailed(from, SendFailure.malformed("an event above " + EventSplitter.MAX_EVENT_BYTES + " bytes"));
+                onFailed(
+                        from,
+                        SendFailure.invalidResponse("an event above " + EventSplitter.MAX_EVENT_BYTES + " bytes"));
             }
             return;
         }
@@ -294,7 +296,7 @@
 
     /** Starts to pass on an answer that is too large to be kept until it is whole. */
     private void passOn() {
-        AnswerHead head = wholeHead;
+        ResponseHead head = wholeHead;
         if (head != null) {
             exchange.start(head.status(), parts.codec().callerHeaders(head));
             CallerStream passed = new CallerStream(exchange, false, this::onLoop, this::setReading);
@@ -316,9 +318,9 @@
             end(ResultCode.DONE, "streamed");
             return;
         }
-        AnswerHead head = wholeHead;
+        ResponseHead head = wholeHead;
         if (head == null) {
-            broken(from, SendFailure.malformed("an answer without a head"));
+            broken(from, SendFailure.invalidResponse("an answer without a head"));
             return;
         }
         if (head.status() >= STATUS_SERVER_ERROR) {
@@ -333,7 +335,7 @@
         answerWhole(head);
     }
 
-    private void answerWhole(AnswerHead head) {
+    private void answerWhole(ResponseHead head) {
         if (PROMISES.contains(head.status()) && !route.mayRepeat()) {
             finish(Refusal.of(ResultCode.ANSWER_INCOMPLETE, "status " + head.status() + " although it may have run"));
             return;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/AnswerFuzzTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/AnswerFuzzTest.java
@@ -7,10 +7,10 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.parsleycleat.core.process.time.TimeSource;
-import io.parsleycleat.gateway.connection.upstream.AnswerHead;
-import io.parsleycleat.gateway.connection.upstream.AnswerListener;
+import io.parsleycleat.gateway.connection.upstream.ResponseHead;
+import io.parsleycleat.gateway.connection.upstream.ResponseListener;
 import io.parsleycleat.gateway.connection.upstream.SendFailure;
-import io.parsleycleat.gateway.connection.upstream.UpstreamPool;
+import io.parsleycleat.gateway.connection.upstream.UpstreamConnectionPool;
 import io.parsleycleat.gateway.connection.upstream.UpstreamRequest;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -38,13 +38,13 @@
     }
 
     /** What one send came to; more than one end is a fault. */
-    private static final class Ends implements AnswerListener {
+    private static final class Ends implements ResponseListener {
         private final CompletableFuture<Boolean> whole = new CompletableFuture<>();
         private final AtomicInteger ends = new AtomicInteger();
         private final AtomicInteger bytes = new AtomicInteger();
 
         @Override
-        public void onHead(AnswerHead answer) {}
+        public void onHead(ResponseHead answer) {}
 
         @Override
         public void onBody(ByteString part) {
@@ -80,7 +80,7 @@
         return answer.toString().getBytes(StandardCharsets.ISO_8859_1);
     }
 
-    private static Ends send(UpstreamPool pool) {
+    private static Ends send(UpstreamConnectionPool pool) {
         Ends ends = new Ends();
         pool.send(
                 new UpstreamRequest("POST", "/x", "r1", List.of(Map.entry("Host", "h")), ByteString.copyFromUtf8("x")),
@@ -98,7 +98,8 @@
             c.getOutputStream().flush();
             return !spoiled;
         })) {
-            UpstreamPool pool = new UpstreamPool(upstream.address(), loops.next(), TimeSource.SYSTEM, () -> 10);
+            UpstreamConnectionPool pool =
+                    new UpstreamConnectionPool(upstream.address(), loops.next(), TimeSource.SYSTEM, () -> 10);
             for (int i = 0; i < SEEDS; i++) {
                 spoil.set(true);
                 Ends spoiled = send(pool);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ScriptedUpstream.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ScriptedUpstream.java
@@ -48,7 +48,7 @@
     }
 
     /** Returns how many requests arrived that were not taken. */
-    public int waitingRequests() {
+    public int untakenRequestCount() {
         return requests.size();
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamPoolTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamPoolTest.java
@@ -8,10 +8,10 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.parsleycleat.core.process.time.TimeSource;
-import io.parsleycleat.gateway.connection.upstream.AnswerHead;
-import io.parsleycleat.gateway.connection.upstream.AnswerListener;
+import io.parsleycleat.gateway.connection.upstream.ResponseHead;
+import io.parsleycleat.gateway.connection.upstream.ResponseListener;
 import io.parsleycleat.gateway.connection.upstream.SendFailure;
-import io.parsleycleat.gateway.connection.upstream.UpstreamPool;
+import io.parsleycleat.gateway.connection.upstream.UpstreamConnectionPool;
 import io.parsleycleat.gateway.connection.upstream.UpstreamRequest;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -35,13 +35,13 @@
     }
 
     /** What one send came to. */
-    private static class Recorded implements AnswerListener {
+    private static class Recorded implements ResponseListener {
         private final CompletableFuture<String> result = new CompletableFuture<>();
         private final StringBuilder body = new StringBuilder();
-        private volatile AnswerHead head;
+        private volatile ResponseHead head;
 
         @Override
-        public void onHead(AnswerHead answer) {
+        public void onHead(ResponseHead answer) {
             head = answer;
         }
 
@@ -61,15 +61,15 @@
         }
     }
 
-    private UpstreamPool pool(InetSocketAddress address) {
-        return new UpstreamPool(address, loops.next(), TimeSource.SYSTEM, () -> 10);
+    private UpstreamConnectionPool pool(InetSocketAddress address) {
+        return new UpstreamConnectionPool(address, loops.next(), TimeSource.SYSTEM, () -> 10);
     }
 
     private static UpstreamRequest request(String body) {
         return new UpstreamRequest("POST", "/x", "r1", List.of(Map.entry("Host", "h")), ByteString.copyFromUtf8(body));
     }
 
-    private static String send(UpstreamPool pool) {
+    private static String send(UpstreamConnectionPool pool) {
         Recorded recorded = new Recorded();
         pool.send(request("hello"), recorded);
         return recorded.result.join();
@@ -90,7 +90,7 @@
             ScriptedUpstream.write(c, answer("ok"));
             return true;
         })) {
-            UpstreamPool pool = pool(upstream.address());
+            UpstreamConnectionPool pool = pool(upstream.address());
             assertEquals(send(pool), "whole 200 ok");
             assertEquals(send(pool), "whole 200 ok");
             assertEquals(connections.get(), 1);
@@ -106,7 +106,7 @@
             ScriptedUpstream.write(c, answer("ok") + extra);
             return true;
         })) {
-            UpstreamPool pool = pool(upstream.address());
+            UpstreamConnectionPool pool = pool(upstream.address());
             assertEquals(send(pool), "whole 200 ok");
             assertEquals(send(pool), "whole 200 ok");
         }
@@ -197,7 +197,8 @@
             }
             return false;
         })) {
-            UpstreamPool.Sent sent = pool(upstream.address()).send(request("hello"), new Recorded());
+            UpstreamConnectionPool.InFlightRequest sent =
+                    pool(upstream.address()).send(request("hello"), new Recorded());
             arrived.await();
             sent.cancel();
             closed.await();
@@ -218,7 +219,8 @@
             ScriptedUpstream.write(c, answer("ok"));
             return true;
         })) {
-            UpstreamPool pool = new UpstreamPool(upstream.address(), loops.next(), TimeSource.SYSTEM, () -> 1);
+            UpstreamConnectionPool pool =
+                    new UpstreamConnectionPool(upstream.address(), loops.next(), TimeSource.SYSTEM, () -> 1);
             Recorded first = new Recorded();
             pool.send(request("hello"), first);
             arrived.await();
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -13,8 +13,8 @@
 import io.parsleycleat.core.request.outcome.CrashSuspects;
 import io.parsleycleat.gateway.MovedTime;
 import io.parsleycleat.gateway.connection.ScriptedUpstream;
-import io.parsleycleat.gateway.connection.upstream.AnswerHead;
-import io.parsleycleat.gateway.connection.upstream.UpstreamPools;
+import io.parsleycleat.gateway.connection.upstream.ResponseHead;
+import io.parsleycleat.gateway.connection.upstream.UpstreamConnectionPools;
 import io.parsleycleat.gateway.connection.upstream.UpstreamRequest;
 import io.parsleycleat.gateway.process.members.EntryExchange;
 import io.parsleycleat.gateway.process.members.EntryMembers;
@@ -95,7 +95,7 @@
                 TimeSource.SYSTEM,
                 directory,
                 new AdapterVersions(),
-                new UpstreamPools(loop, TimeSource.SYSTEM, directory, u -> 10),
+                new UpstreamConnectionPools(loop, TimeSource.SYSTEM, directory, u -> 10),
                 loads,
                 new UpstreamAvailability(TimeSource.SYSTEM, () -> 0),
                 new PlainChooser(loads, "here", () -> 0),
@@ -151,7 +151,7 @@
         }
 
         @Override
-        public AnswerFacts facts(AnswerHead head) {
+        public AnswerFacts facts(ResponseHead head) {
             return new AnswerFacts(
                     head.header("not-run").isPresent(),
                     false,
@@ -165,7 +165,7 @@
         }
 
         @Override
-        public List<Map.Entry<String, String>> callerHeaders(AnswerHead head) {
+        public List<Map.Entry<String, String>> callerHeaders(ResponseHead head) {
             return List.of();
         }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
@@ -35,7 +35,7 @@
             upstream("a", one.address());
             upstream("b", two.address());
             assertEquals(answer(), "502 " + ResultCode.UPSTREAM_LOST);
-            assertEquals(one.waitingRequests() + two.waitingRequests(), 1);
+            assertEquals(one.untakenRequestCount() + two.untakenRequestCount(), 1);
         }
     }
 
@@ -68,7 +68,7 @@
             upstream("a", one.address());
             upstream("b", two.address());
             assertEquals(answer(), "503 " + ResultCode.UPSTREAM_REFUSED);
-            assertEquals(one.waitingRequests() + two.waitingRequests(), 1);
+            assertEquals(one.untakenRequestCount() + two.untakenRequestCount(), 1);
         }
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityForwardingTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityForwardingTest.java
@@ -21,7 +21,7 @@
             upstream("a", one.address());
             assertEquals(answer(), "200 last");
             assertEquals(answer(), "503 " + ResultCode.NO_UPSTREAM);
-            assertEquals(one.waitingRequests(), 1);
+            assertEquals(one.untakenRequestCount(), 1);
         }
     }
 
@@ -49,7 +49,7 @@
             assertEquals(answer(), "500 ");
             upstream("b", two.address());
             assertEquals(answer(), "200 done");
-            assertEquals(one.waitingRequests(), 1);
+            assertEquals(one.untakenRequestCount(), 1);
         }
     }
 
@@ -74,7 +74,7 @@
             upstream("c", three.address());
             cut.countDown();
             assertEquals(caller.answer.join(), "200 streamed id: 1;data: a;;id: 2;data: b;;");
-            assertEquals(two.waitingRequests(), 1);
+            assertEquals(two.untakenRequestCount(), 1);
         }
     }
 
@@ -88,7 +88,7 @@
             assertEquals(answer(), "503 " + ResultCode.NO_UPSTREAM);
             upstream("b", two.address());
             assertEquals(answer(), "200 done");
-            assertEquals(one.waitingRequests(), 1);
+            assertEquals(one.untakenRequestCount(), 1);
         }
     }
 
