Rename the forwarding types and members that other packages use

Cause: some names of the forwarding package were vague (parts, facts, terms, take).

Change: rename them and all their uses; nothing else changes.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -30,7 +30,7 @@
 import io.parsleycleat.gateway.request.crash.CrashWatch;
 import io.parsleycleat.gateway.request.forward.CallCodec;
 import io.parsleycleat.gateway.request.forward.ForwardMetrics;
-import io.parsleycleat.gateway.request.forward.ForwardParts;
+import io.parsleycleat.gateway.request.forward.ForwardingContext;
 import io.parsleycleat.gateway.request.forward.RequestForwarder;
 import io.parsleycleat.gateway.request.limits.AccountBudgets;
 import io.parsleycleat.gateway.request.limits.BudgetHomes;
@@ -213,7 +213,7 @@
         if (!upstreamsFollower.isRead()) {
             return Readiness.notReady("no upstreams known yet");
         }
-        if (!forwarder.knowsKeys()) {
+        if (!forwarder.canVerifyKeys()) {
             return Readiness.notReady("the configuration is too old to accept keys");
         }
         return Readiness.READY;
@@ -251,7 +251,7 @@
     private RequestForwarder createForwarder(CallCodec codec, EngineView view) {
         UpstreamLoads loads = new UpstreamLoads(time, directory);
         SplittableRandom random = new SplittableRandom(identity.incarnation());
-        ForwardParts parts = new ForwardParts(
+        ForwardingContext parts = new ForwardingContext(
                 codec,
                 loop,
                 time,
@@ -267,7 +267,7 @@
                 new RetryShare(settings.retries(), time, this::entryCount),
                 crashes,
                 new ForwardMetrics(metrics));
-        RequestForwarder.KnowledgeBounds bounds = new RequestForwarder.KnowledgeBounds(
+        RequestForwarder.StalenessLimits bounds = new RequestForwarder.StalenessLimits(
                 settings.withdrawalBound().minus(KEY_MARGIN), settings.changeBound());
         return new RequestForwarder(
                 parts,
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/events/EventSplitter.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/events/EventSplitter.java
@@ -20,7 +20,7 @@
     private long lastId = -1;
 
     /** Takes the next bytes and returns all events that are whole by now. */
-    public ByteString take(ByteString part) {
+    public ByteString append(ByteString part) {
         int end = lastEventEnd(part);
         if (end == 0) {
             rest = rest.concat(part);
@@ -38,7 +38,7 @@
     }
 
     /** Returns the bytes of an event that is not whole, and forgets them. */
-    public ByteString takeRest() {
+    public ByteString drainPartialEvent() {
         ByteString left = rest;
         rest = ByteString.EMPTY;
         return left;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -23,7 +23,7 @@
     /** How long the end of such an answer is waited for. */
     private static final Duration IGNORED_LIMIT = Duration.ofMillis(500);
 
-    private final ForwardParts parts;
+    private final ForwardingContext parts;
     private final Upstream upstream;
     private final long ticket;
     private final UpstreamLoad load;
@@ -32,7 +32,7 @@
     private final Outcome outcome;
     private UpstreamPool.@Nullable Sent sent;
     private @Nullable AnswerHead head;
-    private @Nullable AnswerFacts facts;
+    private @Nullable AnswerMetadata facts;
     private boolean over;
     private boolean ended;
     private boolean eventSeen;
@@ -50,7 +50,7 @@
         void onWhole(Attempt attempt);
 
         /** The upstream says that it did not run the request. */
-        void onNotRun(Attempt attempt, AnswerFacts answer);
+        void onNotRun(Attempt attempt, AnswerMetadata answer);
 
         /** There is no whole answer. */
         void onFailed(Attempt attempt, SendFailure failure);
@@ -61,7 +61,7 @@
      *
      * @param ticket names the start at the side; 0 when there is none
      */
-    Attempt(ForwardParts parts, Upstream upstream, long ticket, String requestId, Outcome outcome) {
+    Attempt(ForwardingContext parts, Upstream upstream, long ticket, String requestId, Outcome outcome) {
         this.parts = parts;
         this.upstream = upstream;
         this.ticket = ticket;
@@ -71,7 +71,7 @@
         this.outcome = outcome;
     }
 
-    void send(ForwardRequest request, SendTerms terms) {
+    void send(ForwardRequest request, SendParameters terms) {
         load.onSend();
         sent = parts.pools().of(upstream).send(parts.codec().encode(request, terms), this);
     }
@@ -121,13 +121,13 @@
     @Override
     public void onHead(AnswerHead answer) {
         load.onHeard();
-        AnswerFacts read = parts.codec().facts(answer);
-        if (!read.answers(requestId)) {
+        AnswerMetadata read = parts.codec().decodeMetadata(answer);
+        if (!read.isAnswerTo(requestId)) {
             giveUp(SendFailure.malformed("the answer belongs to another request"));
             return;
         }
         noteAvailability(read);
-        AnswerFacts.ReportedLoad reported = read.load();
+        AnswerMetadata.ReportedLoad reported = read.load();
         if (reported != null) {
             load.onReport(reported.running(), reported.waiting());
         }
@@ -141,18 +141,18 @@
         }
     }
 
-    private void noteAvailability(AnswerFacts read) {
+    private void noteAvailability(AnswerMetadata read) {
         if (read.leaving()) {
             parts.availability().onLeaving(upstream);
         }
-        Duration pause = read.pause();
+        Duration pause = read.requestedPause();
         if (pause != null) {
             parts.availability().onPause(upstream, pause);
         }
     }
 
     /** The head tells all; the rest is read for the sake of the connection, as long as there is not much of it. */
-    private void notRun(AnswerFacts read) {
+    private void notRun(AnswerMetadata read) {
         end(read.wrongUpstream() ? RunProgress.Stage.NOT_HELD : RunProgress.Stage.ENDED);
         parts.loop().schedule(this::dropIgnored, IGNORED_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
         outcome.onNotRun(this, read);
@@ -212,7 +212,7 @@
         onFailure(failure);
     }
 
-    private static boolean isNotRun(AnswerFacts read) {
+    private static boolean isNotRun(AnswerMetadata read) {
         return read.notRun() || read.wrongUpstream();
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallCodec.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallCodec.java
@@ -18,10 +18,10 @@
     Either<Refusal, ForwardRequest> decode(CallerRequest request);
 
     /** Encodes a request for one upstream. */
-    UpstreamRequest encode(ForwardRequest request, SendTerms terms);
+    UpstreamRequest encode(ForwardRequest request, SendParameters parameters);
 
     /** Decodes what an answer says beside its body. */
-    AnswerFacts facts(AnswerHead head);
+    AnswerMetadata decodeMetadata(AnswerHead head);
 
     /** Returns the headers of an answer that the caller gets. */
     List<Map.Entry<String, String>> callerHeaders(AnswerHead head);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerStream.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerStream.java
@@ -40,7 +40,7 @@
 
     /** Passes on what can be passed on by now. */
     void take(ByteString part) {
-        write(resumable ? splitter.take(part) : part);
+        write(resumable ? splitter.append(part) : part);
     }
 
     /** Returns whether what came last is no event, since it does not end. */
@@ -50,13 +50,13 @@
 
     /** Ends the answer as whole. */
     void end() {
-        write(splitter.takeRest());
+        write(splitter.drainPartialEvent());
         exchange.end();
     }
 
     /** Forgets a part of an event, whose upstream is lost. */
     void cut() {
-        splitter.takeRest();
+        splitter.drainPartialEvent();
     }
 
     /** Returns the last event that was passed on. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
@@ -37,7 +37,7 @@
     private static final Duration SIDE_PAUSE = Duration.ofSeconds(1);
     private static final Duration DEFAULT_RETRY = Duration.ofMillis(500);
 
-    private final ForwardParts parts;
+    private final ForwardingContext parts;
     private final Ask ask;
     private final Set<String> excluded;
     private final Consumer<Started> whenStarted;
@@ -67,7 +67,7 @@
 
     /** Creates a search that excludes some engines by their ids. */
     EngineStart(
-            ForwardParts parts,
+            ForwardingContext parts,
             Ask ask,
             Set<String> excluded,
             Consumer<Started> whenStarted,
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardRequest.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardRequest.java
@@ -20,7 +20,7 @@
  * @param deadline how long the caller waits, from the request's arrival; null when it did not say
  * @param adapter what the request runs on; null for plain services
  * @param tokens prompt and output tokens; null when the caller did not count them
- * @param resumeAfter the last event that the caller has; null for a stream from its start
+ * @param resumeAfterEventId the last event that the caller has; null for a stream from its start
  * @param headers the end-to-end headers that pass as they are
  */
 public record ForwardRequest(
@@ -32,7 +32,7 @@
         @Nullable Duration deadline,
         @Nullable AdapterId adapter,
         @Nullable TokenCounts tokens,
-        @Nullable Long resumeAfter,
+        @Nullable Long resumeAfterEventId,
         List<Map.Entry<String, String>> headers,
         ByteString body) {
     /** The size of a generation: tokens of its prompt, and the most that it may bring forth. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -47,7 +47,7 @@
     private static final int STATUS_SERVER_ERROR = 500;
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
-    private final ForwardParts parts;
+    private final ForwardingContext parts;
     private final RequestForwarder.Admitted admitted;
     private final ForwardRequest request;
     private final Route route;
@@ -75,7 +75,7 @@
      * @param whenDone told at the end whether the request may have run
      */
     Forwarding(
-            ForwardParts parts,
+            ForwardingContext parts,
             RequestForwarder.Admitted admitted,
             String service,
             CallerExchange exchange,
@@ -151,14 +151,14 @@
         parts.metrics().onSend(sends > 1);
         CallerStream current = stream;
         OptionalLong last = current == null ? OptionalLong.empty() : current.lastEventId();
-        Long resumeAfter = last.isPresent() ? Long.valueOf(last.getAsLong()) : request.resumeAfter();
+        Long resumeAfter = last.isPresent() ? Long.valueOf(last.getAsLong()) : request.resumeAfterEventId();
         Account account = admitted.account();
         boolean engine = request.adapter() != null;
         Attempt sent = new Attempt(parts, upstream, ticket, request.id(), this);
         attempt = sent;
         sent.send(
                 request,
-                new SendTerms(
+                new SendParameters(
                         upstream,
                         timeLeft(),
                         account == null ? null : account.name(),
@@ -343,7 +343,7 @@
     }
 
     @Override
-    public void onNotRun(Attempt from, AnswerFacts answer) {
+    public void onNotRun(Attempt from, AnswerMetadata answer) {
         if (done) {
             return;
         }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardParts.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
@@ -23,7 +23,7 @@
  *
  * @param loop the event loop on which requests are handled
  */
-public record ForwardParts(
+public record ForwardingContext(
         CallCodec codec,
         EventLoop loop,
         TimeSource time,
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
@@ -32,11 +32,11 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration RETRY_SOON = Duration.ofMillis(500);
 
-    private final ForwardParts parts;
+    private final ForwardingContext parts;
     private final ConfigurationHolder configuration;
     private final Freshness freshness;
     private final AccountBudgets budgets;
-    private final KnowledgeBounds bounds;
+    private final StalenessLimits bounds;
     private final BooleanSupplier stopping;
     private final DoubleSupplier random;
     private final AtomicInteger open = new AtomicInteger();
@@ -44,21 +44,21 @@
     /**
      * How old the configuration may be.
      *
-     * @param keys the age from which no request with a key is run, since its key may have been withdrawn
-     * @param absence the age from which nothing is said to be unknown, since it may have been added
+     * @param maxAgeForKeys the age from which no request with a key is run, since its key may have been withdrawn
+     * @param maxAgeForUnknown the age from which nothing is said to be unknown, since it may have been added
      */
-    public record KnowledgeBounds(Duration keys, Duration absence) {}
+    public record StalenessLimits(Duration maxAgeForKeys, Duration maxAgeForUnknown) {}
 
     /** A request that may run, with what the configuration says of it. */
     record Admitted(ForwardRequest request, RoutingTable table, Route route, @Nullable Account account, double cost) {}
 
     /** Creates the service that an entry's callers use. */
     public RequestForwarder(
-            ForwardParts parts,
+            ForwardingContext parts,
             ConfigurationHolder configuration,
             Freshness freshness,
             AccountBudgets budgets,
-            KnowledgeBounds bounds,
+            StalenessLimits bounds,
             BooleanSupplier stopping,
             DoubleSupplier random) {
         this.parts = parts;
@@ -76,8 +76,8 @@
     }
 
     /** Returns whether keys may be accepted, as far as the configuration's age tells. */
-    public boolean knowsKeys() {
-        return freshness.isYoungerThan(bounds.keys());
+    public boolean canVerifyKeys() {
+        return freshness.isYoungerThan(bounds.maxAgeForKeys());
     }
 
     @Override
@@ -122,7 +122,7 @@
     }
 
     private Either<Refusal, Account> account(ForwardRequest request, RoutingTable table) {
-        if (!knowsKeys()) {
+        if (!canVerifyKeys()) {
             return Either.left(Refusal.of(ResultCode.CUT_OFF, "configuration is " + freshness.ageMillis() + " ms old")
                     .withRetryAfter(RETRY_SOON));
         }
@@ -197,7 +197,7 @@
 
     /** Something unknown may have been added since the configuration was read, so a late reader does not deny it. */
     private Refusal unknown(ResultCode code) {
-        if (freshness.isYoungerThan(bounds.absence())) {
+        if (freshness.isYoungerThan(bounds.maxAgeForUnknown())) {
             return Refusal.of(code);
         }
         return Refusal.of(
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/SendTerms.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/SendParameters.java
@@ -12,16 +12,16 @@
  * @param account the client account that holds the caller's key; null without a key
  * @param priority 0 is the most urgent; null where the upstream knows no priorities
  * @param adapterVersion the version that the upstream must hold; 0 for any
- * @param resumeAfter the last event that the caller has; null for a stream from its start
+ * @param resumeAfterEventId the last event that the caller has; null for a stream from its start
  */
-public record SendTerms(
+public record SendParameters(
         Upstream upstream,
         Duration timeLeft,
         @Nullable String account,
         @Nullable Integer priority,
         long adapterVersion,
-        @Nullable Long resumeAfter) {
-    public SendTerms {
+        @Nullable Long resumeAfterEventId) {
+    public SendParameters {
         Objects.requireNonNull(upstream, "upstream");
         Objects.requireNonNull(timeLeft, "timeLeft");
     }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EventSplitterTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EventSplitterTest.java
@@ -12,7 +12,7 @@
     private EventSplitter splitter;
 
     private String take(String part) {
-        return splitter.take(ByteString.copyFromUtf8(part)).toStringUtf8();
+        return splitter.append(ByteString.copyFromUtf8(part)).toStringUtf8();
     }
 
     @BeforeMethod
@@ -37,7 +37,7 @@
     @Test
     public void aCutEventIsForgotten() {
         take("id: 1\ndata: a\n\nid: 2\nda");
-        assertEquals(splitter.takeRest().toStringUtf8(), "id: 2\nda");
+        assertEquals(splitter.drainPartialEvent().toStringUtf8(), "id: 2\nda");
         assertEquals(take("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -25,13 +25,13 @@
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
 import io.parsleycleat.gateway.request.crash.CrashWatch;
-import io.parsleycleat.gateway.request.forward.AnswerFacts;
+import io.parsleycleat.gateway.request.forward.AnswerMetadata;
 import io.parsleycleat.gateway.request.forward.CallCodec;
 import io.parsleycleat.gateway.request.forward.ForwardMetrics;
-import io.parsleycleat.gateway.request.forward.ForwardParts;
 import io.parsleycleat.gateway.request.forward.ForwardRequest;
+import io.parsleycleat.gateway.request.forward.ForwardingContext;
 import io.parsleycleat.gateway.request.forward.RequestForwarder;
-import io.parsleycleat.gateway.request.forward.SendTerms;
+import io.parsleycleat.gateway.request.forward.SendParameters;
 import io.parsleycleat.gateway.request.limits.AccountBudgets;
 import io.parsleycleat.gateway.request.limits.BudgetHomes;
 import io.parsleycleat.gateway.request.limits.RetryShare;
@@ -89,7 +89,7 @@
         watch = new CrashWatch(suspects, TimeSource.SYSTEM, c -> {});
         UpstreamLoads loads = new UpstreamLoads(TimeSource.SYSTEM, directory);
         EngineView view = new EngineView(TimeSource.SYSTEM);
-        ForwardParts parts = new ForwardParts(
+        ForwardingContext parts = new ForwardingContext(
                 new PlainCodec(),
                 loop,
                 TimeSource.SYSTEM,
@@ -110,7 +110,7 @@
                 configuration,
                 freshness,
                 budgets(),
-                new RequestForwarder.KnowledgeBounds(Duration.ofSeconds(4), Duration.ofSeconds(2)),
+                new RequestForwarder.StalenessLimits(Duration.ofSeconds(4), Duration.ofSeconds(2)),
                 () -> false,
                 () -> 0);
     }
@@ -142,17 +142,17 @@
         }
 
         @Override
-        public UpstreamRequest encode(ForwardRequest r, SendTerms terms) {
+        public UpstreamRequest encode(ForwardRequest r, SendParameters terms) {
             List<Map.Entry<String, String>> headers = new ArrayList<>(r.headers());
-            if (terms.resumeAfter() != null) {
-                headers.add(Map.entry("after", terms.resumeAfter().toString()));
+            if (terms.resumeAfterEventId() != null) {
+                headers.add(Map.entry("after", terms.resumeAfterEventId().toString()));
             }
             return new UpstreamRequest(r.method(), r.target(), r.id(), headers, r.body());
         }
 
         @Override
-        public AnswerFacts facts(AnswerHead head) {
-            return new AnswerFacts(
+        public AnswerMetadata decodeMetadata(AnswerHead head) {
+            return new AnswerMetadata(
                     head.header("not-run").isPresent(),
                     false,
                     head.header("id").orElse(null),
