Reword the comments of request forwarding and of its tests

Cause: comments of the forwarding and event packages used figurative or private wording.

Change: rewrite them in the usual terms; say who creates each class and what each parameter and constant is for.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/events/EventSplitter.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/events/EventSplitter.java
@@ -4,12 +4,14 @@
 import java.util.OptionalLong;
 
 /**
- * Cuts a stream into whole events and knows the id of the last one.
+ * Splits a server-sent event stream into whole events and records the id of the last one.
  *
- * <p>Created for each stream that may be resumed; used by one thread at a time.
+ * <p>Bytes of an event that is not whole yet are held back until its end arrives.
+ *
+ * <p>Created for each streamed answer; used by one thread at a time.
  */
 public final class EventSplitter {
-    /** An event that is longer is none: an upstream in trouble may send bytes without end. */
+    /** The longest event that is accepted, so that a faulty upstream that never ends an event cannot exhaust memory. */
     public static final int MAX_EVENT_BYTES = 256 * 1024;
 
     private static final ByteString ID_FIELD = ByteString.copyFromUtf8("id:");
@@ -19,7 +21,7 @@
     private ByteString rest = ByteString.EMPTY;
     private long lastId = -1;
 
-    /** Takes the next bytes and returns all events that are whole by now. */
+    /** Appends the next bytes of the stream and returns all events that are now whole. */
     public ByteString append(ByteString part) {
         int end = lastEventEnd(part);
         if (end == 0) {
@@ -32,24 +34,27 @@
         return whole;
     }
 
-    /** Returns whether more bytes wait for the end of their event than an event has. */
+    /** Returns whether the event that is not whole yet already exceeds {@link #MAX_EVENT_BYTES}. */
     public boolean isEventTooLong() {
         return rest.size() > MAX_EVENT_BYTES;
     }
 
-    /** Returns the bytes of an event that is not whole, and forgets them. */
+    /** Returns the bytes of an event that is not whole, and removes them from the buffer. */
     public ByteString drainPartialEvent() {
         ByteString left = rest;
         rest = ByteString.EMPTY;
         return left;
     }
 
-    /** Returns the id of the last whole event, if one had an id. */
+    /** Returns the highest numeric id of the whole events so far, or empty if none had one. */
     public OptionalLong lastEventId() {
         return lastId < 0 ? OptionalLong.empty() : OptionalLong.of(lastId);
     }
 
-    /** Returns the index behind the last empty line of a part, whose first line may have begun in the rest. */
+    /**
+     * Returns the index after the last empty line of a part, or 0 if there is none. The line break before that empty
+     * line may be the last byte that was appended earlier.
+     */
     private int lastEventEnd(ByteString part) {
         for (int i = part.size() - 1; i > 0; i--) {
             if (part.byteAt(i) == '\n' && part.byteAt(i - 1) == '\n') {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/events/package-info.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/events/package-info.java
@@ -1,4 +1,4 @@
-/** Streams of events between upstream and caller. */
+/** Splitting of server-sent event streams into whole events. */
 @NullMarked
 package io.parsleycleat.gateway.request.events;
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/AnswerMetadata.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/AnswerMetadata.java
@@ -5,14 +5,17 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * What an upstream's answer says beside its body.
+ * Metadata that an upstream sends in the head of an answer. Immutable.
+ *
+ * <p>Decoded by a {@link CallCodec} for each answer.
  *
  * @param notRun whether the upstream states that it did not run the request
- * @param wrongUpstream whether another upstream, or another adapter version, was meant
- * @param requestId the id of the request that is answered; null when the answer names none
- * @param load what the upstream said of its load; null when it said nothing
- * @param leaving whether the upstream says that it leaves
- * @param requestedPause for how long an upstream that turned the request away wants no other; null when it said nothing
+ * @param wrongUpstream whether the upstream states that the request was meant for another upstream or adapter version
+ * @param requestId the id of the request that is answered; null if the answer has none
+ * @param load the load that the upstream reports; null if it reports none
+ * @param leaving whether the upstream announces that it is shutting down
+ * @param requestedPause how long an upstream that refused the request asks not to be sent another; null if it names no
+ *     time
  */
 public record AnswerMetadata(
         boolean notRun,
@@ -21,10 +24,19 @@
         @Nullable ReportedLoad load,
         boolean leaving,
         @Nullable Duration requestedPause) {
-    /** Requests that run and wait at an upstream, and how many run at once. */
+    /**
+     * The load of an upstream.
+     *
+     * @param running requests that are running
+     * @param waiting requests that are queued
+     * @param maxRunning how many requests can run at the same time
+     */
     public record ReportedLoad(int running, int waiting, int maxRunning) {}
 
-    /** Returns whether the answer belongs to a request. */
+    /**
+     * Returns whether this is the answer to the request with the given id. An answer without a request id is accepted
+     * only if it states that the request was not run.
+     */
     public boolean isAnswerTo(String id) {
         return Objects.equals(requestId, id) || (requestId == null && notRun);
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -13,14 +13,14 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * One send of a request to one upstream.
+ * One attempt to run a request: it is sent to one upstream, whose answer is reported to a listener.
  *
  * <p>Created by {@link Forwarding} for each send; used on the event loop.
  */
 final class Attempt implements AnswerListener {
-    /** What is read of an answer that is not passed on, so that its connection can be used again. */
+    /** How much of an unwanted answer is read and discarded so that its connection can be reused. */
     private static final int MAX_IGNORED_BYTES = 64 * 1024;
-    /** How long the end of such an answer is waited for. */
+    /** How long the attempt waits for the end of an unwanted answer before it closes the connection. */
     private static final Duration IGNORED_LIMIT = Duration.ofMillis(500);
 
     private final ForwardingContext parts;
@@ -38,28 +38,28 @@
     private boolean eventSeen;
     private int ignoredBytes;
 
-    /** Takes what an attempt comes to. */
+    /** Receives the answer to an attempt, or its failure. */
     interface Outcome {
-        /** Takes the head of an answer that belongs to the request and was run. */
+        /** Receives the head of an answer to this request, unless the answer states that the request was not run. */
         void onHead(Attempt attempt, AnswerHead answer);
 
-        /** Takes a part of that answer's body. */
+        /** Receives a part of the answer's body. */
         void onBody(Attempt attempt, ByteString part);
 
-        /** That answer is whole. */
+        /** Called when the answer has arrived as a whole. */
         void onWhole(Attempt attempt);
 
-        /** The upstream says that it did not run the request. */
+        /** Called when the upstream states that it did not run the request. */
         void onNotRun(Attempt attempt, AnswerMetadata answer);
 
-        /** There is no whole answer. */
+        /** Called when the answer will not arrive as a whole. */
         void onFailed(Attempt attempt, SendFailure failure);
     }
 
     /**
-     * Creates an attempt that was not sent yet.
+     * Creates an attempt; {@link #send} starts it.
      *
-     * @param ticket names the start at the side; 0 when there is none
+     * @param ticket identifies the start that the engine's side granted; 0 if no side was asked
      */
     Attempt(ForwardingContext parts, Upstream upstream, long ticket, String requestId, Outcome outcome) {
         this.parts = parts;
@@ -76,7 +76,7 @@
         sent = parts.pools().of(upstream).send(parts.codec().encode(request, terms), this);
     }
 
-    /** Gives the attempt up; the upstream sees its connection close. */
+    /** Cancels the attempt and closes its connection, by which the upstream detects the cancellation. */
     void cancel() {
         if (over) {
             return;
@@ -88,6 +88,7 @@
         end(RunProgress.Stage.ENDED);
     }
 
+    /** Pauses or resumes reading of the answer, which applies backpressure to the upstream. */
     void setReading(boolean reading) {
         UpstreamPool.Sent current = sent;
         if (current != null) {
@@ -103,7 +104,7 @@
         return load;
     }
 
-    /** Returns the time since the send. */
+    /** Returns the time since the attempt was created. */
     Duration age() {
         return Duration.ofNanos(parts.time().monotonicNanos() - startNanos);
     }
@@ -151,7 +152,7 @@
         }
     }
 
-    /** The head tells all; the rest is read for the sake of the connection, as long as there is not much of it. */
+    /** The head decides the outcome; a short body is read as well, so that the connection can be reused. */
     private void notRun(AnswerMetadata read) {
         end(read.wrongUpstream() ? RunProgress.Stage.NOT_HELD : RunProgress.Stage.ENDED);
         parts.loop().schedule(this::dropIgnored, IGNORED_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallCodec.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallCodec.java
@@ -10,22 +10,23 @@
 import java.util.Map;
 
 /**
- * Translates between the calls of a deployment and the gateway's types. Implementations are stateless and safe to
- * share.
+ * Translates between the HTTP conventions of a deployment and the gateway's types.
+ *
+ * <p>Created once per entry. Implementations are stateless and safe to share between threads.
  */
 public interface CallCodec {
-    /** Decodes a caller's request, or says why it cannot be understood. */
+    /** Decodes a caller's request, or returns the refusal that states why it cannot be decoded. */
     Either<Refusal, ForwardRequest> decode(CallerRequest request);
 
-    /** Encodes a request for one upstream. */
+    /** Encodes a request to one upstream. */
     UpstreamRequest encode(ForwardRequest request, SendParameters parameters);
 
-    /** Decodes what an answer says beside its body. */
+    /** Decodes the metadata in the head of an upstream's answer. */
     AnswerMetadata decodeMetadata(AnswerHead head);
 
-    /** Returns the headers of an answer that the caller gets. */
+    /** Returns the headers of an upstream's answer that are passed on to the caller. */
     List<Map.Entry<String, String>> callerHeaders(AnswerHead head);
 
-    /** Sends a refusal as the whole answer; the id is empty when the request could not be decoded. */
+    /** Sends a refusal as the whole answer; the request id is empty if the request could not be decoded. */
     void refuse(CallerExchange exchange, String requestId, Refusal refusal);
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerStream.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerStream.java
@@ -7,11 +7,12 @@
 import java.util.function.Consumer;
 
 /**
- * The stream of events to one caller, which may come from several upstreams one after another.
+ * The streamed answer to one caller, whose events may come from several upstreams one after another.
  *
- * <p>A stream that can be resumed passes whole events only, so that another upstream can go on behind the last one.
+ * <p>A resumable stream passes on whole events only, so that another upstream can continue after the last one. When the
+ * caller reads slowly, reading from the upstream is paused.
  *
- * <p>Created for each streamed answer; used on one event loop.
+ * <p>Created by {@link Forwarding} for each streamed answer; used on the event loop.
  */
 final class CallerStream {
     private static final int MAX_BUFFERED_BYTES = 256 * 1024;
@@ -26,10 +27,10 @@
     private boolean stalled;
 
     /**
-     * Creates a stream whose head was sent.
+     * Creates a stream whose head was already sent to the caller.
      *
-     * @param loop runs an action on the event loop
-     * @param setReading lets the upstream wait, or go on
+     * @param loop executes an action on the event loop
+     * @param setReading resumes reading from the upstream when called with true and pauses it with false
      */
     CallerStream(CallerExchange exchange, boolean resumable, Consumer<Runnable> loop, Consumer<Boolean> setReading) {
         this.exchange = exchange;
@@ -38,28 +39,28 @@
         this.setReading = setReading;
     }
 
-    /** Passes on what can be passed on by now. */
+    /** Passes the next bytes on to the caller; if the stream is resumable, only up to the end of a whole event. */
     void take(ByteString part) {
         write(resumable ? splitter.append(part) : part);
     }
 
-    /** Returns whether what came last is no event, since it does not end. */
+    /** Returns whether an event that is not whole yet already exceeds the length limit. */
     boolean isEventTooLong() {
         return splitter.isEventTooLong();
     }
 
-    /** Ends the answer as whole. */
+    /** Sends the bytes that were held back and completes the answer. */
     void end() {
         write(splitter.drainPartialEvent());
         exchange.end();
     }
 
-    /** Forgets a part of an event, whose upstream is lost. */
+    /** Discards an event that is not whole and whose upstream was lost. */
     void cut() {
         splitter.drainPartialEvent();
     }
 
-    /** Returns the last event that was passed on. */
+    /** Returns the id of the last event that was passed on. */
     OptionalLong lastEventId() {
         return splitter.lastEventId();
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
@@ -23,18 +23,23 @@
 /**
  * Finds an engine for one request: asks the sides of the best engines, one after another, until one grants a start.
  *
- * <p>Created for each send to a model engine; used on the event loop.
+ * <p>A side is the process beside an engine that decides when the engine may start a request.
+ *
+ * <p>Created by {@link Forwarding} for each send to a model engine; used on the event loop.
  */
 final class EngineStart {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int MAX_ASKED = 3;
+    /** How much later than the requested wait a side's reply may arrive. */
     private static final Duration ANSWER_SLACK = Duration.ofMillis(300);
-    /** How long an engine is waited for when the answer will be late anyway. */
+    /** The shortest wait that is requested from a side, also if the answer will then miss its objective. */
     private static final Duration MIN_WAIT = Duration.ofMillis(1_200);
-    /** How far beyond its objective a request waits at an engine that is expected to take long. */
+    /** The longest time by which the wait may exceed the objective if the engine is expected to take long. */
     private static final long MAX_EXTRA_MILLIS = 1_000;
 
+    /** How long a side that did not reply is not asked again. */
     private static final Duration SIDE_PAUSE = Duration.ofSeconds(1);
+
     private static final Duration DEFAULT_RETRY = Duration.ofMillis(500);
 
     private final ForwardingContext parts;
@@ -48,7 +53,12 @@
     private @Nullable Upstream waitingAt;
     private long waitingTicket;
 
-    /** What is asked for. */
+    /**
+     * The request that needs an engine.
+     *
+     * @param objectiveLeft the time left until the objective of the route; may be negative
+     * @param timeLeft the time left until the deadline of the request
+     */
     record Ask(
             String requestId,
             AdapterId adapter,
@@ -58,14 +68,18 @@
             Duration timeLeft) {}
 
     /**
-     * An engine that may be sent to.
+     * An engine to which the request may be sent now.
      *
-     * @param ticket names the start at the engine's side; 0 when the side was not asked
-     * @param adapterVersion the version that the engine holds; 0 when that is not known
+     * @param ticket identifies the start that the engine's side granted; 0 if the side was not asked
+     * @param adapterVersion the adapter version that the engine holds; 0 if it is not known
      */
     record Started(Upstream engine, long ticket, long adapterVersion) {}
 
-    /** Creates a search that excludes some engines by their ids. */
+    /**
+     * Creates a search; {@link #next} starts it.
+     *
+     * @param excluded ids of the engines that are not considered
+     */
     EngineStart(
             ForwardingContext parts,
             Ask ask,
@@ -79,7 +93,7 @@
         this.whenRefused = whenRefused;
     }
 
-    /** Asks the best engine of a service. */
+    /** Asks the side of the best engine of a service that was not tried yet, or refuses if none is left. */
     void next(String service) {
         List<EngineChooser.Choice> choices = parts.engines().order(parts.usable(service), ask.adapter(), excluded);
         if (choices.isEmpty() || asked >= MAX_ASKED) {
@@ -96,7 +110,7 @@
         }
     }
 
-    /** Gives the search up; a grant that arrives later is returned. */
+    /** Cancels the search; a grant that arrives later is given back to its side. */
     void cancel() {
         given = true;
         Upstream engine = waitingAt;
@@ -125,7 +139,7 @@
                         parts.loop());
     }
 
-    /** A caller is better told early to come back than held for long, so the wait at an engine has a limit. */
+    /** Limits the wait at an engine, since an early refusal with a retry time is better for callers than a long wait. */
     private Duration waitAt(EngineChooser.Choice choice) {
         Duration wanted = ask.objectiveLeft().plusMillis((long) Math.min(MAX_EXTRA_MILLIS, choice.expectedMillis()));
         Duration wait = wanted.compareTo(MIN_WAIT) < 0 ? MIN_WAIT : wanted;
@@ -156,7 +170,7 @@
         }
     }
 
-    /** An engine may have said that it leaves while its side held the start back. */
+    /** Accepts a grant, unless the engine announced its shutdown or a pause while its side queued the start. */
     private void start(String service, Upstream engine, long ticket, long version) {
         if (!parts.availability().takes(engine)) {
             parts.gates().tell(engine, ticket, RunProgress.Stage.ENDED);
@@ -167,7 +181,7 @@
         whenStarted.accept(new Started(engine, ticket, version));
     }
 
-    /** The side answers for the engine that runs beside it now, which may have started anew under another id. */
+    /** Returns the engine that the grant names, since a restart may have given the asked engine another id. */
     private Upstream granted(Upstream asked, StartGrant grant) {
         if (asked.id().equals(grant.getEngineId()) && asked.born() == grant.getEngineBorn()) {
             return asked;
@@ -178,7 +192,7 @@
                 .orElseGet(() -> asked.withStart(grant.getEngineId(), grant.getEngineBorn()));
     }
 
-    /** An engine whose side is away goes on serving what it holds. */
+    /** Sends to an engine whose side does not answer only if the engine holds the newest version of the adapter. */
     private void withoutSide(String service, Upstream engine) {
         Long version = engine.residents().get(ask.adapter().toString());
         boolean held = version != null && version >= parts.versions().newest(ask.adapter());
@@ -198,6 +212,7 @@
         whenRefused.accept(Refusal.of(code).withRetryAfter(wait));
     }
 
+    /** Keeps the shortest time after which one of the asked sides expects to grant a start. */
     private void noteRetry(Duration after) {
         Duration known = retryAfter;
         retryAfter = known == null || after.compareTo(known) < 0 ? after : known;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardMetrics.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardMetrics.java
@@ -8,7 +8,7 @@
 /**
  * Counters and latencies of forwarded requests.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>Created once per entry; safe to share between threads.
  */
 public final class ForwardMetrics {
     private final MetricRegistry registry;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardRequest.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardRequest.java
@@ -12,16 +12,18 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A caller's request, decoded. Immutable.
+ * A caller's decoded request. Immutable.
  *
- * @param id the caller's id, one for each attempt of its own
+ * <p>Decoded by a {@link CallCodec} for each request.
+ *
+ * @param id the id that the caller chose; a retry by the caller has a new one
  * @param target the path with its query
- * @param key the caller's key, if it sent one
- * @param deadline how long the caller waits, from the request's arrival; null when it did not say
- * @param adapter what the request runs on; null for plain services
- * @param tokens prompt and output tokens; null when the caller did not count them
- * @param resumeAfterEventId the last event that the caller has; null for a stream from its start
- * @param headers the end-to-end headers that pass as they are
+ * @param key the caller's key; null if it sent none
+ * @param deadline how long the caller waits, from the arrival of the request; null if it set no deadline
+ * @param adapter the adapter or base model that runs the request; null for plain services
+ * @param tokens prompt and output tokens; null if the caller did not count them
+ * @param resumeAfterEventId the id of the last event that the caller has; null for a stream from its start
+ * @param headers the end-to-end headers, which are passed on unchanged
  */
 public record ForwardRequest(
         String id,
@@ -35,9 +37,14 @@
         @Nullable Long resumeAfterEventId,
         List<Map.Entry<String, String>> headers,
         ByteString body) {
-    /** The size of a generation: tokens of its prompt, and the most that it may bring forth. */
+    /**
+     * The token counts of a completion.
+     *
+     * @param prompt tokens of the prompt
+     * @param output the most tokens that may be generated
+     */
     public record TokenCounts(int prompt, int output) {
-        /** Returns both together. */
+        /** Returns the sum of prompt and output tokens. */
         public int sum() {
             return prompt + output;
         }
@@ -58,12 +65,12 @@
         return mark < 0 ? target : target.substring(0, mark);
     }
 
-    /** Returns how long the caller waits, if it said so. */
+    /** Returns how long the caller waits, if it set a deadline. */
     public Optional<Duration> callerDeadline() {
         return Optional.ofNullable(deadline);
     }
 
-    /** Returns what tells a repeat of this request from others: caller, path and body. */
+    /** Returns a hash of key, method, host, target and body, by which repeats of the same request are recognised. */
     public String fingerprint() {
         return Hashing.murmur3_128()
                 .newHasher()
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -25,26 +25,27 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * One admitted request on its way: it is sent to an upstream, sent again where that is allowed, and answered.
+ * Forwards one admitted request: sends it to an upstream, retries where that is allowed, and answers the caller.
  *
- * <p>Created for each request; used on the event loop.
+ * <p>Created by {@link RequestForwarder} for each request; used on the event loop.
  */
 final class Forwarding implements Attempt.Outcome {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** The final answer leaves a little before the caller's own deadline. */
+    /** How long before the caller's deadline the final answer is sent. */
     private static final Duration DEADLINE_MARGIN = Duration.ofMillis(20);
 
-    /** The least time between two looks whether an upstream is silent; each wakes the process. */
+    /** The shortest time between two checks for a silent upstream, since each check wakes the process. */
     private static final Duration MIN_CHECK_GAP = Duration.ofMillis(100);
-    /** Silence of an upstream on all its connections after which a request that may be repeated is sent elsewhere. */
+    /** Time without bytes on any connection of an upstream after which a resumable stream is sent to another one. */
     private static final Duration UPSTREAM_SILENCE = Duration.ofMillis(800);
-    /** How long an idempotent request waits for its answer's head, in objectives, before it is sent elsewhere. */
+    /** Time without an answer's head after which an idempotent request is sent elsewhere, in route objectives. */
     private static final double HEAD_OBJECTIVES = 1.3;
 
     private static final Duration RETRY_SOON = Duration.ofMillis(300);
     private static final int MAX_SENDS = 4;
     private static final int MAX_COLLECTED_BYTES = 1024 * 1024;
     private static final int STATUS_SERVER_ERROR = 500;
+    /** Statuses that mean "not run" to callers, and are not passed on for a request that may have run once. */
     private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
 
     private final ForwardingContext parts;
@@ -70,9 +71,9 @@
     private @Nullable ScheduledFuture<?> checkTimer;
 
     /**
-     * Creates the forwarding of one request.
+     * Creates the forwarding of one request; {@link #start} starts it.
      *
-     * @param whenDone told at the end whether the request may have run
+     * @param whenDone called at the end with whether the request may have run
      */
     Forwarding(
             ForwardingContext parts,
@@ -175,7 +176,7 @@
         checkTimer = parts.loop().schedule(this::check, millis, TimeUnit.MILLISECONDS);
     }
 
-    /** Returns when an attempt counts as late at the earliest, if nothing more comes; not above zero when it is. */
+    /** Returns the time until an attempt counts as late if nothing more arrives; zero or negative if it is late. */
     private Duration timeUntilLate(Attempt current) {
         if (route.kind() == RequestKind.STREAM) {
             Duration silence = current.load().silence();
@@ -185,7 +186,7 @@
         return Duration.ofMillis(limitMillis).minus(current.age());
     }
 
-    /** Sends a request that may run again to another upstream when this one is silent. */
+    /** Sends the request to another upstream if the present one is late. Used only if the request may be repeated. */
     private void check() {
         Attempt current = attempt;
         if (done) {
@@ -219,7 +220,7 @@
         return parts.usable(service).stream().anyMatch(u -> !sentTo.contains(u.id()) && !avoided.contains(u.id()));
     }
 
-    /** Returns when a caller should come back who is refused since no upstream takes the request now. */
+    /** Returns after which time a caller should retry who is refused because no upstream accepts the request now. */
     private Duration comeBackAfter() {
         boolean anyTakes = !parts.usable(service).isEmpty();
         return anyTakes ? RETRY_SOON : parts.comeBackAfter(service).orElse(RETRY_SOON);
@@ -292,7 +293,7 @@
         }
     }
 
-    /** Starts to pass on an answer that is too large to be kept until it is whole. */
+    /** Starts to stream an answer that is too large to be buffered as a whole. */
     private void passOn() {
         AnswerHead head = wholeHead;
         if (head != null) {
@@ -398,7 +399,7 @@
 
     // Ends
 
-    /** Ends with a refusal that says "not run", unless an earlier send may have run. */
+    /** Ends with a refusal that states "not run", unless a request that is not idempotent may have run. */
     private void giveUp(Refusal refusal) {
         boolean promise = !mayHaveRun || route.kind() == RequestKind.IDEMPOTENT;
         finish(promise ? refusal : Refusal.of(ResultCode.UPSTREAM_LOST, refusal.detail()));
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
@@ -19,7 +19,9 @@
 import java.util.Optional;
 
 /**
- * The parts of an entry that every forwarded request uses.
+ * The components of an entry that every forwarded request uses.
+ *
+ * <p>Created once per entry; safe to share between threads.
  *
  * @param loop the event loop on which requests are handled
  */
@@ -39,12 +41,12 @@
         RetryShare retries,
         CrashWatch crashes,
         ForwardMetrics metrics) {
-    /** Returns the upstreams of a service that may be sent to now. */
+    /** Returns the upstreams of a service that accept requests now. */
     List<Upstream> usable(String service) {
         return availability.taking(directory.usable(service));
     }
 
-    /** Returns when a caller should come back to a service whose upstreams all want a pause. */
+    /** Returns after which time a caller should retry if all upstreams of a service asked for a pause. */
     Optional<Duration> comeBackAfter(String service) {
         return availability.comeBackAfter(directory.usable(service));
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
@@ -24,9 +24,12 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Decides for each request of a caller whether it may run, and hands it on.
+ * Admits or refuses each caller's request and forwards the admitted ones.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>A request is admitted if its route and key are known, it is not quarantined for crashing upstreams, and the
+ * account's budget covers its cost. The budget of an account is divided among one or more entries, its homes.
+ *
+ * <p>Created once per entry; safe to share between threads.
  */
 public final class RequestForwarder implements CallerService {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -42,17 +45,27 @@
     private final AtomicInteger open = new AtomicInteger();
 
     /**
-     * How old the configuration may be.
+     * Limits on the age of the configuration.
      *
-     * @param maxAgeForKeys the age from which no request with a key is run, since its key may have been withdrawn
-     * @param maxAgeForUnknown the age from which nothing is said to be unknown, since it may have been added
+     * @param maxAgeForKeys the age from which requests with a key are refused, since the key may have been withdrawn
+     * @param maxAgeForUnknown the age from which no route or key is reported as unknown, since it may have been added
      */
     public record StalenessLimits(Duration maxAgeForKeys, Duration maxAgeForUnknown) {}
 
-    /** A request that may run, with what the configuration says of it. */
+    /**
+     * An admitted request with the parts of the configuration that apply to it.
+     *
+     * @param account the account to which the key belongs; null for requests without a key
+     * @param cost what the request takes from the account's budget, in tokens or requests
+     */
     record Admitted(ForwardRequest request, RoutingTable table, Route route, @Nullable Account account, double cost) {}
 
-    /** Creates the service that an entry's callers use. */
+    /**
+     * Creates the forwarder of an entry.
+     *
+     * @param stopping whether new requests are refused because the process is stopping
+     * @param random numbers from 0 to 1 that select a service of a route
+     */
     public RequestForwarder(
             ForwardingContext parts,
             ConfigurationHolder configuration,
@@ -70,12 +83,12 @@
         this.random = random;
     }
 
-    /** Returns how many requests have no whole answer yet. */
+    /** Returns how many requests are not answered as a whole yet. */
     public int openRequests() {
         return open.get();
     }
 
-    /** Returns whether keys may be accepted, as far as the configuration's age tells. */
+    /** Returns whether the configuration is recent enough to accept keys. */
     public boolean canVerifyKeys() {
         return freshness.isYoungerThan(bounds.maxAgeForKeys());
     }
@@ -135,7 +148,7 @@
                 .orElseGet(() -> Either.left(unknown(ResultCode.KEY_UNKNOWN)));
     }
 
-    /** Forwards a request once the account's budget has its cost, which homes elsewhere may have to tell. */
+    /** Forwards a request once its cost is taken from the account's budget, for which other entries may be asked. */
     private void spend(Admitted admitted, CallerExchange exchange) {
         Account account = admitted.account();
         if (account == null) {
@@ -164,7 +177,7 @@
                         parts.loop());
     }
 
-    /** Looks once more whether the key is in force, since its withdrawal may have come while the budget was asked. */
+    /** Verifies the key again, since it may have been withdrawn while the budget was requested. */
     private void forwardPaid(Admitted admitted, Account account, CallerExchange exchange) {
         RoutingTable newest = configuration.current().orElse(admitted.table());
         account(admitted.request(), newest)
@@ -195,7 +208,7 @@
         return tokens == null ? account.plainTokens() : tokens.sum();
     }
 
-    /** Something unknown may have been added since the configuration was read, so a late reader does not deny it. */
+    /** Refuses an unknown route or key; as cut off if the configuration is old, since it may have been added since. */
     private Refusal unknown(ResultCode code) {
         if (freshness.isYoungerThan(bounds.maxAgeForUnknown())) {
             return Refusal.of(code);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/SendParameters.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/SendParameters.java
@@ -6,13 +6,15 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * What the entry adds to a request for one upstream.
+ * Values that the entry adds to a request when it sends it to one upstream. Immutable.
  *
- * @param timeLeft how long the caller still waits
- * @param account the client account that holds the caller's key; null without a key
- * @param priority 0 is the most urgent; null where the upstream knows no priorities
- * @param adapterVersion the version that the upstream must hold; 0 for any
- * @param resumeAfterEventId the last event that the caller has; null for a stream from its start
+ * <p>Created by {@link Forwarding} for each send.
+ *
+ * @param timeLeft the time left until the deadline of the request
+ * @param account the client account to which the caller's key belongs; null for requests without a key
+ * @param priority 0 is the most urgent; null if the upstream does not support priorities
+ * @param adapterVersion the adapter version that the upstream must hold; 0 for any
+ * @param resumeAfterEventId the id of the last event that the caller has; null for a stream from its start
  */
 public record SendParameters(
         Upstream upstream,
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/package-info.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/package-info.java
@@ -1,4 +1,4 @@
-/** Forwarding a caller's request to upstreams and their answer back. */
+/** Forwarding of callers' requests to upstreams, with retries, and of the answers back to the callers. */
 @NullMarked
 package io.parsleycleat.gateway.request.forward;
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EndlessAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EndlessAnswerTest.java
@@ -12,9 +12,9 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Upstreams in trouble that send bytes which are no answer, or no end of one. */
+/** Guards against faulty upstreams whose bytes are no valid answer or never end one, which could exhaust memory. */
 public class EndlessAnswerTest extends ForwardingFixture {
-    /** Sends bytes, once the test is ready, until the connection is closed, and tells then how many. */
+    /** Sends bytes, once the test is ready, until the connection is closed; then reports how many were sent. */
     private static ScriptedUpstream.Script saysWithoutEnd(
             String start, String repeated, CompletableFuture<String> ready, CompletableFuture<Long> whenClosed) {
         return (request, connection) -> {
@@ -45,7 +45,7 @@
         };
     }
 
-    /** An upstream in trouble sends bytes that are no answer until we close; the caller is served elsewhere. */
+    /** The upstream sends until the gateway closes the connection; another upstream serves the caller. */
     @Test(dataProvider = "bytesWithoutEnd")
     public void bytesWithoutEndEndTheirConnectionAndTheStreamGoesOnElsewhere(String what, String start, String repeated)
             throws Exception {
@@ -83,7 +83,7 @@
         }
     }
 
-    /** The end of the body never comes; the connection is given up, so that its place is free. */
+    /** A body that never ends would keep its connection occupied in the upstream's pool. */
     @Test
     public void aRefusalWhoseBodyStallsGivesItsConnectionUp() throws Exception {
         configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EventSplitterTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EventSplitterTest.java
@@ -8,6 +8,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+/** Guards the splitting of event streams at arbitrary byte boundaries, on which resuming a stream depends. */
 public class EventSplitterTest {
     private EventSplitter splitter;
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -59,7 +59,7 @@
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeMethod;
 
-/** A forwarder in one process, before upstreams that a test scripts. Its callers keep what they get. */
+/** A request forwarder with scripted upstreams and recording callers, all in one process. */
 abstract class ForwardingFixture {
     static final Account ACCOUNT = new Account("tailors", Set.of("key"), null, false, 0, 0, 1);
     static final String PAUSE = "HTTP/1.1 503 Busy\r\nid: 1\r\nnot-run: 1\r\npause: 60000\r\nContent-Length: 0\r\n\r\n";
@@ -123,7 +123,7 @@
         return new AccountBudgets("here", homes, exchange, TimeSource.SYSTEM, loop);
     }
 
-    /** The calls of these tests: the key and the id in headers of their own. */
+    /** A codec that reads the key, the request id and the other metadata from plain headers. */
     static final class PlainCodec implements CallCodec {
         @Override
         public Either<Refusal, ForwardRequest> decode(CallerRequest r) {
@@ -178,7 +178,7 @@
         }
     }
 
-    /** What a caller gets. */
+    /** Records the answer to one caller as text. */
     static final class Caller implements CallerExchange {
         final CompletableFuture<String> answer = new CompletableFuture<>();
         final CompletableFuture<Runnable> gone = new CompletableFuture<>();
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
@@ -17,6 +17,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+/** Guards the rules by which requests are admitted, retried, resumed and answered. */
 public class ForwardingTest extends ForwardingFixture {
     @Test
     public void anAnswerComesBackWhole() throws Exception {
@@ -223,7 +224,7 @@
         return new Object[][] {{"nothing", ""}, {"a head", head}, {"an event", head + "id: 1\ndata: a\n\n"}};
     }
 
-    /** An upstream falls silent; what may be repeated goes on at another one, from the last event that came. */
+    /** The upstream stops sending without closing its connection, so that only its silence reveals the failure. */
     @Test(dataProvider = "beginnings")
     public void aStreamWhoseUpstreamFallsSilentGoesOnElsewhere(String what, String beginning) throws Exception {
         configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RetryShareTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RetryShareTest.java
@@ -9,6 +9,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+/** Guards against retry storms: an entry repeats no more requests than its share of the retry budget allows. */
 public class RetryShareTest {
     private MovedTime time;
     private RetryShare share;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityForwardingTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityForwardingTest.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.testng.annotations.Test;
 
-/** Requests to a service some or all of whose upstreams said that they want none. */
+/** Guards against requests to upstreams that announced their shutdown or asked for a pause. */
 public class UpstreamAvailabilityForwardingTest extends ForwardingFixture {
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
     private static final String LAST_ANSWER = whole("last").replace("id: 1", "id: 1\r\nleaving: 1");
@@ -53,7 +53,7 @@
         }
     }
 
-    /** The stream began before the upstream said that it leaves, and is finished by another one. */
+    /** One upstream cuts the stream; of the two others, one has announced its shutdown and must not be used. */
     @Test
     public void aStreamIsNotResumedAtAnUpstreamThatLeaves() throws Exception {
         configure(RequestKind.STREAM, true, 3, TIMEOUT);
