--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -25,13 +25,13 @@
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
 import io.parsleycleat.gateway.request.crash.CrashWatch;
-import io.parsleycleat.gateway.request.forward.AnswerFacts;
+import io.parsleycleat.gateway.request.forward.AnswerMetadata;
 import io.parsleycleat.gateway.request.forward.CallCodec;
 import io.parsleycleat.gateway.request.forward.ForwardMetrics;
-import io.parsleycleat.gateway.request.forward.ForwardParts;
 import io.parsleycleat.gateway.request.forward.ForwardRequest;
+import io.parsleycleat.gateway.request.forward.ForwardingContext;
 import io.parsleycleat.gateway.request.forward.RequestForwarder;
-import io.parsleycleat.gateway.request.forward.SendTerms;
+import io.parsleycleat.gateway.request.forward.SendParameters;
 import io.parsleycleat.gateway.request.limits.AccountBudgets;
 import io.parsleycleat.gateway.request.limits.BudgetHomes;
 import io.parsleycleat.gateway.request.limits.RetryShare;
@@ -59,7 +59,7 @@
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeMethod;
 
-/** A forwarder in one process, before upstreams that a test scripts. Its callers keep what they get. */
+/** A request forwarder with scripted upstreams and recording callers, all in one process. */
 abstract class ForwardingFixture {
     static final Account ACCOUNT = new Account("tailors", Set.of("key"), null, false, 0, 0, 1);
     static final String PAUSE = "HTTP/1.1 503 Busy\r\nid: 1\r\nnot-run: 1\r\npause: 60000\r\nContent-Length: 0\r\n\r\n";
@@ -89,7 +89,7 @@
         watch = new CrashWatch(suspects, TimeSource.SYSTEM, c -> {});
         UpstreamLoads loads = new UpstreamLoads(TimeSource.SYSTEM, directory);
         EngineView view = new EngineView(TimeSource.SYSTEM);
-        ForwardParts parts = new ForwardParts(
+        ForwardingContext parts = new ForwardingContext(
                 new PlainCodec(),
                 loop,
                 TimeSource.SYSTEM,
@@ -110,7 +110,7 @@
                 configuration,
                 freshness,
                 budgets(),
-                new RequestForwarder.KnowledgeBounds(Duration.ofSeconds(4), Duration.ofSeconds(2)),
+                new RequestForwarder.StalenessLimits(Duration.ofSeconds(4), Duration.ofSeconds(2)),
                 () -> false,
                 () -> 0);
     }
@@ -123,7 +123,7 @@
         return new AccountBudgets("here", homes, exchange, TimeSource.SYSTEM, loop);
     }
 
-    /** The calls of these tests: the key and the id in headers of their own. */
+    /** A codec that reads the key, the request id and the other metadata from plain headers. */
     static final class PlainCodec implements CallCodec {
         @Override
         public Either<Refusal, ForwardRequest> decode(CallerRequest r) {
@@ -142,17 +142,17 @@
         }
 
         @Override
-        public UpstreamRequest encode(ForwardRequest r, SendTerms terms) {
+        public UpstreamRequest encode(ForwardRequest r, SendParameters terms) {
             List<Map.Entry<String, String>> headers = new ArrayList<>(r.headers());
-            if (terms.resumeAfter() != null) {
-                headers.add(Map.entry("after", terms.resumeAfter().toString()));
+            if (terms.resumeAfterEventId() != null) {
+                headers.add(Map.entry("after", terms.resumeAfterEventId().toString()));
             }
             return new UpstreamRequest(r.method(), r.target(), r.id(), headers, r.body());
         }
 
         @Override
-        public AnswerFacts facts(ResponseHead head) {
-            return new AnswerFacts(
+        public AnswerMetadata decodeMetadata(ResponseHead head) {
+            return new AnswerMetadata(
                     head.header("not-run").isPresent(),
                     false,
                     head.header("id").orElse(null),
@@ -178,7 +178,7 @@
         }
     }
 
-    /** What a caller gets. */
+    /** Records the answer to one caller as text. */
     static final class Caller implements CallerExchange {
         final CompletableFuture<String> answer = new CompletableFuture<>();
         final CompletableFuture<Runnable> gone = new CompletableFuture<>();
