Rename the methods and states of the upstream choice

Cause: names such as onAsked, takes, Place and COMING did not say what they record or return.

Change: renames only, with all uses, by the compiler's resolution: EngineView.Place to AdapterState, PlainChooser to PlainServiceChooser, and the methods of EngineView, UpstreamAvailability and UpstreamLoad.

Result: compiled; the tests of choice, budgets and forwarding passed.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -24,7 +24,7 @@
 import io.parsleycleat.gateway.process.members.StoreLinks;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
-import io.parsleycleat.gateway.request.choose.PlainChooser;
+import io.parsleycleat.gateway.request.choose.PlainServiceChooser;
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
 import io.parsleycleat.gateway.request.crash.CrashWatch;
@@ -260,7 +260,7 @@
                 new UpstreamPools(loop, time, directory, this::maxConnections),
                 loads,
                 new UpstreamAvailability(time, random::nextDouble),
-                new PlainChooser(loads, identity.dataCentre(), random::nextDouble),
+                new PlainServiceChooser(loads, identity.dataCentre(), random::nextDouble),
                 new EngineChooser(view, loads),
                 view,
                 new GateClient(transport, settings.sidePort()),
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
@@ -54,10 +54,10 @@
     }
 
     /** An engine with its expected time to the first event. */
-    public record Choice(Upstream engine, double expectedMillis, EngineView.Place place) {}
+    public record Choice(Upstream engine, double expectedMillis, EngineView.AdapterState adapterState) {}
 
     /** Returns the engines that are not excluded, the best first. */
-    public List<Choice> order(List<Upstream> engines, AdapterId adapter, Set<String> excluded) {
+    public List<Choice> orderByExpectedTime(List<Upstream> engines, AdapterId adapter, Set<String> excluded) {
         List<Upstream> ranked = RendezvousHash.order(
                 adapter.toString(), engines, u -> u.address().toString());
         Map<String, Integer> ranks = new HashMap<>();
@@ -70,7 +70,7 @@
     }
 
     private Choice choice(Upstream engine, AdapterId adapter, int rank) {
-        EngineView.Place place = view.place(engine, adapter);
+        EngineView.AdapterState place = view.adapterState(engine, adapter);
         Optional<GateStatus> status = view.status(engine);
         double expected = rank * rankMillis(place) + placeMillis(place) + healthMillis(engine);
         if (status.isPresent()) {
@@ -87,25 +87,25 @@
 
     private double healthMillis(Upstream engine) {
         UpstreamLoad load = loads.of(engine);
-        double silent = view.isSideSilent(engine) ? OUT_MILLIS : 0;
-        return silent + (load.isPaused() ? PAUSED_MILLIS : 0) + (load.isErring() ? ERRING_MILLIS : 0);
+        double silent = view.isSideUnresponsive(engine) ? OUT_MILLIS : 0;
+        return silent + (load.isPaused() ? PAUSED_MILLIS : 0) + (load.hasHighErrorRate() ? ERRING_MILLIS : 0);
     }
 
-    private static double rankMillis(EngineView.Place place) {
-        return place == EngineView.Place.ABSENT ? ABSENT_RANK_MILLIS : RANK_MILLIS;
+    private static double rankMillis(EngineView.AdapterState place) {
+        return place == EngineView.AdapterState.ABSENT ? ABSENT_RANK_MILLIS : RANK_MILLIS;
     }
 
-    private static double placeMillis(EngineView.Place place) {
+    private static double placeMillis(EngineView.AdapterState place) {
         return switch (place) {
             case RESIDENT -> 0;
-            case COMING -> COMING_MILLIS;
-            case HELD_BEFORE -> RELOAD_MILLIS;
+            case LOADING -> COMING_MILLIS;
+            case PREVIOUSLY_RESIDENT -> RELOAD_MILLIS;
             case ABSENT -> LOAD_MILLIS;
         };
     }
 
-    private static boolean needsPlace(EngineView.Place place) {
-        return place == EngineView.Place.ABSENT || place == EngineView.Place.HELD_BEFORE;
+    private static boolean needsPlace(EngineView.AdapterState place) {
+        return place == EngineView.AdapterState.ABSENT || place == EngineView.AdapterState.PREVIOUSLY_RESIDENT;
     }
 
     private static double memoryMillis(GateStatus status) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
@@ -71,11 +71,11 @@
     }
 
     /** Where an adapter is. */
-    public enum Place {
+    public enum AdapterState {
         RESIDENT,
-        COMING,
+        LOADING,
         /** Not there now, but this start of the engine held it before and so loads it faster. */
-        HELD_BEFORE,
+        PREVIOUSLY_RESIDENT,
         ABSENT
     }
 
@@ -90,7 +90,7 @@
     }
 
     /** Notes that a start was asked for, so that the next choice counts it before the side tells it. */
-    public void onAsked(Upstream engine, int promptTokens) {
+    public void onStartRequested(Upstream engine, int promptTokens) {
         Told known = told.get(engine.id());
         if (known != null) {
             known.askedTokens.addAndGet(promptTokens);
@@ -98,12 +98,12 @@
     }
 
     /** Notes that an engine's side did not answer, so that it is not asked for a while. */
-    public void onSilent(Upstream engine, long millis) {
+    public void markSideUnresponsive(Upstream engine, long millis) {
         silentUntilNanos.put(engine.id(), time.monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(millis));
     }
 
     /** Returns whether the side answers, as far as is known. */
-    public boolean isSideSilent(Upstream engine) {
+    public boolean isSideUnresponsive(Upstream engine) {
         Long until = silentUntilNanos.get(engine.id());
         if (until != null && time.monotonicNanos() - until < 0) {
             return true;
@@ -125,20 +125,20 @@
     }
 
     /** Returns where an adapter is with respect to an engine, by its side or else by the engine's own description. */
-    public Place place(Upstream engine, AdapterId adapter) {
+    public AdapterState adapterState(Upstream engine, AdapterId adapter) {
         String name = adapter.toString();
         Optional<Told> known = fresh(engine);
         if (known.isEmpty()) {
-            return engine.residents().containsKey(name) ? Place.RESIDENT : Place.ABSENT;
+            return engine.residents().containsKey(name) ? AdapterState.RESIDENT : AdapterState.ABSENT;
         }
         if (known.get().resident.contains(name)
                 || (adapter.isBaseModel() && known.get().status.getModelResident())) {
-            return Place.RESIDENT;
+            return AdapterState.RESIDENT;
         }
         if (known.get().coming.contains(name)) {
-            return Place.COMING;
+            return AdapterState.LOADING;
         }
-        return known.get().held.contains(name) ? Place.HELD_BEFORE : Place.ABSENT;
+        return known.get().held.contains(name) ? AdapterState.PREVIOUSLY_RESIDENT : AdapterState.ABSENT;
     }
 
     private Optional<Told> fresh(Upstream engine) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/PlainChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/PlainServiceChooser.java
@@ -13,7 +13,7 @@
  *
  * <p>One an entry; safe to share between threads.
  */
-public final class PlainChooser {
+public final class PlainServiceChooser {
     /** What leaving the data centre costs, as a share of a slot. */
     private static final double OTHER_DATA_CENTRE = 0.25;
     /** Latency, in milliseconds, that weighs as much as one full set of slots. */
@@ -29,7 +29,7 @@
      * @param dataCentre the entry's own
      * @param random numbers from 0 to 1 that spread what is equal
      */
-    public PlainChooser(UpstreamLoads loads, String dataCentre, DoubleSupplier random) {
+    public PlainServiceChooser(UpstreamLoads loads, String dataCentre, DoubleSupplier random) {
         this.loads = loads;
         this.dataCentre = dataCentre;
         this.random = random;
@@ -50,7 +50,7 @@
         if (load.isPaused()) {
             return 2;
         }
-        return load.isErring() ? 1 : 0;
+        return load.hasHighErrorRate() ? 1 : 0;
     }
 
     private double score(Upstream upstream) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamAvailability.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamAvailability.java
@@ -68,7 +68,7 @@
     }
 
     /** Notes that an upstream turned a request away and wants none for a while, counted from now. */
-    public synchronized void onPause(Upstream upstream, Duration pause) {
+    public synchronized void onPauseRequested(Upstream upstream, Duration pause) {
         Refusing before = refusing.get(Start.of(upstream));
         if ((before != null && before.leaving()) || pause.isNegative() || pause.isZero()) {
             return;
@@ -84,20 +84,20 @@
     }
 
     /** Returns whether requests may be sent to an upstream. */
-    public synchronized boolean takes(Upstream upstream) {
+    public synchronized boolean isAvailable(Upstream upstream) {
         return isOver(refusing.get(Start.of(upstream)));
     }
 
     /** Returns those of some upstreams that requests may be sent to. */
-    public List<Upstream> taking(List<Upstream> upstreams) {
-        return upstreams.stream().filter(this::takes).toList();
+    public List<Upstream> filterAvailable(List<Upstream> upstreams) {
+        return upstreams.stream().filter(this::isAvailable).toList();
     }
 
     /**
      * Returns when a caller should come back for the first of some upstreams that is waited for, a little later for
      * some callers than for others; nothing when none of them has named a time.
      */
-    public synchronized Optional<Duration> comeBackAfter(List<Upstream> upstreams) {
+    public synchronized Optional<Duration> retryAfter(List<Upstream> upstreams) {
         long now = time.monotonicNanos();
         return upstreams.stream()
                 .map(u -> refusing.get(Start.of(u)))
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLoad.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLoad.java
@@ -40,27 +40,27 @@
     }
 
     /** Notes that bytes arrived from the upstream, on any connection. */
-    public synchronized void onHeard() {
+    public synchronized void onBytesReceived() {
         heardNanos = time.monotonicNanos();
     }
 
     /** Returns for how long nothing has arrived from the upstream, on any connection. */
-    public synchronized Duration silence() {
+    public synchronized Duration timeSinceLastBytes() {
         return Duration.ofNanos(time.monotonicNanos() - heardNanos);
     }
 
     /** Counts a request that is sent. */
-    public synchronized void onSend() {
+    public synchronized void onRequestSent() {
         open++;
     }
 
     /** Counts a request out, however it ended. */
-    public synchronized void onDone() {
+    public synchronized void onRequestEnded() {
         open = Math.max(0, open - 1);
     }
 
     /** Takes the load that an answer reported, this entry's own requests included. */
-    public synchronized void onReport(int running, int waiting) {
+    public synchronized void onLoadReported(int running, int waiting) {
         reportedElsewhere = Math.max(0, running + waiting - open);
     }
 
@@ -73,14 +73,14 @@
     }
 
     /** Notes an answer that says that the upstream failed. */
-    public synchronized void onError() {
+    public synchronized void onErrorResponse() {
         noteOutcome(1);
     }
 
     /** Notes that there was no answer, or no connection. */
     public synchronized void onFailure() {
         failuresInRow++;
-        onError();
+        onErrorResponse();
         long millis = Math.min(MAX_PAUSE.toMillis(), FIRST_PAUSE.toMillis() << Math.min(8, failuresInRow - 1));
         pausedUntilNanos = time.monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(millis);
         paused = true;
@@ -92,7 +92,7 @@
     }
 
     /** Returns whether many of the last answers were failures. */
-    public synchronized boolean isErring() {
+    public synchronized boolean hasHighErrorRate() {
         return errorShareNow() > MAX_ERROR_SHARE;
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -72,7 +72,7 @@
     }
 
     void send(ForwardRequest request, SendTerms terms) {
-        load.onSend();
+        load.onRequestSent();
         sent = parts.pools().of(upstream).send(parts.codec().encode(request, terms), this);
     }
 
@@ -120,7 +120,7 @@
 
     @Override
     public void onHead(AnswerHead answer) {
-        load.onHeard();
+        load.onBytesReceived();
         AnswerFacts read = parts.codec().facts(answer);
         if (!read.answers(requestId)) {
             giveUp(SendFailure.malformed("the answer belongs to another request"));
@@ -129,7 +129,7 @@
         noteAvailability(read);
         AnswerFacts.ReportedLoad reported = read.load();
         if (reported != null) {
-            load.onReport(reported.running(), reported.waiting());
+            load.onLoadReported(reported.running(), reported.waiting());
         }
         head = answer;
         facts = read;
@@ -147,7 +147,7 @@
         }
         Duration pause = read.pause();
         if (pause != null) {
-            parts.availability().onPause(upstream, pause);
+            parts.availability().onPauseRequested(upstream, pause);
         }
     }
 
@@ -168,7 +168,7 @@
 
     @Override
     public void onBody(ByteString part) {
-        load.onHeard();
+        load.onBytesReceived();
         if (over || facts == null) {
             ignoredBytes += part.size();
             if (ignoredBytes > MAX_IGNORED_BYTES) {
@@ -218,7 +218,7 @@
 
     private void end(RunProgress.Stage stage) {
         over = true;
-        load.onDone();
+        load.onRequestEnded();
         tell(stage);
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
@@ -81,7 +81,8 @@
 
     /** Asks the best engine of a service. */
     void next(String service) {
-        List<EngineChooser.Choice> choices = parts.engines().order(parts.usable(service), ask.adapter(), excluded);
+        List<EngineChooser.Choice> choices =
+                parts.engines().orderByExpectedTime(parts.usable(service), ask.adapter(), excluded);
         if (choices.isEmpty() || asked >= MAX_ASKED) {
             refuse(service, choices.isEmpty() ? ResultCode.NO_UPSTREAM : ResultCode.QUEUE_FULL);
             return;
@@ -89,7 +90,7 @@
         EngineChooser.Choice choice = choices.get(0);
         excluded.add(choice.engine().id());
         asked++;
-        if (parts.view().isSideSilent(choice.engine())) {
+        if (parts.view().isSideUnresponsive(choice.engine())) {
             withoutSide(service, choice.engine());
         } else {
             askSide(service, choice);
@@ -111,7 +112,7 @@
         Duration wait = waitAt(choice);
         waitingAt = engine;
         waitingTicket = ticket;
-        parts.view().onAsked(engine, promptTokens());
+        parts.view().onStartRequested(engine, promptTokens());
         parts.gates()
                 .start(engine, startRequest(ticket, wait), wait.plus(ANSWER_SLACK))
                 .whenCompleteAsync(
@@ -145,7 +146,7 @@
                     .with(LogKeys.REQUEST, ask.requestId())
                     .with(LogKeys.UPSTREAM, engine.id())
                     .log("side does not answer: %s", failure == null ? "" : Failures.unwrap(failure));
-            parts.view().onSilent(engine, SIDE_PAUSE.toMillis());
+            parts.view().markSideUnresponsive(engine, SIDE_PAUSE.toMillis());
             parts.gates().tell(engine, ticket, RunProgress.Stage.WITHDRAWN);
             withoutSide(service, engine);
         } else if (grant.getRefusalCode() != 0) {
@@ -158,7 +159,7 @@
 
     /** An engine may have said that it leaves while its side held the start back. */
     private void start(String service, Upstream engine, long ticket, long version) {
-        if (!parts.availability().takes(engine)) {
+        if (!parts.availability().isAvailable(engine)) {
             parts.gates().tell(engine, ticket, RunProgress.Stage.ENDED);
             next(service);
             return;
@@ -182,7 +183,7 @@
     private void withoutSide(String service, Upstream engine) {
         Long version = engine.residents().get(ask.adapter().toString());
         boolean held = version != null && version >= parts.versions().newest(ask.adapter());
-        if (held && parts.view().place(engine, ask.adapter()) == EngineView.Place.RESIDENT) {
+        if (held && parts.view().adapterState(engine, ask.adapter()) == EngineView.AdapterState.RESIDENT) {
             given = true;
             whenStarted.accept(new Started(engine, 0, ask.adapter().isBaseModel() ? 0 : version));
         } else {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardParts.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardParts.java
@@ -6,7 +6,7 @@
 import io.parsleycleat.gateway.process.members.GateClient;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
-import io.parsleycleat.gateway.request.choose.PlainChooser;
+import io.parsleycleat.gateway.request.choose.PlainServiceChooser;
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
 import io.parsleycleat.gateway.request.crash.CrashWatch;
@@ -32,7 +32,7 @@
         UpstreamPools pools,
         UpstreamLoads loads,
         UpstreamAvailability availability,
-        PlainChooser plain,
+        PlainServiceChooser plain,
         EngineChooser engines,
         EngineView view,
         GateClient gates,
@@ -41,11 +41,11 @@
         ForwardMetrics metrics) {
     /** Returns the upstreams of a service that may be sent to now. */
     List<Upstream> usable(String service) {
-        return availability.taking(directory.usable(service));
+        return availability.filterAvailable(directory.usable(service));
     }
 
     /** Returns when a caller should come back to a service whose upstreams all want a pause. */
     Optional<Duration> comeBackAfter(String service) {
-        return availability.comeBackAfter(directory.usable(service));
+        return availability.retryAfter(directory.usable(service));
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -178,7 +178,7 @@
     /** Returns when an attempt counts as late at the earliest, if nothing more comes; not above zero when it is. */
     private Duration timeUntilLate(Attempt current) {
         if (route.kind() == RequestKind.STREAM) {
-            Duration silence = current.load().silence();
+            Duration silence = current.load().timeSinceLastBytes();
             return UPSTREAM_SILENCE.minus(silence.compareTo(current.age()) < 0 ? silence : current.age());
         }
         long limitMillis = (long) (HEAD_OBJECTIVES * route.objective().toMillis());
@@ -322,7 +322,7 @@
             return;
         }
         if (head.status() >= STATUS_SERVER_ERROR) {
-            from.load().onError();
+            from.load().onErrorResponse();
             if (route.mayRepeat() && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
                 again();
                 return;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
@@ -61,7 +61,7 @@
     }
 
     private List<Upstream> order() {
-        return chooser.order(engines, ADAPTER, Set.of()).stream()
+        return chooser.orderByExpectedTime(engines, ADAPTER, Set.of()).stream()
                 .map(EngineChooser.Choice::engine)
                 .toList();
     }
@@ -77,19 +77,20 @@
                 GateStatus.newBuilder().setEngineId(engine.id()).setBorn(1).build();
         view.onStatus(status.toBuilder().setNextMillis(500).build());
         time.passMillis(1_490);
-        assertFalse(view.isSideSilent(engine));
+        assertFalse(view.isSideUnresponsive(engine));
         time.passMillis(20);
-        assertTrue(view.isSideSilent(engine));
+        assertTrue(view.isSideUnresponsive(engine));
         view.onStatus(status);
         time.passMillis(10_000);
-        assertFalse(view.isSideSilent(engine), "none was announced");
+        assertFalse(view.isSideUnresponsive(engine), "none was announced");
     }
 
     /** Pattern: many entries ask for an adapter that no engine holds. */
     @Test
     public void aColdAdapterHasTheSameHomeForAllEntries() {
         EngineChooser other = new EngineChooser(new EngineView(time), loads);
-        assertEquals(other.order(engines, ADAPTER, Set.of()).get(0).engine(), best());
+        assertEquals(
+                other.orderByExpectedTime(engines, ADAPTER, Set.of()).get(0).engine(), best());
     }
 
     /** Pattern: adapters of the tail are asked for again after hotter ones took their places. */
@@ -99,7 +100,7 @@
         tell(last, 1, 0, List.of(ADAPTER.toString()));
         tell(last, 1, 0, List.of("m0/hot"));
         assertEquals(best(), last);
-        assertEquals(view.place(last, ADAPTER), EngineView.Place.HELD_BEFORE);
+        assertEquals(view.adapterState(last, ADAPTER), EngineView.AdapterState.PREVIOUSLY_RESIDENT);
     }
 
     /** Pattern: an engine restarts empty. */
@@ -109,7 +110,7 @@
         tell(last, 1, 0, List.of(ADAPTER.toString()));
         tell(last, 2, 0, List.of());
         Upstream startedAnew = last.withStart(last.id(), 2);
-        assertEquals(view.place(startedAnew, ADAPTER), EngineView.Place.ABSENT);
+        assertEquals(view.adapterState(startedAnew, ADAPTER), EngineView.AdapterState.ABSENT);
     }
 
     /** Pattern: far more adapters pass through an engine than it keeps. */
@@ -119,9 +120,9 @@
         tell(home, 1, 0, List.of(ADAPTER.toString()));
         IntStream.range(0, 50)
                 .forEach(i -> tell(home, 1, 0, List.of("m0/x" + 3 * i, "m0/x" + (3 * i + 1), "m0/x" + (3 * i + 2))));
-        assertEquals(view.place(home, ADAPTER), EngineView.Place.ABSENT);
-        assertEquals(view.place(home, new AdapterId("m0", "x149")), EngineView.Place.RESIDENT);
-        assertEquals(view.place(home, new AdapterId("m0", "x100")), EngineView.Place.HELD_BEFORE);
+        assertEquals(view.adapterState(home, ADAPTER), EngineView.AdapterState.ABSENT);
+        assertEquals(view.adapterState(home, new AdapterId("m0", "x149")), EngineView.AdapterState.RESIDENT);
+        assertEquals(view.adapterState(home, new AdapterId("m0", "x100")), EngineView.AdapterState.PREVIOUSLY_RESIDENT);
     }
 
     /** Pattern: a short queue at an adapter's home; another load would cost more than it saves. */
@@ -144,7 +145,7 @@
     @Test
     public void whatWasJustAskedForCountsAtOnce() {
         Upstream home = best();
-        view.onAsked(home, 40_000);
+        view.onStartRequested(home, 40_000);
         assertNotEquals(best(), home);
     }
 
@@ -152,19 +153,19 @@
     @Test
     public void anErringEngineIsLeftAndTriedAgainLater() {
         Upstream home = best();
-        IntStream.range(0, 10).forEach(i -> loads.of(home).onError());
-        assertTrue(loads.of(home).isErring());
+        IntStream.range(0, 10).forEach(i -> loads.of(home).onErrorResponse());
+        assertTrue(loads.of(home).hasHighErrorRate());
         assertNotEquals(best(), home);
         time.passMillis(10_000);
         engines.forEach(e -> tell(e, 1, 0, List.of()));
-        assertFalse(loads.of(home).isErring());
+        assertFalse(loads.of(home).hasHighErrorRate());
         assertEquals(best(), home);
     }
 
     /** Pattern: all engines of a service fail at once. */
     @Test
     public void allErringEnginesStayInUse() {
-        engines.forEach(e -> IntStream.range(0, 10).forEach(i -> loads.of(e).onError()));
+        engines.forEach(e -> IntStream.range(0, 10).forEach(i -> loads.of(e).onErrorResponse()));
         assertEquals(order().size(), ENGINES);
     }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -21,7 +21,7 @@
 import io.parsleycleat.gateway.process.members.GateClient;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
-import io.parsleycleat.gateway.request.choose.PlainChooser;
+import io.parsleycleat.gateway.request.choose.PlainServiceChooser;
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
 import io.parsleycleat.gateway.request.crash.CrashWatch;
@@ -98,7 +98,7 @@
                 new UpstreamPools(loop, TimeSource.SYSTEM, directory, u -> 10),
                 loads,
                 new UpstreamAvailability(TimeSource.SYSTEM, () -> 0),
-                new PlainChooser(loads, "here", () -> 0),
+                new PlainServiceChooser(loads, "here", () -> 0),
                 new EngineChooser(view, loads),
                 view,
                 new GateClient(null, 1),
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityTest.java
@@ -39,44 +39,44 @@
     @Test
     public void oneThatLeavesTakesNothingUntilItsNextStart() {
         availability.onLeaving(one);
-        availability.onPause(one, Duration.ofSeconds(1));
+        availability.onPauseRequested(one, Duration.ofSeconds(1));
         time.passMillis(1_000_000);
-        assertFalse(availability.takes(one));
-        assertTrue(availability.takes(upstream("a", 2)));
-        assertTrue(availability.takes(upstream("c", 1)));
-        assertEquals(availability.taking(List.of(one, two)), List.of(two));
+        assertFalse(availability.isAvailable(one));
+        assertTrue(availability.isAvailable(upstream("a", 2)));
+        assertTrue(availability.isAvailable(upstream("c", 1)));
+        assertEquals(availability.filterAvailable(List.of(one, two)), List.of(two));
     }
 
     @Test
     public void aPauseLastsAsLongAsWasSaidAndIsNotShortenedByALaterAnswer() {
-        availability.onPause(one, Duration.ofMillis(2_500));
-        availability.onPause(one, Duration.ofMillis(100));
+        availability.onPauseRequested(one, Duration.ofMillis(2_500));
+        availability.onPauseRequested(one, Duration.ofMillis(100));
         time.passMillis(2_499);
-        assertFalse(availability.takes(one));
+        assertFalse(availability.isAvailable(one));
         time.passMillis(1);
-        assertTrue(availability.takes(one));
+        assertTrue(availability.isAvailable(one));
     }
 
     @Test
     public void figuresThatMakeNoSenseAreBounded() {
-        availability.onPause(one, Duration.ofSeconds(-5));
-        assertTrue(availability.takes(one));
-        availability.onPause(one, Duration.ofSeconds(Long.MAX_VALUE / 2));
-        assertFalse(availability.takes(one));
+        availability.onPauseRequested(one, Duration.ofSeconds(-5));
+        assertTrue(availability.isAvailable(one));
+        availability.onPauseRequested(one, Duration.ofSeconds(Long.MAX_VALUE / 2));
+        assertFalse(availability.isAvailable(one));
         time.passMillis(Duration.ofMinutes(10).toMillis());
-        assertTrue(availability.takes(one));
+        assertTrue(availability.isAvailable(one));
     }
 
     @Test
     public void callersComeBackForTheFirstOneAndNotAllAtOnce() {
-        assertEquals(availability.comeBackAfter(List.of(one, two)), Optional.empty());
-        availability.onPause(one, Duration.ofSeconds(4));
-        availability.onPause(two, Duration.ofSeconds(2));
-        assertEquals(availability.comeBackAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(2)));
+        assertEquals(availability.retryAfter(List.of(one, two)), Optional.empty());
+        availability.onPauseRequested(one, Duration.ofSeconds(4));
+        availability.onPauseRequested(two, Duration.ofSeconds(2));
+        assertEquals(availability.retryAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(2)));
         spread = 1;
-        assertEquals(availability.comeBackAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(3)));
+        assertEquals(availability.retryAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(3)));
         availability.onLeaving(two);
         spread = 0;
-        assertEquals(availability.comeBackAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(4)));
+        assertEquals(availability.retryAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(4)));
     }
 }
