Rename the methods that return and refund budget tokens

Cause: giveBack, handBackUnspent, drawn and setOthers did not say what is returned, to whom, or in which unit.

Change: renames only, with all uses, by the compiler's resolution.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -327,8 +327,8 @@
     private void followMembers() {
         if (entriesFollower.isRead()) {
             members.storeSilentFor(entriesFollower.freshness().age());
-            budgets.setOthers(members.others().keySet());
-            budgets.handBackUnspent();
+            budgets.setOtherEntries(members.others().keySet());
+            budgets.returnUnspent();
         }
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryExchange.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryExchange.java
@@ -55,7 +55,7 @@
     }
 
     @Override
-    public CompletableFuture<Drawn> draw(String entry, String account, double needed, double ahead) {
+    public CompletableFuture<Grant> draw(String entry, String account, double needed, double ahead) {
         Optional<String> address = members.addressOf(entry);
         if (address.isEmpty()) {
             return CompletableFuture.failedFuture(
@@ -67,12 +67,12 @@
                 .orTimeout(DRAW_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .thenApply(answer -> {
                     BudgetGrant grant = answer.getGate().getDrawn();
-                    return new Drawn(grant.getTokens(), grant.getTokensPerSecond());
+                    return new Grant(grant.getTokens(), grant.getTokensPerSecond());
                 });
     }
 
     @Override
-    public void giveBack(String entry, String account, double tokens) {
+    public void returnTokens(String entry, String account, double tokens) {
         members.addressOf(entry).ifPresent(address -> {
             BudgetReturn.Builder unspent =
                     BudgetReturn.newBuilder().setAccount(account).setTokens(tokens);
@@ -95,7 +95,7 @@
             case CRASH -> crashes.onCrash(message.getCrash());
             case DRAW -> from.reply(frame, frame(GateMessage.newBuilder().setDrawn(drawn(message.getDraw()))));
             case READ -> relay.onRead(from, frame);
-            case UNSPENT -> homes.giveBack(
+            case UNSPENT -> homes.returnTokens(
                     message.getUnspent().getAccount(), message.getUnspent().getTokens());
             default -> {
                 // Sides answer with replies, which the transport pairs with their requests.
@@ -104,10 +104,10 @@
     }
 
     private BudgetGrant drawn(BudgetDraw draw) {
-        Drawn drawn = homes.draw(draw.getAccount(), draw.getNeeded(), draw.getAhead());
+        Grant drawn = homes.draw(draw.getAccount(), draw.getNeeded(), draw.getAhead());
         return BudgetGrant.newBuilder()
                 .setTokens(drawn.tokens())
-                .setTokensPerSecond(drawn.perSecond())
+                .setTokensPerSecond(drawn.tokensPerSecond())
                 .build();
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -199,7 +199,7 @@
         Duration left = timeUntilLate(current);
         checkAgainAfter(left);
         boolean late = !hasAnswered && (left.isNegative() || left.isZero());
-        if (late && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
+        if (late && mayGoElsewhere() && parts.retries().tryRetry(service)) {
             logger.atInfo()
                     .with(LogKeys.REQUEST, request.id())
                     .with(LogKeys.UPSTREAM, current.upstream().id())
@@ -323,7 +323,7 @@
         }
         if (head.status() >= STATUS_SERVER_ERROR) {
             from.load().onErrorResponse();
-            if (route.mayRepeat() && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
+            if (route.mayRepeat() && mayGoElsewhere() && parts.retries().tryRetry(service)) {
                 again();
                 return;
             }
@@ -351,7 +351,7 @@
                 .with(LogKeys.REQUEST, request.id())
                 .with(LogKeys.UPSTREAM, from.upstream().id())
                 .log("upstream did not run it, wrong upstream %s", answer.wrongUpstream());
-        if (mayGoElsewhere() && parts.retries().tryRepeat(service)) {
+        if (mayGoElsewhere() && parts.retries().tryRetry(service)) {
             again();
         } else {
             giveUp(Refusal.of(ResultCode.UPSTREAM_REFUSED).withRetryAfter(comeBackAfter()));
@@ -389,7 +389,7 @@
         }
         mayHaveRun = true;
         boolean allowed = route.mayRepeat() && parts.crashes().maySend(request.fingerprint());
-        if (allowed && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
+        if (allowed && mayGoElsewhere() && parts.retries().tryRetry(service)) {
             again();
         } else {
             finish(Refusal.of(ResultCode.UPSTREAM_LOST, failure.detail()));
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
@@ -157,7 +157,7 @@
                                         s -> refuse(
                                                 exchange,
                                                 admitted.request().id(),
-                                                budgetRefusal(admitted, s.drawn(), s.retryAfter())),
+                                                budgetRefusal(admitted, s.drawnTokens(), s.retryAfter())),
                                         () -> forwardPaid(admitted, account, exchange));
                             }
                         },
@@ -170,7 +170,7 @@
         account(admitted.request(), newest)
                 .peek(a -> forward(admitted, exchange))
                 .peekLeft(refusal -> {
-                    budgets.giveBack(account, admitted.cost());
+                    budgets.refund(account, admitted.cost());
                     refuse(exchange, admitted.request().id(), refusal);
                 });
     }
@@ -216,7 +216,7 @@
             open.decrementAndGet();
             Account account = admitted.account();
             if (!ran && account != null) {
-                budgets.giveBack(account, admitted.cost());
+                budgets.refund(account, admitted.cost());
             }
         });
         parts.loop().execute(forwarding::start);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
@@ -45,10 +45,10 @@
     /**
      * Why a request does not get its tokens.
      *
-     * @param drawn what the homes gave, which they get back
+     * @param drawnTokens what the homes gave, which they get back
      * @param retryAfter when the rest will be there at the earliest
      */
-    public record Shortage(double drawn, Duration retryAfter) {}
+    public record Shortage(double drawnTokens, Duration retryAfter) {}
 
     /** Creates budgets without accounts. */
     public AccountBudgets(
@@ -75,8 +75,8 @@
     }
 
     /** Takes the names of the other entries that are known to exist. */
-    public void setOthers(Set<String> others) {
-        homes.setOthers(others);
+    public void setOtherEntries(Set<String> others) {
+        homes.setOtherEntries(others);
         silentUntilNanos.keySet().retainAll(others);
     }
 
@@ -97,7 +97,7 @@
     }
 
     /** Gives a cost back that was taken for a request that did not run. */
-    public void giveBack(Account account, double cost) {
+    public void refund(Account account, double cost) {
         AccountDraws known = draws(account);
         if (known != null) {
             known.giveBack(Math.min(cost, account.burst()));
@@ -105,7 +105,7 @@
     }
 
     /** Hands what was not spent for a while back to the homes. */
-    public void handBackUnspent() {
+    public void returnUnspent() {
         draws.values().forEach(AccountDraws::handBackUnspent);
     }
 
@@ -128,7 +128,7 @@
         return until != null && now - until < 0;
     }
 
-    private CompletableFuture<BudgetPeers.Drawn> draw(String home, String account, double needed, double ahead) {
+    private CompletableFuture<BudgetPeers.Grant> draw(String home, String account, double needed, double ahead) {
         if (home.equals(self)) {
             return CompletableFuture.completedFuture(homes.draw(account, needed, ahead));
         }
@@ -153,9 +153,9 @@
 
     private void giveBackTo(String home, String account, double tokens) {
         if (home.equals(self)) {
-            homes.giveBack(account, tokens);
+            homes.returnTokens(account, tokens);
         } else {
-            peers.giveBack(home, account, tokens);
+            peers.returnTokens(home, account, tokens);
         }
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
@@ -69,7 +69,7 @@
     /** Asks a home for tokens. */
     @FunctionalInterface
     interface Draw {
-        CompletableFuture<BudgetPeers.Drawn> from(String home, String account, double needed, double ahead);
+        CompletableFuture<BudgetPeers.Grant> from(String home, String account, double needed, double ahead);
     }
 
     /** Gives tokens back to a home. */
@@ -188,14 +188,14 @@
             refuseWaiting();
             return;
         }
-        CompletableFuture<BudgetPeers.Drawn> answer = draw.from(home, account.name(), needed, ahead);
+        CompletableFuture<BudgetPeers.Grant> answer = draw.from(home, account.name(), needed, ahead);
         answer.whenComplete((drawn, failure) -> drawn(home, drawn));
         if (!answer.isDone()) {
             scheduler.schedule(() -> drawFurther(current, answer), SLOW.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
-    private void drawFurther(long draw, CompletableFuture<BudgetPeers.Drawn> slow) {
+    private void drawFurther(long draw, CompletableFuture<BudgetPeers.Grant> slow) {
         boolean underWay;
         synchronized (this) {
             underWay = drawing && draws == draw && !slow.isDone();
@@ -219,17 +219,17 @@
         return sinceDraw() < FREQUENT.toNanos() ? spentSinceDraw : 0;
     }
 
-    private void drawn(String home, BudgetPeers.@Nullable Drawn drawn) {
+    private void drawn(String home, BudgetPeers.@Nullable Grant drawn) {
         List<Answer> answers;
         synchronized (this) {
             unanswered--;
-            if (drawn == null || drawn.perSecond() <= 0) {
+            if (drawn == null || drawn.tokensPerSecond() <= 0) {
                 addDeputy();
             }
             if (drawn != null) {
                 tokens += drawn.tokens();
                 gained += drawn.tokens();
-                perSecond += drawn.perSecond();
+                perSecond += drawn.tokensPerSecond();
                 lastHome = drawn.tokens() > 0 ? home : lastHome;
             }
             answers = serveWaiting();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetHomes.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetHomes.java
@@ -95,7 +95,7 @@
     }
 
     /** Takes the names of the other entries that are known to exist. */
-    public synchronized void setOthers(Set<String> others) {
+    public synchronized void setOtherEntries(Set<String> others) {
         Set<String> newEntries = withSelf(others);
         if (membersKnown && newEntries.equals(entries)) {
             return;
@@ -108,23 +108,23 @@
     }
 
     /** Gives tokens of an account's part, what is needed first. */
-    public synchronized BudgetPeers.Drawn draw(String account, double needed, double ahead) {
+    public synchronized BudgetPeers.Grant draw(String account, double needed, double ahead) {
         Held part = held.get(account);
         if (part == null || !isAmount(needed) || !isAmount(ahead)) {
-            return BudgetPeers.Drawn.NOTHING;
+            return BudgetPeers.Grant.NONE;
         }
         TokenBucket bucket = part.bucket();
         boolean gains = standing.getAsBoolean();
         bucket.fill(time.monotonicNanos(), gains);
         double tokens = bucket.take(needed);
         boolean spare = tokens >= needed && part.role() == Role.HOME;
-        return new BudgetPeers.Drawn(
+        return new BudgetPeers.Grant(
                 tokens + (spare ? bucket.take(Math.min(ahead, bucket.level() * AHEAD_PART)) : 0),
                 gains ? bucket.ratePerSecond() : 0);
     }
 
     /** Takes back what was drawn and not spent. */
-    public synchronized void giveBack(String account, double tokens) {
+    public synchronized void returnTokens(String account, double tokens) {
         Held part = held.get(account);
         if (part != null && isAmount(tokens)) {
             part.bucket().put(tokens);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetPeers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetPeers.java
@@ -8,16 +8,16 @@
      * Tokens that a home gave.
      *
      * @param tokens how many, possibly fewer than were needed
-     * @param perSecond what the home's part gains in a second; zero while it gains nothing
+     * @param tokensPerSecond what the home's part gains in a second; zero while it gains nothing
      */
-    record Drawn(double tokens, double perSecond) {
+    record Grant(double tokens, double tokensPerSecond) {
         /** What an entry gives that is no home of the account. */
-        public static final Drawn NOTHING = new Drawn(0, 0);
+        public static final Grant NONE = new Grant(0, 0);
     }
 
     /** Asks a home for tokens; fails when it does not answer in time. */
-    CompletableFuture<Drawn> draw(String entry, String account, double needed, double ahead);
+    CompletableFuture<Grant> draw(String entry, String account, double needed, double ahead);
 
     /** Gives tokens back to a home; they may be lost on the way. */
-    void giveBack(String entry, String account, double tokens);
+    void returnTokens(String entry, String account, double tokens);
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
@@ -66,7 +66,7 @@
     }
 
     /** Takes one repeat out of the share, if there is one. */
-    public synchronized boolean tryRepeat(String service) {
+    public synchronized boolean tryRetry(String service) {
         Window window = current(service);
         double allowed = bounds.ratio() * window.requests.size() + bounds.extra() / 2 / Math.max(1, entries.getAsInt());
         if (window.repeats.size() + 1 > allowed) {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
@@ -45,7 +45,7 @@
     private void passTenths(BudgetFleet fleet, int tenths) {
         IntStream.range(0, tenths).forEach(i -> {
             time.passMillis(100);
-            fleet.up().forEach(e -> fleet.entry(e).handBackUnspent());
+            fleet.up().forEach(e -> fleet.entry(e).returnUnspent());
         });
     }
 
@@ -229,15 +229,15 @@
 
     @Test
     public void requestsThatWaitForOneDrawAreServedInTheirOrder() {
-        List<CompletableFuture<BudgetPeers.Drawn>> draws = new ArrayList<>();
+        List<CompletableFuture<BudgetPeers.Grant>> draws = new ArrayList<>();
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
         AccountBudgets budgets = new AccountBudgets("a", homes, new HeldPeers(draws), time, scheduler);
         budgets.setAccounts(List.of(ACCOUNT));
-        budgets.setOthers(Set.of("b"));
+        budgets.setOtherEntries(Set.of("b"));
         CompletableFuture<Optional<AccountBudgets.Shortage>> first = budgets.spend(ACCOUNT, 400);
         CompletableFuture<Optional<AccountBudgets.Shortage>> second = budgets.spend(ACCOUNT, 400);
         assertFalse(first.isDone());
-        draws.get(0).complete(new BudgetPeers.Drawn(300, 500));
+        draws.get(0).complete(new BudgetPeers.Grant(300, 500));
         assertEquals(first.join(), Optional.empty());
         assertTrue(second.join().isPresent());
     }
@@ -245,19 +245,19 @@
     /** Load pattern: all entries have just started, and a home is too busy to answer at once. */
     @Test
     public void aSlowHomeDoesNotHoldARequestWhoseTokensAnotherHomeHas() {
-        List<CompletableFuture<BudgetPeers.Drawn>> draws = new ArrayList<>();
+        List<CompletableFuture<BudgetPeers.Grant>> draws = new ArrayList<>();
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
         AccountBudgets budgets = new AccountBudgets("a", homes, new HeldPeers(draws), time, scheduler);
         budgets.setAccounts(List.of(ACCOUNT));
-        budgets.setOthers(Set.of("b", "c", "d"));
+        budgets.setOtherEntries(Set.of("b", "c", "d"));
         CompletableFuture<Optional<AccountBudgets.Shortage>> request = budgets.spend(ACCOUNT, 400);
         scheduler.runFor(Duration.ofMillis(79));
         assertEquals(draws.size(), 1);
         scheduler.runFor(Duration.ofMillis(1));
         assertEquals(draws.size(), 2);
-        draws.get(1).complete(new BudgetPeers.Drawn(400, 250));
+        draws.get(1).complete(new BudgetPeers.Grant(400, 250));
         assertEquals(request.join(), Optional.empty());
-        draws.get(0).complete(new BudgetPeers.Drawn(100, 250));
+        draws.get(0).complete(new BudgetPeers.Grant(100, 250));
         assertTrue(budgets.spend(ACCOUNT, 100).isDone(), "what a slow home gave is kept");
         scheduler.runFor(Duration.ofSeconds(1));
         assertEquals(draws.size(), 2);
@@ -265,18 +265,18 @@
 
     @Test
     public void aDrawWaitsForTheSlowHomesBeforeItRefuses() {
-        List<CompletableFuture<BudgetPeers.Drawn>> draws = new ArrayList<>();
+        List<CompletableFuture<BudgetPeers.Grant>> draws = new ArrayList<>();
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
         AccountBudgets budgets = new AccountBudgets("a", homes, new HeldPeers(draws), time, scheduler);
         budgets.setAccounts(List.of(ACCOUNT));
-        budgets.setOthers(Set.of("b", "c", "d"));
+        budgets.setOtherEntries(Set.of("b", "c", "d"));
         CompletableFuture<Optional<AccountBudgets.Shortage>> request = budgets.spend(ACCOUNT, 900);
         scheduler.runFor(Duration.ofMillis(240));
         assertEquals(draws.size(), 3);
-        draws.get(0).complete(new BudgetPeers.Drawn(100, 250));
+        draws.get(0).complete(new BudgetPeers.Grant(100, 250));
         draws.get(1).completeExceptionally(new IllegalStateException("no answer in time"));
         assertFalse(request.isDone());
-        draws.get(2).complete(new BudgetPeers.Drawn(100, 250));
+        draws.get(2).complete(new BudgetPeers.Grant(100, 250));
         assertTrue(request.join().isPresent());
     }
 
@@ -285,7 +285,7 @@
         BudgetFleet fleet = fleet(1);
         passTenths(fleet, 10);
         assertTrue(fleet.spend("entry-0", ACCOUNT, RATE));
-        fleet.entry("entry-0").giveBack(ACCOUNT, RATE);
+        fleet.entry("entry-0").refund(ACCOUNT, RATE);
         assertTrue(fleet.spend("entry-0", ACCOUNT, RATE));
     }
 
@@ -293,9 +293,9 @@
     public void aHomeGivesNothingForAnAmountThatIsNone() {
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
         homes.setAccounts(List.of(ACCOUNT));
-        homes.setOthers(Set.of());
-        homes.giveBack("tailors", Double.NaN);
-        homes.giveBack("tailors", Double.NEGATIVE_INFINITY);
+        homes.setOtherEntries(Set.of());
+        homes.returnTokens("tailors", Double.NaN);
+        homes.returnTokens("tailors", Double.NEGATIVE_INFINITY);
         List.of(Double.NaN, -1.0, Double.POSITIVE_INFINITY).forEach(d -> {
             assertEquals(homes.draw("tailors", d, 0).tokens(), 0, 0);
             assertEquals(homes.draw("tailors", 0, d).tokens(), 0, 0);
@@ -310,17 +310,17 @@
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
         BudgetPeers peers = new NoPeers() {
             @Override
-            public CompletableFuture<Drawn> draw(String entry, String account, double needed, double more) {
+            public CompletableFuture<Grant> draw(String entry, String account, double needed, double more) {
                 ahead.add(more);
-                return CompletableFuture.completedFuture(new Drawn(needed + more, 500));
+                return CompletableFuture.completedFuture(new Grant(needed + more, 500));
             }
         };
         AccountBudgets budgets = new AccountBudgets("z", homes, peers, time, scheduler);
         budgets.setAccounts(List.of(account("large", 1_000_000)));
-        budgets.setOthers(Set.of("a", "b", "c", "d", "e", "f"));
+        budgets.setOtherEntries(Set.of("a", "b", "c", "d", "e", "f"));
         IntStream.range(0, 5).forEach(i -> {
             time.passMillis(400);
-            budgets.handBackUnspent();
+            budgets.returnUnspent();
             budgets.spend(account("large", 1_000_000), 10).join();
         });
         assertEquals(ahead, List.of(0.0, 0.0, 0.0, 0.0, 0.0));
@@ -335,7 +335,7 @@
     public void anAccountThatIsAddedBeginsWithItsBurst() {
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
         homes.setAccounts(List.of());
-        homes.setOthers(Set.of());
+        homes.setOtherEntries(Set.of());
         homes.setAccounts(List.of(ACCOUNT));
         assertEquals(homes.draw("tailors", 2 * RATE, 0).tokens(), RATE, 0);
     }
@@ -345,10 +345,10 @@
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
         Set<String> others = IntStream.range(0, 40).mapToObj(i -> "b" + i).collect(java.util.stream.Collectors.toSet());
         homes.setAccounts(List.of(ACCOUNT));
-        homes.setOthers(others);
-        assertEquals(homes.draw("tailors", RATE, 0), BudgetPeers.Drawn.NOTHING, "chosen so that a is no home");
+        homes.setOtherEntries(others);
+        assertEquals(homes.draw("tailors", RATE, 0), BudgetPeers.Grant.NONE, "chosen so that a is no home");
         time.passMillis(10_000);
-        homes.setOthers(Set.of("b0"));
+        homes.setOtherEntries(Set.of("b0"));
         assertEquals(homes.draw("tailors", RATE, 0).tokens(), 0, 0);
         time.passMillis(100);
         assertEquals(homes.draw("tailors", RATE, 0).tokens(), RATE / 20, 1);
@@ -357,25 +357,25 @@
     /** Has no other entries. */
     private static class NoPeers implements BudgetPeers {
         @Override
-        public CompletableFuture<Drawn> draw(String entry, String account, double needed, double ahead) {
+        public CompletableFuture<Grant> draw(String entry, String account, double needed, double ahead) {
             return CompletableFuture.failedFuture(new IllegalStateException("no peers"));
         }
 
         @Override
-        public void giveBack(String entry, String account, double tokens) {}
+        public void returnTokens(String entry, String account, double tokens) {}
     }
 
     /** Keeps the draws until the test answers them. */
     private static final class HeldPeers extends NoPeers {
-        private final List<CompletableFuture<Drawn>> draws;
+        private final List<CompletableFuture<Grant>> draws;
 
-        HeldPeers(List<CompletableFuture<Drawn>> draws) {
+        HeldPeers(List<CompletableFuture<Grant>> draws) {
             this.draws = draws;
         }
 
         @Override
-        public CompletableFuture<Drawn> draw(String entry, String account, double needed, double ahead) {
-            CompletableFuture<Drawn> draw = new CompletableFuture<>();
+        public CompletableFuture<Grant> draw(String entry, String account, double needed, double ahead) {
+            CompletableFuture<Grant> draw = new CompletableFuture<>();
             draws.add(draw);
             return draw;
         }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
@@ -46,7 +46,8 @@
         homes.put(name, started);
         budgets.put(name, new AccountBudgets(name, started, new Peers(name), time, scheduler));
         budgets.get(name).setAccounts(accounts);
-        budgets.get(name).setOthers(names.stream().filter(o -> !o.equals(name)).collect(Collectors.toSet()));
+        budgets.get(name)
+                .setOtherEntries(names.stream().filter(o -> !o.equals(name)).collect(Collectors.toSet()));
         down.remove(name);
     }
 
@@ -92,7 +93,7 @@
         }
 
         @Override
-        public CompletableFuture<Drawn> draw(String entry, String account, double needed, double ahead) {
+        public CompletableFuture<Grant> draw(String entry, String account, double needed, double ahead) {
             messages += 2;
             return down.contains(entry) || down.contains(from)
                     ? CompletableFuture.failedFuture(new IllegalStateException("down"))
@@ -100,10 +101,10 @@
         }
 
         @Override
-        public void giveBack(String entry, String account, double tokens) {
+        public void returnTokens(String entry, String account, double tokens) {
             messages++;
             if (!down.contains(entry)) {
-                homes.get(entry).giveBack(account, tokens);
+                homes.get(entry).returnTokens(account, tokens);
             }
         }
     }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScaleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScaleTest.java
@@ -85,7 +85,7 @@
             double level = account.burst();
             for (int step = 0; step < STEPS; step++) {
                 time.passMillis(STEP_MILLIS);
-                fleet.up().forEach(e -> fleet.entry(e).handBackUnspent());
+                fleet.up().forEach(e -> fleet.entry(e).returnUnspent());
                 level = Math.min(account.burst(), level + account.ratePerSecond() * STEP_MILLIS / 1_000);
                 if (random.nextDouble() >= 2.2 * STEP_MILLIS / 1_000) {
                     continue;
@@ -154,7 +154,7 @@
             for (int step = 0; step < STEPS; step++) {
                 time.passMillis(STEP_MILLIS);
                 disturb(step);
-                fleet.up().forEach(e -> fleet.entry(e).handBackUnspent());
+                fleet.up().forEach(e -> fleet.entry(e).returnUnspent());
                 IntStream.range(0, accounts.size()).forEach(this::demand);
                 worst = Math.max(worst, worstWindow());
             }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScheduleTest.java
@@ -82,7 +82,7 @@
                 time.passMillis(STEP_MILLIS);
                 disturb(step);
                 membership(step);
-                IntStream.range(0, ENTRIES).filter(i -> isUp(i, now)).forEach(i -> entries[i].handBackUnspent());
+                IntStream.range(0, ENTRIES).filter(i -> isUp(i, now)).forEach(i -> entries[i].returnUnspent());
                 double admitted = demand(step);
                 total += admitted;
                 note(admitted);
@@ -148,7 +148,7 @@
         private void membership(int step) {
             for (int i = 0; i < ENTRIES; i++) {
                 if (isUp(i, step)) {
-                    entries[i].setOthers(othersOf(i, step));
+                    entries[i].setOtherEntries(othersOf(i, step));
                 }
             }
         }
@@ -194,22 +194,22 @@
             }
 
             @Override
-            public CompletableFuture<Drawn> draw(String entry, String account, double needed, double ahead) {
+            public CompletableFuture<Grant> draw(String entry, String account, double needed, double ahead) {
                 int to = Integer.parseInt(entry.substring("entry-".length()));
                 if (!reaches(to)) {
                     return CompletableFuture.failedFuture(new IllegalStateException("not reached"));
                 }
-                Drawn drawn = homes[to].draw(account, needed, ahead);
+                Grant drawn = homes[to].draw(account, needed, ahead);
                 return random.nextInt(100) < 2
                         ? CompletableFuture.failedFuture(new IllegalStateException("answer lost"))
                         : CompletableFuture.completedFuture(drawn);
             }
 
             @Override
-            public void giveBack(String entry, String account, double tokens) {
+            public void returnTokens(String entry, String account, double tokens) {
                 int to = Integer.parseInt(entry.substring("entry-".length()));
                 if (reaches(to)) {
-                    homes[to].giveBack(account, tokens);
+                    homes[to].returnTokens(account, tokens);
                 }
             }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RetryShareTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RetryShareTest.java
@@ -14,7 +14,7 @@
     private RetryShare share;
 
     private long repeats(int tries) {
-        return IntStream.range(0, tries).filter(i -> share.tryRepeat("orders")).count();
+        return IntStream.range(0, tries).filter(i -> share.tryRetry("orders")).count();
     }
 
     @BeforeMethod
