Rename the crash watch to crash detector

Cause: onLost, onSurvived, onDown and onCrash did not say which event they record, and the class detects crashes.

Change: renames only, with all uses, by the compiler's resolution.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -27,7 +27,7 @@
 import io.parsleycleat.gateway.request.choose.PlainServiceChooser;
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
-import io.parsleycleat.gateway.request.crash.CrashWatch;
+import io.parsleycleat.gateway.request.crash.CrashDetector;
 import io.parsleycleat.gateway.request.forward.CallCodec;
 import io.parsleycleat.gateway.request.forward.ForwardMetrics;
 import io.parsleycleat.gateway.request.forward.ForwardParts;
@@ -96,7 +96,7 @@
     private final LogRelay relay;
     private final BudgetHomes homes;
     private final AccountBudgets budgets;
-    private final CrashWatch crashes;
+    private final CrashDetector crashes;
     private final EntryExchange exchange;
     private final LogFollower operatorsFollower;
     private final LogFollower upstreamsFollower;
@@ -118,7 +118,7 @@
                 identity, loops, () -> 0, (from, frame) -> {}, new TrafficCounter(metrics), PEER_KEEP_ALIVE);
         this.members = new EntryMembers(identity.vmName(), time);
         this.homes = new BudgetHomes(identity.vmName(), settings.budgetSlack(), time, this::isStanding);
-        this.crashes = new CrashWatch(new CrashSuspects(SUSPICION, SUSPICION), time, this::tellCrash);
+        this.crashes = new CrashDetector(new CrashSuspects(SUSPICION, SUSPICION), time, this::tellCrash);
         EngineView view = new EngineView(time);
         this.relay = LogRelay.create(transport, identity, members, time, loop);
         this.exchange = new EntryExchange(transport, transport, members, homes, crashes, view, relay);
@@ -307,7 +307,7 @@
         boolean startedAnew = before != null && after != null && !before.isSameStart(after);
         boolean gone = before != null && after == null && !before.leaving();
         if (before != null && (startedAnew || gone)) {
-            crashes.onDown(before);
+            crashes.onUpstreamDown(before);
         }
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryExchange.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryExchange.java
@@ -6,7 +6,7 @@
 import io.parsleycleat.core.process.result.PeerException;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.gateway.request.choose.EngineView;
-import io.parsleycleat.gateway.request.crash.CrashWatch;
+import io.parsleycleat.gateway.request.crash.CrashDetector;
 import io.parsleycleat.gateway.request.limits.BudgetHomes;
 import io.parsleycleat.gateway.request.limits.BudgetPeers;
 import io.parsleycleat.wire.gate.BudgetDraw;
@@ -32,7 +32,7 @@
     private final PeerClient peers;
     private final EntryMembers members;
     private final BudgetHomes homes;
-    private final CrashWatch crashes;
+    private final CrashDetector crashes;
     private final EngineView view;
     private final LogRelay relay;
 
@@ -42,7 +42,7 @@
             FrameRouter frames,
             EntryMembers members,
             BudgetHomes homes,
-            CrashWatch crashes,
+            CrashDetector crashes,
             EngineView view,
             LogRelay relay) {
         this.peers = peers;
@@ -92,7 +92,7 @@
         GateMessage message = frame.getGate();
         switch (message.getMessageCase()) {
             case STATUS -> view.onStatus(message.getStatus());
-            case CRASH -> crashes.onCrash(message.getCrash());
+            case CRASH -> crashes.recordCrash(message.getCrash());
             case DRAW -> from.reply(frame, frame(GateMessage.newBuilder().setDrawn(drawn(message.getDraw()))));
             case READ -> relay.onRead(from, frame);
             case UNSPENT -> homes.returnTokens(
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/crash/CrashWatch.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/crash/CrashDetector.java
@@ -24,7 +24,7 @@
  *
  * <p>One an entry; guarded by its own lock.
  */
-public final class CrashWatch {
+public final class CrashDetector {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration PROOF_WITHIN = Duration.ofSeconds(8);
 
@@ -40,7 +40,7 @@
      *
      * @param tellOthers tells the other entries of a crash
      */
-    public CrashWatch(CrashSuspects suspects, TimeSource time, Consumer<UpstreamCrash> tellOthers) {
+    public CrashDetector(CrashSuspects suspects, TimeSource time, Consumer<UpstreamCrash> tellOthers) {
         this.suspects = suspects;
         this.time = time;
         this.tellOthers = tellOthers;
@@ -52,31 +52,31 @@
     }
 
     /** Notes that a connection broke while a request was running. */
-    public synchronized void onLost(Upstream upstream, String fingerprint) {
+    public synchronized void onConnectionLost(Upstream upstream, String fingerprint) {
         List<Lost> lost = lostByUpstream.computeIfAbsent(key(upstream), id -> new ArrayList<>());
         forgetOld(lost);
         lost.add(new Lost(fingerprint, time.monotonicNanos()));
     }
 
     /** Notes that a request ended well. */
-    public void onSurvived(String fingerprint) {
+    public void onRequestCompleted(String fingerprint) {
         suspects.onSurvived(fingerprint, time.wallMillis());
     }
 
     /** Notes that an upstream is down: it refuses connections, is gone, or started anew. */
-    public void onDown(Upstream upstream) {
+    public void onUpstreamDown(Upstream upstream) {
         Optional<UpstreamCrash> crash = takeCrash(upstream);
         crash.ifPresent(c -> {
             logger.atWarning()
                     .with(LogKeys.UPSTREAM, upstream.id())
                     .log("upstream crashed with %d requests running", c.getFingerprintsCount());
-            onCrash(c);
+            recordCrash(c);
             tellOthers.accept(c);
         });
     }
 
     /** Takes a crash that another entry saw. */
-    public void onCrash(UpstreamCrash crash) {
+    public void recordCrash(UpstreamCrash crash) {
         CrashReport report = CrashReport.newBuilder()
                 .setUpstreamId(crash.getUpstreamId())
                 .setUpstreamIncarnation(Long.toString(crash.getIncarnation()))
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardParts.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardParts.java
@@ -9,7 +9,7 @@
 import io.parsleycleat.gateway.request.choose.PlainServiceChooser;
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
-import io.parsleycleat.gateway.request.crash.CrashWatch;
+import io.parsleycleat.gateway.request.crash.CrashDetector;
 import io.parsleycleat.gateway.request.limits.RetryShare;
 import io.parsleycleat.gateway.version.routes.AdapterVersions;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
@@ -37,7 +37,7 @@
         EngineView view,
         GateClient gates,
         RetryShare retries,
-        CrashWatch crashes,
+        CrashDetector crashes,
         ForwardMetrics metrics) {
     /** Returns the upstreams of a service that may be sent to now. */
     List<Upstream> usable(String service) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -309,7 +309,7 @@
         if (done) {
             return;
         }
-        parts.crashes().onSurvived(request.fingerprint());
+        parts.crashes().onRequestCompleted(request.fingerprint());
         CallerStream current = stream;
         if (current != null) {
             current.end();
@@ -362,10 +362,10 @@
     public void onFailed(Attempt from, SendFailure failure) {
         from.load().onFailure();
         if (failure.connectionLost() && failure.mayHaveRun()) {
-            parts.crashes().onLost(from.upstream(), request.fingerprint());
+            parts.crashes().onConnectionLost(from.upstream(), request.fingerprint());
         }
         if (!failure.mayHaveRun()) {
-            parts.crashes().onDown(from.upstream());
+            parts.crashes().onUpstreamDown(from.upstream());
         }
         if (!done) {
             broken(from, failure);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -24,7 +24,7 @@
 import io.parsleycleat.gateway.request.choose.PlainServiceChooser;
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
-import io.parsleycleat.gateway.request.crash.CrashWatch;
+import io.parsleycleat.gateway.request.crash.CrashDetector;
 import io.parsleycleat.gateway.request.forward.AnswerFacts;
 import io.parsleycleat.gateway.request.forward.CallCodec;
 import io.parsleycleat.gateway.request.forward.ForwardMetrics;
@@ -72,7 +72,7 @@
     ConfigurationHolder configuration;
     Freshness freshness;
     RequestForwarder forwarder;
-    CrashWatch watch;
+    CrashDetector watch;
 
     @AfterClass
     public void close() {
@@ -86,7 +86,7 @@
         configuration = new ConfigurationHolder();
         freshness = new Freshness(wallForKnowledge);
         CrashSuspects suspects = new CrashSuspects(Duration.ofMinutes(1), Duration.ofMinutes(1));
-        watch = new CrashWatch(suspects, TimeSource.SYSTEM, c -> {});
+        watch = new CrashDetector(suspects, TimeSource.SYSTEM, c -> {});
         UpstreamLoads loads = new UpstreamLoads(TimeSource.SYSTEM, directory);
         EngineView view = new EngineView(TimeSource.SYSTEM);
         ForwardParts parts = new ForwardParts(
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
@@ -203,7 +203,7 @@
                 seen.complete(null);
             });
             seen.join();
-            watch.onDown(new Upstream(
+            watch.onUpstreamDown(new Upstream(
                     id,
                     "s",
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
