Rename the manual clock and scheduler of the tests

Cause: MovedTime and StepScheduler did not name the usual test doubles, a manual time source and a manual scheduler.

Change: renames only, with all uses, by the compiler's resolution.

--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/StepScheduler.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/ManualScheduler.java
@@ -14,8 +14,8 @@
 import java.util.concurrent.TimeUnit;
 
 /** A scheduler that runs its tasks when the test moves time. Used by one thread. */
-public final class StepScheduler extends AbstractExecutorService implements ScheduledExecutorService {
-    private final MovedTime time;
+public final class ManualScheduler extends AbstractExecutorService implements ScheduledExecutorService {
+    private final ManualTimeSource time;
     private final PriorityQueue<Task<?>> tasks = new PriorityQueue<>(
             Comparator.<Task<?>>comparingLong(t -> t.dueNanos).thenComparingLong(t -> t.number));
     private long numbers;
@@ -52,7 +52,7 @@
         }
     }
 
-    public StepScheduler(MovedTime time) {
+    public ManualScheduler(ManualTimeSource time) {
         this.time = time;
     }
 
@@ -61,12 +61,12 @@
         long end = time.monotonicNanos() + duration.toNanos();
         while (!tasks.isEmpty() && tasks.peek().dueNanos <= end) {
             Task<?> next = tasks.remove();
-            time.pass(Duration.ofNanos(Math.max(0, next.dueNanos - time.monotonicNanos())));
+            time.advance(Duration.ofNanos(Math.max(0, next.dueNanos - time.monotonicNanos())));
             if (!next.isCancelled()) {
                 next.run();
             }
         }
-        time.pass(Duration.ofNanos(Math.max(0, end - time.monotonicNanos())));
+        time.advance(Duration.ofNanos(Math.max(0, end - time.monotonicNanos())));
     }
 
     private <T> Task<T> add(Callable<T> work, long delay, long period, TimeUnit unit) {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/MovedTime.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/ManualTimeSource.java
@@ -4,23 +4,23 @@
 import java.time.Duration;
 
 /** Clocks that a test moves. Used by one thread. */
-public final class MovedTime implements TimeSource {
+public final class ManualTimeSource implements TimeSource {
     private long steadyNanos = 1_000_000_000L;
     private long wallMillis = 1_700_000_000_000L;
 
     /** Lets both clocks go on. */
-    public void pass(Duration time) {
+    public void advance(Duration time) {
         steadyNanos += time.toNanos();
         wallMillis += time.toMillis();
     }
 
     /** Lets both clocks go on. */
-    public void passMillis(long millis) {
-        pass(Duration.ofMillis(millis));
+    public void advanceMillis(long millis) {
+        advance(Duration.ofMillis(millis));
     }
 
     /** Lets only the time of day go on, as a suspended VM sees it, or back. */
-    public void moveWall(long millis) {
+    public void shiftWallMillis(long millis) {
         wallMillis += millis;
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
@@ -5,7 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.parsleycleat.core.process.result.ResultCode;
-import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.process.gate.EngineGate;
 import io.parsleycleat.gateway.process.gate.EngineReport;
 import io.parsleycleat.gateway.process.gate.ModelOrder;
@@ -31,7 +31,7 @@
     private static final EngineSpec SPEC =
             new EngineSpec(8, 20_000, 1_100, 3, 3, 2, List.of(new ModelSpec("m", 1_000, 10, Duration.ofMillis(700))));
 
-    private MovedTime time;
+    private ManualTimeSource time;
     private AdapterVersions versions;
     private EngineGate gate;
     private Map<Long, StartGrant> answers;
@@ -82,7 +82,7 @@
 
     @BeforeMethod
     public void setUp() {
-        time = new MovedTime();
+        time = new ManualTimeSource();
         versions = new AdapterVersions();
         gate = new EngineGate(versions, time);
         answers = new HashMap<>();
@@ -176,7 +176,7 @@
         report(Map.of(adapter("a"), 1L), Map.of());
         request(ask(1, "a", 11_000));
         request(ask(2, "a", 3_000));
-        time.passMillis(1_500);
+        time.advanceMillis(1_500);
         request(ask(3, "a", 3_000));
         progress(1, RunProgress.Stage.FIRST_EVENT);
         progress(1, RunProgress.Stage.ENDED);
@@ -200,7 +200,7 @@
         request(ask(1, "a", 100).setWaitMillis(600));
         gate.expire();
         assertFalse(answers.containsKey(1L));
-        time.passMillis(700);
+        time.advanceMillis(700);
         gate.expire();
         assertEquals(answers.get(1L).getRefusalCode(), ResultCode.QUEUE_FULL.number());
     }
@@ -223,7 +223,7 @@
         versions.name(adapter("a"), 2, time.monotonicNanos());
         request(ask(1, "a", 100));
         assertEquals(granted, List.of(1L));
-        time.passMillis(2_100);
+        time.advanceMillis(2_100);
         request(ask(2, "a", 100));
         assertEquals(granted, List.of(1L));
     }
@@ -312,7 +312,7 @@
         gate.onOrder(order().orElseThrow(), ModelOrder.Outcome.STARTED);
         report(Map.of(), Map.of());
         assertTrue(order().isEmpty());
-        time.passMillis(4_100);
+        time.advanceMillis(4_100);
         report(Map.of(), Map.of());
         assertEquals(order().orElseThrow().target(), adapter("a"));
     }
@@ -328,7 +328,7 @@
         gate.onOrder(second, ModelOrder.Outcome.CONFLICT);
         gate.onOrder(order().orElseThrow(), ModelOrder.Outcome.CONFLICT);
         assertTrue(order().isEmpty());
-        time.passMillis(800);
+        time.advanceMillis(800);
         assertTrue(order().isPresent());
     }
 
@@ -339,10 +339,10 @@
         request(ask(1, "a", 100));
         request(ask(2, "b", 100));
         request(ask(3, "c", 100));
-        time.passMillis(1_000);
+        time.advanceMillis(1_000);
         progress(3, RunProgress.Stage.ENDED);
         request(ask(4, "c", 100));
-        time.passMillis(1_000);
+        time.advanceMillis(1_000);
         assertEquals(granted, List.of(1L, 2L, 3L, 4L));
 
         request(ask(5, "d", 100).setWaitMillis(200));
@@ -378,7 +378,7 @@
     public void aRequestThatHasWaitedForLongIsNotPassedAnyMore() {
         report(Map.of(), Map.of());
         request(ask(1, "a", 100));
-        time.passMillis(600);
+        time.advanceMillis(600);
         request(ask(2, "b", 100));
         request(ask(3, "b", 100));
         assertEquals(order().orElseThrow().target(), adapter("a"));
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
@@ -4,7 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.process.members.EntryMembers;
 import io.parsleycleat.wire.gate.EntryRecord;
 import java.nio.charset.StandardCharsets;
@@ -18,12 +18,12 @@
     private static final byte[] RECORD =
             EntryRecord.newBuilder().setPeerAddress("10.0.0.2:7600").build().toByteArray();
 
-    private MovedTime time;
+    private ManualTimeSource time;
     private EntryMembers members;
 
     @BeforeMethod
     public void setUp() {
-        time = new MovedTime();
+        time = new ManualTimeSource();
         members = new EntryMembers("self", time);
     }
 
@@ -33,7 +33,7 @@
         members.put("b", RECORD);
         members.drop("b", true);
         assertTrue(members.others().containsKey("b"));
-        time.passMillis(7_501);
+        time.advanceMillis(7_501);
         assertFalse(members.others().containsKey("b"));
         members.put("b", RECORD);
         members.drop("b", false);
@@ -52,21 +52,21 @@
     @Test
     public void aRecordThatIsNotRenewedLapses() {
         members.put("b", RECORD);
-        time.passMillis(7_000);
+        time.advanceMillis(7_000);
         assertEquals(members.others().keySet(), Set.of("b"));
-        time.passMillis(600);
+        time.advanceMillis(600);
         assertEquals(members.others().keySet(), Set.of());
     }
 
     @Test
     public void nobodyLapsesWhileTheStoreIsSilentNorRightAfter() {
         members.put("b", RECORD);
-        time.passMillis(5_000);
+        time.advanceMillis(5_000);
         members.storeSilentFor(Duration.ofSeconds(5));
-        time.passMillis(6_000);
+        time.advanceMillis(6_000);
         members.storeSilentFor(Duration.ofSeconds(11));
         members.storeSilentFor(Duration.ZERO);
-        time.passMillis(7_000);
+        time.advanceMillis(7_000);
         assertEquals(members.others().keySet(), Set.of("b"));
     }
 
@@ -80,9 +80,9 @@
         members.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         members.ownRecordWritten(time.monotonicNanos());
         members.put("b", RECORD);
-        time.passMillis(5_900);
+        time.advanceMillis(5_900);
         assertTrue(stands());
-        time.passMillis(200);
+        time.advanceMillis(200);
         assertFalse(stands());
         assertEquals(members.others().keySet(), Set.of("b"));
     }
@@ -90,16 +90,16 @@
     @Test
     public void aNewEntryStandsOnceAllOthersKnowOfItOrDoNotStand() {
         members.ownRecordWritten(time.monotonicNanos());
-        time.passMillis(4_200);
+        time.advanceMillis(4_200);
         assertFalse(stands());
-        time.passMillis(100);
+        time.advanceMillis(100);
         assertTrue(stands());
     }
 
     @Test
     public void aRestartWithinTheLifeOfTheRecordStandsAtOnce() {
         members.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
-        time.passMillis(4_900);
+        time.advanceMillis(4_900);
         EntryMembers restarted = new EntryMembers("self", time);
         restarted.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         restarted.ownRecordWritten(time.monotonicNanos());
@@ -109,7 +109,7 @@
     @Test
     public void aRestartAfterTheLifeOfTheRecordWaitsLikeANewEntry() {
         byte[] old = members.ownRecord("10.0.0.1:7600", "north").toByteArray();
-        time.passMillis(5_100);
+        time.advanceMillis(5_100);
         EntryMembers restarted = new EntryMembers("self", time);
         restarted.put("self", old);
         restarted.ownRecordWritten(time.monotonicNanos());
@@ -129,14 +129,14 @@
     public void anEntryThatWasCutFromTheStoreSettlesAgain() {
         members.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         members.ownRecordWritten(time.monotonicNanos());
-        time.passMillis(8_000);
+        time.advanceMillis(8_000);
         members.ownRecordWritten(time.monotonicNanos());
         members.put("b", RECORD);
         members.put("b", RECORD);
         members.put("b", RECORD);
-        time.passMillis(200);
+        time.advanceMillis(200);
         assertFalse(stands());
-        time.passMillis(4_100);
+        time.advanceMillis(4_100);
         assertTrue(stands());
     }
 
@@ -144,12 +144,12 @@
     public void anEntryStandsAtOnceAfterAStoreThatWasSilentForAll() {
         members.put("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         members.ownRecordWritten(time.monotonicNanos());
-        time.passMillis(2_400);
+        time.advanceMillis(2_400);
         members.put("b", RECORD);
-        time.passMillis(5_600);
+        time.advanceMillis(5_600);
         members.ownRecordWritten(time.monotonicNanos());
         members.put("b", RECORD);
-        time.passMillis(200);
+        time.advanceMillis(200);
         assertTrue(stands(), "others renewed theirs right before and right after");
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/GateServerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/GateServerTest.java
@@ -5,7 +5,7 @@
 
 import io.parsleycleat.core.connection.peer.FrameHandler;
 import io.parsleycleat.core.connection.peer.PeerChannel;
-import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.process.gate.EngineGate;
 import io.parsleycleat.gateway.process.gate.EngineReport;
 import io.parsleycleat.gateway.process.gate.GateServer;
@@ -31,14 +31,14 @@
 public class GateServerTest {
     private static final int TICK_MILLIS = 150;
 
-    private MovedTime time;
+    private ManualTimeSource time;
     private FrameHandler handler;
     private GateServer server;
     private long tickets;
 
     @BeforeMethod
     public void setUp() {
-        time = new MovedTime();
+        time = new ManualTimeSource();
         EngineGate gate = new EngineGate(new AdapterVersions(), time);
         gate.setSpec(
                 new EngineSpec(
@@ -79,7 +79,7 @@
 
     private void tick(int ticks) {
         IntStream.range(0, ticks).forEach(i -> {
-            time.passMillis(TICK_MILLIS);
+            time.advanceMillis(TICK_MILLIS);
             server.tellStatus();
         });
     }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderLoopTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderLoopTest.java
@@ -3,8 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import io.parsleycleat.gateway.MovedTime;
-import io.parsleycleat.gateway.StepScheduler;
+import io.parsleycleat.gateway.ManualScheduler;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.process.gate.EngineControl;
 import io.parsleycleat.gateway.process.gate.EngineGate;
 import io.parsleycleat.gateway.process.gate.EngineReport;
@@ -31,8 +31,8 @@
     private static final EngineSpec SPEC =
             new EngineSpec(8, 20_000, 1_100, 3, 3, 2, List.of(new ModelSpec("m", 1_000, 10, Duration.ofMillis(700))));
 
-    private MovedTime time;
-    private StepScheduler thread;
+    private ManualTimeSource time;
+    private ManualScheduler thread;
     private EngineGate gate;
     private ScriptedEngine engine;
     private List<StartGrant> grants;
@@ -81,8 +81,8 @@
 
     @BeforeMethod
     public void setUp() {
-        time = new MovedTime();
-        thread = new StepScheduler(time);
+        time = new ManualTimeSource();
+        thread = new ManualScheduler(time);
         gate = new EngineGate(new AdapterVersions(), time);
         gate.setSpec(SPEC, Duration.ZERO);
         engine = new ScriptedEngine();
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
@@ -3,8 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import io.parsleycleat.gateway.MovedTime;
-import io.parsleycleat.gateway.StepScheduler;
+import io.parsleycleat.gateway.ManualScheduler;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.process.gate.EngineControl;
 import io.parsleycleat.gateway.process.gate.EngineGate;
 import io.parsleycleat.gateway.process.gate.EngineReport;
@@ -60,8 +60,8 @@
     /** One random schedule. */
     private static final class Schedule {
         private final SplittableRandom random;
-        private final MovedTime time = new MovedTime();
-        private final StepScheduler thread = new StepScheduler(time);
+        private final ManualTimeSource time = new ManualTimeSource();
+        private final ManualScheduler thread = new ManualScheduler(time);
         private final List<String> faults = new ArrayList<>();
         private final Engine engine = new Engine();
         private final AdapterVersions versions = new AdapterVersions();
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
@@ -6,8 +6,8 @@
 
 import io.parsleycleat.core.connection.peer.PeerChannel;
 import io.parsleycleat.core.connection.peer.PeerClient;
-import io.parsleycleat.gateway.MovedTime;
-import io.parsleycleat.gateway.StepScheduler;
+import io.parsleycleat.gateway.ManualScheduler;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.version.follow.FollowSettings;
 import io.parsleycleat.gateway.version.follow.KeyedFold;
 import io.parsleycleat.gateway.version.follow.KeyedLog;
@@ -36,16 +36,16 @@
     private static final Duration BOUND = Duration.ofSeconds(3);
     private static final Duration A_WHILE = Duration.ofSeconds(5);
 
-    private MovedTime time;
-    private StepScheduler scheduler;
+    private ManualTimeSource time;
+    private ManualScheduler scheduler;
     private Store store;
     private Map<String, Entry> entries;
     private Set<String> frozen;
 
     @BeforeMethod
     public void setUp() {
-        time = new MovedTime();
-        scheduler = new StepScheduler(time);
+        time = new ManualTimeSource();
+        scheduler = new ManualScheduler(time);
         store = new Store();
         entries = new HashMap<>();
         frozen = new HashSet<>();
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
@@ -4,8 +4,8 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import io.parsleycleat.gateway.MovedTime;
-import io.parsleycleat.gateway.StepScheduler;
+import io.parsleycleat.gateway.ManualScheduler;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.request.limits.AccountBudgets;
 import io.parsleycleat.gateway.request.limits.BudgetHomes;
 import io.parsleycleat.gateway.request.limits.BudgetPeers;
@@ -24,8 +24,8 @@
     private static final double RATE = 1_000;
     private static final Account ACCOUNT = account("tailors", RATE);
 
-    private MovedTime time;
-    private StepScheduler scheduler;
+    private ManualTimeSource time;
+    private ManualScheduler scheduler;
 
     private static Account account(String name, double rate) {
         return new Account(name, Set.of(name), null, true, rate, rate, 10);
@@ -44,15 +44,15 @@
 
     private void passTenths(BudgetFleet fleet, int tenths) {
         IntStream.range(0, tenths).forEach(i -> {
-            time.passMillis(100);
+            time.advanceMillis(100);
             fleet.up().forEach(e -> fleet.entry(e).returnUnspent());
         });
     }
 
     @BeforeMethod
     public void setUp() {
-        time = new MovedTime();
-        scheduler = new StepScheduler(time);
+        time = new ManualTimeSource();
+        scheduler = new ManualScheduler(time);
     }
 
     @Test
@@ -68,10 +68,10 @@
     public void restartsOfAllEntriesStayWithinTheBound() {
         double admitted = 0;
         for (int restart = 0; restart < 3; restart++) {
-            time.passMillis(500);
+            time.advanceMillis(500);
             BudgetFleet fleet = fleet(5);
             for (int step = 0; step < 25; step++) {
-                time.passMillis(100);
+                time.advanceMillis(100);
                 admitted += fleet.names().stream()
                         .mapToDouble(e -> spendAll(fleet, e, 10))
                         .sum();
@@ -85,7 +85,7 @@
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
         AccountBudgets budgets = new AccountBudgets("a", homes, new NoPeers(), time, scheduler);
         budgets.setAccounts(List.of(ACCOUNT));
-        time.passMillis(5_000);
+        time.advanceMillis(5_000);
         assertTrue(budgets.spend(ACCOUNT, 1).join().isPresent());
     }
 
@@ -112,7 +112,7 @@
             fleet.kill(home);
             long refused = IntStream.range(0, 100)
                     .filter(i -> {
-                        time.passMillis(20);
+                        time.advanceMillis(20);
                         String entry = fleet.up().get(i % fleet.up().size());
                         return !fleet.spend(entry, ACCOUNT, 11);
                     })
@@ -177,7 +177,7 @@
         BudgetFleet fleet = fleet(2);
         passTenths(fleet, 20);
         IntStream.range(0, 40).forEach(i -> {
-            time.passMillis(10);
+            time.advanceMillis(10);
             assertTrue(fleet.spend("entry-0", ACCOUNT, 10));
         });
         passTenths(fleet, 15);
@@ -319,13 +319,13 @@
         budgets.setAccounts(List.of(account("large", 1_000_000)));
         budgets.setOtherEntries(Set.of("a", "b", "c", "d", "e", "f"));
         IntStream.range(0, 5).forEach(i -> {
-            time.passMillis(400);
+            time.advanceMillis(400);
             budgets.returnUnspent();
             budgets.spend(account("large", 1_000_000), 10).join();
         });
         assertEquals(ahead, List.of(0.0, 0.0, 0.0, 0.0, 0.0));
         IntStream.range(0, 20).forEach(i -> {
-            time.passMillis(10);
+            time.advanceMillis(10);
             budgets.spend(account("large", 1_000_000), 10).join();
         });
         assertTrue(ahead.stream().anyMatch(a -> a > 0));
@@ -347,10 +347,10 @@
         homes.setAccounts(List.of(ACCOUNT));
         homes.setOtherEntries(others);
         assertEquals(homes.draw("tailors", RATE, 0), BudgetPeers.Grant.NONE, "chosen so that a is no home");
-        time.passMillis(10_000);
+        time.advanceMillis(10_000);
         homes.setOtherEntries(Set.of("b0"));
         assertEquals(homes.draw("tailors", RATE, 0).tokens(), 0, 0);
-        time.passMillis(100);
+        time.advanceMillis(100);
         assertEquals(homes.draw("tailors", RATE, 0).tokens(), RATE / 20, 1);
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
@@ -1,7 +1,7 @@
 package io.parsleycleat.gateway.request;
 
-import io.parsleycleat.gateway.MovedTime;
-import io.parsleycleat.gateway.StepScheduler;
+import io.parsleycleat.gateway.ManualScheduler;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.request.limits.AccountBudgets;
 import io.parsleycleat.gateway.request.limits.BudgetHomes;
 import io.parsleycleat.gateway.request.limits.BudgetPeers;
@@ -20,8 +20,8 @@
 final class BudgetFleet {
     static final BudgetHomes.Slack NO_SLACK = new BudgetHomes.Slack(0, Duration.ofSeconds(8));
 
-    private final MovedTime time;
-    private final StepScheduler scheduler;
+    private final ManualTimeSource time;
+    private final ManualScheduler scheduler;
     private final BudgetHomes.Slack slack;
     private final List<Account> accounts;
     private final List<String> names;
@@ -31,9 +31,9 @@
     private final Set<String> fallen = new HashSet<>();
     private long messages;
 
-    BudgetFleet(MovedTime time, int entries, BudgetHomes.Slack slack, List<Account> accounts) {
+    BudgetFleet(ManualTimeSource time, int entries, BudgetHomes.Slack slack, List<Account> accounts) {
         this.time = time;
-        this.scheduler = new StepScheduler(time);
+        this.scheduler = new ManualScheduler(time);
         this.slack = slack;
         this.accounts = accounts;
         this.names = IntStream.range(0, entries).mapToObj(i -> "entry-" + i).toList();
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScaleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScaleTest.java
@@ -3,7 +3,7 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.flogger.FluentLogger;
-import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.request.limits.BudgetHomes;
 import io.parsleycleat.gateway.version.routes.Account;
 import java.time.Duration;
@@ -77,14 +77,14 @@
         double servedTokens = 0;
         for (long seed = 0; seed < 20; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
-            MovedTime time = new MovedTime();
+            ManualTimeSource time = new ManualTimeSource();
             Account account = new Account("small", Set.of("k"), null, true, 4_200, 4_200, 10);
             BudgetHomes.Slack slack = new BudgetHomes.Slack(17_000, Duration.ofSeconds(8));
             BudgetFleet fleet = new BudgetFleet(time, 5, slack, List.of(account));
-            time.passMillis(15_000);
+            time.advanceMillis(15_000);
             double level = account.burst();
             for (int step = 0; step < STEPS; step++) {
-                time.passMillis(STEP_MILLIS);
+                time.advanceMillis(STEP_MILLIS);
                 fleet.up().forEach(e -> fleet.entry(e).returnUnspent());
                 level = Math.min(account.burst(), level + account.ratePerSecond() * STEP_MILLIS / 1_000);
                 if (random.nextDouble() >= 2.2 * STEP_MILLIS / 1_000) {
@@ -115,7 +115,7 @@
     private static final class Play {
         private final int entries;
         private final SplittableRandom random;
-        private final MovedTime time = new MovedTime();
+        private final ManualTimeSource time = new ManualTimeSource();
         private final List<Account> accounts;
         private final BudgetFleet fleet;
         private final Map<String, Window> windows = new HashMap<>();
@@ -149,10 +149,10 @@
         }
 
         Outcome run() {
-            time.passMillis(15_000);
+            time.advanceMillis(15_000);
             double worst = 0;
             for (int step = 0; step < STEPS; step++) {
-                time.passMillis(STEP_MILLIS);
+                time.advanceMillis(STEP_MILLIS);
                 disturb(step);
                 fleet.up().forEach(e -> fleet.entry(e).returnUnspent());
                 IntStream.range(0, accounts.size()).forEach(this::demand);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScheduleTest.java
@@ -2,8 +2,8 @@
 
 import static org.testng.Assert.assertEquals;
 
-import io.parsleycleat.gateway.MovedTime;
-import io.parsleycleat.gateway.StepScheduler;
+import io.parsleycleat.gateway.ManualScheduler;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.request.limits.AccountBudgets;
 import io.parsleycleat.gateway.request.limits.BudgetHomes;
 import io.parsleycleat.gateway.request.limits.BudgetPeers;
@@ -54,8 +54,8 @@
 
     private static final class Schedule {
         private final SplittableRandom random;
-        private final MovedTime time = new MovedTime();
-        private final StepScheduler scheduler = new StepScheduler(time);
+        private final ManualTimeSource time = new ManualTimeSource();
+        private final ManualScheduler scheduler = new ManualScheduler(time);
         private final AccountBudgets[] entries = new AccountBudgets[ENTRIES];
         private final BudgetHomes[] homes = new BudgetHomes[ENTRIES];
         private final int[] lives = new int[ENTRIES];
@@ -79,7 +79,7 @@
             double total = 0;
             for (int step = 1; step <= STEPS; step++) {
                 now = step;
-                time.passMillis(STEP_MILLIS);
+                time.advanceMillis(STEP_MILLIS);
                 disturb(step);
                 membership(step);
                 IntStream.range(0, ENTRIES).filter(i -> isUp(i, now)).forEach(i -> entries[i].returnUnspent());
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
@@ -5,7 +5,7 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
-import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
@@ -26,7 +26,7 @@
     private static final AdapterId ADAPTER = new AdapterId("m0", "tail-17");
     private static final int ENGINES = 5;
 
-    private MovedTime time;
+    private ManualTimeSource time;
     private EngineView view;
     private UpstreamLoads loads;
     private EngineChooser chooser;
@@ -34,7 +34,7 @@
 
     @BeforeMethod
     public void setUp() {
-        time = new MovedTime();
+        time = new ManualTimeSource();
         view = new EngineView(time);
         loads = new UpstreamLoads(time, new UpstreamDirectory());
         chooser = new EngineChooser(view, loads);
@@ -76,12 +76,12 @@
         GateStatus status =
                 GateStatus.newBuilder().setEngineId(engine.id()).setBorn(1).build();
         view.onStatus(status.toBuilder().setNextMillis(500).build());
-        time.passMillis(1_490);
+        time.advanceMillis(1_490);
         assertFalse(view.isSideUnresponsive(engine));
-        time.passMillis(20);
+        time.advanceMillis(20);
         assertTrue(view.isSideUnresponsive(engine));
         view.onStatus(status);
-        time.passMillis(10_000);
+        time.advanceMillis(10_000);
         assertFalse(view.isSideUnresponsive(engine), "none was announced");
     }
 
@@ -156,7 +156,7 @@
         IntStream.range(0, 10).forEach(i -> loads.of(home).onErrorResponse());
         assertTrue(loads.of(home).hasHighErrorRate());
         assertNotEquals(best(), home);
-        time.passMillis(10_000);
+        time.advanceMillis(10_000);
         engines.forEach(e -> tell(e, 1, 0, List.of()));
         assertFalse(loads.of(home).hasHighErrorRate());
         assertEquals(best(), home);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -11,7 +11,7 @@
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.core.request.outcome.CrashSuspects;
-import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.connection.ScriptedUpstream;
 import io.parsleycleat.gateway.connection.upstream.AnswerHead;
 import io.parsleycleat.gateway.connection.upstream.UpstreamPools;
@@ -67,7 +67,7 @@
 
     final EventLoopGroup loops = new NioEventLoopGroup(1);
     final EventLoop loop = loops.next();
-    MovedTime wallForKnowledge;
+    ManualTimeSource wallForKnowledge;
     UpstreamDirectory directory;
     ConfigurationHolder configuration;
     Freshness freshness;
@@ -81,7 +81,7 @@
 
     @BeforeMethod
     public void setUp() {
-        wallForKnowledge = new MovedTime();
+        wallForKnowledge = new ManualTimeSource();
         directory = new UpstreamDirectory();
         configuration = new ConfigurationHolder();
         freshness = new Freshness(wallForKnowledge);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
@@ -169,7 +169,7 @@
         assertEquals(ask("/other/x", "key").answer.join(), "404 " + ResultCode.ROUTE_UNKNOWN);
         assertEquals(ask("/p/x", "other").answer.join(), "401 " + ResultCode.KEY_UNKNOWN);
         assertEquals(ask("/p/x", null).answer.join(), "401 " + ResultCode.KEY_MISSING);
-        wallForKnowledge.passMillis(2_500);
+        wallForKnowledge.advanceMillis(2_500);
         assertEquals(ask("/other/x", "key").answer.join(), "503 " + ResultCode.CUT_OFF);
         assertEquals(ask("/p/x", "other").answer.join(), "503 " + ResultCode.CUT_OFF);
     }
@@ -177,14 +177,14 @@
     @Test
     public void noKeyIsAcceptedWhereItsWithdrawalCouldBeUnknown() {
         configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
-        wallForKnowledge.passMillis(4_100);
+        wallForKnowledge.advanceMillis(4_100);
         assertEquals(answer(), "503 " + ResultCode.CUT_OFF);
     }
 
     @Test
     public void aSuspensionOfTheVmCountsAgainstKeys() {
         configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
-        wallForKnowledge.moveWall(7_000);
+        wallForKnowledge.shiftWallMillis(7_000);
         assertEquals(answer(), "503 " + ResultCode.CUT_OFF);
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RetryShareTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RetryShareTest.java
@@ -2,7 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
-import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.request.limits.RetryShare;
 import java.time.Duration;
 import java.util.stream.IntStream;
@@ -10,7 +10,7 @@
 import org.testng.annotations.Test;
 
 public class RetryShareTest {
-    private MovedTime time;
+    private ManualTimeSource time;
     private RetryShare share;
 
     private long repeats(int tries) {
@@ -19,7 +19,7 @@
 
     @BeforeMethod
     public void setUp() {
-        time = new MovedTime();
+        time = new ManualTimeSource();
         share = new RetryShare(new RetryShare.Bounds(0.2, 40, Duration.ofSeconds(10)), time, () -> 4);
     }
 
@@ -37,9 +37,9 @@
     @Test
     public void theBudgetComesBackAfterTheWindow() {
         repeats(100);
-        time.passMillis(9_000);
+        time.advanceMillis(9_000);
         assertEquals(repeats(100), 0);
-        time.passMillis(1_100);
+        time.advanceMillis(1_100);
         assertEquals(repeats(100), 5);
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityTest.java
@@ -4,7 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import java.net.InetAddress;
@@ -20,13 +20,13 @@
 public class UpstreamAvailabilityTest {
     private final Upstream one = upstream("a", 1);
     private final Upstream two = upstream("b", 1);
-    private MovedTime time;
+    private ManualTimeSource time;
     private double spread;
     private UpstreamAvailability availability;
 
     @BeforeMethod
     public void setUp() {
-        time = new MovedTime();
+        time = new ManualTimeSource();
         spread = 0;
         availability = new UpstreamAvailability(time, () -> spread);
     }
@@ -40,7 +40,7 @@
     public void oneThatLeavesTakesNothingUntilItsNextStart() {
         availability.onLeaving(one);
         availability.onPauseRequested(one, Duration.ofSeconds(1));
-        time.passMillis(1_000_000);
+        time.advanceMillis(1_000_000);
         assertFalse(availability.isAvailable(one));
         assertTrue(availability.isAvailable(upstream("a", 2)));
         assertTrue(availability.isAvailable(upstream("c", 1)));
@@ -51,9 +51,9 @@
     public void aPauseLastsAsLongAsWasSaidAndIsNotShortenedByALaterAnswer() {
         availability.onPauseRequested(one, Duration.ofMillis(2_500));
         availability.onPauseRequested(one, Duration.ofMillis(100));
-        time.passMillis(2_499);
+        time.advanceMillis(2_499);
         assertFalse(availability.isAvailable(one));
-        time.passMillis(1);
+        time.advanceMillis(1);
         assertTrue(availability.isAvailable(one));
     }
 
@@ -63,7 +63,7 @@
         assertTrue(availability.isAvailable(one));
         availability.onPauseRequested(one, Duration.ofSeconds(Long.MAX_VALUE / 2));
         assertFalse(availability.isAvailable(one));
-        time.passMillis(Duration.ofMinutes(10).toMillis());
+        time.advanceMillis(Duration.ofMinutes(10).toMillis());
         assertTrue(availability.isAvailable(one));
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FollowScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FollowScheduleTest.java
@@ -6,8 +6,8 @@
 import io.parsleycleat.core.process.result.LogTrimmedException;
 import io.parsleycleat.core.process.result.PlatformException;
 import io.parsleycleat.core.process.result.ResultCode;
-import io.parsleycleat.gateway.MovedTime;
-import io.parsleycleat.gateway.StepScheduler;
+import io.parsleycleat.gateway.ManualScheduler;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.version.follow.FollowSettings;
 import io.parsleycleat.gateway.version.follow.KeyedFold;
 import io.parsleycleat.gateway.version.follow.KeyedLog;
@@ -49,8 +49,8 @@
 
     private static final class Schedule implements KeyedLog, KeyedFold {
         private final SplittableRandom random;
-        private final MovedTime time = new MovedTime();
-        private final StepScheduler thread = new StepScheduler(time);
+        private final ManualTimeSource time = new ManualTimeSource();
+        private final ManualScheduler thread = new ManualScheduler(time);
         private final List<KeyedRecord> records = new ArrayList<>();
         private final TreeMap<String, KeyedRecord> newest = new TreeMap<>();
         private final Map<String, Long> folded = new HashMap<>();
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FreshnessTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FreshnessTest.java
@@ -3,19 +3,19 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.version.follow.Freshness;
 import java.time.Duration;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 public class FreshnessTest {
-    private MovedTime time;
+    private ManualTimeSource time;
     private Freshness freshness;
 
     @BeforeMethod
     public void setUp() {
-        time = new MovedTime();
+        time = new ManualTimeSource();
         freshness = new Freshness(time);
     }
 
@@ -27,7 +27,7 @@
     @Test
     public void ageCountsFromTheQuestionNotFromTheAnswer() {
         Freshness.Moment sent = freshness.now();
-        time.passMillis(3_000);
+        time.advanceMillis(3_000);
         freshness.confirm(sent);
         assertFalse(freshness.isYoungerThan(Duration.ofMillis(2_900)));
     }
@@ -35,21 +35,21 @@
     @Test
     public void suspensionOfTheVmCountsAlthoughTheSteadyClockStoodStill() {
         freshness.confirm(freshness.now());
-        time.moveWall(6_000);
+        time.shiftWallMillis(6_000);
         assertFalse(freshness.isYoungerThan(Duration.ofSeconds(5)));
     }
 
     @Test
     public void timeOfDayThatJumpsBackDoesNotMakeKnowledgeYounger() {
         freshness.confirm(freshness.now());
-        time.passMillis(6_000);
-        time.moveWall(-6_000);
+        time.advanceMillis(6_000);
+        time.shiftWallMillis(-6_000);
         assertFalse(freshness.isYoungerThan(Duration.ofSeconds(5)));
     }
 
     @Test
     public void anAnswerAfterAJumpMakesItYoungAgain() {
-        time.moveWall(6_000);
+        time.shiftWallMillis(6_000);
         freshness.confirm(freshness.now());
         assertTrue(freshness.isYoungerThan(Duration.ofMillis(1)));
     }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
@@ -8,8 +8,8 @@
 import io.parsleycleat.core.process.result.LogTrimmedException;
 import io.parsleycleat.core.process.result.PlatformException;
 import io.parsleycleat.core.process.result.ResultCode;
-import io.parsleycleat.gateway.MovedTime;
-import io.parsleycleat.gateway.StepScheduler;
+import io.parsleycleat.gateway.ManualScheduler;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.version.follow.FollowSettings;
 import io.parsleycleat.gateway.version.follow.KeyedFold;
 import io.parsleycleat.gateway.version.follow.KeyedLog;
@@ -25,8 +25,8 @@
 import org.testng.annotations.Test;
 
 public class LogFollowerTest {
-    private MovedTime time;
-    private StepScheduler scheduler;
+    private ManualTimeSource time;
+    private ManualScheduler scheduler;
     private MemoryLog log;
     private List<String> seen;
     private LogFollower follower;
@@ -101,8 +101,8 @@
 
     @BeforeMethod
     public void setUp() {
-        time = new MovedTime();
-        scheduler = new StepScheduler(time);
+        time = new ManualTimeSource();
+        scheduler = new ManualScheduler(time);
         log = new MemoryLog();
         seen = new ArrayList<>();
         follower = new LogFollower("log", log, new Recorder(), FollowSettings.PROMPT, scheduler, time);
