--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -24,10 +24,10 @@
 import io.parsleycleat.gateway.process.members.StoreLinks;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
-import io.parsleycleat.gateway.request.choose.PlainChooser;
+import io.parsleycleat.gateway.request.choose.PlainServiceChooser;
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
-import io.parsleycleat.gateway.request.crash.CrashWatch;
+import io.parsleycleat.gateway.request.crash.CrashDetector;
 import io.parsleycleat.gateway.request.forward.CallCodec;
 import io.parsleycleat.gateway.request.forward.ForwardMetrics;
 import io.parsleycleat.gateway.request.forward.ForwardingContext;
@@ -96,7 +96,7 @@
     private final LogRelay relay;
     private final BudgetHomes homes;
     private final AccountBudgets budgets;
-    private final CrashWatch crashes;
+    private final CrashDetector crashes;
     private final EntryExchange exchange;
     private final LogFollower operatorsFollower;
     private final LogFollower upstreamsFollower;
@@ -118,7 +118,7 @@
                 identity, loops, () -> 0, (from, frame) -> {}, new TrafficCounter(metrics), PEER_KEEP_ALIVE);
         this.members = new EntryMembers(identity.vmName(), time);
         this.homes = new BudgetHomes(identity.vmName(), settings.budgetSlack(), time, this::isStanding);
-        this.crashes = new CrashWatch(new CrashSuspects(SUSPICION, SUSPICION), time, this::tellCrash);
+        this.crashes = new CrashDetector(new CrashSuspects(SUSPICION, SUSPICION), time, this::tellCrash);
         EngineView view = new EngineView(time);
         this.relay = LogRelay.create(transport, identity, members, time, loop);
         this.exchange = new EntryExchange(transport, transport, members, homes, crashes, view, relay);
@@ -261,7 +261,7 @@
                 new UpstreamConnectionPools(loop, time, directory, this::maxConnections),
                 loads,
                 new UpstreamAvailability(time, random::nextDouble),
-                new PlainChooser(loads, identity.dataCentre(), random::nextDouble),
+                new PlainServiceChooser(loads, identity.dataCentre(), random::nextDouble),
                 new EngineChooser(view, loads),
                 view,
                 new GateClient(transport, settings.sidePort()),
@@ -308,7 +308,7 @@
         boolean startedAnew = before != null && after != null && !before.isSameStart(after);
         boolean gone = before != null && after == null && !before.leaving();
         if (before != null && (startedAnew || gone)) {
-            crashes.onDown(before);
+            crashes.onUpstreamDown(before);
         }
     }
 
@@ -328,8 +328,8 @@
     private void followMembers() {
         if (entriesFollower.isFullyRead()) {
             members.storeSilentFor(entriesFollower.freshness().age());
-            budgets.setOthers(members.others().keySet());
-            budgets.handBackUnspent();
+            budgets.setOtherEntries(members.others().keySet());
+            budgets.returnUnspent();
         }
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -72,7 +72,7 @@
     }
 
     void send(ForwardRequest request, SendParameters terms) {
-        load.onSend();
+        load.onRequestSent();
         sent = parts.pools().poolFor(upstream).send(parts.codec().encode(request, terms), this);
     }
 
@@ -121,7 +121,7 @@
 
     @Override
     public void onHead(ResponseHead answer) {
-        load.onHeard();
+        load.onBytesReceived();
         AnswerMetadata read = parts.codec().decodeMetadata(answer);
         if (!read.isAnswerTo(requestId)) {
             giveUp(SendFailure.invalidResponse("the answer belongs to another request"));
@@ -130,7 +130,7 @@
         noteAvailability(read);
         AnswerMetadata.ReportedLoad reported = read.load();
         if (reported != null) {
-            load.onReport(reported.running(), reported.waiting());
+            load.onLoadReported(reported.running(), reported.waiting());
         }
         head = answer;
         facts = read;
@@ -148,7 +148,7 @@
         }
         Duration pause = read.requestedPause();
         if (pause != null) {
-            parts.availability().onPause(upstream, pause);
+            parts.availability().onPauseRequested(upstream, pause);
         }
     }
 
@@ -169,7 +169,7 @@
 
     @Override
     public void onBody(ByteString part) {
-        load.onHeard();
+        load.onBytesReceived();
         if (over || facts == null) {
             ignoredBytes += part.size();
             if (ignoredBytes > MAX_IGNORED_BYTES) {
@@ -219,7 +219,7 @@
 
     private void end(RunProgress.Stage stage) {
         over = true;
-        load.onDone();
+        load.onRequestEnded();
         tell(stage);
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
@@ -95,7 +95,8 @@
 
     /** Asks the side of the best engine of a service that was not tried yet, or refuses if none is left. */
     void next(String service) {
-        List<EngineChooser.Choice> choices = parts.engines().order(parts.usable(service), ask.adapter(), excluded);
+        List<EngineChooser.Choice> choices =
+                parts.engines().orderByExpectedTime(parts.usable(service), ask.adapter(), excluded);
         if (choices.isEmpty() || asked >= MAX_ASKED) {
             refuse(service, choices.isEmpty() ? ResultCode.NO_UPSTREAM : ResultCode.QUEUE_FULL);
             return;
@@ -103,7 +104,7 @@
         EngineChooser.Choice choice = choices.get(0);
         excluded.add(choice.engine().id());
         asked++;
-        if (parts.view().isSideSilent(choice.engine())) {
+        if (parts.view().isSideUnresponsive(choice.engine())) {
             withoutSide(service, choice.engine());
         } else {
             askSide(service, choice);
@@ -125,7 +126,7 @@
         Duration wait = waitAt(choice);
         waitingAt = engine;
         waitingTicket = ticket;
-        parts.view().onAsked(engine, promptTokens());
+        parts.view().onStartRequested(engine, promptTokens());
         parts.gates()
                 .start(engine, startRequest(ticket, wait), wait.plus(ANSWER_SLACK))
                 .whenCompleteAsync(
@@ -159,7 +160,7 @@
                     .with(LogKeys.REQUEST, ask.requestId())
                     .with(LogKeys.UPSTREAM, engine.id())
                     .log("side does not answer: %s", failure == null ? "" : Failures.unwrap(failure));
-            parts.view().onSilent(engine, SIDE_PAUSE.toMillis());
+            parts.view().markSideUnresponsive(engine, SIDE_PAUSE.toMillis());
             parts.gates().tell(engine, ticket, RunProgress.Stage.WITHDRAWN);
             withoutSide(service, engine);
         } else if (grant.getRefusalCode() != 0) {
@@ -172,7 +173,7 @@
 
     /** Accepts a grant, unless the engine announced its shutdown or a pause while its side queued the start. */
     private void start(String service, Upstream engine, long ticket, long version) {
-        if (!parts.availability().takes(engine)) {
+        if (!parts.availability().isAvailable(engine)) {
             parts.gates().tell(engine, ticket, RunProgress.Stage.ENDED);
             next(service);
             return;
@@ -196,7 +197,7 @@
     private void withoutSide(String service, Upstream engine) {
         Long version = engine.residentAdapters().get(ask.adapter().toString());
         boolean held = version != null && version >= parts.versions().newestVersion(ask.adapter());
-        if (held && parts.view().place(engine, ask.adapter()) == EngineView.Place.RESIDENT) {
+        if (held && parts.view().adapterState(engine, ask.adapter()) == EngineView.AdapterState.RESIDENT) {
             given = true;
             whenStarted.accept(new Started(engine, 0, ask.adapter().isBaseModel() ? 0 : version));
         } else {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -179,7 +179,7 @@
     /** Returns the time until an attempt counts as late if nothing more arrives; zero or negative if it is late. */
     private Duration timeUntilLate(Attempt current) {
         if (route.kind() == RequestKind.STREAM) {
-            Duration silence = current.load().silence();
+            Duration silence = current.load().timeSinceLastBytes();
             return UPSTREAM_SILENCE.minus(silence.compareTo(current.age()) < 0 ? silence : current.age());
         }
         long limitMillis = (long) (HEAD_OBJECTIVES * route.latencyObjective().toMillis());
@@ -200,7 +200,7 @@
         Duration left = timeUntilLate(current);
         checkAgainAfter(left);
         boolean late = !hasAnswered && (left.isNegative() || left.isZero());
-        if (late && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
+        if (late && mayGoElsewhere() && parts.retries().tryRetry(service)) {
             logger.atInfo()
                     .with(LogKeys.REQUEST, request.id())
                     .with(LogKeys.UPSTREAM, current.upstream().id())
@@ -312,7 +312,7 @@
         if (done) {
             return;
         }
-        parts.crashes().onSurvived(request.fingerprint());
+        parts.crashes().onRequestCompleted(request.fingerprint());
         CallerStream current = stream;
         if (current != null) {
             current.end();
@@ -325,8 +325,8 @@
             return;
         }
         if (head.status() >= STATUS_SERVER_ERROR) {
-            from.load().onError();
-            if (route.isRetryable() && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
+            from.load().onErrorResponse();
+            if (route.isRetryable() && mayGoElsewhere() && parts.retries().tryRetry(service)) {
                 again();
                 return;
             }
@@ -354,7 +354,7 @@
                 .with(LogKeys.REQUEST, request.id())
                 .with(LogKeys.UPSTREAM, from.upstream().id())
                 .log("upstream did not run it, wrong upstream %s", answer.wrongUpstream());
-        if (mayGoElsewhere() && parts.retries().tryRepeat(service)) {
+        if (mayGoElsewhere() && parts.retries().tryRetry(service)) {
             again();
         } else {
             giveUp(Refusal.of(ResultCode.UPSTREAM_REFUSED).withRetryAfter(comeBackAfter()));
@@ -365,10 +365,10 @@
     public void onFailed(Attempt from, SendFailure failure) {
         from.load().onFailure();
         if (failure.connectionLost() && failure.mayHaveRun()) {
-            parts.crashes().onLost(from.upstream(), request.fingerprint());
+            parts.crashes().onConnectionLost(from.upstream(), request.fingerprint());
         }
         if (!failure.mayHaveRun()) {
-            parts.crashes().onDown(from.upstream());
+            parts.crashes().onUpstreamDown(from.upstream());
         }
         if (!done) {
             broken(from, failure);
@@ -392,7 +392,7 @@
         }
         mayHaveRun = true;
         boolean allowed = route.isRetryable() && parts.crashes().maySend(request.fingerprint());
-        if (allowed && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
+        if (allowed && mayGoElsewhere() && parts.retries().tryRetry(service)) {
             again();
         } else {
             finish(Refusal.of(ResultCode.UPSTREAM_LOST, failure.detail()));
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
@@ -6,10 +6,10 @@
 import io.parsleycleat.gateway.process.members.GateClient;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
-import io.parsleycleat.gateway.request.choose.PlainChooser;
+import io.parsleycleat.gateway.request.choose.PlainServiceChooser;
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
-import io.parsleycleat.gateway.request.crash.CrashWatch;
+import io.parsleycleat.gateway.request.crash.CrashDetector;
 import io.parsleycleat.gateway.request.limits.RetryShare;
 import io.parsleycleat.gateway.version.routes.AdapterVersions;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
@@ -34,20 +34,20 @@
         UpstreamConnectionPools pools,
         UpstreamLoads loads,
         UpstreamAvailability availability,
-        PlainChooser plain,
+        PlainServiceChooser plain,
         EngineChooser engines,
         EngineView view,
         GateClient gates,
         RetryShare retries,
-        CrashWatch crashes,
+        CrashDetector crashes,
         ForwardMetrics metrics) {
     /** Returns the upstreams of a service that accept requests now. */
     List<Upstream> usable(String service) {
-        return availability.taking(directory.usable(service));
+        return availability.filterAvailable(directory.usable(service));
     }
 
     /** Returns after which time a caller should retry if all upstreams of a service asked for a pause. */
     Optional<Duration> comeBackAfter(String service) {
-        return availability.comeBackAfter(directory.usable(service));
+        return availability.retryAfter(directory.usable(service));
     }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -11,7 +11,7 @@
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.core.request.outcome.CrashSuspects;
-import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.connection.ScriptedUpstream;
 import io.parsleycleat.gateway.connection.upstream.ResponseHead;
 import io.parsleycleat.gateway.connection.upstream.UpstreamConnectionPools;
@@ -21,10 +21,10 @@
 import io.parsleycleat.gateway.process.members.GateClient;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
-import io.parsleycleat.gateway.request.choose.PlainChooser;
+import io.parsleycleat.gateway.request.choose.PlainServiceChooser;
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
-import io.parsleycleat.gateway.request.crash.CrashWatch;
+import io.parsleycleat.gateway.request.crash.CrashDetector;
 import io.parsleycleat.gateway.request.forward.AnswerMetadata;
 import io.parsleycleat.gateway.request.forward.CallCodec;
 import io.parsleycleat.gateway.request.forward.ForwardMetrics;
@@ -67,12 +67,12 @@
 
     final EventLoopGroup loops = new NioEventLoopGroup(1);
     final EventLoop loop = loops.next();
-    MovedTime wallForKnowledge;
+    ManualTimeSource wallForKnowledge;
     UpstreamDirectory directory;
     ConfigurationHolder configuration;
     Freshness freshness;
     RequestForwarder forwarder;
-    CrashWatch watch;
+    CrashDetector watch;
 
     @AfterClass
     public void close() {
@@ -81,12 +81,12 @@
 
     @BeforeMethod
     public void setUp() {
-        wallForKnowledge = new MovedTime();
+        wallForKnowledge = new ManualTimeSource();
         directory = new UpstreamDirectory();
         configuration = new ConfigurationHolder();
         freshness = new Freshness(wallForKnowledge);
         CrashSuspects suspects = new CrashSuspects(Duration.ofMinutes(1), Duration.ofMinutes(1));
-        watch = new CrashWatch(suspects, TimeSource.SYSTEM, c -> {});
+        watch = new CrashDetector(suspects, TimeSource.SYSTEM, c -> {});
         UpstreamLoads loads = new UpstreamLoads(TimeSource.SYSTEM, directory);
         EngineView view = new EngineView(TimeSource.SYSTEM);
         ForwardingContext parts = new ForwardingContext(
@@ -98,7 +98,7 @@
                 new UpstreamConnectionPools(loop, TimeSource.SYSTEM, directory, u -> 10),
                 loads,
                 new UpstreamAvailability(TimeSource.SYSTEM, () -> 0),
-                new PlainChooser(loads, "here", () -> 0),
+                new PlainServiceChooser(loads, "here", () -> 0),
                 new EngineChooser(view, loads),
                 view,
                 new GateClient(null, 1),
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RetryShareTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RetryShareTest.java
@@ -2,7 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
-import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.request.limits.RetryShare;
 import java.time.Duration;
 import java.util.stream.IntStream;
@@ -11,16 +11,16 @@
 
 /** Guards against retry storms: an entry repeats no more requests than its share of the retry budget allows. */
 public class RetryShareTest {
-    private MovedTime time;
+    private ManualTimeSource time;
     private RetryShare share;
 
     private long repeats(int tries) {
-        return IntStream.range(0, tries).filter(i -> share.tryRepeat("orders")).count();
+        return IntStream.range(0, tries).filter(i -> share.tryRetry("orders")).count();
     }
 
     @BeforeMethod
     public void setUp() {
-        time = new MovedTime();
+        time = new ManualTimeSource();
         share = new RetryShare(new RetryShare.Bounds(0.2, 40, Duration.ofSeconds(10)), time, () -> 4);
     }
 
@@ -38,9 +38,9 @@
     @Test
     public void theBudgetComesBackAfterTheWindow() {
         repeats(100);
-        time.passMillis(9_000);
+        time.advanceMillis(9_000);
         assertEquals(repeats(100), 0);
-        time.passMillis(1_100);
+        time.advanceMillis(1_100);
         assertEquals(repeats(100), 5);
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityTest.java
@@ -4,7 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import io.parsleycleat.gateway.MovedTime;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import java.net.InetAddress;
@@ -20,13 +20,13 @@
 public class UpstreamAvailabilityTest {
     private final Upstream one = upstream("a", 1);
     private final Upstream two = upstream("b", 1);
-    private MovedTime time;
+    private ManualTimeSource time;
     private double spread;
     private UpstreamAvailability availability;
 
     @BeforeMethod
     public void setUp() {
-        time = new MovedTime();
+        time = new ManualTimeSource();
         spread = 0;
         availability = new UpstreamAvailability(time, () -> spread);
     }
@@ -39,44 +39,44 @@
     @Test
     public void oneThatLeavesTakesNothingUntilItsNextStart() {
         availability.onLeaving(one);
-        availability.onPause(one, Duration.ofSeconds(1));
-        time.passMillis(1_000_000);
-        assertFalse(availability.takes(one));
-        assertTrue(availability.takes(upstream("a", 2)));
-        assertTrue(availability.takes(upstream("c", 1)));
-        assertEquals(availability.taking(List.of(one, two)), List.of(two));
+        availability.onPauseRequested(one, Duration.ofSeconds(1));
+        time.advanceMillis(1_000_000);
+        assertFalse(availability.isAvailable(one));
+        assertTrue(availability.isAvailable(upstream("a", 2)));
+        assertTrue(availability.isAvailable(upstream("c", 1)));
+        assertEquals(availability.filterAvailable(List.of(one, two)), List.of(two));
     }
 
     @Test
     public void aPauseLastsAsLongAsWasSaidAndIsNotShortenedByALaterAnswer() {
-        availability.onPause(one, Duration.ofMillis(2_500));
-        availability.onPause(one, Duration.ofMillis(100));
-        time.passMillis(2_499);
-        assertFalse(availability.takes(one));
-        time.passMillis(1);
-        assertTrue(availability.takes(one));
+        availability.onPauseRequested(one, Duration.ofMillis(2_500));
+        availability.onPauseRequested(one, Duration.ofMillis(100));
+        time.advanceMillis(2_499);
+        assertFalse(availability.isAvailable(one));
+        time.advanceMillis(1);
+        assertTrue(availability.isAvailable(one));
     }
 
     @Test
     public void figuresThatMakeNoSenseAreBounded() {
-        availability.onPause(one, Duration.ofSeconds(-5));
-        assertTrue(availability.takes(one));
-        availability.onPause(one, Duration.ofSeconds(Long.MAX_VALUE / 2));
-        assertFalse(availability.takes(one));
-        time.passMillis(Duration.ofMinutes(10).toMillis());
-        assertTrue(availability.takes(one));
+        availability.onPauseRequested(one, Duration.ofSeconds(-5));
+        assertTrue(availability.isAvailable(one));
+        availability.onPauseRequested(one, Duration.ofSeconds(Long.MAX_VALUE / 2));
+        assertFalse(availability.isAvailable(one));
+        time.advanceMillis(Duration.ofMinutes(10).toMillis());
+        assertTrue(availability.isAvailable(one));
     }
 
     @Test
     public void callersComeBackForTheFirstOneAndNotAllAtOnce() {
-        assertEquals(availability.comeBackAfter(List.of(one, two)), Optional.empty());
-        availability.onPause(one, Duration.ofSeconds(4));
-        availability.onPause(two, Duration.ofSeconds(2));
-        assertEquals(availability.comeBackAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(2)));
+        assertEquals(availability.retryAfter(List.of(one, two)), Optional.empty());
+        availability.onPauseRequested(one, Duration.ofSeconds(4));
+        availability.onPauseRequested(two, Duration.ofSeconds(2));
+        assertEquals(availability.retryAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(2)));
         spread = 1;
-        assertEquals(availability.comeBackAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(3)));
+        assertEquals(availability.retryAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(3)));
         availability.onLeaving(two);
         spread = 0;
-        assertEquals(availability.comeBackAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(4)));
+        assertEquals(availability.retryAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(4)));
     }
 }
