Rename entry membership, relay and store access operations

Cause: "standing", "tell", "links" and "exchange" did not name the operation.

Change: names only, by the compiler's resolution, with all uses and tests.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -17,11 +17,11 @@
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.core.request.outcome.CrashSuspects;
 import io.parsleycleat.gateway.connection.upstream.UpstreamPools;
-import io.parsleycleat.gateway.process.members.EntryExchange;
 import io.parsleycleat.gateway.process.members.EntryMembers;
+import io.parsleycleat.gateway.process.members.EntryMessenger;
 import io.parsleycleat.gateway.process.members.GateClient;
 import io.parsleycleat.gateway.process.members.LogRelay;
-import io.parsleycleat.gateway.process.members.StoreLinks;
+import io.parsleycleat.gateway.process.members.StoreAccess;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
 import io.parsleycleat.gateway.request.choose.PlainChooser;
@@ -83,7 +83,7 @@
             FollowSettings.LOW_LATENCY.withReadPause(Duration.ofMillis(1_500)).withMaxWait(Duration.ofSeconds(2));
 
     private final ForwardEntrySettings settings;
-    private final StoreLinks store;
+    private final StoreAccess store;
     private final EventLoop loop;
     private final TimeSource time = TimeSource.SYSTEM;
     private final MetricRegistry metrics = new MetricRegistry();
@@ -97,7 +97,7 @@
     private final BudgetHomes homes;
     private final AccountBudgets budgets;
     private final CrashWatch crashes;
-    private final EntryExchange exchange;
+    private final EntryMessenger exchange;
     private final LogFollower operatorsFollower;
     private final LogFollower upstreamsFollower;
     private final LogFollower entriesFollower;
@@ -109,11 +109,11 @@
     private volatile @Nullable Readiness lastReadiness;
     private volatile boolean recordWriteFails;
 
-    private ForwardEntry(ForwardEntrySettings settings, StoreLinks store, CallCodec codec, EventLoopGroup loops) {
+    private ForwardEntry(ForwardEntrySettings settings, StoreAccess store, CallCodec codec, EventLoopGroup loops) {
         this.settings = settings;
         this.store = store;
         this.loop = loops.next();
-        this.identity = settings.vm().start(ProcessRole.ENTRY, time);
+        this.identity = settings.vm().newProcessIdentity(ProcessRole.ENTRY, time);
         this.transport = new NettyPeerTransport(
                 identity, loops, () -> 0, (from, frame) -> {}, new TrafficCounter(metrics), PEER_KEEP_ALIVE);
         this.members = new EntryMembers(identity.vmName(), time);
@@ -121,22 +121,22 @@
         this.crashes = new CrashWatch(new CrashSuspects(SUSPICION, SUSPICION), time, this::tellCrash);
         EngineView view = new EngineView(time);
         this.relay = LogRelay.create(transport, identity, members, time, loop);
-        this.exchange = new EntryExchange(transport, transport, members, homes, crashes, view, relay);
+        this.exchange = new EntryMessenger(transport, transport, members, homes, crashes, view, relay);
         this.budgets = new AccountBudgets(identity.vmName(), homes, exchange, time, loop);
         this.operatorsFollower = follower(
                 "operators' log",
-                store.operators(),
+                store.operatorsLog(),
                 new ConfigurationUpdater(store.operatorsDecoder(), configuration, versions, time),
                 OPERATORS,
                 settings.changeBound());
         this.upstreamsFollower = follower(
                 "upstreams' log",
-                store.upstreams(),
+                store.upstreamsLog(),
                 new UpstreamDirectoryUpdater(store.upstreamDecoder(), directory),
                 UPSTREAMS,
                 settings.drainBound());
         this.entriesFollower =
-                follower("entries' log", store.entries(), members, entries(settings), EntryMembers.OTHERS_UNKNOWN);
+                follower("entries' log", store.entriesLog(), members, entries(settings), EntryMembers.MAX_READ_AGE);
         this.forwarder = createForwarder(codec, view);
         this.callers = new CallerServer(loops, this::limits, forwarder);
     }
@@ -145,7 +145,7 @@
 
     /** Starts an entry that listens on all its addresses. It is ready once it knows configuration and upstreams. */
     public static ForwardEntry start(
-            ForwardEntrySettings settings, StoreLinks store, CallCodec codec, EventLoopGroup loops) {
+            ForwardEntrySettings settings, StoreAccess store, CallCodec codec, EventLoopGroup loops) {
         ForwardEntry entry = new ForwardEntry(settings, store, codec, loops);
         entry.listen(loops);
         return entry;
@@ -157,25 +157,25 @@
         operatorsFollower.start();
         upstreamsFollower.start();
         entriesFollower.start();
-        transport.listen(settings.vm().peers());
-        callers.listen(settings.callers());
+        transport.listen(settings.vm().peerAddress());
+        callers.listen(settings.callerAddress());
         new CallerServer(loops, () -> CallerLimits.DEFAULT, new ReadyService(settings.readyPath(), this::readiness))
-                .listen(settings.ready());
+                .listen(settings.readyAddress());
         new CallerServer(loops, () -> CallerLimits.DEFAULT, new AdminService(metrics, this::readiness))
-                .listen(settings.metrics());
+                .listen(settings.metricsAddress());
         metrics.gauge("requests.open", () -> forwarder::openRequests);
         metrics.gauge("operators.log.era", () -> operatorsFollower::era);
         metrics.gauge("configuration.age.millis", () -> operatorsFollower.freshness()::ageMillis);
         loop.scheduleAtFixedRate(
                 this::followMembers, MEMBERS_INTERVAL.toMillis(), MEMBERS_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
         loop.execute(this::awaitOthers);
-        logger.atInfo().log("entry started, callers %s, peers %s", settings.callers(), identity.peerAddress());
+        logger.atInfo().log("entry started, callers %s, peers %s", settings.callerAddress(), identity.peerAddress());
     }
 
     /** Leaves the balancer, answers what has arrived, and ends. */
     public void stop() {
-        long deadline =
-                time.monotonicNanos() + settings.grace().minus(GRACE_MARGIN).toNanos();
+        long deadline = time.monotonicNanos()
+                + settings.shutdownTimeout().minus(GRACE_MARGIN).toNanos();
         stopping = true;
         callers.drain();
         logger.atInfo().log("entry stops with %d open requests", forwarder.openRequests());
@@ -233,10 +233,10 @@
      */
     private LogFollower follower(
             String name, KeyedLog log, KeyedLogListener fold, FollowSettings base, Duration bound) {
-        return LogRelay.relaying(base, bound)
+        return LogRelay.relaySettings(base, bound)
                 .map(follow -> {
-                    LogFollower follower = new LogFollower(name, relay.relayed(name, log), fold, follow, loop, time);
-                    relay.serve(name, follower);
+                    LogFollower follower = new LogFollower(name, relay.relayedLog(name, log), fold, follow, loop, time);
+                    relay.register(name, follower);
                     return follower;
                 })
                 .orElseGet(() -> new LogFollower(name, log, fold, base, loop, time));
@@ -244,7 +244,7 @@
 
     /** Where the other logs are relayed, few entries read this one, and may read it more often. */
     private static FollowSettings entries(ForwardEntrySettings settings) {
-        return LogRelay.relaying(UPSTREAMS, settings.drainBound()).isPresent()
+        return LogRelay.relaySettings(UPSTREAMS, settings.drainBound()).isPresent()
                 ? ENTRIES.withReadPause(RELAYED_ENTRIES_GAP)
                 : ENTRIES;
     }
@@ -265,7 +265,7 @@
                 new EngineChooser(view, loads),
                 view,
                 new GateClient(transport, settings.sidePort()),
-                new RetryShare(settings.retries(), time, this::entryCount),
+                new RetryShare(settings.retryBounds(), time, this::entryCount),
                 crashes,
                 new ForwardMetrics(metrics));
         RequestForwarder.KnowledgeBounds bounds = new RequestForwarder.KnowledgeBounds(
@@ -285,7 +285,7 @@
     }
 
     private int entryCount() {
-        return 1 + members.others().size();
+        return 1 + members.peerAddresses().size();
     }
 
     /** All entries together must stay below what an upstream accepts. */
@@ -301,7 +301,7 @@
     // Other entries
 
     private void tellCrash(UpstreamCrash crash) {
-        exchange.tellCrash(crash);
+        exchange.broadcastCrash(crash);
     }
 
     private void upstreamChanged(@Nullable Upstream before, @Nullable Upstream after) {
@@ -327,14 +327,14 @@
 
     private void followMembers() {
         if (entriesFollower.isFullyRead()) {
-            members.storeSilentFor(entriesFollower.freshness().age());
-            budgets.setOthers(members.others().keySet());
+            members.updateReadAge(entriesFollower.freshness().age());
+            budgets.setOthers(members.peerAddresses().keySet());
             budgets.handBackUnspent();
         }
     }
 
     private boolean isStanding() {
-        return members.isStanding(entriesFollower.freshness().age());
+        return members.isActive(entriesFollower.freshness().age());
     }
 
     private void writeRecord() {
@@ -344,10 +344,10 @@
         long sentNanos = time.monotonicNanos();
         writeOwnRecord().whenComplete((nothing, failure) -> {
             if (failure == null) {
-                members.ownRecordWritten(sentNanos);
+                members.onOwnRecordWritten(sentNanos);
             }
             noteRecordWrite(failure);
-            Duration delay = failure == null ? EntryMembers.RENEWAL : RECORD_RETRY;
+            Duration delay = failure == null ? EntryMembers.RENEWAL_INTERVAL : RECORD_RETRY;
             loop.schedule(this::writeRecord, delay.toMillis(), TimeUnit.MILLISECONDS);
         });
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
@@ -25,13 +25,13 @@
     /** Age of the own record from which others may soon count this entry as gone. */
     private static final Duration OWN_LAPSE = Duration.ofSeconds(6);
     /** Age of what was read of the others from which one of them may have come that is not known here. */
-    public static final Duration OTHERS_UNKNOWN = Duration.ofSeconds(4);
+    public static final Duration MAX_READ_AGE = Duration.ofSeconds(4);
     /** Time after which all others know of an entry that has come, or do not stand themselves. */
-    private static final Duration SETTLE = OTHERS_UNKNOWN.plusMillis(250);
+    private static final Duration SETTLE = MAX_READ_AGE.plusMillis(250);
     /** Age of the record of this VM's earlier process below which no other entry counts the VM as gone. */
     private static final Duration RESTART = Duration.ofSeconds(5);
     /** Time between two renewals of a record. */
-    public static final Duration RENEWAL = Duration.ofMillis(2_500);
+    public static final Duration RENEWAL_INTERVAL = Duration.ofMillis(2_500);
     /** Renewals of another entry right before and right after an outage of the store for all. */
     private static final int RENEWALS_AROUND_OUTAGE = 2;
     /** Silence of the store after which the age of records says nothing. */
@@ -103,7 +103,7 @@
     }
 
     /** Notes that the own record was written by a call that was sent at the given time. */
-    public synchronized void ownRecordWritten(long sentNanos) {
+    public synchronized void onOwnRecordWritten(long sentNanos) {
         if (!ownWritten) {
             standsFromNanos = restarted ? sentNanos : sentNanos + SETTLE.toNanos();
         } else if (sentNanos - ownNanos > OWN_LAPSE.toNanos()) {
@@ -121,9 +121,9 @@
      *
      * @param readAge the time since the store was asked for what is known of the others
      */
-    public synchronized boolean isStanding(Duration readAge) {
+    public synchronized boolean isActive(Duration readAge) {
         long now = time.monotonicNanos();
-        if (!ownWritten || now - ownNanos > OWN_LAPSE.toNanos() || readAge.compareTo(OTHERS_UNKNOWN) > 0) {
+        if (!ownWritten || now - ownNanos > OWN_LAPSE.toNanos() || readAge.compareTo(MAX_READ_AGE) > 0) {
             return false;
         }
         if (mayHaveLapsed) {
@@ -137,7 +137,7 @@
         if (now - ownNanos < readAge.toNanos()) {
             return;
         }
-        long ofWorkingStore = Math.max(RENEWALS_AROUND_OUTAGE + 1, silentNanos / RENEWAL.toNanos() - 1);
+        long ofWorkingStore = Math.max(RENEWALS_AROUND_OUTAGE + 1, silentNanos / RENEWAL_INTERVAL.toNanos() - 1);
         boolean lapsed = renewals.values().stream().anyMatch(n -> n >= ofWorkingStore);
         standsFromNanos = lapsed ? ownNanos + SETTLE.toNanos() : ownNanos;
         mayHaveLapsed = false;
@@ -149,7 +149,7 @@
      * Takes how long the store has been silent. After a silence all records count as just renewed, since their writers
      * had no way to renew them.
      */
-    public synchronized void storeSilentFor(Duration silence) {
+    public synchronized void updateReadAge(Duration silence) {
         boolean silent = silence.compareTo(STORE_SILENCE) > 0;
         if (silent || storeSilent) {
             long now = time.monotonicNanos();
@@ -179,7 +179,7 @@
     }
 
     /** Returns the peer addresses of the other entries by their names. */
-    public Map<String, String> others() {
+    public Map<String, String> peerAddresses() {
         return members().entrySet().stream()
                 .collect(Collectors.toMap(Map.Entry::getKey, e -> e.getValue().peerAddress()));
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryExchange.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMessenger.java
@@ -25,7 +25,7 @@
  *
  * <p>One an entry; safe to share between threads.
  */
-public final class EntryExchange implements BudgetPeers {
+public final class EntryMessenger implements BudgetPeers {
     /** A home answers from memory, but right after a start it may be busy; one that takes longer is passed over. */
     private static final Duration DRAW_TIMEOUT = Duration.ofMillis(400);
 
@@ -37,7 +37,7 @@
     private final LogRelay relay;
 
     /** Creates an exchange and registers it for its frames. */
-    public EntryExchange(
+    public EntryMessenger(
             PeerClient peers,
             FrameRouter frames,
             EntryMembers members,
@@ -81,8 +81,8 @@
     }
 
     /** Tells the others that an upstream crashed. */
-    public void tellCrash(UpstreamCrash crash) {
-        members.others()
+    public void broadcastCrash(UpstreamCrash crash) {
+        members.peerAddresses()
                 .values()
                 .forEach(address ->
                         peers.send(address, frame(GateMessage.newBuilder().setCrash(crash))));
@@ -94,7 +94,7 @@
             case STATUS -> view.onStatus(message.getStatus());
             case CRASH -> crashes.onCrash(message.getCrash());
             case DRAW -> from.reply(frame, frame(GateMessage.newBuilder().setDrawn(drawn(message.getDraw()))));
-            case READ -> relay.onRead(from, frame);
+            case READ -> relay.onReadRequest(from, frame);
             case UNSPENT -> homes.giveBack(
                     message.getUnspent().getAccount(), message.getUnspent().getTokens());
             default -> {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/GateClient.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/GateClient.java
@@ -35,12 +35,12 @@
     }
 
     /** Returns a number for the next start. */
-    public long nextTicket() {
+    public long newTicket() {
         return tickets.incrementAndGet();
     }
 
     /** Asks for a start; fails with a {@code PeerException} when the side refuses or does not answer in time. */
-    public CompletableFuture<StartGrant> start(Upstream engine, StartRequest request, Duration timeout) {
+    public CompletableFuture<StartGrant> requestStart(Upstream engine, StartRequest request, Duration timeout) {
         GateMessage message = GateMessage.newBuilder().setStart(request).build();
         return peers.request(sideOf(engine), Frame.newBuilder().setGate(message), timeout)
                 .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
@@ -48,7 +48,7 @@
     }
 
     /** Tells how a run goes on. */
-    public void tell(Upstream engine, long ticket, RunProgress.Stage stage) {
+    public void sendProgress(Upstream engine, long ticket, RunProgress.Stage stage) {
         RunProgress progress =
                 RunProgress.newBuilder().setTicket(ticket).setStage(stage).build();
         peers.send(
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
@@ -89,7 +89,7 @@
      * @param base how the log is read without relaying
      * @param bound how late a change may become known here while this entry reaches the store
      */
-    public static Optional<FollowSettings> relaying(FollowSettings base, Duration bound) {
+    public static Optional<FollowSettings> relaySettings(FollowSettings base, Duration bound) {
         Duration pauses = base.readPause().plus(base.readPause().dividedBy(LogFollower.RELAYED_PAUSE_DIVISOR));
         Duration hops = LATE.plus(MAX_WAIT).plus(ANSWER_SLACK);
         Duration left = bound.multipliedBy(4).dividedBy(5).minus(pauses).minus(hops);
@@ -101,12 +101,12 @@
     }
 
     /** Answers others from what a follower has read. */
-    public void serve(String log, LogFollower follower) {
+    public void register(String log, LogFollower follower) {
         served.put(log, follower);
     }
 
     /** Returns a log that is read through another entry where that is possible. */
-    public KeyedLog relayed(String log, KeyedLog direct) {
+    public KeyedLog relayedLog(String log, KeyedLog direct) {
         return new KeyedLog() {
             @Override
             public CompletableFuture<NewestPage> readNewest(String afterKey) {
@@ -173,7 +173,7 @@
     // Answering
 
     /** Answers an entry's question, now or when there is a record or its wait is over. */
-    void onRead(PeerChannel from, Frame frame) {
+    void onReadRequest(PeerChannel from, Frame frame) {
         RecordsRead read = frame.getGate().getRead();
         LogFollower follower = served.get(read.getLog());
         if (follower == null || !isFresh(follower)) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/StoreLinks.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/StoreAccess.java
@@ -11,17 +11,17 @@
 /**
  * What a process uses of the platform's store, and how its records are read.
  *
- * @param operators the operators' records
- * @param upstreams the upstreams' descriptions, by id
- * @param entries the entries' own records, by VM name
+ * @param operatorsLog the operators' records
+ * @param upstreamsLog the upstreams' descriptions, by id
+ * @param entriesLog the entries' own records, by VM name
  * @param entryWriter writes the entry's own record
- * @param fences numbers that only grow
+ * @param fenceSource numbers that only grow
  */
-public record StoreLinks(
-        KeyedLog operators,
+public record StoreAccess(
+        KeyedLog operatorsLog,
         ConfigurationDecoder operatorsDecoder,
-        KeyedLog upstreams,
+        KeyedLog upstreamsLog,
         BiFunction<String, byte[], Optional<Upstream>> upstreamDecoder,
-        KeyedLog entries,
+        KeyedLog entriesLog,
         KeyedLogWriter entryWriter,
-        OrderLoop.FenceSource fences) {}
+        OrderLoop.FenceSource fenceSource) {}
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/VmIdentity.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/VmIdentity.java
@@ -8,19 +8,19 @@
 import java.util.Objects;
 
 /** Which VM a process runs on, and where other processes reach it. Immutable. */
-public record VmIdentity(String name, String dataCentre, String region, InetSocketAddress peers) {
+public record VmIdentity(String name, String dataCentre, String region, InetSocketAddress peerAddress) {
     private static final int SUB_MILLIS = 1_000;
 
     public VmIdentity {
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(dataCentre, "dataCentre");
         Objects.requireNonNull(region, "region");
-        Objects.requireNonNull(peers, "peers");
+        Objects.requireNonNull(peerAddress, "peers");
     }
 
     /** Returns the identity of a process that starts now. */
-    public ProcessIdentity start(ProcessRole role, TimeSource time) {
+    public ProcessIdentity newProcessIdentity(ProcessRole role, TimeSource time) {
         long incarnation = time.wallMillis() * SUB_MILLIS + Math.floorMod(time.monotonicNanos(), SUB_MILLIS);
-        return new ProcessIdentity(name, role, dataCentre, region, IpAddresses.format(peers), incarnation);
+        return new ProcessIdentity(name, role, dataCentre, region, IpAddresses.format(peerAddress), incarnation);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
@@ -16,7 +16,7 @@
 import io.parsleycleat.gateway.process.gate.EngineGate;
 import io.parsleycleat.gateway.process.gate.GateServer;
 import io.parsleycleat.gateway.process.gate.OrderLoop;
-import io.parsleycleat.gateway.process.members.StoreLinks;
+import io.parsleycleat.gateway.process.members.StoreAccess;
 import io.parsleycleat.gateway.version.follow.FollowSettings;
 import io.parsleycleat.gateway.version.follow.LogFollower;
 import io.parsleycleat.gateway.version.routes.AdapterVersions;
@@ -50,25 +50,29 @@
     private final GateServer server;
 
     private EngineSide(
-            EngineSideSettings settings, StoreLinks store, EngineControl engine, EventLoopGroup loops, EventLoop loop) {
+            EngineSideSettings settings,
+            StoreAccess store,
+            EngineControl engine,
+            EventLoopGroup loops,
+            EventLoop loop) {
         this.settings = settings;
         AdapterVersions versions = new AdapterVersions();
         ConfigurationHolder configuration = new ConfigurationHolder();
         this.gate = new EngineGate(versions, time);
         configuration.addListener(this::configured);
         this.transport = new NettyPeerTransport(
-                settings.vm().start(ProcessRole.SIDE, time),
+                settings.vm().newProcessIdentity(ProcessRole.SIDE, time),
                 loops,
                 () -> 0,
                 (from, frame) -> {},
                 new TrafficCounter(metrics),
                 PEER_KEEP_ALIVE);
         this.orders =
-                new OrderLoop(gate, engine, store.fences(), () -> healthPath(configuration), loop, time, () -> {});
+                new OrderLoop(gate, engine, store.fenceSource(), () -> healthPath(configuration), loop, time, () -> {});
         this.server = new GateServer(gate, transport, time, orders::wake);
         this.follower = new LogFollower(
                 "operators' log",
-                store.operators(),
+                store.operatorsLog(),
                 new ConfigurationUpdater(store.operatorsDecoder(), configuration, versions, time),
                 OPERATORS,
                 loop,
@@ -77,7 +81,7 @@
 
     /** Starts a side that listens for entries. */
     public static EngineSide start(
-            EngineSideSettings settings, StoreLinks store, EngineControl engine, EventLoopGroup loops) {
+            EngineSideSettings settings, StoreAccess store, EngineControl engine, EventLoopGroup loops) {
         EventLoop loop = loops.next();
         EngineSide side = new EngineSide(settings, store, engine, loops, loop);
         side.listen(loops, loop);
@@ -85,7 +89,7 @@
     }
 
     private void listen(EventLoopGroup loops, EventLoop loop) {
-        transport.listen(settings.vm().peers());
+        transport.listen(settings.vm().peerAddress());
         follower.start();
         orders.start();
         new CallerServer(loops, () -> CallerLimits.DEFAULT, new AdminService(metrics, () -> Readiness.READY))
@@ -96,7 +100,7 @@
                 server::tellStatus, STATUS_INTERVAL.toMillis(), STATUS_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
         logger.atInfo().log(
                 "side started for an engine of %s, peers %s",
-                settings.service(), settings.vm().peers());
+                settings.service(), settings.vm().peerAddress());
     }
 
     /** Ends at once: runs go on without their side, and what waits is asked for elsewhere. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -224,7 +224,7 @@
 
     private void tell(RunProgress.Stage stage) {
         if (ticket != 0) {
-            parts.gates().tell(upstream, ticket, stage);
+            parts.gates().sendProgress(upstream, ticket, stage);
         }
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
@@ -101,19 +101,19 @@
         given = true;
         Upstream engine = waitingAt;
         if (engine != null) {
-            parts.gates().tell(engine, waitingTicket, RunProgress.Stage.WITHDRAWN);
+            parts.gates().sendProgress(engine, waitingTicket, RunProgress.Stage.WITHDRAWN);
         }
     }
 
     private void askSide(String service, EngineChooser.Choice choice) {
         Upstream engine = choice.engine();
-        long ticket = parts.gates().nextTicket();
+        long ticket = parts.gates().newTicket();
         Duration wait = waitAt(choice);
         waitingAt = engine;
         waitingTicket = ticket;
         parts.view().onAsked(engine, promptTokens());
         parts.gates()
-                .start(engine, startRequest(ticket, wait), wait.plus(ANSWER_SLACK))
+                .requestStart(engine, startRequest(ticket, wait), wait.plus(ANSWER_SLACK))
                 .whenCompleteAsync(
                         (grant, failure) -> {
                             waitingAt = null;
@@ -136,7 +136,7 @@
             String service, Upstream engine, long ticket, @Nullable StartGrant grant, @Nullable Throwable failure) {
         if (given) {
             if (grant != null && grant.getRefusalCode() == 0) {
-                parts.gates().tell(engine, ticket, RunProgress.Stage.ENDED);
+                parts.gates().sendProgress(engine, ticket, RunProgress.Stage.ENDED);
             }
             return;
         }
@@ -146,7 +146,7 @@
                     .with(LogKeys.UPSTREAM, engine.id())
                     .log("side does not answer: %s", failure == null ? "" : Failures.unwrap(failure));
             parts.view().onSilent(engine, SIDE_PAUSE.toMillis());
-            parts.gates().tell(engine, ticket, RunProgress.Stage.WITHDRAWN);
+            parts.gates().sendProgress(engine, ticket, RunProgress.Stage.WITHDRAWN);
             withoutSide(service, engine);
         } else if (grant.getRefusalCode() != 0) {
             noteRetry(Duration.ofMillis(grant.getRetryAfterMillis()));
@@ -159,7 +159,7 @@
     /** An engine may have said that it leaves while its side held the start back. */
     private void start(String service, Upstream engine, long ticket, long version) {
         if (!parts.availability().takes(engine)) {
-            parts.gates().tell(engine, ticket, RunProgress.Stage.ENDED);
+            parts.gates().sendProgress(engine, ticket, RunProgress.Stage.ENDED);
             next(service);
             return;
         }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
@@ -32,64 +32,64 @@
     public void anEntryWhoseRecordOnlyTheStoreLostStaysUntilItLapses() {
         members.onPut("b", RECORD);
         members.onDelete("b", true);
-        assertTrue(members.others().containsKey("b"));
+        assertTrue(members.peerAddresses().containsKey("b"));
         time.passMillis(7_501);
-        assertFalse(members.others().containsKey("b"));
+        assertFalse(members.peerAddresses().containsKey("b"));
         members.onPut("b", RECORD);
         members.onDelete("b", false);
-        assertFalse(members.others().containsKey("b"));
+        assertFalse(members.peerAddresses().containsKey("b"));
     }
 
     @Test
     public void othersAreKnownByTheirRecordsAndTheEntryItselfIsNone() {
         members.onPut("self", RECORD);
         members.onPut("b", RECORD);
-        assertEquals(members.others(), Map.of("b", "10.0.0.2:7600"));
+        assertEquals(members.peerAddresses(), Map.of("b", "10.0.0.2:7600"));
         members.onDelete("b", false);
-        assertEquals(members.others(), Map.of());
+        assertEquals(members.peerAddresses(), Map.of());
     }
 
     @Test
     public void aRecordThatIsNotRenewedLapses() {
         members.onPut("b", RECORD);
         time.passMillis(7_000);
-        assertEquals(members.others().keySet(), Set.of("b"));
+        assertEquals(members.peerAddresses().keySet(), Set.of("b"));
         time.passMillis(600);
-        assertEquals(members.others().keySet(), Set.of());
+        assertEquals(members.peerAddresses().keySet(), Set.of());
     }
 
     @Test
     public void nobodyLapsesWhileTheStoreIsSilentNorRightAfter() {
         members.onPut("b", RECORD);
         time.passMillis(5_000);
-        members.storeSilentFor(Duration.ofSeconds(5));
+        members.updateReadAge(Duration.ofSeconds(5));
         time.passMillis(6_000);
-        members.storeSilentFor(Duration.ofSeconds(11));
-        members.storeSilentFor(Duration.ZERO);
+        members.updateReadAge(Duration.ofSeconds(11));
+        members.updateReadAge(Duration.ZERO);
         time.passMillis(7_000);
-        assertEquals(members.others().keySet(), Set.of("b"));
+        assertEquals(members.peerAddresses().keySet(), Set.of("b"));
     }
 
     private boolean stands() {
-        return members.isStanding(Duration.ofMillis(100));
+        return members.isActive(Duration.ofMillis(100));
     }
 
     @Test
     public void anEntryStopsToStandBeforeTheOthersCountItOut() {
         assertFalse(stands());
         members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
-        members.ownRecordWritten(time.monotonicNanos());
+        members.onOwnRecordWritten(time.monotonicNanos());
         members.onPut("b", RECORD);
         time.passMillis(5_900);
         assertTrue(stands());
         time.passMillis(200);
         assertFalse(stands());
-        assertEquals(members.others().keySet(), Set.of("b"));
+        assertEquals(members.peerAddresses().keySet(), Set.of("b"));
     }
 
     @Test
     public void aNewEntryStandsOnceAllOthersKnowOfItOrDoNotStand() {
-        members.ownRecordWritten(time.monotonicNanos());
+        members.onOwnRecordWritten(time.monotonicNanos());
         time.passMillis(4_200);
         assertFalse(stands());
         time.passMillis(100);
@@ -102,8 +102,8 @@
         time.passMillis(4_900);
         EntryMembers restarted = new EntryMembers("self", time);
         restarted.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
-        restarted.ownRecordWritten(time.monotonicNanos());
-        assertTrue(restarted.isStanding(Duration.ZERO));
+        restarted.onOwnRecordWritten(time.monotonicNanos());
+        assertTrue(restarted.isActive(Duration.ZERO));
     }
 
     @Test
@@ -112,25 +112,25 @@
         time.passMillis(5_100);
         EntryMembers restarted = new EntryMembers("self", time);
         restarted.onPut("self", old);
-        restarted.ownRecordWritten(time.monotonicNanos());
-        assertFalse(restarted.isStanding(Duration.ZERO));
+        restarted.onOwnRecordWritten(time.monotonicNanos());
+        assertFalse(restarted.isActive(Duration.ZERO));
     }
 
     @Test
     public void nobodyStandsWhoMayNotKnowOfANewEntry() {
         members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
-        members.ownRecordWritten(time.monotonicNanos());
-        assertFalse(members.isStanding(Duration.ofMillis(4_001)));
-        assertTrue(members.isStanding(Duration.ofMillis(3_999)));
+        members.onOwnRecordWritten(time.monotonicNanos());
+        assertFalse(members.isActive(Duration.ofMillis(4_001)));
+        assertTrue(members.isActive(Duration.ofMillis(3_999)));
     }
 
     /** Of two entries whose views differ, the old home stops to stand before the new one begins. */
     @Test
     public void anEntryThatWasCutFromTheStoreSettlesAgain() {
         members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
-        members.ownRecordWritten(time.monotonicNanos());
+        members.onOwnRecordWritten(time.monotonicNanos());
         time.passMillis(8_000);
-        members.ownRecordWritten(time.monotonicNanos());
+        members.onOwnRecordWritten(time.monotonicNanos());
         members.onPut("b", RECORD);
         members.onPut("b", RECORD);
         members.onPut("b", RECORD);
@@ -143,11 +143,11 @@
     @Test
     public void anEntryStandsAtOnceAfterAStoreThatWasSilentForAll() {
         members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
-        members.ownRecordWritten(time.monotonicNanos());
+        members.onOwnRecordWritten(time.monotonicNanos());
         time.passMillis(2_400);
         members.onPut("b", RECORD);
         time.passMillis(5_600);
-        members.ownRecordWritten(time.monotonicNanos());
+        members.onOwnRecordWritten(time.monotonicNanos());
         members.onPut("b", RECORD);
         time.passMillis(200);
         assertTrue(stands(), "others renewed theirs right before and right after");
@@ -157,6 +157,6 @@
     public void aRecordThatCannotBeReadChangesNothing() {
         members.onPut("b", RECORD);
         members.onPut("b", "\u00ff\u00ff not a record".getBytes(StandardCharsets.ISO_8859_1));
-        assertEquals(members.others(), Map.of("b", "10.0.0.2:7600"));
+        assertEquals(members.peerAddresses(), Map.of("b", "10.0.0.2:7600"));
     }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
@@ -161,14 +161,14 @@
 
     @Test
     public void aBoundThatIsTooShortForRelayingLeavesTheLogToBeReadDirectly() {
-        assertFalse(LogRelay.relaying(FollowSettings.LOW_LATENCY, Duration.ofSeconds(2))
+        assertFalse(LogRelay.relaySettings(FollowSettings.LOW_LATENCY, Duration.ofSeconds(2))
                 .isPresent());
-        Duration wait = LogRelay.relaying(FollowSettings.LOW_LATENCY, Duration.ofSeconds(3))
+        Duration wait = LogRelay.relaySettings(FollowSettings.LOW_LATENCY, Duration.ofSeconds(3))
                 .orElseThrow()
                 .maxWait();
         assertTrue(wait.compareTo(FollowSettings.LOW_LATENCY.maxWait()) < 0);
         assertEquals(
-                LogRelay.relaying(FollowSettings.LOW_LATENCY, Duration.ofSeconds(10)),
+                LogRelay.relaySettings(FollowSettings.LOW_LATENCY, Duration.ofSeconds(10)),
                 java.util.Optional.of(FollowSettings.LOW_LATENCY));
     }
 
@@ -259,12 +259,12 @@
             this.relay = new LogRelay(this, this::place, time, scheduler);
             this.follower = new LogFollower(
                     LOG,
-                    relay.relayed(LOG, store.asSeenBy(name)),
+                    relay.relayedLog(LOG, store.asSeenBy(name)),
                     this,
-                    LogRelay.relaying(FollowSettings.LOW_LATENCY, BOUND).orElseThrow(),
+                    LogRelay.relaySettings(FollowSettings.LOW_LATENCY, BOUND).orElseThrow(),
                     scheduler,
                     time);
-            relay.serve(LOG, follower);
+            relay.register(LOG, follower);
         }
 
         ReadTree.Place place() {
@@ -289,7 +289,7 @@
                     timeout.toMillis(),
                     TimeUnit.MILLISECONDS);
             if (!frozen.contains(peerAddress)) {
-                entries.get(peerAddress).relay.onRead(new Reply(answer), frame.build());
+                entries.get(peerAddress).relay.onReadRequest(new Reply(answer), frame.build());
             }
             return answer;
         }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -16,8 +16,8 @@
 import io.parsleycleat.gateway.connection.upstream.AnswerHead;
 import io.parsleycleat.gateway.connection.upstream.UpstreamPools;
 import io.parsleycleat.gateway.connection.upstream.UpstreamRequest;
-import io.parsleycleat.gateway.process.members.EntryExchange;
 import io.parsleycleat.gateway.process.members.EntryMembers;
+import io.parsleycleat.gateway.process.members.EntryMessenger;
 import io.parsleycleat.gateway.process.members.GateClient;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
@@ -119,7 +119,7 @@
         BudgetHomes.Slack slack = new BudgetHomes.Slack(0, Duration.ofSeconds(8));
         BudgetHomes homes = new BudgetHomes("here", slack, TimeSource.SYSTEM, () -> true);
         EntryMembers members = new EntryMembers("here", TimeSource.SYSTEM);
-        EntryExchange exchange = new EntryExchange(null, (kind, handler) -> {}, members, homes, null, null, null);
+        EntryMessenger exchange = new EntryMessenger(null, (kind, handler) -> {}, members, homes, null, null, null);
         return new AccountBudgets("here", homes, exchange, TimeSource.SYSTEM, loop);
     }
 
