Rename the internals of log following and the upstream directory

Cause: "round", "after", "again", "fold" and "lapsed" did not say what is done to what.

Change: names only, by the compiler's resolution, with all uses.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/Freshness.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/Freshness.java
@@ -15,14 +15,14 @@
 public final class Freshness {
     private final TimeSource time;
     private boolean confirmed;
-    private long steadyNanos;
+    private long monotonicNanos;
     private long wallMillis;
 
     /** A point in time on both clocks. */
-    public record Moment(long steadyNanos, long wallMillis) {
+    public record Moment(long monotonicNanos, long wallMillis) {
         /** Returns the moment that was so much earlier. */
         public Moment minus(Duration age) {
-            return new Moment(steadyNanos - age.toNanos(), wallMillis - age.toMillis());
+            return new Moment(monotonicNanos - age.toNanos(), wallMillis - age.toMillis());
         }
     }
 
@@ -38,11 +38,11 @@
 
     /** Notes an answer that tells the state of the given moment; an older one than before changes nothing. */
     public synchronized void confirm(Moment moment) {
-        if (confirmed && moment.steadyNanos() - steadyNanos < 0) {
+        if (confirmed && moment.monotonicNanos() - monotonicNanos < 0) {
             return;
         }
         confirmed = true;
-        steadyNanos = moment.steadyNanos();
+        monotonicNanos = moment.monotonicNanos();
         wallMillis = moment.wallMillis();
     }
 
@@ -51,9 +51,9 @@
         if (!confirmed) {
             return Duration.ofSeconds(Long.MAX_VALUE);
         }
-        long steady = TimeUnit.NANOSECONDS.toMillis(time.monotonicNanos() - steadyNanos);
-        long wall = time.wallMillis() - wallMillis;
-        return Duration.ofMillis(Math.max(0, Math.max(steady, wall)));
+        long monotonicAgeMillis = TimeUnit.NANOSECONDS.toMillis(time.monotonicNanos() - monotonicNanos);
+        long wallAgeMillis = time.wallMillis() - wallMillis;
+        return Duration.ofMillis(Math.max(0, Math.max(monotonicAgeMillis, wallAgeMillis)));
     }
 
     /** Returns the age in milliseconds, at most {@link Integer#MAX_VALUE}. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
@@ -30,24 +30,24 @@
 public final class LogFollower {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** Silence after which entries of others may have lapsed although they live. */
-    private static final Duration OUTAGE = Duration.ofMillis(900);
+    private static final Duration MIN_OUTAGE = Duration.ofMillis(900);
     /** Reading through another entry costs the store nothing, so the pause between reads is this much shorter. */
     public static final int RELAYED_PAUSE_DIVISOR = 4;
 
     private final String name;
     private final KeyedLog log;
-    private final KeyedLogListener fold;
+    private final KeyedLogListener listener;
     private final FollowSettings settings;
     private final ScheduledExecutorService scheduler;
     private final TimeSource time;
     private final Freshness freshness;
-    private final AtomicLong round = new AtomicLong();
+    private final AtomicLong currentGeneration = new AtomicLong();
 
     private final Object lock = new Object();
     private final LogMirror mirror = new LogMirror();
-    private @Nullable LogPosition next;
+    private @Nullable LogPosition nextPosition;
     private long era;
-    private boolean restored;
+    private boolean rewritesPending;
     private boolean reachable = true;
     private boolean relayed;
     private long lastAnswerNanos;
@@ -59,13 +59,13 @@
     public LogFollower(
             String name,
             KeyedLog log,
-            KeyedLogListener fold,
+            KeyedLogListener listener,
             FollowSettings settings,
             ScheduledExecutorService scheduler,
             TimeSource time) {
         this.name = name;
         this.log = log;
-        this.fold = fold;
+        this.listener = listener;
         this.settings = settings;
         this.scheduler = scheduler;
         this.time = time;
@@ -77,13 +77,13 @@
 
     /** Starts to read. */
     public void start() {
-        step(round.get());
+        readNext(currentGeneration.get());
     }
 
     /** Stops to read; answers that are on their way change nothing. */
     public void stop() {
         stopped = true;
-        round.incrementAndGet();
+        currentGeneration.incrementAndGet();
     }
 
     /** Returns how fresh the fold is. */
@@ -94,7 +94,7 @@
     /** Returns whether the whole log has been read once. */
     public boolean isFullyRead() {
         synchronized (lock) {
-            return next != null;
+            return nextPosition != null;
         }
     }
 
@@ -106,7 +106,7 @@
     /** Returns whether the log answers, as far as is known. */
     public boolean isReachable() {
         synchronized (lock) {
-            return reachable && next != null;
+            return reachable && nextPosition != null;
         }
     }
 
@@ -117,8 +117,8 @@
 
     /** Returns the offset up to which the log was read; -1 while all of it has to be read. */
     public long offset() {
-        LogPosition place = place();
-        return place == null ? -1 : place.offset();
+        LogPosition position = position();
+        return position == null ? -1 : position.offset();
     }
 
     /** Returns how often the log was restored from an older copy, as far as is known. */
@@ -128,66 +128,67 @@
         }
     }
 
-    private @Nullable LogPosition place() {
+    private @Nullable LogPosition position() {
         synchronized (lock) {
-            return next;
+            return nextPosition;
         }
     }
 
     // Steps
 
-    private void step(long current) {
-        if (stopped || round.get() != current) {
+    private void readNext(long generation) {
+        if (stopped || currentGeneration.get() != generation) {
             return;
         }
         Freshness.Moment sent = freshness.now();
-        LogPosition from = place();
-        CompletableFuture<KeyedLog.Records> done = from == null ? readAll() : readOn(current, from);
+        LogPosition from = position();
+        CompletableFuture<KeyedLog.Records> done = from == null ? readAll() : readUpdates(generation, from);
         done.orTimeout(settings.maxWait().plus(settings.timeout()).toMillis(), TimeUnit.MILLISECONDS)
                 .whenComplete((answer, failure) ->
-                        after(current, sent, answer, failure == null ? null : Failures.unwrap(failure)));
+                        onAnswer(generation, sent, answer, failure == null ? null : Failures.unwrap(failure)));
     }
 
-    private void after(
-            long current, Freshness.Moment sent, KeyedLog.@Nullable Records answer, @Nullable Throwable failure) {
-        if (stopped || round.get() != current) {
+    private void onAnswer(
+            long generation, Freshness.Moment sent, KeyedLog.@Nullable Records answer, @Nullable Throwable failure) {
+        if (stopped || currentGeneration.get() != generation) {
             return;
         }
         if (answer != null && answer.next().era() > era()) {
             logger.atWarning().log(
                     "%s was restored from an older copy, era %d after %d; reading all of it",
                     name, answer.next().era(), era());
-            readAnew(current);
+            scheduleFullRead(generation);
         } else if (answer != null && answer.next().era() < era()) {
-            failed(new IllegalStateException("an answer of era " + answer.next().era() + " after one of era " + era()));
-            again(current, settings.retryDelay());
+            onFailure(new IllegalStateException(
+                    "an answer of era " + answer.next().era() + " after one of era " + era()));
+            scheduleRead(generation, settings.retryDelay());
         } else if (answer != null) {
-            answered(sent.minus(answer.age()));
-            noteRelayed(answer.relayed());
-            again(
-                    current,
+            onSuccess(sent.minus(answer.age()));
+            updateRelayed(answer.relayed());
+            scheduleRead(
+                    generation,
                     answer.relayed() ? settings.readPause().dividedBy(RELAYED_PAUSE_DIVISOR) : settings.readPause());
         } else if (failure instanceof LogTrimmedException) {
             logger.atInfo().log("%s dropped records that were not read; reading all of it", name);
-            readAnew(current);
+            scheduleFullRead(generation);
         } else {
-            failed(failure == null ? new IllegalStateException("no answer") : failure);
-            again(current, settings.retryDelay());
+            onFailure(failure == null ? new IllegalStateException("no answer") : failure);
+            scheduleRead(generation, settings.retryDelay());
         }
     }
 
-    private void readAnew(long current) {
+    private void scheduleFullRead(long generation) {
         synchronized (lock) {
-            next = null;
+            nextPosition = null;
         }
-        again(current, Duration.ZERO);
+        scheduleRead(generation, Duration.ZERO);
     }
 
-    private void again(long current, Duration delay) {
-        scheduler.schedule(() -> step(current), delay.toMillis(), TimeUnit.MILLISECONDS);
+    private void scheduleRead(long generation, Duration delay) {
+        scheduler.schedule(() -> readNext(generation), delay.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private void noteRelayed(boolean now) {
+    private void updateRelayed(boolean now) {
         if (now != relayed) {
             logger.atInfo()
                     .with(LogKeys.OFFSET, offset())
@@ -196,7 +197,7 @@
         }
     }
 
-    private void answered(Freshness.Moment known) {
+    private void onSuccess(Freshness.Moment stateTime) {
         boolean graceOver;
         boolean complete;
         synchronized (lock) {
@@ -207,18 +208,18 @@
             lastAnswerNanos = time.monotonicNanos();
             graceOver = inGrace && time.monotonicNanos() - graceEndsNanos >= 0;
             inGrace = inGrace && !graceOver;
-            restored = restored && inGrace;
-            complete = !restored;
+            rewritesPending = rewritesPending && inGrace;
+            complete = !rewritesPending;
         }
         if (complete) {
-            freshness.confirm(known);
+            freshness.confirm(stateTime);
         }
         if (graceOver) {
-            fold.onOutageGraceEnd();
+            listener.onOutageGraceEnd();
         }
     }
 
-    private void failed(Throwable failure) {
+    private void onFailure(Throwable failure) {
         synchronized (lock) {
             if (reachable) {
                 logger.atWarning().with(LogKeys.OFFSET, offset()).log("%s does not answer: %s", name, failure);
@@ -228,10 +229,10 @@
     }
 
     /** Begins the time in which lapsed keys may return when the store was silent before this answer. */
-    private void noteContact() {
+    private void startGraceAfterOutage() {
         synchronized (lock) {
             long now = time.monotonicNanos();
-            if (!reachable && now - lastAnswerNanos > OUTAGE.toNanos()) {
+            if (!reachable && now - lastAnswerNanos > MIN_OUTAGE.toNanos()) {
                 inGrace = true;
                 graceEndsNanos = now + settings.outageGrace().toNanos();
             }
@@ -240,28 +241,28 @@
 
     // Reading
 
-    private CompletableFuture<KeyedLog.Records> readOn(long current, LogPosition from) {
-        Duration wait = isGraceRunning() ? Duration.ZERO : settings.maxWait();
+    private CompletableFuture<KeyedLog.Records> readUpdates(long generation, LogPosition from) {
+        Duration wait = isInGrace() ? Duration.ZERO : settings.maxWait();
         return log.read(from, wait).thenApply(answer -> {
-            if (round.get() == current && answer.next().era() == from.era()) {
-                noteContact();
+            if (currentGeneration.get() == generation && answer.next().era() == from.era()) {
+                startGraceAfterOutage();
                 apply(answer.records());
-                goOnFrom(answer.next());
-                mirror.readTo(answer.next().offset());
+                advanceTo(answer.next());
+                mirror.onReadTo(answer.next().offset());
             }
             return answer;
         });
     }
 
-    private void goOnFrom(LogPosition place) {
+    private void advanceTo(LogPosition position) {
         synchronized (lock) {
-            LogPosition known = next;
-            boolean later = known == null || known.era() != place.era() || place.offset() > known.offset();
-            next = later ? place : known;
+            LogPosition known = nextPosition;
+            boolean later = known == null || known.era() != position.era() || position.offset() > known.offset();
+            nextPosition = later ? position : known;
         }
     }
 
-    private boolean isGraceRunning() {
+    private boolean isInGrace() {
         synchronized (lock) {
             return inGrace;
         }
@@ -271,11 +272,11 @@
         List<KeyedRecord> found = new ArrayList<>();
         return readPages("", null, found).thenApply(end -> {
             if (end.era() >= era()) {
-                noteContact();
-                noteEra(end.era(), found);
+                startGraceAfterOutage();
+                enterEra(end.era(), found);
                 applyAll(found);
-                goOnFrom(end);
-                mirror.fullyReadTo(end.offset());
+                advanceTo(end);
+                mirror.onFullRead(end.offset());
             }
             return new KeyedLog.Records(found, end);
         });
@@ -300,7 +301,7 @@
     }
 
     /** Goes over to a later era, in which records that its copy lacks are still to be written again. */
-    private void noteEra(long newEra, List<KeyedRecord> copied) {
+    private void enterEra(long newEra, List<KeyedRecord> copied) {
         boolean first;
         synchronized (lock) {
             if (newEra == era) {
@@ -309,7 +310,7 @@
             first = era == 0 && mirror.isEmpty();
             era = newEra;
             if (!first) {
-                restored = true;
+                rewritesPending = true;
                 inGrace = true;
                 graceEndsNanos = time.monotonicNanos() + settings.outageGrace().toNanos();
             }
@@ -323,26 +324,26 @@
                 .filter(r -> !r.isTombstone())
                 .map(KeyedRecord::key)
                 .collect(Collectors.toSet());
-        List<String> missing = mirror.dropMissing(present);
+        List<String> missing = mirror.deleteMissing(present);
         apply(found);
-        missing.forEach(this::drop);
+        missing.forEach(this::notifyDeleted);
     }
 
     private void apply(List<KeyedRecord> records) {
-        records.stream().filter(mirror::accept).forEach(r -> {
+        records.stream().filter(mirror::putIfNewer).forEach(r -> {
             if (r.isTombstone()) {
-                drop(r.key());
+                notifyDeleted(r.key());
             } else {
-                fold.onPut(r.key(), r.value());
+                listener.onPut(r.key(), r.value());
             }
         });
     }
 
-    private void drop(String key) {
+    private void notifyDeleted(String key) {
         boolean afterOutage;
         synchronized (lock) {
             afterOutage = inGrace;
         }
-        fold.onDelete(key, afterOutage);
+        listener.onDelete(key, afterOutage);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogMirror.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogMirror.java
@@ -17,25 +17,25 @@
 public final class LogMirror {
     private static final byte[] NO_VALUE = {};
     /** Dropped keys that are remembered; a reader that is further behind reads the log itself. */
-    private static final int MAX_DROPPED = 1_000;
+    private static final int MAX_TOMBSTONES = 1_000;
     /** The offset of what was read in an earlier era. */
-    private static final long BEFORE_ALL = -1;
+    private static final long EARLIER_ERA_OFFSET = -1;
 
-    private final Map<String, KeyedRecord> newest = new HashMap<>();
-    private final List<CompletableFuture<Void>> waiting = new ArrayList<>();
+    private final Map<String, KeyedRecord> newestByKey = new HashMap<>();
+    private final List<CompletableFuture<Void>> waiters = new ArrayList<>();
     private long era;
-    private long first = Long.MAX_VALUE;
-    private long next = -1;
+    private long firstCompleteOffset = Long.MAX_VALUE;
+    private long nextOffset = -1;
 
     LogMirror() {}
 
     /** Takes a record and returns whether it is newer than what was known of its key. */
-    synchronized boolean accept(KeyedRecord record) {
-        KeyedRecord known = newest.get(record.key());
+    synchronized boolean putIfNewer(KeyedRecord record) {
+        KeyedRecord known = newestByKey.get(record.key());
         if (known != null && record.offset() <= known.offset()) {
             return false;
         }
-        newest.put(record.key(), record);
+        newestByKey.put(record.key(), record);
         return true;
     }
 
@@ -47,84 +47,84 @@
      */
     synchronized void beginEra(long newEra, List<KeyedRecord> copied) {
         era = newEra;
-        first = Long.MAX_VALUE;
-        next = -1;
-        newest.replaceAll((key, r) -> new KeyedRecord(key, r.value(), BEFORE_ALL));
+        firstCompleteOffset = Long.MAX_VALUE;
+        nextOffset = -1;
+        newestByKey.replaceAll((key, r) -> new KeyedRecord(key, r.value(), EARLIER_ERA_OFFSET));
         copied.stream()
-                .filter(r -> isDropped(r.key()))
-                .forEach(r -> newest.put(r.key(), new KeyedRecord(r.key(), NO_VALUE, r.offset())));
+                .filter(r -> isDeleted(r.key()))
+                .forEach(r -> newestByKey.put(r.key(), new KeyedRecord(r.key(), NO_VALUE, r.offset())));
     }
 
     /** Returns whether nothing was read yet. */
     synchronized boolean isEmpty() {
-        return next < 0 && newest.isEmpty();
+        return nextOffset < 0 && newestByKey.isEmpty();
     }
 
-    private boolean isDropped(String key) {
-        KeyedRecord known = newest.get(key);
+    private boolean isDeleted(String key) {
+        KeyedRecord known = newestByKey.get(key);
         return known != null && known.isTombstone();
     }
 
     /** Drops the keys that a full read did not show, and returns them. */
-    synchronized List<String> dropMissing(Set<String> present) {
-        List<KeyedRecord> missing = newest.values().stream()
+    synchronized List<String> deleteMissing(Set<String> present) {
+        List<KeyedRecord> missing = newestByKey.values().stream()
                 .filter(r -> !r.isTombstone() && !present.contains(r.key()))
                 .toList();
-        missing.forEach(r -> newest.put(r.key(), new KeyedRecord(r.key(), NO_VALUE, r.offset())));
+        missing.forEach(r -> newestByKey.put(r.key(), new KeyedRecord(r.key(), NO_VALUE, r.offset())));
         return missing.stream().map(KeyedRecord::key).toList();
     }
 
     /** Notes a full read, which does not tell what was dropped before its end. */
-    void fullyReadTo(long end) {
+    void onFullRead(long end) {
         synchronized (this) {
-            first = Math.max(next, end);
+            firstCompleteOffset = Math.max(nextOffset, end);
         }
-        readTo(end);
+        onReadTo(end);
     }
 
     /** Notes up to where the log was read, and wakes those that wait for it. */
-    void readTo(long end) {
+    void onReadTo(long end) {
         List<CompletableFuture<Void>> woken;
         synchronized (this) {
-            woken = end > next ? List.copyOf(waiting) : List.of();
-            waiting.removeAll(woken);
-            next = Math.max(next, end);
-            forgetDropped();
+            woken = end > nextOffset ? List.copyOf(waiters) : List.of();
+            waiters.removeAll(woken);
+            nextOffset = Math.max(nextOffset, end);
+            purgeTombstones();
         }
         woken.forEach(w -> w.complete(null));
     }
 
     /** Returns the records from a place on, or nothing when this mirror cannot tell all of them. */
     public synchronized Optional<KeyedLog.Records> recordsFrom(LogPosition from) {
-        if (next < 0 || from.era() != era || from.offset() < first) {
+        if (nextOffset < 0 || from.era() != era || from.offset() < firstCompleteOffset) {
             return Optional.empty();
         }
-        List<KeyedRecord> records = newest.values().stream()
+        List<KeyedRecord> records = newestByKey.values().stream()
                 .filter(r -> r.offset() >= from.offset())
                 .sorted(Comparator.comparingLong(KeyedRecord::offset))
                 .toList();
-        return Optional.of(new KeyedLog.Records(records, new LogPosition(era, next)));
+        return Optional.of(new KeyedLog.Records(records, new LogPosition(era, nextOffset)));
     }
 
     /** Returns what completes when the log has been read beyond a place; at once when it was, or is of another era. */
-    public synchronized CompletableFuture<Void> whenReadBeyond(LogPosition place) {
-        if (place.era() != era || next > place.offset()) {
+    public synchronized CompletableFuture<Void> whenReadBeyond(LogPosition position) {
+        if (position.era() != era || nextOffset > position.offset()) {
             return CompletableFuture.completedFuture(null);
         }
         CompletableFuture<Void> change = new CompletableFuture<>();
-        waiting.add(change);
-        change.whenComplete((nothing, failure) -> forget(change));
+        waiters.add(change);
+        change.whenComplete((nothing, failure) -> removeWaiter(change));
         return change;
     }
 
-    private synchronized void forget(CompletableFuture<Void> change) {
-        waiting.remove(change);
+    private synchronized void removeWaiter(CompletableFuture<Void> change) {
+        waiters.remove(change);
     }
 
-    private void forgetDropped() {
-        if (newest.values().stream().filter(KeyedRecord::isTombstone).count() > MAX_DROPPED) {
-            newest.values().removeIf(KeyedRecord::isTombstone);
-            first = next;
+    private void purgeTombstones() {
+        if (newestByKey.values().stream().filter(KeyedRecord::isTombstone).count() > MAX_TOMBSTONES) {
+            newestByKey.values().removeIf(KeyedRecord::isTombstone);
+            firstCompleteOffset = nextOffset;
         }
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/AdapterVersions.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/AdapterVersions.java
@@ -20,10 +20,10 @@
      * @return whether it is newer than what was known
      */
     public boolean recordVersion(AdapterId adapter, long version, long nowNanos) {
-        long before = newestVersion(adapter);
+        long knownVersion = newestVersion(adapter);
         newestVersion.merge(
                 adapter, new KnownVersion(version, nowNanos), (old, n) -> n.version() > old.version() ? n : old);
-        return version > before;
+        return version > knownVersion;
     }
 
     /** Returns the newest named version, or 0 when none was named. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/Upstream.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/Upstream.java
@@ -31,8 +31,8 @@
     }
 
     /** Returns a later start of this upstream at the same address, which is not known to hold anything. */
-    public Upstream withStart(String newId, long newBorn) {
-        return new Upstream(newId, service, address, dataCentre, newBorn, false, slots, Map.of());
+    public Upstream withStart(String newId, long newStartMillis) {
+        return new Upstream(newId, service, address, dataCentre, newStartMillis, false, slots, Map.of());
     }
 
     /** Returns a copy that takes no new requests. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
@@ -26,7 +26,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final Map<String, Upstream> upstreams = new ConcurrentHashMap<>();
-    private final Map<String, Boolean> lapsed = new ConcurrentHashMap<>();
+    private final Map<String, Boolean> expiredIds = new ConcurrentHashMap<>();
     private final List<BiConsumer<@Nullable Upstream, @Nullable Upstream>> listeners = new CopyOnWriteArrayList<>();
 
     /** Calls back with each upstream's description before and after a change; null where there is none. */
@@ -39,7 +39,7 @@
      * start, or of the time before an upstream began to leave; neither is believed.
      */
     public void put(Upstream described) {
-        lapsed.remove(described.id());
+        expiredIds.remove(described.id());
         Upstream before = upstreams.get(described.id());
         if (before != null && before.startMillis() > described.startMillis()) {
             logger.atInfo()
@@ -59,29 +59,29 @@
         } else if (before.leaving() != upstream.leaving()) {
             logger.atInfo().with(LogKeys.UPSTREAM, upstream.id()).log("upstream leaving: %s", upstream.leaving());
         }
-        tell(before, upstream);
+        notifyListeners(before, upstream);
     }
 
     /** Removes an upstream that is gone. */
     public void remove(String id) {
-        lapsed.remove(id);
+        expiredIds.remove(id);
         Upstream before = upstreams.remove(id);
         if (before != null) {
             logger.atInfo().with(LogKeys.UPSTREAM, id).log("upstream of %s is gone", before.service());
-            tell(before, null);
+            notifyListeners(before, null);
         }
     }
 
     /** Notes that an upstream's entry lapsed while the store was away, so that it may come back. */
     public void markExpired(String id) {
         if (upstreams.containsKey(id)) {
-            lapsed.put(id, true);
+            expiredIds.put(id, true);
         }
     }
 
     /** Removes the upstreams whose lapsed entries did not come back. */
     public void removeExpired() {
-        List.copyOf(lapsed.keySet()).forEach(this::remove);
+        List.copyOf(expiredIds.keySet()).forEach(this::remove);
     }
 
     /** Returns an upstream by its id. */
@@ -106,7 +106,7 @@
                 .anyMatch(o -> o.address().equals(upstream.address()) && o.startMillis() > upstream.startMillis());
     }
 
-    private void tell(@Nullable Upstream before, @Nullable Upstream after) {
+    private void notifyListeners(@Nullable Upstream before, @Nullable Upstream after) {
         if (!Objects.equals(before, after)) {
             listeners.forEach(l -> l.accept(before, after));
         }
