Rename the internals of membership and log relay

Cause: "lapse", "stand", "silence" and "late" are figurative, and the constants did not say what they bound.

Change: names only, by the compiler's resolution, with all uses.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
@@ -21,38 +21,38 @@
 public final class EntryMembers implements KeyedLogListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** Age at which another entry's record has lapsed. */
-    private static final Duration LAPSE = Duration.ofMillis(7_500);
+    private static final Duration RECORD_LIFETIME = Duration.ofMillis(7_500);
     /** Age of the own record from which others may soon count this entry as gone. */
-    private static final Duration OWN_LAPSE = Duration.ofSeconds(6);
+    private static final Duration MAX_OWN_RECORD_AGE = Duration.ofSeconds(6);
     /** Age of what was read of the others from which one of them may have come that is not known here. */
     public static final Duration MAX_READ_AGE = Duration.ofSeconds(4);
     /** Time after which all others know of an entry that has come, or do not stand themselves. */
-    private static final Duration SETTLE = MAX_READ_AGE.plusMillis(250);
+    private static final Duration JOIN_DELAY = MAX_READ_AGE.plusMillis(250);
     /** Age of the record of this VM's earlier process below which no other entry counts the VM as gone. */
-    private static final Duration RESTART = Duration.ofSeconds(5);
+    private static final Duration MAX_RESTART_RECORD_AGE = Duration.ofSeconds(5);
     /** Time between two renewals of a record. */
     public static final Duration RENEWAL_INTERVAL = Duration.ofMillis(2_500);
     /** Renewals of another entry right before and right after an outage of the store for all. */
     private static final int RENEWALS_AROUND_OUTAGE = 2;
     /** Silence of the store after which the age of records says nothing. */
-    private static final Duration STORE_SILENCE = Duration.ofSeconds(4);
+    private static final Duration MIN_STORE_OUTAGE = Duration.ofSeconds(4);
 
     private final String self;
     private final TimeSource time;
-    private final Map<String, Seen> seen = new HashMap<>();
-    private boolean storeSilent;
-    private final Map<String, Integer> renewals = new HashMap<>();
-    private boolean restarted;
-    private boolean ownWritten;
-    private long ownNanos;
-    private long standsFromNanos;
-    private boolean mayHaveLapsed;
-    private long silentNanos;
+    private final Map<String, ReceivedRecord> receivedRecords = new HashMap<>();
+    private boolean storeOutage;
+    private final Map<String, Integer> renewalsByEntry = new HashMap<>();
+    private boolean earlierRecordValid;
+    private boolean ownRecordWritten;
+    private long ownRenewalNanos;
+    private long activeFromNanos;
+    private boolean mayHaveExpired;
+    private long renewalGapNanos;
 
     /** Another entry as its record tells. */
     public record Member(String peerAddress, String dataCentre) {}
 
-    private record Seen(EntryRecord entry, long nanos) {}
+    private record ReceivedRecord(EntryRecord entry, long receivedNanos) {}
 
     /** Creates an empty set for the entry with the given name. */
     public EntryMembers(String self, TimeSource time) {
@@ -65,11 +65,11 @@
         try {
             EntryRecord entry = EntryRecord.parseFrom(value);
             if (key.equals(self)) {
-                noteOwn(entry);
+                onEarlierOwnRecord(entry);
                 return;
             }
-            renewals.merge(key, 1, Integer::sum);
-            Seen before = seen.put(key, new Seen(entry, time.monotonicNanos()));
+            renewalsByEntry.merge(key, 1, Integer::sum);
+            ReceivedRecord before = receivedRecords.put(key, new ReceivedRecord(entry, time.monotonicNanos()));
             if (before == null) {
                 logger.atInfo().with(LogKeys.PEER, key).log("entry at %s", entry.getPeerAddress());
             }
@@ -80,16 +80,16 @@
 
     @Override
     public synchronized void onDelete(String key, boolean afterOutage) {
-        if (!afterOutage && seen.remove(key) != null) {
+        if (!afterOutage && receivedRecords.remove(key) != null) {
             logger.atInfo().with(LogKeys.PEER, key).log("entry left");
         }
     }
 
     /** Before this process has written, the own record is that of the VM's earlier process. */
-    private void noteOwn(EntryRecord entry) {
+    private void onEarlierOwnRecord(EntryRecord entry) {
         long age = time.wallMillis() - entry.getWrittenMillis();
-        if (!ownWritten && age >= 0 && age < RESTART.toMillis()) {
-            restarted = true;
+        if (!ownRecordWritten && age >= 0 && age < MAX_RESTART_RECORD_AGE.toMillis()) {
+            earlierRecordValid = true;
         }
     }
 
@@ -104,16 +104,16 @@
 
     /** Notes that the own record was written by a call that was sent at the given time. */
     public synchronized void onOwnRecordWritten(long sentNanos) {
-        if (!ownWritten) {
-            standsFromNanos = restarted ? sentNanos : sentNanos + SETTLE.toNanos();
-        } else if (sentNanos - ownNanos > OWN_LAPSE.toNanos()) {
-            mayHaveLapsed = true;
-            silentNanos = sentNanos - ownNanos;
-        } else if (!mayHaveLapsed) {
-            renewals.clear();
+        if (!ownRecordWritten) {
+            activeFromNanos = earlierRecordValid ? sentNanos : sentNanos + JOIN_DELAY.toNanos();
+        } else if (sentNanos - ownRenewalNanos > MAX_OWN_RECORD_AGE.toNanos()) {
+            mayHaveExpired = true;
+            renewalGapNanos = sentNanos - ownRenewalNanos;
+        } else if (!mayHaveExpired) {
+            renewalsByEntry.clear();
         }
-        ownWritten = true;
-        ownNanos = sentNanos;
+        ownRecordWritten = true;
+        ownRenewalNanos = sentNanos;
     }
 
     /**
@@ -123,47 +123,50 @@
      */
     public synchronized boolean isActive(Duration readAge) {
         long now = time.monotonicNanos();
-        if (!ownWritten || now - ownNanos > OWN_LAPSE.toNanos() || readAge.compareTo(MAX_READ_AGE) > 0) {
+        if (!ownRecordWritten
+                || now - ownRenewalNanos > MAX_OWN_RECORD_AGE.toNanos()
+                || readAge.compareTo(MAX_READ_AGE) > 0) {
             return false;
         }
-        if (mayHaveLapsed) {
-            decideLapse(now, readAge);
+        if (mayHaveExpired) {
+            resolvePossibleExpiry(now, readAge);
         }
-        return !mayHaveLapsed && now - standsFromNanos >= 0;
+        return !mayHaveExpired && now - activeFromNanos >= 0;
     }
 
     /** After a silence of the store the others' renewals tell whether it was silent for them as well. */
-    private void decideLapse(long now, Duration readAge) {
-        if (now - ownNanos < readAge.toNanos()) {
+    private void resolvePossibleExpiry(long now, Duration readAge) {
+        if (now - ownRenewalNanos < readAge.toNanos()) {
             return;
         }
-        long ofWorkingStore = Math.max(RENEWALS_AROUND_OUTAGE + 1, silentNanos / RENEWAL_INTERVAL.toNanos() - 1);
-        boolean lapsed = renewals.values().stream().anyMatch(n -> n >= ofWorkingStore);
-        standsFromNanos = lapsed ? ownNanos + SETTLE.toNanos() : ownNanos;
-        mayHaveLapsed = false;
-        renewals.clear();
-        logger.atInfo().log("own record renewed after a pause, taken as gone by others: %s", lapsed);
+        long renewalsWithoutOutage =
+                Math.max(RENEWALS_AROUND_OUTAGE + 1, renewalGapNanos / RENEWAL_INTERVAL.toNanos() - 1);
+        boolean expired = renewalsByEntry.values().stream().anyMatch(n -> n >= renewalsWithoutOutage);
+        activeFromNanos = expired ? ownRenewalNanos + JOIN_DELAY.toNanos() : ownRenewalNanos;
+        mayHaveExpired = false;
+        renewalsByEntry.clear();
+        logger.atInfo().log("own record renewed after a pause, taken as gone by others: %s", expired);
     }
 
     /**
      * Takes how long the store has been silent. After a silence all records count as just renewed, since their writers
      * had no way to renew them.
      */
-    public synchronized void updateReadAge(Duration silence) {
-        boolean silent = silence.compareTo(STORE_SILENCE) > 0;
-        if (silent || storeSilent) {
+    public synchronized void updateReadAge(Duration readAge) {
+        boolean outage = readAge.compareTo(MIN_STORE_OUTAGE) > 0;
+        if (outage || storeOutage) {
             long now = time.monotonicNanos();
-            seen.replaceAll((name, s) -> new Seen(s.entry(), now));
+            receivedRecords.replaceAll((name, s) -> new ReceivedRecord(s.entry(), now));
         }
-        storeSilent = silent;
+        storeOutage = outage;
     }
 
     /** Returns the other entries by their names. */
     public synchronized Map<String, Member> members() {
-        long oldest = time.monotonicNanos() - LAPSE.toNanos();
+        long oldest = time.monotonicNanos() - RECORD_LIFETIME.toNanos();
         Map<String, Member> present = new HashMap<>();
-        seen.forEach((name, s) -> {
-            if (s.nanos() - oldest > 0) {
+        receivedRecords.forEach((name, s) -> {
+            if (s.receivedNanos() - oldest > 0) {
                 present.put(
                         name, new Member(s.entry().getPeerAddress(), s.entry().getDataCentre()));
             }
@@ -173,8 +176,8 @@
 
     /** Returns the peer address of another entry, if there is one of that name. */
     public synchronized Optional<String> addressOf(String name) {
-        return Optional.ofNullable(seen.get(name))
-                .filter(s -> time.monotonicNanos() - s.nanos() < LAPSE.toNanos())
+        return Optional.ofNullable(receivedRecords.get(name))
+                .filter(s -> time.monotonicNanos() - s.receivedNanos() < RECORD_LIFETIME.toNanos())
                 .map(s -> s.entry().getPeerAddress());
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMessenger.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMessenger.java
@@ -32,8 +32,8 @@
     private final PeerClient peers;
     private final EntryMembers members;
     private final BudgetHomes homes;
-    private final CrashWatch crashes;
-    private final EngineView view;
+    private final CrashWatch crashWatch;
+    private final EngineView engineView;
     private final LogRelay relay;
 
     /** Creates an exchange and registers it for its frames. */
@@ -42,16 +42,16 @@
             FrameRouter frames,
             EntryMembers members,
             BudgetHomes homes,
-            CrashWatch crashes,
-            EngineView view,
+            CrashWatch crashWatch,
+            EngineView engineView,
             LogRelay relay) {
         this.peers = peers;
         this.members = members;
         this.homes = homes;
-        this.crashes = crashes;
-        this.view = view;
+        this.crashWatch = crashWatch;
+        this.engineView = engineView;
         this.relay = relay;
-        frames.register(Frame.BodyCase.GATE, this::handle);
+        frames.register(Frame.BodyCase.GATE, this::onFrame);
     }
 
     @Override
@@ -63,7 +63,7 @@
         }
         BudgetDraw.Builder draw =
                 BudgetDraw.newBuilder().setAccount(account).setNeeded(needed).setAhead(ahead);
-        return peers.request(address.get(), frame(GateMessage.newBuilder().setDraw(draw)), DRAW_TIMEOUT)
+        return peers.request(address.get(), gateFrame(GateMessage.newBuilder().setDraw(draw)), DRAW_TIMEOUT)
                 .orTimeout(DRAW_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .thenApply(answer -> {
                     BudgetGrant grant = answer.getGate().getDrawn();
@@ -76,7 +76,7 @@
         members.addressOf(entry).ifPresent(address -> {
             BudgetReturn.Builder unspent =
                     BudgetReturn.newBuilder().setAccount(account).setTokens(tokens);
-            peers.send(address, frame(GateMessage.newBuilder().setUnspent(unspent)));
+            peers.send(address, gateFrame(GateMessage.newBuilder().setUnspent(unspent)));
         });
     }
 
@@ -85,15 +85,15 @@
         members.peerAddresses()
                 .values()
                 .forEach(address ->
-                        peers.send(address, frame(GateMessage.newBuilder().setCrash(crash))));
+                        peers.send(address, gateFrame(GateMessage.newBuilder().setCrash(crash))));
     }
 
-    private void handle(PeerChannel from, Frame frame) {
+    private void onFrame(PeerChannel from, Frame frame) {
         GateMessage message = frame.getGate();
         switch (message.getMessageCase()) {
-            case STATUS -> view.onStatus(message.getStatus());
-            case CRASH -> crashes.onCrash(message.getCrash());
-            case DRAW -> from.reply(frame, frame(GateMessage.newBuilder().setDrawn(drawn(message.getDraw()))));
+            case STATUS -> engineView.onStatus(message.getStatus());
+            case CRASH -> crashWatch.onCrash(message.getCrash());
+            case DRAW -> from.reply(frame, gateFrame(GateMessage.newBuilder().setDrawn(grantDraw(message.getDraw()))));
             case READ -> relay.onReadRequest(from, frame);
             case UNSPENT -> homes.giveBack(
                     message.getUnspent().getAccount(), message.getUnspent().getTokens());
@@ -103,7 +103,7 @@
         }
     }
 
-    private BudgetGrant drawn(BudgetDraw draw) {
+    private BudgetGrant grantDraw(BudgetDraw draw) {
         Drawn drawn = homes.draw(draw.getAccount(), draw.getNeeded(), draw.getAhead());
         return BudgetGrant.newBuilder()
                 .setTokens(drawn.tokens())
@@ -111,7 +111,7 @@
                 .build();
     }
 
-    private static Frame.Builder frame(GateMessage.Builder message) {
+    private static Frame.Builder gateFrame(GateMessage.Builder message) {
         return Frame.newBuilder().setGate(message);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/GateClient.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/GateClient.java
@@ -22,7 +22,7 @@
 public final class GateClient {
     private final PeerClient peers;
     private final int sidePort;
-    private final AtomicLong tickets = new AtomicLong();
+    private final AtomicLong lastTicket = new AtomicLong();
 
     /**
      * Creates a client.
@@ -36,13 +36,13 @@
 
     /** Returns a number for the next start. */
     public long newTicket() {
-        return tickets.incrementAndGet();
+        return lastTicket.incrementAndGet();
     }
 
     /** Asks for a start; fails with a {@code PeerException} when the side refuses or does not answer in time. */
     public CompletableFuture<StartGrant> requestStart(Upstream engine, StartRequest request, Duration timeout) {
         GateMessage message = GateMessage.newBuilder().setStart(request).build();
-        return peers.request(sideOf(engine), Frame.newBuilder().setGate(message), timeout)
+        return peers.request(sideAddress(engine), Frame.newBuilder().setGate(message), timeout)
                 .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
                 .thenApply(frame -> frame.getGate().getGrant());
     }
@@ -52,12 +52,12 @@
         RunProgress progress =
                 RunProgress.newBuilder().setTicket(ticket).setStage(stage).build();
         peers.send(
-                sideOf(engine),
+                sideAddress(engine),
                 Frame.newBuilder()
                         .setGate(GateMessage.newBuilder().setProgress(progress).build()));
     }
 
-    private String sideOf(Upstream engine) {
+    private String sideAddress(Upstream engine) {
         return IpAddresses.format(new InetSocketAddress(engine.address().getAddress(), sidePort));
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
@@ -40,33 +40,37 @@
 public final class LogRelay {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** How long an asked entry waits for the first record, short so that a silent one is noticed early. */
-    private static final Duration MAX_WAIT = Duration.ofMillis(300);
+    private static final Duration MAX_RELAY_WAIT = Duration.ofMillis(300);
 
     /** With a shorter wait, the one reader would call the store as often as the others together. */
     private static final Duration MIN_STORE_WAIT = Duration.ofMillis(400);
 
-    private static final Duration ANSWER_SLACK = Duration.ofMillis(200);
+    private static final Duration ANSWER_MARGIN = Duration.ofMillis(200);
     /** How much older than usual what the store answered may be. */
-    private static final Duration LATE = Duration.ofMillis(250);
+    private static final Duration MAX_EXTRA_AGE = Duration.ofMillis(250);
     /** What each entry between adds: its own question waited, and so does the next one. */
-    private static final Duration HOP = MAX_WAIT.multipliedBy(2).plusMillis(50);
+    private static final Duration MAX_HOP_AGE = MAX_RELAY_WAIT.multipliedBy(2).plusMillis(50);
     /** Time for which an entry that did not help is not asked again. */
-    private static final Duration UNUSABLE = Duration.ofSeconds(3);
+    private static final Duration PARENT_RETRY_DELAY = Duration.ofSeconds(3);
 
     private final PeerClient peers;
-    private final Supplier<ReadTree.Place> place;
+    private final Supplier<ReadTree.Position> position;
     private final TimeSource time;
     private final ScheduledExecutorService scheduler;
-    private final Map<String, LogFollower> served = new ConcurrentHashMap<>();
-    private volatile long unusableUntilNanos;
+    private final Map<String, LogFollower> followersByLog = new ConcurrentHashMap<>();
+    private volatile long parentRetryNanos;
 
     /** Creates a relay without logs. */
-    LogRelay(PeerClient peers, Supplier<ReadTree.Place> place, TimeSource time, ScheduledExecutorService scheduler) {
+    LogRelay(
+            PeerClient peers,
+            Supplier<ReadTree.Position> position,
+            TimeSource time,
+            ScheduledExecutorService scheduler) {
         this.peers = peers;
-        this.place = place;
+        this.position = position;
         this.time = time;
         this.scheduler = scheduler;
-        this.unusableUntilNanos = time.monotonicNanos();
+        this.parentRetryNanos = time.monotonicNanos();
     }
 
     /** Creates the relay of an entry. */
@@ -78,7 +82,7 @@
             ScheduledExecutorService scheduler) {
         return new LogRelay(
                 peers,
-                () -> ReadTree.place(identity.vmName(), identity.dataCentre(), members.members()),
+                () -> ReadTree.position(identity.vmName(), identity.dataCentre(), members.members()),
                 time,
                 scheduler);
     }
@@ -91,9 +95,9 @@
      */
     public static Optional<FollowSettings> relaySettings(FollowSettings base, Duration bound) {
         Duration pauses = base.readPause().plus(base.readPause().dividedBy(LogFollower.RELAYED_PAUSE_DIVISOR));
-        Duration hops = LATE.plus(MAX_WAIT).plus(ANSWER_SLACK);
-        Duration left = bound.multipliedBy(4).dividedBy(5).minus(pauses).minus(hops);
-        Duration wait = left.dividedBy(2);
+        Duration relayDelay = MAX_EXTRA_AGE.plus(MAX_RELAY_WAIT).plus(ANSWER_MARGIN);
+        Duration remaining = bound.multipliedBy(4).dividedBy(5).minus(pauses).minus(relayDelay);
+        Duration wait = remaining.dividedBy(2);
         if (wait.compareTo(MIN_STORE_WAIT) < 0) {
             return Optional.empty();
         }
@@ -102,7 +106,7 @@
 
     /** Answers others from what a follower has read. */
     public void register(String log, LogFollower follower) {
-        served.put(log, follower);
+        followersByLog.put(log, follower);
     }
 
     /** Returns a log that is read through another entry where that is possible. */
@@ -116,7 +120,7 @@
             @Override
             public CompletableFuture<Records> read(LogPosition from, Duration wait) {
                 return usableParent()
-                        .map(parent -> readThrough(parent, log, from, wait, direct))
+                        .map(parent -> readFromParent(parent, log, from, wait, direct))
                         .orElseGet(() -> direct.read(from, wait));
             }
         };
@@ -125,20 +129,20 @@
     // Asking
 
     private Optional<String> usableParent() {
-        return time.monotonicNanos() - unusableUntilNanos < 0
+        return time.monotonicNanos() - parentRetryNanos < 0
                 ? Optional.empty()
-                : place.get().parent();
+                : position.get().parent();
     }
 
-    private CompletableFuture<KeyedLog.Records> readThrough(
+    private CompletableFuture<KeyedLog.Records> readFromParent(
             String parent, String log, LogPosition from, Duration wait, KeyedLog direct) {
-        Duration asked = wait.compareTo(MAX_WAIT) < 0 ? wait : MAX_WAIT;
-        Duration timeout = asked.plus(ANSWER_SLACK);
+        Duration relayWait = wait.compareTo(MAX_RELAY_WAIT) < 0 ? wait : MAX_RELAY_WAIT;
+        Duration timeout = relayWait.plus(ANSWER_MARGIN);
         RecordsRead.Builder read = RecordsRead.newBuilder()
                 .setLog(log)
                 .setEra(from.era())
                 .setFrom(from.offset())
-                .setWaitMillis((int) asked.toMillis());
+                .setWaitMillis((int) relayWait.toMillis());
         return peers.request(
                         parent,
                         Frame.newBuilder().setGate(GateMessage.newBuilder().setRead(read)),
@@ -147,22 +151,22 @@
                 .handle((frame, failure) -> {
                     if (frame != null && frame.getGate().getFound().getKnown()) {
                         return CompletableFuture.completedFuture(
-                                records(frame.getGate().getFound()));
+                                toRecords(frame.getGate().getFound()));
                     }
-                    unusableUntilNanos = time.monotonicNanos() + UNUSABLE.toNanos();
+                    parentRetryNanos = time.monotonicNanos() + PARENT_RETRY_DELAY.toNanos();
                     logger.atInfo()
                             .with(LogKeys.PEER, parent)
                             .log(
                                     "%s is read here for %d ms: %s",
                                     log,
-                                    UNUSABLE.toMillis(),
+                                    PARENT_RETRY_DELAY.toMillis(),
                                     failure == null ? "the entry asked cannot tell" : Failures.unwrap(failure));
                     return direct.read(from, Duration.ZERO);
                 })
                 .thenCompose(answer -> answer);
     }
 
-    private static KeyedLog.Records records(RecordsFound found) {
+    private static KeyedLog.Records toRecords(RecordsFound found) {
         List<KeyedRecord> records = found.getRecordsList().stream()
                 .map(r -> new KeyedRecord(r.getKey(), r.getValue().toByteArray(), r.getOffset()))
                 .toList();
@@ -175,21 +179,21 @@
     /** Answers an entry's question, now or when there is a record or its wait is over. */
     void onReadRequest(PeerChannel from, Frame frame) {
         RecordsRead read = frame.getGate().getRead();
-        LogFollower follower = served.get(read.getLog());
+        LogFollower follower = followersByLog.get(read.getLog());
         if (follower == null || !isFresh(follower)) {
             reply(from, frame, RecordsFound.getDefaultInstance());
             return;
         }
-        long wait = Math.min(MAX_WAIT.toMillis(), read.getWaitMillis());
-        LogPosition place = new LogPosition(read.getEra(), read.getFrom());
-        CompletableFuture<Void> change = follower.mirror().whenReadBeyond(place);
-        change.thenRun(() -> reply(from, frame, found(follower, place)));
+        long wait = Math.min(MAX_RELAY_WAIT.toMillis(), read.getWaitMillis());
+        LogPosition requested = new LogPosition(read.getEra(), read.getFrom());
+        CompletableFuture<Void> change = follower.mirror().whenReadBeyond(requested);
+        change.thenRun(() -> reply(from, frame, toMessage(follower, requested)));
         if (!change.isDone()) {
             scheduler.schedule(() -> change.complete(null), wait, TimeUnit.MILLISECONDS);
         }
     }
 
-    private RecordsFound found(LogFollower follower, LogPosition from) {
+    private RecordsFound toMessage(LogFollower follower, LogPosition from) {
         int age = follower.freshness().ageMillis();
         return follower.mirror()
                 .recordsFrom(from)
@@ -199,12 +203,13 @@
                         .setEra(r.next().era())
                         .setNext(r.next().offset())
                         .setAgeMillis(age)
-                        .addAllRecords(r.records().stream().map(LogRelay::found).toList())
+                        .addAllRecords(
+                                r.records().stream().map(LogRelay::toMessage).toList())
                         .build())
                 .orElseGet(RecordsFound::getDefaultInstance);
     }
 
-    private static FoundRecord found(KeyedRecord record) {
+    private static FoundRecord toMessage(KeyedRecord record) {
         return FoundRecord.newBuilder()
                 .setKey(record.key())
                 .setValue(ByteString.copyFrom(record.value()))
@@ -215,8 +220,8 @@
     /** An entry that has lost the store, or lags behind, does not hold the others back. */
     private boolean isFresh(LogFollower follower) {
         Duration limit = follower.maxNormalAge()
-                .plus(LATE)
-                .plus(HOP.multipliedBy(place.get().depth()));
+                .plus(MAX_EXTRA_AGE)
+                .plus(MAX_HOP_AGE.multipliedBy(position.get().depth()));
         return follower.isReachable() && follower.freshness().isYoungerThan(limit);
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/ReadTree.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/ReadTree.java
@@ -23,10 +23,10 @@
      * @param depth how many entries are between this one and the store
      * @param parent the peer address of the entry to read through; absent at the root
      */
-    record Place(int depth, Optional<String> parent) {}
+    record Position(int depth, Optional<String> parent) {}
 
     /** Returns an entry's place among the others, of which those of its data centre count. */
-    static Place place(String self, String dataCentre, Map<String, EntryMembers.Member> others) {
+    static Position position(String self, String dataCentre, Map<String, EntryMembers.Member> others) {
         List<String> names = Stream.concat(
                         Stream.of(self),
                         others.entrySet().stream()
@@ -36,10 +36,10 @@
         List<String> order = RendezvousHash.order(dataCentre, names, n -> n);
         int rank = order.indexOf(self);
         if (rank == 0) {
-            return new Place(0, Optional.empty());
+            return new Position(0, Optional.empty());
         }
         String parent = order.get((rank - 1) / FAN_OUT);
-        return new Place(depth(rank), Optional.ofNullable(others.get(parent)).map(EntryMembers.Member::peerAddress));
+        return new Position(depth(rank), Optional.ofNullable(others.get(parent)).map(EntryMembers.Member::peerAddress));
     }
 
     private static int depth(int rank) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/VmIdentity.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/VmIdentity.java
@@ -9,7 +9,7 @@
 
 /** Which VM a process runs on, and where other processes reach it. Immutable. */
 public record VmIdentity(String name, String dataCentre, String region, InetSocketAddress peerAddress) {
-    private static final int SUB_MILLIS = 1_000;
+    private static final int INCARNATIONS_PER_MILLI = 1_000;
 
     public VmIdentity {
         Objects.requireNonNull(name, "name");
@@ -20,7 +20,8 @@
 
     /** Returns the identity of a process that starts now. */
     public ProcessIdentity newProcessIdentity(ProcessRole role, TimeSource time) {
-        long incarnation = time.wallMillis() * SUB_MILLIS + Math.floorMod(time.monotonicNanos(), SUB_MILLIS);
+        long incarnation = time.wallMillis() * INCARNATIONS_PER_MILLI
+                + Math.floorMod(time.monotonicNanos(), INCARNATIONS_PER_MILLI);
         return new ProcessIdentity(name, role, dataCentre, region, IpAddresses.format(peerAddress), incarnation);
     }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
@@ -34,13 +34,13 @@
 public class LogRelayTest {
     private static final String LOG = "operators' log";
     private static final Duration BOUND = Duration.ofSeconds(3);
-    private static final Duration A_WHILE = Duration.ofSeconds(5);
+    private static final Duration OBSERVATION_TIME = Duration.ofSeconds(5);
 
     private MovedTime time;
     private StepScheduler scheduler;
     private Store store;
     private Map<String, Entry> entries;
-    private Set<String> frozen;
+    private Set<String> unresponsive;
 
     @BeforeMethod
     public void setUp() {
@@ -48,15 +48,15 @@
         scheduler = new StepScheduler(time);
         store = new Store();
         entries = new HashMap<>();
-        frozen = new HashSet<>();
+        unresponsive = new HashSet<>();
     }
 
-    private void start(int count) {
+    private void startEntries(int count) {
         List<String> names =
                 IntStream.range(0, count).mapToObj(i -> "entry-" + i).toList();
         names.forEach(n -> entries.put(n, new Entry(n, names)));
         entries.values().forEach(e -> e.follower.start());
-        scheduler.runFor(A_WHILE);
+        scheduler.runFor(OBSERVATION_TIME);
     }
 
     private Entry root() {
@@ -72,31 +72,32 @@
 
     /** Load pattern: ever more entries of a data centre follow the same log. */
     @Test
-    public void theCallsToTheStoreDoNotGrowWithTheEntries() {
+    public void storeReadsDoNotGrowWithTheNumberOfEntries() {
         for (int count : new int[] {1, 6, 70}) {
             setUp();
-            start(count);
+            startEntries(count);
             long before = store.reads;
-            scheduler.runFor(A_WHILE);
-            assertTrue(store.reads - before <= A_WHILE.toSeconds() * 2, (store.reads - before) + " of " + count);
+            scheduler.runFor(OBSERVATION_TIME);
+            assertTrue(
+                    store.reads - before <= OBSERVATION_TIME.toSeconds() * 2, (store.reads - before) + " of " + count);
         }
     }
 
     @Test
-    public void aRecordReachesAllEntriesSoonAfterItsRoot() {
-        start(70);
+    public void recordReachesAllEntriesSoonAfterTheRoot() {
+        startEntries(70);
         store.add("k", "1");
         scheduler.runFor(Duration.ofMillis(400));
-        entries.values().forEach(e -> assertEquals(e.seen.get("k"), "1", e.name));
+        entries.values().forEach(e -> assertEquals(e.values.get("k"), "1", e.name));
         store.add("k", "");
         scheduler.runFor(Duration.ofMillis(400));
-        entries.values().forEach(e -> assertEquals(e.seen.get("k"), null, e.name));
+        entries.values().forEach(e -> assertEquals(e.values.get("k"), null, e.name));
     }
 
     @Test
-    public void whatIsRelayedIsAsOldAsTheStoresAnswer() {
-        start(3);
-        store.down.addAll(entries.keySet());
+    public void relayedStateIsAtLeastAsOldAsTheStoreAnswer() {
+        startEntries(3);
+        store.unreachableFor.addAll(entries.keySet());
         long lastReadNanos = store.lastReadNanos;
         scheduler.runFor(Duration.ofMillis(800));
         long storeAge = TimeUnit.NANOSECONDS.toMillis(time.monotonicNanos() - lastReadNanos);
@@ -105,41 +106,41 @@
 
     /** Pattern: the entry that reads for the others freezes. */
     @Test
-    public void aFrozenRootIsPassedOverWithinHalfASecond() {
-        start(6);
-        frozen.add(root().name);
+    public void entriesBypassAnUnresponsiveRootWithin700Millis() {
+        startEntries(6);
+        unresponsive.add(root().name);
         store.add("k", "2");
         scheduler.runFor(Duration.ofMillis(700));
-        others().forEach(e -> assertEquals(e.seen.get("k"), "2", e.name));
+        others().forEach(e -> assertEquals(e.values.get("k"), "2", e.name));
     }
 
     /** Pattern: the entry that reads for the others is cut off from the store, which serves the others. */
     @Test
-    public void aRootThatIsCutFromTheStoreIsPassedOver() {
-        start(6);
-        store.down.add(root().name);
+    public void entriesBypassARootThatLostTheStore() {
+        startEntries(6);
+        store.unreachableFor.add(root().name);
         scheduler.runFor(Duration.ofMillis(100));
         store.add("k", "2");
         scheduler.runFor(BOUND.multipliedBy(4).dividedBy(5));
-        others().forEach(e -> assertEquals(e.seen.get("k"), "2", e.name));
+        others().forEach(e -> assertEquals(e.values.get("k"), "2", e.name));
         others().forEach(e -> assertTrue(e.follower.freshness().isYoungerThan(BOUND), e.name));
     }
 
     @Test
-    public void afterTheRootIsBackItReadsForTheOthersAgain() {
-        start(6);
-        frozen.add(root().name);
-        scheduler.runFor(A_WHILE);
-        frozen.clear();
-        scheduler.runFor(A_WHILE);
+    public void recoveredRootReadsForTheOthersAgain() {
+        startEntries(6);
+        unresponsive.add(root().name);
+        scheduler.runFor(OBSERVATION_TIME);
+        unresponsive.clear();
+        scheduler.runFor(OBSERVATION_TIME);
         long before = store.reads;
-        scheduler.runFor(A_WHILE);
-        assertTrue(store.reads - before <= A_WHILE.toSeconds() * 2, "reads " + (store.reads - before));
+        scheduler.runFor(OBSERVATION_TIME);
+        assertTrue(store.reads - before <= OBSERVATION_TIME.toSeconds() * 2, "reads " + (store.reads - before));
     }
 
     @Test
-    public void anEntryBehindTheStartOfItsRootReadsTheLogItself() {
-        start(2);
+    public void rootCannotServeRecordsFromBeforeItsStart() {
+        startEntries(2);
         long behind = others().get(0).follower.offset();
         store.add("k", "1");
         store.add("k", "");
@@ -160,7 +161,7 @@
     }
 
     @Test
-    public void aBoundThatIsTooShortForRelayingLeavesTheLogToBeReadDirectly() {
+    public void logIsReadDirectlyWhenTheBoundIsTooShortForRelaying() {
         assertFalse(LogRelay.relaySettings(FollowSettings.LOW_LATENCY, Duration.ofSeconds(2))
                 .isPresent());
         Duration wait = LogRelay.relaySettings(FollowSettings.LOW_LATENCY, Duration.ofSeconds(3))
@@ -173,13 +174,13 @@
     }
 
     @Test
-    public void aTreeHasOneRootADataCentreAndABoundedFanOut() {
+    public void treeHasOneRootPerDataCentreAndABoundedFanOut() {
         Map<String, EntryMembers.Member> members = IntStream.range(0, 300)
                 .boxed()
                 .collect(Collectors.toMap(
                         i -> "entry-" + i, i -> new EntryMembers.Member("entry-" + i, i % 3 == 0 ? "north" : "south")));
         Map<String, Long> children = members.entrySet().stream()
-                .map(e -> ReadTree.place(e.getKey(), e.getValue().dataCentre(), without(members, e.getKey())))
+                .map(e -> ReadTree.position(e.getKey(), e.getValue().dataCentre(), without(members, e.getKey())))
                 .filter(p -> p.parent().isPresent())
                 .collect(Collectors.groupingBy(p -> p.parent().orElseThrow(), Collectors.counting()));
         assertEquals(children.values().stream().mapToLong(c -> c).sum(), 298);
@@ -197,7 +198,7 @@
     private final class Store {
         private final List<KeyedRecord> records = new ArrayList<>();
         private final List<CompletableFuture<Void>> waiting = new ArrayList<>();
-        private final Set<String> down = new HashSet<>();
+        private final Set<String> unreachableFor = new HashSet<>();
         private long reads;
         private long lastReadNanos;
 
@@ -208,7 +209,7 @@
             woken.forEach(w -> w.complete(null));
         }
 
-        KeyedLog asSeenBy(String entry) {
+        KeyedLog logFor(String entry) {
             return new KeyedLog() {
                 @Override
                 public CompletableFuture<NewestPage> readNewest(String afterKey) {
@@ -223,7 +224,7 @@
 
                 @Override
                 public CompletableFuture<Records> read(LogPosition from, Duration wait) {
-                    if (down.contains(entry)) {
+                    if (unreachableFor.contains(entry)) {
                         return CompletableFuture.failedFuture(new IllegalStateException("down"));
                     }
                     reads++;
@@ -249,7 +250,7 @@
         private final Map<String, EntryMembers.Member> others;
         private final LogRelay relay;
         private final LogFollower follower;
-        private final Map<String, String> seen = new HashMap<>();
+        private final Map<String, String> values = new HashMap<>();
 
         Entry(String name, List<String> names) {
             this.name = name;
@@ -259,7 +260,7 @@
             this.relay = new LogRelay(this, this::place, time, scheduler);
             this.follower = new LogFollower(
                     LOG,
-                    relay.relayedLog(LOG, store.asSeenBy(name)),
+                    relay.relayedLog(LOG, store.logFor(name)),
                     this,
                     LogRelay.relaySettings(FollowSettings.LOW_LATENCY, BOUND).orElseThrow(),
                     scheduler,
@@ -267,18 +268,18 @@
             relay.register(LOG, follower);
         }
 
-        ReadTree.Place place() {
-            return ReadTree.place(name, "north", others);
+        ReadTree.Position place() {
+            return ReadTree.position(name, "north", others);
         }
 
         @Override
         public void onPut(String key, byte[] value) {
-            seen.put(key, new String(value, StandardCharsets.UTF_8));
+            values.put(key, new String(value, StandardCharsets.UTF_8));
         }
 
         @Override
         public void onDelete(String key, boolean afterOutage) {
-            seen.remove(key);
+            values.remove(key);
         }
 
         @Override
@@ -288,7 +289,7 @@
                     () -> answer.completeExceptionally(new IllegalStateException("no answer in time")),
                     timeout.toMillis(),
                     TimeUnit.MILLISECONDS);
-            if (!frozen.contains(peerAddress)) {
+            if (!unresponsive.contains(peerAddress)) {
                 entries.get(peerAddress).relay.onReadRequest(new Reply(answer), frame.build());
             }
             return answer;
