Rename the internals of the forwarding entry

Cause: names such as LAST_BYTES and leaveRecord did not say what is bounded or done.

Change: names only, by the compiler's resolution, with all uses.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -61,84 +61,85 @@
  */
 public final class ForwardEntry {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final Duration KEY_MARGIN = Duration.ofMillis(800);
-    private static final Duration MEMBERS_INTERVAL = Duration.ofMillis(100);
-    private static final Duration OTHERS_POLL = Duration.ofMillis(10);
-    private static final Duration RECORD_RETRY = Duration.ofMillis(700);
-    private static final Duration PEER_KEEP_ALIVE = Duration.ofSeconds(1);
-    private static final Duration SUSPICION = Duration.ofMinutes(2);
-    private static final Duration LAST_BYTES = Duration.ofMillis(300);
+    private static final Duration KEY_EXPIRY_MARGIN = Duration.ofMillis(800);
+    private static final Duration MEMBERS_UPDATE_INTERVAL = Duration.ofMillis(100);
+    private static final Duration FIRST_READ_POLL_INTERVAL = Duration.ofMillis(10);
+    private static final Duration RECORD_RETRY_DELAY = Duration.ofMillis(700);
+    private static final Duration PEER_KEEP_ALIVE_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration CRASH_SUSPICION_TIME = Duration.ofMinutes(2);
+    private static final Duration CONNECTION_FLUSH_TIMEOUT = Duration.ofMillis(300);
     /** How long the end of the process waits for its record to be written. */
-    private static final Duration LAST_WRITE = Duration.ofMillis(200);
+    private static final Duration FINAL_WRITE_TIMEOUT = Duration.ofMillis(200);
     /** The balancer asks once a second and needs two refusals; requests arrive until then. */
-    private static final Duration LEAVE_TIME = Duration.ofMillis(2_800);
+    private static final Duration BALANCER_REMOVAL_DELAY = Duration.ofMillis(2_800);
     /** Part of the grace time that is kept for the end. */
-    private static final Duration GRACE_MARGIN = Duration.ofMillis(500);
+    private static final Duration SHUTDOWN_MARGIN = Duration.ofMillis(500);
 
-    private static final FollowSettings OPERATORS = FollowSettings.LOW_LATENCY;
-    private static final FollowSettings UPSTREAMS =
+    private static final FollowSettings OPERATORS_LOG_SETTINGS = FollowSettings.LOW_LATENCY;
+    private static final FollowSettings UPSTREAMS_LOG_SETTINGS =
             FollowSettings.LOW_LATENCY.withReadPause(Duration.ofMillis(550)).withMaxWait(Duration.ofSeconds(2));
-    private static final Duration RELAYED_ENTRIES_GAP = Duration.ofSeconds(1);
-    private static final FollowSettings ENTRIES =
+    private static final Duration SHORT_ENTRIES_READ_PAUSE = Duration.ofSeconds(1);
+    private static final FollowSettings ENTRIES_LOG_SETTINGS =
             FollowSettings.LOW_LATENCY.withReadPause(Duration.ofMillis(1_500)).withMaxWait(Duration.ofSeconds(2));
 
     private final ForwardEntrySettings settings;
     private final StoreAccess store;
-    private final EventLoop loop;
+    private final EventLoop eventLoop;
     private final TimeSource time = TimeSource.SYSTEM;
     private final MetricRegistry metrics = new MetricRegistry();
     private final ProcessIdentity identity;
     private final NettyPeerTransport transport;
     private final ConfigurationHolder configuration = new ConfigurationHolder();
-    private final AdapterVersions versions = new AdapterVersions();
-    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final AdapterVersions adapterVersions = new AdapterVersions();
+    private final UpstreamDirectory upstreamDirectory = new UpstreamDirectory();
     private final EntryMembers members;
     private final LogRelay relay;
-    private final BudgetHomes homes;
+    private final BudgetHomes budgetHomes;
     private final AccountBudgets budgets;
-    private final CrashWatch crashes;
-    private final EntryMessenger exchange;
+    private final CrashWatch crashWatch;
+    private final EntryMessenger messenger;
     private final LogFollower operatorsFollower;
     private final LogFollower upstreamsFollower;
     private final LogFollower entriesFollower;
     private final RequestForwarder forwarder;
-    private final CallerServer callers;
+    private final CallerServer callerServer;
     private volatile boolean stopping;
     private volatile boolean refusing;
-    private volatile boolean ended;
+    private volatile boolean recordWritesEnded;
     private volatile @Nullable Readiness lastReadiness;
-    private volatile boolean recordWriteFails;
+    private volatile boolean recordWriteFailing;
 
     private ForwardEntry(ForwardEntrySettings settings, StoreAccess store, CallCodec codec, EventLoopGroup loops) {
         this.settings = settings;
         this.store = store;
-        this.loop = loops.next();
+        this.eventLoop = loops.next();
         this.identity = settings.vm().newProcessIdentity(ProcessRole.ENTRY, time);
         this.transport = new NettyPeerTransport(
-                identity, loops, () -> 0, (from, frame) -> {}, new TrafficCounter(metrics), PEER_KEEP_ALIVE);
+                identity, loops, () -> 0, (from, frame) -> {}, new TrafficCounter(metrics), PEER_KEEP_ALIVE_INTERVAL);
         this.members = new EntryMembers(identity.vmName(), time);
-        this.homes = new BudgetHomes(identity.vmName(), settings.budgetSlack(), time, this::isStanding);
-        this.crashes = new CrashWatch(new CrashSuspects(SUSPICION, SUSPICION), time, this::tellCrash);
+        this.budgetHomes = new BudgetHomes(identity.vmName(), settings.budgetSlack(), time, this::isActive);
+        this.crashWatch = new CrashWatch(
+                new CrashSuspects(CRASH_SUSPICION_TIME, CRASH_SUSPICION_TIME), time, this::broadcastCrash);
         EngineView view = new EngineView(time);
-        this.relay = LogRelay.create(transport, identity, members, time, loop);
-        this.exchange = new EntryMessenger(transport, transport, members, homes, crashes, view, relay);
-        this.budgets = new AccountBudgets(identity.vmName(), homes, exchange, time, loop);
-        this.operatorsFollower = follower(
+        this.relay = LogRelay.create(transport, identity, members, time, eventLoop);
+        this.messenger = new EntryMessenger(transport, transport, members, budgetHomes, crashWatch, view, relay);
+        this.budgets = new AccountBudgets(identity.vmName(), budgetHomes, messenger, time, eventLoop);
+        this.operatorsFollower = createFollower(
                 "operators' log",
                 store.operatorsLog(),
-                new ConfigurationUpdater(store.operatorsDecoder(), configuration, versions, time),
-                OPERATORS,
+                new ConfigurationUpdater(store.operatorsDecoder(), configuration, adapterVersions, time),
+                OPERATORS_LOG_SETTINGS,
                 settings.changeBound());
-        this.upstreamsFollower = follower(
+        this.upstreamsFollower = createFollower(
                 "upstreams' log",
                 store.upstreamsLog(),
-                new UpstreamDirectoryUpdater(store.upstreamDecoder(), directory),
-                UPSTREAMS,
+                new UpstreamDirectoryUpdater(store.upstreamDecoder(), upstreamDirectory),
+                UPSTREAMS_LOG_SETTINGS,
                 settings.drainBound());
-        this.entriesFollower =
-                follower("entries' log", store.entriesLog(), members, entries(settings), EntryMembers.MAX_READ_AGE);
+        this.entriesFollower = createFollower(
+                "entries' log", store.entriesLog(), members, entriesLogSettings(settings), EntryMembers.MAX_READ_AGE);
         this.forwarder = createForwarder(codec, view);
-        this.callers = new CallerServer(loops, this::limits, forwarder);
+        this.callerServer = new CallerServer(loops, this::callerLimits, forwarder);
     }
 
     // Life cycle
@@ -153,12 +154,12 @@
 
     private void listen(EventLoopGroup loops) {
         configuration.addListener(table -> budgets.setAccounts(table.accounts()));
-        directory.addListener(this::upstreamChanged);
+        upstreamDirectory.addListener(this::onUpstreamChange);
         operatorsFollower.start();
         upstreamsFollower.start();
         entriesFollower.start();
         transport.listen(settings.vm().peerAddress());
-        callers.listen(settings.callerAddress());
+        callerServer.listen(settings.callerAddress());
         new CallerServer(loops, () -> CallerLimits.DEFAULT, new ReadyService(settings.readyPath(), this::readiness))
                 .listen(settings.readyAddress());
         new CallerServer(loops, () -> CallerLimits.DEFAULT, new AdminService(metrics, this::readiness))
@@ -166,30 +167,33 @@
         metrics.gauge("requests.open", () -> forwarder::openRequests);
         metrics.gauge("operators.log.era", () -> operatorsFollower::era);
         metrics.gauge("configuration.age.millis", () -> operatorsFollower.freshness()::ageMillis);
-        loop.scheduleAtFixedRate(
-                this::followMembers, MEMBERS_INTERVAL.toMillis(), MEMBERS_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
-        loop.execute(this::awaitOthers);
+        eventLoop.scheduleAtFixedRate(
+                this::updateMembers,
+                MEMBERS_UPDATE_INTERVAL.toMillis(),
+                MEMBERS_UPDATE_INTERVAL.toMillis(),
+                TimeUnit.MILLISECONDS);
+        eventLoop.execute(this::awaitFirstMembersRead);
         logger.atInfo().log("entry started, callers %s, peers %s", settings.callerAddress(), identity.peerAddress());
     }
 
     /** Leaves the balancer, answers what has arrived, and ends. */
     public void stop() {
         long deadline = time.monotonicNanos()
-                + settings.shutdownTimeout().minus(GRACE_MARGIN).toNanos();
+                + settings.shutdownTimeout().minus(SHUTDOWN_MARGIN).toNanos();
         stopping = true;
-        callers.drain();
+        callerServer.drain();
         logger.atInfo().log("entry stops with %d open requests", forwarder.openRequests());
-        Drain.pause(LEAVE_TIME);
+        Drain.pause(BALANCER_REMOVAL_DELAY);
         refusing = true;
-        Duration left = Duration.ofNanos(Math.max(0, deadline - time.monotonicNanos()));
-        boolean allAnswered = Drain.await(loop, forwarder::openRequests, left);
-        int cut = forwarder.openRequests();
-        if (!allAnswered && cut > 0) {
-            logger.atWarning().log("%d requests are cut", cut);
+        Duration remaining = Duration.ofNanos(Math.max(0, deadline - time.monotonicNanos()));
+        boolean allAnswered = Drain.await(eventLoop, forwarder::openRequests, remaining);
+        int unanswered = forwarder.openRequests();
+        if (!allAnswered && unanswered > 0) {
+            logger.atWarning().log("%d requests are cut", unanswered);
         }
-        callers.close();
-        Drain.await(loop, this::connectionsWithAnswers, LAST_BYTES);
-        leaveRecord();
+        callerServer.close();
+        Drain.await(eventLoop, this::closeIdleAndCountOpen, CONNECTION_FLUSH_TIMEOUT);
+        renewRecordOnExit();
         logger.atInfo().log("entry stopped");
     }
 
@@ -219,9 +223,9 @@
         return Readiness.READY;
     }
 
-    private long connectionsWithAnswers() {
-        callers.closeIdle();
-        return callers.openConnections();
+    private long closeIdleAndCountOpen() {
+        callerServer.closeIdle();
+        return callerServer.openConnections();
     }
 
     // Parts
@@ -231,34 +235,36 @@
      *
      * @param bound how late a change may become known here
      */
-    private LogFollower follower(
-            String name, KeyedLog log, KeyedLogListener fold, FollowSettings base, Duration bound) {
-        return LogRelay.relaySettings(base, bound)
-                .map(follow -> {
-                    LogFollower follower = new LogFollower(name, relay.relayedLog(name, log), fold, follow, loop, time);
+    private LogFollower createFollower(
+            String name, KeyedLog log, KeyedLogListener listener, FollowSettings directSettings, Duration bound) {
+        return LogRelay.relaySettings(directSettings, bound)
+                .map(relayedSettings -> {
+                    LogFollower follower = new LogFollower(
+                            name, relay.relayedLog(name, log), listener, relayedSettings, eventLoop, time);
                     relay.register(name, follower);
                     return follower;
                 })
-                .orElseGet(() -> new LogFollower(name, log, fold, base, loop, time));
+                .orElseGet(() -> new LogFollower(name, log, listener, directSettings, eventLoop, time));
     }
 
     /** Where the other logs are relayed, few entries read this one, and may read it more often. */
-    private static FollowSettings entries(ForwardEntrySettings settings) {
-        return LogRelay.relaySettings(UPSTREAMS, settings.drainBound()).isPresent()
-                ? ENTRIES.withReadPause(RELAYED_ENTRIES_GAP)
-                : ENTRIES;
+    private static FollowSettings entriesLogSettings(ForwardEntrySettings settings) {
+        return LogRelay.relaySettings(UPSTREAMS_LOG_SETTINGS, settings.drainBound())
+                        .isPresent()
+                ? ENTRIES_LOG_SETTINGS.withReadPause(SHORT_ENTRIES_READ_PAUSE)
+                : ENTRIES_LOG_SETTINGS;
     }
 
     private RequestForwarder createForwarder(CallCodec codec, EngineView view) {
-        UpstreamLoads loads = new UpstreamLoads(time, directory);
+        UpstreamLoads loads = new UpstreamLoads(time, upstreamDirectory);
         SplittableRandom random = new SplittableRandom(identity.incarnation());
         ForwardParts parts = new ForwardParts(
                 codec,
-                loop,
+                eventLoop,
                 time,
-                directory,
-                versions,
-                new UpstreamPools(loop, time, directory, this::maxConnections),
+                upstreamDirectory,
+                adapterVersions,
+                new UpstreamPools(eventLoop, time, upstreamDirectory, this::maxConnections),
                 loads,
                 new UpstreamAvailability(time, random::nextDouble),
                 new PlainChooser(loads, identity.dataCentre(), random::nextDouble),
@@ -266,10 +272,10 @@
                 view,
                 new GateClient(transport, settings.sidePort()),
                 new RetryShare(settings.retryBounds(), time, this::entryCount),
-                crashes,
+                crashWatch,
                 new ForwardMetrics(metrics));
         RequestForwarder.KnowledgeBounds bounds = new RequestForwarder.KnowledgeBounds(
-                settings.withdrawalBound().minus(KEY_MARGIN), settings.changeBound());
+                settings.withdrawalBound().minus(KEY_EXPIRY_MARGIN), settings.changeBound());
         return new RequestForwarder(
                 parts,
                 configuration,
@@ -280,7 +286,7 @@
                 random::nextDouble);
     }
 
-    private CallerLimits limits() {
+    private CallerLimits callerLimits() {
         return configuration.current().map(t -> t.limits()).orElse(CallerLimits.DEFAULT);
     }
 
@@ -300,15 +306,15 @@
 
     // Other entries
 
-    private void tellCrash(UpstreamCrash crash) {
-        exchange.broadcastCrash(crash);
+    private void broadcastCrash(UpstreamCrash crash) {
+        messenger.broadcastCrash(crash);
     }
 
-    private void upstreamChanged(@Nullable Upstream before, @Nullable Upstream after) {
-        boolean startedAnew = before != null && after != null && !before.isSameStart(after);
+    private void onUpstreamChange(@Nullable Upstream before, @Nullable Upstream after) {
+        boolean restarted = before != null && after != null && !before.isSameStart(after);
         boolean gone = before != null && after == null && !before.leaving();
-        if (before != null && (startedAnew || gone)) {
-            crashes.onDown(before);
+        if (before != null && (restarted || gone)) {
+            crashWatch.onDown(before);
         }
     }
 
@@ -316,16 +322,16 @@
      * Waits for the first read of the others: budgets cannot be drawn before, and the record of this VM's earlier
      * process is read before it is replaced.
      */
-    private void awaitOthers() {
+    private void awaitFirstMembersRead() {
         if (entriesFollower.isFullyRead()) {
-            writeRecord();
-            followMembers();
+            renewOwnRecord();
+            updateMembers();
         } else {
-            loop.schedule(this::awaitOthers, OTHERS_POLL.toMillis(), TimeUnit.MILLISECONDS);
+            eventLoop.schedule(this::awaitFirstMembersRead, FIRST_READ_POLL_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
-    private void followMembers() {
+    private void updateMembers() {
         if (entriesFollower.isFullyRead()) {
             members.updateReadAge(entriesFollower.freshness().age());
             budgets.setOthers(members.peerAddresses().keySet());
@@ -333,12 +339,12 @@
         }
     }
 
-    private boolean isStanding() {
+    private boolean isActive() {
         return members.isActive(entriesFollower.freshness().age());
     }
 
-    private void writeRecord() {
-        if (ended) {
+    private void renewOwnRecord() {
+        if (recordWritesEnded) {
             return;
         }
         long sentNanos = time.monotonicNanos();
@@ -346,9 +352,9 @@
             if (failure == null) {
                 members.onOwnRecordWritten(sentNanos);
             }
-            noteRecordWrite(failure);
-            Duration delay = failure == null ? EntryMembers.RENEWAL_INTERVAL : RECORD_RETRY;
-            loop.schedule(this::writeRecord, delay.toMillis(), TimeUnit.MILLISECONDS);
+            logRecordWriteChange(failure);
+            Duration delay = failure == null ? EntryMembers.RENEWAL_INTERVAL : RECORD_RETRY_DELAY;
+            eventLoop.schedule(this::renewOwnRecord, delay.toMillis(), TimeUnit.MILLISECONDS);
         });
     }
 
@@ -358,23 +364,23 @@
     }
 
     /** Logs the first failure in a row and the end of it; each renewal repeats the write. */
-    private void noteRecordWrite(@Nullable Throwable failure) {
-        if (failure != null && !recordWriteFails) {
+    private void logRecordWriteChange(@Nullable Throwable failure) {
+        if (failure != null && !recordWriteFailing) {
             logger.atWarning().log("own record is not written, tried again: %s", Failures.unwrap(failure));
-        } else if (failure == null && recordWriteFails) {
+        } else if (failure == null && recordWriteFailing) {
             logger.atInfo().log("own record is written again");
         }
-        recordWriteFails = failure != null;
+        recordWriteFailing = failure != null;
     }
 
     /**
      * Renews the own record a last time: after a planned stop this VM mostly starts again before it lapses, and then
      * goes on with its parts of the budgets at once.
      */
-    private void leaveRecord() {
-        ended = true;
+    private void renewRecordOnExit() {
+        recordWritesEnded = true;
         writeOwnRecord()
-                .orTimeout(LAST_WRITE.toMillis(), TimeUnit.MILLISECONDS)
+                .orTimeout(FINAL_WRITE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .handle((nothing, failure) -> failure)
                 .thenAccept(failure -> {
                     if (failure != null) {
