Rename tests after the failures they guard against

Cause: the names of the tests told a story instead of the failure.

Change: names only, by the compiler's resolution, with all uses.

--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
@@ -29,7 +29,7 @@
 
     /** Pattern: the store comes back from a copy that lacks an entry's record. */
     @Test
-    public void anEntryWhoseRecordOnlyTheStoreLostStaysUntilItLapses() {
+    public void entryMissingFromRestoredStoreIsKeptUntilItsRecordExpires() {
         members.onPut("b", RECORD);
         members.onDelete("b", true);
         assertTrue(members.peerAddresses().containsKey("b"));
@@ -41,7 +41,7 @@
     }
 
     @Test
-    public void othersAreKnownByTheirRecordsAndTheEntryItselfIsNone() {
+    public void otherEntriesAreListedWithoutTheEntryItself() {
         members.onPut("self", RECORD);
         members.onPut("b", RECORD);
         assertEquals(members.peerAddresses(), Map.of("b", "10.0.0.2:7600"));
@@ -50,7 +50,7 @@
     }
 
     @Test
-    public void aRecordThatIsNotRenewedLapses() {
+    public void recordThatIsNotRenewedExpires() {
         members.onPut("b", RECORD);
         time.passMillis(7_000);
         assertEquals(members.peerAddresses().keySet(), Set.of("b"));
@@ -59,7 +59,7 @@
     }
 
     @Test
-    public void nobodyLapsesWhileTheStoreIsSilentNorRightAfter() {
+    public void noRecordExpiresDuringOrRightAfterAStoreOutage() {
         members.onPut("b", RECORD);
         time.passMillis(5_000);
         members.updateReadAge(Duration.ofSeconds(5));
@@ -70,34 +70,34 @@
         assertEquals(members.peerAddresses().keySet(), Set.of("b"));
     }
 
-    private boolean stands() {
+    private boolean isActive() {
         return members.isActive(Duration.ofMillis(100));
     }
 
     @Test
-    public void anEntryStopsToStandBeforeTheOthersCountItOut() {
-        assertFalse(stands());
+    public void entryBecomesInactiveBeforeItsRecordExpiresForOthers() {
+        assertFalse(isActive());
         members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         members.onOwnRecordWritten(time.monotonicNanos());
         members.onPut("b", RECORD);
         time.passMillis(5_900);
-        assertTrue(stands());
+        assertTrue(isActive());
         time.passMillis(200);
-        assertFalse(stands());
+        assertFalse(isActive());
         assertEquals(members.peerAddresses().keySet(), Set.of("b"));
     }
 
     @Test
-    public void aNewEntryStandsOnceAllOthersKnowOfItOrDoNotStand() {
+    public void newEntryIsActiveOnceOthersKnowItOrAreInactive() {
         members.onOwnRecordWritten(time.monotonicNanos());
         time.passMillis(4_200);
-        assertFalse(stands());
+        assertFalse(isActive());
         time.passMillis(100);
-        assertTrue(stands());
+        assertTrue(isActive());
     }
 
     @Test
-    public void aRestartWithinTheLifeOfTheRecordStandsAtOnce() {
+    public void restartedEntryIsActiveAtOnceWhileItsOldRecordIsValid() {
         members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         time.passMillis(4_900);
         EntryMembers restarted = new EntryMembers("self", time);
@@ -107,7 +107,7 @@
     }
 
     @Test
-    public void aRestartAfterTheLifeOfTheRecordWaitsLikeANewEntry() {
+    public void restartedEntryWaitsLikeANewOneWhenItsOldRecordIsTooOld() {
         byte[] old = members.ownRecord("10.0.0.1:7600", "north").toByteArray();
         time.passMillis(5_100);
         EntryMembers restarted = new EntryMembers("self", time);
@@ -117,7 +117,7 @@
     }
 
     @Test
-    public void nobodyStandsWhoMayNotKnowOfANewEntry() {
+    public void entryWithAnOldReadOfTheRecordsIsNotActive() {
         members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         members.onOwnRecordWritten(time.monotonicNanos());
         assertFalse(members.isActive(Duration.ofMillis(4_001)));
@@ -126,7 +126,7 @@
 
     /** Of two entries whose views differ, the old home stops to stand before the new one begins. */
     @Test
-    public void anEntryThatWasCutFromTheStoreSettlesAgain() {
+    public void entryCutOffFromTheStoreWaitsAgainBeforeItIsActive() {
         members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         members.onOwnRecordWritten(time.monotonicNanos());
         time.passMillis(8_000);
@@ -135,13 +135,13 @@
         members.onPut("b", RECORD);
         members.onPut("b", RECORD);
         time.passMillis(200);
-        assertFalse(stands());
+        assertFalse(isActive());
         time.passMillis(4_100);
-        assertTrue(stands());
+        assertTrue(isActive());
     }
 
     @Test
-    public void anEntryStandsAtOnceAfterAStoreThatWasSilentForAll() {
+    public void entryIsActiveAtOnceAfterAStoreOutageForAllEntries() {
         members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         members.onOwnRecordWritten(time.monotonicNanos());
         time.passMillis(2_400);
@@ -150,11 +150,11 @@
         members.onOwnRecordWritten(time.monotonicNanos());
         members.onPut("b", RECORD);
         time.passMillis(200);
-        assertTrue(stands(), "others renewed theirs right before and right after");
+        assertTrue(isActive(), "others renewed theirs right before and right after");
     }
 
     @Test
-    public void aRecordThatCannotBeReadChangesNothing() {
+    public void malformedRecordChangesNothing() {
         members.onPut("b", RECORD);
         members.onPut("b", "\u00ff\u00ff not a record".getBytes(StandardCharsets.ISO_8859_1));
         assertEquals(members.peerAddresses(), Map.of("b", "10.0.0.2:7600"));
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/ConfigurationHolderTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/ConfigurationHolderTest.java
@@ -21,18 +21,18 @@
     }
 
     @Test
-    public void anOlderVersionIsNotTakenBackNorTold() {
+    public void olderVersionIsNeitherAppliedNorSentToListeners() {
         ConfigurationHolder holder = new ConfigurationHolder();
-        List<Long> told = new ArrayList<>();
-        holder.addListener(table -> told.add(table.version()));
+        List<Long> received = new ArrayList<>();
+        holder.addListener(table -> received.add(table.version()));
         LongStream.of(1, 3, 2, 3, 4, 1).forEach(n -> holder.applyIfNewer(version(n)));
         assertEquals(inForce(holder), 4);
-        assertEquals(told, List.of(1L, 3L, 4L));
+        assertEquals(received, List.of(1L, 3L, 4L));
     }
 
     /** Versions in random orders, as a log read anew and late answers hand them on; seeds 0 to 199. */
     @Test
-    public void inEveryOrderTheVersionInForceOnlyRises() {
+    public void versionInForceNeverDecreases() {
         for (int seed = 0; seed < 200; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
             ConfigurationHolder holder = new ConfigurationHolder();
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FollowScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FollowScheduleTest.java
@@ -39,12 +39,12 @@
     private static final int PAGE = 2;
 
     @Test
-    public void noKeyGoesBackAndAllKeysArriveInTheEnd() {
-        List<String> faults = IntStream.range(0, SEEDS)
+    public void valuesNeverGoBackAndTheListenerConverges() {
+        List<String> violations = IntStream.range(0, SEEDS)
                 .boxed()
                 .flatMap(seed -> new Schedule(seed).run().stream().map(f -> "seed " + seed + ": " + f))
                 .toList();
-        assertEquals(String.join("\n", faults), "");
+        assertEquals(String.join("\n", violations), "");
     }
 
     private static final class Schedule implements KeyedLog, KeyedLogListener {
@@ -53,10 +53,10 @@
         private final StepScheduler thread = new StepScheduler(time);
         private final List<KeyedRecord> records = new ArrayList<>();
         private final TreeMap<String, KeyedRecord> newest = new TreeMap<>();
-        private final Map<String, Long> folded = new HashMap<>();
-        private final List<String> faults = new ArrayList<>();
-        private long first;
-        private boolean calm;
+        private final Map<String, Long> received = new HashMap<>();
+        private final List<String> violations = new ArrayList<>();
+        private long firstOffset;
+        private boolean faultsEnded;
 
         Schedule(int seed) {
             this.random = new SplittableRandom(seed);
@@ -69,14 +69,14 @@
                 write();
                 thread.runFor(Duration.ofMillis(random.nextInt(300)));
             }
-            calm = true;
+            faultsEnded = true;
             thread.runFor(Duration.ofSeconds(20));
-            Map<String, Long> said = new HashMap<>();
-            newest.forEach((key, r) -> said.put(key, r.offset()));
-            if (!folded.equals(said)) {
-                faults.add("the fold has " + folded + ", the log " + said);
+            Map<String, Long> expected = new HashMap<>();
+            newest.forEach((key, r) -> expected.put(key, r.offset()));
+            if (!received.equals(expected)) {
+                violations.add("the fold has " + received + ", the log " + expected);
             }
-            return faults;
+            return violations;
         }
 
         private void write() {
@@ -87,7 +87,7 @@
             } else if (kind == 6) {
                 add(key, "");
             } else if (kind == 7) {
-                first = records.size() - random.nextInt(Math.min(3, records.size()) + 1);
+                firstOffset = records.size() - random.nextInt(Math.min(3, records.size()) + 1);
             }
         }
 
@@ -115,8 +115,8 @@
 
         @Override
         public CompletableFuture<Records> read(LogPosition from, Duration wait) {
-            if (from.offset() < first) {
-                return CompletableFuture.failedFuture(new LogTrimmedException("log", from.offset(), first));
+            if (from.offset() < firstOffset) {
+                return CompletableFuture.failedFuture(new LogTrimmedException("log", from.offset(), firstOffset));
             }
             return answer(() -> new Records(
                     List.copyOf(records.subList((int) from.offset(), records.size())),
@@ -125,7 +125,7 @@
 
         /** Answers now or later, with what holds now; some calls fail. */
         private <T> CompletableFuture<T> answer(Supplier<T> work) {
-            int kind = calm ? 0 : random.nextInt(20);
+            int kind = faultsEnded ? 0 : random.nextInt(20);
             if (kind == 19) {
                 return CompletableFuture.failedFuture(
                         new PlatformException(ResultCode.LOG_OUT, "down", Location.of("log")));
@@ -140,15 +140,15 @@
         @Override
         public void onPut(String key, byte[] value) {
             long offset = Long.parseLong(new String(value, StandardCharsets.UTF_8));
-            Long before = folded.put(key, offset);
+            Long before = received.put(key, offset);
             if (before != null && before > offset) {
-                faults.add(key + " goes back from " + before + " to " + offset);
+                violations.add(key + " goes back from " + before + " to " + offset);
             }
         }
 
         @Override
         public void onDelete(String key, boolean afterOutage) {
-            folded.remove(key);
+            received.remove(key);
         }
     }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FreshnessTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FreshnessTest.java
@@ -20,12 +20,12 @@
     }
 
     @Test
-    public void nothingConfirmedIsOlderThanAnyBound() {
+    public void unconfirmedStateIsOlderThanAnyBound() {
         assertFalse(new Freshness(time).isYoungerThan(Duration.ofDays(10_000)));
     }
 
     @Test
-    public void ageCountsFromTheQuestionNotFromTheAnswer() {
+    public void ageCountsFromTheRequestNotFromTheAnswer() {
         Freshness.Moment sent = freshness.now();
         time.passMillis(3_000);
         freshness.confirm(sent);
@@ -33,14 +33,14 @@
     }
 
     @Test
-    public void suspensionOfTheVmCountsAlthoughTheSteadyClockStoodStill() {
+    public void suspensionOfTheVmCountsAlthoughTheMonotonicClockStopped() {
         freshness.confirm(freshness.now());
         time.moveWall(6_000);
         assertFalse(freshness.isYoungerThan(Duration.ofSeconds(5)));
     }
 
     @Test
-    public void timeOfDayThatJumpsBackDoesNotMakeKnowledgeYounger() {
+    public void backwardJumpOfTheWallClockDoesNotReduceTheAge() {
         freshness.confirm(freshness.now());
         time.passMillis(6_000);
         time.moveWall(-6_000);
@@ -48,7 +48,7 @@
     }
 
     @Test
-    public void anAnswerAfterAJumpMakesItYoungAgain() {
+    public void answerAfterAClockJumpResetsTheAge() {
         time.moveWall(6_000);
         freshness.confirm(freshness.now());
         assertTrue(freshness.isYoungerThan(Duration.ofMillis(1)));
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
@@ -34,7 +34,7 @@
     /** A keyed log in memory whose reads never wait. */
     private static final class MemoryLog implements KeyedLog {
         private final List<KeyedRecord> records = new ArrayList<>();
-        private long first;
+        private long firstOffset;
         private long era;
         private boolean down;
 
@@ -51,7 +51,7 @@
         @Override
         public CompletableFuture<NewestPage> readNewest(String afterKey) {
             if (down) {
-                return out();
+                return unavailable();
             }
             List<KeyedRecord> newest = records.stream()
                     .filter(r -> !r.isTombstone()
@@ -66,17 +66,17 @@
         @Override
         public CompletableFuture<Records> read(LogPosition from, Duration wait) {
             if (down) {
-                return out();
+                return unavailable();
             }
-            if (from.offset() < first || from.offset() > records.size()) {
-                return CompletableFuture.failedFuture(new LogTrimmedException("log", from.offset(), first));
+            if (from.offset() < firstOffset || from.offset() > records.size()) {
+                return CompletableFuture.failedFuture(new LogTrimmedException("log", from.offset(), firstOffset));
             }
             List<KeyedRecord> found =
                     records.stream().filter(r -> r.offset() >= from.offset()).toList();
             return CompletableFuture.completedFuture(new Records(found, new LogPosition(era, records.size())));
         }
 
-        private static <T> CompletableFuture<T> out() {
+        private static <T> CompletableFuture<T> unavailable() {
             return CompletableFuture.failedFuture(
                     new PlatformException(ResultCode.LOG_OUT, "down", Location.of("log")));
         }
@@ -109,7 +109,7 @@
     }
 
     @Test
-    public void allIsReadOnceThenOnlyWhatIsNew() {
+    public void wholeLogIsReadOnceThenOnlyNewRecords() {
         log.add("a", "1");
         follower.start();
         assertTrue(follower.isFullyRead());
@@ -120,19 +120,19 @@
     }
 
     @Test
-    public void afterLostHistoryAllIsReadAnewAndMissingKeysAreDropped() {
+    public void trimmedLogIsReadAgainAndMissingKeysAreDeleted() {
         log.add("a", "1");
         log.add("b", "1");
         follower.start();
         log.add("a", "2");
         log.add("b", "");
-        log.first = 4;
+        log.firstOffset = 4;
         scheduler.runFor(Duration.ofMillis(300));
         assertEquals(seen, List.of("a=1", "b=1", "a=2", "-b"));
     }
 
     @Test
-    public void freshnessIsNotConfirmedWhileTheStoreIsOut() {
+    public void freshnessIsNotConfirmedWhileTheStoreIsUnavailable() {
         follower.start();
         log.down = true;
         scheduler.runFor(Duration.ofSeconds(3));
@@ -143,7 +143,7 @@
     }
 
     @Test
-    public void keysDroppedRightAfterAnOutageHaveTimeToReturn() {
+    public void keysDeletedRightAfterAnOutageMayBeWrittenAgainWithinTheGraceTime() {
         log.add("a", "1");
         log.add("b", "1");
         follower.start();
@@ -163,7 +163,7 @@
     }
 
     @Test
-    public void aRestoredLogIsReadAnewAlsoWhereItsOffsetsHaveComeAgain() {
+    public void restoredLogIsReadAgainEvenWhenItsOffsetsWereReused() {
         log.add("a", "1");
         log.add("b", "1");
         follower.start();
@@ -176,7 +176,7 @@
     }
 
     @Test
-    public void whatARestoredLogLacksHasTimeToBeWrittenAgain() {
+    public void recordsLostInARestoreMayBeWrittenAgainWithinTheGraceTime() {
         log.add("a", "1");
         log.add("b", "1");
         follower.start();
@@ -189,7 +189,7 @@
     }
 
     @Test
-    public void aKeyThatWasDroppedStaysSoUntilItIsWrittenInTheNewEra() {
+    public void deletedKeyStaysDeletedUntilItIsWrittenInTheNewEra() {
         log.add("a", "1");
         follower.start();
         log.add("a", "");
@@ -203,7 +203,7 @@
     }
 
     @Test
-    public void knowledgeGetsNoYoungerUntilLostRecordsCouldBeWrittenAgain() {
+    public void stateKeepsAgeingUntilLostRecordsCouldBeWrittenAgain() {
         log.add("a", "1");
         log.add("b", "1");
         follower.start();
@@ -217,7 +217,7 @@
     }
 
     @Test
-    public void anAnswerOfAnEarlierEraChangesNothing() {
+    public void answerOfAnEarlierEraIsIgnored() {
         log.add("a", "1");
         follower.start();
         log.restore(1);
@@ -230,7 +230,7 @@
     }
 
     @Test
-    public void anAnswerThatWasAskedForBeforeTheStopChangesNothing() {
+    public void answerRequestedBeforeTheStopIsIgnored() {
         follower.start();
         follower.stop();
         log.add("a", "1");
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/RestoredLogScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/RestoredLogScheduleTest.java
@@ -42,11 +42,11 @@
 
     @Test
     public void versionsNeverGoBackAndReadersConverge() {
-        List<String> faults = IntStream.range(0, SEEDS)
+        List<String> violations = IntStream.range(0, SEEDS)
                 .boxed()
                 .flatMap(seed -> new Schedule(seed).run().stream().map(f -> "seed " + seed + ": " + f))
                 .toList();
-        assertEquals(String.join("\n", faults), "");
+        assertEquals(String.join("\n", violations), "");
     }
 
     private static final class Schedule implements KeyedLog, KeyedLogListener {
@@ -57,11 +57,11 @@
         /** What the writers last wrote, whether the log still has it or not. */
         private final Map<String, Long> written = new HashMap<>();
 
-        private final Map<String, Long> folded = new HashMap<>();
-        private final List<String> faults = new ArrayList<>();
+        private final Map<String, Long> received = new HashMap<>();
+        private final List<String> violations = new ArrayList<>();
         private long versions;
         private long era;
-        private boolean calm;
+        private boolean faultsEnded;
 
         Schedule(int seed) {
             this.random = new SplittableRandom(seed);
@@ -71,18 +71,18 @@
             LogFollower follower = new LogFollower("log", this, this, FollowSettings.LOW_LATENCY, thread, time);
             follower.start();
             for (int step = 0; step < STEPS; step++) {
-                act();
+                writeOrRestore();
                 thread.runFor(Duration.ofMillis(random.nextInt(250)));
             }
-            calm = true;
+            faultsEnded = true;
             thread.runFor(Duration.ofSeconds(20));
-            if (!folded.equals(written)) {
-                faults.add("the reader knows " + folded + ", written was " + written);
+            if (!received.equals(written)) {
+                violations.add("the reader knows " + received + ", written was " + written);
             }
-            return faults;
+            return violations;
         }
 
-        private void act() {
+        private void writeOrRestore() {
             int kind = random.nextInt(20);
             if (kind < 10) {
                 write("k" + random.nextInt(KEYS));
@@ -160,7 +160,7 @@
 
         /** Answers with what holds now, at once or later; some calls fail. */
         private <T> CompletableFuture<T> answer(Supplier<T> work) {
-            int kind = calm ? 0 : random.nextInt(20);
+            int kind = faultsEnded ? 0 : random.nextInt(20);
             if (kind == 19) {
                 return CompletableFuture.failedFuture(
                         new PlatformException(ResultCode.LOG_OUT, "down", Location.of("log")));
@@ -175,13 +175,13 @@
         /** Keeps the highest version, as configurations and adapter versions do. */
         @Override
         public void onPut(String key, byte[] value) {
-            folded.merge(key, Long.parseLong(new String(value, StandardCharsets.UTF_8)), Math::max);
+            received.merge(key, Long.parseLong(new String(value, StandardCharsets.UTF_8)), Math::max);
         }
 
         @Override
         public void onDelete(String key, boolean afterOutage) {
             if (!afterOutage) {
-                faults.add(key + " counts as gone although only the store lost it");
+                violations.add(key + " counts as gone although only the store lost it");
             }
         }
     }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/UpstreamDirectoryTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/UpstreamDirectoryTest.java
@@ -40,7 +40,7 @@
     }
 
     @Test
-    public void aLaterStartAtTheSameAddressTakesThePlaceOfTheOneBefore() {
+    public void laterStartAtTheSameAddressReplacesTheEarlierOne() {
         directory.put(upstream("old", 1, 1, false));
         directory.put(upstream("new", 1, 2, false));
         assertEquals(usable(), List.of("new"));
@@ -48,7 +48,7 @@
 
     /** A store that was restored from an older copy tells what was said before. */
     @Test
-    public void anOlderDescriptionEndsNoLeavingAndBringsNoEarlierStartBack() {
+    public void olderDescriptionNeitherEndsLeavingNorRestoresAnEarlierStart() {
         directory.put(upstream("a", 1, 1, true));
         directory.put(upstream("a", 1, 1, false));
         directory.put(upstream("b", 2, 5, false));
@@ -59,7 +59,7 @@
     }
 
     @Test
-    public void aLapsedEntryStaysUntilTheGraceIsOver() {
+    public void expiredUpstreamIsUsableUntilTheGraceTimeIsOver() {
         directory.put(upstream("a", 1, 1, false));
         directory.put(upstream("b", 2, 1, false));
         directory.markExpired("a");
