--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -55,12 +55,13 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * An entry that forwards callers' requests straight to the upstreams.
+ * Runs an entry that forwards callers' requests directly to the upstreams.
  *
- * <p>Created once by a main. Requests, connections and timers share one event loop, since the VMs have one core.
+ * <p>Created once by a main class. Requests, connections and timers share one event loop, since the VMs have one core.
  */
 public final class ForwardEntry {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** How long before the withdrawal bound an entry stops accepting keys on the basis of an old configuration. */
     private static final Duration KEY_EXPIRY_MARGIN = Duration.ofMillis(800);
     private static final Duration MEMBERS_UPDATE_INTERVAL = Duration.ofMillis(100);
     private static final Duration FIRST_READ_POLL_INTERVAL = Duration.ofMillis(10);
@@ -68,11 +69,11 @@
     private static final Duration PEER_KEEP_ALIVE_INTERVAL = Duration.ofSeconds(1);
     private static final Duration CRASH_SUSPICION_TIME = Duration.ofMinutes(2);
     private static final Duration CONNECTION_FLUSH_TIMEOUT = Duration.ofMillis(300);
-    /** How long the end of the process waits for its record to be written. */
+    /** How long the stopping process waits for the last write of its record. */
     private static final Duration FINAL_WRITE_TIMEOUT = Duration.ofMillis(200);
-    /** The balancer asks once a second and needs two refusals; requests arrive until then. */
+    /** The load balancer checks readiness once a second and needs two refusals; requests arrive until then. */
     private static final Duration BALANCER_REMOVAL_DELAY = Duration.ofMillis(2_800);
-    /** Part of the grace time that is kept for the end. */
+    /** Part of the shutdown timeout that is reserved for closing connections and the last write of the record. */
     private static final Duration SHUTDOWN_MARGIN = Duration.ofMillis(500);
 
     private static final FollowSettings OPERATORS_LOG_SETTINGS = FollowSettings.LOW_LATENCY;
@@ -144,7 +145,10 @@
 
     // Life cycle
 
-    /** Starts an entry that listens on all its addresses. It is ready once it knows configuration and upstreams. */
+    /**
+     * Starts an entry that listens on all its addresses. It is ready once it has read the configuration and the
+     * upstreams.
+     */
     public static ForwardEntry start(
             ForwardEntrySettings settings, StoreAccess store, CallCodec codec, EventLoopGroup loops) {
         ForwardEntry entry = new ForwardEntry(settings, store, codec, loops);
@@ -176,7 +180,7 @@
         logger.atInfo().log("entry started, callers %s, peers %s", settings.callerAddress(), identity.peerAddress());
     }
 
-    /** Leaves the balancer, answers what has arrived, and ends. */
+    /** Refuses readiness checks, answers the requests that have arrived, and stops. */
     public void stop() {
         long deadline = time.monotonicNanos()
                 + settings.shutdownTimeout().minus(SHUTDOWN_MARGIN).toNanos();
@@ -197,7 +201,7 @@
         logger.atInfo().log("entry stopped");
     }
 
-    /** Returns whether the entry can serve, and why not. */
+    /** Returns whether the entry can serve requests, and the reason if it cannot. */
     public Readiness readiness() {
         Readiness now = currentReadiness();
         if (!now.equals(lastReadiness)) {
@@ -228,10 +232,11 @@
         return callerServer.openConnections();
     }
 
-    // Parts
+    // Components
 
     /**
-     * Creates the follower of a log, through another entry of the data centre where the bound leaves time for that.
+     * Creates the follower of a log, which reads through another entry of the data centre if the bound leaves time for
+     * that.
      *
      * @param bound how late a change may become known here
      */
@@ -247,7 +252,10 @@
                 .orElseGet(() -> new LogFollower(name, log, listener, directSettings, eventLoop, time));
     }
 
-    /** Where the other logs are relayed, few entries read this one, and may read it more often. */
+    /**
+     * Returns the settings for the log of entries. Where the other logs are relayed, few entries read this one from the
+     * store, and may read it more often.
+     */
     private static FollowSettings entriesLogSettings(ForwardEntrySettings settings) {
         return LogRelay.relaySettings(UPSTREAMS_LOG_SETTINGS, settings.drainBound())
                         .isPresent()
@@ -294,7 +302,7 @@
         return 1 + members.peerAddresses().size();
     }
 
-    /** All entries together must stay below what an upstream accepts. */
+    /** Returns this entry's part of the connections that an upstream accepts from all entries together. */
     private int maxConnections(Upstream upstream) {
         int accepted = configuration
                 .current()
@@ -319,8 +327,8 @@
     }
 
     /**
-     * Waits for the first read of the others: budgets cannot be drawn before, and the record of this VM's earlier
-     * process is read before it is replaced.
+     * Waits for the first read of the entries' records: budgets cannot be drawn before, and the record of this VM's
+     * earlier process must be read before it is overwritten.
      */
     private void awaitFirstMembersRead() {
         if (entriesFollower.isFullyRead()) {
@@ -363,7 +371,10 @@
         return store.entryWriter().write(identity.vmName(), entry.toByteArray());
     }
 
-    /** Logs the first failure in a row and the end of it; each renewal repeats the write. */
+    /**
+     * Logs the first of several failed writes in a row and the first success after them; each renewal repeats the
+     * write.
+     */
     private void logRecordWriteChange(@Nullable Throwable failure) {
         if (failure != null && !recordWriteFailing) {
             logger.atWarning().log("own record is not written, tried again: %s", Failures.unwrap(failure));
@@ -374,8 +385,8 @@
     }
 
     /**
-     * Renews the own record a last time: after a planned stop this VM mostly starts again before it lapses, and then
-     * goes on with its parts of the budgets at once.
+     * Renews the own record for the last time. After a planned stop this VM usually starts again before the record
+     * expires, and then continues with its parts of the budgets at once.
      */
     private void renewRecordOnExit() {
         recordWritesEnded = true;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntrySettings.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntrySettings.java
@@ -10,16 +10,16 @@
 /**
  * Settings of a forwarding entry. Immutable.
  *
- * @param callerAddress where callers connect
- * @param readyAddress where the balancer asks whether the entry is ready
- * @param readyPath the path of that question
- * @param metricsAddress where counters and latencies are served
- * @param sidePort the port of the sides on their VMs
- * @param withdrawalBound how soon after a key's withdrawal nothing may run with it
- * @param changeBound how soon a configuration version is in force
- * @param drainBound how soon nothing may be sent any more to an upstream that leaves
- * @param budgetSlack what all entries together may admit beyond an account's budget
- * @param retryBounds the fleet's budget of repeats
+ * @param callerAddress the address to which callers connect
+ * @param readyAddress the address of the load balancer's readiness check
+ * @param readyPath the path of the readiness check
+ * @param metricsAddress the address at which counters and latencies are served
+ * @param sidePort the port on which the sides listen, on their VMs
+ * @param withdrawalBound the time after the withdrawal of a key from which no request may run with it
+ * @param changeBound the time within which a configuration version comes into force
+ * @param drainBound the time from which no request may be sent to an upstream that is leaving
+ * @param budgetSlack the amount by which all entries together may exceed an account's budget
+ * @param retryBounds the retry budget of all entries together
  * @param shutdownTimeout how long a stopping process may take
  */
 public record ForwardEntrySettings(
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ReadyService.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ReadyService.java
@@ -9,9 +9,9 @@
 import java.util.function.Supplier;
 
 /**
- * Answers the balancer's question whether the process is ready.
+ * Answers the load balancer's readiness checks.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>One per entry; safe to share between threads.
  */
 final class ReadyService implements CallerService {
     private static final int STATUS_OK = 200;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/package-info.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/package-info.java
@@ -1,4 +1,4 @@
-/** The entry process. */
+/** The entry process: its life cycle, settings and readiness check. */
 @NullMarked
 package io.parsleycleat.gateway.process.entry;
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
@@ -13,28 +13,32 @@
 import java.util.stream.Collectors;
 
 /**
- * The other entries, as their records in the store tell. An entry renews its record; one that is not renewed for a
- * while is gone.
+ * Keeps the other entries as known from their records in the store. Each entry renews its record periodically; an entry
+ * whose record is not renewed in time is regarded as gone.
  *
- * <p>One an entry; guarded by its own lock.
+ * <p>An entry is active while its record cannot have expired for the others and no other active entry can be unknown to
+ * it. This ensures that an earlier home of an account, the entry that owns the account's budget, becomes inactive
+ * before another entry is its home.
+ *
+ * <p>One per entry; guarded by its own lock.
  */
 public final class EntryMembers implements KeyedLogListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** Age at which another entry's record has lapsed. */
+    /** Age at which the record of another entry expires. */
     private static final Duration RECORD_LIFETIME = Duration.ofMillis(7_500);
-    /** Age of the own record from which others may soon count this entry as gone. */
+    /** Age of the own record from which other entries may soon regard this entry as gone. */
     private static final Duration MAX_OWN_RECORD_AGE = Duration.ofSeconds(6);
-    /** Age of what was read of the others from which one of them may have come that is not known here. */
+    /** Age of the last read of the records from which another entry may be active that is unknown here. */
     public static final Duration MAX_READ_AGE = Duration.ofSeconds(4);
-    /** Time after which all others know of an entry that has come, or do not stand themselves. */
+    /** Time after which every other entry knows a newly started one or is not active itself. */
     private static final Duration JOIN_DELAY = MAX_READ_AGE.plusMillis(250);
-    /** Age of the record of this VM's earlier process below which no other entry counts the VM as gone. */
+    /** Age of the record of this VM's earlier process below which no other entry regards the VM as gone. */
     private static final Duration MAX_RESTART_RECORD_AGE = Duration.ofSeconds(5);
     /** Time between two renewals of a record. */
     public static final Duration RENEWAL_INTERVAL = Duration.ofMillis(2_500);
-    /** Renewals of another entry right before and right after an outage of the store for all. */
+    /** Renewals of another entry that arrive right before and right after an outage of the store for all entries. */
     private static final int RENEWALS_AROUND_OUTAGE = 2;
-    /** Silence of the store after which the age of records says nothing. */
+    /** Time without an answer of the store after which the age of a record does not show whether its entry runs. */
     private static final Duration MIN_STORE_OUTAGE = Duration.ofSeconds(4);
 
     private final String self;
@@ -49,12 +53,12 @@
     private boolean mayHaveExpired;
     private long renewalGapNanos;
 
-    /** Another entry as its record tells. */
+    /** Another entry, as described by its record. */
     public record Member(String peerAddress, String dataCentre) {}
 
     private record ReceivedRecord(EntryRecord entry, long receivedNanos) {}
 
-    /** Creates an empty set for the entry with the given name. */
+    /** Creates an empty membership for the entry with the given name. */
     public EntryMembers(String self, TimeSource time) {
         this.self = self;
         this.time = time;
@@ -85,7 +89,10 @@
         }
     }
 
-    /** Before this process has written, the own record is that of the VM's earlier process. */
+    /**
+     * Checks whether the record of this VM's earlier process is recent. The own record is from that process until this
+     * process has written it.
+     */
     private void onEarlierOwnRecord(EntryRecord entry) {
         long age = time.wallMillis() - entry.getWrittenMillis();
         if (!ownRecordWritten && age >= 0 && age < MAX_RESTART_RECORD_AGE.toMillis()) {
@@ -93,7 +100,7 @@
         }
     }
 
-    /** Returns the record that this entry writes now. */
+    /** Returns the content of this entry's own record as of now. */
     public EntryRecord ownRecord(String peerAddress, String dataCentre) {
         return EntryRecord.newBuilder()
                 .setPeerAddress(peerAddress)
@@ -102,7 +109,7 @@
                 .build();
     }
 
-    /** Notes that the own record was written by a call that was sent at the given time. */
+    /** Records that the own record was written by a call that was sent at the given time. */
     public synchronized void onOwnRecordWritten(long sentNanos) {
         if (!ownRecordWritten) {
             activeFromNanos = earlierRecordValid ? sentNanos : sentNanos + JOIN_DELAY.toNanos();
@@ -117,9 +124,9 @@
     }
 
     /**
-     * Returns whether no other entry can count this one as gone, nor any other stand that this one does not know.
+     * Returns whether no other entry can regard this one as gone and no other active entry can be unknown to it.
      *
-     * @param readAge the time since the store was asked for what is known of the others
+     * @param readAge the time since the request was sent that returned the newest known state of the records
      */
     public synchronized boolean isActive(Duration readAge) {
         long now = time.monotonicNanos();
@@ -134,7 +141,10 @@
         return !mayHaveExpired && now - activeFromNanos >= 0;
     }
 
-    /** After a silence of the store the others' renewals tell whether it was silent for them as well. */
+    /**
+     * Decides, after a gap in the own renewals, whether the store was unreachable for all entries: otherwise the others
+     * renewed their records during the gap.
+     */
     private void resolvePossibleExpiry(long now, Duration readAge) {
         if (now - ownRenewalNanos < readAge.toNanos()) {
             return;
@@ -149,8 +159,8 @@
     }
 
     /**
-     * Takes how long the store has been silent. After a silence all records count as just renewed, since their writers
-     * had no way to renew them.
+     * Takes the age of the newest answer of the store. After an outage all records count as just renewed, since their
+     * entries could not renew them.
      */
     public synchronized void updateReadAge(Duration readAge) {
         boolean outage = readAge.compareTo(MIN_STORE_OUTAGE) > 0;
@@ -161,7 +171,7 @@
         storeOutage = outage;
     }
 
-    /** Returns the other entries by their names. */
+    /** Returns the other entries whose records have not expired, by name. */
     public synchronized Map<String, Member> members() {
         long oldest = time.monotonicNanos() - RECORD_LIFETIME.toNanos();
         Map<String, Member> present = new HashMap<>();
@@ -174,14 +184,14 @@
         return present;
     }
 
-    /** Returns the peer address of another entry, if there is one of that name. */
+    /** Returns the peer address of another entry, if its record has not expired. */
     public synchronized Optional<String> addressOf(String name) {
         return Optional.ofNullable(receivedRecords.get(name))
                 .filter(s -> time.monotonicNanos() - s.receivedNanos() < RECORD_LIFETIME.toNanos())
                 .map(s -> s.entry().getPeerAddress());
     }
 
-    /** Returns the peer addresses of the other entries by their names. */
+    /** Returns the peer addresses of the other entries, by name. */
     public Map<String, String> peerAddresses() {
         return members().entrySet().stream()
                 .collect(Collectors.toMap(Map.Entry::getKey, e -> e.getValue().peerAddress()));
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMessenger.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMessenger.java
@@ -21,12 +21,13 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * What an entry asks and tells the others, and takes from them and from the sides.
+ * Sends crash notices and budget requests to other entries, and handles the messages that entries and sides send to
+ * this one. The home of an account is the entry that owns the account's budget.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>One per entry; safe to share between threads.
  */
 public final class EntryMessenger implements BudgetPeers {
-    /** A home answers from memory, but right after a start it may be busy; one that takes longer is passed over. */
+    /** A home answers from memory, but may be busy right after its start; one that takes longer is skipped. */
     private static final Duration DRAW_TIMEOUT = Duration.ofMillis(400);
 
     private final PeerClient peers;
@@ -36,7 +37,7 @@
     private final EngineView engineView;
     private final LogRelay relay;
 
-    /** Creates an exchange and registers it for its frames. */
+    /** Creates a messenger and registers it as the handler of gate frames. */
     public EntryMessenger(
             PeerClient peers,
             FrameRouter frames,
@@ -80,7 +81,7 @@
         });
     }
 
-    /** Tells the others that an upstream crashed. */
+    /** Sends the crash of an upstream to all other entries. */
     public void broadcastCrash(UpstreamCrash crash) {
         members.peerAddresses()
                 .values()
@@ -98,7 +99,7 @@
             case UNSPENT -> homes.giveBack(
                     message.getUnspent().getAccount(), message.getUnspent().getTokens());
             default -> {
-                // Sides answer with replies, which the transport pairs with their requests.
+                // The transport matches the replies of sides with their requests.
             }
         }
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/GateClient.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/GateClient.java
@@ -15,9 +15,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Asks the sides beside engines for starts and tells them how runs go on.
+ * Sends start requests and the progress of runs to the sides of model engines.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>One per entry; safe to share between threads.
  */
 public final class GateClient {
     private final PeerClient peers;
@@ -27,19 +27,22 @@
     /**
      * Creates a client.
      *
-     * @param sidePort the port on which the sides listen, on the VMs of their engines
+     * @param sidePort the port on which the sides listen; each side runs on the VM of its engine
      */
     public GateClient(PeerClient peers, int sidePort) {
         this.peers = peers;
         this.sidePort = sidePort;
     }
 
-    /** Returns a number for the next start. */
+    /** Returns a new number that identifies one start request of this entry. */
     public long newTicket() {
         return lastTicket.incrementAndGet();
     }
 
-    /** Asks for a start; fails with a {@code PeerException} when the side refuses or does not answer in time. */
+    /**
+     * Requests the start of a run. The future fails with a {@code PeerException} if the side refuses or does not answer
+     * in time.
+     */
     public CompletableFuture<StartGrant> requestStart(Upstream engine, StartRequest request, Duration timeout) {
         GateMessage message = GateMessage.newBuilder().setStart(request).build();
         return peers.request(sideAddress(engine), Frame.newBuilder().setGate(message), timeout)
@@ -47,7 +50,7 @@
                 .thenApply(frame -> frame.getGate().getGrant());
     }
 
-    /** Tells how a run goes on. */
+    /** Sends the progress of a run to the side of its engine, without waiting for an answer. */
     public void sendProgress(Upstream engine, long ticket, RunProgress.Stage stage) {
         RunProgress progress =
                 RunProgress.newBuilder().setTicket(ticket).setStage(stage).build();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
@@ -29,28 +29,30 @@
 import java.util.function.Supplier;
 
 /**
- * Lets one entry of a data centre read the logs for the others, so that the store is not read by each of them.
+ * Reads logs through other entries of the data centre, so that not every entry reads the store.
  *
- * <p>An entry asks the one before it in the tree, instead of the store, and learns how old the answer is; what it
- * knows is as fresh as that, counted from when it asked. When the other one cannot tell, or does not answer soon, it
- * reads the log itself.
+ * <p>An entry sends its reads to its parent in the {@link ReadTree} instead of the store. Each answer contains the age
+ * of the parent's state; the state read here is that much older than the request. If the parent cannot answer, or does
+ * not do so in time, the entry reads the log itself.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>One per entry; safe to share between threads.
  */
 public final class LogRelay {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** How long an asked entry waits for the first record, short so that a silent one is noticed early. */
+    /**
+     * How long the parent waits for the first record; short, so that a parent that does not answer is detected early.
+     */
     private static final Duration MAX_RELAY_WAIT = Duration.ofMillis(300);
 
-    /** With a shorter wait, the one reader would call the store as often as the others together. */
+    /** With a shorter wait, the root would call the store as often as the other entries together otherwise do. */
     private static final Duration MIN_STORE_WAIT = Duration.ofMillis(400);
 
     private static final Duration ANSWER_MARGIN = Duration.ofMillis(200);
-    /** How much older than usual what the store answered may be. */
+    /** How much the age of the store's last answer may exceed its normal maximum. */
     private static final Duration MAX_EXTRA_AGE = Duration.ofMillis(250);
-    /** What each entry between adds: its own question waited, and so does the next one. */
+    /** Age that each level of the tree adds: the parent's own read has waited, and so does the next one. */
     private static final Duration MAX_HOP_AGE = MAX_RELAY_WAIT.multipliedBy(2).plusMillis(50);
-    /** Time for which an entry that did not help is not asked again. */
+    /** Time for which reads bypass a parent that did not answer or had no answer. */
     private static final Duration PARENT_RETRY_DELAY = Duration.ofSeconds(3);
 
     private final PeerClient peers;
@@ -88,10 +90,11 @@
     }
 
     /**
-     * Returns how to read a log so that relaying it keeps a bound, or nothing when the bound is too short for that.
+     * Returns the settings for relayed reads of a log within a bound, or nothing when the bound is too short for
+     * relaying.
      *
-     * @param base how the log is read without relaying
-     * @param bound how late a change may become known here while this entry reaches the store
+     * @param base the settings for reading the log directly
+     * @param bound how late a change may become known here while this entry can reach the store
      */
     public static Optional<FollowSettings> relaySettings(FollowSettings base, Duration bound) {
         Duration pauses = base.readPause().plus(base.readPause().dividedBy(LogFollower.RELAYED_PAUSE_DIVISOR));
@@ -104,12 +107,12 @@
         return Optional.of(wait.compareTo(base.maxWait()) < 0 ? base.withMaxWait(wait) : base);
     }
 
-    /** Answers others from what a follower has read. */
+    /** Answers reads of other entries from what a follower has read. */
     public void register(String log, LogFollower follower) {
         followersByLog.put(log, follower);
     }
 
-    /** Returns a log that is read through another entry where that is possible. */
+    /** Returns a log that is read through the parent if possible, and directly otherwise. */
     public KeyedLog relayedLog(String log, KeyedLog direct) {
         return new KeyedLog() {
             @Override
@@ -126,7 +129,7 @@
         };
     }
 
-    // Asking
+    // Reading through the parent
 
     private Optional<String> usableParent() {
         return time.monotonicNanos() - parentRetryNanos < 0
@@ -174,9 +177,9 @@
         return new KeyedLog.Records(records, next, Duration.ofMillis(found.getAgeMillis()), true);
     }
 
-    // Answering
+    // Answering other entries
 
-    /** Answers an entry's question, now or when there is a record or its wait is over. */
+    /** Answers a read of another entry: at once if possible, otherwise when a record arrives or the wait is over. */
     void onReadRequest(PeerChannel from, Frame frame) {
         RecordsRead read = frame.getGate().getRead();
         LogFollower follower = followersByLog.get(read.getLog());
@@ -217,7 +220,7 @@
                 .build();
     }
 
-    /** An entry that has lost the store, or lags behind, does not hold the others back. */
+    /** Returns false if this entry has lost the store or lags behind, so that other entries do not wait for it. */
     private boolean isFresh(LogFollower follower) {
         Duration limit = follower.maxNormalAge()
                 .plus(MAX_EXTRA_AGE)
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/ReadTree.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/ReadTree.java
@@ -7,25 +7,26 @@
 import java.util.stream.Stream;
 
 /**
- * Through which entry each entry of a data centre reads the logs: a tree whose root reads the store.
+ * Arranges the entries of a data centre in a tree for reading logs: the root reads the store, every other entry reads
+ * through its parent.
  *
- * <p>All entries with the same view of the others see the same tree. Stateless.
+ * <p>All entries with the same view of the others compute the same tree. Stateless.
  */
 final class ReadTree {
-    /** Entries that read through one. */
+    /** Maximum number of entries that read through the same entry. */
     private static final int FAN_OUT = 8;
 
     private ReadTree() {}
 
     /**
-     * An entry's place.
+     * The position of an entry in the tree.
      *
-     * @param depth how many entries are between this one and the store
+     * @param depth the number of entries between this one and the store
      * @param parent the peer address of the entry to read through; absent at the root
      */
     record Position(int depth, Optional<String> parent) {}
 
-    /** Returns an entry's place among the others, of which those of its data centre count. */
+    /** Returns the position of an entry in the tree of its data centre; entries of other data centres are ignored. */
     static Position position(String self, String dataCentre, Map<String, EntryMembers.Member> others) {
         List<String> names = Stream.concat(
                         Stream.of(self),
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/StoreAccess.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/StoreAccess.java
@@ -9,13 +9,13 @@
 import java.util.function.BiFunction;
 
 /**
- * What a process uses of the platform's store, and how its records are read.
+ * Groups the logs of the store that a process uses with the decoders of their records.
  *
- * @param operatorsLog the operators' records
- * @param upstreamsLog the upstreams' descriptions, by id
+ * @param operatorsLog the records that operators write
+ * @param upstreamsLog the descriptions of upstreams, by upstream id
  * @param entriesLog the entries' own records, by VM name
  * @param entryWriter writes the entry's own record
- * @param fenceSource numbers that only grow
+ * @param fenceSource issues fencing numbers, which only increase
  */
 public record StoreAccess(
         KeyedLog operatorsLog,
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/VmIdentity.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/VmIdentity.java
@@ -7,7 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.Objects;
 
-/** Which VM a process runs on, and where other processes reach it. Immutable. */
+/** Identifies the VM that a process runs on and the address at which other processes reach it. Immutable. */
 public record VmIdentity(String name, String dataCentre, String region, InetSocketAddress peerAddress) {
     private static final int INCARNATIONS_PER_MILLI = 1_000;
 
@@ -18,7 +18,7 @@
         Objects.requireNonNull(peerAddress, "peers");
     }
 
-    /** Returns the identity of a process that starts now. */
+    /** Returns the identity of a process that starts now; its incarnation grows with the time of the start. */
     public ProcessIdentity newProcessIdentity(ProcessRole role, TimeSource time) {
         long incarnation = time.wallMillis() * INCARNATIONS_PER_MILLI
                 + Math.floorMod(time.monotonicNanos(), INCARNATIONS_PER_MILLI);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/package-info.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/package-info.java
@@ -1,4 +1,4 @@
-/** Which entries there are, and what they tell each other. */
+/** Membership of the entries, and the messages that they exchange. */
 @NullMarked
 package io.parsleycleat.gateway.process.members;
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/FollowSettings.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/FollowSettings.java
@@ -3,17 +3,17 @@
 import java.time.Duration;
 
 /**
- * How often a log is read.
+ * Settings for reading a log continuously.
  *
  * @param maxWait how long a read waits for the first new record
- * @param readPause the pause after a read, so that records gather
+ * @param readPause the pause after a read, so that several records are read together
  * @param timeout how long an answer may take beyond the wait
- * @param retryDelay the pause after a failure
- * @param outageGrace how long keys that were dropped after an outage have to return
+ * @param retryDelay the pause after a failed read
+ * @param outageGrace how long keys that were deleted after an outage may take to be written again
  */
 public record FollowSettings(
         Duration maxWait, Duration readPause, Duration timeout, Duration retryDelay, Duration outageGrace) {
-    /** Settings for a log that changes rarely and whose changes matter at once. */
+    /** Settings for a log that changes rarely and whose changes must be applied at once. */
     public static final FollowSettings LOW_LATENCY = new FollowSettings(
             Duration.ofMillis(1_000),
             Duration.ofMillis(100),
@@ -21,12 +21,15 @@
             Duration.ofMillis(250),
             Duration.ofMillis(2_200));
 
-    /** Returns how old the newest answer becomes at most: it was asked a wait ago, and the next one takes as long. */
+    /**
+     * Returns the maximum age of the newest answer in normal operation: it was requested one wait before it arrived,
+     * and the next answer takes as long.
+     */
     public Duration maxNormalAge() {
         return maxWait.multipliedBy(2).plus(readPause);
     }
 
-    /** Returns a copy with another wait. */
+    /** Returns a copy with another wait for the first new record. */
     public FollowSettings withMaxWait(Duration newWait) {
         return new FollowSettings(newWait, readPause, timeout, retryDelay, outageGrace);
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/Freshness.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/Freshness.java
@@ -5,12 +5,12 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * How old the newest confirmed knowledge is, counted from when the question was sent.
+ * Measures the age of the newest confirmed state, counted from when its request was sent.
  *
- * <p>The steady clock stands still while a VM is suspended and the time of day may jump, so the age is the larger one
- * of both clocks.
+ * <p>The monotonic clock stops while a VM is suspended and the time of day may jump, so the age is the larger one of
+ * both clocks.
  *
- * <p>One a followed log; safe to share between threads.
+ * <p>One per followed log; safe to share between threads.
  */
 public final class Freshness {
     private final TimeSource time;
@@ -20,23 +20,23 @@
 
     /** A point in time on both clocks. */
     public record Moment(long monotonicNanos, long wallMillis) {
-        /** Returns the moment that was so much earlier. */
+        /** Returns the moment that lies the given duration earlier. */
         public Moment minus(Duration age) {
             return new Moment(monotonicNanos - age.toNanos(), wallMillis - age.toMillis());
         }
     }
 
-    /** Creates knowledge that was never confirmed. */
+    /** Creates an instance without a confirmed state. */
     public Freshness(TimeSource time) {
         this.time = time;
     }
 
-    /** Returns the present moment. */
+    /** Returns the current moment. */
     public Moment now() {
         return new Moment(time.monotonicNanos(), time.wallMillis());
     }
 
-    /** Notes an answer that tells the state of the given moment; an older one than before changes nothing. */
+    /** Records an answer with the state of the given moment; one that is older than the confirmed state is ignored. */
     public synchronized void confirm(Moment moment) {
         if (confirmed && moment.monotonicNanos() - monotonicNanos < 0) {
             return;
@@ -46,7 +46,7 @@
         wallMillis = moment.wallMillis();
     }
 
-    /** Returns the age, or the longest duration when nothing was ever confirmed. */
+    /** Returns the age, or the longest duration if nothing has been confirmed. */
     public synchronized Duration age() {
         if (!confirmed) {
             return Duration.ofSeconds(Long.MAX_VALUE);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedLog.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedLog.java
@@ -7,10 +7,10 @@
 /** A log that keeps the newest record of each key. Implementations are safe to share between threads. */
 public interface KeyedLog {
     /**
-     * A part of the newest records.
+     * A page of the newest records.
      *
-     * @param hasMore whether further keys follow the last one
-     * @param end where the next record will be
+     * @param hasMore whether there are keys after the last one of this page
+     * @param end the position of the next record that will be appended
      */
     record NewestPage(List<KeyedRecord> records, boolean hasMore, LogPosition end) {
         public NewestPage {
@@ -19,18 +19,18 @@
     }
 
     /**
-     * Records from one offset on, in order.
+     * Records from one position on, in order.
      *
-     * @param next where the next read goes on; in another era than asked for, the records say nothing
-     * @param age the time since the log itself was asked, as of the answer
-     * @param relayed whether another process answered that had read the log
+     * @param next where the next read starts; if its era is not the requested one, the records must be ignored
+     * @param age the time between the request to the log itself and this answer
+     * @param relayed whether the answer comes from another process that had read the log
      */
     record Records(List<KeyedRecord> records, LogPosition next, Duration age, boolean relayed) {
         public Records {
             records = List.copyOf(records);
         }
 
-        /** Creates an answer of the log itself. */
+        /** Creates an answer that comes from the log itself. */
         public Records(List<KeyedRecord> records, LogPosition next) {
             this(records, next, Duration.ZERO, false);
         }
@@ -40,8 +40,8 @@
     CompletableFuture<NewestPage> readNewest(String afterKey);
 
     /**
-     * Reads the records from a place on, waiting at most so long for the first. Fails with
-     * {@code LogTrimmedException} when they are no longer kept.
+     * Reads the records from a position on, and waits at most the given time for the first. Fails with
+     * {@code LogTrimmedException} if they are no longer kept.
      */
     CompletableFuture<Records> read(LogPosition from, Duration wait);
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedLogListener.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedLogListener.java
@@ -1,17 +1,18 @@
 package io.parsleycleat.gateway.version.follow;
 
-/** Takes the changes of a keyed log in order. Called by one follower at a time. */
+/** Receives the changes of a keyed log in order. Called by one follower at a time. */
 public interface KeyedLogListener {
-    /** Takes the newest value of a key. */
+    /** Handles the newest value of a key. */
     void onPut(String key, byte[] value);
 
     /**
-     * Takes that a key has no value any more.
+     * Handles the deletion of a key.
      *
-     * @param afterOutage whether the store has only just come back, so that the key may return at once
+     * @param afterOutage whether the store has only just become reachable again, so that the key may soon be written
+     *     again
      */
     void onDelete(String key, boolean afterOutage);
 
-    /** Called when keys that were dropped after an outage had time to return. */
+    /** Called when the time is over within which keys deleted after an outage may be written again. */
     default void onOutageGraceEnd() {}
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedRecord.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedRecord.java
@@ -5,16 +5,16 @@
 /**
  * One record of a keyed log.
  *
- * @param value empty when the record drops the key
+ * @param value empty in a tombstone, which deletes the key
  */
-@SuppressWarnings("ArrayRecordComponent") // Never compared; created for each record that is read.
+@SuppressWarnings("ArrayRecordComponent") // Never compared; not copied, as one is created per record read.
 public record KeyedRecord(String key, byte[] value, long offset) {
     public KeyedRecord {
         Objects.requireNonNull(key, "key");
         Objects.requireNonNull(value, "value");
     }
 
-    /** Returns whether the key has no value any more. */
+    /** Returns whether this record deletes its key. */
     public boolean isTombstone() {
         return value.length == 0;
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
@@ -17,21 +17,21 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Keeps a fold up to date with a keyed log: one full read, then every further record in order.
+ * Keeps a listener up to date with a keyed log: reads the whole log once, then every further record in order.
  *
- * <p>When the log has dropped records that were not read yet, everything is read anew and keys that are missing count
- * as dropped. A key's value never goes back to an earlier offset.
+ * <p>If the log no longer has records that were not read yet, the whole log is read again, and keys that are missing
+ * count as deleted. A key never returns to the value of an earlier offset.
  *
- * <p>A log that was restored from an older copy is read anew as well. What was known stays in use, and counts as old as
- * it was until those who wrote the lost records have had time to write them again.
+ * <p>A log that was restored from an older copy is read again as well. The known state stays in use, and its age is not
+ * reset until the writers of the lost records have had time to write them again.
  *
- * <p>Created once for each log; its steps follow one another, whichever thread they run on.
+ * <p>Created once for each log. Its reads follow one another, on any thread.
  */
 public final class LogFollower {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** Silence after which entries of others may have lapsed although they live. */
+    /** Time without an answer after which records of other processes may have expired although the processes run. */
     private static final Duration MIN_OUTAGE = Duration.ofMillis(900);
-    /** Reading through another entry costs the store nothing, so the pause between reads is this much shorter. */
+    /** Reads through another entry do not load the store, so the pause between them is divided by this. */
     public static final int RELAYED_PAUSE_DIVISOR = 4;
 
     private final String name;
@@ -55,7 +55,7 @@
     private boolean inGrace;
     private volatile boolean stopped;
 
-    /** Creates a follower that reads nothing yet. */
+    /** Creates a follower that has read nothing yet. */
     public LogFollower(
             String name,
             KeyedLog log,
@@ -75,47 +75,47 @@
 
     // Public operations
 
-    /** Starts to read. */
+    /** Starts reading. */
     public void start() {
         readNext(currentGeneration.get());
     }
 
-    /** Stops to read; answers that are on their way change nothing. */
+    /** Stops reading; answers to pending requests are ignored. */
     public void stop() {
         stopped = true;
         currentGeneration.incrementAndGet();
     }
 
-    /** Returns how fresh the fold is. */
+    /** Returns the age of the state that the listener has received. */
     public Freshness freshness() {
         return freshness;
     }
 
-    /** Returns whether the whole log has been read once. */
+    /** Returns whether the whole log has been read and need not be read again. */
     public boolean isFullyRead() {
         synchronized (lock) {
             return nextPosition != null;
         }
     }
 
-    /** Returns what was read, for others to go on from. */
+    /** Returns the records that were read, from which other processes can continue. */
     public LogMirror mirror() {
         return mirror;
     }
 
-    /** Returns whether the log answers, as far as is known. */
+    /** Returns whether the log was fully read and answered the last read. */
     public boolean isReachable() {
         synchronized (lock) {
             return reachable && nextPosition != null;
         }
     }
 
-    /** Returns how old what was read becomes at most while the log answers. */
+    /** Returns the maximum age of the state while the log answers. */
     public Duration maxNormalAge() {
         return settings.maxNormalAge();
     }
 
-    /** Returns the offset up to which the log was read; -1 while all of it has to be read. */
+    /** Returns the offset up to which the log was read; -1 while the whole log has to be read. */
     public long offset() {
         LogPosition position = position();
         return position == null ? -1 : position.offset();
@@ -134,7 +134,7 @@
         }
     }
 
-    // Steps
+    // Reads and their outcomes
 
     private void readNext(long generation) {
         if (stopped || currentGeneration.get() != generation) {
@@ -228,7 +228,7 @@
         }
     }
 
-    /** Begins the time in which lapsed keys may return when the store was silent before this answer. */
+    /** Starts the time within which expired keys may be written again, if this answer ends an outage of the store. */
     private void startGraceAfterOutage() {
         synchronized (lock) {
             long now = time.monotonicNanos();
@@ -239,7 +239,7 @@
         }
     }
 
-    // Reading
+    // Reading and applying records
 
     private CompletableFuture<KeyedLog.Records> readUpdates(long generation, LogPosition from) {
         Duration wait = isInGrace() ? Duration.ZERO : settings.maxWait();
@@ -282,7 +282,7 @@
         });
     }
 
-    /** Reads all pages. The end as of the first page is where reading goes on, since pages are no snapshot. */
+    /** Reads all pages. Reading continues at the end as of the first page, since the pages are not a snapshot. */
     private CompletableFuture<LogPosition> readPages(
             String afterKey, @Nullable LogPosition firstEnd, List<KeyedRecord> found) {
         return log.readNewest(afterKey).thenCompose(page -> {
@@ -300,7 +300,7 @@
         });
     }
 
-    /** Goes over to a later era, in which records that its copy lacks are still to be written again. */
+    /** Enters a later era, in which records that are missing from the restored copy have yet to be written again. */
     private void enterEra(long newEra, List<KeyedRecord> copied) {
         boolean first;
         synchronized (lock) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogMirror.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogMirror.java
@@ -10,15 +10,15 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * The newest record of each key that a follower has read, from which other processes can go on.
+ * Holds the newest record of each key that a follower has read, so that other processes can read the log from here.
  *
  * <p>Created by {@link LogFollower}; guarded by its own lock.
  */
 public final class LogMirror {
     private static final byte[] NO_VALUE = {};
-    /** Dropped keys that are remembered; a reader that is further behind reads the log itself. */
+    /** Number of tombstones above which all are removed; a reader that is further behind reads the log itself. */
     private static final int MAX_TOMBSTONES = 1_000;
-    /** The offset of what was read in an earlier era. */
+    /** The offset of records that were read in an earlier era. */
     private static final long EARLIER_ERA_OFFSET = -1;
 
     private final Map<String, KeyedRecord> newestByKey = new HashMap<>();
@@ -29,7 +29,7 @@
 
     LogMirror() {}
 
-    /** Takes a record and returns whether it is newer than what was known of its key. */
+    /** Stores a record unless its key has one at the same or a later offset; returns whether it was stored. */
     synchronized boolean putIfNewer(KeyedRecord record) {
         KeyedRecord known = newestByKey.get(record.key());
         if (known != null && record.offset() <= known.offset()) {
@@ -40,8 +40,8 @@
     }
 
     /**
-     * Goes over to a later era. What is known stays until a record of that era replaces it; but a key that was dropped
-     * stays so until it is written anew, as the copy may be older than the drop.
+     * Starts a later era. Known values are kept until a record of that era replaces them. A deleted key stays deleted
+     * until it is written again, since the restored copy may be older than the deletion.
      *
      * @param copied the records that the log has at the beginning of the era
      */
@@ -65,7 +65,7 @@
         return known != null && known.isTombstone();
     }
 
-    /** Drops the keys that a full read did not show, and returns them. */
+    /** Deletes the keys that are missing from a full read, and returns them. */
     synchronized List<String> deleteMissing(Set<String> present) {
         List<KeyedRecord> missing = newestByKey.values().stream()
                 .filter(r -> !r.isTombstone() && !present.contains(r.key()))
@@ -74,7 +74,7 @@
         return missing.stream().map(KeyedRecord::key).toList();
     }
 
-    /** Notes a full read, which does not tell what was dropped before its end. */
+    /** Records a full read, which does not contain the deletions before its end. */
     void onFullRead(long end) {
         synchronized (this) {
             firstCompleteOffset = Math.max(nextOffset, end);
@@ -82,7 +82,7 @@
         onReadTo(end);
     }
 
-    /** Notes up to where the log was read, and wakes those that wait for it. */
+    /** Records up to where the log was read, and completes the waiting reads. */
     void onReadTo(long end) {
         List<CompletableFuture<Void>> woken;
         synchronized (this) {
@@ -94,7 +94,7 @@
         woken.forEach(w -> w.complete(null));
     }
 
-    /** Returns the records from a place on, or nothing when this mirror cannot tell all of them. */
+    /** Returns the records from a position on, or nothing if some of them are no longer known here. */
     public synchronized Optional<KeyedLog.Records> recordsFrom(LogPosition from) {
         if (nextOffset < 0 || from.era() != era || from.offset() < firstCompleteOffset) {
             return Optional.empty();
@@ -106,7 +106,10 @@
         return Optional.of(new KeyedLog.Records(records, new LogPosition(era, nextOffset)));
     }
 
-    /** Returns what completes when the log has been read beyond a place; at once when it was, or is of another era. */
+    /**
+     * Returns a future that completes when the log has been read beyond a position. It is complete already if this is
+     * so, or if the position is of another era.
+     */
     public synchronized CompletableFuture<Void> whenReadBeyond(LogPosition position) {
         if (position.era() != era || nextOffset > position.offset()) {
             return CompletableFuture.completedFuture(null);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/package-info.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/package-info.java
@@ -1,4 +1,4 @@
-/** Following keyed logs: full reads, updates, and how fresh the result is. */
+/** Following keyed logs: full reads, incremental reads, and the age of the result. */
 @NullMarked
 package io.parsleycleat.gateway.version.follow;
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/Account.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/Account.java
@@ -6,13 +6,13 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A client account with its keys and its limit over the whole fleet. Immutable.
+ * A client account with its keys and its limit, which applies to the whole fleet. Immutable.
  *
- * @param priority goes before the route's; null when the route's holds
+ * @param priority overrides the route's priority; null if that one applies
  * @param countsTokens whether rate and burst are counted in tokens; otherwise in requests
  * @param ratePerSecond 0 for no limit
- * @param burst the most that may be spent at once
- * @param defaultRequestTokens what a request without token counts costs
+ * @param burst the maximum that may be spent at once
+ * @param defaultRequestTokens the tokens that a request without token counts costs
  */
 public record Account(
         String name,
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/AdapterId.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/AdapterId.java
@@ -2,19 +2,19 @@
 
 import java.util.Objects;
 
-/** Names an adapter of a model, or the model itself when the adapter's name is empty. */
+/** Identifies an adapter of a model, or the model itself if the adapter name is empty. */
 public record AdapterId(String model, String adapter) {
     public AdapterId {
         Objects.requireNonNull(model, "model");
         Objects.requireNonNull(adapter, "adapter");
     }
 
-    /** Returns the name of a base model without an adapter. */
+    /** Returns the identifier of a base model without an adapter. */
     public static AdapterId baseModel(String model) {
         return new AdapterId(model, "");
     }
 
-    /** Returns whether this names the model itself. */
+    /** Returns whether this identifies the model itself. */
     public boolean isBaseModel() {
         return adapter.isEmpty();
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/AdapterVersions.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/AdapterVersions.java
@@ -4,20 +4,20 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * The newest named version of each adapter. Versions never go back.
+ * Keeps the newest version of each adapter that operators have named. A version is never replaced by an earlier one.
  *
- * <p>One a process; safe to share between threads.
+ * <p>One per process; safe to share between threads.
  */
 public final class AdapterVersions {
     private final Map<AdapterId, KnownVersion> newestVersion = new ConcurrentHashMap<>();
 
-    /** A version and when this process learnt of it. */
+    /** A version and when this process received it. */
     public record KnownVersion(long version, long receivedNanos) {}
 
     /**
-     * Takes a version that was named.
+     * Records a version that was named by operators.
      *
-     * @return whether it is newer than what was known
+     * @return whether it is newer than the known version
      */
     public boolean recordVersion(AdapterId adapter, long version, long nowNanos) {
         long knownVersion = newestVersion(adapter);
@@ -26,13 +26,13 @@
         return version > knownVersion;
     }
 
-    /** Returns the newest named version, or 0 when none was named. */
+    /** Returns the newest known version, or 0 if none is known. */
     public long newestVersion(AdapterId adapter) {
         KnownVersion named = newestVersion.get(adapter);
         return named == null ? 0 : named.version();
     }
 
-    /** Returns when the newest version was learnt, in nanoseconds of the steady clock; 0 when none was named. */
+    /** Returns when the newest version was received, in nanoseconds of the monotonic clock; 0 if none is known. */
     public long receivedNanos(AdapterId adapter) {
         KnownVersion named = newestVersion.get(adapter);
         return named == null ? 0 : named.receivedNanos();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationDecoder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationDecoder.java
@@ -3,11 +3,11 @@
 import java.util.Optional;
 
 /**
- * Decodes the records that operators write. A record that cannot be read, or is of another kind, decodes to nothing.
+ * Decodes the records that operators write. The result is empty for a record that is malformed or of another kind.
  * Implementations are stateless and safe to share.
  */
 public interface ConfigurationDecoder {
-    /** A version that was named for an adapter. */
+    /** A version that operators named for an adapter. */
     record NamedVersion(AdapterId adapter, long version) {}
 
     /** Decodes a configuration version. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationHolder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationHolder.java
@@ -9,9 +9,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The newest configuration version that this process has seen. It never goes back to an earlier one.
+ * Holds the newest configuration version that this process has received. It is never replaced by an earlier version.
  *
- * <p>One a process; safe to share between threads.
+ * <p>One per process; safe to share between threads.
  */
 public final class ConfigurationHolder {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -19,12 +19,12 @@
     private final AtomicReference<@Nullable RoutingTable> current = new AtomicReference<>();
     private final List<Consumer<RoutingTable>> listeners = new CopyOnWriteArrayList<>();
 
-    /** Calls back with each version that comes into force. */
+    /** Adds a listener that is called with each version that comes into force. */
     public void addListener(Consumer<RoutingTable> listener) {
         listeners.add(listener);
     }
 
-    /** Takes a version into force, unless a later one is known. */
+    /** Puts a version into force, unless the one in force is as new or newer. */
     public void applyIfNewer(RoutingTable table) {
         RoutingTable before = current.getAndAccumulate(
                 table, (old, offered) -> old == null || offered.version() > old.version() ? offered : old);
@@ -36,7 +36,7 @@
         listeners.forEach(l -> l.accept(table));
     }
 
-    /** Returns the version in force, if one is known. */
+    /** Returns the version in force, if there is one. */
     public Optional<RoutingTable> current() {
         return Optional.ofNullable(current.get());
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationUpdater.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationUpdater.java
@@ -7,9 +7,10 @@
 import java.util.Optional;
 
 /**
- * Brings operators' records into force. A record that cannot be read changes nothing, and so does a dropped one.
+ * Applies operators' records to the configuration and the adapter versions of a process. Malformed records and
+ * deletions change nothing.
  *
- * <p>One a process; called by one follower.
+ * <p>One per process; called by one follower.
  */
 public final class ConfigurationUpdater implements KeyedLogListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -19,7 +20,7 @@
     private final AdapterVersions versions;
     private final TimeSource time;
 
-    /** Creates a fold into a process's configuration and versions. */
+    /** Creates an updater of a process's configuration and adapter versions. */
     public ConfigurationUpdater(
             ConfigurationDecoder decoder, ConfigurationHolder holder, AdapterVersions versions, TimeSource time) {
         this.decoder = decoder;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/EngineSpec.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/EngineSpec.java
@@ -3,14 +3,14 @@
 import java.util.List;
 
 /**
- * What the engines of a service can hold and run. Immutable.
+ * The capacity of each engine of a service, and the models that it can load. Immutable.
  *
- * @param slots requests that run at once
- * @param kvCacheTokens memory for prompts and answers
- * @param weightsMegabytes memory for models and adapters together
- * @param adapterSlots adapters that are held or on their way at once
- * @param tokensPerEvent output tokens that one event of a stream holds
- * @param loadsPerSecond loads of models that the weight store allows, over all engines
+ * @param slots the number of requests that run at once
+ * @param kvCacheTokens the memory for prompts and answers, in tokens
+ * @param weightsMegabytes the memory for the weights of models and adapters together
+ * @param adapterSlots the number of adapters that are loaded or being loaded at once
+ * @param tokensPerEvent the number of output tokens in one event of a stream
+ * @param loadsPerSecond the model loads that the weight store allows, over all engines
  */
 public record EngineSpec(
         int slots,
@@ -24,7 +24,7 @@
         models = List.copyOf(models);
     }
 
-    /** Returns how many adapters fit, by places and by memory. */
+    /** Returns how many adapters fit, by slots and by memory. */
     public int maxResidentAdapters() {
         ModelSpec model = models.isEmpty() ? null : models.get(0);
         if (model == null || models.size() > 1 || model.adapterMegabytes() <= 0) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/RequestKind.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/RequestKind.java
@@ -1,8 +1,8 @@
 package io.parsleycleat.gateway.version.routes;
 
-/** What may be repeated of the requests on a route. */
+/** Whether the requests on a route may be run again. */
 public enum RequestKind {
-    /** The answer is a stream of events; it may run once, unless the route's streams can be resumed. */
+    /** The answer is a stream of events. The request may run once, unless streams of the route can be resumed. */
     STREAM,
     /** Idempotent: may run any number of times. */
     IDEMPOTENT,
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/Route.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/Route.java
@@ -5,17 +5,17 @@
 import java.util.Objects;
 
 /**
- * How requests to one host and path prefix are served. Immutable.
+ * Describes how requests to one host and path prefix are served. Immutable.
  *
  * @param pathPrefix begins and ends with a slash
- * @param shares the services, at least one
- * @param timeout the longest time that a caller is kept waiting for the end of its answer
- * @param latencyObjective the time within which an answer is of full use; to the first event for streams
- * @param maxEventPause the longest pause between events with which a stream is of full use; zero for any
+ * @param shares the services with their weights, at least one
+ * @param timeout the maximum time from a request to the end of its answer
+ * @param latencyObjective the time within which an answer has its full value; for streams, the time to the first event
+ * @param maxEventPause the longest pause between events with which a stream has its full value; zero for any
  * @param priority 0 is the most urgent
- * @param maxUpstreams to how many upstreams one request may be sent
+ * @param maxUpstreams the maximum number of upstreams to which one request may be sent
  * @param open whether requests need no key
- * @param resumable whether a stream that broke off may be continued by another upstream
+ * @param resumable whether another upstream may continue a stream that broke off
  */
 public record Route(
         String name,
@@ -51,7 +51,9 @@
         return kind == RequestKind.IDEMPOTENT || (kind == RequestKind.STREAM && resumable);
     }
 
-    /** Returns the service for a point between 0 (included) and 1 (excluded) on the scale of all shares. */
+    /**
+     * Returns the service that is selected by a point from 0 (inclusive) to 1 (exclusive) on the scale of all weights.
+     */
     public String selectService(double point) {
         double left = point * shares.stream().mapToDouble(ServiceShare::weight).sum();
         for (ServiceShare share : shares) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/RoutingTable.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/RoutingTable.java
@@ -11,9 +11,9 @@
 import java.util.stream.Collectors;
 
 /**
- * One version of the configuration, arranged for look-ups.
+ * One version of the configuration, indexed for look-ups.
  *
- * <p>Created for each version that arrives; immutable and safe to share between threads.
+ * <p>Created for each version that is received; immutable and safe to share between threads.
  */
 public final class RoutingTable {
     private final long version;
@@ -24,9 +24,9 @@
     private final CallerLimits limits;
 
     /**
-     * Arranges one version.
+     * Indexes one version.
      *
-     * @param accounts empty when requests need no keys at all
+     * @param accounts empty if no request needs a key
      */
     public RoutingTable(
             long version, List<Route> routes, List<ServiceSpec> services, List<Account> accounts, CallerLimits limits) {
@@ -48,7 +48,7 @@
         return version;
     }
 
-    /** Returns the route with the longest prefix that begins the path, among those of the host. */
+    /** Returns the route with the longest prefix of the path, among those of the host. */
     public Optional<Route> route(String host, String path) {
         int port = host.lastIndexOf(':');
         String name = (port < 0 ? host : host.substring(0, port)).toLowerCase(Locale.ROOT);
@@ -57,12 +57,12 @@
                 .findFirst();
     }
 
-    /** Returns a service by its name. */
+    /** Returns a service by name. */
     public Optional<ServiceSpec> service(String name) {
         return Optional.ofNullable(services.get(name));
     }
 
-    /** Returns the shortest limit of pauses among the routes that lead to a service; zero when none has one. */
+    /** Returns the shortest pause limit among the routes that lead to a service; zero if none has one. */
     public Duration maxEventPause(String service) {
         return routesByHost.values().stream()
                 .flatMap(List::stream)
@@ -83,12 +83,12 @@
         return accounts;
     }
 
-    /** Returns whether requests need a key, unless their route is open. */
+    /** Returns whether requests need a key, except on open routes. */
     public boolean requiresKeys() {
         return !accounts.isEmpty();
     }
 
-    /** Returns what callers may send and how long they may take. */
+    /** Returns the limits on the size and duration of requests from callers. */
     public CallerLimits limits() {
         return limits;
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ServiceShare.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ServiceShare.java
@@ -2,7 +2,7 @@
 
 import java.util.Objects;
 
-/** The part of a route's requests that one service gets, relative to the other parts. */
+/** A service and its share of a route's requests, relative to the weights of the other services. */
 public record ServiceShare(String service, double weight) {
     public ServiceShare {
         Objects.requireNonNull(service, "service");
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ServiceSpec.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ServiceSpec.java
@@ -5,11 +5,11 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A service that routes lead to. Immutable.
+ * A service to which routes lead. Immutable.
  *
- * @param healthPath where upstreams answer with their id
- * @param maxConnections connections that one upstream accepts from all callers together
- * @param engine set for services of model engines
+ * @param healthPath the path at which upstreams answer with their id
+ * @param maxConnections the number of connections that one upstream accepts from all callers together
+ * @param engine set only for services of model engines
  */
 public record ServiceSpec(String name, String healthPath, int maxConnections, @Nullable EngineSpec engine) {
     public ServiceSpec {
@@ -17,7 +17,7 @@
         Objects.requireNonNull(healthPath, "healthPath");
     }
 
-    /** Returns what the engines can hold, for a service of model engines. */
+    /** Returns the capacity of the engines, for a service of model engines. */
     public Optional<EngineSpec> engineSpec() {
         return Optional.ofNullable(engine);
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/Upstream.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/Upstream.java
@@ -5,13 +5,14 @@
 import java.util.Objects;
 
 /**
- * An upstream as it last described itself. Immutable.
+ * An upstream according to its newest description. Immutable.
  *
- * @param id names one start of the upstream, mostly; {@code born} tells starts with the same id apart
- * @param startMillis Unix milliseconds of its start
- * @param leaving whether it takes no new requests
- * @param slots requests that it runs at once
- * @param residentAdapters version by name of the adapters that it holds, MODEL/NAME; a base model stands with its own name
+ * @param id usually identifies one start of the upstream; {@code startMillis} distinguishes starts with the same id
+ * @param startMillis the time of its start, in Unix milliseconds
+ * @param leaving whether it accepts no new requests
+ * @param slots the number of requests that it runs at once
+ * @param residentAdapters the versions of the adapters that it has loaded, by name as MODEL/NAME; a base model is
+ *     listed under its own name
  */
 public record Upstream(
         String id,
@@ -30,12 +31,12 @@
         residentAdapters = Map.copyOf(residentAdapters);
     }
 
-    /** Returns a later start of this upstream at the same address, which is not known to hold anything. */
+    /** Returns a later start of this upstream at the same address, with nothing known to be loaded. */
     public Upstream withStart(String newId, long newStartMillis) {
         return new Upstream(newId, service, address, dataCentre, newStartMillis, false, slots, Map.of());
     }
 
-    /** Returns a copy that takes no new requests. */
+    /** Returns a copy that accepts no new requests. */
     Upstream asLeaving() {
         return leaving
                 ? this
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
@@ -12,15 +12,15 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The upstreams that can be used, by id and by service.
+ * Holds the known upstreams, by id and by service.
  *
- * <p>An entry that lapsed while the store was away may come back shortly after the store does, so removals that arrive
- * then are put off until the grace time is over; all others hold at once.
+ * <p>A record that expired while the store was unreachable may be written again shortly after the store is reachable,
+ * so removals that arrive then are delayed until the grace time is over; all other removals apply at once.
  *
- * <p>An upstream that starts anew at its address, under another id, takes the place of the one before, whose entry
- * stays in the store until it lapses.
+ * <p>An upstream that starts again at its address, under another id, replaces the earlier one, whose record stays in
+ * the store until it expires.
  *
- * <p>One a process; safe to share between threads.
+ * <p>One per process; safe to share between threads.
  */
 public final class UpstreamDirectory {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -29,14 +29,18 @@
     private final Map<String, Boolean> expiredIds = new ConcurrentHashMap<>();
     private final List<BiConsumer<@Nullable Upstream, @Nullable Upstream>> listeners = new CopyOnWriteArrayList<>();
 
-    /** Calls back with each upstream's description before and after a change; null where there is none. */
+    /**
+     * Adds a listener that is called with an upstream's description before and after each change; null where there is
+     * none.
+     */
     public void addListener(BiConsumer<@Nullable Upstream, @Nullable Upstream> listener) {
         listeners.add(listener);
     }
 
     /**
-     * Takes an upstream's newest description. A store that was restored from an older copy may tell again of an earlier
-     * start, or of the time before an upstream began to leave; neither is believed.
+     * Stores an upstream's newest description. A store that was restored from an older copy may return the description
+     * of an earlier start, which is ignored, or one from before the upstream began to leave, which does not end its
+     * leaving.
      */
     public void put(Upstream described) {
         expiredIds.remove(described.id());
@@ -72,24 +76,26 @@
         }
     }
 
-    /** Notes that an upstream's entry lapsed while the store was away, so that it may come back. */
+    /**
+     * Records that the record of an upstream expired while the store was unreachable, so that it may be written again.
+     */
     public void markExpired(String id) {
         if (upstreams.containsKey(id)) {
             expiredIds.put(id, true);
         }
     }
 
-    /** Removes the upstreams whose lapsed entries did not come back. */
+    /** Removes the upstreams whose expired records were not written again. */
     public void removeExpired() {
         List.copyOf(expiredIds.keySet()).forEach(this::remove);
     }
 
-    /** Returns an upstream by its id. */
+    /** Returns an upstream by id. */
     public Optional<Upstream> find(String id) {
         return Optional.ofNullable(upstreams.get(id));
     }
 
-    /** Returns the upstreams of a service that take new requests. */
+    /** Returns the upstreams of a service that accept new requests. */
     public List<Upstream> usable(String service) {
         return upstreams.values().stream()
                 .filter(u -> !u.leaving() && u.service().equals(service) && !isReplaced(u))
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectoryUpdater.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectoryUpdater.java
@@ -7,9 +7,9 @@
 import java.util.function.BiFunction;
 
 /**
- * Brings upstreams' descriptions into the directory. One that cannot be read changes nothing.
+ * Applies upstreams' descriptions to the directory. Malformed descriptions change nothing.
  *
- * <p>One a process; called by one follower.
+ * <p>One per process; called by one follower.
  */
 public final class UpstreamDirectoryUpdater implements KeyedLogListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -18,9 +18,9 @@
     private final UpstreamDirectory directory;
 
     /**
-     * Creates a fold into a directory.
+     * Creates an updater of a directory.
      *
-     * @param decoder reads an upstream's description by its id, or nothing when it is not well-formed
+     * @param decoder decodes the description of the upstream with the given id; empty if it is malformed
      */
     public UpstreamDirectoryUpdater(
             BiFunction<String, byte[], Optional<Upstream>> decoder, UpstreamDirectory directory) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/package-info.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/package-info.java
@@ -1,4 +1,4 @@
-/** Which upstreams there are, as they last described themselves. */
+/** The known upstreams, according to their newest descriptions. */
 @NullMarked
 package io.parsleycleat.gateway.version.upstreams;
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
@@ -27,7 +27,7 @@
         members = new EntryMembers("self", time);
     }
 
-    /** Pattern: the store comes back from a copy that lacks an entry's record. */
+    /** Guards against losing a running entry when the store is restored from a copy that lacks its record. */
     @Test
     public void entryMissingFromRestoredStoreIsKeptUntilItsRecordExpires() {
         members.onPut("b", RECORD);
@@ -124,7 +124,10 @@
         assertTrue(members.isActive(Duration.ofMillis(3_999)));
     }
 
-    /** Of two entries whose views differ, the old home stops to stand before the new one begins. */
+    /**
+     * Guards against two homes of an account: if two entries' views differ, the old home must become inactive before
+     * the new one is active.
+     */
     @Test
     public void entryCutOffFromTheStoreWaitsAgainBeforeItIsActive() {
         members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
@@ -70,7 +70,7 @@
         return entries.values().stream().filter(e -> e.place().depth() > 0).toList();
     }
 
-    /** Load pattern: ever more entries of a data centre follow the same log. */
+    /** Guards against store load that grows with the number of entries in a data centre which follow the same log. */
     @Test
     public void storeReadsDoNotGrowWithTheNumberOfEntries() {
         for (int count : new int[] {1, 6, 70}) {
@@ -104,7 +104,7 @@
         others().forEach(e -> assertTrue(e.follower.freshness().ageMillis() >= storeAge, e.name));
     }
 
-    /** Pattern: the entry that reads for the others freezes. */
+    /** The root, which reads the store for the others, stops answering. */
     @Test
     public void entriesBypassAnUnresponsiveRootWithin700Millis() {
         startEntries(6);
@@ -114,7 +114,7 @@
         others().forEach(e -> assertEquals(e.values.get("k"), "2", e.name));
     }
 
-    /** Pattern: the entry that reads for the others is cut off from the store, which serves the others. */
+    /** The root loses its connection to the store, while the store still answers the other entries. */
     @Test
     public void entriesBypassARootThatLostTheStore() {
         startEntries(6);
@@ -194,7 +194,7 @@
         return others;
     }
 
-    /** The store's log; a read waits for a record until its time is over. */
+    /** A log in memory; a read waits for a record until its wait is over. */
     private final class Store {
         private final List<KeyedRecord> records = new ArrayList<>();
         private final List<CompletableFuture<Void>> waiting = new ArrayList<>();
@@ -244,7 +244,7 @@
         }
     }
 
-    /** An entry of one data centre, which is its own peer address. */
+    /** An entry of one data centre, whose name is also its peer address. */
     private final class Entry implements KeyedLogListener, PeerClient {
         private final String name;
         private final Map<String, EntryMembers.Member> others;
@@ -304,7 +304,7 @@
         }
     }
 
-    /** Where an answer goes. */
+    /** Completes a future with the reply. */
     private record Reply(CompletableFuture<Frame> answer) implements PeerChannel {
         @Override
         public Hello hello() {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/ConfigurationHolderTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/ConfigurationHolderTest.java
@@ -30,7 +30,7 @@
         assertEquals(received, List.of(1L, 3L, 4L));
     }
 
-    /** Versions in random orders, as a log read anew and late answers hand them on; seeds 0 to 199. */
+    /** Versions arrive in random order, as with repeated full reads of a log and late answers; seeds 0 to 199. */
     @Test
     public void versionInForceNeverDecreases() {
         for (int seed = 0; seed < 200; seed++) {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FollowScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FollowScheduleTest.java
@@ -29,8 +29,9 @@
 import org.testng.annotations.Test;
 
 /**
- * Follows a log through random schedules of writes, drops, trimmed records, pages that are no snapshot, answers of the
- * past, outages and late answers: what a key says never goes back, and after calm the fold says what the log says.
+ * Guards against values that return to an earlier state and changes that never arrive. Random schedules combine writes,
+ * deletions, trimmed records, pages that are not a snapshot, outdated and late answers, and outages. After a period
+ * without faults the listener must have the same state as the log.
  */
 public class FollowScheduleTest {
     private static final int SEEDS = 200;
@@ -123,7 +124,7 @@
                     new LogPosition(0, records.size())));
         }
 
-        /** Answers now or later, with what holds now; some calls fail. */
+        /** Completes now or later with the current state; some calls fail. */
         private <T> CompletableFuture<T> answer(Supplier<T> work) {
             int kind = faultsEnded ? 0 : random.nextInt(20);
             if (kind == 19) {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
@@ -42,7 +42,7 @@
             records.add(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), records.size()));
         }
 
-        /** Comes back from a copy with so many records, in a later era. */
+        /** Restores the log from a copy with the given number of records, and starts a later era. */
         void restore(int copied) {
             records.subList(copied, records.size()).clear();
             era++;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/RestoredLogScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/RestoredLogScheduleTest.java
@@ -29,9 +29,9 @@
 import org.testng.annotations.Test;
 
 /**
- * Follows a log that comes back from older copies, also twice in a row, while answers of earlier eras are still on
- * their way. The writers write again what was lost, after a while. Versions that a reader has taken never go back, and
- * after calm it knows what the log says.
+ * Guards against versions that go back, and readers that never converge, when a log is restored from older copies.
+ * Restores also occur twice in a row while answers of earlier eras are pending. The writers write lost records again
+ * after a delay.
  */
 public class RestoredLogScheduleTest {
     private static final int SEEDS = 200;
@@ -102,7 +102,7 @@
             records.add(new KeyedRecord(key, value, records.size()));
         }
 
-        /** Loses the newest records; the writers notice within two seconds. */
+        /** Loses the newest records; the writers detect this within two seconds. */
         private void restore() {
             int lost = random.nextInt(Math.min(MAX_LOST, records.size()) + 1);
             records.subList(records.size() - lost, records.size()).clear();
@@ -158,7 +158,7 @@
             return new LogPosition(era, records.size());
         }
 
-        /** Answers with what holds now, at once or later; some calls fail. */
+        /** Completes at once or later with the current state; some calls fail. */
         private <T> CompletableFuture<T> answer(Supplier<T> work) {
             int kind = faultsEnded ? 0 : random.nextInt(20);
             if (kind == 19) {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/UpstreamDirectoryTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/UpstreamDirectoryTest.java
@@ -46,7 +46,7 @@
         assertEquals(usable(), List.of("new"));
     }
 
-    /** A store that was restored from an older copy tells what was said before. */
+    /** A store that was restored from an older copy returns earlier descriptions. */
     @Test
     public void olderDescriptionNeitherEndsLeavingNorRestoresAnEarlierStart() {
         directory.put(upstream("a", 1, 1, true));
