State in logs and errors of log following and membership what happened

Cause: texts such as "passed over", "taken as gone" and "is read here" did not state the event.

Change: texts only; placeholders and the messages that operators search for are unchanged.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -63,6 +63,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** How long before the withdrawal bound an entry stops accepting keys on the basis of an old configuration. */
     private static final Duration KEY_EXPIRY_MARGIN = Duration.ofMillis(800);
+
     private static final Duration MEMBERS_UPDATE_INTERVAL = Duration.ofMillis(100);
     private static final Duration FIRST_READ_POLL_INTERVAL = Duration.ofMillis(10);
     private static final Duration RECORD_RETRY_DELAY = Duration.ofMillis(700);
@@ -193,7 +194,7 @@
         boolean allAnswered = Drain.await(eventLoop, forwarder::openRequests, remaining);
         int unanswered = forwarder.openRequests();
         if (!allAnswered && unanswered > 0) {
-            logger.atWarning().log("%d requests are cut", unanswered);
+            logger.atWarning().log("%d requests aborted at the end of the shutdown timeout", unanswered);
         }
         callerServer.close();
         Drain.await(eventLoop, this::closeIdleAndCountOpen, CONNECTION_FLUSH_TIMEOUT);
@@ -377,9 +378,9 @@
      */
     private void logRecordWriteChange(@Nullable Throwable failure) {
         if (failure != null && !recordWriteFailing) {
-            logger.atWarning().log("own record is not written, tried again: %s", Failures.unwrap(failure));
+            logger.atWarning().log("cannot write own record, will retry: %s", Failures.unwrap(failure));
         } else if (failure == null && recordWriteFailing) {
-            logger.atInfo().log("own record is written again");
+            logger.atInfo().log("own record written again");
         }
         recordWriteFailing = failure != null;
     }
@@ -395,7 +396,7 @@
                 .handle((nothing, failure) -> failure)
                 .thenAccept(failure -> {
                     if (failure != null) {
-                        logger.atWarning().log("own record is not renewed at the end: %s", Failures.unwrap(failure));
+                        logger.atWarning().log("cannot renew own record before exit: %s", Failures.unwrap(failure));
                     }
                 })
                 .join();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
@@ -78,7 +78,7 @@
                 logger.atInfo().with(LogKeys.PEER, key).log("entry at %s", entry.getPeerAddress());
             }
         } catch (InvalidProtocolBufferException e) {
-            logger.atWarning().withCause(e).with(LogKeys.PEER, key).log("an entry's record cannot be read");
+            logger.atWarning().withCause(e).with(LogKeys.PEER, key).log("the record of an entry is malformed");
         }
     }
 
@@ -155,7 +155,7 @@
         activeFromNanos = expired ? ownRenewalNanos + JOIN_DELAY.toNanos() : ownRenewalNanos;
         mayHaveExpired = false;
         renewalsByEntry.clear();
-        logger.atInfo().log("own record renewed after a pause, taken as gone by others: %s", expired);
+        logger.atInfo().log("own record renewed after a gap; expired for other entries: %s", expired);
     }
 
     /**
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMessenger.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMessenger.java
@@ -60,7 +60,7 @@
         Optional<String> address = members.addressOf(entry);
         if (address.isEmpty()) {
             return CompletableFuture.failedFuture(
-                    new PeerException(ResultCode.PEER_UNREACHABLE, "its record has lapsed", entry));
+                    new PeerException(ResultCode.PEER_UNREACHABLE, "the record of the entry has expired", entry));
         }
         BudgetDraw.Builder draw =
                 BudgetDraw.newBuilder().setAccount(account).setNeeded(needed).setAhead(ahead);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
@@ -160,10 +160,10 @@
                     logger.atInfo()
                             .with(LogKeys.PEER, parent)
                             .log(
-                                    "%s is read here for %d ms: %s",
+                                    "%s is read directly for %d ms: %s",
                                     log,
                                     PARENT_RETRY_DELAY.toMillis(),
-                                    failure == null ? "the entry asked cannot tell" : Failures.unwrap(failure));
+                                    failure == null ? "the parent entry has no answer" : Failures.unwrap(failure));
                     return direct.read(from, Duration.ZERO);
                 })
                 .thenCompose(answer -> answer);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
@@ -169,7 +169,7 @@
                     generation,
                     answer.relayed() ? settings.readPause().dividedBy(RELAYED_PAUSE_DIVISOR) : settings.readPause());
         } else if (failure instanceof LogTrimmedException) {
-            logger.atInfo().log("%s dropped records that were not read; reading all of it", name);
+            logger.atInfo().log("%s no longer has records that were not read yet; reading all of it", name);
             scheduleFullRead(generation);
         } else {
             onFailure(failure == null ? new IllegalStateException("no answer") : failure);
@@ -192,7 +192,7 @@
         if (now != relayed) {
             logger.atInfo()
                     .with(LogKeys.OFFSET, offset())
-                    .log("%s is read %s", name, now ? "by another entry" : "here");
+                    .log("%s is read %s", name, now ? "through another entry" : "directly");
             relayed = now;
         }
     }
@@ -289,7 +289,7 @@
             LogPosition end = firstEnd == null ? page.end() : firstEnd;
             if (page.end().era() != end.era()) {
                 return CompletableFuture.failedFuture(
-                        new IllegalStateException("the log was restored between two pages of it"));
+                        new IllegalStateException("the log was restored while its pages were read"));
             }
             found.addAll(page.records());
             if (!page.hasMore() || page.records().isEmpty()) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationHolder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationHolder.java
@@ -29,7 +29,7 @@
         RoutingTable before = current.getAndAccumulate(
                 table, (old, offered) -> old == null || offered.version() > old.version() ? offered : old);
         if (before != null && before.version() >= table.version()) {
-            logger.atInfo().log("configuration %d is older than %d; kept", table.version(), before.version());
+            logger.atInfo().log("configuration %d is not newer than %d; ignored", table.version(), before.version());
             return;
         }
         logger.atInfo().log("configuration %d in force", table.version());
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationUpdater.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationUpdater.java
@@ -46,11 +46,11 @@
                             }
                         },
                         () -> logger.atWarning().log(
-                                "operators' record %s of %d bytes is passed over", key, value.length));
+                                "operators' record %s of %d bytes cannot be decoded; ignored", key, value.length));
     }
 
     @Override
     public void onDelete(String key, boolean afterOutage) {
-        logger.atInfo().log("operators' record %s was dropped; what it said stays in force", key);
+        logger.atInfo().log("operators' record %s was deleted; its content stays in force", key);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
@@ -48,7 +48,7 @@
         if (before != null && before.startMillis() > described.startMillis()) {
             logger.atInfo()
                     .with(LogKeys.UPSTREAM, described.id())
-                    .log("a description of the earlier start %d is passed over", described.startMillis());
+                    .log("a description of the earlier start %d is ignored", described.startMillis());
             return;
         }
         boolean stillLeaving = before != null && before.leaving() && before.isSameStart(described);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectoryUpdater.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectoryUpdater.java
@@ -32,7 +32,7 @@
     public void onPut(String key, byte[] value) {
         decoder.apply(key, value).ifPresentOrElse(directory::put, () -> logger.atWarning()
                 .with(LogKeys.UPSTREAM, key)
-                .log("a description of %d bytes cannot be read", value.length));
+                .log("a description of %d bytes cannot be decoded; ignored", value.length));
     }
 
     @Override
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
@@ -153,7 +153,7 @@
         members.onOwnRecordWritten(time.monotonicNanos());
         members.onPut("b", RECORD);
         time.passMillis(200);
-        assertTrue(isActive(), "others renewed theirs right before and right after");
+        assertTrue(isActive(), "other entries renewed their records right before and right after the outage");
     }
 
     @Test
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
@@ -152,7 +152,7 @@
                         .mirror()
                         .recordsFrom(new LogPosition(0, behind))
                         .isPresent(),
-                "it cannot know what was dropped");
+                "a full read does not show earlier deletions");
         assertTrue(restarted
                 .follower
                 .mirror()
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FollowScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/FollowScheduleTest.java
@@ -75,7 +75,7 @@
             Map<String, Long> expected = new HashMap<>();
             newest.forEach((key, r) -> expected.put(key, r.offset()));
             if (!received.equals(expected)) {
-                violations.add("the fold has " + received + ", the log " + expected);
+                violations.add("the listener has " + received + ", the log " + expected);
             }
             return violations;
         }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/RestoredLogScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/RestoredLogScheduleTest.java
@@ -181,7 +181,7 @@
         @Override
         public void onDelete(String key, boolean afterOutage) {
             if (!afterOutage) {
-                violations.add(key + " counts as gone although only the store lost it");
+                violations.add(key + " was deleted although only the store lost it");
             }
         }
     }
