Name the start time in the directory test after its unit

Cause: "born" is figurative and has no unit.

Change: one parameter name, by the compiler's resolution.

--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/UpstreamDirectoryTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/UpstreamDirectoryTest.java
@@ -20,9 +20,9 @@
         directory = new UpstreamDirectory();
     }
 
-    private static Upstream upstream(String id, int port, long born, boolean leaving) {
+    private static Upstream upstream(String id, int port, long startMillis, boolean leaving) {
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
-        return new Upstream(id, "lm", address, "bole", born, leaving, 8, Map.of());
+        return new Upstream(id, "lm", address, "bole", startMillis, leaving, 8, Map.of());
     }
 
     private List<String> usable() {
