--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -17,11 +17,11 @@
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.core.request.outcome.CrashSuspects;
 import io.parsleycleat.gateway.connection.upstream.UpstreamConnectionPools;
-import io.parsleycleat.gateway.process.members.EntryExchange;
 import io.parsleycleat.gateway.process.members.EntryMembers;
+import io.parsleycleat.gateway.process.members.EntryMessenger;
 import io.parsleycleat.gateway.process.members.GateClient;
 import io.parsleycleat.gateway.process.members.LogRelay;
-import io.parsleycleat.gateway.process.members.StoreLinks;
+import io.parsleycleat.gateway.process.members.StoreAccess;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
 import io.parsleycleat.gateway.request.choose.PlainServiceChooser;
@@ -55,97 +55,103 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * An entry that forwards callers' requests straight to the upstreams.
+ * Runs an entry that forwards callers' requests directly to the upstreams.
  *
- * <p>Created once by a main. Requests, connections and timers share one event loop, since the VMs have one core.
+ * <p>Created once by a main class. Requests, connections and timers share one event loop, since the VMs have one core.
  */
 public final class ForwardEntry {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final Duration KEY_MARGIN = Duration.ofMillis(800);
-    private static final Duration MEMBERS_INTERVAL = Duration.ofMillis(100);
-    private static final Duration OTHERS_POLL = Duration.ofMillis(10);
-    private static final Duration RECORD_RETRY = Duration.ofMillis(700);
-    private static final Duration PEER_KEEP_ALIVE = Duration.ofSeconds(1);
-    private static final Duration SUSPICION = Duration.ofMinutes(2);
-    private static final Duration LAST_BYTES = Duration.ofMillis(300);
-    /** How long the end of the process waits for its record to be written. */
-    private static final Duration LAST_WRITE = Duration.ofMillis(200);
-    /** The balancer asks once a second and needs two refusals; requests arrive until then. */
-    private static final Duration LEAVE_TIME = Duration.ofMillis(2_800);
-    /** Part of the grace time that is kept for the end. */
-    private static final Duration GRACE_MARGIN = Duration.ofMillis(500);
+    /** How long before the withdrawal bound an entry stops accepting keys on the basis of an old configuration. */
+    private static final Duration KEY_EXPIRY_MARGIN = Duration.ofMillis(800);
 
-    private static final FollowSettings OPERATORS = FollowSettings.LOW_LATENCY;
-    private static final FollowSettings UPSTREAMS =
+    private static final Duration MEMBERS_UPDATE_INTERVAL = Duration.ofMillis(100);
+    private static final Duration FIRST_READ_POLL_INTERVAL = Duration.ofMillis(10);
+    private static final Duration RECORD_RETRY_DELAY = Duration.ofMillis(700);
+    private static final Duration PEER_KEEP_ALIVE_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration CRASH_SUSPICION_TIME = Duration.ofMinutes(2);
+    private static final Duration CONNECTION_FLUSH_TIMEOUT = Duration.ofMillis(300);
+    /** How long the stopping process waits for the last write of its record. */
+    private static final Duration FINAL_WRITE_TIMEOUT = Duration.ofMillis(200);
+    /** The load balancer checks readiness once a second and needs two refusals; requests arrive until then. */
+    private static final Duration BALANCER_REMOVAL_DELAY = Duration.ofMillis(2_800);
+    /** Part of the shutdown timeout that is reserved for closing connections and the last write of the record. */
+    private static final Duration SHUTDOWN_MARGIN = Duration.ofMillis(500);
+
+    private static final FollowSettings OPERATORS_LOG_SETTINGS = FollowSettings.LOW_LATENCY;
+    private static final FollowSettings UPSTREAMS_LOG_SETTINGS =
             FollowSettings.LOW_LATENCY.withReadPause(Duration.ofMillis(550)).withMaxWait(Duration.ofSeconds(2));
-    private static final Duration RELAYED_ENTRIES_GAP = Duration.ofSeconds(1);
-    private static final FollowSettings ENTRIES =
+    private static final Duration SHORT_ENTRIES_READ_PAUSE = Duration.ofSeconds(1);
+    private static final FollowSettings ENTRIES_LOG_SETTINGS =
             FollowSettings.LOW_LATENCY.withReadPause(Duration.ofMillis(1_500)).withMaxWait(Duration.ofSeconds(2));
 
     private final ForwardEntrySettings settings;
-    private final StoreLinks store;
-    private final EventLoop loop;
+    private final StoreAccess store;
+    private final EventLoop eventLoop;
     private final TimeSource time = TimeSource.SYSTEM;
     private final MetricRegistry metrics = new MetricRegistry();
     private final ProcessIdentity identity;
     private final NettyPeerTransport transport;
     private final ConfigurationHolder configuration = new ConfigurationHolder();
-    private final AdapterVersions versions = new AdapterVersions();
-    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final AdapterVersions adapterVersions = new AdapterVersions();
+    private final UpstreamDirectory upstreamDirectory = new UpstreamDirectory();
     private final EntryMembers members;
     private final LogRelay relay;
-    private final BudgetHomes homes;
+    private final BudgetHomes budgetHomes;
     private final AccountBudgets budgets;
-    private final CrashDetector crashes;
-    private final EntryExchange exchange;
+    private final CrashDetector crashWatch;
+    private final EntryMessenger messenger;
     private final LogFollower operatorsFollower;
     private final LogFollower upstreamsFollower;
     private final LogFollower entriesFollower;
     private final RequestForwarder forwarder;
-    private final CallerServer callers;
+    private final CallerServer callerServer;
     private volatile boolean stopping;
     private volatile boolean refusing;
-    private volatile boolean ended;
+    private volatile boolean recordWritesEnded;
     private volatile @Nullable Readiness lastReadiness;
-    private volatile boolean recordWriteFails;
+    private volatile boolean recordWriteFailing;
 
-    private ForwardEntry(ForwardEntrySettings settings, StoreLinks store, CallCodec codec, EventLoopGroup loops) {
+    private ForwardEntry(ForwardEntrySettings settings, StoreAccess store, CallCodec codec, EventLoopGroup loops) {
         this.settings = settings;
         this.store = store;
-        this.loop = loops.next();
-        this.identity = settings.vm().start(ProcessRole.ENTRY, time);
+        this.eventLoop = loops.next();
+        this.identity = settings.vm().newProcessIdentity(ProcessRole.ENTRY, time);
         this.transport = new NettyPeerTransport(
-                identity, loops, () -> 0, (from, frame) -> {}, new TrafficCounter(metrics), PEER_KEEP_ALIVE);
+                identity, loops, () -> 0, (from, frame) -> {}, new TrafficCounter(metrics), PEER_KEEP_ALIVE_INTERVAL);
         this.members = new EntryMembers(identity.vmName(), time);
-        this.homes = new BudgetHomes(identity.vmName(), settings.budgetSlack(), time, this::isStanding);
-        this.crashes = new CrashDetector(new CrashSuspects(SUSPICION, SUSPICION), time, this::tellCrash);
+        this.budgetHomes = new BudgetHomes(identity.vmName(), settings.budgetSlack(), time, this::isActive);
+        this.crashWatch = new CrashDetector(
+                new CrashSuspects(CRASH_SUSPICION_TIME, CRASH_SUSPICION_TIME), time, this::broadcastCrash);
         EngineView view = new EngineView(time);
-        this.relay = LogRelay.create(transport, identity, members, time, loop);
-        this.exchange = new EntryExchange(transport, transport, members, homes, crashes, view, relay);
-        this.budgets = new AccountBudgets(identity.vmName(), homes, exchange, time, loop);
-        this.operatorsFollower = follower(
+        this.relay = LogRelay.create(transport, identity, members, time, eventLoop);
+        this.messenger = new EntryMessenger(transport, transport, members, budgetHomes, crashWatch, view, relay);
+        this.budgets = new AccountBudgets(identity.vmName(), budgetHomes, messenger, time, eventLoop);
+        this.operatorsFollower = createFollower(
                 "operators' log",
-                store.operators(),
-                new ConfigurationUpdater(store.operatorsDecoder(), configuration, versions, time),
-                OPERATORS,
+                store.operatorsLog(),
+                new ConfigurationUpdater(store.operatorsDecoder(), configuration, adapterVersions, time),
+                OPERATORS_LOG_SETTINGS,
                 settings.changeBound());
-        this.upstreamsFollower = follower(
+        this.upstreamsFollower = createFollower(
                 "upstreams' log",
-                store.upstreams(),
-                new UpstreamDirectoryUpdater(store.upstreamDecoder(), directory),
-                UPSTREAMS,
+                store.upstreamsLog(),
+                new UpstreamDirectoryUpdater(store.upstreamDecoder(), upstreamDirectory),
+                UPSTREAMS_LOG_SETTINGS,
                 settings.drainBound());
-        this.entriesFollower =
-                follower("entries' log", store.entries(), members, entries(settings), EntryMembers.OTHERS_UNKNOWN);
+        this.entriesFollower = createFollower(
+                "entries' log", store.entriesLog(), members, entriesLogSettings(settings), EntryMembers.MAX_READ_AGE);
         this.forwarder = createForwarder(codec, view);
-        this.callers = new CallerServer(loops, this::limits, forwarder);
+        this.callerServer = new CallerServer(loops, this::callerLimits, forwarder);
     }
 
     // Life cycle
 
-    /** Starts an entry that listens on all its addresses. It is ready once it knows configuration and upstreams. */
+    /**
+     * Starts an entry that listens on all its addresses. It is ready once it has read the configuration and the
+     * upstreams.
+     */
     public static ForwardEntry start(
-            ForwardEntrySettings settings, StoreLinks store, CallCodec codec, EventLoopGroup loops) {
+            ForwardEntrySettings settings, StoreAccess store, CallCodec codec, EventLoopGroup loops) {
         ForwardEntry entry = new ForwardEntry(settings, store, codec, loops);
         entry.listen(loops);
         return entry;
@@ -153,47 +159,50 @@
 
     private void listen(EventLoopGroup loops) {
         configuration.addListener(table -> budgets.setAccounts(table.accounts()));
-        directory.addListener(this::upstreamChanged);
+        upstreamDirectory.addListener(this::onUpstreamChange);
         operatorsFollower.start();
         upstreamsFollower.start();
         entriesFollower.start();
-        transport.listen(settings.vm().peers());
-        callers.listen(settings.callers());
+        transport.listen(settings.vm().peerAddress());
+        callerServer.listen(settings.callerAddress());
         new CallerServer(loops, () -> CallerLimits.DEFAULT, new ReadyService(settings.readyPath(), this::readiness))
-                .listen(settings.ready());
+                .listen(settings.readyAddress());
         new CallerServer(loops, () -> CallerLimits.DEFAULT, new AdminService(metrics, this::readiness))
-                .listen(settings.metrics());
+                .listen(settings.metricsAddress());
         metrics.gauge("requests.open", () -> forwarder::openRequests);
         metrics.gauge("operators.log.era", () -> operatorsFollower::era);
         metrics.gauge("configuration.age.millis", () -> operatorsFollower.freshness()::ageMillis);
-        loop.scheduleAtFixedRate(
-                this::followMembers, MEMBERS_INTERVAL.toMillis(), MEMBERS_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
-        loop.execute(this::awaitOthers);
-        logger.atInfo().log("entry started, callers %s, peers %s", settings.callers(), identity.peerAddress());
+        eventLoop.scheduleAtFixedRate(
+                this::updateMembers,
+                MEMBERS_UPDATE_INTERVAL.toMillis(),
+                MEMBERS_UPDATE_INTERVAL.toMillis(),
+                TimeUnit.MILLISECONDS);
+        eventLoop.execute(this::awaitFirstMembersRead);
+        logger.atInfo().log("entry started, callers %s, peers %s", settings.callerAddress(), identity.peerAddress());
     }
 
-    /** Leaves the balancer, answers what has arrived, and ends. */
+    /** Refuses readiness checks, answers the requests that have arrived, and stops. */
     public void stop() {
-        long deadline =
-                time.monotonicNanos() + settings.grace().minus(GRACE_MARGIN).toNanos();
+        long deadline = time.monotonicNanos()
+                + settings.shutdownTimeout().minus(SHUTDOWN_MARGIN).toNanos();
         stopping = true;
-        callers.drain();
+        callerServer.drain();
         logger.atInfo().log("entry stops with %d open requests", forwarder.openRequests());
-        Drain.pause(LEAVE_TIME);
+        Drain.pause(BALANCER_REMOVAL_DELAY);
         refusing = true;
-        Duration left = Duration.ofNanos(Math.max(0, deadline - time.monotonicNanos()));
-        boolean allAnswered = Drain.await(loop, forwarder::openRequests, left);
-        int cut = forwarder.openRequests();
-        if (!allAnswered && cut > 0) {
-            logger.atWarning().log("%d requests are cut", cut);
+        Duration remaining = Duration.ofNanos(Math.max(0, deadline - time.monotonicNanos()));
+        boolean allAnswered = Drain.await(eventLoop, forwarder::openRequests, remaining);
+        int unanswered = forwarder.openRequests();
+        if (!allAnswered && unanswered > 0) {
+            logger.atWarning().log("%d requests aborted at the end of the shutdown timeout", unanswered);
         }
-        callers.close();
-        Drain.await(loop, this::connectionsWithAnswers, LAST_BYTES);
-        leaveRecord();
+        callerServer.close();
+        Drain.await(eventLoop, this::closeIdleAndCountOpen, CONNECTION_FLUSH_TIMEOUT);
+        renewRecordOnExit();
         logger.atInfo().log("entry stopped");
     }
 
-    /** Returns whether the entry can serve, and why not. */
+    /** Returns whether the entry can serve requests, and the reason if it cannot. */
     public Readiness readiness() {
         Readiness now = currentReadiness();
         if (!now.equals(lastReadiness)) {
@@ -219,57 +228,63 @@
         return Readiness.READY;
     }
 
-    private long connectionsWithAnswers() {
-        callers.closeIdle();
-        return callers.openConnections();
+    private long closeIdleAndCountOpen() {
+        callerServer.closeIdle();
+        return callerServer.openConnections();
     }
 
-    // Parts
+    // Components
 
     /**
-     * Creates the follower of a log, through another entry of the data centre where the bound leaves time for that.
+     * Creates the follower of a log, which reads through another entry of the data centre if the bound leaves time for
+     * that.
      *
      * @param bound how late a change may become known here
      */
-    private LogFollower follower(
-            String name, KeyedLog log, KeyedLogListener fold, FollowSettings base, Duration bound) {
-        return LogRelay.relaying(base, bound)
-                .map(follow -> {
-                    LogFollower follower = new LogFollower(name, relay.relayed(name, log), fold, follow, loop, time);
-                    relay.serve(name, follower);
+    private LogFollower createFollower(
+            String name, KeyedLog log, KeyedLogListener listener, FollowSettings directSettings, Duration bound) {
+        return LogRelay.relaySettings(directSettings, bound)
+                .map(relayedSettings -> {
+                    LogFollower follower = new LogFollower(
+                            name, relay.relayedLog(name, log), listener, relayedSettings, eventLoop, time);
+                    relay.register(name, follower);
                     return follower;
                 })
-                .orElseGet(() -> new LogFollower(name, log, fold, base, loop, time));
+                .orElseGet(() -> new LogFollower(name, log, listener, directSettings, eventLoop, time));
     }
 
-    /** Where the other logs are relayed, few entries read this one, and may read it more often. */
-    private static FollowSettings entries(ForwardEntrySettings settings) {
-        return LogRelay.relaying(UPSTREAMS, settings.drainBound()).isPresent()
-                ? ENTRIES.withReadPause(RELAYED_ENTRIES_GAP)
-                : ENTRIES;
+    /**
+     * Returns the settings for the log of entries. Where the other logs are relayed, few entries read this one from the
+     * store, and may read it more often.
+     */
+    private static FollowSettings entriesLogSettings(ForwardEntrySettings settings) {
+        return LogRelay.relaySettings(UPSTREAMS_LOG_SETTINGS, settings.drainBound())
+                        .isPresent()
+                ? ENTRIES_LOG_SETTINGS.withReadPause(SHORT_ENTRIES_READ_PAUSE)
+                : ENTRIES_LOG_SETTINGS;
     }
 
     private RequestForwarder createForwarder(CallCodec codec, EngineView view) {
-        UpstreamLoads loads = new UpstreamLoads(time, directory);
+        UpstreamLoads loads = new UpstreamLoads(time, upstreamDirectory);
         SplittableRandom random = new SplittableRandom(identity.incarnation());
         ForwardingContext parts = new ForwardingContext(
                 codec,
-                loop,
+                eventLoop,
                 time,
-                directory,
-                versions,
-                new UpstreamConnectionPools(loop, time, directory, this::maxConnections),
+                upstreamDirectory,
+                adapterVersions,
+                new UpstreamConnectionPools(eventLoop, time, upstreamDirectory, this::maxConnections),
                 loads,
                 new UpstreamAvailability(time, random::nextDouble),
                 new PlainServiceChooser(loads, identity.dataCentre(), random::nextDouble),
                 new EngineChooser(view, loads),
                 view,
                 new GateClient(transport, settings.sidePort()),
-                new RetryShare(settings.retries(), time, this::entryCount),
-                crashes,
+                new RetryShare(settings.retryBounds(), time, this::entryCount),
+                crashWatch,
                 new ForwardMetrics(metrics));
         RequestForwarder.StalenessLimits bounds = new RequestForwarder.StalenessLimits(
-                settings.withdrawalBound().minus(KEY_MARGIN), settings.changeBound());
+                settings.withdrawalBound().minus(KEY_EXPIRY_MARGIN), settings.changeBound());
         return new RequestForwarder(
                 parts,
                 configuration,
@@ -280,15 +295,15 @@
                 random::nextDouble);
     }
 
-    private CallerLimits limits() {
+    private CallerLimits callerLimits() {
         return configuration.current().map(t -> t.limits()).orElse(CallerLimits.DEFAULT);
     }
 
     private int entryCount() {
-        return 1 + members.others().size();
+        return 1 + members.peerAddresses().size();
     }
 
-    /** All entries together must stay below what an upstream accepts. */
+    /** Returns this entry's part of the connections that an upstream accepts from all entries together. */
     private int maxConnections(Upstream upstream) {
         int accepted = configuration
                 .current()
@@ -300,55 +315,55 @@
 
     // Other entries
 
-    private void tellCrash(UpstreamCrash crash) {
-        exchange.tellCrash(crash);
+    private void broadcastCrash(UpstreamCrash crash) {
+        messenger.broadcastCrash(crash);
     }
 
-    private void upstreamChanged(@Nullable Upstream before, @Nullable Upstream after) {
-        boolean startedAnew = before != null && after != null && !before.isSameStart(after);
+    private void onUpstreamChange(@Nullable Upstream before, @Nullable Upstream after) {
+        boolean restarted = before != null && after != null && !before.isSameStart(after);
         boolean gone = before != null && after == null && !before.leaving();
-        if (before != null && (startedAnew || gone)) {
-            crashes.onUpstreamDown(before);
+        if (before != null && (restarted || gone)) {
+            crashWatch.onUpstreamDown(before);
         }
     }
 
     /**
-     * Waits for the first read of the others: budgets cannot be drawn before, and the record of this VM's earlier
-     * process is read before it is replaced.
+     * Waits for the first read of the entries' records: budgets cannot be drawn before, and the record of this VM's
+     * earlier process must be read before it is overwritten.
      */
-    private void awaitOthers() {
+    private void awaitFirstMembersRead() {
         if (entriesFollower.isFullyRead()) {
-            writeRecord();
-            followMembers();
+            renewOwnRecord();
+            updateMembers();
         } else {
-            loop.schedule(this::awaitOthers, OTHERS_POLL.toMillis(), TimeUnit.MILLISECONDS);
+            eventLoop.schedule(this::awaitFirstMembersRead, FIRST_READ_POLL_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
-    private void followMembers() {
+    private void updateMembers() {
         if (entriesFollower.isFullyRead()) {
-            members.storeSilentFor(entriesFollower.freshness().age());
-            budgets.setOtherEntries(members.others().keySet());
+            members.updateReadAge(entriesFollower.freshness().age());
+            budgets.setOtherEntries(members.peerAddresses().keySet());
             budgets.returnUnspent();
         }
     }
 
-    private boolean isStanding() {
-        return members.isStanding(entriesFollower.freshness().age());
+    private boolean isActive() {
+        return members.isActive(entriesFollower.freshness().age());
     }
 
-    private void writeRecord() {
-        if (ended) {
+    private void renewOwnRecord() {
+        if (recordWritesEnded) {
             return;
         }
         long sentNanos = time.monotonicNanos();
         writeOwnRecord().whenComplete((nothing, failure) -> {
             if (failure == null) {
-                members.ownRecordWritten(sentNanos);
+                members.onOwnRecordWritten(sentNanos);
             }
-            noteRecordWrite(failure);
-            Duration delay = failure == null ? EntryMembers.RENEWAL : RECORD_RETRY;
-            loop.schedule(this::writeRecord, delay.toMillis(), TimeUnit.MILLISECONDS);
+            logRecordWriteChange(failure);
+            Duration delay = failure == null ? EntryMembers.RENEWAL_INTERVAL : RECORD_RETRY_DELAY;
+            eventLoop.schedule(this::renewOwnRecord, delay.toMillis(), TimeUnit.MILLISECONDS);
         });
     }
 
@@ -357,28 +372,31 @@
         return store.entryWriter().write(identity.vmName(), entry.toByteArray());
     }
 
-    /** Logs the first failure in a row and the end of it; each renewal repeats the write. */
-    private void noteRecordWrite(@Nullable Throwable failure) {
-        if (failure != null && !recordWriteFails) {
-            logger.atWarning().log("own record is not written, tried again: %s", Failures.unwrap(failure));
-        } else if (failure == null && recordWriteFails) {
-            logger.atInfo().log("own record is written again");
+    /**
+     * Logs the first of several failed writes in a row and the first success after them; each renewal repeats the
+     * write.
+     */
+    private void logRecordWriteChange(@Nullable Throwable failure) {
+        if (failure != null && !recordWriteFailing) {
+            logger.atWarning().log("cannot write own record, will retry: %s", Failures.unwrap(failure));
+        } else if (failure == null && recordWriteFailing) {
+            logger.atInfo().log("own record written again");
         }
-        recordWriteFails = failure != null;
+        recordWriteFailing = failure != null;
     }
 
     /**
-     * Renews the own record a last time: after a planned stop this VM mostly starts again before it lapses, and then
-     * goes on with its parts of the budgets at once.
+     * Renews the own record for the last time. After a planned stop this VM usually starts again before the record
+     * expires, and then continues with its parts of the budgets at once.
      */
-    private void leaveRecord() {
-        ended = true;
+    private void renewRecordOnExit() {
+        recordWritesEnded = true;
         writeOwnRecord()
-                .orTimeout(LAST_WRITE.toMillis(), TimeUnit.MILLISECONDS)
+                .orTimeout(FINAL_WRITE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .handle((nothing, failure) -> failure)
                 .thenAccept(failure -> {
                     if (failure != null) {
-                        logger.atWarning().log("own record is not renewed at the end: %s", Failures.unwrap(failure));
+                        logger.atWarning().log("cannot renew own record before exit: %s", Failures.unwrap(failure));
                     }
                 })
                 .join();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMembers.java
@@ -13,48 +13,52 @@
 import java.util.stream.Collectors;
 
 /**
- * The other entries, as their records in the store tell. An entry renews its record; one that is not renewed for a
- * while is gone.
+ * Keeps the other entries as known from their records in the store. Each entry renews its record periodically; an entry
+ * whose record is not renewed in time is regarded as gone.
  *
- * <p>One an entry; guarded by its own lock.
+ * <p>An entry is active while its record cannot have expired for the others and no other active entry can be unknown to
+ * it. This ensures that an earlier home of an account, the entry that owns the account's budget, becomes inactive
+ * before another entry is its home.
+ *
+ * <p>One per entry; guarded by its own lock.
  */
 public final class EntryMembers implements KeyedLogListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** Age at which another entry's record has lapsed. */
-    private static final Duration LAPSE = Duration.ofMillis(7_500);
-    /** Age of the own record from which others may soon count this entry as gone. */
-    private static final Duration OWN_LAPSE = Duration.ofSeconds(6);
-    /** Age of what was read of the others from which one of them may have come that is not known here. */
-    public static final Duration OTHERS_UNKNOWN = Duration.ofSeconds(4);
-    /** Time after which all others know of an entry that has come, or do not stand themselves. */
-    private static final Duration SETTLE = OTHERS_UNKNOWN.plusMillis(250);
-    /** Age of the record of this VM's earlier process below which no other entry counts the VM as gone. */
-    private static final Duration RESTART = Duration.ofSeconds(5);
+    /** Age at which the record of another entry expires. */
+    private static final Duration RECORD_LIFETIME = Duration.ofMillis(7_500);
+    /** Age of the own record from which other entries may soon regard this entry as gone. */
+    private static final Duration MAX_OWN_RECORD_AGE = Duration.ofSeconds(6);
+    /** Age of the last read of the records from which another entry may be active that is unknown here. */
+    public static final Duration MAX_READ_AGE = Duration.ofSeconds(4);
+    /** Time after which every other entry knows a newly started one or is not active itself. */
+    private static final Duration JOIN_DELAY = MAX_READ_AGE.plusMillis(250);
+    /** Age of the record of this VM's earlier process below which no other entry regards the VM as gone. */
+    private static final Duration MAX_RESTART_RECORD_AGE = Duration.ofSeconds(5);
     /** Time between two renewals of a record. */
-    public static final Duration RENEWAL = Duration.ofMillis(2_500);
-    /** Renewals of another entry right before and right after an outage of the store for all. */
+    public static final Duration RENEWAL_INTERVAL = Duration.ofMillis(2_500);
+    /** Renewals of another entry that arrive right before and right after an outage of the store for all entries. */
     private static final int RENEWALS_AROUND_OUTAGE = 2;
-    /** Silence of the store after which the age of records says nothing. */
-    private static final Duration STORE_SILENCE = Duration.ofSeconds(4);
+    /** Time without an answer of the store after which the age of a record does not show whether its entry runs. */
+    private static final Duration MIN_STORE_OUTAGE = Duration.ofSeconds(4);
 
     private final String self;
     private final TimeSource time;
-    private final Map<String, Seen> seen = new HashMap<>();
-    private boolean storeSilent;
-    private final Map<String, Integer> renewals = new HashMap<>();
-    private boolean restarted;
-    private boolean ownWritten;
-    private long ownNanos;
-    private long standsFromNanos;
-    private boolean mayHaveLapsed;
-    private long silentNanos;
-
-    /** Another entry as its record tells. */
+    private final Map<String, ReceivedRecord> receivedRecords = new HashMap<>();
+    private boolean storeOutage;
+    private final Map<String, Integer> renewalsByEntry = new HashMap<>();
+    private boolean earlierRecordValid;
+    private boolean ownRecordWritten;
+    private long ownRenewalNanos;
+    private long activeFromNanos;
+    private boolean mayHaveExpired;
+    private long renewalGapNanos;
+
+    /** Another entry, as described by its record. */
     public record Member(String peerAddress, String dataCentre) {}
 
-    private record Seen(EntryRecord entry, long nanos) {}
+    private record ReceivedRecord(EntryRecord entry, long receivedNanos) {}
 
-    /** Creates an empty set for the entry with the given name. */
+    /** Creates an empty membership for the entry with the given name. */
     public EntryMembers(String self, TimeSource time) {
         this.self = self;
         this.time = time;
@@ -65,35 +69,38 @@
         try {
             EntryRecord entry = EntryRecord.parseFrom(value);
             if (key.equals(self)) {
-                noteOwn(entry);
+                onEarlierOwnRecord(entry);
                 return;
             }
-            renewals.merge(key, 1, Integer::sum);
-            Seen before = seen.put(key, new Seen(entry, time.monotonicNanos()));
+            renewalsByEntry.merge(key, 1, Integer::sum);
+            ReceivedRecord before = receivedRecords.put(key, new ReceivedRecord(entry, time.monotonicNanos()));
             if (before == null) {
                 logger.atInfo().with(LogKeys.PEER, key).log("entry at %s", entry.getPeerAddress());
             }
         } catch (InvalidProtocolBufferException e) {
-            logger.atWarning().withCause(e).with(LogKeys.PEER, key).log("an entry's record cannot be read");
+            logger.atWarning().withCause(e).with(LogKeys.PEER, key).log("the record of an entry is malformed");
         }
     }
 
     @Override
     public synchronized void onDelete(String key, boolean afterOutage) {
-        if (!afterOutage && seen.remove(key) != null) {
+        if (!afterOutage && receivedRecords.remove(key) != null) {
             logger.atInfo().with(LogKeys.PEER, key).log("entry left");
         }
     }
 
-    /** Before this process has written, the own record is that of the VM's earlier process. */
-    private void noteOwn(EntryRecord entry) {
+    /**
+     * Checks whether the record of this VM's earlier process is recent. The own record is from that process until this
+     * process has written it.
+     */
+    private void onEarlierOwnRecord(EntryRecord entry) {
         long age = time.wallMillis() - entry.getWrittenMillis();
-        if (!ownWritten && age >= 0 && age < RESTART.toMillis()) {
-            restarted = true;
+        if (!ownRecordWritten && age >= 0 && age < MAX_RESTART_RECORD_AGE.toMillis()) {
+            earlierRecordValid = true;
         }
     }
 
-    /** Returns the record that this entry writes now. */
+    /** Returns the content of this entry's own record as of now. */
     public EntryRecord ownRecord(String peerAddress, String dataCentre) {
         return EntryRecord.newBuilder()
                 .setPeerAddress(peerAddress)
@@ -102,68 +109,74 @@
                 .build();
     }
 
-    /** Notes that the own record was written by a call that was sent at the given time. */
-    public synchronized void ownRecordWritten(long sentNanos) {
-        if (!ownWritten) {
-            standsFromNanos = restarted ? sentNanos : sentNanos + SETTLE.toNanos();
-        } else if (sentNanos - ownNanos > OWN_LAPSE.toNanos()) {
-            mayHaveLapsed = true;
-            silentNanos = sentNanos - ownNanos;
-        } else if (!mayHaveLapsed) {
-            renewals.clear();
+    /** Records that the own record was written by a call that was sent at the given time. */
+    public synchronized void onOwnRecordWritten(long sentNanos) {
+        if (!ownRecordWritten) {
+            activeFromNanos = earlierRecordValid ? sentNanos : sentNanos + JOIN_DELAY.toNanos();
+        } else if (sentNanos - ownRenewalNanos > MAX_OWN_RECORD_AGE.toNanos()) {
+            mayHaveExpired = true;
+            renewalGapNanos = sentNanos - ownRenewalNanos;
+        } else if (!mayHaveExpired) {
+            renewalsByEntry.clear();
         }
-        ownWritten = true;
-        ownNanos = sentNanos;
+        ownRecordWritten = true;
+        ownRenewalNanos = sentNanos;
     }
 
     /**
-     * Returns whether no other entry can count this one as gone, nor any other stand that this one does not know.
+     * Returns whether no other entry can regard this one as gone and no other active entry can be unknown to it.
      *
-     * @param readAge the time since the store was asked for what is known of the others
+     * @param readAge the time since the request was sent that returned the newest known state of the records
      */
-    public synchronized boolean isStanding(Duration readAge) {
+    public synchronized boolean isActive(Duration readAge) {
         long now = time.monotonicNanos();
-        if (!ownWritten || now - ownNanos > OWN_LAPSE.toNanos() || readAge.compareTo(OTHERS_UNKNOWN) > 0) {
+        if (!ownRecordWritten
+                || now - ownRenewalNanos > MAX_OWN_RECORD_AGE.toNanos()
+                || readAge.compareTo(MAX_READ_AGE) > 0) {
             return false;
         }
-        if (mayHaveLapsed) {
-            decideLapse(now, readAge);
+        if (mayHaveExpired) {
+            resolvePossibleExpiry(now, readAge);
         }
-        return !mayHaveLapsed && now - standsFromNanos >= 0;
+        return !mayHaveExpired && now - activeFromNanos >= 0;
     }
 
-    /** After a silence of the store the others' renewals tell whether it was silent for them as well. */
-    private void decideLapse(long now, Duration readAge) {
-        if (now - ownNanos < readAge.toNanos()) {
+    /**
+     * Decides, after a gap in the own renewals, whether the store was unreachable for all entries: otherwise the others
+     * renewed their records during the gap.
+     */
+    private void resolvePossibleExpiry(long now, Duration readAge) {
+        if (now - ownRenewalNanos < readAge.toNanos()) {
             return;
         }
-        long ofWorkingStore = Math.max(RENEWALS_AROUND_OUTAGE + 1, silentNanos / RENEWAL.toNanos() - 1);
-        boolean lapsed = renewals.values().stream().anyMatch(n -> n >= ofWorkingStore);
-        standsFromNanos = lapsed ? ownNanos + SETTLE.toNanos() : ownNanos;
-        mayHaveLapsed = false;
-        renewals.clear();
-        logger.atInfo().log("own record renewed after a pause, taken as gone by others: %s", lapsed);
+        long renewalsWithoutOutage =
+                Math.max(RENEWALS_AROUND_OUTAGE + 1, renewalGapNanos / RENEWAL_INTERVAL.toNanos() - 1);
+        boolean expired = renewalsByEntry.values().stream().anyMatch(n -> n >= renewalsWithoutOutage);
+        activeFromNanos = expired ? ownRenewalNanos + JOIN_DELAY.toNanos() : ownRenewalNanos;
+        mayHaveExpired = false;
+        renewalsByEntry.clear();
+        logger.atInfo().log("own record renewed after a gap; expired for other entries: %s", expired);
     }
 
     /**
-     * Takes how long the store has been silent. After a silence all records count as just renewed, since their writers
-     * had no way to renew them.
+     * Takes the age of the newest answer of the store. After an outage all records count as just renewed, since their
+     * entries could not renew them.
      */
-    public synchronized void storeSilentFor(Duration silence) {
-        boolean silent = silence.compareTo(STORE_SILENCE) > 0;
-        if (silent || storeSilent) {
+    public synchronized void updateReadAge(Duration readAge) {
+        boolean outage = readAge.compareTo(MIN_STORE_OUTAGE) > 0;
+        if (outage || storeOutage) {
             long now = time.monotonicNanos();
-            seen.replaceAll((name, s) -> new Seen(s.entry(), now));
+            receivedRecords.replaceAll((name, s) -> new ReceivedRecord(s.entry(), now));
         }
-        storeSilent = silent;
+        storeOutage = outage;
     }
 
-    /** Returns the other entries by their names. */
+    /** Returns the other entries whose records have not expired, by name. */
     public synchronized Map<String, Member> members() {
-        long oldest = time.monotonicNanos() - LAPSE.toNanos();
+        long oldest = time.monotonicNanos() - RECORD_LIFETIME.toNanos();
         Map<String, Member> present = new HashMap<>();
-        seen.forEach((name, s) -> {
-            if (s.nanos() - oldest > 0) {
+        receivedRecords.forEach((name, s) -> {
+            if (s.receivedNanos() - oldest > 0) {
                 present.put(
                         name, new Member(s.entry().getPeerAddress(), s.entry().getDataCentre()));
             }
@@ -171,15 +184,15 @@
         return present;
     }
 
-    /** Returns the peer address of another entry, if there is one of that name. */
+    /** Returns the peer address of another entry, if its record has not expired. */
     public synchronized Optional<String> addressOf(String name) {
-        return Optional.ofNullable(seen.get(name))
-                .filter(s -> time.monotonicNanos() - s.nanos() < LAPSE.toNanos())
+        return Optional.ofNullable(receivedRecords.get(name))
+                .filter(s -> time.monotonicNanos() - s.receivedNanos() < RECORD_LIFETIME.toNanos())
                 .map(s -> s.entry().getPeerAddress());
     }
 
-    /** Returns the peer addresses of the other entries by their names. */
-    public Map<String, String> others() {
+    /** Returns the peer addresses of the other entries, by name. */
+    public Map<String, String> peerAddresses() {
         return members().entrySet().stream()
                 .collect(Collectors.toMap(Map.Entry::getKey, e -> e.getValue().peerAddress()));
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryExchange.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMessenger.java
@@ -21,37 +21,38 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * What an entry asks and tells the others, and takes from them and from the sides.
+ * Sends crash notices and budget requests to other entries, and handles the messages that entries and sides send to
+ * this one. The home of an account is the entry that owns the account's budget.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>One per entry; safe to share between threads.
  */
-public final class EntryExchange implements BudgetPeers {
-    /** A home answers from memory, but right after a start it may be busy; one that takes longer is passed over. */
+public final class EntryMessenger implements BudgetPeers {
+    /** A home answers from memory, but may be busy right after its start; one that takes longer is skipped. */
     private static final Duration DRAW_TIMEOUT = Duration.ofMillis(400);
 
     private final PeerClient peers;
     private final EntryMembers members;
     private final BudgetHomes homes;
-    private final CrashDetector crashes;
-    private final EngineView view;
+    private final CrashDetector crashWatch;
+    private final EngineView engineView;
     private final LogRelay relay;
 
-    /** Creates an exchange and registers it for its frames. */
-    public EntryExchange(
+    /** Creates a messenger and registers it as the handler of gate frames. */
+    public EntryMessenger(
             PeerClient peers,
             FrameRouter frames,
             EntryMembers members,
             BudgetHomes homes,
-            CrashDetector crashes,
-            EngineView view,
+            CrashDetector crashWatch,
+            EngineView engineView,
             LogRelay relay) {
         this.peers = peers;
         this.members = members;
         this.homes = homes;
-        this.crashes = crashes;
-        this.view = view;
+        this.crashWatch = crashWatch;
+        this.engineView = engineView;
         this.relay = relay;
-        frames.register(Frame.BodyCase.GATE, this::handle);
+        frames.register(Frame.BodyCase.GATE, this::onFrame);
     }
 
     @Override
@@ -59,11 +60,11 @@
         Optional<String> address = members.addressOf(entry);
         if (address.isEmpty()) {
             return CompletableFuture.failedFuture(
-                    new PeerException(ResultCode.PEER_UNREACHABLE, "its record has lapsed", entry));
+                    new PeerException(ResultCode.PEER_UNREACHABLE, "the record of the entry has expired", entry));
         }
         BudgetDraw.Builder draw =
                 BudgetDraw.newBuilder().setAccount(account).setNeeded(needed).setAhead(ahead);
-        return peers.request(address.get(), frame(GateMessage.newBuilder().setDraw(draw)), DRAW_TIMEOUT)
+        return peers.request(address.get(), gateFrame(GateMessage.newBuilder().setDraw(draw)), DRAW_TIMEOUT)
                 .orTimeout(DRAW_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .thenApply(answer -> {
                     BudgetGrant grant = answer.getGate().getDrawn();
@@ -76,34 +77,34 @@
         members.addressOf(entry).ifPresent(address -> {
             BudgetReturn.Builder unspent =
                     BudgetReturn.newBuilder().setAccount(account).setTokens(tokens);
-            peers.send(address, frame(GateMessage.newBuilder().setUnspent(unspent)));
+            peers.send(address, gateFrame(GateMessage.newBuilder().setUnspent(unspent)));
         });
     }
 
-    /** Tells the others that an upstream crashed. */
-    public void tellCrash(UpstreamCrash crash) {
-        members.others()
+    /** Sends the crash of an upstream to all other entries. */
+    public void broadcastCrash(UpstreamCrash crash) {
+        members.peerAddresses()
                 .values()
                 .forEach(address ->
-                        peers.send(address, frame(GateMessage.newBuilder().setCrash(crash))));
+                        peers.send(address, gateFrame(GateMessage.newBuilder().setCrash(crash))));
     }
 
-    private void handle(PeerChannel from, Frame frame) {
+    private void onFrame(PeerChannel from, Frame frame) {
         GateMessage message = frame.getGate();
         switch (message.getMessageCase()) {
-            case STATUS -> view.onStatus(message.getStatus());
-            case CRASH -> crashes.recordCrash(message.getCrash());
-            case DRAW -> from.reply(frame, frame(GateMessage.newBuilder().setDrawn(drawn(message.getDraw()))));
-            case READ -> relay.onRead(from, frame);
+            case STATUS -> engineView.onStatus(message.getStatus());
+            case CRASH -> crashWatch.recordCrash(message.getCrash());
+            case DRAW -> from.reply(frame, gateFrame(GateMessage.newBuilder().setDrawn(grantDraw(message.getDraw()))));
+            case READ -> relay.onReadRequest(from, frame);
             case UNSPENT -> homes.returnTokens(
                     message.getUnspent().getAccount(), message.getUnspent().getTokens());
             default -> {
-                // Sides answer with replies, which the transport pairs with their requests.
+                // The transport matches the replies of sides with their requests.
             }
         }
     }
 
-    private BudgetGrant drawn(BudgetDraw draw) {
+    private BudgetGrant grantDraw(BudgetDraw draw) {
         Grant drawn = homes.draw(draw.getAccount(), draw.getNeeded(), draw.getAhead());
         return BudgetGrant.newBuilder()
                 .setTokens(drawn.tokens())
@@ -111,7 +112,7 @@
                 .build();
     }
 
-    private static Frame.Builder frame(GateMessage.Builder message) {
+    private static Frame.Builder gateFrame(GateMessage.Builder message) {
         return Frame.newBuilder().setGate(message);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/GateClient.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/GateClient.java
@@ -15,49 +15,52 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Asks the sides beside engines for starts and tells them how runs go on.
+ * Sends start requests and the progress of runs to the sides of model engines.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>One per entry; safe to share between threads.
  */
 public final class GateClient {
     private final PeerClient peers;
     private final int sidePort;
-    private final AtomicLong tickets = new AtomicLong();
+    private final AtomicLong lastTicket = new AtomicLong();
 
     /**
      * Creates a client.
      *
-     * @param sidePort the port on which the sides listen, on the VMs of their engines
+     * @param sidePort the port on which the sides listen; each side runs on the VM of its engine
      */
     public GateClient(PeerClient peers, int sidePort) {
         this.peers = peers;
         this.sidePort = sidePort;
     }
 
-    /** Returns a number for the next start. */
-    public long nextTicket() {
-        return tickets.incrementAndGet();
+    /** Returns a new number that identifies one start request of this entry. */
+    public long newTicket() {
+        return lastTicket.incrementAndGet();
     }
 
-    /** Asks for a start; fails with a {@code PeerException} when the side refuses or does not answer in time. */
-    public CompletableFuture<StartGrant> start(Upstream engine, StartRequest request, Duration timeout) {
+    /**
+     * Requests the start of a run. The future fails with a {@code PeerException} if the side refuses or does not answer
+     * in time.
+     */
+    public CompletableFuture<StartGrant> requestStart(Upstream engine, StartRequest request, Duration timeout) {
         GateMessage message = GateMessage.newBuilder().setStart(request).build();
-        return peers.request(sideOf(engine), Frame.newBuilder().setGate(message), timeout)
+        return peers.request(sideAddress(engine), Frame.newBuilder().setGate(message), timeout)
                 .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
                 .thenApply(frame -> frame.getGate().getGrant());
     }
 
-    /** Tells how a run goes on. */
-    public void tell(Upstream engine, long ticket, RunProgress.Stage stage) {
+    /** Sends the progress of a run to the side of its engine, without waiting for an answer. */
+    public void sendProgress(Upstream engine, long ticket, RunProgress.Stage stage) {
         RunProgress progress =
                 RunProgress.newBuilder().setTicket(ticket).setStage(stage).build();
         peers.send(
-                sideOf(engine),
+                sideAddress(engine),
                 Frame.newBuilder()
                         .setGate(GateMessage.newBuilder().setProgress(progress).build()));
     }
 
-    private String sideOf(Upstream engine) {
+    private String sideAddress(Upstream engine) {
         return IpAddresses.format(new InetSocketAddress(engine.address().getAddress(), sidePort));
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
@@ -29,44 +29,50 @@
 import java.util.function.Supplier;
 
 /**
- * Lets one entry of a data centre read the logs for the others, so that the store is not read by each of them.
+ * Reads logs through other entries of the data centre, so that not every entry reads the store.
  *
- * <p>An entry asks the one before it in the tree, instead of the store, and learns how old the answer is; what it
- * knows is as fresh as that, counted from when it asked. When the other one cannot tell, or does not answer soon, it
- * reads the log itself.
+ * <p>An entry sends its reads to its parent in the {@link ReadTree} instead of the store. Each answer contains the age
+ * of the parent's state; the state read here is that much older than the request. If the parent cannot answer, or does
+ * not do so in time, the entry reads the log itself.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>One per entry; safe to share between threads.
  */
 public final class LogRelay {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** How long an asked entry waits for the first record, short so that a silent one is noticed early. */
-    private static final Duration MAX_WAIT = Duration.ofMillis(300);
+    /**
+     * How long the parent waits for the first record; short, so that a parent that does not answer is detected early.
+     */
+    private static final Duration MAX_RELAY_WAIT = Duration.ofMillis(300);
 
-    /** With a shorter wait, the one reader would call the store as often as the others together. */
+    /** With a shorter wait, the root would call the store as often as the other entries together otherwise do. */
     private static final Duration MIN_STORE_WAIT = Duration.ofMillis(400);
 
-    private static final Duration ANSWER_SLACK = Duration.ofMillis(200);
-    /** How much older than usual what the store answered may be. */
-    private static final Duration LATE = Duration.ofMillis(250);
-    /** What each entry between adds: its own question waited, and so does the next one. */
-    private static final Duration HOP = MAX_WAIT.multipliedBy(2).plusMillis(50);
-    /** Time for which an entry that did not help is not asked again. */
-    private static final Duration UNUSABLE = Duration.ofSeconds(3);
+    private static final Duration ANSWER_MARGIN = Duration.ofMillis(200);
+    /** How much the age of the store's last answer may exceed its normal maximum. */
+    private static final Duration MAX_EXTRA_AGE = Duration.ofMillis(250);
+    /** Age that each level of the tree adds: the parent's own read has waited, and so does the next one. */
+    private static final Duration MAX_HOP_AGE = MAX_RELAY_WAIT.multipliedBy(2).plusMillis(50);
+    /** Time for which reads bypass a parent that did not answer or had no answer. */
+    private static final Duration PARENT_RETRY_DELAY = Duration.ofSeconds(3);
 
     private final PeerClient peers;
-    private final Supplier<ReadTree.Place> place;
+    private final Supplier<ReadTree.Position> position;
     private final TimeSource time;
     private final ScheduledExecutorService scheduler;
-    private final Map<String, LogFollower> served = new ConcurrentHashMap<>();
-    private volatile long unusableUntilNanos;
+    private final Map<String, LogFollower> followersByLog = new ConcurrentHashMap<>();
+    private volatile long parentRetryNanos;
 
     /** Creates a relay without logs. */
-    LogRelay(PeerClient peers, Supplier<ReadTree.Place> place, TimeSource time, ScheduledExecutorService scheduler) {
+    LogRelay(
+            PeerClient peers,
+            Supplier<ReadTree.Position> position,
+            TimeSource time,
+            ScheduledExecutorService scheduler) {
         this.peers = peers;
-        this.place = place;
+        this.position = position;
         this.time = time;
         this.scheduler = scheduler;
-        this.unusableUntilNanos = time.monotonicNanos();
+        this.parentRetryNanos = time.monotonicNanos();
     }
 
     /** Creates the relay of an entry. */
@@ -78,35 +84,36 @@
             ScheduledExecutorService scheduler) {
         return new LogRelay(
                 peers,
-                () -> ReadTree.place(identity.vmName(), identity.dataCentre(), members.members()),
+                () -> ReadTree.position(identity.vmName(), identity.dataCentre(), members.members()),
                 time,
                 scheduler);
     }
 
     /**
-     * Returns how to read a log so that relaying it keeps a bound, or nothing when the bound is too short for that.
+     * Returns the settings for relayed reads of a log within a bound, or nothing when the bound is too short for
+     * relaying.
      *
-     * @param base how the log is read without relaying
-     * @param bound how late a change may become known here while this entry reaches the store
+     * @param base the settings for reading the log directly
+     * @param bound how late a change may become known here while this entry can reach the store
      */
-    public static Optional<FollowSettings> relaying(FollowSettings base, Duration bound) {
+    public static Optional<FollowSettings> relaySettings(FollowSettings base, Duration bound) {
         Duration pauses = base.readPause().plus(base.readPause().dividedBy(LogFollower.RELAYED_PAUSE_DIVISOR));
-        Duration hops = LATE.plus(MAX_WAIT).plus(ANSWER_SLACK);
-        Duration left = bound.multipliedBy(4).dividedBy(5).minus(pauses).minus(hops);
-        Duration wait = left.dividedBy(2);
+        Duration relayDelay = MAX_EXTRA_AGE.plus(MAX_RELAY_WAIT).plus(ANSWER_MARGIN);
+        Duration remaining = bound.multipliedBy(4).dividedBy(5).minus(pauses).minus(relayDelay);
+        Duration wait = remaining.dividedBy(2);
         if (wait.compareTo(MIN_STORE_WAIT) < 0) {
             return Optional.empty();
         }
         return Optional.of(wait.compareTo(base.maxWait()) < 0 ? base.withMaxWait(wait) : base);
     }
 
-    /** Answers others from what a follower has read. */
-    public void serve(String log, LogFollower follower) {
-        served.put(log, follower);
+    /** Answers reads of other entries from what a follower has read. */
+    public void register(String log, LogFollower follower) {
+        followersByLog.put(log, follower);
     }
 
-    /** Returns a log that is read through another entry where that is possible. */
-    public KeyedLog relayed(String log, KeyedLog direct) {
+    /** Returns a log that is read through the parent if possible, and directly otherwise. */
+    public KeyedLog relayedLog(String log, KeyedLog direct) {
         return new KeyedLog() {
             @Override
             public CompletableFuture<NewestPage> readNewest(String afterKey) {
@@ -116,29 +123,29 @@
             @Override
             public CompletableFuture<Records> read(LogPosition from, Duration wait) {
                 return usableParent()
-                        .map(parent -> readThrough(parent, log, from, wait, direct))
+                        .map(parent -> readFromParent(parent, log, from, wait, direct))
                         .orElseGet(() -> direct.read(from, wait));
             }
         };
     }
 
-    // Asking
+    // Reading through the parent
 
     private Optional<String> usableParent() {
-        return time.monotonicNanos() - unusableUntilNanos < 0
+        return time.monotonicNanos() - parentRetryNanos < 0
                 ? Optional.empty()
-                : place.get().parent();
+                : position.get().parent();
     }
 
-    private CompletableFuture<KeyedLog.Records> readThrough(
+    private CompletableFuture<KeyedLog.Records> readFromParent(
             String parent, String log, LogPosition from, Duration wait, KeyedLog direct) {
-        Duration asked = wait.compareTo(MAX_WAIT) < 0 ? wait : MAX_WAIT;
-        Duration timeout = asked.plus(ANSWER_SLACK);
+        Duration relayWait = wait.compareTo(MAX_RELAY_WAIT) < 0 ? wait : MAX_RELAY_WAIT;
+        Duration timeout = relayWait.plus(ANSWER_MARGIN);
         RecordsRead.Builder read = RecordsRead.newBuilder()
                 .setLog(log)
                 .setEra(from.era())
                 .setFrom(from.offset())
-                .setWaitMillis((int) asked.toMillis());
+                .setWaitMillis((int) relayWait.toMillis());
         return peers.request(
                         parent,
                         Frame.newBuilder().setGate(GateMessage.newBuilder().setRead(read)),
@@ -147,22 +154,22 @@
                 .handle((frame, failure) -> {
                     if (frame != null && frame.getGate().getFound().getKnown()) {
                         return CompletableFuture.completedFuture(
-                                records(frame.getGate().getFound()));
+                                toRecords(frame.getGate().getFound()));
                     }
-                    unusableUntilNanos = time.monotonicNanos() + UNUSABLE.toNanos();
+                    parentRetryNanos = time.monotonicNanos() + PARENT_RETRY_DELAY.toNanos();
                     logger.atInfo()
                             .with(LogKeys.PEER, parent)
                             .log(
-                                    "%s is read here for %d ms: %s",
+                                    "%s is read directly for %d ms: %s",
                                     log,
-                                    UNUSABLE.toMillis(),
-                                    failure == null ? "the entry asked cannot tell" : Failures.unwrap(failure));
+                                    PARENT_RETRY_DELAY.toMillis(),
+                                    failure == null ? "the parent entry has no answer" : Failures.unwrap(failure));
                     return direct.read(from, Duration.ZERO);
                 })
                 .thenCompose(answer -> answer);
     }
 
-    private static KeyedLog.Records records(RecordsFound found) {
+    private static KeyedLog.Records toRecords(RecordsFound found) {
         List<KeyedRecord> records = found.getRecordsList().stream()
                 .map(r -> new KeyedRecord(r.getKey(), r.getValue().toByteArray(), r.getOffset()))
                 .toList();
@@ -170,26 +177,26 @@
         return new KeyedLog.Records(records, next, Duration.ofMillis(found.getAgeMillis()), true);
     }
 
-    // Answering
+    // Answering other entries
 
-    /** Answers an entry's question, now or when there is a record or its wait is over. */
-    void onRead(PeerChannel from, Frame frame) {
+    /** Answers a read of another entry: at once if possible, otherwise when a record arrives or the wait is over. */
+    void onReadRequest(PeerChannel from, Frame frame) {
         RecordsRead read = frame.getGate().getRead();
-        LogFollower follower = served.get(read.getLog());
+        LogFollower follower = followersByLog.get(read.getLog());
         if (follower == null || !isFresh(follower)) {
             reply(from, frame, RecordsFound.getDefaultInstance());
             return;
         }
-        long wait = Math.min(MAX_WAIT.toMillis(), read.getWaitMillis());
-        LogPosition place = new LogPosition(read.getEra(), read.getFrom());
-        CompletableFuture<Void> change = follower.mirror().whenReadBeyond(place);
-        change.thenRun(() -> reply(from, frame, found(follower, place)));
+        long wait = Math.min(MAX_RELAY_WAIT.toMillis(), read.getWaitMillis());
+        LogPosition requested = new LogPosition(read.getEra(), read.getFrom());
+        CompletableFuture<Void> change = follower.mirror().whenReadBeyond(requested);
+        change.thenRun(() -> reply(from, frame, toMessage(follower, requested)));
         if (!change.isDone()) {
             scheduler.schedule(() -> change.complete(null), wait, TimeUnit.MILLISECONDS);
         }
     }
 
-    private RecordsFound found(LogFollower follower, LogPosition from) {
+    private RecordsFound toMessage(LogFollower follower, LogPosition from) {
         int age = follower.freshness().ageMillis();
         return follower.mirror()
                 .recordsFrom(from)
@@ -199,12 +206,13 @@
                         .setEra(r.next().era())
                         .setNext(r.next().offset())
                         .setAgeMillis(age)
-                        .addAllRecords(r.records().stream().map(LogRelay::found).toList())
+                        .addAllRecords(
+                                r.records().stream().map(LogRelay::toMessage).toList())
                         .build())
                 .orElseGet(RecordsFound::getDefaultInstance);
     }
 
-    private static FoundRecord found(KeyedRecord record) {
+    private static FoundRecord toMessage(KeyedRecord record) {
         return FoundRecord.newBuilder()
                 .setKey(record.key())
                 .setValue(ByteString.copyFrom(record.value()))
@@ -212,11 +220,11 @@
                 .build();
     }
 
-    /** An entry that has lost the store, or lags behind, does not hold the others back. */
+    /** Returns false if this entry has lost the store or lags behind, so that other entries do not wait for it. */
     private boolean isFresh(LogFollower follower) {
         Duration limit = follower.maxNormalAge()
-                .plus(LATE)
-                .plus(HOP.multipliedBy(place.get().depth()));
+                .plus(MAX_EXTRA_AGE)
+                .plus(MAX_HOP_AGE.multipliedBy(position.get().depth()));
         return follower.isReachable() && follower.freshness().isYoungerThan(limit);
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/StoreLinks.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/StoreAccess.java
@@ -9,19 +9,19 @@
 import java.util.function.BiFunction;
 
 /**
- * What a process uses of the platform's store, and how its records are read.
+ * Groups the logs of the store that a process uses with the decoders of their records.
  *
- * @param operators the operators' records
- * @param upstreams the upstreams' descriptions, by id
- * @param entries the entries' own records, by VM name
+ * @param operatorsLog the records that operators write
+ * @param upstreamsLog the descriptions of upstreams, by upstream id
+ * @param entriesLog the entries' own records, by VM name
  * @param entryWriter writes the entry's own record
- * @param fences numbers that only grow
+ * @param fenceSource issues fencing numbers, which only increase
  */
-public record StoreLinks(
-        KeyedLog operators,
+public record StoreAccess(
+        KeyedLog operatorsLog,
         ConfigurationDecoder operatorsDecoder,
-        KeyedLog upstreams,
+        KeyedLog upstreamsLog,
         BiFunction<String, byte[], Optional<Upstream>> upstreamDecoder,
-        KeyedLog entries,
+        KeyedLog entriesLog,
         KeyedLogWriter entryWriter,
-        OrderLoop.FencingTokenSource fences) {}
+        OrderLoop.FencingTokenSource fenceSource) {}
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -225,7 +225,7 @@
 
     private void tell(RunProgress.Stage stage) {
         if (ticket != 0) {
-            parts.gates().tell(upstream, ticket, stage);
+            parts.gates().sendProgress(upstream, ticket, stage);
         }
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineStart.java
@@ -116,19 +116,19 @@
         given = true;
         Upstream engine = waitingAt;
         if (engine != null) {
-            parts.gates().tell(engine, waitingTicket, RunProgress.Stage.WITHDRAWN);
+            parts.gates().sendProgress(engine, waitingTicket, RunProgress.Stage.WITHDRAWN);
         }
     }
 
     private void askSide(String service, EngineChooser.Choice choice) {
         Upstream engine = choice.engine();
-        long ticket = parts.gates().nextTicket();
+        long ticket = parts.gates().newTicket();
         Duration wait = waitAt(choice);
         waitingAt = engine;
         waitingTicket = ticket;
         parts.view().onStartRequested(engine, promptTokens());
         parts.gates()
-                .start(engine, startRequest(ticket, wait), wait.plus(ANSWER_SLACK))
+                .requestStart(engine, startRequest(ticket, wait), wait.plus(ANSWER_SLACK))
                 .whenCompleteAsync(
                         (grant, failure) -> {
                             waitingAt = null;
@@ -151,7 +151,7 @@
             String service, Upstream engine, long ticket, @Nullable StartGrant grant, @Nullable Throwable failure) {
         if (given) {
             if (grant != null && grant.getRefusalCode() == 0) {
-                parts.gates().tell(engine, ticket, RunProgress.Stage.ENDED);
+                parts.gates().sendProgress(engine, ticket, RunProgress.Stage.ENDED);
             }
             return;
         }
@@ -161,7 +161,7 @@
                     .with(LogKeys.UPSTREAM, engine.id())
                     .log("side does not answer: %s", failure == null ? "" : Failures.unwrap(failure));
             parts.view().markSideUnresponsive(engine, SIDE_PAUSE.toMillis());
-            parts.gates().tell(engine, ticket, RunProgress.Stage.WITHDRAWN);
+            parts.gates().sendProgress(engine, ticket, RunProgress.Stage.WITHDRAWN);
             withoutSide(service, engine);
         } else if (grant.getRefusalCode() != 0) {
             noteRetry(Duration.ofMillis(grant.getRetryAfterMillis()));
@@ -174,7 +174,7 @@
     /** Accepts a grant, unless the engine announced its shutdown or a pause while its side queued the start. */
     private void start(String service, Upstream engine, long ticket, long version) {
         if (!parts.availability().isAvailable(engine)) {
-            parts.gates().tell(engine, ticket, RunProgress.Stage.ENDED);
+            parts.gates().sendProgress(engine, ticket, RunProgress.Stage.ENDED);
             next(service);
             return;
         }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
@@ -12,39 +12,43 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The upstreams that can be used, by id and by service.
+ * Holds the known upstreams, by id and by service.
  *
- * <p>An entry that lapsed while the store was away may come back shortly after the store does, so removals that arrive
- * then are put off until the grace time is over; all others hold at once.
+ * <p>A record that expired while the store was unreachable may be written again shortly after the store is reachable,
+ * so removals that arrive then are delayed until the grace time is over; all other removals apply at once.
  *
- * <p>An upstream that starts anew at its address, under another id, takes the place of the one before, whose entry
- * stays in the store until it lapses.
+ * <p>An upstream that starts again at its address, under another id, replaces the earlier one, whose record stays in
+ * the store until it expires.
  *
- * <p>One a process; safe to share between threads.
+ * <p>One per process; safe to share between threads.
  */
 public final class UpstreamDirectory {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final Map<String, Upstream> upstreams = new ConcurrentHashMap<>();
-    private final Map<String, Boolean> lapsed = new ConcurrentHashMap<>();
+    private final Map<String, Boolean> expiredIds = new ConcurrentHashMap<>();
     private final List<BiConsumer<@Nullable Upstream, @Nullable Upstream>> listeners = new CopyOnWriteArrayList<>();
 
-    /** Calls back with each upstream's description before and after a change; null where there is none. */
+    /**
+     * Adds a listener that is called with an upstream's description before and after each change; null where there is
+     * none.
+     */
     public void addListener(BiConsumer<@Nullable Upstream, @Nullable Upstream> listener) {
         listeners.add(listener);
     }
 
     /**
-     * Takes an upstream's newest description. A store that was restored from an older copy may tell again of an earlier
-     * start, or of the time before an upstream began to leave; neither is believed.
+     * Stores an upstream's newest description. A store that was restored from an older copy may return the description
+     * of an earlier start, which is ignored, or one from before the upstream began to leave, which does not end its
+     * leaving.
      */
     public void put(Upstream described) {
-        lapsed.remove(described.id());
+        expiredIds.remove(described.id());
         Upstream before = upstreams.get(described.id());
         if (before != null && before.startMillis() > described.startMillis()) {
             logger.atInfo()
                     .with(LogKeys.UPSTREAM, described.id())
-                    .log("a description of the earlier start %d is passed over", described.startMillis());
+                    .log("a description of the earlier start %d is ignored", described.startMillis());
             return;
         }
         boolean stillLeaving = before != null && before.leaving() && before.isSameStart(described);
@@ -59,37 +63,39 @@
         } else if (before.leaving() != upstream.leaving()) {
             logger.atInfo().with(LogKeys.UPSTREAM, upstream.id()).log("upstream leaving: %s", upstream.leaving());
         }
-        tell(before, upstream);
+        notifyListeners(before, upstream);
     }
 
     /** Removes an upstream that is gone. */
     public void remove(String id) {
-        lapsed.remove(id);
+        expiredIds.remove(id);
         Upstream before = upstreams.remove(id);
         if (before != null) {
             logger.atInfo().with(LogKeys.UPSTREAM, id).log("upstream of %s is gone", before.service());
-            tell(before, null);
+            notifyListeners(before, null);
         }
     }
 
-    /** Notes that an upstream's entry lapsed while the store was away, so that it may come back. */
+    /**
+     * Records that the record of an upstream expired while the store was unreachable, so that it may be written again.
+     */
     public void markExpired(String id) {
         if (upstreams.containsKey(id)) {
-            lapsed.put(id, true);
+            expiredIds.put(id, true);
         }
     }
 
-    /** Removes the upstreams whose lapsed entries did not come back. */
+    /** Removes the upstreams whose expired records were not written again. */
     public void removeExpired() {
-        List.copyOf(lapsed.keySet()).forEach(this::remove);
+        List.copyOf(expiredIds.keySet()).forEach(this::remove);
     }
 
-    /** Returns an upstream by its id. */
+    /** Returns an upstream by id. */
     public Optional<Upstream> find(String id) {
         return Optional.ofNullable(upstreams.get(id));
     }
 
-    /** Returns the upstreams of a service that take new requests. */
+    /** Returns the upstreams of a service that accept new requests. */
     public List<Upstream> usable(String service) {
         return upstreams.values().stream()
                 .filter(u -> !u.leaving() && u.service().equals(service) && !isReplaced(u))
@@ -106,7 +112,7 @@
                 .anyMatch(o -> o.address().equals(upstream.address()) && o.startMillis() > upstream.startMillis());
     }
 
-    private void tell(@Nullable Upstream before, @Nullable Upstream after) {
+    private void notifyListeners(@Nullable Upstream before, @Nullable Upstream after) {
         if (!Objects.equals(before, after)) {
             listeners.forEach(l -> l.accept(before, after));
         }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EntryMembersTest.java
@@ -27,136 +27,139 @@
         members = new EntryMembers("self", time);
     }
 
-    /** Pattern: the store comes back from a copy that lacks an entry's record. */
+    /** Guards against losing a running entry when the store is restored from a copy that lacks its record. */
     @Test
-    public void anEntryWhoseRecordOnlyTheStoreLostStaysUntilItLapses() {
+    public void entryMissingFromRestoredStoreIsKeptUntilItsRecordExpires() {
         members.onPut("b", RECORD);
         members.onDelete("b", true);
-        assertTrue(members.others().containsKey("b"));
+        assertTrue(members.peerAddresses().containsKey("b"));
         time.advanceMillis(7_501);
-        assertFalse(members.others().containsKey("b"));
+        assertFalse(members.peerAddresses().containsKey("b"));
         members.onPut("b", RECORD);
         members.onDelete("b", false);
-        assertFalse(members.others().containsKey("b"));
+        assertFalse(members.peerAddresses().containsKey("b"));
     }
 
     @Test
-    public void othersAreKnownByTheirRecordsAndTheEntryItselfIsNone() {
+    public void otherEntriesAreListedWithoutTheEntryItself() {
         members.onPut("self", RECORD);
         members.onPut("b", RECORD);
-        assertEquals(members.others(), Map.of("b", "10.0.0.2:7600"));
+        assertEquals(members.peerAddresses(), Map.of("b", "10.0.0.2:7600"));
         members.onDelete("b", false);
-        assertEquals(members.others(), Map.of());
+        assertEquals(members.peerAddresses(), Map.of());
     }
 
     @Test
-    public void aRecordThatIsNotRenewedLapses() {
+    public void recordThatIsNotRenewedExpires() {
         members.onPut("b", RECORD);
         time.advanceMillis(7_000);
-        assertEquals(members.others().keySet(), Set.of("b"));
+        assertEquals(members.peerAddresses().keySet(), Set.of("b"));
         time.advanceMillis(600);
-        assertEquals(members.others().keySet(), Set.of());
+        assertEquals(members.peerAddresses().keySet(), Set.of());
     }
 
     @Test
-    public void nobodyLapsesWhileTheStoreIsSilentNorRightAfter() {
+    public void noRecordExpiresDuringOrRightAfterAStoreOutage() {
         members.onPut("b", RECORD);
         time.advanceMillis(5_000);
-        members.storeSilentFor(Duration.ofSeconds(5));
+        members.updateReadAge(Duration.ofSeconds(5));
         time.advanceMillis(6_000);
-        members.storeSilentFor(Duration.ofSeconds(11));
-        members.storeSilentFor(Duration.ZERO);
+        members.updateReadAge(Duration.ofSeconds(11));
+        members.updateReadAge(Duration.ZERO);
         time.advanceMillis(7_000);
-        assertEquals(members.others().keySet(), Set.of("b"));
+        assertEquals(members.peerAddresses().keySet(), Set.of("b"));
     }
 
-    private boolean stands() {
-        return members.isStanding(Duration.ofMillis(100));
+    private boolean isActive() {
+        return members.isActive(Duration.ofMillis(100));
     }
 
     @Test
-    public void anEntryStopsToStandBeforeTheOthersCountItOut() {
-        assertFalse(stands());
+    public void entryBecomesInactiveBeforeItsRecordExpiresForOthers() {
+        assertFalse(isActive());
         members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
-        members.ownRecordWritten(time.monotonicNanos());
+        members.onOwnRecordWritten(time.monotonicNanos());
         members.onPut("b", RECORD);
         time.advanceMillis(5_900);
-        assertTrue(stands());
+        assertTrue(isActive());
         time.advanceMillis(200);
-        assertFalse(stands());
-        assertEquals(members.others().keySet(), Set.of("b"));
+        assertFalse(isActive());
+        assertEquals(members.peerAddresses().keySet(), Set.of("b"));
     }
 
     @Test
-    public void aNewEntryStandsOnceAllOthersKnowOfItOrDoNotStand() {
-        members.ownRecordWritten(time.monotonicNanos());
+    public void newEntryIsActiveOnceOthersKnowItOrAreInactive() {
+        members.onOwnRecordWritten(time.monotonicNanos());
         time.advanceMillis(4_200);
-        assertFalse(stands());
+        assertFalse(isActive());
         time.advanceMillis(100);
-        assertTrue(stands());
+        assertTrue(isActive());
     }
 
     @Test
-    public void aRestartWithinTheLifeOfTheRecordStandsAtOnce() {
+    public void restartedEntryIsActiveAtOnceWhileItsOldRecordIsValid() {
         members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
         time.advanceMillis(4_900);
         EntryMembers restarted = new EntryMembers("self", time);
         restarted.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
-        restarted.ownRecordWritten(time.monotonicNanos());
-        assertTrue(restarted.isStanding(Duration.ZERO));
+        restarted.onOwnRecordWritten(time.monotonicNanos());
+        assertTrue(restarted.isActive(Duration.ZERO));
     }
 
     @Test
-    public void aRestartAfterTheLifeOfTheRecordWaitsLikeANewEntry() {
+    public void restartedEntryWaitsLikeANewOneWhenItsOldRecordIsTooOld() {
         byte[] old = members.ownRecord("10.0.0.1:7600", "north").toByteArray();
         time.advanceMillis(5_100);
         EntryMembers restarted = new EntryMembers("self", time);
         restarted.onPut("self", old);
-        restarted.ownRecordWritten(time.monotonicNanos());
-        assertFalse(restarted.isStanding(Duration.ZERO));
+        restarted.onOwnRecordWritten(time.monotonicNanos());
+        assertFalse(restarted.isActive(Duration.ZERO));
     }
 
     @Test
-    public void nobodyStandsWhoMayNotKnowOfANewEntry() {
+    public void entryWithAnOldReadOfTheRecordsIsNotActive() {
         members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
-        members.ownRecordWritten(time.monotonicNanos());
-        assertFalse(members.isStanding(Duration.ofMillis(4_001)));
-        assertTrue(members.isStanding(Duration.ofMillis(3_999)));
+        members.onOwnRecordWritten(time.monotonicNanos());
+        assertFalse(members.isActive(Duration.ofMillis(4_001)));
+        assertTrue(members.isActive(Duration.ofMillis(3_999)));
     }
 
-    /** Of two entries whose views differ, the old home stops to stand before the new one begins. */
+    /**
+     * Guards against two homes of an account: if two entries' views differ, the old home must become inactive before
+     * the new one is active.
+     */
     @Test
-    public void anEntryThatWasCutFromTheStoreSettlesAgain() {
+    public void entryCutOffFromTheStoreWaitsAgainBeforeItIsActive() {
         members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
-        members.ownRecordWritten(time.monotonicNanos());
+        members.onOwnRecordWritten(time.monotonicNanos());
         time.advanceMillis(8_000);
-        members.ownRecordWritten(time.monotonicNanos());
+        members.onOwnRecordWritten(time.monotonicNanos());
         members.onPut("b", RECORD);
         members.onPut("b", RECORD);
         members.onPut("b", RECORD);
         time.advanceMillis(200);
-        assertFalse(stands());
+        assertFalse(isActive());
         time.advanceMillis(4_100);
-        assertTrue(stands());
+        assertTrue(isActive());
     }
 
     @Test
-    public void anEntryStandsAtOnceAfterAStoreThatWasSilentForAll() {
+    public void entryIsActiveAtOnceAfterAStoreOutageForAllEntries() {
         members.onPut("self", members.ownRecord("10.0.0.1:7600", "north").toByteArray());
-        members.ownRecordWritten(time.monotonicNanos());
+        members.onOwnRecordWritten(time.monotonicNanos());
         time.advanceMillis(2_400);
         members.onPut("b", RECORD);
         time.advanceMillis(5_600);
-        members.ownRecordWritten(time.monotonicNanos());
+        members.onOwnRecordWritten(time.monotonicNanos());
         members.onPut("b", RECORD);
         time.advanceMillis(200);
-        assertTrue(stands(), "others renewed theirs right before and right after");
+        assertTrue(isActive(), "other entries renewed their records right before and right after the outage");
     }
 
     @Test
-    public void aRecordThatCannotBeReadChangesNothing() {
+    public void malformedRecordChangesNothing() {
         members.onPut("b", RECORD);
         members.onPut("b", "\u00ff\u00ff not a record".getBytes(StandardCharsets.ISO_8859_1));
-        assertEquals(members.others(), Map.of("b", "10.0.0.2:7600"));
+        assertEquals(members.peerAddresses(), Map.of("b", "10.0.0.2:7600"));
     }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
@@ -34,13 +34,13 @@
 public class LogRelayTest {
     private static final String LOG = "operators' log";
     private static final Duration BOUND = Duration.ofSeconds(3);
-    private static final Duration A_WHILE = Duration.ofSeconds(5);
+    private static final Duration OBSERVATION_TIME = Duration.ofSeconds(5);
 
     private ManualTimeSource time;
     private ManualScheduler scheduler;
     private Store store;
     private Map<String, Entry> entries;
-    private Set<String> frozen;
+    private Set<String> unresponsive;
 
     @BeforeMethod
     public void setUp() {
@@ -48,15 +48,15 @@
         scheduler = new ManualScheduler(time);
         store = new Store();
         entries = new HashMap<>();
-        frozen = new HashSet<>();
+        unresponsive = new HashSet<>();
     }
 
-    private void start(int count) {
+    private void startEntries(int count) {
         List<String> names =
                 IntStream.range(0, count).mapToObj(i -> "entry-" + i).toList();
         names.forEach(n -> entries.put(n, new Entry(n, names)));
         entries.values().forEach(e -> e.follower.start());
-        scheduler.runFor(A_WHILE);
+        scheduler.runFor(OBSERVATION_TIME);
     }
 
     private Entry root() {
@@ -70,76 +70,77 @@
         return entries.values().stream().filter(e -> e.place().depth() > 0).toList();
     }
 
-    /** Load pattern: ever more entries of a data centre follow the same log. */
+    /** Guards against store load that grows with the number of entries in a data centre which follow the same log. */
     @Test
-    public void theCallsToTheStoreDoNotGrowWithTheEntries() {
+    public void storeReadsDoNotGrowWithTheNumberOfEntries() {
         for (int count : new int[] {1, 6, 70}) {
             setUp();
-            start(count);
+            startEntries(count);
             long before = store.reads;
-            scheduler.runFor(A_WHILE);
-            assertTrue(store.reads - before <= A_WHILE.toSeconds() * 2, (store.reads - before) + " of " + count);
+            scheduler.runFor(OBSERVATION_TIME);
+            assertTrue(
+                    store.reads - before <= OBSERVATION_TIME.toSeconds() * 2, (store.reads - before) + " of " + count);
         }
     }
 
     @Test
-    public void aRecordReachesAllEntriesSoonAfterItsRoot() {
-        start(70);
+    public void recordReachesAllEntriesSoonAfterTheRoot() {
+        startEntries(70);
         store.add("k", "1");
         scheduler.runFor(Duration.ofMillis(400));
-        entries.values().forEach(e -> assertEquals(e.seen.get("k"), "1", e.name));
+        entries.values().forEach(e -> assertEquals(e.values.get("k"), "1", e.name));
         store.add("k", "");
         scheduler.runFor(Duration.ofMillis(400));
-        entries.values().forEach(e -> assertEquals(e.seen.get("k"), null, e.name));
+        entries.values().forEach(e -> assertEquals(e.values.get("k"), null, e.name));
     }
 
     @Test
-    public void whatIsRelayedIsAsOldAsTheStoresAnswer() {
-        start(3);
-        store.down.addAll(entries.keySet());
+    public void relayedStateIsAtLeastAsOldAsTheStoreAnswer() {
+        startEntries(3);
+        store.unreachableFor.addAll(entries.keySet());
         long lastReadNanos = store.lastReadNanos;
         scheduler.runFor(Duration.ofMillis(800));
         long storeAge = TimeUnit.NANOSECONDS.toMillis(time.monotonicNanos() - lastReadNanos);
         others().forEach(e -> assertTrue(e.follower.freshness().ageMillis() >= storeAge, e.name));
     }
 
-    /** Pattern: the entry that reads for the others freezes. */
+    /** The root, which reads the store for the others, stops answering. */
     @Test
-    public void aFrozenRootIsPassedOverWithinHalfASecond() {
-        start(6);
-        frozen.add(root().name);
+    public void entriesBypassAnUnresponsiveRootWithin700Millis() {
+        startEntries(6);
+        unresponsive.add(root().name);
         store.add("k", "2");
         scheduler.runFor(Duration.ofMillis(700));
-        others().forEach(e -> assertEquals(e.seen.get("k"), "2", e.name));
+        others().forEach(e -> assertEquals(e.values.get("k"), "2", e.name));
     }
 
-    /** Pattern: the entry that reads for the others is cut off from the store, which serves the others. */
+    /** The root loses its connection to the store, while the store still answers the other entries. */
     @Test
-    public void aRootThatIsCutFromTheStoreIsPassedOver() {
-        start(6);
-        store.down.add(root().name);
+    public void entriesBypassARootThatLostTheStore() {
+        startEntries(6);
+        store.unreachableFor.add(root().name);
         scheduler.runFor(Duration.ofMillis(100));
         store.add("k", "2");
         scheduler.runFor(BOUND.multipliedBy(4).dividedBy(5));
-        others().forEach(e -> assertEquals(e.seen.get("k"), "2", e.name));
+        others().forEach(e -> assertEquals(e.values.get("k"), "2", e.name));
         others().forEach(e -> assertTrue(e.follower.freshness().isYoungerThan(BOUND), e.name));
     }
 
     @Test
-    public void afterTheRootIsBackItReadsForTheOthersAgain() {
-        start(6);
-        frozen.add(root().name);
-        scheduler.runFor(A_WHILE);
-        frozen.clear();
-        scheduler.runFor(A_WHILE);
+    public void recoveredRootReadsForTheOthersAgain() {
+        startEntries(6);
+        unresponsive.add(root().name);
+        scheduler.runFor(OBSERVATION_TIME);
+        unresponsive.clear();
+        scheduler.runFor(OBSERVATION_TIME);
         long before = store.reads;
-        scheduler.runFor(A_WHILE);
-        assertTrue(store.reads - before <= A_WHILE.toSeconds() * 2, "reads " + (store.reads - before));
+        scheduler.runFor(OBSERVATION_TIME);
+        assertTrue(store.reads - before <= OBSERVATION_TIME.toSeconds() * 2, "reads " + (store.reads - before));
     }
 
     @Test
-    public void anEntryBehindTheStartOfItsRootReadsTheLogItself() {
-        start(2);
+    public void rootCannotServeRecordsFromBeforeItsStart() {
+        startEntries(2);
         long behind = others().get(0).follower.offset();
         store.add("k", "1");
         store.add("k", "");
@@ -151,7 +152,7 @@
                         .mirror()
                         .recordsFrom(new LogPosition(0, behind))
                         .isPresent(),
-                "it cannot know what was dropped");
+                "a full read does not show earlier deletions");
         assertTrue(restarted
                 .follower
                 .mirror()
@@ -160,26 +161,26 @@
     }
 
     @Test
-    public void aBoundThatIsTooShortForRelayingLeavesTheLogToBeReadDirectly() {
-        assertFalse(LogRelay.relaying(FollowSettings.LOW_LATENCY, Duration.ofSeconds(2))
+    public void logIsReadDirectlyWhenTheBoundIsTooShortForRelaying() {
+        assertFalse(LogRelay.relaySettings(FollowSettings.LOW_LATENCY, Duration.ofSeconds(2))
                 .isPresent());
-        Duration wait = LogRelay.relaying(FollowSettings.LOW_LATENCY, Duration.ofSeconds(3))
+        Duration wait = LogRelay.relaySettings(FollowSettings.LOW_LATENCY, Duration.ofSeconds(3))
                 .orElseThrow()
                 .maxWait();
         assertTrue(wait.compareTo(FollowSettings.LOW_LATENCY.maxWait()) < 0);
         assertEquals(
-                LogRelay.relaying(FollowSettings.LOW_LATENCY, Duration.ofSeconds(10)),
+                LogRelay.relaySettings(FollowSettings.LOW_LATENCY, Duration.ofSeconds(10)),
                 java.util.Optional.of(FollowSettings.LOW_LATENCY));
     }
 
     @Test
-    public void aTreeHasOneRootADataCentreAndABoundedFanOut() {
+    public void treeHasOneRootPerDataCentreAndABoundedFanOut() {
         Map<String, EntryMembers.Member> members = IntStream.range(0, 300)
                 .boxed()
                 .collect(Collectors.toMap(
                         i -> "entry-" + i, i -> new EntryMembers.Member("entry-" + i, i % 3 == 0 ? "north" : "south")));
         Map<String, Long> children = members.entrySet().stream()
-                .map(e -> ReadTree.place(e.getKey(), e.getValue().dataCentre(), without(members, e.getKey())))
+                .map(e -> ReadTree.position(e.getKey(), e.getValue().dataCentre(), without(members, e.getKey())))
                 .filter(p -> p.parent().isPresent())
                 .collect(Collectors.groupingBy(p -> p.parent().orElseThrow(), Collectors.counting()));
         assertEquals(children.values().stream().mapToLong(c -> c).sum(), 298);
@@ -193,11 +194,11 @@
         return others;
     }
 
-    /** The store's log; a read waits for a record until its time is over. */
+    /** A log in memory; a read waits for a record until its wait is over. */
     private final class Store {
         private final List<KeyedRecord> records = new ArrayList<>();
         private final List<CompletableFuture<Void>> waiting = new ArrayList<>();
-        private final Set<String> down = new HashSet<>();
+        private final Set<String> unreachableFor = new HashSet<>();
         private long reads;
         private long lastReadNanos;
 
@@ -208,7 +209,7 @@
             woken.forEach(w -> w.complete(null));
         }
 
-        KeyedLog asSeenBy(String entry) {
+        KeyedLog logFor(String entry) {
             return new KeyedLog() {
                 @Override
                 public CompletableFuture<NewestPage> readNewest(String afterKey) {
@@ -223,7 +224,7 @@
 
                 @Override
                 public CompletableFuture<Records> read(LogPosition from, Duration wait) {
-                    if (down.contains(entry)) {
+                    if (unreachableFor.contains(entry)) {
                         return CompletableFuture.failedFuture(new IllegalStateException("down"));
                     }
                     reads++;
@@ -243,13 +244,13 @@
         }
     }
 
-    /** An entry of one data centre, which is its own peer address. */
+    /** An entry of one data centre, whose name is also its peer address. */
     private final class Entry implements KeyedLogListener, PeerClient {
         private final String name;
         private final Map<String, EntryMembers.Member> others;
         private final LogRelay relay;
         private final LogFollower follower;
-        private final Map<String, String> seen = new HashMap<>();
+        private final Map<String, String> values = new HashMap<>();
 
         Entry(String name, List<String> names) {
             this.name = name;
@@ -259,26 +260,26 @@
             this.relay = new LogRelay(this, this::place, time, scheduler);
             this.follower = new LogFollower(
                     LOG,
-                    relay.relayed(LOG, store.asSeenBy(name)),
+                    relay.relayedLog(LOG, store.logFor(name)),
                     this,
-                    LogRelay.relaying(FollowSettings.LOW_LATENCY, BOUND).orElseThrow(),
+                    LogRelay.relaySettings(FollowSettings.LOW_LATENCY, BOUND).orElseThrow(),
                     scheduler,
                     time);
-            relay.serve(LOG, follower);
+            relay.register(LOG, follower);
         }
 
-        ReadTree.Place place() {
-            return ReadTree.place(name, "north", others);
+        ReadTree.Position place() {
+            return ReadTree.position(name, "north", others);
         }
 
         @Override
         public void onPut(String key, byte[] value) {
-            seen.put(key, new String(value, StandardCharsets.UTF_8));
+            values.put(key, new String(value, StandardCharsets.UTF_8));
         }
 
         @Override
         public void onDelete(String key, boolean afterOutage) {
-            seen.remove(key);
+            values.remove(key);
         }
 
         @Override
@@ -288,8 +289,8 @@
                     () -> answer.completeExceptionally(new IllegalStateException("no answer in time")),
                     timeout.toMillis(),
                     TimeUnit.MILLISECONDS);
-            if (!frozen.contains(peerAddress)) {
-                entries.get(peerAddress).relay.onRead(new Reply(answer), frame.build());
+            if (!unresponsive.contains(peerAddress)) {
+                entries.get(peerAddress).relay.onReadRequest(new Reply(answer), frame.build());
             }
             return answer;
         }
@@ -303,7 +304,7 @@
         }
     }
 
-    /** Where an answer goes. */
+    /** Completes a future with the reply. */
     private record Reply(CompletableFuture<Frame> answer) implements PeerChannel {
         @Override
         public Hello hello() {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/UpstreamDirectoryTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/UpstreamDirectoryTest.java
@@ -20,9 +20,9 @@
         directory = new UpstreamDirectory();
     }
 
-    private static Upstream upstream(String id, int port, long born, boolean leaving) {
+    private static Upstream upstream(String id, int port, long startMillis, boolean leaving) {
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
-        return new Upstream(id, "lm", address, "bole", born, leaving, 8, Map.of());
+        return new Upstream(id, "lm", address, "bole", startMillis, leaving, 8, Map.of());
     }
 
     private List<String> usable() {
@@ -40,15 +40,15 @@
     }
 
     @Test
-    public void aLaterStartAtTheSameAddressTakesThePlaceOfTheOneBefore() {
+    public void laterStartAtTheSameAddressReplacesTheEarlierOne() {
         directory.put(upstream("old", 1, 1, false));
         directory.put(upstream("new", 1, 2, false));
         assertEquals(usable(), List.of("new"));
     }
 
-    /** A store that was restored from an older copy tells what was said before. */
+    /** A store that was restored from an older copy returns earlier descriptions. */
     @Test
-    public void anOlderDescriptionEndsNoLeavingAndBringsNoEarlierStartBack() {
+    public void olderDescriptionNeitherEndsLeavingNorRestoresAnEarlierStart() {
         directory.put(upstream("a", 1, 1, true));
         directory.put(upstream("a", 1, 1, false));
         directory.put(upstream("b", 2, 5, false));
@@ -59,7 +59,7 @@
     }
 
     @Test
-    public void aLapsedEntryStaysUntilTheGraceIsOver() {
+    public void expiredUpstreamIsUsableUntilTheGraceTimeIsOver() {
         directory.put(upstream("a", 1, 1, false));
         directory.put(upstream("b", 2, 1, false));
         directory.markExpired("a");
