Name the parts of the upstream connection pool and its tests by their function

Cause: names such as sending, ending and whenFree did not say what they hold or do. Change: rename types, fields, methods and tests of the upstream connections. Result: renamed by the compiler's resolution; formatter applied; not tested by itself.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/IdleBytesGuard.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UnsolicitedBytesGuard.java
@@ -10,10 +10,10 @@
  *
  * <p>Created for each connection; used on its event loop only.
  */
-final class IdleBytesGuard extends ChannelInboundHandlerAdapter {
+final class UnsolicitedBytesGuard extends ChannelInboundHandlerAdapter {
     private @Nullable UpstreamConnection connection;
 
-    void guard(UpstreamConnection newConnection) {
+    void setConnection(UpstreamConnection newConnection) {
         connection = newConnection;
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
@@ -36,12 +36,12 @@
     private static final String TIMEOUT = "timeout=";
 
     private final Channel channel;
-    private final AnswerDecoder decoder;
-    private final BiConsumer<UpstreamConnection, Boolean> whenFree;
+    private final UpstreamResponseDecoder decoder;
+    private final BiConsumer<UpstreamConnection, Boolean> onRelease;
     private @Nullable ResponseListener listener;
-    private boolean written;
+    private boolean requestWritten;
     private boolean reusable;
-    private boolean endsWithConnection;
+    private boolean bodyEndsAtClose;
     private boolean failed;
     private long idleSinceNanos;
     private long idleLimitMillis = Long.MAX_VALUE;
@@ -51,22 +51,23 @@
      *
      * @param whenFree told after each answer whether the connection can be used again
      */
-    UpstreamConnection(Channel channel, AnswerDecoder decoder, BiConsumer<UpstreamConnection, Boolean> whenFree) {
+    UpstreamConnection(
+            Channel channel, UpstreamResponseDecoder decoder, BiConsumer<UpstreamConnection, Boolean> whenFree) {
         this.channel = channel;
         this.decoder = decoder;
-        this.whenFree = whenFree;
+        this.onRelease = whenFree;
     }
 
     // Used by the pool, on the event loop
 
     void send(UpstreamRequest request, ResponseListener newListener) {
         listener = newListener;
-        written = false;
+        requestWritten = false;
         reusable = false;
-        endsWithConnection = false;
-        decoder.expect(HttpMethod.valueOf(request.method()));
+        bodyEndsAtClose = false;
+        decoder.expectResponseTo(HttpMethod.valueOf(request.method()));
         channel.writeAndFlush(encode(request)).addListener(f -> {
-            written = f.isSuccess();
+            requestWritten = f.isSuccess();
             if (!f.isSuccess()) {
                 fail(SendFailure.connectionBroken("the request could not be written: " + f.cause()));
             }
@@ -84,7 +85,7 @@
         return channel.isActive() && !failed && idleMillis < Math.min(idleLimitMillis, maxIdleMillis);
     }
 
-    void idleSince(long nowNanos) {
+    void markIdleSince(long nowNanos) {
         idleSinceNanos = nowNanos;
     }
 
@@ -130,7 +131,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         fail(SendFailure.connectionBroken("the upstream closed the connection"));
-        whenFree.accept(this, false);
+        onRelease.accept(this, false);
     }
 
     @Override
@@ -143,8 +144,8 @@
 
     private void readHead(HttpResponse response, ResponseListener current) {
         boolean framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-        endsWithConnection = !framed && !decoder.hasNoBody(response.status().code());
-        reusable = HttpUtil.isKeepAlive(response) && !endsWithConnection;
+        bodyEndsAtClose = !framed && !decoder.hasNoBody(response.status().code());
+        reusable = HttpUtil.isKeepAlive(response) && !bodyEndsAtClose;
         String keepAlive = response.headers().get(KEEP_ALIVE);
         if (keepAlive != null) {
             idleLimitMillis = idleLimitMillis(keepAlive);
@@ -167,16 +168,16 @@
     }
 
     private void readEnd(ResponseListener current) {
-        if (endsWithConnection && failed) {
+        if (bodyEndsAtClose && failed) {
             return;
         }
         listener = null;
-        boolean free = reusable && written && !decoder.hasLeftover() && channel.isActive();
+        boolean canReuse = reusable && requestWritten && !decoder.hasUnreadBytes() && channel.isActive();
         current.onEnd();
-        if (!free) {
+        if (!canReuse) {
             channel.close();
         }
-        whenFree.accept(this, free);
+        onRelease.accept(this, canReuse);
     }
 
     private void fail(SendFailure failure) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
@@ -32,12 +32,12 @@
     private static final long MAX_IDLE_MILLIS = 10_000;
 
     private final InetSocketAddress address;
-    private final EventLoop loop;
+    private final EventLoop eventLoop;
     private final TimeSource time;
     private final IntSupplier maxConnections;
-    private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
-    private final Set<Sending> connecting = new HashSet<>();
-    private int open;
+    private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
+    private final Set<PendingRequest> connectingRequests = new HashSet<>();
+    private int openConnections;
     private boolean closed;
 
     /**
@@ -48,7 +48,7 @@
     public UpstreamConnectionPool(
             InetSocketAddress address, EventLoop loop, TimeSource time, IntSupplier maxConnections) {
         this.address = address;
-        this.loop = loop;
+        this.eventLoop = loop;
         this.time = time;
         this.maxConnections = maxConnections;
     }
@@ -64,45 +64,45 @@
 
     /** Sends a request on an idle connection, or on a new one. */
     public InFlightRequest send(UpstreamRequest request, ResponseListener listener) {
-        Sending sending = new Sending(request, listener);
-        if (loop.inEventLoop()) {
-            start(sending);
+        PendingRequest pending = new PendingRequest(request, listener);
+        if (eventLoop.inEventLoop()) {
+            dispatch(pending);
         } else {
-            loop.execute(() -> start(sending));
+            eventLoop.execute(() -> dispatch(pending));
         }
-        return sending;
+        return pending;
     }
 
     /** Closes idle connections and those that become idle. */
     public void close() {
-        loop.execute(() -> {
+        eventLoop.execute(() -> {
             closed = true;
-            idle.forEach(UpstreamConnection::close);
-            idle.clear();
+            idleConnections.forEach(UpstreamConnection::close);
+            idleConnections.clear();
         });
     }
 
     // Internals, on the event loop
 
-    private void start(Sending sending) {
-        if (sending.cancelled) {
+    private void dispatch(PendingRequest pending) {
+        if (pending.cancelled) {
             return;
         }
         UpstreamConnection connection = takeIdle();
         if (connection != null) {
-            sending.connected(connection);
+            pending.sendOn(connection);
         } else if (closed) {
-            sending.listener.onFailure(SendFailure.notSent("the upstream is gone"));
-        } else if (open >= maxConnections.getAsInt()) {
-            sending.listener.onFailure(SendFailure.notSent("all connections to the upstream are busy"));
+            pending.listener.onFailure(SendFailure.notSent("the upstream is gone"));
+        } else if (openConnections >= maxConnections.getAsInt()) {
+            pending.listener.onFailure(SendFailure.notSent("all connections to the upstream are busy"));
         } else {
-            connect(sending);
+            connect(pending);
         }
     }
 
     private @Nullable UpstreamConnection takeIdle() {
-        while (!idle.isEmpty()) {
-            UpstreamConnection connection = idle.removeLast();
+        while (!idleConnections.isEmpty()) {
+            UpstreamConnection connection = idleConnections.removeLast();
             if (connection.isUsable(time.monotonicNanos(), MAX_IDLE_MILLIS)) {
                 return connection;
             }
@@ -111,11 +111,11 @@
         return null;
     }
 
-    private void connect(Sending sending) {
-        open++;
-        connecting.add(sending);
+    private void connect(PendingRequest pending) {
+        openConnections++;
+        connectingRequests.add(pending);
         new Bootstrap()
-                .group(loop)
+                .group(eventLoop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
@@ -126,34 +126,34 @@
                 .handler(new ConnectionInitializer())
                 .connect(address)
                 .addListener((io.netty.channel.ChannelFuture f) -> {
-                    connecting.remove(sending);
+                    connectingRequests.remove(pending);
                     if (f.isSuccess()) {
-                        connected(f.channel(), sending);
+                        onConnected(f.channel(), pending);
                     } else {
-                        open--;
-                        if (!sending.cancelled) {
-                            sending.listener.onFailure(SendFailure.notSent(String.valueOf(f.cause())));
+                        openConnections--;
+                        if (!pending.cancelled) {
+                            pending.listener.onFailure(SendFailure.notSent(String.valueOf(f.cause())));
                         }
                     }
                 });
     }
 
-    private void connected(Channel channel, Sending sending) {
+    private void onConnected(Channel channel, PendingRequest pending) {
         UpstreamConnection connection = channel.pipeline().get(UpstreamConnection.class);
-        if (sending.cancelled) {
-            free(connection, true);
+        if (pending.cancelled) {
+            release(connection, true);
         } else {
-            sending.connected(connection);
+            pending.sendOn(connection);
         }
     }
 
-    private void free(UpstreamConnection connection, boolean usable) {
+    private void release(UpstreamConnection connection, boolean usable) {
         if (usable && !closed) {
-            connection.idleSince(time.monotonicNanos());
-            idle.addLast(connection);
+            connection.markIdleSince(time.monotonicNanos());
+            idleConnections.addLast(connection);
             return;
         }
-        idle.remove(connection);
+        idleConnections.remove(connection);
         connection.close();
     }
 
@@ -161,43 +161,45 @@
     private final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel channel) {
-            AnswerDecoder decoder = new AnswerDecoder();
-            IdleBytesGuard guard = new IdleBytesGuard();
-            UpstreamConnection connection = new UpstreamConnection(channel, decoder, UpstreamConnectionPool.this::free);
-            guard.guard(connection);
-            channel.pipeline().addLast(new OpenCounter(), guard, decoder, new HttpRequestEncoder(), connection);
+            UpstreamResponseDecoder decoder = new UpstreamResponseDecoder();
+            UnsolicitedBytesGuard guard = new UnsolicitedBytesGuard();
+            UpstreamConnection connection =
+                    new UpstreamConnection(channel, decoder, UpstreamConnectionPool.this::release);
+            guard.setConnection(connection);
+            channel.pipeline()
+                    .addLast(new OpenConnectionCounter(), guard, decoder, new HttpRequestEncoder(), connection);
         }
     }
 
     /** Counts the connection out when it closes. Created for each connection. */
-    private final class OpenCounter extends io.netty.channel.ChannelInboundHandlerAdapter {
+    private final class OpenConnectionCounter extends io.netty.channel.ChannelInboundHandlerAdapter {
         @Override
         public void channelInactive(io.netty.channel.ChannelHandlerContext context) {
-            open--;
+            openConnections--;
             context.fireChannelInactive();
         }
     }
 
     /** One request on its way. Used on the event loop, but for the calls that are passed there. */
-    private final class Sending implements InFlightRequest {
+    private final class PendingRequest implements InFlightRequest {
         private final UpstreamRequest request;
         private final ResponseListener listener;
         private @Nullable UpstreamConnection connection;
         private boolean cancelled;
 
-        Sending(UpstreamRequest request, ResponseListener listener) {
+        PendingRequest(UpstreamRequest request, ResponseListener listener) {
             this.request = request;
             this.listener = listener;
         }
 
-        void connected(UpstreamConnection newConnection) {
+        void sendOn(UpstreamConnection newConnection) {
             connection = newConnection;
-            newConnection.send(request, new Ending(this));
+            newConnection.send(request, new DetachingListener(this));
         }
 
         @Override
         public void cancel() {
-            onLoop(() -> {
+            runOnEventLoop(() -> {
                 cancelled = true;
                 UpstreamConnection current = connection;
                 connection = null;
@@ -209,7 +211,7 @@
 
         @Override
         public void setReading(boolean reading) {
-            onLoop(() -> {
+            runOnEventLoop(() -> {
                 UpstreamConnection current = connection;
                 if (current != null) {
                     current.setReading(reading);
@@ -217,41 +219,41 @@
             });
         }
 
-        private void onLoop(Runnable action) {
-            if (loop.inEventLoop()) {
+        private void runOnEventLoop(Runnable action) {
+            if (eventLoop.inEventLoop()) {
                 action.run();
             } else {
-                loop.execute(action);
+                eventLoop.execute(action);
             }
         }
     }
 
     /** Forgets the connection at the answer's end, so that a late call does not touch the next request on it. */
-    private record Ending(Sending sending) implements ResponseListener {
+    private record DetachingListener(PendingRequest pending) implements ResponseListener {
         @Override
         public void onHead(ResponseHead head) {
-            sending.listener.onHead(head);
+            pending.listener.onHead(head);
         }
 
         @Override
         public void onBody(com.google.protobuf.ByteString part) {
-            sending.listener.onBody(part);
+            pending.listener.onBody(part);
         }
 
         @Override
         public void onEnd() {
-            UpstreamConnection current = sending.connection;
+            UpstreamConnection current = pending.connection;
             if (current != null) {
                 current.setReading(true);
             }
-            sending.connection = null;
-            sending.listener.onEnd();
+            pending.connection = null;
+            pending.listener.onEnd();
         }
 
         @Override
         public void onFailure(SendFailure failure) {
-            sending.connection = null;
-            sending.listener.onFailure(failure);
+            pending.connection = null;
+            pending.listener.onFailure(failure);
         }
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPools.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPools.java
@@ -15,7 +15,7 @@
  * <p>One an entry; safe to share between threads.
  */
 public final class UpstreamConnectionPools {
-    private final EventLoop loop;
+    private final EventLoop eventLoop;
     private final TimeSource time;
     private final ToIntFunction<Upstream> maxConnections;
     private final Map<String, UpstreamConnectionPool> pools = new ConcurrentHashMap<>();
@@ -27,10 +27,10 @@
      */
     public UpstreamConnectionPools(
             EventLoop loop, TimeSource time, UpstreamDirectory directory, ToIntFunction<Upstream> maxConnections) {
-        this.loop = loop;
+        this.eventLoop = loop;
         this.time = time;
         this.maxConnections = maxConnections;
-        directory.onChange(this::changed);
+        directory.onChange(this::onUpstreamChange);
     }
 
     /** Returns the pool of an upstream. */
@@ -38,10 +38,10 @@
         return pools.computeIfAbsent(
                 upstream.id(),
                 id -> new UpstreamConnectionPool(
-                        upstream.address(), loop, time, () -> maxConnections.applyAsInt(upstream)));
+                        upstream.address(), eventLoop, time, () -> maxConnections.applyAsInt(upstream)));
     }
 
-    private void changed(@Nullable Upstream before, @Nullable Upstream after) {
+    private void onUpstreamChange(@Nullable Upstream before, @Nullable Upstream after) {
         if (before != null && (after == null || !before.isSameStart(after))) {
             UpstreamConnectionPool pool = pools.remove(before.id());
             if (pool != null) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/AnswerDecoder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamResponseDecoder.java
@@ -11,33 +11,33 @@
  *
  * <p>Created for each connection; used on its event loop only.
  */
-final class AnswerDecoder extends HttpResponseDecoder {
+final class UpstreamResponseDecoder extends HttpResponseDecoder {
     private static final int STATUS_NO_CONTENT = 204;
     private static final int STATUS_NOT_MODIFIED = 304;
     private static final int MAX_HEADER_BYTES = 32 * 1024;
 
-    private HttpMethod method = HttpMethod.GET;
+    private HttpMethod requestMethod = HttpMethod.GET;
 
-    AnswerDecoder() {
+    UpstreamResponseDecoder() {
         super(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES));
     }
 
-    void expect(HttpMethod newMethod) {
-        method = newMethod;
+    void expectResponseTo(HttpMethod newMethod) {
+        requestMethod = newMethod;
     }
 
     /** Returns whether bytes are left behind a whole answer. */
-    boolean hasLeftover() {
+    boolean hasUnreadBytes() {
         return actualReadableBytes() > 0;
     }
 
     boolean hasNoBody(int status) {
-        return HttpMethod.HEAD.equals(method) || status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED;
+        return HttpMethod.HEAD.equals(requestMethod) || status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED;
     }
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        boolean toHead = HttpMethod.HEAD.equals(method) && message instanceof HttpResponse;
-        return toHead || super.isContentAlwaysEmpty(message);
+        boolean respondsToHead = HttpMethod.HEAD.equals(requestMethod) && message instanceof HttpResponse;
+        return respondsToHead || super.isContentAlwaysEmpty(message);
     }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ScriptedUpstream.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ScriptedUpstream.java
@@ -33,7 +33,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        Thread accepting = new Thread(this::accept, "scripted-upstream");
+        Thread accepting = new Thread(this::acceptConnections, "scripted-upstream");
         accepting.setDaemon(true);
         accepting.start();
     }
@@ -57,7 +57,7 @@
         connection.getOutputStream().flush();
     }
 
-    private void accept() {
+    private void acceptConnections() {
         try {
             while (true) {
                 Socket connection = server.accept();
@@ -75,7 +75,7 @@
             connection.setTcpNoDelay(true);
             boolean more = true;
             while (more) {
-                String request = read(connection.getInputStream());
+                String request = readRequest(connection.getInputStream());
                 if (request.isEmpty()) {
                     return;
                 }
@@ -87,7 +87,7 @@
         }
     }
 
-    private static String read(InputStream in) throws IOException {
+    private static String readRequest(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         int next = in.read();
         while (next >= 0) {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamPoolTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamPoolTest.java
@@ -35,7 +35,7 @@
     }
 
     /** What one send came to. */
-    private static class Recorded implements ResponseListener {
+    private static class RecordingListener implements ResponseListener {
         private final CompletableFuture<String> result = new CompletableFuture<>();
         private final StringBuilder body = new StringBuilder();
         private volatile ResponseHead head;
@@ -61,7 +61,7 @@
         }
     }
 
-    private UpstreamConnectionPool pool(InetSocketAddress address) {
+    private UpstreamConnectionPool newPool(InetSocketAddress address) {
         return new UpstreamConnectionPool(address, loops.next(), TimeSource.SYSTEM, () -> 10);
     }
 
@@ -70,27 +70,27 @@
     }
 
     private static String send(UpstreamConnectionPool pool) {
-        Recorded recorded = new Recorded();
+        RecordingListener recorded = new RecordingListener();
         pool.send(request("hello"), recorded);
         return recorded.result.join();
     }
 
-    private static String answer(String body) {
+    private static String okResponse(String body) {
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
     @Test
-    public void aWholeAnswerLeavesItsConnectionForTheNextRequest() throws Exception {
+    public void reusesConnectionAfterCompleteResponse() throws Exception {
         AtomicInteger connections = new AtomicInteger();
         Set<Integer> ports = ConcurrentHashMap.newKeySet();
         try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
             if (ports.add(c.getPort())) {
                 connections.incrementAndGet();
             }
-            ScriptedUpstream.write(c, answer("ok"));
+            ScriptedUpstream.write(c, okResponse("ok"));
             return true;
         })) {
-            UpstreamConnectionPool pool = pool(upstream.address());
+            UpstreamConnectionPool pool = newPool(upstream.address());
             assertEquals(send(pool), "whole 200 ok");
             assertEquals(send(pool), "whole 200 ok");
             assertEquals(connections.get(), 1);
@@ -99,51 +99,51 @@
     }
 
     @Test
-    public void bytesBehindAnAnswerAreNotTheNextOnes() throws Exception {
+    public void doesNotReadTrailingBytesAsNextResponse() throws Exception {
         AtomicInteger calls = new AtomicInteger();
         try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
-            String extra = calls.incrementAndGet() == 1 ? answer("stray") : "";
-            ScriptedUpstream.write(c, answer("ok") + extra);
+            String extra = calls.incrementAndGet() == 1 ? okResponse("stray") : "";
+            ScriptedUpstream.write(c, okResponse("ok") + extra);
             return true;
         })) {
-            UpstreamConnectionPool pool = pool(upstream.address());
+            UpstreamConnectionPool pool = newPool(upstream.address());
             assertEquals(send(pool), "whole 200 ok");
             assertEquals(send(pool), "whole 200 ok");
         }
     }
 
     @Test
-    public void anAnswerThatBreaksOffIsNotWhole() throws Exception {
+    public void failsOnTruncatedBodyWithContentLength() throws Exception {
         try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
             ScriptedUpstream.write(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
             return false;
         })) {
-            assertEquals(send(pool(upstream.address())), "failed, may have run true");
+            assertEquals(send(newPool(upstream.address())), "failed, may have run true");
         }
     }
 
     @Test
-    public void chunksThatBreakOffAreNotWhole() throws Exception {
+    public void failsOnTruncatedChunkedBody() throws Exception {
         try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
             ScriptedUpstream.write(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
             return false;
         })) {
-            assertEquals(send(pool(upstream.address())), "failed, may have run true");
+            assertEquals(send(newPool(upstream.address())), "failed, may have run true");
         }
     }
 
     @Test
-    public void anAnswerWithoutLengthEndsWithItsConnection() throws Exception {
+    public void acceptsBodyEndedByConnectionClose() throws Exception {
         try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
             ScriptedUpstream.write(c, "HTTP/1.1 200 OK\r\n\r\nall of it");
             return false;
         })) {
-            assertEquals(send(pool(upstream.address())), "whole 200 all of it");
+            assertEquals(send(newPool(upstream.address())), "whole 200 all of it");
         }
     }
 
     @Test
-    public void anAnswerWithoutLengthThatIsResetIsNotWhole() throws Exception {
+    public void failsOnConnectionResetInBodyWithoutLength() throws Exception {
         CountDownLatch bodySeen = new CountDownLatch(1);
         try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
             ScriptedUpstream.write(c, "HTTP/1.1 200 OK\r\n\r\nhalf");
@@ -155,39 +155,39 @@
             c.setSoLinger(true, 0);
             return false;
         })) {
-            Recorded recorded = new Recorded() {
+            RecordingListener recorded = new RecordingListener() {
                 @Override
                 public void onBody(ByteString part) {
                     super.onBody(part);
                     bodySeen.countDown();
                 }
             };
-            pool(upstream.address()).send(request("hello"), recorded);
+            newPool(upstream.address()).send(request("hello"), recorded);
             assertEquals(recorded.result.join(), "failed, may have run true");
         }
     }
 
     @Test
-    public void bytesThatAreNoAnswerAreAFailure() throws Exception {
+    public void failsOnBytesThatAreNotHttp() throws Exception {
         try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
             ScriptedUpstream.write(c, "nonsense that is no answer\r\n\r\n");
             return false;
         })) {
-            assertEquals(send(pool(upstream.address())), "failed, may have run true");
+            assertEquals(send(newPool(upstream.address())), "failed, may have run true");
         }
     }
 
     @Test
-    public void aRefusedConnectionProvesThatNothingRan() throws Exception {
+    public void refusedConnectionMeansRequestDidNotRun() throws Exception {
         InetSocketAddress free;
         try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             free = (InetSocketAddress) probe.getLocalSocketAddress();
         }
-        assertEquals(send(pool(free)), "failed, may have run false");
+        assertEquals(send(newPool(free)), "failed, may have run false");
     }
 
     @Test
-    public void givingUpClosesTheConnection() throws Exception {
+    public void cancelClosesConnection() throws Exception {
         CountDownLatch closed = new CountDownLatch(1);
         CountDownLatch arrived = new CountDownLatch(1);
         try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
@@ -198,7 +198,7 @@
             return false;
         })) {
             UpstreamConnectionPool.InFlightRequest sent =
-                    pool(upstream.address()).send(request("hello"), new Recorded());
+                    newPool(upstream.address()).send(request("hello"), new RecordingListener());
             arrived.await();
             sent.cancel();
             closed.await();
@@ -206,7 +206,7 @@
     }
 
     @Test
-    public void connectionsAreNotOpenedBeyondTheLimit() throws Exception {
+    public void doesNotExceedConnectionLimit() throws Exception {
         CountDownLatch arrived = new CountDownLatch(1);
         CountDownLatch release = new CountDownLatch(1);
         try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
@@ -216,12 +216,12 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-            ScriptedUpstream.write(c, answer("ok"));
+            ScriptedUpstream.write(c, okResponse("ok"));
             return true;
         })) {
             UpstreamConnectionPool pool =
                     new UpstreamConnectionPool(upstream.address(), loops.next(), TimeSource.SYSTEM, () -> 1);
-            Recorded first = new Recorded();
+            RecordingListener first = new RecordingListener();
             pool.send(request("hello"), first);
             arrived.await();
             assertEquals(send(pool), "failed, may have run false");
