--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/AnswerFuzzTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ResponseFuzzTest.java
@@ -23,7 +23,7 @@
 import org.testng.annotations.Test;
 
 /** Answers with bytes changed, left out, doubled and cut off: each send ends, and the next one is served. */
-public class AnswerFuzzTest {
+public class ResponseFuzzTest {
     private static final int MUTATED_RESPONSES = 400;
     private static final String WITH_CONTENT_LENGTH =
             "HTTP/1.1 200 OK\r\nX-Mark: s\r\nContent-Length: 24\r\n\r\n" + "id: 1\ndata: a\n\nid: 2\n\n\n\n";
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamPoolTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamConnectionPoolTest.java
@@ -26,7 +26,7 @@
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
 
-public class UpstreamPoolTest {
+public class UpstreamConnectionPoolTest {
     private final EventLoopGroup loops = new NioEventLoopGroup(1);
 
     @AfterClass
