--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/ResponseHead.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/ResponseHead.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** Status and headers of an upstream's answer. Immutable. */
+/** Status and headers of an upstream's response. Immutable. */
 public record ResponseHead(int status, List<Map.Entry<String, String>> headers) {
     private static final int STATUS_OK = 200;
     private static final int STATUS_MULTIPLE_CHOICES = 300;
@@ -13,7 +13,7 @@
         headers = List.copyOf(headers);
     }
 
-    /** Returns the first header with a name, whatever its case. */
+    /** Returns the value of the first header with this name, which is compared without regard to case. */
     public Optional<String> header(String name) {
         return headers.stream()
                 .filter(h -> h.getKey().equalsIgnoreCase(name))
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/ResponseListener.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/ResponseListener.java
@@ -2,17 +2,20 @@
 
 import com.google.protobuf.ByteString;
 
-/** Takes one answer of an upstream, on the connection's event loop. One of the last two methods is called last. */
+/**
+ * Receives one response of an upstream, on the connection's event loop. The last call is either {@link #onEnd} or
+ * {@link #onFailure}; after a cancellation there may be neither.
+ */
 public interface ResponseListener {
-    /** Takes status and headers. */
+    /** Receives the status and the headers. */
     void onHead(ResponseHead head);
 
-    /** Takes a part of the body. */
+    /** Receives the next part of the body. */
     void onBody(ByteString part);
 
-    /** The answer is whole. */
+    /** Called when the response is complete. */
     void onEnd();
 
-    /** The answer will not be whole. */
+    /** Called when the response is missing or incomplete. */
     void onFailure(SendFailure failure);
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UnsolicitedBytesGuard.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UnsolicitedBytesGuard.java
@@ -6,7 +6,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Closes a connection when bytes arrive that no request asked for, before the decoder can mix them with an answer.
+ * Closes a connection when bytes arrive while no request is pending, before the decoder can take them for a part of
+ * the next response.
  *
  * <p>Created for each connection; used on its event loop only.
  */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
@@ -26,8 +26,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * One HTTP/1.1 connection to an upstream. It carries one request at a time and is used again only when the answer
- * before was whole, was the answer to that request, and left no byte behind.
+ * One HTTP/1.1 connection to an upstream. It carries one request at a time and is reused only if the previous response
+ * was complete and came after its whole request was written, no bytes followed it, and the upstream keeps the
+ * connection open.
  *
  * <p>Created by {@link UpstreamConnectionPool}; its state is used on its event loop only.
  */
@@ -49,7 +50,7 @@
     /**
      * Wraps a new channel.
      *
-     * @param whenFree told after each answer whether the connection can be used again
+     * @param onRelease called after each response and on close, with whether the connection can be reused
      */
     UpstreamConnection(
             Channel channel, UpstreamResponseDecoder decoder, BiConsumer<UpstreamConnection, Boolean> whenFree) {
@@ -58,7 +59,7 @@
         this.onRelease = whenFree;
     }
 
-    // Used by the pool, on the event loop
+    // Called by the pool, on the event loop
 
     void send(UpstreamRequest request, ResponseListener newListener) {
         listener = newListener;
@@ -74,7 +75,7 @@
         });
     }
 
-    /** Closes the connection without telling the listener. */
+    /** Closes the connection without calling the listener. */
     void cancel() {
         listener = null;
         channel.close();
@@ -97,7 +98,7 @@
         channel.close();
     }
 
-    /** Lets the upstream wait while the caller does not take what was read. */
+    /** Pauses or resumes reading, which applies backpressure to the upstream while the caller reads slowly. */
     void setReading(boolean reading) {
         channel.config().setAutoRead(reading);
     }
@@ -154,7 +155,10 @@
                 new ResponseHead(response.status().code(), response.headers().entries()));
     }
 
-    /** Returns for how long the upstream keeps an idle connection, less a part in which it may already be closing. */
+    /**
+     * Returns 70 % of the idle time that a Keep-Alive header allows; near the full time, the upstream may already be
+     * closing the connection.
+     */
     private static long idleLimitMillis(String keepAlive) {
         int at = keepAlive.indexOf(TIMEOUT);
         if (at < 0) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
@@ -20,9 +20,11 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The connections to one upstream. The one that was used last is used next, so that the others can lapse.
+ * Pools the connections to one upstream. The most recently used one is reused first, so that surplus connections reach
+ * their idle limit and are closed.
  *
- * <p>Created for each upstream; its state is used on one event loop, to which calls from other threads are passed.
+ * <p>Created for each upstream; its state is confined to one event loop, to which calls from other threads are
+ * passed.
  */
 public final class UpstreamConnectionPool {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
@@ -43,7 +45,7 @@
     /**
      * Creates a pool without connections.
      *
-     * @param maxConnections how many may be open, as of now
+     * @param maxConnections returns how many connections may be open; read before each connect
      */
     public UpstreamConnectionPool(
             InetSocketAddress address, EventLoop loop, TimeSource time, IntSupplier maxConnections) {
@@ -53,16 +55,16 @@
         this.maxConnections = maxConnections;
     }
 
-    /** A request under way. */
+    /** Controls a request that was passed to the pool. */
     public interface InFlightRequest {
-        /** Gives the request up; the listener hears nothing more. */
+        /** Cancels the request; its listener is not called after the cancellation reached the event loop. */
         void cancel();
 
-        /** Lets the upstream wait or go on. */
+        /** Pauses or resumes reading of the response, which applies backpressure to the upstream. */
         void setReading(boolean reading);
     }
 
-    /** Sends a request on an idle connection, or on a new one. */
+    /** Sends a request on an idle connection, or on a new one if none is usable. */
     public InFlightRequest send(UpstreamRequest request, ResponseListener listener) {
         PendingRequest pending = new PendingRequest(request, listener);
         if (eventLoop.inEventLoop()) {
@@ -73,7 +75,7 @@
         return pending;
     }
 
-    /** Closes idle connections and those that become idle. */
+    /** Closes the idle connections, and the others when their responses end. */
     public void close() {
         eventLoop.execute(() -> {
             closed = true;
@@ -157,7 +159,7 @@
         connection.close();
     }
 
-    /** Sets up the pipeline of each connection. */
+    /** Sets up the channel pipeline of each connection. */
     private final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel channel) {
@@ -171,7 +173,7 @@
         }
     }
 
-    /** Counts the connection out when it closes. Created for each connection. */
+    /** Decrements the number of open connections when one closes. Created for each connection. */
     private final class OpenConnectionCounter extends io.netty.channel.ChannelInboundHandlerAdapter {
         @Override
         public void channelInactive(io.netty.channel.ChannelHandlerContext context) {
@@ -180,7 +182,7 @@
         }
     }
 
-    /** One request on its way. Used on the event loop, but for the calls that are passed there. */
+    /** One request and its connection. Its state is confined to the event loop, to which public calls are passed. */
     private final class PendingRequest implements InFlightRequest {
         private final UpstreamRequest request;
         private final ResponseListener listener;
@@ -228,7 +230,7 @@
         }
     }
 
-    /** Forgets the connection at the answer's end, so that a late call does not touch the next request on it. */
+    /** Detaches the request from its connection at the end, so that a late call cannot affect the next request. */
     private record DetachingListener(PendingRequest pending) implements ResponseListener {
         @Override
         public void onHead(ResponseHead head) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPools.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPools.java
@@ -10,9 +10,10 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A pool for each start of an upstream, so that a connection is never used for another upstream at the same address.
+ * Keeps one connection pool for each start of an upstream, so that a connection is never used for a later process at
+ * the same address.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>One for each entry; safe to share between threads.
  */
 public final class UpstreamConnectionPools {
     private final EventLoop eventLoop;
@@ -21,9 +22,9 @@
     private final Map<String, UpstreamConnectionPool> pools = new ConcurrentHashMap<>();
 
     /**
-     * Creates pools that follow a directory.
+     * Creates pools that are closed when the directory reports that their upstream restarted or left.
      *
-     * @param maxConnections how many connections to an upstream this entry may have, as of now
+     * @param maxConnections returns how many connections this entry may open to an upstream; read before each connect
      */
     public UpstreamConnectionPools(
             EventLoop loop, TimeSource time, UpstreamDirectory directory, ToIntFunction<Upstream> maxConnections) {
@@ -33,7 +34,7 @@
         directory.onChange(this::onUpstreamChange);
     }
 
-    /** Returns the pool of an upstream. */
+    /** Returns the connection pool of an upstream, created at the first call. */
     public UpstreamConnectionPool poolFor(Upstream upstream) {
         return pools.computeIfAbsent(
                 upstream.id(),
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamRequest.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamRequest.java
@@ -6,10 +6,10 @@
 import java.util.Objects;
 
 /**
- * A request as it is sent to an upstream. Immutable.
+ * An HTTP request to an upstream. Immutable.
  *
- * @param target the path with its query
- * @param id the caller's id of the request, which the upstream repeats in its answer
+ * @param target the request target: path and query
+ * @param id the caller's request id, which the upstream repeats in its response
  */
 public record UpstreamRequest(
         String method, String target, String id, List<Map.Entry<String, String>> headers, ByteString body) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamResponseDecoder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamResponseDecoder.java
@@ -7,7 +7,8 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /**
- * Decodes answers and knows to which kind of request the next one belongs.
+ * Decodes HTTP responses. The request method is set before each request, because a response to HEAD has no body
+ * whatever its headers say.
  *
  * <p>Created for each connection; used on its event loop only.
  */
@@ -26,7 +27,7 @@
         requestMethod = newMethod;
     }
 
-    /** Returns whether bytes are left behind a whole answer. */
+    /** Returns whether undecoded bytes follow a complete response. */
     boolean hasUnreadBytes() {
         return actualReadableBytes() > 0;
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/package-info.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/package-info.java
@@ -1,4 +1,4 @@
-/** HTTP connections to upstreams, each with one request at a time. */
+/** HTTP connections to upstreams, each of which carries one request at a time. */
 @NullMarked
 package io.parsleycleat.gateway.connection.upstream;
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ResponseFuzzTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ResponseFuzzTest.java
@@ -22,7 +22,10 @@
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.Test;
 
-/** Answers with bytes changed, left out, doubled and cut off: each send ends, and the next one is served. */
+/**
+ * Guards against responses with changed, missing, repeated or truncated bytes: each request must complete exactly once,
+ * and no leftover byte may reach the response to the next request.
+ */
 public class ResponseFuzzTest {
     private static final int MUTATED_RESPONSES = 400;
     private static final String WITH_CONTENT_LENGTH =
@@ -37,7 +40,7 @@
         loops.shutdownGracefully();
     }
 
-    /** What one send came to; more than one end is a fault. */
+    /** Records the outcome of one request and counts its completions, of which there must be exactly one. */
     private static final class CompletionRecorder implements ResponseListener {
         private final CompletableFuture<Boolean> succeeded = new CompletableFuture<>();
         private final AtomicInteger completions = new AtomicInteger();
@@ -107,7 +110,7 @@
                 boolean firstSucceeded = mutated.succeeded.join();
                 CompletionRecorder next = send(pool);
                 if (firstSucceeded && !next.succeeded.join()) {
-                    // The upstream closed the connection behind an answer that looked whole.
+                    // The upstream closed the connection after a response that looked complete.
                     next = send(pool);
                 }
                 assertTrue(next.succeeded.join(), "answer " + i + " spoils the next one");
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ScriptedUpstream.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ScriptedUpstream.java
@@ -12,15 +12,15 @@
 import java.util.concurrent.LinkedBlockingQueue;
 
 /**
- * An upstream that answers each request with the bytes that a test gives it. Each connection has its own thread; a
- * request is a head with an optional body of a given length.
+ * A test upstream that responds to each request with the bytes of a script. Each connection has its own thread. A
+ * request consists of a head and, if it has a Content-Length, a body.
  */
 public final class ScriptedUpstream implements AutoCloseable {
     private final ServerSocket server;
     private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
     private final Script script;
 
-    /** Answers one request; returns false to end the connection. */
+    /** Responds to one request; returns false to close the connection. */
     @FunctionalInterface
     public interface Script {
         boolean answer(String request, Socket connection) throws IOException;
@@ -42,12 +42,12 @@
         return (InetSocketAddress) server.getLocalSocketAddress();
     }
 
-    /** Returns the next request that arrived. */
+    /** Removes and returns the next received request, waiting for it if necessary. */
     public String takeRequest() throws InterruptedException {
         return requests.take();
     }
 
-    /** Returns how many requests arrived that were not taken. */
+    /** Returns how many received requests have not been taken yet. */
     public int untakenRequestCount() {
         return requests.size();
     }
@@ -83,7 +83,7 @@
                 more = script.answer(request, connection);
             }
         } catch (IOException expected) {
-            // The other side closed the connection.
+            // The client closed the connection.
         }
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamConnectionPoolTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamConnectionPoolTest.java
@@ -34,7 +34,7 @@
         loops.shutdownGracefully();
     }
 
-    /** What one send came to. */
+    /** Records the outcome of one request. */
     private static class RecordingListener implements ResponseListener {
         private final CompletableFuture<String> result = new CompletableFuture<>();
         private final StringBuilder body = new StringBuilder();
