--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
@@ -53,10 +53,10 @@
      * @param onRelease called after each response and on close, with whether the connection can be reused
      */
     UpstreamConnection(
-            Channel channel, UpstreamResponseDecoder decoder, BiConsumer<UpstreamConnection, Boolean> whenFree) {
+            Channel channel, UpstreamResponseDecoder decoder, BiConsumer<UpstreamConnection, Boolean> onRelease) {
         this.channel = channel;
         this.decoder = decoder;
-        this.onRelease = whenFree;
+        this.onRelease = onRelease;
     }
 
     // Called by the pool, on the event loop
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
@@ -48,9 +48,9 @@
      * @param maxConnections returns how many connections may be open; read before each connect
      */
     public UpstreamConnectionPool(
-            InetSocketAddress address, EventLoop loop, TimeSource time, IntSupplier maxConnections) {
+            InetSocketAddress address, EventLoop eventLoop, TimeSource time, IntSupplier maxConnections) {
         this.address = address;
-        this.eventLoop = loop;
+        this.eventLoop = eventLoop;
         this.time = time;
         this.maxConnections = maxConnections;
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPools.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPools.java
@@ -27,8 +27,8 @@
      * @param maxConnections returns how many connections this entry may open to an upstream; read before each connect
      */
     public UpstreamConnectionPools(
-            EventLoop loop, TimeSource time, UpstreamDirectory directory, ToIntFunction<Upstream> maxConnections) {
-        this.eventLoop = loop;
+            EventLoop eventLoop, TimeSource time, UpstreamDirectory directory, ToIntFunction<Upstream> maxConnections) {
+        this.eventLoop = eventLoop;
         this.time = time;
         this.maxConnections = maxConnections;
         directory.onChange(this::onUpstreamChange);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ResponseFuzzTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ResponseFuzzTest.java
@@ -47,7 +47,7 @@
         private final AtomicInteger bodyBytes = new AtomicInteger();
 
         @Override
-        public void onHead(ResponseHead answer) {}
+        public void onHead(ResponseHead head) {}
 
         @Override
         public void onBody(ByteString part) {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamConnectionPoolTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamConnectionPoolTest.java
@@ -41,8 +41,8 @@
         private volatile ResponseHead head;
 
         @Override
-        public void onHead(ResponseHead answer) {
-            head = answer;
+        public void onHead(ResponseHead newHead) {
+            head = newHead;
         }
 
         @Override
