--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
@@ -113,7 +113,7 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            fail(SendFailure.invalidResponse("not a valid HTTP answer"));
+            fail(SendFailure.invalidResponse("invalid HTTP response"));
             return;
         }
         if (message instanceof HttpResponse response) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
@@ -94,9 +94,9 @@
         if (connection != null) {
             pending.sendOn(connection);
         } else if (closed) {
-            pending.listener.onFailure(SendFailure.notSent("the upstream is gone"));
+            pending.listener.onFailure(SendFailure.notSent("the upstream has left or restarted"));
         } else if (openConnections >= maxConnections.getAsInt()) {
-            pending.listener.onFailure(SendFailure.notSent("all connections to the upstream are busy"));
+            pending.listener.onFailure(SendFailure.notSent("the connection limit of the upstream is reached"));
         } else {
             connect(pending);
         }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ResponseFuzzTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ResponseFuzzTest.java
@@ -113,9 +113,9 @@
                     // The upstream closed the connection after a response that looked complete.
                     next = send(pool);
                 }
-                assertTrue(next.succeeded.join(), "answer " + i + " spoils the next one");
+                assertTrue(next.succeeded.join(), "mutated response " + i + " affects the next one");
                 assertEquals(next.bodyBytes.get(), 30);
-                assertEquals(mutated.completions.get(), 1, "answer " + i + " ends once");
+                assertEquals(mutated.completions.get(), 1, "mutated response " + i + " must complete exactly once");
             }
         }
     }
