--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
@@ -26,8 +26,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * One HTTP/1.1 connection to an upstream. It carries one request at a time and is used again only when the answer
- * before was whole, was the answer to that request, and left no byte behind.
+ * One HTTP/1.1 connection to an upstream. It carries one request at a time and is reused only if the previous response
+ * was complete and came after its whole request was written, no bytes followed it, and the upstream keeps the
+ * connection open.
  *
  * <p>Created by {@link UpstreamConnectionPool}; its state is used on its event loop only.
  */
@@ -36,12 +37,12 @@
     private static final String TIMEOUT = "timeout=";
 
     private final Channel channel;
-    private final AnswerDecoder decoder;
-    private final BiConsumer<UpstreamConnection, Boolean> whenFree;
+    private final UpstreamResponseDecoder decoder;
+    private final BiConsumer<UpstreamConnection, Boolean> onRelease;
     private @Nullable ResponseListener listener;
-    private boolean written;
+    private boolean requestWritten;
     private boolean reusable;
-    private boolean endsWithConnection;
+    private boolean bodyEndsAtClose;
     private boolean failed;
     private long idleSinceNanos;
     private long idleLimitMillis = Long.MAX_VALUE;
@@ -49,31 +50,32 @@
     /**
      * Wraps a new channel.
      *
-     * @param whenFree told after each answer whether the connection can be used again
+     * @param onRelease called after each response and on close, with whether the connection can be reused
      */
-    UpstreamConnection(Channel channel, AnswerDecoder decoder, BiConsumer<UpstreamConnection, Boolean> whenFree) {
+    UpstreamConnection(
+            Channel channel, UpstreamResponseDecoder decoder, BiConsumer<UpstreamConnection, Boolean> onRelease) {
         this.channel = channel;
         this.decoder = decoder;
-        this.whenFree = whenFree;
+        this.onRelease = onRelease;
     }
 
-    // Used by the pool, on the event loop
+    // Called by the pool, on the event loop
 
     void send(UpstreamRequest request, ResponseListener newListener) {
         listener = newListener;
-        written = false;
+        requestWritten = false;
         reusable = false;
-        endsWithConnection = false;
-        decoder.expect(HttpMethod.valueOf(request.method()));
+        bodyEndsAtClose = false;
+        decoder.expectResponseTo(HttpMethod.valueOf(request.method()));
         channel.writeAndFlush(encode(request)).addListener(f -> {
-            written = f.isSuccess();
+            requestWritten = f.isSuccess();
             if (!f.isSuccess()) {
                 fail(SendFailure.connectionBroken("the request could not be written: " + f.cause()));
             }
         });
     }
 
-    /** Closes the connection without telling the listener. */
+    /** Closes the connection without calling the listener. */
     void cancel() {
         listener = null;
         channel.close();
@@ -84,7 +86,7 @@
         return channel.isActive() && !failed && idleMillis < Math.min(idleLimitMillis, maxIdleMillis);
     }
 
-    void idleSince(long nowNanos) {
+    void markIdleSince(long nowNanos) {
         idleSinceNanos = nowNanos;
     }
 
@@ -96,7 +98,7 @@
         channel.close();
     }
 
-    /** Lets the upstream wait while the caller does not take what was read. */
+    /** Pauses or resumes reading, which applies backpressure to the upstream while the caller reads slowly. */
     void setReading(boolean reading) {
         channel.config().setAutoRead(reading);
     }
@@ -111,7 +113,7 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            fail(SendFailure.invalidResponse("not a valid HTTP answer"));
+            fail(SendFailure.invalidResponse("invalid HTTP response"));
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -130,7 +132,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         fail(SendFailure.connectionBroken("the upstream closed the connection"));
-        whenFree.accept(this, false);
+        onRelease.accept(this, false);
     }
 
     @Override
@@ -143,8 +145,8 @@
 
     private void readHead(HttpResponse response, ResponseListener current) {
         boolean framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-        endsWithConnection = !framed && !decoder.hasNoBody(response.status().code());
-        reusable = HttpUtil.isKeepAlive(response) && !endsWithConnection;
+        bodyEndsAtClose = !framed && !decoder.hasNoBody(response.status().code());
+        reusable = HttpUtil.isKeepAlive(response) && !bodyEndsAtClose;
         String keepAlive = response.headers().get(KEEP_ALIVE);
         if (keepAlive != null) {
             idleLimitMillis = idleLimitMillis(keepAlive);
@@ -153,7 +155,10 @@
                 new ResponseHead(response.status().code(), response.headers().entries()));
     }
 
-    /** Returns for how long the upstream keeps an idle connection, less a part in which it may already be closing. */
+    /**
+     * Returns 70 % of the idle time that a Keep-Alive header allows; near the full time, the upstream may already be
+     * closing the connection.
+     */
     private static long idleLimitMillis(String keepAlive) {
         int at = keepAlive.indexOf(TIMEOUT);
         if (at < 0) {
@@ -167,16 +172,16 @@
     }
 
     private void readEnd(ResponseListener current) {
-        if (endsWithConnection && failed) {
+        if (bodyEndsAtClose && failed) {
             return;
         }
         listener = null;
-        boolean free = reusable && written && !decoder.hasLeftover() && channel.isActive();
+        boolean canReuse = reusable && requestWritten && !decoder.hasUnreadBytes() && channel.isActive();
         current.onEnd();
-        if (!free) {
+        if (!canReuse) {
             channel.close();
         }
-        whenFree.accept(this, free);
+        onRelease.accept(this, canReuse);
     }
 
     private void fail(SendFailure failure) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPools.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPools.java
@@ -10,38 +10,39 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A pool for each start of an upstream, so that a connection is never used for another upstream at the same address.
+ * Keeps one connection pool for each start of an upstream, so that a connection is never used for a later process at
+ * the same address.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>One for each entry; safe to share between threads.
  */
 public final class UpstreamConnectionPools {
-    private final EventLoop loop;
+    private final EventLoop eventLoop;
     private final TimeSource time;
     private final ToIntFunction<Upstream> maxConnections;
     private final Map<String, UpstreamConnectionPool> pools = new ConcurrentHashMap<>();
 
     /**
-     * Creates pools that follow a directory.
+     * Creates pools that are closed when the directory reports that their upstream restarted or left.
      *
-     * @param maxConnections how many connections to an upstream this entry may have, as of now
+     * @param maxConnections returns how many connections this entry may open to an upstream; read before each connect
      */
     public UpstreamConnectionPools(
-            EventLoop loop, TimeSource time, UpstreamDirectory directory, ToIntFunction<Upstream> maxConnections) {
-        this.loop = loop;
+            EventLoop eventLoop, TimeSource time, UpstreamDirectory directory, ToIntFunction<Upstream> maxConnections) {
+        this.eventLoop = eventLoop;
         this.time = time;
         this.maxConnections = maxConnections;
-        directory.addListener(this::changed);
+        directory.addListener(this::onUpstreamChange);
     }
 
-    /** Returns the pool of an upstream. */
+    /** Returns the connection pool of an upstream, created at the first call. */
     public UpstreamConnectionPool poolFor(Upstream upstream) {
         return pools.computeIfAbsent(
                 upstream.id(),
                 id -> new UpstreamConnectionPool(
-                        upstream.address(), loop, time, () -> maxConnections.applyAsInt(upstream)));
+                        upstream.address(), eventLoop, time, () -> maxConnections.applyAsInt(upstream)));
     }
 
-    private void changed(@Nullable Upstream before, @Nullable Upstream after) {
+    private void onUpstreamChange(@Nullable Upstream before, @Nullable Upstream after) {
         if (before != null && (after == null || !before.isSameStart(after))) {
             UpstreamConnectionPool pool = pools.remove(before.id());
             if (pool != null) {
