Name the adapter bookkeeping and its estimates in the usual terms

Cause: Names such as coming, kept, pace and crowded did not say what they hold, and constants lacked units.

Change: Members of AdapterTable and WaitingStart; LoadPace, PlaceRate and ReadRate become LoadConcurrencyLimit, AdapterReleaseInterval and PrefillRate.

Result: EngineGateTest, GateServerTest, OrderLoopTest, OrderScheduleTest and LoadPaceTest pass.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/AdapterTable.java
@@ -24,39 +24,40 @@
  */
 final class AdapterTable {
     /** Time after which an accepted load that has not completed is considered lost. */
-    private static final Duration LOAD_LIMIT = Duration.ofSeconds(4);
+    private static final Duration LOAD_TIMEOUT = Duration.ofSeconds(4);
 
     /** Time for which an adapter is not unloaded after the engine has refused to unload it. */
-    private static final Duration KEPT_PAUSE = Duration.ofMillis(700);
+    private static final Duration UNLOAD_RETRY_INTERVAL = Duration.ofMillis(700);
 
-    private final Map<AdapterId, Long> resident = new HashMap<>();
-    private final Map<AdapterId, Long> coming = new HashMap<>();
-    private final Map<AdapterId, Accepted> accepted = new HashMap<>();
-    private final Map<AdapterId, Long> keptNanos = new HashMap<>();
-    private final Map<AdapterId, Integer> users = new HashMap<>();
+    private final Map<AdapterId, Long> residentVersions = new HashMap<>();
+    private final Map<AdapterId, Long> loadingVersions = new HashMap<>();
+    private final Map<AdapterId, AcceptedLoad> acceptedLoads = new HashMap<>();
+    private final Map<AdapterId, Long> unloadRefusedNanos = new HashMap<>();
+    private final Map<AdapterId, Integer> useCounts = new HashMap<>();
     private final Map<AdapterId, Long> lastUsedNanos = new HashMap<>();
-    private final Set<AdapterId> heldBefore = new HashSet<>();
-    private final LoadPace pace = new LoadPace();
-    private @Nullable ModelOrder uncertain;
+    private final Set<AdapterId> previouslyResident = new HashSet<>();
+    private final LoadConcurrencyLimit loadLimit = new LoadConcurrencyLimit();
+    private @Nullable ModelOrder unansweredOrder;
 
     /** A load order that the engine accepted, and when. */
-    private record Accepted(long version, long nanos) {}
+    private record AcceptedLoad(long version, long acceptedNanos) {}
 
     /** Replaces the engine's state by a new report. */
     void onReport(EngineReport report, long nowNanos) {
-        resident.clear();
-        resident.putAll(report.residentAdapters());
-        coming.clear();
-        coming.putAll(report.loadingAdapters());
-        accepted.forEach((adapter, load) -> noteLoaded(adapter, load, nowNanos));
-        heldBefore.addAll(resident.keySet());
-        accepted.entrySet()
-                .removeIf(e -> isThere(e.getKey(), e.getValue().version())
-                        || nowNanos - e.getValue().nanos() > LOAD_LIMIT.toNanos());
-        accepted.forEach((adapter, load) -> coming.putIfAbsent(adapter, load.version()));
-        ModelOrder order = uncertain;
+        residentVersions.clear();
+        residentVersions.putAll(report.residentAdapters());
+        loadingVersions.clear();
+        loadingVersions.putAll(report.loadingAdapters());
+        acceptedLoads.forEach((adapter, load) -> recordLoadTime(adapter, load, nowNanos));
+        previouslyResident.addAll(residentVersions.keySet());
+        acceptedLoads
+                .entrySet()
+                .removeIf(e -> isResident(e.getKey(), e.getValue().version())
+                        || nowNanos - e.getValue().acceptedNanos() > LOAD_TIMEOUT.toNanos());
+        acceptedLoads.forEach((adapter, load) -> loadingVersions.putIfAbsent(adapter, load.version()));
+        ModelOrder order = unansweredOrder;
         if (order != null && report.acceptedOrders() > order.expectedAcceptedOrders()) {
-            uncertain = null;
+            unansweredOrder = null;
         }
     }
 
@@ -64,99 +65,101 @@
      * Records the duration of a completed load from the weight store. An adapter that was resident before is loaded
      * from the engine's own disk, so its load time does not measure the store and is ignored.
      */
-    private void noteLoaded(AdapterId adapter, Accepted load, long nowNanos) {
-        if (isThere(adapter, load.version()) && !heldBefore.contains(adapter)) {
-            pace.onLoaded(load.nanos(), nowNanos);
+    private void recordLoadTime(AdapterId adapter, AcceptedLoad load, long nowNanos) {
+        if (isResident(adapter, load.version()) && !previouslyResident.contains(adapter)) {
+            loadLimit.onLoadCompleted(load.acceptedNanos(), nowNanos);
         }
     }
 
-    private boolean isThere(AdapterId adapter, long version) {
-        Long held = resident.get(adapter);
+    private boolean isResident(AdapterId adapter, long version) {
+        Long held = residentVersions.get(adapter);
         return held != null && held >= version;
     }
 
     /** Applies the outcome of an order until the next report replaces the state. */
-    void onOrder(ModelOrder order, ModelOrder.Outcome outcome, long nowNanos) {
+    void onOrderOutcome(ModelOrder order, ModelOrder.Outcome outcome, long nowNanos) {
         if (outcome == ModelOrder.Outcome.UNKNOWN) {
-            uncertain = order;
+            unansweredOrder = order;
             return;
         }
         boolean load = order.operation() == ModelOrder.Operation.LOAD;
         if (outcome == ModelOrder.Outcome.CONFLICT && !load) {
-            keptNanos.put(order.target(), nowNanos);
+            unloadRefusedNanos.put(order.target(), nowNanos);
         }
         if (outcome == ModelOrder.Outcome.STARTED && load) {
-            coming.put(order.target(), order.version());
-            accepted.put(order.target(), new Accepted(order.version(), nowNanos));
+            loadingVersions.put(order.target(), order.version());
+            acceptedLoads.put(order.target(), new AcceptedLoad(order.version(), nowNanos));
         } else if (outcome == ModelOrder.Outcome.DONE && !load) {
-            resident.remove(order.target());
+            residentVersions.remove(order.target());
         }
         if (outcome == ModelOrder.Outcome.STARTED || outcome == ModelOrder.Outcome.DONE) {
-            uncertain = null;
+            unansweredOrder = null;
         }
     }
 
     /** Discards the engine's state after a restart; use counts and measured load times remain. */
     void clear() {
-        resident.clear();
-        coming.clear();
-        accepted.clear();
-        keptNanos.clear();
-        heldBefore.clear();
-        uncertain = null;
+        residentVersions.clear();
+        loadingVersions.clear();
+        acceptedLoads.clear();
+        unloadRefusedNanos.clear();
+        previouslyResident.clear();
+        unansweredOrder = null;
     }
 
     /** Returns the limit of concurrent loads, which also estimates load times. */
-    LoadPace pace() {
-        return pace;
+    LoadConcurrencyLimit loadLimit() {
+        return loadLimit;
     }
 
-    void use(AdapterId adapter, long nowNanos) {
-        users.merge(adapter, 1, Integer::sum);
+    void acquire(AdapterId adapter, long nowNanos) {
+        useCounts.merge(adapter, 1, Integer::sum);
         lastUsedNanos.put(adapter, nowNanos);
     }
 
     /** Ends one use of the adapter and returns whether it is now unused. */
     boolean release(AdapterId adapter) {
-        users.computeIfPresent(adapter, (a, n) -> n > 1 ? n - 1 : null);
-        return !users.containsKey(adapter);
+        useCounts.computeIfPresent(adapter, (a, n) -> n > 1 ? n - 1 : null);
+        return !useCounts.containsKey(adapter);
     }
 
-    boolean isUsed(AdapterId adapter) {
-        return users.containsKey(adapter);
+    boolean isInUse(AdapterId adapter) {
+        return useCounts.containsKey(adapter);
     }
 
-    Optional<Long> version(AdapterId adapter) {
-        return Optional.ofNullable(resident.get(adapter));
+    Optional<Long> residentVersion(AdapterId adapter) {
+        return Optional.ofNullable(residentVersions.get(adapter));
     }
 
-    boolean isComing(AdapterId adapter) {
-        return coming.containsKey(adapter);
+    boolean isLoading(AdapterId adapter) {
+        return loadingVersions.containsKey(adapter);
     }
 
-    int comingCount() {
-        return coming.size();
+    int loadingCount() {
+        return loadingVersions.size();
     }
 
-    boolean isUncertain() {
-        return uncertain != null;
+    boolean hasUnansweredOrder() {
+        return unansweredOrder != null;
     }
 
     /** Returns the number of occupied adapter slots, including that of an unanswered load order. */
-    int taken() {
-        ModelOrder order = uncertain;
-        boolean extra = order != null
+    int occupiedSlots() {
+        ModelOrder order = unansweredOrder;
+        boolean additionalSlot = order != null
                 && order.operation() == ModelOrder.Operation.LOAD
-                && !resident.containsKey(order.target())
-                && !coming.containsKey(order.target());
-        long replacing = coming.keySet().stream().filter(resident::containsKey).count();
-        return (int) (resident.size() + coming.size() - replacing) + (extra ? 1 : 0);
+                && !residentVersions.containsKey(order.target())
+                && !loadingVersions.containsKey(order.target());
+        long replacing = loadingVersions.keySet().stream()
+                .filter(residentVersions::containsKey)
+                .count();
+        return (int) (residentVersions.size() + loadingVersions.size() - replacing) + (additionalSlot ? 1 : 0);
     }
 
     /** Returns the number of resident adapters that can be unloaded to make room for others. */
-    int replaceable(Predicate<AdapterId> wanted) {
-        return (int) resident.keySet().stream()
-                .filter(a -> !isUsed(a) && !isComing(a) && !wanted.test(a))
+    int replaceableCount(Predicate<AdapterId> isWaitedFor) {
+        return (int) residentVersions.keySet().stream()
+                .filter(a -> !isInUse(a) && !isLoading(a) && !isWaitedFor.test(a))
                 .count();
     }
 
@@ -164,19 +167,19 @@
      * Returns the least recently used adapter among those that no request uses or waits for. An adapter that the engine
      * refused to unload, because an abandoned run still uses it, is skipped for a while.
      */
-    Optional<AdapterId> leastRecentlyUsed(Predicate<AdapterId> wanted, long nowNanos) {
-        keptNanos.values().removeIf(nanos -> nowNanos - nanos > KEPT_PAUSE.toNanos());
-        return resident.keySet().stream()
-                .filter(a -> !keptNanos.containsKey(a))
-                .filter(a -> !isUsed(a) && !isComing(a) && !wanted.test(a))
+    Optional<AdapterId> leastRecentlyUsed(Predicate<AdapterId> isWaitedFor, long nowNanos) {
+        unloadRefusedNanos.values().removeIf(nanos -> nowNanos - nanos > UNLOAD_RETRY_INTERVAL.toNanos());
+        return residentVersions.keySet().stream()
+                .filter(a -> !unloadRefusedNanos.containsKey(a))
+                .filter(a -> !isInUse(a) && !isLoading(a) && !isWaitedFor.test(a))
                 .min(Comparator.comparingLong(a -> lastUsedNanos.getOrDefault(a, Long.MIN_VALUE)));
     }
 
-    Set<AdapterId> residents() {
-        return Set.copyOf(resident.keySet());
+    Set<AdapterId> residentAdapters() {
+        return Set.copyOf(residentVersions.keySet());
     }
 
-    Set<AdapterId> comings() {
-        return Set.copyOf(coming.keySet());
+    Set<AdapterId> loadingAdapters() {
+        return Set.copyOf(loadingVersions.keySet());
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -52,8 +52,8 @@
     private final AdapterVersions versions;
     private final TimeSource time;
     private final AdapterTable adapters = new AdapterTable();
-    private final ReadRate readRate = new ReadRate();
-    private final PlaceRate placeRate = new PlaceRate();
+    private final PrefillRate readRate = new PrefillRate();
+    private final AdapterReleaseInterval placeRate = new AdapterReleaseInterval();
     private final Map<TicketKey, Granted> granted = new HashMap<>();
     private final List<WaitingStart> waiting = new ArrayList<>();
     private @Nullable EngineSpec spec;
@@ -168,7 +168,7 @@
     public synchronized void expire() {
         long now = time.monotonicNanos();
         List.copyOf(waiting).stream()
-                .filter(w -> w.isOver(now))
+                .filter(w -> w.isExpired(now))
                 .forEach(w -> refuse(w, ResultCode.QUEUE_FULL, max(expectedWait(w), RETRY_MIN)));
     }
 
@@ -181,7 +181,7 @@
 
     private void end(@Nullable Granted run) {
         if (run != null && adapters.release(run.adapter)) {
-            placeRate.onFreed(time.monotonicNanos());
+            placeRate.onReleased(time.monotonicNanos());
         }
     }
 
@@ -203,7 +203,7 @@
             return;
         }
         long now = time.monotonicNanos();
-        List.copyOf(waiting).stream().sorted(WaitingStart.order(now)).forEach(w -> {
+        List.copyOf(waiting).stream().sorted(WaitingStart.byUrgency(now)).forEach(w -> {
             if (isUsable(w.adapter(), now) && hasRoom(w, known)) {
                 grant(w, now);
             }
@@ -212,14 +212,14 @@
 
     private void grant(WaitingStart w, long now) {
         waiting.remove(w);
-        adapters.use(w.adapter(), now);
-        granted.put(w.key(), new Granted(w.adapter(), w.request().getPromptTokens(), w.tokens(), now));
+        adapters.acquire(w.adapter(), now);
+        granted.put(w.key(), new Granted(w.adapter(), w.request().getPromptTokens(), w.requiredTokens(), now));
         w.reply()
                 .accept(StartGrant.newBuilder()
                         .setVersion(
                                 w.adapter().isBaseModel()
                                         ? 0
-                                        : adapters.version(w.adapter()).orElse(0L))
+                                        : adapters.residentVersion(w.adapter()).orElse(0L))
                         .setEngineId(engineId == null ? "" : engineId)
                         .setEngineBorn(report == null ? 0 : report.startedAtMillis())
                         .build());
@@ -228,7 +228,7 @@
     private boolean hasRoom(WaitingStart w, EngineReport known) {
         EngineSpec limits = spec;
         int slots = limits == null ? Integer.MAX_VALUE : limits.slots();
-        boolean memory = reserved() + w.tokens() <= known.memoryTokens() * MEMORY_SHARE || granted.isEmpty();
+        boolean memory = reserved() + w.requiredTokens() <= known.memoryTokens() * MEMORY_SHARE || granted.isEmpty();
         return granted.size() < slots && memory && isBacklogShort(w);
     }
 
@@ -261,8 +261,8 @@
         if (adapter.isBaseModel()) {
             return true;
         }
-        Optional<Long> version = adapters.version(adapter);
-        if (version.isEmpty() || adapters.isComing(adapter)) {
+        Optional<Long> version = adapters.residentVersion(adapter);
+        if (version.isEmpty() || adapters.isLoading(adapter)) {
             return false;
         }
         return version.get() >= versions.newest(adapter) || mayUseOld(adapter, now);
@@ -297,11 +297,12 @@
     /** Returns the expected wait for the adapter's load: for a slot, and behind the loads that are already queued. */
     private Duration loadWait(AdapterId adapter) {
         if (!isAbsent(adapter)) {
-            return adapters.pace().timeBehind(0);
+            return adapters.loadLimit().expectedLoadTime(0);
         }
         long wanted = wantedLoads();
         boolean isNew = !isWanted(adapter);
-        Duration loading = adapters.pace().timeBehind(adapters.comingCount() + (isNew ? wanted : wanted / 2));
+        Duration loading =
+                adapters.loadLimit().expectedLoadTime(adapters.loadingCount() + (isNew ? wanted : wanted / 2));
         return isNew ? placeWait().plus(loading) : loading;
     }
 
@@ -320,12 +321,13 @@
         if (limits == null) {
             return Duration.ZERO;
         }
-        long free = (long) limits.adapterPlaces() - adapters.taken() + adapters.replaceable(this::isWanted);
-        return placeRate.timeToFree(wantedLoads() + 1 - free, time.monotonicNanos());
+        long free =
+                (long) limits.adapterPlaces() - adapters.occupiedSlots() + adapters.replaceableCount(this::isWanted);
+        return placeRate.expectedWait(wantedLoads() + 1 - free, time.monotonicNanos());
     }
 
     private boolean isAbsent(AdapterId adapter) {
-        return !adapter.isBaseModel() && adapters.version(adapter).isEmpty() && !adapters.isComing(adapter);
+        return !adapter.isBaseModel() && adapters.residentVersion(adapter).isEmpty() && !adapters.isLoading(adapter);
     }
 
     private static Duration max(Duration one, Duration other) {
@@ -373,25 +375,25 @@
     }
 
     private Optional<ModelOrder> replaceOldVersion(OrderMaker make) {
-        if (adapters.comingCount() >= adapters.pace().atOnce()) {
+        if (adapters.loadingCount() >= adapters.loadLimit().maxConcurrentLoads()) {
             return Optional.empty();
         }
-        return adapters.residents().stream()
-                .filter(a -> adapters.version(a).orElse(0L) < versions.newest(a))
-                .filter(a -> !adapters.isUsed(a) && !adapters.isComing(a))
+        return adapters.residentAdapters().stream()
+                .filter(a -> adapters.residentVersion(a).orElse(0L) < versions.newest(a))
+                .filter(a -> !adapters.isInUse(a) && !adapters.isLoading(a))
                 .findFirst()
                 .map(a -> make.make(ModelOrder.Operation.LOAD, a, versions.newest(a)));
     }
 
     private Optional<ModelOrder> loadWanted(EngineSpec limits, OrderMaker make) {
-        if (adapters.comingCount() >= adapters.pace().atOnce()) {
+        if (adapters.loadingCount() >= adapters.loadLimit().maxConcurrentLoads()) {
             return Optional.empty();
         }
         long now = time.monotonicNanos();
         List<WaitingStart> absent =
                 waiting.stream().filter(w -> isAbsent(w.adapter())).toList();
-        return WaitingStart.nextLoad(absent, now)
-                .flatMap(a -> adapters.taken() < limits.adapterPlaces()
+        return WaitingStart.nextAdapterToLoad(absent, now)
+                .flatMap(a -> adapters.occupiedSlots() < limits.adapterPlaces()
                         ? Optional.of(make.make(ModelOrder.Operation.LOAD, a, versions.newest(a)))
                         : adapters.leastRecentlyUsed(this::isWanted, now)
                                 .map(old -> make.make(ModelOrder.Operation.UNLOAD, old, 0)));
@@ -404,7 +406,7 @@
     /** Applies the outcome of an order and grants the requests that can now start. */
     public synchronized void onOrder(ModelOrder order, ModelOrder.Outcome outcome) {
         if (!order.target().isBaseModel()) {
-            adapters.onOrder(order, outcome, time.monotonicNanos());
+            adapters.onOrderOutcome(order, outcome, time.monotonicNanos());
         }
         grantAll();
     }
@@ -412,8 +414,8 @@
     /** Returns whether loads, an unanswered order or waiting requests call for frequent reports. */
     public synchronized boolean isChanging() {
         EngineReport known = report;
-        return adapters.comingCount() > 0
-                || adapters.isUncertain()
+        return adapters.loadingCount() > 0
+                || adapters.hasUnansweredOrder()
                 || known == null
                 || known.residentModels().isEmpty()
                 || !waiting.isEmpty();
@@ -434,13 +436,15 @@
                 .setRunning(granted.size())
                 .setWaiting(waiting.size())
                 .setReservedTokens(reserved()
-                        + waiting.stream().mapToLong(WaitingStart::tokens).sum())
+                        + waiting.stream()
+                                .mapToLong(WaitingStart::requiredTokens)
+                                .sum())
                 .setTokensPerSecond((int) readRate.tokensPerSecond())
                 .setPlaceWaitMillis((int) placeWait().plus(loadQueue()).toMillis())
-                .addAllResident(names(adapters.residents().stream()
+                .addAllResident(names(adapters.residentAdapters().stream()
                         .filter(a -> isUsable(a, time.monotonicNanos()))
                         .collect(Collectors.toSet())))
-                .addAllComing(names(adapters.comings()));
+                .addAllComing(names(adapters.loadingAdapters()));
         if (known != null) {
             status.setBorn(known.startedAtMillis())
                     .setModelResident(!known.residentModels().isEmpty())
@@ -451,8 +455,8 @@
 
     /** Returns how much queued and running loads delay the load of one more adapter. */
     private Duration loadQueue() {
-        LoadPace pace = adapters.pace();
-        return pace.timeBehind(adapters.comingCount() + wantedLoads()).minus(pace.timeBehind(0));
+        LoadConcurrencyLimit pace = adapters.loadLimit();
+        return pace.expectedLoadTime(adapters.loadingCount() + wantedLoads()).minus(pace.expectedLoadTime(0));
     }
 
     private static List<String> names(Set<AdapterId> ids) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/ReadRate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/PrefillRate.java
@@ -7,29 +7,30 @@
  *
  * <p>Created by {@link EngineGate}, which guards it with its lock.
  */
-final class ReadRate {
-    private static final double FIRST_GUESS = 15_000;
-    private static final double MIN = 6_000;
-    private static final double MAX = 40_000;
+final class PrefillRate {
+    private static final double INITIAL_TOKENS_PER_SECOND = 15_000;
+    private static final double MIN_TOKENS_PER_SECOND = 6_000;
+    private static final double MAX_TOKENS_PER_SECOND = 40_000;
     /** Weight of a new observation in the moving average. */
-    private static final double WEIGHT = 0.05;
+    private static final double SMOOTHING_FACTOR = 0.05;
     /** The time of shorter prompts depends more on the duration of engine steps than on the prefill rate. */
     private static final int MIN_PROMPT_TOKENS = 500;
 
-    private double tokensPerSecond = FIRST_GUESS;
-    private long lastNanos;
-    private boolean seen;
+    private double tokensPerSecond = INITIAL_TOKENS_PER_SECOND;
+    private long lastFirstEventNanos;
+    private boolean hasFirstEvents;
 
     /** Records the first event of a run. Prefill is assumed to begin at the grant or at the previous first event. */
     void onFirstEvent(int promptTokens, long grantedNanos, long nowNanos) {
-        long since = seen ? Math.max(grantedNanos, lastNanos) : grantedNanos;
-        lastNanos = nowNanos;
-        seen = true;
+        long since = hasFirstEvents ? Math.max(grantedNanos, lastFirstEventNanos) : grantedNanos;
+        lastFirstEventNanos = nowNanos;
+        hasFirstEvents = true;
         if (promptTokens < MIN_PROMPT_TOKENS || nowNanos <= since) {
             return;
         }
         double rate = promptTokens * (double) TimeUnit.SECONDS.toNanos(1) / (nowNanos - since);
-        tokensPerSecond += WEIGHT * (Math.max(MIN, Math.min(MAX, rate)) - tokensPerSecond);
+        tokensPerSecond += SMOOTHING_FACTOR
+                * (Math.max(MIN_TOKENS_PER_SECOND, Math.min(MAX_TOKENS_PER_SECOND, rate)) - tokensPerSecond);
     }
 
     double tokensPerSecond() {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
@@ -17,19 +17,23 @@
  *
  * <p>Created by {@link EngineGate} for each request. Immutable.
  *
- * @param nanos arrival time on the monotonic clock, in nanoseconds
+ * @param arrivalNanos arrival time on the monotonic clock, in nanoseconds
  * @param reply called once with the answer
  */
 record WaitingStart(
-        EngineGate.TicketKey key, AdapterId adapter, StartRequest request, long nanos, Consumer<StartGrant> reply) {
+        EngineGate.TicketKey key,
+        AdapterId adapter,
+        StartRequest request,
+        long arrivalNanos,
+        Consumer<StartGrant> reply) {
     /** Share of its objective after which the first request's adapter is loaded before those in higher demand. */
-    private static final double PATIENT_PART = 0.5;
+    private static final double DEMAND_ORDER_OBJECTIVE_SHARE = 0.5;
 
     /** Orders requests within their objective before others, then by priority, then by arrival. */
-    static Comparator<WaitingStart> order(long nowNanos) {
-        return Comparator.comparing((WaitingStart w) -> !w.isOnTime(nowNanos))
+    static Comparator<WaitingStart> byUrgency(long nowNanos) {
+        return Comparator.comparing((WaitingStart w) -> !w.isWithinObjective(nowNanos))
                 .thenComparingInt(w -> w.request().getPriority())
-                .thenComparingLong(WaitingStart::nanos);
+                .thenComparingLong(WaitingStart::arrivalNanos);
     }
 
     /**
@@ -38,12 +42,12 @@
      *
      * @param absent the requests whose adapters are neither resident nor being loaded
      */
-    static Optional<AdapterId> nextLoad(List<WaitingStart> absent, long nowNanos) {
-        List<WaitingStart> ordered = absent.stream().sorted(order(nowNanos)).toList();
+    static Optional<AdapterId> nextAdapterToLoad(List<WaitingStart> absent, long nowNanos) {
+        List<WaitingStart> ordered = absent.stream().sorted(byUrgency(nowNanos)).toList();
         Map<AdapterId, Long> demand = ordered.stream()
-                .filter(w -> w.isOnTime(nowNanos))
+                .filter(w -> w.isWithinObjective(nowNanos))
                 .collect(Collectors.groupingBy(WaitingStart::adapter, Collectors.counting()));
-        if (demand.isEmpty() || ordered.get(0).isImpatient(nowNanos)) {
+        if (demand.isEmpty() || ordered.get(0).exceedsDemandOrderLimit(nowNanos)) {
             return ordered.stream().map(WaitingStart::adapter).findFirst();
         }
         long most = Collections.max(demand.values());
@@ -53,20 +57,20 @@
                 .findFirst();
     }
 
-    boolean isOnTime(long nowNanos) {
-        return nowNanos - nanos < objectiveNanos();
+    boolean isWithinObjective(long nowNanos) {
+        return nowNanos - arrivalNanos < objectiveNanos();
     }
 
-    boolean isOver(long nowNanos) {
-        return nowNanos - nanos > TimeUnit.MILLISECONDS.toNanos(request.getWaitMillis());
+    boolean isExpired(long nowNanos) {
+        return nowNanos - arrivalNanos > TimeUnit.MILLISECONDS.toNanos(request.getWaitMillis());
     }
 
-    long tokens() {
+    long requiredTokens() {
         return (long) request.getPromptTokens() + request.getOutputTokens();
     }
 
-    private boolean isImpatient(long nowNanos) {
-        return nowNanos - nanos > PATIENT_PART * objectiveNanos();
+    private boolean exceedsDemandOrderLimit(long nowNanos) {
+        return nowNanos - arrivalNanos > DEMAND_ORDER_OBJECTIVE_SHARE * objectiveNanos();
     }
 
     private long objectiveNanos() {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/gate/LoadPaceTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/gate/LoadPaceTest.java
@@ -15,36 +15,36 @@
 public class LoadPaceTest {
     private static final double ALONE_MILLIS = 250;
 
-    private LoadPace pace;
+    private LoadConcurrencyLimit pace;
     private long nowMillis;
 
     @BeforeMethod
     public void setUp() {
-        pace = new LoadPace();
+        pace = new LoadConcurrencyLimit();
         nowMillis = 1_000;
     }
 
     private void load(long millis) {
         long from = nowMillis;
         nowMillis += millis;
-        pace.onLoaded(TimeUnit.MILLISECONDS.toNanos(from), TimeUnit.MILLISECONDS.toNanos(nowMillis));
+        pace.onLoadCompleted(TimeUnit.MILLISECONDS.toNanos(from), TimeUnit.MILLISECONDS.toNanos(nowMillis));
     }
 
     @Test
     public void loadsThatTakeTheShortestTimeLetMoreBeOrdered() {
         IntStream.range(0, 10).forEach(i -> load(250));
-        assertEquals(pace.atOnce(), 4);
-        assertEquals(pace.timeBehind(0).toMillis(), 251, 10);
-        assertEquals(pace.timeBehind(4).toMillis(), 502, 20);
+        assertEquals(pace.maxConcurrentLoads(), 4);
+        assertEquals(pace.expectedLoadTime(0).toMillis(), 251, 10);
+        assertEquals(pace.expectedLoadTime(4).toMillis(), 502, 20);
     }
 
     @Test
     public void loadsThatTakeLongerLetFewerBeOrderedButAlwaysOne() {
         IntStream.range(0, 10).forEach(i -> load(250));
         IntStream.range(0, 10).forEach(i -> load(800));
-        assertEquals(pace.atOnce(), 1);
+        assertEquals(pace.maxConcurrentLoads(), 1);
         IntStream.range(0, 10).forEach(i -> load(255));
-        assertEquals(pace.atOnce(), 4);
+        assertEquals(pace.maxConcurrentLoads(), 4);
     }
 
     /**
@@ -71,11 +71,11 @@
 
     /** Returns the end times of all loads, for a store that slows down in proportion beyond sixteen loads. */
     private static List<Double> play(int engines, int adapters, boolean paced) {
-        List<LoadPace> paces = new ArrayList<>();
+        List<LoadConcurrencyLimit> paces = new ArrayList<>();
         List<Deque<double[]>> running = new ArrayList<>();
         int[] left = new int[engines];
         IntStream.range(0, engines).forEach(e -> {
-            paces.add(new LoadPace());
+            paces.add(new LoadConcurrencyLimit());
             running.add(new ArrayDeque<>());
             left[e] = adapters;
         });
@@ -83,7 +83,7 @@
         double step = 5;
         for (double now = 0; ends.size() < engines * adapters; now += step) {
             for (int e = 0; e < engines; e++) {
-                int limit = paced ? paces.get(e).atOnce() : 4;
+                int limit = paced ? paces.get(e).maxConcurrentLoads() : 4;
                 while (left[e] > 0 && running.get(e).size() < limit) {
                     left[e]--;
                     running.get(e).add(new double[] {now, ALONE_MILLIS});
@@ -94,10 +94,10 @@
             for (int e = 0; e < engines; e++) {
                 running.get(e).forEach(l -> l[1] -= work);
                 double end = now + step;
-                LoadPace pace = paces.get(e);
+                LoadConcurrencyLimit pace = paces.get(e);
                 running.get(e).stream().filter(l -> l[1] <= 0).forEach(l -> {
                     ends.add(end);
-                    pace.onLoaded((long) (l[0] * 1e6), (long) (end * 1e6));
+                    pace.onLoadCompleted((long) (l[0] * 1e6), (long) (end * 1e6));
                 });
                 running.get(e).removeIf(l -> l[1] <= 0);
             }
