Name the members of the gate by what they hold and do

Cause: Names such as out, expire, backlog and hasRoom left the subject or the unit open.

Change: Fields, constants, methods and parameters of EngineGate; names in settings and on the wire stay.

Result: EngineGateTest, GateServerTest, OrderLoopTest, OrderScheduleTest and LoadPaceTest pass.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -35,51 +35,51 @@
     /** Prompt tokens granted before their prefill; further requests queue here, where they can still be reordered. */
     private static final long MAX_BACKLOG_TOKENS = 10_000;
     /** Prompt tokens that an engine prefills per step at most; a larger backlog does not lengthen its steps. */
-    private static final long STEP_TOKENS = 2_000;
+    private static final long MAX_STEP_PROMPT_TOKENS = 2_000;
 
     private static final long MIN_BACKLOG_TOKENS = 1_500;
     /** Duration of an engine step without prefill. */
-    private static final Duration STEP_TIME = Duration.ofMillis(15);
+    private static final Duration STEP_TIME_WITHOUT_PREFILL = Duration.ofMillis(15);
     /** Share of the engine's memory that requests may reserve; the rest is left to the prompt cache. */
-    private static final double MEMORY_SHARE = 0.95;
+    private static final double RESERVABLE_MEMORY_SHARE = 0.95;
 
     /** Time for which the previous version of an adapter is still granted after a newer one became known. */
-    private static final Duration OLD_VERSION_LIMIT = Duration.ofSeconds(2);
+    private static final Duration OLD_VERSION_GRACE_PERIOD = Duration.ofSeconds(2);
 
-    private static final Duration MODEL_LOAD_GAP = Duration.ofSeconds(3);
-    private static final Duration RETRY_MIN = Duration.ofMillis(100);
+    private static final Duration MODEL_LOAD_RETRY_INTERVAL = Duration.ofSeconds(3);
+    private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(100);
 
     private final AdapterVersions versions;
     private final TimeSource time;
     private final AdapterTable adapters = new AdapterTable();
-    private final PrefillRate readRate = new PrefillRate();
-    private final AdapterReleaseInterval placeRate = new AdapterReleaseInterval();
-    private final Map<TicketKey, Granted> granted = new HashMap<>();
+    private final PrefillRate prefillRate = new PrefillRate();
+    private final AdapterReleaseInterval adapterReleaseInterval = new AdapterReleaseInterval();
+    private final Map<TicketKey, GrantedRequest> granted = new HashMap<>();
     private final List<WaitingStart> waiting = new ArrayList<>();
     private @Nullable EngineSpec spec;
-    private Duration pauseLimit = Duration.ZERO;
-    private @Nullable EngineReport report;
+    private Duration maxEventGap = Duration.ZERO;
+    private @Nullable EngineReport lastReport;
     private @Nullable String engineId;
-    private boolean out = true;
-    private long lastModelLoadNanos;
-    private boolean modelLoadTried;
+    private boolean engineUnreachable = true;
+    private long lastModelLoadAttemptNanos;
+    private boolean modelLoadAttempted;
 
     /** Identifies a start request by its caller and the caller's ticket number. */
     public record TicketKey(Object caller, long ticket) {}
 
     /** A request that was granted and has not ended. */
-    private static final class Granted {
+    private static final class GrantedRequest {
         private final AdapterId adapter;
         private final int promptTokens;
         private final long reservedTokens;
-        private final long nanos;
-        private boolean started;
+        private final long grantedNanos;
+        private boolean hasFirstEvent;
 
-        Granted(AdapterId adapter, int promptTokens, long reservedTokens, long nanos) {
+        GrantedRequest(AdapterId adapter, int promptTokens, long reservedTokens, long grantedNanos) {
             this.adapter = adapter;
             this.promptTokens = promptTokens;
             this.reservedTokens = reservedTokens;
-            this.nanos = nanos;
+            this.grantedNanos = grantedNanos;
         }
     }
 
@@ -94,100 +94,101 @@
     /**
      * Sets the engine's limits from the configuration.
      *
-     * @param newPauseLimit the longest acceptable time between two events of a stream; zero for no limit
+     * @param newMaxEventGap the longest acceptable time between two events of a stream; zero for no limit
      */
-    public synchronized void setSpec(EngineSpec newSpec, Duration newPauseLimit) {
+    public synchronized void setSpec(EngineSpec newSpec, Duration newMaxEventGap) {
         spec = newSpec;
-        pauseLimit = newPauseLimit;
+        maxEventGap = newMaxEventGap;
     }
 
     /** Applies a report of the engine and marks the engine as reachable. */
     public synchronized void onReport(EngineReport newReport, String newEngineId) {
-        EngineReport before = report;
+        EngineReport before = lastReport;
         if (before != null && before.startedAtMillis() != newReport.startedAtMillis()) {
             adapters.clear();
-            modelLoadTried = false;
+            modelLoadAttempted = false;
         }
-        report = newReport;
+        lastReport = newReport;
         engineId = newEngineId;
-        out = false;
+        engineUnreachable = false;
         adapters.onReport(newReport, time.monotonicNanos());
         grantAll();
     }
 
     /** Marks the engine as unreachable and refuses all waiting requests, which can run on another engine. */
-    public synchronized void onEngineOut() {
-        out = true;
-        List.copyOf(waiting).forEach(w -> refuse(w, ResultCode.UPSTREAM_UNREACHABLE, RETRY_MIN));
+    public synchronized void onEngineUnreachable() {
+        engineUnreachable = true;
+        List.copyOf(waiting).forEach(w -> refuse(w, ResultCode.UPSTREAM_UNREACHABLE, MIN_RETRY_AFTER));
     }
 
     // Requests
 
     /** Requests a start. The reply is called at most once, possibly before this method returns. */
-    public synchronized void request(TicketKey key, StartRequest request, Consumer<StartGrant> reply) {
+    public synchronized void requestStart(TicketKey key, StartRequest request, Consumer<StartGrant> reply) {
         long now = time.monotonicNanos();
         AdapterId adapter = new AdapterId(request.getModel(), request.getAdapter());
         if (!adapter.isBaseModel()) {
             versions.name(adapter, request.getMinVersion(), now);
         }
-        WaitingStart asked = new WaitingStart(key, adapter, request, now, reply);
-        Duration wait = expectedWait(asked);
-        if (out || report == null) {
-            refuse(asked, ResultCode.UPSTREAM_UNREACHABLE, RETRY_MIN);
+        WaitingStart waitingStart = new WaitingStart(key, adapter, request, now, reply);
+        Duration wait = expectedWait(waitingStart);
+        if (engineUnreachable || lastReport == null) {
+            refuse(waitingStart, ResultCode.UPSTREAM_UNREACHABLE, MIN_RETRY_AFTER);
         } else if (wait.toMillis() > request.getWaitMillis()) {
-            refuse(asked, ResultCode.QUEUE_FULL, wait.minusMillis(request.getWaitMillis() / 2));
+            refuse(waitingStart, ResultCode.QUEUE_FULL, wait.minusMillis(request.getWaitMillis() / 2));
         } else {
-            waiting.add(asked);
+            waiting.add(waitingStart);
             grantAll();
         }
     }
 
     /** Applies the progress of a granted or waiting request. */
-    public synchronized void progress(TicketKey key, RunProgress.Stage stage) {
+    public synchronized void onProgress(TicketKey key, RunProgress.Stage stage) {
         if (stage == RunProgress.Stage.WITHDRAWN) {
             waiting.removeIf(w -> w.key().equals(key));
         }
         if (stage == RunProgress.Stage.FIRST_EVENT) {
-            firstEvent(granted.get(key));
+            recordFirstEvent(granted.get(key));
         } else {
-            end(granted.remove(key));
+            release(granted.remove(key));
         }
         grantAll();
     }
 
     /** Drops all requests of a disconnected caller and releases what they use. */
-    public synchronized void callerGone(Object caller) {
+    public synchronized void onCallerDisconnected(Object caller) {
         waiting.removeIf(w -> w.key().caller().equals(caller));
         List.copyOf(granted.keySet()).stream()
                 .filter(k -> k.caller().equals(caller))
-                .forEach(k -> end(granted.remove(k)));
+                .forEach(k -> release(granted.remove(k)));
         grantAll();
     }
 
     /** Refuses the requests that have waited longer than their limit. */
-    public synchronized void expire() {
+    public synchronized void refuseExpired() {
         long now = time.monotonicNanos();
         List.copyOf(waiting).stream()
                 .filter(w -> w.isExpired(now))
-                .forEach(w -> refuse(w, ResultCode.QUEUE_FULL, max(expectedWait(w), RETRY_MIN)));
+                .forEach(w -> refuse(w, ResultCode.QUEUE_FULL, max(expectedWait(w), MIN_RETRY_AFTER)));
     }
 
-    private void firstEvent(@Nullable Granted run) {
-        if (run != null && !run.started) {
-            run.started = true;
-            readRate.onFirstEvent(run.promptTokens, run.nanos, time.monotonicNanos());
+    private void recordFirstEvent(@Nullable GrantedRequest run) {
+        if (run != null && !run.hasFirstEvent) {
+            run.hasFirstEvent = true;
+            prefillRate.onFirstEvent(run.promptTokens, run.grantedNanos, time.monotonicNanos());
         }
     }
 
-    private void end(@Nullable Granted run) {
+    private void release(@Nullable GrantedRequest run) {
         if (run != null && adapters.release(run.adapter)) {
-            placeRate.onReleased(time.monotonicNanos());
+            adapterReleaseInterval.onReleased(time.monotonicNanos());
         }
     }
 
-    private void refuse(WaitingStart asked, ResultCode code, Duration retryAfter) {
-        waiting.remove(asked);
-        asked.reply()
+    private void refuse(WaitingStart waitingStart, ResultCode code, Duration retryAfter) {
+        waiting.remove(waitingStart);
+        waitingStart
+                .reply()
                 .accept(StartGrant.newBuilder()
                         .setRefusalCode(code.number())
                         .setRetryAfterMillis((int) Math.max(0, retryAfter.toMillis()))
@@ -198,13 +199,13 @@
 
     /** Grants all requests that fit, the most urgent first; those past their objective come last. */
     private void grantAll() {
-        EngineReport known = report;
-        if (out || known == null || waiting.isEmpty()) {
+        EngineReport known = lastReport;
+        if (engineUnreachable || known == null || waiting.isEmpty()) {
             return;
         }
         long now = time.monotonicNanos();
         List.copyOf(waiting).stream().sorted(WaitingStart.byUrgency(now)).forEach(w -> {
-            if (isUsable(w.adapter(), now) && hasRoom(w, known)) {
+            if (isGrantable(w.adapter(), now) && hasCapacity(w, known)) {
                 grant(w, now);
             }
         });
@@ -213,7 +214,7 @@
     private void grant(WaitingStart w, long now) {
         waiting.remove(w);
         adapters.acquire(w.adapter(), now);
-        granted.put(w.key(), new Granted(w.adapter(), w.request().getPromptTokens(), w.requiredTokens(), now));
+        granted.put(w.key(), new GrantedRequest(w.adapter(), w.request().getPromptTokens(), w.requiredTokens(), now));
         w.reply()
                 .accept(StartGrant.newBuilder()
                         .setVersion(
@@ -221,20 +222,21 @@
                                         ? 0
                                         : adapters.residentVersion(w.adapter()).orElse(0L))
                         .setEngineId(engineId == null ? "" : engineId)
-                        .setEngineBorn(report == null ? 0 : report.startedAtMillis())
+                        .setEngineBorn(lastReport == null ? 0 : lastReport.startedAtMillis())
                         .build());
     }
 
-    private boolean hasRoom(WaitingStart w, EngineReport known) {
+    private boolean hasCapacity(WaitingStart w, EngineReport known) {
         EngineSpec limits = spec;
         int slots = limits == null ? Integer.MAX_VALUE : limits.slots();
-        boolean memory = reserved() + w.requiredTokens() <= known.memoryTokens() * MEMORY_SHARE || granted.isEmpty();
-        return granted.size() < slots && memory && isBacklogShort(w);
+        boolean fitsMemory = reservedTokens() + w.requiredTokens() <= known.memoryTokens() * RESERVABLE_MEMORY_SHARE
+                || granted.isEmpty();
+        return granted.size() < slots && fitsMemory && fitsBacklog(w);
     }
 
-    private boolean isBacklogShort(WaitingStart w) {
-        long backlog = backlog();
-        return backlog == 0 || backlog + w.request().getPromptTokens() <= maxBacklog();
+    private boolean fitsBacklog(WaitingStart w) {
+        long backlog = backlogTokens();
+        return backlog == 0 || backlog + w.request().getPromptTokens() <= maxBacklogTokens();
     }
 
     /**
@@ -242,19 +244,20 @@
      * steps, and prefill lengthens every one of them. The backlog is limited so that the time between two events stays
      * within its limit.
      */
-    private long maxBacklog() {
+    private long maxBacklogTokens() {
         EngineSpec limits = spec;
-        if (limits == null || pauseLimit.isZero()) {
+        if (limits == null || maxEventGap.isZero()) {
             return MAX_BACKLOG_TOKENS;
         }
-        double stepMillis = (double) pauseLimit.toMillis() / Math.max(1, limits.eventTokens()) - STEP_TIME.toMillis();
-        double tokens = stepMillis * readRate.tokensPerSecond() / 1_000;
-        return tokens >= STEP_TOKENS ? MAX_BACKLOG_TOKENS : Math.max(MIN_BACKLOG_TOKENS, (long) tokens);
+        double stepMillis = (double) maxEventGap.toMillis() / Math.max(1, limits.eventTokens())
+                - STEP_TIME_WITHOUT_PREFILL.toMillis();
+        double tokens = stepMillis * prefillRate.tokensPerSecond() / 1_000;
+        return tokens >= MAX_STEP_PROMPT_TOKENS ? MAX_BACKLOG_TOKENS : Math.max(MIN_BACKLOG_TOKENS, (long) tokens);
     }
 
     /** Returns whether the adapter is resident in a version that may be granted. */
-    private boolean isUsable(AdapterId adapter, long now) {
-        EngineReport known = report;
+    private boolean isGrantable(AdapterId adapter, long now) {
+        EngineReport known = lastReport;
         if (known == null || !known.residentModels().contains(adapter.model())) {
             return false;
         }
@@ -265,49 +268,51 @@
         if (version.isEmpty() || adapters.isLoading(adapter)) {
             return false;
         }
-        return version.get() >= versions.newest(adapter) || mayUseOld(adapter, now);
+        return version.get() >= versions.newest(adapter) || isOldVersionAllowed(adapter, now);
     }
 
-    private boolean mayUseOld(AdapterId adapter, long now) {
-        return now - versions.learntNanos(adapter) < OLD_VERSION_LIMIT.toNanos();
+    private boolean isOldVersionAllowed(AdapterId adapter, long now) {
+        return now - versions.learntNanos(adapter) < OLD_VERSION_GRACE_PERIOD.toNanos();
     }
 
-    private long reserved() {
+    private long reservedTokens() {
         return granted.values().stream().mapToLong(g -> g.reservedTokens).sum();
     }
 
-    private long backlog() {
+    private long backlogTokens() {
         return granted.values().stream()
-                .filter(g -> !g.started)
+                .filter(g -> !g.hasFirstEvent)
                 .mapToLong(g -> g.promptTokens)
                 .sum();
     }
 
-    private Duration expectedWait(WaitingStart asked) {
-        int priority = asked.request().getPriority();
+    private Duration expectedWait(WaitingStart waitingStart) {
+        int priority = waitingStart.request().getPriority();
         long ahead = waiting.stream()
                 .filter(w -> w.request().getPriority() <= priority)
                 .mapToLong(w -> w.request().getPromptTokens())
                 .sum();
-        long tokens = Math.max(0, backlog() + ahead - maxBacklog());
-        Duration reading = Duration.ofMillis((long) (1_000 * tokens / readRate.tokensPerSecond()));
-        return isUsable(asked.adapter(), time.monotonicNanos()) ? reading : max(reading, loadWait(asked.adapter()));
+        long tokens = Math.max(0, backlogTokens() + ahead - maxBacklogTokens());
+        Duration prefillWait = Duration.ofMillis((long) (1_000 * tokens / prefillRate.tokensPerSecond()));
+        return isGrantable(waitingStart.adapter(), time.monotonicNanos())
+                ? prefillWait
+                : max(prefillWait, expectedLoadWait(waitingStart.adapter()));
     }
 
     /** Returns the expected wait for the adapter's load: for a slot, and behind the loads that are already queued. */
-    private Duration loadWait(AdapterId adapter) {
+    private Duration expectedLoadWait(AdapterId adapter) {
         if (!isAbsent(adapter)) {
             return adapters.loadLimit().expectedLoadTime(0);
         }
-        long wanted = wantedLoads();
-        boolean isNew = !isWanted(adapter);
+        long wanted = queuedLoadCount();
+        boolean isNew = !isWaitedFor(adapter);
         Duration loading =
                 adapters.loadLimit().expectedLoadTime(adapters.loadingCount() + (isNew ? wanted : wanted / 2));
-        return isNew ? placeWait().plus(loading) : loading;
+        return isNew ? expectedSlotWait().plus(loading) : loading;
     }
 
     /** Returns the number of absent adapters that requests wait for. */
-    private long wantedLoads() {
+    private long queuedLoadCount() {
         return waiting.stream()
                 .map(WaitingStart::adapter)
                 .filter(this::isAbsent)
@@ -316,14 +321,14 @@
     }
 
     /** Returns the expected wait of one more absent adapter for a slot, behind those already waiting. */
-    private Duration placeWait() {
+    private Duration expectedSlotWait() {
         EngineSpec limits = spec;
         if (limits == null) {
             return Duration.ZERO;
         }
         long free =
-                (long) limits.adapterPlaces() - adapters.occupiedSlots() + adapters.replaceableCount(this::isWanted);
-        return placeRate.expectedWait(wantedLoads() + 1 - free, time.monotonicNanos());
+                (long) limits.adapterPlaces() - adapters.occupiedSlots() + adapters.replaceableCount(this::isWaitedFor);
+        return adapterReleaseInterval.expectedWait(queuedLoadCount() + 1 - free, time.monotonicNanos());
     }
 
     private boolean isAbsent(AdapterId adapter) {
@@ -337,30 +342,30 @@
     // Orders
 
     /** Returns the next order for the engine, if any. The outcome of the previous order must have been passed in. */
-    public synchronized Optional<ModelOrder> nextOrder(long fence) {
-        EngineReport known = report;
+    public synchronized Optional<ModelOrder> nextOrder(long fencingToken) {
+        EngineReport known = lastReport;
         EngineSpec limits = spec;
         String id = engineId;
-        if (out || known == null || limits == null || id == null) {
+        if (engineUnreachable || known == null || limits == null || id == null) {
             return Optional.empty();
         }
-        OrderMaker make = (operation, target, version) ->
-                new ModelOrder(operation, target, version, known.acceptedOrders(), fence, id);
+        OrderFactory orders = (operation, target, version) ->
+                new ModelOrder(operation, target, version, known.acceptedOrders(), fencingToken, id);
         if (known.residentModels().isEmpty()) {
-            return known.modelChanging() ? Optional.empty() : loadModel(limits, make);
+            return known.modelChanging() ? Optional.empty() : nextModelLoad(limits, orders);
         }
-        return replaceOldVersion(make).or(() -> loadWanted(limits, make));
+        return nextVersionUpdate(orders).or(() -> nextAdapterLoad(limits, orders));
     }
 
     /** Creates orders that match the engine's last report. */
     @FunctionalInterface
-    private interface OrderMaker {
-        ModelOrder make(ModelOrder.Operation operation, AdapterId target, long version);
+    private interface OrderFactory {
+        ModelOrder create(ModelOrder.Operation operation, AdapterId target, long version);
     }
 
-    private Optional<ModelOrder> loadModel(EngineSpec limits, OrderMaker make) {
+    private Optional<ModelOrder> nextModelLoad(EngineSpec limits, OrderFactory make) {
         long now = time.monotonicNanos();
-        if (modelLoadTried && now - lastModelLoadNanos < MODEL_LOAD_GAP.toNanos()) {
+        if (modelLoadAttempted && now - lastModelLoadAttemptNanos < MODEL_LOAD_RETRY_INTERVAL.toNanos()) {
             return Optional.empty();
         }
         Optional<String> wanted = waiting.stream()
@@ -368,13 +373,13 @@
                 .findFirst()
                 .or(() -> limits.models().stream().map(ModelSpec::name).findFirst());
         wanted.ifPresent(m -> {
-            modelLoadTried = true;
-            lastModelLoadNanos = now;
+            modelLoadAttempted = true;
+            lastModelLoadAttemptNanos = now;
         });
-        return wanted.map(m -> make.make(ModelOrder.Operation.LOAD, AdapterId.baseModel(m), 0));
+        return wanted.map(m -> make.create(ModelOrder.Operation.LOAD, AdapterId.baseModel(m), 0));
     }
 
-    private Optional<ModelOrder> replaceOldVersion(OrderMaker make) {
+    private Optional<ModelOrder> nextVersionUpdate(OrderFactory make) {
         if (adapters.loadingCount() >= adapters.loadLimit().maxConcurrentLoads()) {
             return Optional.empty();
         }
@@ -382,10 +387,10 @@
                 .filter(a -> adapters.residentVersion(a).orElse(0L) < versions.newest(a))
                 .filter(a -> !adapters.isInUse(a) && !adapters.isLoading(a))
                 .findFirst()
-                .map(a -> make.make(ModelOrder.Operation.LOAD, a, versions.newest(a)));
+                .map(a -> make.create(ModelOrder.Operation.LOAD, a, versions.newest(a)));
     }
 
-    private Optional<ModelOrder> loadWanted(EngineSpec limits, OrderMaker make) {
+    private Optional<ModelOrder> nextAdapterLoad(EngineSpec limits, OrderFactory make) {
         if (adapters.loadingCount() >= adapters.loadLimit().maxConcurrentLoads()) {
             return Optional.empty();
         }
@@ -394,17 +399,17 @@
                 waiting.stream().filter(w -> isAbsent(w.adapter())).toList();
         return WaitingStart.nextAdapterToLoad(absent, now)
                 .flatMap(a -> adapters.occupiedSlots() < limits.adapterPlaces()
-                        ? Optional.of(make.make(ModelOrder.Operation.LOAD, a, versions.newest(a)))
-                        : adapters.leastRecentlyUsed(this::isWanted, now)
-                                .map(old -> make.make(ModelOrder.Operation.UNLOAD, old, 0)));
+                        ? Optional.of(make.create(ModelOrder.Operation.LOAD, a, versions.newest(a)))
+                        : adapters.leastRecentlyUsed(this::isWaitedFor, now)
+                                .map(old -> make.create(ModelOrder.Operation.UNLOAD, old, 0)));
     }
 
-    private boolean isWanted(AdapterId adapter) {
+    private boolean isWaitedFor(AdapterId adapter) {
         return waiting.stream().anyMatch(w -> w.adapter().equals(adapter));
     }
 
     /** Applies the outcome of an order and grants the requests that can now start. */
-    public synchronized void onOrder(ModelOrder order, ModelOrder.Outcome outcome) {
+    public synchronized void onOrderOutcome(ModelOrder order, ModelOrder.Outcome outcome) {
         if (!order.target().isBaseModel()) {
             adapters.onOrderOutcome(order, outcome, time.monotonicNanos());
         }
@@ -412,8 +417,8 @@
     }
 
     /** Returns whether loads, an unanswered order or waiting requests call for frequent reports. */
-    public synchronized boolean isChanging() {
-        EngineReport known = report;
+    public synchronized boolean needsFrequentReports() {
+        EngineReport known = lastReport;
         return adapters.loadingCount() > 0
                 || adapters.hasUnansweredOrder()
                 || known == null
@@ -425,24 +430,25 @@
 
     /** Returns the status that is sent to entries. */
     public synchronized GateStatus status() {
-        EngineReport known = report;
+        EngineReport known = lastReport;
         GateStatus.Builder status = GateStatus.newBuilder()
                 .setEngineId(engineId == null ? "" : engineId)
-                .setOut(out)
-                .setBacklogTokens(backlog()
+                .setOut(engineUnreachable)
+                .setBacklogTokens(backlogTokens()
                         + waiting.stream()
                                 .mapToLong(w -> w.request().getPromptTokens())
                                 .sum())
                 .setRunning(granted.size())
                 .setWaiting(waiting.size())
-                .setReservedTokens(reserved()
+                .setReservedTokens(reservedTokens()
                         + waiting.stream()
                                 .mapToLong(WaitingStart::requiredTokens)
                                 .sum())
-                .setTokensPerSecond((int) readRate.tokensPerSecond())
-                .setPlaceWaitMillis((int) placeWait().plus(loadQueue()).toMillis())
+                .setTokensPerSecond((int) prefillRate.tokensPerSecond())
+                .setPlaceWaitMillis(
+                        (int) expectedSlotWait().plus(queuedLoadDelay()).toMillis())
                 .addAllResident(names(adapters.residentAdapters().stream()
-                        .filter(a -> isUsable(a, time.monotonicNanos()))
+                        .filter(a -> isGrantable(a, time.monotonicNanos()))
                         .collect(Collectors.toSet())))
                 .addAllComing(names(adapters.loadingAdapters()));
         if (known != null) {
@@ -454,9 +460,10 @@
     }
 
     /** Returns how much queued and running loads delay the load of one more adapter. */
-    private Duration loadQueue() {
+    private Duration queuedLoadDelay() {
         LoadConcurrencyLimit pace = adapters.loadLimit();
-        return pace.expectedLoadTime(adapters.loadingCount() + wantedLoads()).minus(pace.expectedLoadTime(0));
+        return pace.expectedLoadTime(adapters.loadingCount() + queuedLoadCount())
+                .minus(pace.expectedLoadTime(0));
     }
 
     private static List<String> names(Set<AdapterId> ids) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/GateServer.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/GateServer.java
@@ -142,7 +142,7 @@
             case PROGRESS -> {
                 EngineGate.TicketKey key =
                         new EngineGate.TicketKey(from, message.getProgress().getTicket());
-                gate.progress(key, message.getProgress().getStage());
+                gate.onProgress(key, message.getProgress().getStage());
             }
             default -> logger.atFine().log("a side takes no frame of kind %s", message.getMessageCase());
         }
@@ -155,7 +155,7 @@
             return new Interested();
         });
         entry.onAsk(now);
-        gate.request(new EngineGate.TicketKey(from, request.getTicket()), request, grant -> {
+        gate.requestStart(new EngineGate.TicketKey(from, request.getTicket()), request, grant -> {
             log(request, grant, now);
             StartGrant answer = withStatus(grant, entry);
             from.reply(
@@ -198,6 +198,6 @@
 
     private void left(PeerChannel channel) {
         entries.remove(channel);
-        gate.callerGone(channel);
+        gate.onCallerDisconnected(channel);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
@@ -92,7 +92,7 @@
     // Steps, which run on the scheduler's thread
 
     private void step() {
-        gate.expire();
+        gate.refuseExpired();
         afterStep.run();
         if (calling) {
             return;
@@ -104,7 +104,7 @@
                 return;
             }
         }
-        long interval = (gate.isChanging() ? CHANGING_INTERVAL : QUIET_INTERVAL).toNanos();
+        long interval = (gate.needsFrequentReports() ? CHANGING_INTERVAL : QUIET_INTERVAL).toNanos();
         if (reportNeeded || time.monotonicNanos() - lastReportNanos > interval) {
             readReport();
         }
@@ -136,7 +136,7 @@
                         order.expectedAcceptedOrders(),
                         order.fencingToken(),
                         outcome);
-        gate.onOrder(order, outcome);
+        gate.onOrderOutcome(order, outcome);
         if (outcome == ModelOrder.Outcome.FENCED) {
             fence = -1;
             askFence();
@@ -206,7 +206,7 @@
         reportNeeded = true;
         if (failures == FAILURES_UNTIL_OUT) {
             logger.atWarning().log("engine does not answer: %s", failure);
-            gate.onEngineOut();
+            gate.onEngineUnreachable();
         }
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
@@ -64,7 +64,7 @@
 
     private void request(StartRequest.Builder request) {
         long ticket = request.getTicket();
-        gate.request(new EngineGate.TicketKey(entry, ticket), request.build(), grant -> {
+        gate.requestStart(new EngineGate.TicketKey(entry, ticket), request.build(), grant -> {
             answers.put(ticket, grant);
             if (grant.getRefusalCode() == 0) {
                 granted.add(ticket);
@@ -73,7 +73,7 @@
     }
 
     private void progress(long ticket, RunProgress.Stage stage) {
-        gate.progress(new EngineGate.TicketKey(entry, ticket), stage);
+        gate.onProgress(new EngineGate.TicketKey(entry, ticket), stage);
     }
 
     private Optional<ModelOrder> order() {
@@ -109,7 +109,7 @@
         assertEquals(load.operation(), ModelOrder.Operation.LOAD);
         assertEquals(load.target(), adapter("a"));
         assertEquals(load.fencingToken(), FENCE);
-        gate.onOrder(load, ModelOrder.Outcome.STARTED);
+        gate.onOrderOutcome(load, ModelOrder.Outcome.STARTED);
         assertTrue(order().isEmpty());
         orders++;
         report(Map.of(adapter("a"), 1L), Map.of());
@@ -134,11 +134,11 @@
     public void anOrderWithoutAnswerTakesAPlaceUntilAnotherIsAccepted() {
         report(Map.of(adapter("a"), 1L, adapter("b"), 1L), Map.of());
         request(ask(1, "c", 100));
-        gate.onOrder(order().orElseThrow(), ModelOrder.Outcome.UNKNOWN);
+        gate.onOrderOutcome(order().orElseThrow(), ModelOrder.Outcome.UNKNOWN);
         report(Map.of(adapter("a"), 1L, adapter("b"), 1L), Map.of());
         ModelOrder next = order().orElseThrow();
         assertEquals(next.operation(), ModelOrder.Operation.UNLOAD, "three places are taken");
-        gate.onOrder(next, ModelOrder.Outcome.DONE);
+        gate.onOrderOutcome(next, ModelOrder.Outcome.DONE);
         orders++;
         AdapterId kept = next.target().equals(adapter("a")) ? adapter("b") : adapter("a");
         report(Map.of(kept, 1L), Map.of());
@@ -198,10 +198,10 @@
     public void whatHasWaitedForTooLongIsRefused() {
         report(Map.of(), Map.of());
         request(ask(1, "a", 100).setWaitMillis(600));
-        gate.expire();
+        gate.refuseExpired();
         assertFalse(answers.containsKey(1L));
         time.passMillis(700);
-        gate.expire();
+        gate.refuseExpired();
         assertEquals(answers.get(1L).getRefusalCode(), ResultCode.QUEUE_FULL.number());
     }
 
@@ -236,7 +236,7 @@
         request(ask(1, "a", 100));
         ModelOrder load = order().orElseThrow();
         assertTrue(load.target().isBaseModel());
-        gate.onOrder(load, ModelOrder.Outcome.STARTED);
+        gate.onOrderOutcome(load, ModelOrder.Outcome.STARTED);
         assertTrue(order().isEmpty(), "one load of the model at a time");
     }
 
@@ -244,7 +244,7 @@
     public void whatWaitsIsRefusedWhenTheEngineIsOut() {
         report(Map.of(), Map.of());
         request(ask(1, "a", 100));
-        gate.onEngineOut();
+        gate.onEngineUnreachable();
         assertEquals(answers.get(1L).getRefusalCode(), ResultCode.UPSTREAM_UNREACHABLE.number());
     }
 
@@ -253,7 +253,7 @@
         report(Map.of(adapter("a"), 1L), Map.of());
         request(ask(1, "a", 9_000));
         assertEquals(gate.status().getRunning(), 1);
-        gate.callerGone(entry);
+        gate.onCallerDisconnected(entry);
         assertEquals(gate.status().getRunning(), 0);
     }
 
@@ -294,7 +294,7 @@
         report(Map.of(adapter("a"), 1L), Map.of());
         versions.name(adapter("a"), 2, time.monotonicNanos());
         ModelOrder load = order().orElseThrow();
-        gate.onOrder(load, ModelOrder.Outcome.STARTED);
+        gate.onOrderOutcome(load, ModelOrder.Outcome.STARTED);
         orders++;
         report(Map.of(adapter("a"), 1L), Map.of());
         assertTrue(order().isEmpty(), "the report does not list a replacement as on its way");
@@ -309,7 +309,7 @@
     public void aLoadThatNeverArrivesIsOrderedAgain() {
         report(Map.of(), Map.of());
         request(ask(1, "a", 100).setWaitMillis(20_000));
-        gate.onOrder(order().orElseThrow(), ModelOrder.Outcome.STARTED);
+        gate.onOrderOutcome(order().orElseThrow(), ModelOrder.Outcome.STARTED);
         report(Map.of(), Map.of());
         assertTrue(order().isEmpty());
         time.passMillis(4_100);
@@ -322,11 +322,11 @@
         report(Map.of(adapter("a"), 1L, adapter("b"), 1L, adapter("c"), 1L), Map.of());
         request(ask(1, "d", 100).setWaitMillis(20_000));
         ModelOrder first = order().orElseThrow();
-        gate.onOrder(first, ModelOrder.Outcome.CONFLICT);
+        gate.onOrderOutcome(first, ModelOrder.Outcome.CONFLICT);
         ModelOrder second = order().orElseThrow();
         assertFalse(second.target().equals(first.target()));
-        gate.onOrder(second, ModelOrder.Outcome.CONFLICT);
-        gate.onOrder(order().orElseThrow(), ModelOrder.Outcome.CONFLICT);
+        gate.onOrderOutcome(second, ModelOrder.Outcome.CONFLICT);
+        gate.onOrderOutcome(order().orElseThrow(), ModelOrder.Outcome.CONFLICT);
         assertTrue(order().isEmpty());
         time.passMillis(800);
         assertTrue(order().isPresent());
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderLoopTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderLoopTest.java
@@ -108,7 +108,7 @@
                 .setObjectiveMillis(800)
                 .setWaitMillis(1_200)
                 .build();
-        gate.request(new EngineGate.TicketKey("entry", ticket), request, grants::add);
+        gate.requestStart(new EngineGate.TicketKey("entry", ticket), request, grants::add);
     }
 
     /** Unanswered orders must not delay the load until the waiting request has missed its objective. */
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
@@ -108,7 +108,7 @@
                 side = new Side();
             } else if (kind == 74) {
                 askedNanos.clear();
-                side.gate.callerGone("entry");
+                side.gate.onCallerDisconnected("entry");
             }
         }
 
@@ -156,7 +156,7 @@
                         .build();
                 EngineGate.TicketKey key = new EngineGate.TicketKey("entry", ticket);
                 askedNanos.put(ticket, time.monotonicNanos());
-                gate.request(key, request, grant -> {
+                gate.requestStart(key, request, grant -> {
                     if (dead) {
                         return;
                     }
@@ -178,11 +178,12 @@
                 }
                 engine.use(adapter);
                 long first = random.nextInt(20, 200);
-                thread.schedule(() -> gate.progress(key, RunProgress.Stage.FIRST_EVENT), first, TimeUnit.MILLISECONDS);
+                thread.schedule(
+                        () -> gate.onProgress(key, RunProgress.Stage.FIRST_EVENT), first, TimeUnit.MILLISECONDS);
                 thread.schedule(
                         () -> {
                             engine.release(adapter, born);
-                            gate.progress(key, RunProgress.Stage.ENDED);
+                            gate.onProgress(key, RunProgress.Stage.ENDED);
                         },
                         first + random.nextInt(900),
                         TimeUnit.MILLISECONDS);
