Name the members of the gate's server and the order loop

Cause: Names such as told, interest, wake, ordered and quiet were figurative or lacked their subject.

Change: Members of GateServer, OrderLoop and EngineSide; Interested becomes StatusSubscription.

Result: EngineGateTest, GateServerTest, OrderLoopTest, OrderScheduleTest and LoadPaceTest pass.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -304,10 +304,10 @@
         if (!isAbsent(adapter)) {
             return adapters.loadLimit().expectedLoadTime(0);
         }
-        long wanted = queuedLoadCount();
+        long queuedLoads = queuedLoadCount();
         boolean isNew = !isWaitedFor(adapter);
-        Duration loading =
-                adapters.loadLimit().expectedLoadTime(adapters.loadingCount() + (isNew ? wanted : wanted / 2));
+        Duration loading = adapters.loadLimit()
+                .expectedLoadTime(adapters.loadingCount() + (isNew ? queuedLoads : queuedLoads / 2));
         return isNew ? expectedSlotWait().plus(loading) : loading;
     }
 
@@ -363,7 +363,7 @@
         ModelOrder create(ModelOrder.Operation operation, AdapterId target, long version);
     }
 
-    private Optional<ModelOrder> nextModelLoad(EngineSpec limits, OrderFactory make) {
+    private Optional<ModelOrder> nextModelLoad(EngineSpec limits, OrderFactory orders) {
         long now = time.monotonicNanos();
         if (modelLoadAttempted && now - lastModelLoadAttemptNanos < MODEL_LOAD_RETRY_INTERVAL.toNanos()) {
             return Optional.empty();
@@ -376,10 +376,10 @@
             modelLoadAttempted = true;
             lastModelLoadAttemptNanos = now;
         });
-        return wanted.map(m -> make.create(ModelOrder.Operation.LOAD, AdapterId.baseModel(m), 0));
+        return wanted.map(m -> orders.create(ModelOrder.Operation.LOAD, AdapterId.baseModel(m), 0));
     }
 
-    private Optional<ModelOrder> nextVersionUpdate(OrderFactory make) {
+    private Optional<ModelOrder> nextVersionUpdate(OrderFactory orders) {
         if (adapters.loadingCount() >= adapters.loadLimit().maxConcurrentLoads()) {
             return Optional.empty();
         }
@@ -387,10 +387,10 @@
                 .filter(a -> adapters.residentVersion(a).orElse(0L) < versions.newest(a))
                 .filter(a -> !adapters.isInUse(a) && !adapters.isLoading(a))
                 .findFirst()
-                .map(a -> make.create(ModelOrder.Operation.LOAD, a, versions.newest(a)));
+                .map(a -> orders.create(ModelOrder.Operation.LOAD, a, versions.newest(a)));
     }
 
-    private Optional<ModelOrder> nextAdapterLoad(EngineSpec limits, OrderFactory make) {
+    private Optional<ModelOrder> nextAdapterLoad(EngineSpec limits, OrderFactory orders) {
         if (adapters.loadingCount() >= adapters.loadLimit().maxConcurrentLoads()) {
             return Optional.empty();
         }
@@ -399,9 +399,9 @@
                 waiting.stream().filter(w -> isAbsent(w.adapter())).toList();
         return WaitingStart.nextAdapterToLoad(absent, now)
                 .flatMap(a -> adapters.occupiedSlots() < limits.adapterPlaces()
-                        ? Optional.of(make.create(ModelOrder.Operation.LOAD, a, versions.newest(a)))
+                        ? Optional.of(orders.create(ModelOrder.Operation.LOAD, a, versions.newest(a)))
                         : adapters.leastRecentlyUsed(this::isWaitedFor, now)
-                                .map(old -> make.create(ModelOrder.Operation.UNLOAD, old, 0)));
+                                .map(old -> orders.create(ModelOrder.Operation.UNLOAD, old, 0)));
     }
 
     private boolean isWaitedFor(AdapterId adapter) {
@@ -461,9 +461,10 @@
 
     /** Returns how much queued and running loads delay the load of one more adapter. */
     private Duration queuedLoadDelay() {
-        LoadConcurrencyLimit pace = adapters.loadLimit();
-        return pace.expectedLoadTime(adapters.loadingCount() + queuedLoadCount())
-                .minus(pace.expectedLoadTime(0));
+        LoadConcurrencyLimit loadLimit = adapters.loadLimit();
+        return loadLimit
+                .expectedLoadTime(adapters.loadingCount() + queuedLoadCount())
+                .minus(loadLimit.expectedLoadTime(0));
     }
 
     private static List<String> names(Set<AdapterId> ids) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/GateServer.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/GateServer.java
@@ -28,78 +28,83 @@
 public final class GateServer {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** Time without a start request after which an entry is sent no more statuses. */
-    private static final Duration INTEREST = Duration.ofSeconds(5);
+    private static final Duration SUBSCRIPTION_TIMEOUT = Duration.ofSeconds(5);
     /** Interval at which an unchanged status is sent again, so that entries can detect a failed side. */
-    private static final Duration REPEAT = Duration.ofMillis(500);
+    private static final Duration STATUS_REPEAT_INTERVAL = Duration.ofMillis(500);
     /** Minimum time between two statuses for one entry. */
-    private static final Duration MIN_GAP = Duration.ofMillis(150);
+    private static final Duration MIN_STATUS_INTERVAL = Duration.ofMillis(150);
     /** Maximum rate of statuses of a side, over all entries. */
-    private static final int MAX_PER_SECOND = 40;
+    private static final int MAX_STATUSES_PER_SECOND = 40;
 
     private final EngineGate gate;
     private final TimeSource time;
-    private final Runnable wake;
-    private final Map<PeerChannel, Interested> entries = new ConcurrentHashMap<>();
+    private final Runnable onStartRequested;
+    private final Map<PeerChannel, StatusSubscription> subscriptions = new ConcurrentHashMap<>();
 
     /** The last status sent to an entry, and whether the entry expects more. */
-    private static final class Interested {
-        private long askedNanos;
-        private boolean expects;
-        private GateStatus told = GateStatus.getDefaultInstance();
-        private long toldNanos;
+    private static final class StatusSubscription {
+        private long lastRequestNanos;
+        private boolean isActive;
+        private GateStatus lastStatus = GateStatus.getDefaultInstance();
+        private long lastStatusNanos;
 
         /** Records a start request, which subscribes the entry to statuses. */
-        private synchronized void onAsk(long now) {
-            askedNanos = now;
-            if (!expects) {
-                expects = true;
-                told = GateStatus.getDefaultInstance();
-                toldNanos = now - INTEREST.toNanos();
+        private synchronized void onStartRequest(long now) {
+            lastRequestNanos = now;
+            if (!isActive) {
+                isActive = true;
+                lastStatus = GateStatus.getDefaultInstance();
+                lastStatusNanos = now - SUBSCRIPTION_TIMEOUT.toNanos();
             }
         }
 
-        private synchronized boolean isOver(long now) {
-            return now - askedNanos > INTEREST.toNanos();
+        private synchronized boolean isExpired(long now) {
+            return now - lastRequestNanos > SUBSCRIPTION_TIMEOUT.toNanos();
         }
 
-        private synchronized boolean isDue(GateStatus status, long now, Duration gap, Duration repeat) {
-            long since = now - toldNanos;
-            return expects && (since >= repeat.toNanos() || (since >= gap.toNanos() && !status.equals(told)));
+        private synchronized boolean isDue(GateStatus status, long now, Duration minInterval, Duration repeatInterval) {
+            long since = now - lastStatusNanos;
+            return isActive
+                    && (since >= repeatInterval.toNanos()
+                            || (since >= minInterval.toNanos() && !status.equals(lastStatus)));
         }
 
-        private synchronized boolean expects() {
-            return expects;
+        private synchronized boolean isActive() {
+            return isActive;
         }
 
-        private synchronized boolean isToldWithin(Duration gap, long now) {
-            return expects && now - toldNanos < gap.toNanos();
+        private synchronized boolean wasSentWithin(Duration interval, long now) {
+            return isActive && now - lastStatusNanos < interval.toNanos();
         }
 
         /** Records a status as sent and returns it with the time until the next; zero marks the last one. */
-        private synchronized GateStatus tell(GateStatus status, long now, Duration next) {
-            told = status;
-            toldNanos = now;
-            expects = !next.isZero();
-            return status.toBuilder().setNextMillis((int) next.toMillis()).build();
+        private synchronized GateStatus recordStatus(GateStatus status, long now, Duration nextInterval) {
+            lastStatus = status;
+            lastStatusNanos = now;
+            isActive = !nextInterval.isZero();
+            return status.toBuilder()
+                    .setNextMillis((int) nextInterval.toMillis())
+                    .build();
         }
     }
 
     /**
      * Creates a server and registers it as the handler of gate frames.
      *
-     * @param wake called after each start request, which may need an order to the engine
+     * @param onStartRequested called after each start request, which may need an order to the engine
      */
-    public GateServer(EngineGate gate, FrameRouter frames, TimeSource time, Runnable wake) {
+    public GateServer(EngineGate gate, FrameRouter frames, TimeSource time, Runnable onStartRequested) {
         this.gate = gate;
         this.time = time;
-        this.wake = wake;
+        this.onStartRequested = onStartRequested;
         frames.register(Frame.BodyCase.GATE, this::handle);
     }
 
     /** Sends the status to each subscribed entry that is due for one. */
-    public void tellStatus() {
-        List<Map.Entry<PeerChannel, Interested>> expecting =
-                entries.entrySet().stream().filter(e -> e.getValue().expects()).toList();
+    public void sendStatuses() {
+        List<Map.Entry<PeerChannel, StatusSubscription>> expecting = subscriptions.entrySet().stream()
+                .filter(e -> e.getValue().isActive())
+                .toList();
         if (expecting.isEmpty()) {
             return;
         }
@@ -108,24 +113,24 @@
             return;
         }
         long now = time.monotonicNanos();
-        Duration gap = gap(expecting.size());
-        Duration repeat = longer(gap, REPEAT);
+        Duration gap = statusInterval(expecting.size());
+        Duration repeat = max(gap, STATUS_REPEAT_INTERVAL);
         expecting.forEach(e -> {
-            Interested entry = e.getValue();
-            if (entry.isOver(now)) {
-                send(e.getKey(), entry.tell(status, now, Duration.ZERO));
+            StatusSubscription entry = e.getValue();
+            if (entry.isExpired(now)) {
+                send(e.getKey(), entry.recordStatus(status, now, Duration.ZERO));
             } else if (entry.isDue(status, now, gap, repeat)) {
-                send(e.getKey(), entry.tell(status, now, repeat));
+                send(e.getKey(), entry.recordStatus(status, now, repeat));
             }
         });
     }
 
     /** Returns the status interval per entry; it grows with the number of entries to bound the side's total rate. */
-    private static Duration gap(int entries) {
-        return longer(MIN_GAP, Duration.ofSeconds(entries).dividedBy(MAX_PER_SECOND));
+    private static Duration statusInterval(int entries) {
+        return max(MIN_STATUS_INTERVAL, Duration.ofSeconds(entries).dividedBy(MAX_STATUSES_PER_SECOND));
     }
 
-    private static Duration longer(Duration one, Duration other) {
+    private static Duration max(Duration one, Duration other) {
         return one.compareTo(other) > 0 ? one : other;
     }
 
@@ -138,7 +143,7 @@
     private void handle(PeerChannel from, Frame frame) {
         GateMessage message = frame.getGate();
         switch (message.getMessageCase()) {
-            case START -> start(from, frame, message.getStart());
+            case START -> handleStart(from, frame, message.getStart());
             case PROGRESS -> {
                 EngineGate.TicketKey key =
                         new EngineGate.TicketKey(from, message.getProgress().getTicket());
@@ -148,39 +153,42 @@
         }
     }
 
-    private void start(PeerChannel from, Frame frame, StartRequest request) {
+    private void handleStart(PeerChannel from, Frame frame, StartRequest request) {
         long now = time.monotonicNanos();
-        Interested entry = entries.computeIfAbsent(from, channel -> {
-            channel.onClose(() -> left(channel));
-            return new Interested();
+        StatusSubscription entry = subscriptions.computeIfAbsent(from, channel -> {
+            channel.onClose(() -> onDisconnected(channel));
+            return new StatusSubscription();
         });
-        entry.onAsk(now);
+        entry.onStartRequest(now);
         gate.requestStart(new EngineGate.TicketKey(from, request.getTicket()), request, grant -> {
-            log(request, grant, now);
+            logAnswer(request, grant, now);
             StartGrant answer = withStatus(grant, entry);
             from.reply(
                     frame, Frame.newBuilder().setGate(GateMessage.newBuilder().setGrant(answer)));
         });
-        wake.run();
+        onStartRequested.run();
     }
 
     /** Adds the current status to an answer, unless the entry was sent one recently. */
-    private StartGrant withStatus(StartGrant grant, Interested entry) {
+    private StartGrant withStatus(StartGrant grant, StatusSubscription entry) {
         long now = time.monotonicNanos();
-        if (entry.isToldWithin(MIN_GAP, now)) {
+        if (entry.wasSentWithin(MIN_STATUS_INTERVAL, now)) {
             return grant;
         }
         GateStatus status = gate.status();
-        long expecting = entries.values().stream().filter(Interested::expects).count();
+        long expecting = subscriptions.values().stream()
+                .filter(StatusSubscription::isActive)
+                .count();
         return status.getEngineId().isEmpty()
                 ? grant
                 : grant.toBuilder()
-                        .setStatus(entry.tell(status, now, longer(gap((int) expecting + 1), REPEAT)))
+                        .setStatus(entry.recordStatus(
+                                status, now, max(statusInterval((int) expecting + 1), STATUS_REPEAT_INTERVAL)))
                         .build();
     }
 
-    private void log(StartRequest request, StartGrant grant, long askedNanos) {
-        long millis = TimeUnit.NANOSECONDS.toMillis(time.monotonicNanos() - askedNanos);
+    private void logAnswer(StartRequest request, StartGrant grant, long arrivalNanos) {
+        long millis = TimeUnit.NANOSECONDS.toMillis(time.monotonicNanos() - arrivalNanos);
         if (grant.getRefusalCode() != 0) {
             logger.atInfo()
                     .with(LogKeys.REQUEST, request.getRequestId())
@@ -196,8 +204,8 @@
         }
     }
 
-    private void left(PeerChannel channel) {
-        entries.remove(channel);
+    private void onDisconnected(PeerChannel channel) {
+        subscriptions.remove(channel);
         gate.onCallerDisconnected(channel);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
@@ -22,30 +22,30 @@
  */
 public final class OrderLoop {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final Duration QUIET_INTERVAL = Duration.ofMillis(500);
-    private static final Duration CHANGING_INTERVAL = Duration.ofMillis(40);
+    private static final Duration IDLE_REPORT_INTERVAL = Duration.ofMillis(500);
+    private static final Duration ACTIVE_REPORT_INTERVAL = Duration.ofMillis(40);
     private static final Duration STEP_INTERVAL = Duration.ofMillis(50);
     /** Engines answer orders immediately. No other order is sent while one awaits its answer, and requests wait. */
-    private static final Duration ANSWER_LIMIT = Duration.ofMillis(100);
+    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(100);
 
-    private static final Duration FENCE_RETRY = Duration.ofMillis(500);
-    private static final int FAILURES_UNTIL_OUT = 2;
+    private static final Duration FENCING_TOKEN_RETRY_INTERVAL = Duration.ofMillis(500);
+    private static final int FAILURES_UNTIL_UNREACHABLE = 2;
 
     private final EngineGate gate;
     private final EngineControl engine;
-    private final FencingTokenSource fences;
+    private final FencingTokenSource fencingTokens;
     private final Supplier<Optional<String>> healthPath;
-    private final ScheduledExecutorService thread;
+    private final ScheduledExecutorService scheduler;
     private final TimeSource time;
     private final Runnable afterStep;
-    private boolean calling;
+    private boolean callInProgress;
     private boolean reportNeeded = true;
     private long lastReportNanos;
-    private long born = -1;
+    private long engineStartedAtMillis = -1;
     private @Nullable String engineId;
-    private int failures;
-    private long fence = -1;
-    private boolean fenceAsked;
+    private int consecutiveFailures;
+    private long fencingToken = -1;
+    private boolean fencingTokenRequested;
 
     /** Issues fencing tokens, each higher than all previous ones. Implementations are thread-safe. */
     @FunctionalInterface
@@ -58,35 +58,35 @@
      * Creates a loop without starting it.
      *
      * @param healthPath returns the path of the health check, or nothing until the configuration is known
-     * @param thread a single-threaded scheduler
+     * @param scheduler a single-threaded scheduler
      * @param afterStep called in each step, after expired requests were refused
      */
     public OrderLoop(
             EngineGate gate,
             EngineControl engine,
-            FencingTokenSource fences,
+            FencingTokenSource fencingTokens,
             Supplier<Optional<String>> healthPath,
-            ScheduledExecutorService thread,
+            ScheduledExecutorService scheduler,
             TimeSource time,
             Runnable afterStep) {
         this.gate = gate;
         this.engine = engine;
-        this.fences = fences;
+        this.fencingTokens = fencingTokens;
         this.healthPath = healthPath;
-        this.thread = thread;
+        this.scheduler = scheduler;
         this.time = time;
         this.afterStep = afterStep;
     }
 
     /** Requests a fencing token and starts the periodic steps. */
     public void start() {
-        askFence();
-        thread.scheduleWithFixedDelay(this::step, 0, STEP_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+        requestFencingToken();
+        scheduler.scheduleWithFixedDelay(this::step, 0, STEP_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Runs a step as soon as possible, to send an order if one is needed. */
     public void wake() {
-        thread.execute(this::step);
+        scheduler.execute(this::step);
     }
 
     // Steps, which run on the scheduler's thread
@@ -94,38 +94,38 @@
     private void step() {
         gate.refuseExpired();
         afterStep.run();
-        if (calling) {
+        if (callInProgress) {
             return;
         }
-        if (!reportNeeded && fence >= 0) {
-            Optional<ModelOrder> order = gate.nextOrder(fence);
+        if (!reportNeeded && fencingToken >= 0) {
+            Optional<ModelOrder> order = gate.nextOrder(fencingToken);
             if (order.isPresent()) {
-                give(order.get());
+                sendOrder(order.get());
                 return;
             }
         }
-        long interval = (gate.needsFrequentReports() ? CHANGING_INTERVAL : QUIET_INTERVAL).toNanos();
+        long interval = (gate.needsFrequentReports() ? ACTIVE_REPORT_INTERVAL : IDLE_REPORT_INTERVAL).toNanos();
         if (reportNeeded || time.monotonicNanos() - lastReportNanos > interval) {
-            readReport();
+            fetchReport();
         }
     }
 
-    private void give(ModelOrder order) {
-        calling = true;
+    private void sendOrder(ModelOrder order) {
+        callInProgress = true;
         CompletableFuture<ModelOrder.Outcome> answer = engine.sendOrder(order);
-        thread.schedule(
-                () -> answer.complete(ModelOrder.Outcome.UNKNOWN), ANSWER_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+        scheduler.schedule(
+                () -> answer.complete(ModelOrder.Outcome.UNKNOWN), ORDER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
         answer.whenCompleteAsync(
                 (outcome, failure) -> {
-                    calling = false;
+                    callInProgress = false;
                     reportNeeded = true;
-                    ordered(order, failure == null ? outcome : ModelOrder.Outcome.UNKNOWN);
+                    onOrderOutcome(order, failure == null ? outcome : ModelOrder.Outcome.UNKNOWN);
                     step();
                 },
-                thread);
+                scheduler);
     }
 
-    private void ordered(ModelOrder order, ModelOrder.Outcome outcome) {
+    private void onOrderOutcome(ModelOrder order, ModelOrder.Outcome outcome) {
         logger.atInfo()
                 .with(LogKeys.UPSTREAM, order.engineId())
                 .with(LogKeys.ADAPTER, order.target().toString())
@@ -138,41 +138,41 @@
                         outcome);
         gate.onOrderOutcome(order, outcome);
         if (outcome == ModelOrder.Outcome.FENCED) {
-            fence = -1;
-            askFence();
+            fencingToken = -1;
+            requestFencingToken();
         }
         if (outcome == ModelOrder.Outcome.WRONG_ENGINE) {
             engineId = null;
         }
     }
 
-    private void readReport() {
-        calling = true;
+    private void fetchReport() {
+        callInProgress = true;
         lastReportNanos = time.monotonicNanos();
         engine.fetchReport()
                 .whenCompleteAsync(
                         (report, failure) -> {
-                            calling = false;
+                            callInProgress = false;
                             if (failure == null) {
-                                reported(report);
+                                onReport(report);
                             } else {
-                                failed(Failures.unwrap(failure));
+                                onCallFailure(Failures.unwrap(failure));
                             }
                         },
-                        thread);
+                        scheduler);
     }
 
-    private void reported(EngineReport report) {
-        failures = 0;
-        if (report.startedAtMillis() != born) {
+    private void onReport(EngineReport report) {
+        consecutiveFailures = 0;
+        if (report.startedAtMillis() != engineStartedAtMillis) {
             logger.atInfo().log(
                     "engine started at %d, %d orders accepted", report.startedAtMillis(), report.acceptedOrders());
-            born = report.startedAtMillis();
+            engineStartedAtMillis = report.startedAtMillis();
             engineId = null;
         }
         String id = engineId;
         if (id == null) {
-            readId(report);
+            fetchEngineId(report);
         } else {
             reportNeeded = false;
             gate.onReport(report, id);
@@ -180,54 +180,58 @@
         }
     }
 
-    private void readId(EngineReport report) {
+    private void fetchEngineId(EngineReport report) {
         Optional<String> path = healthPath.get();
         if (path.isEmpty()) {
             return;
         }
-        calling = true;
+        callInProgress = true;
         engine.fetchEngineId(path.get())
                 .whenCompleteAsync(
                         (id, failure) -> {
-                            calling = false;
+                            callInProgress = false;
                             if (failure == null) {
                                 logger.atInfo().with(LogKeys.UPSTREAM, id).log("engine answers as %s", id);
                                 engineId = id;
-                                reported(report);
+                                onReport(report);
                             } else {
-                                failed(Failures.unwrap(failure));
+                                onCallFailure(Failures.unwrap(failure));
                             }
                         },
-                        thread);
+                        scheduler);
     }
 
-    private void failed(Throwable failure) {
-        failures++;
+    private void onCallFailure(Throwable failure) {
+        consecutiveFailures++;
         reportNeeded = true;
-        if (failures == FAILURES_UNTIL_OUT) {
+        if (consecutiveFailures == FAILURES_UNTIL_UNREACHABLE) {
             logger.atWarning().log("engine does not answer: %s", failure);
             gate.onEngineUnreachable();
         }
     }
 
-    private void askFence() {
-        if (fenceAsked) {
+    private void requestFencingToken() {
+        if (fencingTokenRequested) {
             return;
         }
-        fenceAsked = true;
-        fences.next()
+        fencingTokenRequested = true;
+        fencingTokens
+                .next()
                 .whenCompleteAsync(
                         (number, failure) -> {
-                            fenceAsked = false;
+                            fencingTokenRequested = false;
                             if (failure == null) {
                                 logger.atInfo().log("fencing number %d", number);
-                                fence = number;
+                                fencingToken = number;
                                 step();
                             } else {
                                 logger.atWarning().log("no fencing number: %s", Failures.unwrap(failure));
-                                thread.schedule(this::askFence, FENCE_RETRY.toMillis(), TimeUnit.MILLISECONDS);
+                                scheduler.schedule(
+                                        this::requestFencingToken,
+                                        FENCING_TOKEN_RETRY_INTERVAL.toMillis(),
+                                        TimeUnit.MILLISECONDS);
                             }
                         },
-                        thread);
+                        scheduler);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
@@ -35,9 +35,9 @@
  */
 public final class EngineSide {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final Duration PEER_KEEP_ALIVE = Duration.ofSeconds(1);
+    private static final Duration PEER_KEEP_ALIVE_INTERVAL = Duration.ofSeconds(1);
     private static final Duration STATUS_INTERVAL = Duration.ofMillis(150);
-    private static final FollowSettings OPERATORS =
+    private static final FollowSettings OPERATORS_LOG_SETTINGS =
             FollowSettings.PROMPT.withWait(Duration.ofSeconds(10)).withMinGap(Duration.ofMillis(200));
 
     private final EngineSideSettings settings;
@@ -45,9 +45,9 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final EngineGate gate;
     private final NettyPeerTransport transport;
-    private final LogFollower follower;
-    private final OrderLoop orders;
-    private final GateServer server;
+    private final LogFollower logFollower;
+    private final OrderLoop orderLoop;
+    private final GateServer gateServer;
 
     private EngineSide(
             EngineSideSettings settings, StoreLinks store, EngineControl engine, EventLoopGroup loops, EventLoop loop) {
@@ -55,22 +55,22 @@
         AdapterVersions versions = new AdapterVersions();
         ConfigurationHolder configuration = new ConfigurationHolder();
         this.gate = new EngineGate(versions, time);
-        configuration.onChange(this::configured);
+        configuration.onChange(this::onConfiguration);
         this.transport = new NettyPeerTransport(
                 settings.vm().start(ProcessRole.SIDE, time),
                 loops,
                 () -> 0,
                 (from, frame) -> {},
                 new TrafficCounter(metrics),
-                PEER_KEEP_ALIVE);
-        this.orders =
+                PEER_KEEP_ALIVE_INTERVAL);
+        this.orderLoop =
                 new OrderLoop(gate, engine, store.fences(), () -> healthPath(configuration), loop, time, () -> {});
-        this.server = new GateServer(gate, transport, time, orders::wake);
-        this.follower = new LogFollower(
+        this.gateServer = new GateServer(gate, transport, time, orderLoop::wake);
+        this.logFollower = new LogFollower(
                 "operators' log",
                 store.operators(),
                 new ConfigurationFold(store.operatorsDecoder(), configuration, versions, time),
-                OPERATORS,
+                OPERATORS_LOG_SETTINGS,
                 loop,
                 time);
     }
@@ -86,14 +86,17 @@
 
     private void listen(EventLoopGroup loops, EventLoop loop) {
         transport.listen(settings.vm().peers());
-        follower.start();
-        orders.start();
+        logFollower.start();
+        orderLoop.start();
         new CallerServer(loops, () -> CallerLimits.DEFAULT, new AdminService(metrics, () -> Readiness.READY))
                 .listen(settings.metricsAddress());
         metrics.gauge("gate.running", () -> () -> gate.status().getRunning());
         metrics.gauge("gate.waiting", () -> () -> gate.status().getWaiting());
         loop.scheduleAtFixedRate(
-                server::tellStatus, STATUS_INTERVAL.toMillis(), STATUS_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+                gateServer::sendStatuses,
+                STATUS_INTERVAL.toMillis(),
+                STATUS_INTERVAL.toMillis(),
+                TimeUnit.MILLISECONDS);
         logger.atInfo().log(
                 "side started for an engine of %s, peers %s",
                 settings.service(), settings.vm().peers());
@@ -102,7 +105,7 @@
     /** Stops immediately. Running requests continue on the engine; entries send waiting ones to another side. */
     public void stop() {
         logger.atInfo().log("side stops");
-        follower.stop();
+        logFollower.stop();
         transport.close();
         logger.atInfo().log("side stopped");
     }
@@ -114,7 +117,7 @@
                 .map(ServiceSpec::healthPath);
     }
 
-    private void configured(RoutingTable table) {
+    private void onConfiguration(RoutingTable table) {
         table.service(settings.service())
                 .flatMap(ServiceSpec::engineSpec)
                 .ifPresent(spec -> gate.setSpec(spec, table.pauseLimit(settings.service())));
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/GateServerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/GateServerTest.java
@@ -80,7 +80,7 @@
     private void tick(int ticks) {
         IntStream.range(0, ticks).forEach(i -> {
             time.passMillis(TICK_MILLIS);
-            server.tellStatus();
+            server.sendStatuses();
         });
     }
 
