--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
@@ -27,7 +27,7 @@
 import org.testng.annotations.Test;
 
 public class EngineGateTest {
-    private static final long FENCE = 7;
+    private static final long FENCING_TOKEN = 7;
     private static final EngineSpec SPEC =
             new EngineSpec(8, 20_000, 1_100, 3, 3, 2, List.of(new ModelSpec("m", 1_000, 10, Duration.ofMillis(700))));
 
@@ -36,20 +36,22 @@
     private EngineGate gate;
     private Map<Long, StartGrant> answers;
     private List<Long> granted;
-    private Object entry;
-    private long orders;
-    private long born;
+    private Object caller;
+    private long acceptedOrders;
+    private long startedAtMillis;
 
     private void report(Map<AdapterId, Long> adapters, Map<AdapterId, Long> coming) {
         gate.setSpec(SPEC, Duration.ZERO);
-        gate.onReport(new EngineReport(born, orders, false, Set.of("m"), adapters, coming, 0, 0, 20_000), "engine-1");
+        gate.onReport(
+                new EngineReport(startedAtMillis, acceptedOrders, false, Set.of("m"), adapters, coming, 0, 0, 20_000),
+                "engine-1");
     }
 
     private static AdapterId adapter(String name) {
         return new AdapterId("m", name);
     }
 
-    private static StartRequest.Builder ask(long ticket, String adapter, int promptTokens) {
+    private static StartRequest.Builder startRequest(long ticket, String adapter, int promptTokens) {
         return StartRequest.newBuilder()
                 .setTicket(ticket)
                 .setModel("m")
@@ -64,7 +66,7 @@
 
     private void request(StartRequest.Builder request) {
         long ticket = request.getTicket();
-        gate.requestStart(new EngineGate.TicketKey(entry, ticket), request.build(), grant -> {
+        gate.requestStart(new EngineGate.TicketKey(caller, ticket), request.build(), grant -> {
             answers.put(ticket, grant);
             if (grant.getRefusalCode() == 0) {
                 granted.add(ticket);
@@ -73,11 +75,11 @@
     }
 
     private void progress(long ticket, RunProgress.Stage stage) {
-        gate.onProgress(new EngineGate.TicketKey(entry, ticket), stage);
+        gate.onProgress(new EngineGate.TicketKey(caller, ticket), stage);
     }
 
-    private Optional<ModelOrder> order() {
-        return gate.nextOrder(FENCE);
+    private Optional<ModelOrder> nextOrder() {
+        return gate.nextOrder(FENCING_TOKEN);
     }
 
     @BeforeMethod
@@ -87,72 +89,72 @@
         gate = new EngineGate(versions, time);
         answers = new HashMap<>();
         granted = new ArrayList<>();
-        entry = "entry-1";
-        born = 1;
-        orders = 0;
+        caller = "entry-1";
+        startedAtMillis = 1;
+        acceptedOrders = 0;
     }
 
     @Test
-    public void aResidentAdapterIsGrantedAtOnceWithItsVersion() {
+    public void residentAdapterIsGrantedImmediatelyWithItsVersion() {
         report(Map.of(adapter("a"), 4L), Map.of());
-        request(ask(1, "a", 100));
+        request(startRequest(1, "a", 100));
         assertEquals(answers.get(1L).getVersion(), 4);
         assertEquals(answers.get(1L).getEngineId(), "engine-1");
     }
 
     @Test
-    public void anAbsentAdapterIsLoadedOnceForAllThatWait() {
+    public void absentAdapterIsLoadedOnceForAllWaitingRequests() {
         report(Map.of(), Map.of());
-        request(ask(1, "a", 100));
-        request(ask(2, "a", 100));
-        ModelOrder load = order().orElseThrow();
+        request(startRequest(1, "a", 100));
+        request(startRequest(2, "a", 100));
+        ModelOrder load = nextOrder().orElseThrow();
         assertEquals(load.operation(), ModelOrder.Operation.LOAD);
         assertEquals(load.target(), adapter("a"));
-        assertEquals(load.fencingToken(), FENCE);
+        assertEquals(load.fencingToken(), FENCING_TOKEN);
         gate.onOrderOutcome(load, ModelOrder.Outcome.STARTED);
-        assertTrue(order().isEmpty());
-        orders++;
+        assertTrue(nextOrder().isEmpty());
+        acceptedOrders++;
         report(Map.of(adapter("a"), 1L), Map.of());
         assertEquals(granted, List.of(1L, 2L));
     }
 
     @Test
-    public void anAdapterInUseIsNeverReplaced() {
+    public void adapterInUseIsNeverReplaced() {
         report(Map.of(adapter("a"), 1L, adapter("b"), 1L, adapter("c"), 1L), Map.of());
-        request(ask(1, "a", 100));
-        request(ask(2, "b", 100));
-        request(ask(3, "c", 100));
-        request(ask(4, "d", 100));
-        assertTrue(order().isEmpty());
+        request(startRequest(1, "a", 100));
+        request(startRequest(2, "b", 100));
+        request(startRequest(3, "c", 100));
+        request(startRequest(4, "d", 100));
+        assertTrue(nextOrder().isEmpty());
         progress(2, RunProgress.Stage.ENDED);
-        ModelOrder unload = order().orElseThrow();
+        ModelOrder unload = nextOrder().orElseThrow();
         assertEquals(unload.operation(), ModelOrder.Operation.UNLOAD);
         assertEquals(unload.target(), adapter("b"));
     }
 
     @Test
-    public void anOrderWithoutAnswerTakesAPlaceUntilAnotherIsAccepted() {
+    public void unansweredLoadOccupiesSlotUntilAnotherOrderIsAccepted() {
         report(Map.of(adapter("a"), 1L, adapter("b"), 1L), Map.of());
-        request(ask(1, "c", 100));
-        gate.onOrderOutcome(order().orElseThrow(), ModelOrder.Outcome.UNKNOWN);
+        request(startRequest(1, "c", 100));
+        gate.onOrderOutcome(nextOrder().orElseThrow(), ModelOrder.Outcome.UNKNOWN);
         report(Map.of(adapter("a"), 1L, adapter("b"), 1L), Map.of());
-        ModelOrder next = order().orElseThrow();
+        ModelOrder next = nextOrder().orElseThrow();
         assertEquals(next.operation(), ModelOrder.Operation.UNLOAD, "three places are taken");
         gate.onOrderOutcome(next, ModelOrder.Outcome.DONE);
-        orders++;
+        acceptedOrders++;
         AdapterId kept = next.target().equals(adapter("a")) ? adapter("b") : adapter("a");
         report(Map.of(kept, 1L), Map.of());
-        assertEquals(order().orElseThrow().operation(), ModelOrder.Operation.LOAD);
+        assertEquals(nextOrder().orElseThrow().operation(), ModelOrder.Operation.LOAD);
     }
 
     @Test
-    public void memoryIsNotPromisedTwice() {
+    public void memoryIsNotReservedTwice() {
         report(Map.of(adapter("a"), 1L), Map.of());
-        request(ask(1, "a", 9_000));
+        request(startRequest(1, "a", 9_000));
         progress(1, RunProgress.Stage.FIRST_EVENT);
-        request(ask(2, "a", 9_000));
+        request(startRequest(2, "a", 9_000));
         progress(2, RunProgress.Stage.FIRST_EVENT);
-        request(ask(3, "a", 2_000));
+        request(startRequest(3, "a", 2_000));
         assertEquals(granted, List.of(1L, 2L));
         progress(1, RunProgress.Stage.ENDED);
         assertEquals(granted, List.of(1L, 2L, 3L));
@@ -160,11 +162,11 @@
 
     /** An urgent request arrives while less urgent ones wait. Without ordering by priority it would be granted last. */
     @Test
-    public void urgentRequestsPassThoseThatWait() {
+    public void urgentRequestIsGrantedBeforeLessUrgentWaitingOnes() {
         report(Map.of(adapter("a"), 1L), Map.of());
-        request(ask(1, "a", 11_000));
-        request(ask(2, "a", 3_000).setPriority(2));
-        request(ask(3, "a", 1_000).setPriority(0));
+        request(startRequest(1, "a", 11_000));
+        request(startRequest(2, "a", 3_000).setPriority(2));
+        request(startRequest(3, "a", 1_000).setPriority(0));
         progress(1, RunProgress.Stage.FIRST_EVENT);
         progress(1, RunProgress.Stage.ENDED);
         assertEquals(granted, List.of(1L, 3L, 2L));
@@ -172,12 +174,12 @@
 
     /** Under overload, requests past their objective must not delay those that can still meet it. */
     @Test
-    public void thoseThatCanStillBeInTimeGoFirst() {
+    public void requestsWithinObjectiveAreGrantedFirst() {
         report(Map.of(adapter("a"), 1L), Map.of());
-        request(ask(1, "a", 11_000));
-        request(ask(2, "a", 3_000));
+        request(startRequest(1, "a", 11_000));
+        request(startRequest(2, "a", 3_000));
         time.passMillis(1_500);
-        request(ask(3, "a", 3_000));
+        request(startRequest(3, "a", 3_000));
         progress(1, RunProgress.Stage.FIRST_EVENT);
         progress(1, RunProgress.Stage.ENDED);
         assertEquals(granted, List.of(1L, 3L, 2L));
@@ -185,19 +187,19 @@
 
     /** The prefill of the queued prompts takes longer than the callers' wait limits. */
     @Test
-    public void whatCannotStartInTimeIsRefusedOnArrivalWithATime() {
+    public void requestThatCannotStartInTimeIsRefusedImmediatelyWithRetryAfter() {
         report(Map.of(adapter("a"), 1L), Map.of());
-        request(ask(1, "a", 11_000));
-        request(ask(2, "a", 60_000).setWaitMillis(10_000));
-        request(ask(3, "a", 1_000).setWaitMillis(500));
+        request(startRequest(1, "a", 11_000));
+        request(startRequest(2, "a", 60_000).setWaitMillis(10_000));
+        request(startRequest(3, "a", 1_000).setWaitMillis(500));
         assertEquals(answers.get(3L).getRefusalCode(), ResultCode.QUEUE_FULL.number());
         assertTrue(answers.get(3L).getRetryAfterMillis() > 500);
     }
 
     @Test
-    public void whatHasWaitedForTooLongIsRefused() {
+    public void expiredRequestIsRefused() {
         report(Map.of(), Map.of());
-        request(ask(1, "a", 100).setWaitMillis(600));
+        request(startRequest(1, "a", 100).setWaitMillis(600));
         gate.refuseExpired();
         assertFalse(answers.containsKey(1L));
         time.passMillis(700);
@@ -206,99 +208,101 @@
     }
 
     @Test
-    public void aNewVersionIsLoadedOnceNobodyUsesTheOldOne() {
+    public void newVersionIsLoadedOnceOldOneIsUnused() {
         report(Map.of(adapter("a"), 1L), Map.of());
-        request(ask(1, "a", 100));
+        request(startRequest(1, "a", 100));
         versions.name(adapter("a"), 2, time.monotonicNanos());
-        assertTrue(order().isEmpty());
+        assertTrue(nextOrder().isEmpty());
         progress(1, RunProgress.Stage.ENDED);
-        ModelOrder load = order().orElseThrow();
+        ModelOrder load = nextOrder().orElseThrow();
         assertEquals(load.version(), 2);
         assertEquals(load.operation(), ModelOrder.Operation.LOAD);
     }
 
     @Test
-    public void anOldVersionIsNotStartedLongAfterTheNewOneWasNamed() {
+    public void oldVersionIsNotGrantedAfterGracePeriod() {
         report(Map.of(adapter("a"), 1L), Map.of());
         versions.name(adapter("a"), 2, time.monotonicNanos());
-        request(ask(1, "a", 100));
+        request(startRequest(1, "a", 100));
         assertEquals(granted, List.of(1L));
         time.passMillis(2_100);
-        request(ask(2, "a", 100));
+        request(startRequest(2, "a", 100));
         assertEquals(granted, List.of(1L));
     }
 
     @Test
-    public void anEngineThatStartsAnewHoldsNothing() {
+    public void restartedEngineHasNoResidentAdapters() {
         report(Map.of(adapter("a"), 1L), Map.of());
-        born = 2;
-        gate.onReport(new EngineReport(born, 0, false, Set.of(), Map.of(), Map.of(), 0, 0, 20_000), "engine-1");
-        request(ask(1, "a", 100));
-        ModelOrder load = order().orElseThrow();
+        startedAtMillis = 2;
+        gate.onReport(
+                new EngineReport(startedAtMillis, 0, false, Set.of(), Map.of(), Map.of(), 0, 0, 20_000), "engine-1");
+        request(startRequest(1, "a", 100));
+        ModelOrder load = nextOrder().orElseThrow();
         assertTrue(load.target().isBaseModel());
         gate.onOrderOutcome(load, ModelOrder.Outcome.STARTED);
-        assertTrue(order().isEmpty(), "one load of the model at a time");
+        assertTrue(nextOrder().isEmpty(), "one load of the model at a time");
     }
 
     @Test
-    public void whatWaitsIsRefusedWhenTheEngineIsOut() {
+    public void waitingRequestsAreRefusedWhenEngineIsUnreachable() {
         report(Map.of(), Map.of());
-        request(ask(1, "a", 100));
+        request(startRequest(1, "a", 100));
         gate.onEngineUnreachable();
         assertEquals(answers.get(1L).getRefusalCode(), ResultCode.UPSTREAM_UNREACHABLE.number());
     }
 
     @Test
-    public void theRunsOfAnEntryThatIsGoneHoldNothing() {
+    public void runsOfDisconnectedCallerAreReleased() {
         report(Map.of(adapter("a"), 1L), Map.of());
-        request(ask(1, "a", 9_000));
+        request(startRequest(1, "a", 9_000));
         assertEquals(gate.status().getRunning(), 1);
-        gate.onCallerDisconnected(entry);
+        gate.onCallerDisconnected(caller);
         assertEquals(gate.status().getRunning(), 0);
     }
 
     /** Prompts arrive continuously while streams with three tokens per event run; prefill delays these events. */
     @Test
-    public void promptsAreReadInPiecesThatKeepThePausesOfStreamsShort() {
+    public void prefillBacklogIsLimitedToKeepEventGapsShort() {
         report(Map.of(adapter("a"), 1L), Map.of());
         gate.setSpec(SPEC, Duration.ofMillis(300));
-        request(ask(1, "a", 1_000));
-        request(ask(2, "a", 1_000));
+        request(startRequest(1, "a", 1_000));
+        request(startRequest(2, "a", 1_000));
         assertEquals(granted, List.of(1L));
         progress(1, RunProgress.Stage.FIRST_EVENT);
         assertEquals(granted, List.of(1L, 2L));
     }
 
     @Test
-    public void aPromptAboveThePieceIsReadByItself() {
+    public void promptAboveBacklogLimitIsGrantedAlone() {
         report(Map.of(adapter("a"), 1L), Map.of());
         gate.setSpec(SPEC, Duration.ofMillis(300));
-        request(ask(1, "a", 5_000));
+        request(startRequest(1, "a", 5_000));
         assertEquals(granted, List.of(1L));
     }
 
     @Test
-    public void aGrantNamesTheEngineThatRunsNow() {
+    public void grantNamesCurrentEngine() {
         report(Map.of(adapter("a"), 1L), Map.of());
-        born = 9;
+        startedAtMillis = 9;
         gate.onReport(
-                new EngineReport(born, 0, false, Set.of("m"), Map.of(adapter("a"), 1L), Map.of(), 0, 0, 20_000),
+                new EngineReport(
+                        startedAtMillis, 0, false, Set.of("m"), Map.of(adapter("a"), 1L), Map.of(), 0, 0, 20_000),
                 "engine-2");
-        request(ask(1, "a", 100));
+        request(startRequest(1, "a", 100));
         assertEquals(answers.get(1L).getEngineId(), "engine-2");
         assertEquals(answers.get(1L).getEngineBorn(), 9);
     }
 
     @Test
-    public void aReplacementIsOrderedOnceAndItsAdapterIsNotStartedMeanwhile() {
+    public void replacementIsOrderedOnceAndItsAdapterIsNotGrantedMeanwhile() {
         report(Map.of(adapter("a"), 1L), Map.of());
         versions.name(adapter("a"), 2, time.monotonicNanos());
-        ModelOrder load = order().orElseThrow();
+        ModelOrder load = nextOrder().orElseThrow();
         gate.onOrderOutcome(load, ModelOrder.Outcome.STARTED);
-        orders++;
+        acceptedOrders++;
         report(Map.of(adapter("a"), 1L), Map.of());
-        assertTrue(order().isEmpty(), "the report does not list a replacement as on its way");
-        request(ask(1, "a", 100));
+        assertTrue(nextOrder().isEmpty(), "the report does not list a replacement as on its way");
+        request(startRequest(1, "a", 100));
         assertEquals(granted, List.of());
         report(Map.of(adapter("a"), 2L), Map.of());
         assertEquals(granted, List.of(1L));
@@ -306,101 +310,103 @@
     }
 
     @Test
-    public void aLoadThatNeverArrivesIsOrderedAgain() {
+    public void lostLoadIsOrderedAgain() {
         report(Map.of(), Map.of());
-        request(ask(1, "a", 100).setWaitMillis(20_000));
-        gate.onOrderOutcome(order().orElseThrow(), ModelOrder.Outcome.STARTED);
+        request(startRequest(1, "a", 100).setWaitMillis(20_000));
+        gate.onOrderOutcome(nextOrder().orElseThrow(), ModelOrder.Outcome.STARTED);
         report(Map.of(), Map.of());
-        assertTrue(order().isEmpty());
+        assertTrue(nextOrder().isEmpty());
         time.passMillis(4_100);
         report(Map.of(), Map.of());
-        assertEquals(order().orElseThrow().target(), adapter("a"));
+        assertEquals(nextOrder().orElseThrow().target(), adapter("a"));
     }
 
     @Test
-    public void anAdapterThatTheEngineDoesNotGiveUpIsPassedOverForAWhile() {
+    public void adapterWithRefusedUnloadIsSkippedForAWhile() {
         report(Map.of(adapter("a"), 1L, adapter("b"), 1L, adapter("c"), 1L), Map.of());
-        request(ask(1, "d", 100).setWaitMillis(20_000));
-        ModelOrder first = order().orElseThrow();
+        request(startRequest(1, "d", 100).setWaitMillis(20_000));
+        ModelOrder first = nextOrder().orElseThrow();
         gate.onOrderOutcome(first, ModelOrder.Outcome.CONFLICT);
-        ModelOrder second = order().orElseThrow();
+        ModelOrder second = nextOrder().orElseThrow();
         assertFalse(second.target().equals(first.target()));
         gate.onOrderOutcome(second, ModelOrder.Outcome.CONFLICT);
-        gate.onOrderOutcome(order().orElseThrow(), ModelOrder.Outcome.CONFLICT);
-        assertTrue(order().isEmpty());
+        gate.onOrderOutcome(nextOrder().orElseThrow(), ModelOrder.Outcome.CONFLICT);
+        assertTrue(nextOrder().isEmpty());
         time.passMillis(800);
-        assertTrue(order().isPresent());
+        assertTrue(nextOrder().isPresent());
     }
 
     /** More adapters are requested than the engine has slots, and all resident adapters are in use. */
     @Test
-    public void aRequestWhoseAdapterGetsNoPlaceInTimeIsRefusedAtOnce() {
+    public void requestWithoutAdapterSlotInTimeIsRefusedImmediately() {
         report(Map.of(adapter("a"), 1L, adapter("b"), 1L, adapter("c"), 1L), Map.of());
-        request(ask(1, "a", 100));
-        request(ask(2, "b", 100));
-        request(ask(3, "c", 100));
+        request(startRequest(1, "a", 100));
+        request(startRequest(2, "b", 100));
+        request(startRequest(3, "c", 100));
         time.passMillis(1_000);
         progress(3, RunProgress.Stage.ENDED);
-        request(ask(4, "c", 100));
+        request(startRequest(4, "c", 100));
         time.passMillis(1_000);
         assertEquals(granted, List.of(1L, 2L, 3L, 4L));
 
-        request(ask(5, "d", 100).setWaitMillis(200));
+        request(startRequest(5, "d", 100).setWaitMillis(200));
         assertEquals(answers.get(5L).getRefusalCode(), ResultCode.QUEUE_FULL.number());
         assertTrue(answers.get(5L).getRetryAfterMillis() >= 1_000, "back when a place may be free");
         assertTrue(gate.status().getPlaceWaitMillis() >= 1_000, "entries choose another engine");
 
-        request(ask(6, "a", 100).setWaitMillis(200));
+        request(startRequest(6, "a", 100).setWaitMillis(200));
         assertTrue(granted.contains(6L), "an adapter that is there needs no place");
     }
 
     /** Resident adapters that are not in use can be replaced, so their slots count as free. */
     @Test
-    public void aPlaceThatNobodyUsesIsNoReasonToWait() {
+    public void unusedSlotCausesNoWait() {
         report(Map.of(adapter("a"), 1L, adapter("b"), 1L, adapter("c"), 1L), Map.of());
-        request(ask(1, "a", 100));
-        request(ask(2, "d", 100).setWaitMillis(400));
+        request(startRequest(1, "a", 100));
+        request(startRequest(2, "d", 100).setWaitMillis(400));
         assertFalse(answers.containsKey(2L));
-        assertEquals(order().orElseThrow().operation(), ModelOrder.Operation.UNLOAD);
+        assertEquals(nextOrder().orElseThrow().operation(), ModelOrder.Operation.UNLOAD);
     }
 
     /** After the engine has lost its adapters, many are requested at once, some of them by several requests. */
     @Test
-    public void theAdapterThatMostRequestsWaitForIsLoadedFirst() {
+    public void adapterInHighestDemandIsLoadedFirst() {
         report(Map.of(), Map.of());
-        request(ask(1, "a", 100));
-        request(ask(2, "b", 100));
-        request(ask(3, "b", 100));
-        assertEquals(order().orElseThrow().target(), adapter("b"));
+        request(startRequest(1, "a", 100));
+        request(startRequest(2, "b", 100));
+        request(startRequest(3, "b", 100));
+        assertEquals(nextOrder().orElseThrow().target(), adapter("b"));
     }
 
     @Test
-    public void aRequestThatHasWaitedForLongIsNotPassedAnyMore() {
+    public void longWaitingRequestIsNotOvertakenByDemand() {
         report(Map.of(), Map.of());
-        request(ask(1, "a", 100));
+        request(startRequest(1, "a", 100));
         time.passMillis(600);
-        request(ask(2, "b", 100));
-        request(ask(3, "b", 100));
-        assertEquals(order().orElseThrow().target(), adapter("a"));
+        request(startRequest(2, "b", 100));
+        request(startRequest(3, "b", 100));
+        assertEquals(nextOrder().orElseThrow().target(), adapter("a"));
     }
 
     /** More adapters are requested at once than can be loaded within the wait limit. */
     @Test
-    public void aRequestBehindMoreLoadsThanItCanWaitForIsRefusedAtOnce() {
+    public void requestBehindTooManyLoadsIsRefusedImmediately() {
         gate.setSpec(
                 new EngineSpec(
                         64, 200_000, 2_000, 40, 3, 2, List.of(new ModelSpec("m", 1_000, 10, Duration.ofMillis(700)))),
                 Duration.ZERO);
         gate.onReport(
-                new EngineReport(born, orders, false, Set.of("m"), Map.of(), Map.of(), 0, 0, 200_000), "engine-1");
+                new EngineReport(
+                        startedAtMillis, acceptedOrders, false, Set.of("m"), Map.of(), Map.of(), 0, 0, 200_000),
+                "engine-1");
         for (long ticket = 1; ticket <= 12; ticket++) {
-            request(ask(ticket, "a" + ticket, 100).setWaitMillis(1_200));
+            request(startRequest(ticket, "a" + ticket, 100).setWaitMillis(1_200));
         }
         assertFalse(answers.containsKey(3L), "it can wait for the few before it");
         assertEquals(answers.get(12L).getRefusalCode(), ResultCode.QUEUE_FULL.number());
         assertTrue(answers.get(12L).getRetryAfterMillis() > 0);
         assertTrue(gate.status().getPlaceWaitMillis() > 500, "entries choose another engine");
-        request(ask(20, "a1", 100).setWaitMillis(1_200));
+        request(startRequest(20, "a1", 100).setWaitMillis(1_200));
         assertFalse(answers.containsKey(20L), "its adapter is wanted already");
     }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/GateServerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/GateServerTest.java
@@ -29,12 +29,12 @@
 import org.testng.annotations.Test;
 
 public class GateServerTest {
-    private static final int TICK_MILLIS = 150;
+    private static final int STATUS_INTERVAL_MILLIS = 150;
 
     private MovedTime time;
     private FrameHandler handler;
     private GateServer server;
-    private long tickets;
+    private long lastTicket;
 
     @BeforeMethod
     public void setUp() {
@@ -49,9 +49,9 @@
         server = new GateServer(gate, (kind, h) -> handler = h, time, () -> {});
     }
 
-    private void ask(Entry entry) {
+    private void requestStart(RecordingChannel entry) {
         StartRequest start = StartRequest.newBuilder()
-                .setTicket(++tickets)
+                .setTicket(++lastTicket)
                 .setModel("m")
                 .setAdapter("a")
                 .setPromptTokens(10)
@@ -65,9 +65,9 @@
                         .build());
     }
 
-    private void endLast(Entry entry) {
+    private void endLastRequest(RecordingChannel entry) {
         RunProgress ended = RunProgress.newBuilder()
-                .setTicket(tickets)
+                .setTicket(lastTicket)
                 .setStage(RunProgress.Stage.ENDED)
                 .build();
         handler.handle(
@@ -77,67 +77,68 @@
                         .build());
     }
 
-    private void tick(int ticks) {
-        IntStream.range(0, ticks).forEach(i -> {
-            time.passMillis(TICK_MILLIS);
+    private void passIntervals(int intervals) {
+        IntStream.range(0, intervals).forEach(i -> {
+            time.passMillis(STATUS_INTERVAL_MILLIS);
             server.sendStatuses();
         });
     }
 
     @Test
-    public void anAnswerBringsTheStatusAndTellsWhenTheNextOneComes() {
-        Entry entry = new Entry();
-        ask(entry);
+    public void answerContainsStatusAndTimeOfNextOne() {
+        RecordingChannel entry = new RecordingChannel();
+        requestStart(entry);
         GateStatus status = entry.grantStatuses().get(0);
         assertEquals(status.getRunning(), 1);
         assertTrue(status.getNextMillis() > 0);
     }
 
     @Test
-    public void anAnswerRightAfterAStatusBringsNone() {
-        Entry entry = new Entry();
-        ask(entry);
-        ask(entry);
+    public void answerShortlyAfterStatusContainsNone() {
+        RecordingChannel entry = new RecordingChannel();
+        requestStart(entry);
+        requestStart(entry);
         assertEquals(entry.grantStatuses().size(), 1);
     }
 
     @Test
-    public void anEntryThatAsksNoMoreIsToldALastTime() {
-        Entry entry = new Entry();
-        ask(entry);
-        tick(60);
+    public void inactiveEntryIsSentOneLastStatus() {
+        RecordingChannel entry = new RecordingChannel();
+        requestStart(entry);
+        passIntervals(60);
         List<GateStatus> statuses = entry.statuses();
         assertEquals(statuses.get(statuses.size() - 1).getNextMillis(), 0);
         int told = statuses.size();
-        tick(60);
+        passIntervals(60);
         assertEquals(entry.statuses().size(), told);
-        ask(entry);
+        requestStart(entry);
         assertEquals(entry.grantStatuses().size(), 2);
     }
 
     /** The status changes all the time while the number of entries grows; the total rate must stay bounded. */
     @Test
-    public void theStatusesOfASideDoNotGrowWithItsEntries() {
+    public void totalStatusRateDoesNotGrowWithEntries() {
         for (int count : new int[] {5, 33, 100, 350}) {
             setUp();
-            List<Entry> entries =
-                    IntStream.range(0, count).mapToObj(i -> new Entry()).toList();
-            entries.forEach(this::ask);
+            List<RecordingChannel> entries = IntStream.range(0, count)
+                    .mapToObj(i -> new RecordingChannel())
+                    .toList();
+            entries.forEach(this::requestStart);
             int ticks = 20;
             for (int i = 0; i < ticks; i++) {
-                ask(entries.get(i % 2));
-                endLast(entries.get(i % 2));
-                tick(1);
+                requestStart(entries.get(i % 2));
+                endLastRequest(entries.get(i % 2));
+                passIntervals(1);
             }
             long sent = entries.stream().mapToLong(e -> e.statuses().size()).sum();
-            double seconds = ticks * TICK_MILLIS / 1_000.0;
+            double seconds = ticks * STATUS_INTERVAL_MILLIS / 1_000.0;
             assertTrue(sent <= (40 + 10) * seconds, sent + " statuses to " + count + " entries");
             assertTrue(count > 33 || !entries.get(4).statuses().isEmpty(), "told without asking again");
         }
     }
 
     /** The connection of one entry, which records all sent messages. */
-    private static final class Entry implements PeerChannel {
+    private static final class RecordingChannel implements PeerChannel {
         private final List<GateMessage> sent = new ArrayList<>();
 
         List<GateStatus> statuses() {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderLoopTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderLoopTest.java
@@ -32,7 +32,7 @@
             new EngineSpec(8, 20_000, 1_100, 3, 3, 2, List.of(new ModelSpec("m", 1_000, 10, Duration.ofMillis(700))));
 
     private MovedTime time;
-    private StepScheduler thread;
+    private StepScheduler scheduler;
     private EngineGate gate;
     private ScriptedEngine engine;
     private List<StartGrant> grants;
@@ -42,8 +42,8 @@
         private final Map<AdapterId, Long> adapters = new HashMap<>();
         private final List<ModelOrder> orders = new ArrayList<>();
         private long accepted;
-        private int unanswered;
-        private boolean lostAfterAcceptance;
+        private int unansweredOrders;
+        private boolean acceptsUnanswered;
 
         @Override
         public CompletableFuture<EngineReport> fetchReport() {
@@ -59,9 +59,9 @@
         @Override
         public CompletableFuture<ModelOrder.Outcome> sendOrder(ModelOrder order) {
             orders.add(order);
-            if (unanswered > 0) {
-                unanswered--;
-                if (lostAfterAcceptance) {
+            if (unansweredOrders > 0) {
+                unansweredOrders--;
+                if (acceptsUnanswered) {
                     accept(order);
                 }
                 return new CompletableFuture<>();
@@ -82,7 +82,7 @@
     @BeforeMethod
     public void setUp() {
         time = new MovedTime();
-        thread = new StepScheduler(time);
+        scheduler = new StepScheduler(time);
         gate = new EngineGate(new AdapterVersions(), time);
         gate.setSpec(SPEC, Duration.ZERO);
         engine = new ScriptedEngine();
@@ -92,14 +92,14 @@
                 engine,
                 () -> CompletableFuture.completedFuture(7L),
                 () -> Optional.of("/health"),
-                thread,
+                scheduler,
                 time,
                 () -> {});
         loop.start();
-        thread.runFor(Duration.ofMillis(200));
+        scheduler.runFor(Duration.ofMillis(200));
     }
 
-    private void ask(long ticket, String adapter) {
+    private void requestStart(long ticket, String adapter) {
         StartRequest request = StartRequest.newBuilder()
                 .setTicket(ticket)
                 .setModel("m")
@@ -113,10 +113,10 @@
 
     /** Unanswered orders must not delay the load until the waiting request has missed its objective. */
     @Test
-    public void anOrderWithoutAnswerIsGivenAgainBeforeTheObjectiveIsOver() {
-        engine.unanswered = 2;
-        ask(1, "a");
-        thread.runFor(Duration.ofMillis(450));
+    public void unansweredOrderIsRetriedWithinObjective() {
+        engine.unansweredOrders = 2;
+        requestStart(1, "a");
+        scheduler.runFor(Duration.ofMillis(450));
         assertEquals(grants.size(), 1);
         assertEquals(engine.orders.size(), 3);
         assertTrue(
@@ -126,11 +126,11 @@
 
     /** The engine accepts the order, but its answer is lost. */
     @Test
-    public void anAcceptedOrderWithoutAnswerIsNotGivenAgain() {
-        engine.unanswered = 1;
-        engine.lostAfterAcceptance = true;
-        ask(1, "a");
-        thread.runFor(Duration.ofMillis(450));
+    public void acceptedOrderWithLostAnswerIsNotRetried() {
+        engine.unansweredOrders = 1;
+        engine.acceptsUnanswered = true;
+        requestStart(1, "a");
+        scheduler.runFor(Duration.ofMillis(450));
         assertEquals(grants.size(), 1);
         assertEquals(engine.orders.size(), 1);
     }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
@@ -37,20 +37,20 @@
  * new adapter versions and caller disconnects. A simulated engine checks every order, on the schedule's virtual clock.
  */
 public class OrderScheduleTest {
-    private static final int SEEDS = 200;
-    private static final int SLOTS = 3;
-    private static final int ADAPTERS = 8;
+    private static final int SCHEDULE_COUNT = 200;
+    private static final int ADAPTER_SLOTS = 3;
+    private static final int ADAPTER_COUNT = 8;
     private static final int STEPS = 600;
     private static final long WAIT_MILLIS = 1_200;
     /** Tolerance for the order loop, which checks for expired requests every 50 ms. */
-    private static final long WAIT_SLACK_MILLIS = 200;
+    private static final long WAIT_TOLERANCE_MILLIS = 200;
 
     private static final EngineSpec SPEC = new EngineSpec(
-            16, 40_000, 2_000, SLOTS, 3, 2, List.of(new ModelSpec("m", 1_000, 10, Duration.ofMillis(700))));
+            16, 40_000, 2_000, ADAPTER_SLOTS, 3, 2, List.of(new ModelSpec("m", 1_000, 10, Duration.ofMillis(700))));
 
     @Test
-    public void everyScheduleKeepsPlacesFencesAndAnswers() {
-        List<String> faults = IntStream.range(0, SEEDS)
+    public void everyScheduleRespectsSlotsAndAnswersEachRequestOnce() {
+        List<String> faults = IntStream.range(0, SCHEDULE_COUNT)
                 .boxed()
                 .flatMap(seed -> new Schedule(seed).run().stream().map(f -> "seed " + seed + ": " + f))
                 .toList();
@@ -61,14 +61,14 @@
     private static final class Schedule {
         private final SplittableRandom random;
         private final MovedTime time = new MovedTime();
-        private final StepScheduler thread = new StepScheduler(time);
+        private final StepScheduler scheduler = new StepScheduler(time);
         private final List<String> faults = new ArrayList<>();
-        private final Engine engine = new Engine();
+        private final SimulatedEngine engine = new SimulatedEngine();
         private final AdapterVersions versions = new AdapterVersions();
-        private final Map<Long, Long> askedNanos = new HashMap<>();
+        private final Map<Long, Long> pendingSinceNanos = new HashMap<>();
         private Side side;
-        private long fences;
-        private long tickets;
+        private long lastFencingToken;
+        private long lastTicket;
         private long grants;
 
         Schedule(int seed) {
@@ -79,14 +79,14 @@
         List<String> run() {
             IntStream.range(0, STEPS).forEach(i -> {
                 step();
-                thread.runFor(Duration.ofMillis(random.nextInt(40)));
-                checkWaits();
+                scheduler.runFor(Duration.ofMillis(random.nextInt(40)));
+                checkWaitLimits();
             });
-            engine.calm = true;
-            thread.runFor(Duration.ofSeconds(15));
-            checkWaits();
-            if (!askedNanos.isEmpty()) {
-                faults.add(askedNanos.size() + " requests without an answer");
+            engine.answersAllOrders = true;
+            scheduler.runFor(Duration.ofSeconds(15));
+            checkWaitLimits();
+            if (!pendingSinceNanos.isEmpty()) {
+                faults.add(pendingSinceNanos.size() + " requests without an answer");
             }
             if (grants == 0) {
                 faults.add("no start was granted");
@@ -97,24 +97,24 @@
         private void step() {
             int kind = random.nextInt(100);
             if (kind < 70) {
-                side.ask(random.nextInt(ADAPTERS));
+                side.requestStart(random.nextInt(ADAPTER_COUNT));
             } else if (kind < 72) {
-                versions.name(adapter(random.nextInt(ADAPTERS)), random.nextInt(1, 5), time.monotonicNanos());
+                versions.name(adapter(random.nextInt(ADAPTER_COUNT)), random.nextInt(1, 5), time.monotonicNanos());
             } else if (kind == 72) {
                 engine.restart();
             } else if (kind == 73) {
-                askedNanos.clear();
-                side.dead = true;
+                pendingSinceNanos.clear();
+                side.stopped = true;
                 side = new Side();
             } else if (kind == 74) {
-                askedNanos.clear();
+                pendingSinceNanos.clear();
                 side.gate.onCallerDisconnected("entry");
             }
         }
 
-        private void checkWaits() {
-            long limit = time.monotonicNanos() - TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS + WAIT_SLACK_MILLIS);
-            askedNanos.values().stream()
+        private void checkWaitLimits() {
+            long limit = time.monotonicNanos() - TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS + WAIT_TOLERANCE_MILLIS);
+            pendingSinceNanos.values().stream()
                     .filter(n -> n < limit)
                     .forEach(n -> faults.add("a request waits beyond its limit"));
         }
@@ -126,23 +126,23 @@
         /** One incarnation of the side process. */
         private final class Side {
             private final EngineGate gate = new EngineGate(versions, time);
-            private boolean dead;
+            private boolean stopped;
 
             Side() {
                 gate.setSpec(SPEC, Duration.ofMillis(300));
                 new OrderLoop(
                                 gate,
-                                new Link(this),
-                                () -> CompletableFuture.completedFuture(++fences),
+                                new ScheduledEngineControl(this),
+                                () -> CompletableFuture.completedFuture(++lastFencingToken),
                                 () -> Optional.of("/health"),
-                                thread,
+                                scheduler,
                                 time,
                                 () -> {})
                         .start();
             }
 
-            void ask(int number) {
-                long ticket = ++tickets;
+            void requestStart(int number) {
+                long ticket = ++lastTicket;
                 AdapterId adapter = adapter(number);
                 StartRequest request = StartRequest.newBuilder()
                         .setTicket(ticket)
@@ -155,32 +155,32 @@
                         .setWaitMillis((int) WAIT_MILLIS)
                         .build();
                 EngineGate.TicketKey key = new EngineGate.TicketKey("entry", ticket);
-                askedNanos.put(ticket, time.monotonicNanos());
+                pendingSinceNanos.put(ticket, time.monotonicNanos());
                 gate.requestStart(key, request, grant -> {
-                    if (dead) {
+                    if (stopped) {
                         return;
                     }
-                    if (askedNanos.remove(ticket) == null) {
+                    if (pendingSinceNanos.remove(ticket) == null) {
                         faults.add("a request is answered twice, or after its caller left");
                     }
                     if (grant.getRefusalCode() == 0) {
                         grants++;
-                        runs(key, adapter, grant.getVersion());
+                        simulateRun(key, adapter, grant.getVersion());
                     }
                 });
             }
 
-            private void runs(EngineGate.TicketKey key, AdapterId adapter, long version) {
-                long born = engine.born;
-                Long held = engine.resident.get(adapter);
+            private void simulateRun(EngineGate.TicketKey key, AdapterId adapter, long version) {
+                long born = engine.incarnation;
+                Long held = engine.residentVersions.get(adapter);
                 if (held != null && held < version) {
                     faults.add("version " + version + " was granted, " + held + " is there");
                 }
-                engine.use(adapter);
+                engine.acquire(adapter);
                 long first = random.nextInt(20, 200);
-                thread.schedule(
+                scheduler.schedule(
                         () -> gate.onProgress(key, RunProgress.Stage.FIRST_EVENT), first, TimeUnit.MILLISECONDS);
-                thread.schedule(
+                scheduler.schedule(
                         () -> {
                             engine.release(adapter, born);
                             gate.onProgress(key, RunProgress.Stage.ENDED);
@@ -191,92 +191,101 @@
         }
 
         /** Connection of one side incarnation to the engine; a stopped side gets no answers and sends no orders. */
-        private final class Link implements EngineControl {
+        private final class ScheduledEngineControl implements EngineControl {
             private final Side owner;
 
-            Link(Side owner) {
+            ScheduledEngineControl(Side owner) {
                 this.owner = owner;
             }
 
             @Override
             public CompletableFuture<EngineReport> fetchReport() {
-                return owner.dead ? new CompletableFuture<>() : later(engine::report, random.nextInt(1, 10));
+                return owner.stopped ? new CompletableFuture<>() : later(engine::report, random.nextInt(1, 10));
             }
 
             @Override
             public CompletableFuture<String> fetchEngineId(String healthPath) {
-                return later(() -> "i-" + engine.born, 1);
+                return later(() -> "i-" + engine.incarnation, 1);
             }
 
             @Override
             public CompletableFuture<ModelOrder.Outcome> sendOrder(ModelOrder order) {
-                if (owner.dead) {
+                if (owner.stopped) {
                     return new CompletableFuture<>();
                 }
-                int kind = engine.calm ? 99 : random.nextInt(100);
+                int kind = engine.answersAllOrders ? 99 : random.nextInt(100);
                 if (kind < 8) {
                     return new CompletableFuture<>();
                 }
                 if (kind < 20) {
-                    later(() -> engine.take(order), random.nextInt(2_000, 12_000));
+                    later(() -> engine.execute(order), random.nextInt(2_000, 12_000));
                     return new CompletableFuture<>();
                 }
                 if (kind < 26) {
-                    engine.take(order);
+                    engine.execute(order);
                     return new CompletableFuture<>();
                 }
-                return later(() -> engine.take(order), kind < 32 ? random.nextInt(80, 400) : random.nextInt(1, 20));
+                return later(() -> engine.execute(order), kind < 32 ? random.nextInt(80, 400) : random.nextInt(1, 20));
             }
 
             private <T> CompletableFuture<T> later(Supplier<T> work, int millis) {
                 CompletableFuture<T> answer = new CompletableFuture<>();
-                thread.schedule(() -> answer.complete(work.get()), millis, TimeUnit.MILLISECONDS);
+                scheduler.schedule(() -> answer.complete(work.get()), millis, TimeUnit.MILLISECONDS);
                 return answer;
             }
         }
 
         /** The engine; checks the order count and fencing token, and records a fault when adapters exceed its slots. */
-        private final class Engine {
-            private final Map<AdapterId, Long> resident = new HashMap<>();
-            private final Map<AdapterId, Long> coming = new HashMap<>();
-            private final Map<AdapterId, Integer> users = new HashMap<>();
-            private long born = 1;
-            private long accepted;
-            private long fence;
-            private boolean calm;
+        private final class SimulatedEngine {
+            private final Map<AdapterId, Long> residentVersions = new HashMap<>();
+            private final Map<AdapterId, Long> loadingVersions = new HashMap<>();
+            private final Map<AdapterId, Integer> useCounts = new HashMap<>();
+            private long incarnation = 1;
+            private long acceptedOrders;
+            private long highestFencingToken;
+            private boolean answersAllOrders;
 
             EngineReport report() {
-                return new EngineReport(born, accepted, false, Set.of("m"), resident, coming, 0, 0, 40_000);
+                return new EngineReport(
+                        incarnation,
+                        acceptedOrders,
+                        false,
+                        Set.of("m"),
+                        residentVersions,
+                        loadingVersions,
+                        0,
+                        0,
+                        40_000);
             }
 
             void restart() {
-                born++;
-                accepted = 0;
-                fence = 0;
-                resident.clear();
-                coming.clear();
-                users.clear();
+                incarnation++;
+                acceptedOrders = 0;
+                highestFencingToken = 0;
+                residentVersions.clear();
+                loadingVersions.clear();
+                useCounts.clear();
             }
 
-            void use(AdapterId adapter) {
-                users.merge(adapter, 1, Integer::sum);
+            void acquire(AdapterId adapter) {
+                useCounts.merge(adapter, 1, Integer::sum);
             }
 
-            void release(AdapterId adapter, long start) {
-                if (start == born) {
-                    users.computeIfPresent(adapter, (a, n) -> n > 1 ? n - 1 : null);
+            void release(AdapterId adapter, long useIncarnation) {
+                if (useIncarnation == incarnation) {
+                    useCounts.computeIfPresent(adapter, (a, n) -> n > 1 ? n - 1 : null);
                 }
             }
 
-            ModelOrder.Outcome take(ModelOrder order) {
-                if (!order.engineId().equals("i-" + born)) {
+            ModelOrder.Outcome execute(ModelOrder order) {
+                if (!order.engineId().equals("i-" + incarnation)) {
                     return ModelOrder.Outcome.WRONG_ENGINE;
                 }
-                if (order.fencingToken() < fence) {
+                if (order.fencingToken() < highestFencingToken) {
                     return ModelOrder.Outcome.FENCED;
                 }
-                fence = order.fencingToken();
-                if (order.expectedAcceptedOrders() != accepted) {
+                highestFencingToken = order.fencingToken();
+                if (order.expectedAcceptedOrders() != acceptedOrders) {
                     return ModelOrder.Outcome.CONFLICT;
                 }
                 return order.operation() == ModelOrder.Operation.LOAD ? load(order) : unload(order);
@@ -284,45 +293,46 @@
 
             private ModelOrder.Outcome load(ModelOrder order) {
                 AdapterId adapter = order.target();
-                accepted++;
-                coming.put(adapter, order.version());
-                Set<AdapterId> places = new HashSet<>(resident.keySet());
-                places.addAll(coming.keySet());
-                if (places.size() > SLOTS) {
+                acceptedOrders++;
+                loadingVersions.put(adapter, order.version());
+                Set<AdapterId> places = new HashSet<>(residentVersions.keySet());
+                places.addAll(loadingVersions.keySet());
+                if (places.size() > ADAPTER_SLOTS) {
                     faults.add("more adapters than places: "
                             + places.stream().map(AdapterId::toString).sorted().collect(Collectors.joining(", ")));
                 }
-                long start = born;
-                thread.schedule(() -> arrive(adapter, start), random.nextInt(20, 300), TimeUnit.MILLISECONDS);
+                long loadIncarnation = incarnation;
+                scheduler.schedule(
+                        () -> completeLoad(adapter, loadIncarnation), random.nextInt(20, 300), TimeUnit.MILLISECONDS);
                 return ModelOrder.Outcome.STARTED;
             }
 
             /** Completes a load. A replacement is delayed until no run uses the previous version. */
-            private void arrive(AdapterId adapter, long start) {
-                if (start != born || !coming.containsKey(adapter)) {
+            private void completeLoad(AdapterId adapter, long loadIncarnation) {
+                if (loadIncarnation != incarnation || !loadingVersions.containsKey(adapter)) {
                     return;
                 }
-                if (resident.containsKey(adapter) && users.containsKey(adapter)) {
-                    thread.schedule(() -> arrive(adapter, start), 20, TimeUnit.MILLISECONDS);
+                if (residentVersions.containsKey(adapter) && useCounts.containsKey(adapter)) {
+                    scheduler.schedule(() -> completeLoad(adapter, loadIncarnation), 20, TimeUnit.MILLISECONDS);
                     return;
                 }
-                coming.remove(adapter);
-                resident.put(adapter, Math.max(1, versions.newest(adapter)));
+                loadingVersions.remove(adapter);
+                residentVersions.put(adapter, Math.max(1, versions.newest(adapter)));
             }
 
             private ModelOrder.Outcome unload(ModelOrder order) {
-                if (users.containsKey(order.target()) || coming.containsKey(order.target())) {
+                if (useCounts.containsKey(order.target()) || loadingVersions.containsKey(order.target())) {
                     return ModelOrder.Outcome.CONFLICT;
                 }
-                accepted++;
-                resident.remove(order.target());
+                acceptedOrders++;
+                residentVersions.remove(order.target());
                 return ModelOrder.Outcome.DONE;
             }
         }
     }
 
     @Test
-    public void aScheduleIsTheSameEachTime() {
+    public void scheduleIsDeterministicForSeed() {
         Schedule one = new Schedule(7);
         Schedule other = new Schedule(7);
         one.run();
