Say in logs and assertions of the gate what happened

Cause: Log lines such as 'engine answers as' and assertion texts in private terms were hard to read.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/GateServer.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/GateServer.java
@@ -149,7 +149,7 @@
                         new EngineGate.TicketKey(from, message.getProgress().getTicket());
                 gate.onProgress(key, message.getProgress().getStage());
             }
-            default -> logger.atFine().log("a side takes no frame of kind %s", message.getMessageCase());
+            default -> logger.atFine().log("ignored a gate message of type %s", message.getMessageCase());
         }
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
@@ -191,7 +191,7 @@
                         (id, failure) -> {
                             callInProgress = false;
                             if (failure == null) {
-                                logger.atInfo().with(LogKeys.UPSTREAM, id).log("engine answers as %s", id);
+                                logger.atInfo().with(LogKeys.UPSTREAM, id).log("engine id is %s", id);
                                 engineId = id;
                                 onReport(report);
                             } else {
@@ -225,7 +225,8 @@
                                 fencingToken = number;
                                 step();
                             } else {
-                                logger.atWarning().log("no fencing number: %s", Failures.unwrap(failure));
+                                logger.atWarning().log(
+                                        "could not get a fencing number, will retry: %s", Failures.unwrap(failure));
                                 scheduler.schedule(
                                         this::requestFencingToken,
                                         FENCING_TOKEN_RETRY_INTERVAL.toMillis(),
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
@@ -98,13 +98,13 @@
                 STATUS_INTERVAL.toMillis(),
                 TimeUnit.MILLISECONDS);
         logger.atInfo().log(
-                "side started for an engine of %s, peers %s",
+                "side started for an engine of service %s, listening for peers on %s",
                 settings.service(), settings.vm().peers());
     }
 
     /** Stops immediately. Running requests continue on the engine; entries send waiting ones to another side. */
     public void stop() {
-        logger.atInfo().log("side stops");
+        logger.atInfo().log("side is stopping");
         logFollower.stop();
         transport.close();
         logger.atInfo().log("side stopped");
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
@@ -139,7 +139,7 @@
         gate.onOrderOutcome(nextOrder().orElseThrow(), ModelOrder.Outcome.UNKNOWN);
         report(Map.of(adapter("a"), 1L, adapter("b"), 1L), Map.of());
         ModelOrder next = nextOrder().orElseThrow();
-        assertEquals(next.operation(), ModelOrder.Operation.UNLOAD, "three places are taken");
+        assertEquals(next.operation(), ModelOrder.Operation.UNLOAD, "all three slots are occupied");
         gate.onOrderOutcome(next, ModelOrder.Outcome.DONE);
         acceptedOrders++;
         AdapterId kept = next.target().equals(adapter("a")) ? adapter("b") : adapter("a");
@@ -240,7 +240,7 @@
         ModelOrder load = nextOrder().orElseThrow();
         assertTrue(load.target().isBaseModel());
         gate.onOrderOutcome(load, ModelOrder.Outcome.STARTED);
-        assertTrue(nextOrder().isEmpty(), "one load of the model at a time");
+        assertTrue(nextOrder().isEmpty(), "a second load of the base model was ordered");
     }
 
     @Test
@@ -301,7 +301,7 @@
         gate.onOrderOutcome(load, ModelOrder.Outcome.STARTED);
         acceptedOrders++;
         report(Map.of(adapter("a"), 1L), Map.of());
-        assertTrue(nextOrder().isEmpty(), "the report does not list a replacement as on its way");
+        assertTrue(nextOrder().isEmpty(), "the replacement was ordered again, although the first load is in progress");
         request(startRequest(1, "a", 100));
         assertEquals(granted, List.of());
         report(Map.of(adapter("a"), 2L), Map.of());
@@ -351,11 +351,13 @@
 
         request(startRequest(5, "d", 100).setWaitMillis(200));
         assertEquals(answers.get(5L).getRefusalCode(), ResultCode.QUEUE_FULL.number());
-        assertTrue(answers.get(5L).getRetryAfterMillis() >= 1_000, "back when a place may be free");
-        assertTrue(gate.status().getPlaceWaitMillis() >= 1_000, "entries choose another engine");
+        assertTrue(
+                answers.get(5L).getRetryAfterMillis() >= 1_000,
+                "retry-after is shorter than the expected wait for a slot");
+        assertTrue(gate.status().getPlaceWaitMillis() >= 1_000, "the status reports a short wait for a slot");
 
         request(startRequest(6, "a", 100).setWaitMillis(200));
-        assertTrue(granted.contains(6L), "an adapter that is there needs no place");
+        assertTrue(granted.contains(6L), "a resident adapter needs no further slot");
     }
 
     /** Resident adapters that are not in use can be replaced, so their slots count as free. */
@@ -402,11 +404,11 @@
         for (long ticket = 1; ticket <= 12; ticket++) {
             request(startRequest(ticket, "a" + ticket, 100).setWaitMillis(1_200));
         }
-        assertFalse(answers.containsKey(3L), "it can wait for the few before it");
+        assertFalse(answers.containsKey(3L), "request 3 has only a few loads ahead of it");
         assertEquals(answers.get(12L).getRefusalCode(), ResultCode.QUEUE_FULL.number());
         assertTrue(answers.get(12L).getRetryAfterMillis() > 0);
-        assertTrue(gate.status().getPlaceWaitMillis() > 500, "entries choose another engine");
+        assertTrue(gate.status().getPlaceWaitMillis() > 500, "the status reports a short wait for a slot");
         request(startRequest(20, "a1", 100).setWaitMillis(1_200));
-        assertFalse(answers.containsKey(20L), "its adapter is wanted already");
+        assertFalse(answers.containsKey(20L), "the adapter's load is already queued");
     }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/GateServerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/GateServerTest.java
@@ -133,7 +133,7 @@
             long sent = entries.stream().mapToLong(e -> e.statuses().size()).sum();
             double seconds = ticks * STATUS_INTERVAL_MILLIS / 1_000.0;
             assertTrue(sent <= (40 + 10) * seconds, sent + " statuses to " + count + " entries");
-            assertTrue(count > 33 || !entries.get(4).statuses().isEmpty(), "told without asking again");
+            assertTrue(count > 33 || !entries.get(4).statuses().isEmpty(), "no status without another start request");
         }
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderLoopTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderLoopTest.java
@@ -121,7 +121,7 @@
         assertEquals(engine.orders.size(), 3);
         assertTrue(
                 engine.orders.stream().allMatch(o -> o.expectedAcceptedOrders() == 0),
-                "only one of them can be accepted, whenever the others arrive");
+                "the order count lets the engine accept only one of them");
     }
 
     /** The engine accepts the order, but its answer is lost. */
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
@@ -86,7 +86,7 @@
             scheduler.runFor(Duration.ofSeconds(15));
             checkWaitLimits();
             if (!pendingSinceNanos.isEmpty()) {
-                faults.add(pendingSinceNanos.size() + " requests without an answer");
+                faults.add(pendingSinceNanos.size() + " requests were not answered");
             }
             if (grants == 0) {
                 faults.add("no start was granted");
@@ -116,7 +116,7 @@
             long limit = time.monotonicNanos() - TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS + WAIT_TOLERANCE_MILLIS);
             pendingSinceNanos.values().stream()
                     .filter(n -> n < limit)
-                    .forEach(n -> faults.add("a request waits beyond its limit"));
+                    .forEach(n -> faults.add("a request waited longer than its limit"));
         }
 
         private static AdapterId adapter(int number) {
@@ -161,7 +161,7 @@
                         return;
                     }
                     if (pendingSinceNanos.remove(ticket) == null) {
-                        faults.add("a request is answered twice, or after its caller left");
+                        faults.add("a request was answered twice, or after its caller disconnected");
                     }
                     if (grant.getRefusalCode() == 0) {
                         grants++;
@@ -174,7 +174,7 @@
                 long born = engine.incarnation;
                 Long held = engine.residentVersions.get(adapter);
                 if (held != null && held < version) {
-                    faults.add("version " + version + " was granted, " + held + " is there");
+                    faults.add("version " + version + " was granted, but version " + held + " is resident");
                 }
                 engine.acquire(adapter);
                 long first = random.nextInt(20, 200);
@@ -298,7 +298,7 @@
                 Set<AdapterId> places = new HashSet<>(residentVersions.keySet());
                 places.addAll(loadingVersions.keySet());
                 if (places.size() > ADAPTER_SLOTS) {
-                    faults.add("more adapters than places: "
+                    faults.add("more adapters than slots: "
                             + places.stream().map(AdapterId::toString).sorted().collect(Collectors.joining(", ")));
                 }
                 long loadIncarnation = incarnation;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/gate/LoadConcurrencyLimitTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/gate/LoadConcurrencyLimitTest.java
@@ -55,10 +55,13 @@
     public void adaptiveLimitLoadsFirstAdaptersSoonerThanFixedLimitAfterLossOfAllAdapters() {
         List<Double> adaptive = simulateLoads(13, 20, true);
         List<Double> fixed = simulateLoads(13, 20, false);
-        assertTrue(mean(adaptive) <= mean(fixed), mean(adaptive) + " against " + mean(fixed));
+        assertTrue(
+                mean(adaptive) <= mean(fixed), mean(adaptive) + " ms mean end time, with a fixed limit " + mean(fixed));
         double first = mean(adaptive.subList(0, 52));
-        assertTrue(first < 0.8 * mean(fixed.subList(0, 52)), "the first of each engine after " + first);
-        assertTrue(last(adaptive) <= 1.1 * last(fixed), last(adaptive) + " against " + last(fixed));
+        assertTrue(first < 0.8 * mean(fixed.subList(0, 52)), "mean end time of the first loads in ms: " + first);
+        assertTrue(
+                last(adaptive) <= 1.1 * last(fixed),
+                last(adaptive) + " ms last end time, with a fixed limit " + last(fixed));
     }
 
     private static double mean(List<Double> times) {
