Name the locals of the gate's server by what they hold

Cause: gap, expecting and entry named a status interval, active subscriptions and a subscription.

Change: Locals of GateServer and of the schedule test.

Result: EngineGateTest, GateServerTest, OrderLoopTest, OrderScheduleTest and LoadConcurrencyLimitTest pass.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/GateServer.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/GateServer.java
@@ -102,10 +102,10 @@
 
     /** Sends the status to each subscribed entry that is due for one. */
     public void sendStatuses() {
-        List<Map.Entry<PeerChannel, StatusSubscription>> expecting = subscriptions.entrySet().stream()
+        List<Map.Entry<PeerChannel, StatusSubscription>> active = subscriptions.entrySet().stream()
                 .filter(e -> e.getValue().isActive())
                 .toList();
-        if (expecting.isEmpty()) {
+        if (active.isEmpty()) {
             return;
         }
         GateStatus status = gate.status();
@@ -113,14 +113,14 @@
             return;
         }
         long now = time.monotonicNanos();
-        Duration gap = statusInterval(expecting.size());
-        Duration repeat = max(gap, STATUS_REPEAT_INTERVAL);
-        expecting.forEach(e -> {
-            StatusSubscription entry = e.getValue();
-            if (entry.isExpired(now)) {
-                send(e.getKey(), entry.recordStatus(status, now, Duration.ZERO));
-            } else if (entry.isDue(status, now, gap, repeat)) {
-                send(e.getKey(), entry.recordStatus(status, now, repeat));
+        Duration interval = statusInterval(active.size());
+        Duration repeatInterval = max(interval, STATUS_REPEAT_INTERVAL);
+        active.forEach(e -> {
+            StatusSubscription subscription = e.getValue();
+            if (subscription.isExpired(now)) {
+                send(e.getKey(), subscription.recordStatus(status, now, Duration.ZERO));
+            } else if (subscription.isDue(status, now, interval, repeatInterval)) {
+                send(e.getKey(), subscription.recordStatus(status, now, repeatInterval));
             }
         });
     }
@@ -155,14 +155,14 @@
 
     private void handleStart(PeerChannel from, Frame frame, StartRequest request) {
         long now = time.monotonicNanos();
-        StatusSubscription entry = subscriptions.computeIfAbsent(from, channel -> {
+        StatusSubscription subscription = subscriptions.computeIfAbsent(from, channel -> {
             channel.onClose(() -> onDisconnected(channel));
             return new StatusSubscription();
         });
-        entry.onStartRequest(now);
+        subscription.onStartRequest(now);
         gate.requestStart(new EngineGate.TicketKey(from, request.getTicket()), request, grant -> {
             logAnswer(request, grant, now);
-            StartGrant answer = withStatus(grant, entry);
+            StartGrant answer = withStatus(grant, subscription);
             from.reply(
                     frame, Frame.newBuilder().setGate(GateMessage.newBuilder().setGrant(answer)));
         });
@@ -170,20 +170,20 @@
     }
 
     /** Adds the current status to an answer, unless the entry was sent one recently. */
-    private StartGrant withStatus(StartGrant grant, StatusSubscription entry) {
+    private StartGrant withStatus(StartGrant grant, StatusSubscription subscription) {
         long now = time.monotonicNanos();
-        if (entry.wasSentWithin(MIN_STATUS_INTERVAL, now)) {
+        if (subscription.wasSentWithin(MIN_STATUS_INTERVAL, now)) {
             return grant;
         }
         GateStatus status = gate.status();
-        long expecting = subscriptions.values().stream()
+        long activeCount = subscriptions.values().stream()
                 .filter(StatusSubscription::isActive)
                 .count();
         return status.getEngineId().isEmpty()
                 ? grant
                 : grant.toBuilder()
-                        .setStatus(entry.recordStatus(
-                                status, now, max(statusInterval((int) expecting + 1), STATUS_REPEAT_INTERVAL)))
+                        .setStatus(subscription.recordStatus(
+                                status, now, max(statusInterval((int) activeCount + 1), STATUS_REPEAT_INTERVAL)))
                         .build();
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
@@ -171,21 +171,23 @@
             }
 
             private void simulateRun(EngineGate.TicketKey key, AdapterId adapter, long version) {
-                long born = engine.incarnation;
+                long incarnation = engine.incarnation;
                 Long held = engine.residentVersions.get(adapter);
                 if (held != null && held < version) {
                     faults.add("version " + version + " was granted, but version " + held + " is resident");
                 }
                 engine.acquire(adapter);
-                long first = random.nextInt(20, 200);
+                long firstEventMillis = random.nextInt(20, 200);
                 scheduler.schedule(
-                        () -> gate.onProgress(key, RunProgress.Stage.FIRST_EVENT), first, TimeUnit.MILLISECONDS);
+                        () -> gate.onProgress(key, RunProgress.Stage.FIRST_EVENT),
+                        firstEventMillis,
+                        TimeUnit.MILLISECONDS);
                 scheduler.schedule(
                         () -> {
-                            engine.release(adapter, born);
+                            engine.release(adapter, incarnation);
                             gate.onProgress(key, RunProgress.Stage.ENDED);
                         },
-                        first + random.nextInt(900),
+                        firstEventMillis + random.nextInt(900),
                         TimeUnit.MILLISECONDS);
             }
         }
