--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
@@ -12,51 +12,58 @@
 import java.util.Set;
 
 /**
- * Orders the engines of a service for a request by the expected time to its first event.
+ * Orders the engines of a service by the expected time to the first event of a request.
  *
- * <p>An adapter that is absent costs a load, a short one at an engine that held it before. Engines earlier in the
- * adapter's rendezvous order are preferred a little,
- * so that all entries load it in the same places and an adapter spreads over more engines only as its demand grows.
+ * <p>An absent adapter costs a load, which is shorter on an engine that held the adapter before. Engines earlier in the
+ * adapter's rendezvous order get a small preference, so that all entries load an adapter on the same engines and it
+ * spreads to further engines only as its demand grows.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>One instance per entry; safe for use by several threads.
  */
 public final class EngineChooser {
-    /** Time that a load takes, in milliseconds, with what it takes away from other loads. */
+    /** Cost of loading an absent adapter, including the delay that the load causes to other loads. */
     private static final double LOAD_MILLIS = 600;
 
+    /** Cost of waiting for a load that is in progress. */
     private static final double COMING_MILLIS = 130;
-    /** Time that it takes an engine to load what it held before. */
+    /** Cost of loading an adapter that the engine held before. */
     private static final double RELOAD_MILLIS = 90;
 
+    /** Penalty for an engine that has not loaded the base model. */
     private static final double MODEL_ABSENT_MILLIS = 1_500;
+    /** Penalty for an engine that answered many of the last requests with an error. */
     private static final double ERRING_MILLIS = 1_000;
+    /** Penalty for an engine in backoff after failed requests. */
     private static final double PAUSED_MILLIS = 5_000;
+    /** Penalty for an engine that its side cannot reach, and for one whose side does not respond. */
     private static final double OUT_MILLIS = 3_000;
-    /** What one place further down the adapter's order costs on an engine that holds it. */
+    /** Penalty per position in the adapter's rendezvous order, for engines that hold the adapter or held it before. */
     private static final double RANK_MILLIS = 12;
-    /** The same on one that does not hold it, since an engine loads faster what it held before. */
+    /** Penalty per position for the other engines; higher, because an engine reloads faster what it held before. */
     private static final double ABSENT_RANK_MILLIS = 80;
-    /** What a request that runs already adds, since steps grow with the batch. */
+    /** Penalty per running request, because a step takes longer with a larger batch. */
     private static final double RUNNING_MILLIS = 3;
-    /** What memory that is nearly used up adds. */
+    /** Penalty for an engine without free memory; proportionally less while some memory is free. */
     private static final double MEMORY_MILLIS = 1_500;
 
+    /** Share of free memory below which the memory penalty applies. */
     private static final double MEMORY_FREE_SHARE = 0.2;
+    /** Prompt throughput assumed for an engine that has not reported one. */
     private static final double DEFAULT_TOKENS_PER_MILLI = 15;
 
     private final EngineView view;
     private final UpstreamLoads loads;
 
-    /** Creates a chooser over what the sides told and what answers showed. */
+    /** Creates a chooser that uses the statuses sent by sides and the loads observed in responses. */
     public EngineChooser(EngineView view, UpstreamLoads loads) {
         this.view = view;
         this.loads = loads;
     }
 
-    /** An engine with its expected time to the first event. */
+    /** An engine with its expected time to the first event and the state of the adapter on it. */
     public record Choice(Upstream engine, double expectedMillis, EngineView.AdapterState adapterState) {}
 
-    /** Returns the engines that are not excluded, the best first. */
+    /** Returns the engines that are not excluded, the lowest expected time first. */
     public List<Choice> orderByExpectedTime(List<Upstream> engines, AdapterId adapter, Set<String> excluded) {
         List<Upstream> ranked = RendezvousHash.order(
                 adapter.toString(), engines, u -> u.address().toString());
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
@@ -16,22 +16,23 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * What the sides last told of their engines, and what this entry has asked for since.
+ * Holds the last status of each engine as its side sent it, and the prompt tokens that this entry requested since then.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>One instance per entry; safe for use by several threads.
  */
 public final class EngineView {
+    /** Age from which a status is ignored. */
     private static final long STALE_MILLIS = 3_000;
-    /** Adapters that an engine is taken to load faster, since it had them before; engines keep about this many. */
+    /** Adapters per engine that count as held before and faster to load; engines keep about this many. */
     private static final int HELD_LIMIT = 100;
-    /** Statuses that fail to come until a side is taken to be silent. */
+    /** Announced status intervals without a status after which a side counts as unresponsive. */
     private static final int MISSED_STATUSES = 3;
 
     private final TimeSource time;
     private final Map<String, Told> told = new ConcurrentHashMap<>();
     private final Map<String, Long> silentUntilNanos = new ConcurrentHashMap<>();
 
-    /** A status with the time of its arrival. */
+    /** A status with its time of receipt and the prompt tokens of the starts that were requested since. */
     private static final class Told {
         private final GateStatus status;
         private final Set<String> resident;
@@ -48,13 +49,13 @@
             this.nanos = nanos;
         }
 
-        /** Returns whether the side sends nothing although it said that it would. */
+        /** Returns whether the status that the side announced as the next one is overdue. */
         boolean isMissed(long now) {
             long next = TimeUnit.MILLISECONDS.toNanos(status.getNextMillis());
             return next > 0 && now - nanos > MISSED_STATUSES * next;
         }
 
-        /** Returns the adapters that an engine held last, those that it holds now at the end. */
+        /** Returns the adapters that an engine held most recently, those that it holds now last. */
         private static Set<String> heldNow(@Nullable Told before, long born, Set<String> resident) {
             if (before == null || before.status.getBorn() != born) {
                 return resident;
@@ -70,26 +71,26 @@
         }
     }
 
-    /** Where an adapter is. */
+    /** The state of an adapter on an engine. */
     public enum AdapterState {
         RESIDENT,
         LOADING,
-        /** Not there now, but this start of the engine held it before and so loads it faster. */
+        /** Not resident, but the running engine process held it before and therefore loads it faster. */
         PREVIOUSLY_RESIDENT,
         ABSENT
     }
 
-    /** Creates a view in which nothing was told yet. */
+    /** Creates a view without statuses. */
     public EngineView(TimeSource time) {
         this.time = time;
     }
 
-    /** Takes a side's status of its engine. */
+    /** Records the status that a side sent about its engine. */
     public void onStatus(GateStatus status) {
         told.compute(status.getEngineId(), (id, before) -> new Told(status, before, time.monotonicNanos()));
     }
 
-    /** Notes that a start was asked for, so that the next choice counts it before the side tells it. */
+    /** Records a requested start, so that the next choice counts its prompt before the side reports it. */
     public void onStartRequested(Upstream engine, int promptTokens) {
         Told known = told.get(engine.id());
         if (known != null) {
@@ -97,12 +98,12 @@
         }
     }
 
-    /** Notes that an engine's side did not answer, so that it is not asked for a while. */
+    /** Marks an engine's side as unresponsive for some time, in which no starts are requested from it. */
     public void markSideUnresponsive(Upstream engine, long millis) {
         silentUntilNanos.put(engine.id(), time.monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(millis));
     }
 
-    /** Returns whether the side answers, as far as is known. */
+    /** Returns whether the engine's side did not respond recently or its announced status is overdue. */
     public boolean isSideUnresponsive(Upstream engine) {
         Long until = silentUntilNanos.get(engine.id());
         if (until != null && time.monotonicNanos() - until < 0) {
@@ -112,19 +113,19 @@
         return known != null && known.isMissed(time.monotonicNanos());
     }
 
-    /** Returns the status of this start of an engine, unless it is too old. */
+    /** Returns the last status of an engine, unless it is stale or belongs to another start of the engine. */
     public Optional<GateStatus> status(Upstream engine) {
         return fresh(engine).map(t -> t.status);
     }
 
-    /** Returns the prompt tokens that are before a new request on an engine. */
+    /** Returns the prompt tokens that an engine processes before those of a new request. */
     public long backlogTokens(Upstream engine) {
         return fresh(engine)
                 .map(t -> t.status.getBacklogTokens() + t.askedTokens.get())
                 .orElse(0L);
     }
 
-    /** Returns where an adapter is with respect to an engine, by its side or else by the engine's own description. */
+    /** Returns the state of an adapter on an engine, from the last status or else from the engine's description. */
     public AdapterState adapterState(Upstream engine, AdapterId adapter) {
         String name = adapter.toString();
         Optional<Told> known = fresh(engine);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/PlainServiceChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/PlainServiceChooser.java
@@ -8,15 +8,17 @@
 import java.util.function.DoubleSupplier;
 
 /**
- * Chooses among the upstreams of a plain service: sound ones before erring ones, then the shortest expected wait, those
- * of the own data centre first among equals.
+ * Chooses among the upstreams of a plain service, that is, one that is not a model service.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>Upstreams without a high error rate come first, then those with the shortest expected wait. Among equal ones the
+ * entry's own data centre is preferred.
+ *
+ * <p>One instance per entry; safe for use by several threads.
  */
 public final class PlainServiceChooser {
-    /** What leaving the data centre costs, as a share of a slot. */
+    /** Penalty for an upstream in another data centre, as a share of a slot. */
     private static final double OTHER_DATA_CENTRE = 0.25;
-    /** Latency, in milliseconds, that weighs as much as one full set of slots. */
+    /** Latency that weighs as much as the use of all slots. */
     private static final double LATENCY_SCALE_MILLIS = 200;
 
     private final UpstreamLoads loads;
@@ -26,8 +28,8 @@
     /**
      * Creates a chooser.
      *
-     * @param dataCentre the entry's own
-     * @param random numbers from 0 to 1 that spread what is equal
+     * @param dataCentre the data centre of the entry
+     * @param random supplies numbers from 0 to 1 that distribute requests over equal upstreams
      */
     public PlainServiceChooser(UpstreamLoads loads, String dataCentre, DoubleSupplier random) {
         this.loads = loads;
@@ -35,7 +37,7 @@
         this.random = random;
     }
 
-    /** Returns the best upstream that is not excluded; one that is paused only when there is no other. */
+    /** Returns the best upstream that is not excluded; one in backoff only when there is no other. */
     public Optional<Upstream> choose(List<Upstream> candidates, Set<String> excluded) {
         record Scored(Upstream upstream, int standing, double score) {}
         return candidates.stream()
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamAvailability.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamAvailability.java
@@ -13,19 +13,20 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Which upstreams have told this entry to send no requests: for good, as they leave, or until a time has passed.
+ * Records which upstreams accept no requests: permanently, because they are leaving, or for a requested pause.
  *
- * <p>It holds for one start of an upstream, whatever its description says then, and also after the description is gone.
+ * <p>A record applies to one start of an upstream. Later descriptions of that start do not change it, and it outlives
+ * the removal of the description.
  *
- * <p>One an entry; guarded by its own lock.
+ * <p>One instance per entry; guarded by its own lock.
  */
 public final class UpstreamAvailability {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** The longest pause that is kept; a larger figure is taken to be an error. */
+    /** Upper bound of a requested pause; a longer one is treated as an error and cut to this value. */
     private static final Duration MAX_PAUSE = Duration.ofMinutes(10);
-    /** Starts that are remembered; the oldest one is forgotten first. */
+    /** Maximum number of starts on record; the oldest one is removed first. */
     private static final int MAX_STARTS = 10_000;
-    /** Part of the wait over which callers that are told to come back are spread. */
+    /** Jitter of the retry delay, as a share of the delay, so that callers do not all retry at once. */
     private static final double SPREAD_PART = 0.5;
 
     private final TimeSource time;
@@ -37,27 +38,27 @@
         }
     };
 
-    /** One start of an upstream. */
+    /** Identifies one start of an upstream. */
     private record Start(String id, long born) {
         static Start of(Upstream upstream) {
             return new Start(upstream.id(), upstream.born());
         }
     }
 
-    /** What a start has told; one that leaves has no time from which it takes requests again. */
+    /** Why a start accepts no requests; a leaving one has no time at which it accepts them again. */
     private record Refusing(boolean leaving, long untilNanos) {}
 
     /**
-     * Creates a view in which all upstreams take requests.
+     * Creates an instance for which all upstreams are available.
      *
-     * @param random numbers from 0 to 1 that spread the return of callers
+     * @param random supplies numbers from 0 to 1 for the jitter of retry delays
      */
     public UpstreamAvailability(TimeSource time, DoubleSupplier random) {
         this.time = time;
         this.random = random;
     }
 
-    /** Notes that an upstream leaves. */
+    /** Records that an upstream is leaving. */
     public synchronized void onLeaving(Upstream upstream) {
         Refusing before = refusing.put(Start.of(upstream), new Refusing(true, 0));
         if (before == null || !before.leaving()) {
@@ -67,7 +68,7 @@
         }
     }
 
-    /** Notes that an upstream turned a request away and wants none for a while, counted from now. */
+    /** Records that an upstream rejected a request and requested a pause that begins now. */
     public synchronized void onPauseRequested(Upstream upstream, Duration pause) {
         Refusing before = refusing.get(Start.of(upstream));
         if ((before != null && before.leaving()) || pause.isNegative() || pause.isZero()) {
@@ -83,19 +84,19 @@
         }
     }
 
-    /** Returns whether requests may be sent to an upstream. */
+    /** Returns whether an upstream accepts requests. */
     public synchronized boolean isAvailable(Upstream upstream) {
         return isOver(refusing.get(Start.of(upstream)));
     }
 
-    /** Returns those of some upstreams that requests may be sent to. */
+    /** Returns the given upstreams that accept requests. */
     public List<Upstream> filterAvailable(List<Upstream> upstreams) {
         return upstreams.stream().filter(this::isAvailable).toList();
     }
 
     /**
-     * Returns when a caller should come back for the first of some upstreams that is waited for, a little later for
-     * some callers than for others; nothing when none of them has named a time.
+     * Returns the time until the first of the given upstreams accepts requests again, with jitter; empty when none of
+     * them is in a requested pause.
      */
     public synchronized Optional<Duration> retryAfter(List<Upstream> upstreams) {
         long now = time.monotonicNanos();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLoad.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLoad.java
@@ -5,20 +5,20 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * What this entry knows of one upstream's load and health, from its own requests and the answers to them.
+ * Tracks the load and health of one upstream, from this entry's requests and the responses to them.
  *
- * <p>An upstream that fails is left alone for a while that grows with each failure in a row, then tried again.
+ * <p>After a failure, the upstream is in backoff for a time that doubles with each consecutive failure up to a maximum.
  *
- * <p>Created for each start of an upstream; guarded by its own lock.
+ * <p>Created by {@link UpstreamLoads} for each start of an upstream; guarded by its own lock.
  */
 public final class UpstreamLoad {
     private static final Duration FIRST_PAUSE = Duration.ofMillis(300);
     private static final Duration MAX_PAUSE = Duration.ofSeconds(3);
-    /** Part that a new observation has in the mean. */
+    /** Weight of a new observation in the exponential moving averages. */
     private static final double WEIGHT = 0.2;
-    /** Share of failed answers above which an upstream is used only when there is no better one. */
+    /** Share of error responses above which other upstreams are preferred. */
     private static final double MAX_ERROR_SHARE = 0.3;
-    /** Time in which the weight of old failures halves, so that an upstream that is not used is tried again. */
+    /** Half-life of the error rate, so that an upstream that gets no requests is tried again. */
     private static final Duration ERROR_HALF_LIFE = Duration.ofSeconds(3);
 
     private final TimeSource time;
@@ -32,39 +32,39 @@
     private boolean paused;
     private long heardNanos;
 
-    /** Creates the load of an upstream that was not used yet. */
+    /** Creates the load of an upstream without requests so far. */
     public UpstreamLoad(TimeSource time) {
         this.time = time;
         this.heardNanos = time.monotonicNanos();
         this.errorShareNanos = heardNanos;
     }
 
-    /** Notes that bytes arrived from the upstream, on any connection. */
+    /** Records that bytes arrived from the upstream on any connection. */
     public synchronized void onBytesReceived() {
         heardNanos = time.monotonicNanos();
     }
 
-    /** Returns for how long nothing has arrived from the upstream, on any connection. */
+    /** Returns the time since bytes last arrived from the upstream on any connection. */
     public synchronized Duration timeSinceLastBytes() {
         return Duration.ofNanos(time.monotonicNanos() - heardNanos);
     }
 
-    /** Counts a request that is sent. */
+    /** Counts a request as open when it is sent. */
     public synchronized void onRequestSent() {
         open++;
     }
 
-    /** Counts a request out, however it ended. */
+    /** Counts a request as no longer open, whatever its result. */
     public synchronized void onRequestEnded() {
         open = Math.max(0, open - 1);
     }
 
-    /** Takes the load that an answer reported, this entry's own requests included. */
+    /** Records the load that a response reported, which includes this entry's own requests. */
     public synchronized void onLoadReported(int running, int waiting) {
         reportedElsewhere = Math.max(0, running + waiting - open);
     }
 
-    /** Notes a useful answer and the time to its head. */
+    /** Records a successful response and the time to its head. */
     public synchronized void onSuccess(Duration latency) {
         failuresInRow = 0;
         paused = false;
@@ -72,12 +72,12 @@
         latencyMillis += WEIGHT * (latency.toMillis() - latencyMillis);
     }
 
-    /** Notes an answer that says that the upstream failed. */
+    /** Records an error response. */
     public synchronized void onErrorResponse() {
         noteOutcome(1);
     }
 
-    /** Notes that there was no answer, or no connection. */
+    /** Records that there was no complete response or no connection, and begins a backoff. */
     public synchronized void onFailure() {
         failuresInRow++;
         onErrorResponse();
@@ -86,22 +86,22 @@
         paused = true;
     }
 
-    /** Returns whether the upstream is left alone for now. */
+    /** Returns whether the upstream is in backoff. */
     public synchronized boolean isPaused() {
         return paused && time.monotonicNanos() - pausedUntilNanos < 0;
     }
 
-    /** Returns whether many of the last answers were failures. */
+    /** Returns whether many of the last responses were errors or missing. */
     public synchronized boolean hasHighErrorRate() {
         return errorShareNow() > MAX_ERROR_SHARE;
     }
 
-    /** Returns how many requests the upstream has, as far as this entry knows. */
+    /** Returns the number of requests at the upstream: those of this entry and those last reported for others. */
     public synchronized int requests() {
         return open + reportedElsewhere;
     }
 
-    /** Returns the mean time to the head of an answer, in milliseconds. */
+    /** Returns the moving average of the time to the head of a response, in milliseconds. */
     public synchronized double latencyMillis() {
         return latencyMillis;
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLoads.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLoads.java
@@ -8,21 +8,21 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The loads of all upstreams, begun anew with each start of one.
+ * Holds the load of each upstream; a new start of an upstream begins with an empty one.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>One instance per entry; safe for use by several threads.
  */
 public final class UpstreamLoads {
     private final TimeSource time;
     private final Map<String, UpstreamLoad> loads = new ConcurrentHashMap<>();
 
-    /** Creates loads that follow a directory. */
+    /** Creates an instance that discards the load of an upstream when the directory reports its end or a new start. */
     public UpstreamLoads(TimeSource time, UpstreamDirectory directory) {
         this.time = time;
         directory.onChange(this::changed);
     }
 
-    /** Returns the load of an upstream. */
+    /** Returns the load of an upstream, creating it on first use. */
     public UpstreamLoad of(Upstream upstream) {
         return loads.computeIfAbsent(upstream.id(), id -> new UpstreamLoad(time));
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/package-info.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/package-info.java
@@ -1,4 +1,4 @@
-/** Which upstream a request goes to. */
+/** Selects the upstream to which a request is sent. */
 @NullMarked
 package io.parsleycleat.gateway.request.choose;
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/crash/CrashDetector.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/crash/CrashDetector.java
@@ -17,15 +17,16 @@
 import java.util.function.Consumer;
 
 /**
- * Tells crashes of upstreams from lost connections, and remembers which requests were running at a crash.
+ * Distinguishes crashes of upstreams from lost connections, and records which requests were running at a crash.
  *
- * <p>A lost connection alone proves nothing. It counts as a crash once a new connection to the upstream is refused, or
- * the upstream starts anew, within a short time.
+ * <p>A lost connection alone is no evidence of a crash. It counts as one if, within a short time, a new connection to
+ * the upstream is refused, or the upstream is gone or has restarted.
  *
- * <p>One an entry; guarded by its own lock.
+ * <p>One instance per entry; guarded by its own lock.
  */
 public final class CrashDetector {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** Time after a lost connection within which the upstream must be found down for it to count as a crash. */
     private static final Duration PROOF_WITHIN = Duration.ofSeconds(8);
 
     private final CrashSuspects suspects;
@@ -33,12 +34,13 @@
     private final Consumer<UpstreamCrash> tellOthers;
     private final Map<String, List<Lost>> lostByUpstream = new HashMap<>();
 
+    /** A request whose connection was lost. */
     private record Lost(String fingerprint, long nanos) {}
 
     /**
-     * Creates a watch that has seen nothing.
+     * Creates a detector without recorded connection losses.
      *
-     * @param tellOthers tells the other entries of a crash
+     * @param tellOthers sends a crash to the other entries
      */
     public CrashDetector(CrashSuspects suspects, TimeSource time, Consumer<UpstreamCrash> tellOthers) {
         this.suspects = suspects;
@@ -46,24 +48,24 @@
         this.tellOthers = tellOthers;
     }
 
-    /** Returns whether a request may be sent on. */
+    /** Returns whether a request may be sent to an upstream, that is, whether it is not in quarantine. */
     public boolean maySend(String fingerprint) {
         return suspects.standing(fingerprint, time.wallMillis()) != CrashSuspects.Standing.QUARANTINED;
     }
 
-    /** Notes that a connection broke while a request was running. */
+    /** Records that a connection was lost while a request was running on it. */
     public synchronized void onConnectionLost(Upstream upstream, String fingerprint) {
         List<Lost> lost = lostByUpstream.computeIfAbsent(key(upstream), id -> new ArrayList<>());
         forgetOld(lost);
         lost.add(new Lost(fingerprint, time.monotonicNanos()));
     }
 
-    /** Notes that a request ended well. */
+    /** Records that a request completed, which clears it of suspicion. */
     public void onRequestCompleted(String fingerprint) {
         suspects.onSurvived(fingerprint, time.wallMillis());
     }
 
-    /** Notes that an upstream is down: it refuses connections, is gone, or started anew. */
+    /** Reports a crash of an upstream that is gone, restarted or refuses connections, if requests on it were lost. */
     public void onUpstreamDown(Upstream upstream) {
         Optional<UpstreamCrash> crash = takeCrash(upstream);
         crash.ifPresent(c -> {
@@ -75,7 +77,7 @@
         });
     }
 
-    /** Takes a crash that another entry saw. */
+    /** Records a crash that this or another entry detected. */
     public void recordCrash(UpstreamCrash crash) {
         CrashReport report = CrashReport.newBuilder()
                 .setUpstreamId(crash.getUpstreamId())
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/crash/package-info.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/crash/package-info.java
@@ -1,4 +1,4 @@
-/** Which requests crash upstreams. */
+/** Detects crashes of upstreams and the requests suspected of causing them. */
 @NullMarked
 package io.parsleycleat.gateway.request.crash;
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
@@ -19,19 +19,20 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The budgets of all accounts, as the requests of one entry draw on them.
+ * Charges the requests of one entry to the budgets of their accounts.
  *
- * <p>An entry draws tokens from an account's homes when it has none left, for the requests that wait and some to come,
- * so that the messages follow the requests and not the number of entries. What is not spent soon goes back.
+ * <p>A home is an entry that owns a part of an account's budget. An entry that has too few tokens draws some from the
+ * account's homes, for the waiting requests and for some further ones, so that the number of messages grows with the
+ * requests and not with the number of entries. Tokens that are not spent soon are returned.
  *
- * <p>One an entry; safe to share between threads. Answers of homes complete the callers' futures on the thread that
- * brings them.
+ * <p>One instance per entry; safe for use by several threads. The futures of callers are completed on the thread that
+ * receives the response of a home.
  */
 public final class AccountBudgets {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** Pause after which a home that did not answer is asked again. */
+    /** Time for which no draws are sent to a home that did not respond. */
     private static final Duration SILENT_PAUSE = Duration.ofSeconds(1);
-    /** Time to come back at while the other entries are not known yet, which is soon learnt. */
+    /** Retry delay while the other entries are not known yet, which lasts only shortly after a start. */
     private static final Duration SOON = Duration.ofMillis(250);
 
     private final String self;
@@ -43,14 +44,14 @@
     private final Map<String, Long> silentUntilNanos = new ConcurrentHashMap<>();
 
     /**
-     * Why a request does not get its tokens.
+     * Describes why a request was not charged.
      *
-     * @param drawnTokens what the homes gave, which they get back
-     * @param retryAfter when the rest will be there at the earliest
+     * @param drawnTokens the tokens that were available; those drawn from homes are returned
+     * @param retryAfter the time until the missing tokens can be available at the earliest
      */
     public record Shortage(double drawnTokens, Duration retryAfter) {}
 
-    /** Creates budgets without accounts. */
+    /** Creates an instance without accounts. */
     public AccountBudgets(
             String self, BudgetHomes homes, BudgetPeers peers, TimeSource time, ScheduledExecutorService scheduler) {
         this.self = self;
@@ -60,7 +61,7 @@
         this.scheduler = scheduler;
     }
 
-    /** Takes the accounts of a configuration version. */
+    /** Applies the accounts of a configuration version. */
     public void setAccounts(List<Account> accounts) {
         homes.setAccounts(accounts);
         Map<String, Account> limited = accounts.stream()
@@ -74,16 +75,16 @@
                 .setAccount(account));
     }
 
-    /** Takes the names of the other entries that are known to exist. */
+    /** Sets the names of the other entries that are known to exist. */
     public void setOtherEntries(Set<String> others) {
         homes.setOtherEntries(others);
         silentUntilNanos.keySet().retainAll(others);
     }
 
     /**
-     * Takes a cost out of an account's budget.
+     * Charges a cost to an account's budget.
      *
-     * @return completes with nothing once it was taken, else with why not
+     * @return a future that completes with empty once the cost is charged, or with the shortage if it is not
      */
     public CompletableFuture<Optional<Shortage>> spend(Account account, double cost) {
         AccountDraws known = draws(account);
@@ -96,7 +97,7 @@
         return known.spend(Math.min(cost, account.burst()));
     }
 
-    /** Gives a cost back that was taken for a request that did not run. */
+    /** Refunds the cost of a request that was charged but did not run. */
     public void refund(Account account, double cost) {
         AccountDraws known = draws(account);
         if (known != null) {
@@ -104,7 +105,7 @@
         }
     }
 
-    /** Hands what was not spent for a while back to the homes. */
+    /** Returns tokens that have been unspent for some time to the homes. */
     public void returnUnspent() {
         draws.values().forEach(AccountDraws::handBackUnspent);
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
@@ -18,30 +18,31 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The tokens of one account that an entry has drawn and not spent yet, and the requests that wait for more.
+ * Holds the tokens of one account that this entry has drawn and not spent, and the requests that wait for more.
  *
- * <p>One draw is under way at a time; it goes from home to home until the waiting requests have their tokens, to the
- * next one also when a home is slow to answer. When all homes together have too few, what waits is refused at once,
- * and what was drawn goes back.
+ * <p>A home is an entry that owns a part of the budget. One draw is in progress at a time: it requests tokens from one
+ * home after the other until the waiting requests are charged, and from the next one also if a home is slow to respond.
+ * If all homes together have too few tokens, the waiting requests are refused and the drawn tokens are returned.
  *
  * <p>Created by {@link AccountBudgets}; guarded by its own lock.
  */
 final class AccountDraws {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** Draws that follow each other sooner ask for the requests to come as well. */
+    /** Interval between draws below which a draw also requests tokens for further requests. */
     private static final Duration FREQUENT = Duration.ofMillis(150);
-    /** Time after which tokens that were drawn go back; homes count on it. */
+    /** Time after the last draw at which unspent tokens are returned; homes depend on it. */
     private static final Duration KEPT = Duration.ofMillis(500);
-    /** Homes that had too few tokens are left alone for so long. */
+    /** Time without a new draw for costs that the homes together could not cover. */
     private static final Duration EMPTY_PAUSE = Duration.ofMillis(200);
-    /** The earliest time that a refused caller is told to come back at. */
+    /** Lower bound of the retry delay of a refused request. */
     private static final Duration MIN_RETRY = Duration.ofMillis(100);
-    /** The pause when no home answers; one mostly restarts within it. */
+    /** Pause and retry delay when no home gains tokens or responds; a home usually restarts within this time. */
     private static final Duration UNANSWERED_PAUSE = Duration.ofMillis(500);
 
-    /** Time after which the next home is asked beside one that has not answered yet. */
+    /** Time without a response after which the next home is requested as well. */
     private static final Duration SLOW = Duration.ofMillis(80);
 
+    /** Tolerance for rounding errors when a cost is compared with the tokens, in tokens. */
     private static final double ROUNDING = 1e-6;
 
     private final Function<Account, List<String>> homes;
@@ -66,22 +67,22 @@
     private double refusedCost = Double.MAX_VALUE;
     private long pausedUntilNanos;
 
-    /** Asks a home for tokens. */
+    /** Requests tokens from a home. */
     @FunctionalInterface
     interface Draw {
         CompletableFuture<BudgetPeers.Grant> from(String home, String account, double needed, double ahead);
     }
 
-    /** Gives tokens back to a home. */
+    /** Returns tokens to a home. */
     @FunctionalInterface
     interface GiveBack {
         void to(String home, String account, double tokens);
     }
 
-    /** A request that waits for its tokens. */
+    /** A request that waits to be charged. */
     private record Waiting(double cost, CompletableFuture<Optional<AccountBudgets.Shortage>> answer) {}
 
-    /** A request's answer, given once no lock is held. */
+    /** The result of a waiting request, which is completed only after the lock is released. */
     private record Answer(Waiting to, Optional<AccountBudgets.Shortage> shortage) {
         void give() {
             to.answer().complete(shortage);
@@ -153,7 +154,7 @@
         spentSinceDraw = Math.max(0, spentSinceDraw - cost);
     }
 
-    /** Hands back what has been here for a while, unless a draw is under way. */
+    /** Returns the unspent tokens if the last draw was some time ago, unless a draw is in progress. */
     void handBackUnspent() {
         String home;
         double unspent;
@@ -168,7 +169,7 @@
         handBack.to(home, account.name(), unspent);
     }
 
-    /** Asks the next home, if the draw needs one; ends the draw when none is left and all have answered. */
+    /** Requests tokens from the next home; ends the draw when none is left and all have responded. */
     private void drawNext() {
         String home;
         double needed;
@@ -209,12 +210,12 @@
         homes.apply(account).stream().filter(asked::add).forEach(untried::add);
     }
 
-    /** A home that does not answer, or gains nothing for now, is made up for by the deputy. */
+    /** Adds the deputy, which replaces a home that does not respond or does not gain tokens. */
     private void addDeputy() {
         deputy.apply(account).filter(asked::add).ifPresent(untried::add);
     }
 
-    /** Tokens for the requests to come: as many as since the last draw, unless that was some time ago. */
+    /** Returns the tokens to draw for further requests: those spent since the last draw, if that was recent. */
     private double ahead() {
         return sinceDraw() < FREQUENT.toNanos() ? spentSinceDraw : 0;
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetHomes.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetHomes.java
@@ -16,22 +16,22 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The parts of accounts' budgets that this entry is the home of.
+ * Holds the parts of accounts' budgets of which this entry is the home, that is, the owner.
  *
- * <p>A part gains its share of the rate while this entry stands: while it is sure that no other entry counts it as
- * gone. A part that comes to this entry from another one begins empty, as its tokens may have been spent there.
+ * <p>A part gains its share of the rate only while no other entry can have removed this one from its members. A part
+ * that moves here from another entry starts empty, because its tokens may have been spent there.
  *
- * <p>A deputy holds no part of the rate, but a part of the slack that all entries together may admit beyond the
- * budget, for the time in which a home does not answer.
+ * <p>A deputy owns no part of the rate. It grants from a share of the slack, which is what all entries together may
+ * admit beyond the budget, while a home does not respond.
  *
- * <p>One an entry; guarded by its own lock.
+ * <p>One instance per entry; guarded by its own lock.
  */
 public final class BudgetHomes {
-    /** Time that a process needs at least to start; its part may begin with what that time brought. */
+    /** Minimum time that a process takes to start; a part may begin with the tokens of this time. */
     private static final Duration START_TIME = Duration.ofMillis(500);
-    /** What a home gives of the rest for requests to come, so that other entries find enough. */
+    /** Share of the remaining tokens that a home grants for further requests, which leaves enough to other entries. */
     private static final double AHEAD_PART = 0.125;
-    /** What a deputy keeps of the slack; with what it gains in a window it never gives more than all of it. */
+    /** Share of the slack that a deputy holds; with its gains in a window it never grants more than the slack. */
     private static final double DEPUTY_PART = 0.5;
 
     private final String self;
@@ -46,31 +46,31 @@
     private boolean accountsKnown;
 
     /**
-     * What all entries together may admit beyond a budget.
+     * The amount that all entries together may admit beyond a budget.
      *
-     * @param tokens how much, in the budget's unit
-     * @param window in how long a time
+     * @param tokens the amount, in the unit of the budget
+     * @param window the time in which it may be admitted
      */
     public record Slack(double tokens, Duration window) {
-        /** A part smaller than this is not worth a home of its own. */
+        /** Returns the size below which a part does not get a home of its own. */
         double tokensPerPart() {
             return tokens / 2;
         }
     }
 
-    /** What this entry is for an account. */
+    /** The role of this entry for an account. */
     private enum Role {
         HOME,
         DEPUTY
     }
 
-    /** A part, or a deputy's share of the slack. */
+    /** A home's part of a budget, or a deputy's share of the slack. */
     private record Held(Role role, TokenBucket bucket) {}
 
     /**
-     * Creates homes without accounts and other entries.
+     * Creates an instance without accounts and other entries.
      *
-     * @param standing whether no other entry can count this one as gone now
+     * @param standing returns whether no other entry can have removed this one from its members
      */
     public BudgetHomes(String self, Slack slack, TimeSource time, BooleanSupplier standing) {
         this.self = self;
@@ -81,7 +81,7 @@
         this.order = new HomeOrder(entries, slack.tokensPerPart());
     }
 
-    /** Takes the accounts of a configuration version. */
+    /** Applies the accounts of a configuration version. */
     public synchronized void setAccounts(List<Account> newAccounts) {
         Map<String, Account> before = Map.copyOf(accounts);
         accounts.clear();
@@ -94,7 +94,7 @@
         accountsKnown = true;
     }
 
-    /** Takes the names of the other entries that are known to exist. */
+    /** Sets the names of the other entries that are known to exist. */
     public synchronized void setOtherEntries(Set<String> others) {
         Set<String> newEntries = withSelf(others);
         if (membersKnown && newEntries.equals(entries)) {
@@ -107,7 +107,7 @@
         accounts.values().forEach(a -> settle(a, start ? startTokens(a) : 0));
     }
 
-    /** Gives tokens of an account's part, what is needed first. */
+    /** Grants tokens from this entry's part of an account's budget, the needed ones first. */
     public synchronized BudgetPeers.Grant draw(String account, double needed, double ahead) {
         Held part = held.get(account);
         if (part == null || !isAmount(needed) || !isAmount(ahead)) {
@@ -123,7 +123,7 @@
                 gains ? bucket.ratePerSecond() : 0);
     }
 
-    /** Takes back what was drawn and not spent. */
+    /** Takes back tokens that were drawn and not spent. */
     public synchronized void returnTokens(String account, double tokens) {
         Held part = held.get(account);
         if (part != null && isAmount(tokens)) {
@@ -131,12 +131,12 @@
         }
     }
 
-    /** Returns the homes on which this entry draws for an account, in order; none before others are known. */
+    /** Returns the homes from which this entry draws for an account, in order; none before other entries are known. */
     synchronized List<String> drawOrder(Account account) {
         return membersKnown ? order.drawOrder(account, self) : List.of();
     }
 
-    /** Returns the entry to draw on when a home of an account does not answer. */
+    /** Returns the entry to draw from when a home of an account does not respond. */
     synchronized Optional<String> deputy(Account account) {
         return membersKnown ? order.deputy(account) : Optional.empty();
     }
@@ -145,16 +145,16 @@
         return Stream.concat(others.stream(), Stream.of(self)).collect(Collectors.toSet());
     }
 
-    /** What a new process begins with, over all homes: at most what was not spent while it started. */
+    /** Returns the initial tokens of a new process over all homes: at most those gained while it started. */
     private static double startTokens(Account account) {
         double seconds = START_TIME.toMillis() / 1_000.0;
         return Math.min(account.burst() / 2, account.ratePerSecond() * seconds);
     }
 
     /**
-     * Sets an account's part to the present limits and role.
+     * Adjusts this entry's part of an account's budget to the current limits and role.
      *
-     * @param firstTokens what a part that was not here begins with, over all homes
+     * @param firstTokens the initial tokens of a part that is new here, over all homes
      */
     private void settle(Account account, double firstTokens) {
         if (!membersKnown) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetPeers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetPeers.java
@@ -2,22 +2,31 @@
 
 import java.util.concurrent.CompletableFuture;
 
-/** Draws on budgets whose homes are other entries. Implementations are safe to share between threads. */
+/**
+ * Draws from the parts of budgets whose homes, that is, owners, are other entries.
+ *
+ * <p>Implementations are safe for use by several threads.
+ */
 public interface BudgetPeers {
     /**
-     * Tokens that a home gave.
+     * The response of a home to a draw.
      *
-     * @param tokens how many, possibly fewer than were needed
-     * @param tokensPerSecond what the home's part gains in a second; zero while it gains nothing
+     * @param tokens the granted tokens, possibly fewer than needed
+     * @param tokensPerSecond the rate of the home's part; zero while the part gains no tokens
      */
     record Grant(double tokens, double tokensPerSecond) {
-        /** What an entry gives that is no home of the account. */
+        /** The response of an entry that holds no part of the account's budget. */
         public static final Grant NONE = new Grant(0, 0);
     }
 
-    /** Asks a home for tokens; fails when it does not answer in time. */
+    /**
+     * Requests tokens from a home; the future fails if it does not respond in time.
+     *
+     * @param needed the tokens that the waiting requests cost
+     * @param ahead the tokens wanted beyond that for further requests
+     */
     CompletableFuture<Grant> draw(String entry, String account, double needed, double ahead);
 
-    /** Gives tokens back to a home; they may be lost on the way. */
+    /** Returns tokens to a home without confirmation; they are lost if the message is. */
     void returnTokens(String entry, String account, double tokens);
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/HomeOrder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/HomeOrder.java
@@ -11,12 +11,13 @@
 import java.util.stream.IntStream;
 
 /**
- * Which entries are the homes of each account's budget, for one set of entries.
+ * Assigns homes, the entries that own the parts of an account's budget, for one set of entries.
  *
- * <p>A budget lies in equal parts at up to four homes, so that the loss of one leaves most of it. A small budget has
- * fewer parts, since a part should hold the tokens of some requests. Behind the homes stands a deputy.
+ * <p>A budget is divided into equal parts with up to four homes, so that most of it remains if a home is lost. A small
+ * budget has fewer parts, because a part should hold the tokens of several requests. The next entry in rendezvous order
+ * after the homes is the deputy.
  *
- * <p>Created for each set of entries; guarded by the lock of its owner.
+ * <p>Created by {@link BudgetHomes} for each set of entries and guarded by its lock.
  */
 final class HomeOrder {
     private static final int MAX_PARTS = 4;
@@ -25,19 +26,19 @@
     private final double tokensPerPart;
     private final Map<String, List<String>> orders = new HashMap<>();
 
-    /** Creates the order of a set of entries, this one among them. */
+    /** Creates the assignment for a set of entries that includes this one. */
     HomeOrder(Set<String> entries, double tokensPerPart) {
         this.entries = List.copyOf(entries);
         this.tokensPerPart = tokensPerPart;
     }
 
-    /** Returns among how many homes an account's budget is divided. */
+    /** Returns the number of homes among which an account's budget is divided. */
     int parts(Account account) {
         double wanted = tokensPerPart <= 0 ? MAX_PARTS : Math.min(MAX_PARTS, account.burst() / tokensPerPart);
         return (int) Math.max(1, Math.min(entries.size(), wanted));
     }
 
-    /** Returns the homes of an account, and after them the deputy if there are more entries than homes. */
+    /** Returns the homes of an account, followed by the deputy if there are more entries than homes. */
     List<String> homes(Account account) {
         int last = Math.min(entries.size(), parts(account) + 1);
         return orders.computeIfAbsent(account.name(), name -> RendezvousHash.order(name, entries, e -> e).stream()
@@ -46,7 +47,10 @@
                 .subList(0, last);
     }
 
-    /** Returns in which order an entry draws on the homes: on itself, then on the others from one of its own on. */
+    /**
+     * Returns the order in which an entry draws from the homes: itself first if it is one, then the others in rotation
+     * from a position that depends on the entry's name.
+     */
     List<String> drawOrder(Account account, String entry) {
         int parts = parts(account);
         List<String> all = homes(account).subList(0, parts);
@@ -57,7 +61,7 @@
                 .toList();
     }
 
-    /** Returns the entry to draw on when a home does not answer. */
+    /** Returns the entry to draw from when a home does not respond. */
     Optional<String> deputy(Account account) {
         return homes(account).stream().skip(parts(account)).findFirst();
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
@@ -9,12 +9,12 @@
 import java.util.function.IntSupplier;
 
 /**
- * This entry's share of the fleet's budget for repeats, for each service.
+ * Limits the retries of this entry to its share of each service's retry budget.
  *
- * <p>In a window, a service may get repeats up to a ratio of the requests for it plus a fixed number for the fleet. An
- * entry counts the ratio from its own requests and takes an equal part of the fixed number.
+ * <p>Within a window, a service may get retries up to a ratio of the requests for it plus a fixed number for the whole
+ * fleet. An entry applies the ratio to its own requests and takes half of an equal part of the fixed number.
  *
- * <p>One an entry; guarded by its own lock.
+ * <p>One instance per entry; guarded by its own lock.
  */
 public final class RetryShare {
     private final Bounds bounds;
@@ -23,15 +23,15 @@
     private final Map<String, Window> windows = new HashMap<>();
 
     /**
-     * The fleet's budget.
+     * The retry budget of a service over the whole fleet.
      *
-     * @param ratio repeats for each request
-     * @param extra repeats beside the ratio, over the fleet
-     * @param window the length of time over which both are counted
+     * @param ratio the retries per request
+     * @param extra the retries beyond the ratio, for the whole fleet
+     * @param window the time over which both are counted
      */
     public record Bounds(double ratio, double extra, Duration window) {}
 
-    /** What happened in the last window. */
+    /** The times of the requests and retries of a service in the last window. */
     private static final class Window {
         private final Deque<Long> requests = new ArrayDeque<>();
         private final Deque<Long> repeats = new ArrayDeque<>();
@@ -49,10 +49,10 @@
     }
 
     /**
-     * Creates a share without a past.
+     * Creates an instance without recorded requests.
      *
-     * @param entries how many entries share the budget, as of now; entries that restart count anew, which is why each
-     *     takes only half of its equal part
+     * @param entries returns the current number of entries that share the budget; an entry takes only half of its equal
+     *     part because it counts from zero again after a restart
      */
     public RetryShare(Bounds bounds, TimeSource time, IntSupplier entries) {
         this.bounds = bounds;
@@ -65,7 +65,7 @@
         current(service).requests.addLast(time.monotonicNanos());
     }
 
-    /** Takes one repeat out of the share, if there is one. */
+    /** Takes one retry from the share of a service; returns whether there was one. */
     public synchronized boolean tryRetry(String service) {
         Window window = current(service);
         double allowed = bounds.ratio() * window.requests.size() + bounds.extra() / 2 / Math.max(1, entries.getAsInt());
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/TokenBucket.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/TokenBucket.java
@@ -3,9 +3,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Tokens that come at a rate and are kept up to a burst.
+ * A token bucket that is refilled at a rate up to a burst.
  *
- * <p>Created by {@link BudgetHomes} under whose lock it is used. Time is passed in, as monotonic nanoseconds.
+ * <p>Created by {@link BudgetHomes} and guarded by its lock. Times are passed in as monotonic nanoseconds.
  */
 final class TokenBucket {
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
@@ -22,14 +22,14 @@
         this.filledNanos = nowNanos;
     }
 
-    /** Changes rate and burst; tokens above the new burst are dropped. */
+    /** Changes rate and burst; tokens above the new burst are discarded. */
     void setLimit(double newRate, double newBurst) {
         ratePerSecond = newRate;
         burst = newBurst;
         level = Math.min(level, newBurst);
     }
 
-    /** Adds what the passed time brings, or lets it pass without adding. */
+    /** Advances the bucket to a time, with or without adding the tokens of the elapsed time. */
     void fill(long nowNanos, boolean adding) {
         double seconds = Math.max(0, (nowNanos - filledNanos) / NANOS_PER_SECOND);
         filledNanos = nowNanos;
@@ -38,7 +38,7 @@
         }
     }
 
-    /** Takes what is there of a number of tokens, and returns it. */
+    /** Removes up to the wanted number of tokens, and returns how many were removed. */
     double take(double wanted) {
         double taken = Math.max(0, Math.min(wanted, level));
         level -= taken;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/package-info.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/package-info.java
@@ -1,4 +1,4 @@
-/** Budgets that requests draw on: the accounts' and the retries'. */
+/** Limits requests by the budgets of accounts and by the retry budgets of services. */
 @NullMarked
 package io.parsleycleat.gateway.request.limits;
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/ManualScheduler.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/ManualScheduler.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
-/** A scheduler that runs its tasks when the test moves time. Used by one thread. */
+/** A scheduler that runs its tasks when a test advances the time. Used by one thread. */
 public final class ManualScheduler extends AbstractExecutorService implements ScheduledExecutorService {
     private final ManualTimeSource time;
     private final PriorityQueue<Task<?>> tasks = new PriorityQueue<>(
@@ -56,7 +56,7 @@
         this.time = time;
     }
 
-    /** Moves time on and runs what becomes due, each task at its own time. */
+    /** Advances the time and runs the tasks that become due, each at its due time. */
     public void runFor(Duration duration) {
         long end = time.monotonicNanos() + duration.toNanos();
         while (!tasks.isEmpty() && tasks.peek().dueNanos <= end) {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/ManualTimeSource.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/ManualTimeSource.java
@@ -3,23 +3,23 @@
 import io.parsleycleat.core.process.time.TimeSource;
 import java.time.Duration;
 
-/** Clocks that a test moves. Used by one thread. */
+/** A time source that a test advances. Used by one thread. */
 public final class ManualTimeSource implements TimeSource {
     private long steadyNanos = 1_000_000_000L;
     private long wallMillis = 1_700_000_000_000L;
 
-    /** Lets both clocks go on. */
+    /** Advances the monotonic and the wall clock. */
     public void advance(Duration time) {
         steadyNanos += time.toNanos();
         wallMillis += time.toMillis();
     }
 
-    /** Lets both clocks go on. */
+    /** Advances the monotonic and the wall clock. */
     public void advanceMillis(long millis) {
         advance(Duration.ofMillis(millis));
     }
 
-    /** Lets only the time of day go on, as a suspended VM sees it, or back. */
+    /** Shifts only the wall clock, forward as after the suspension of a VM, or backward. */
     public void shiftWallMillis(long millis) {
         wallMillis += millis;
     }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
@@ -20,6 +20,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+/** Tests that the budgets of a fleet admit as much as allowed, and not more, over kills, restarts and slow homes. */
 public class AccountBudgetsTest {
     private static final double RATE = 1_000;
     private static final Account ACCOUNT = account("tailors", RATE);
@@ -63,7 +64,7 @@
         assertEquals(admitted, RATE / 2, 20);
     }
 
-    /** Load pattern: every entry is killed twice within a window while one account asks without a break. */
+    /** Guards against exceeding the bound when all entries restart twice within a window under constant demand. */
     @Test
     public void restartsOfAllEntriesStayWithinTheBound() {
         double admitted = 0;
@@ -89,7 +90,7 @@
         assertTrue(budgets.spend(ACCOUNT, 1).join().isPresent());
     }
 
-    /** Load pattern: all calls of an account come to one entry, which is home of a part of its budget only. */
+    /** Guards against too low a rate when all requests of an account arrive at the home of one part of its budget. */
     @Test
     public void anEntryWithAllOfAnAccountsCallsGetsTheWholeRate() {
         BudgetFleet fleet = fleet(33);
@@ -103,7 +104,7 @@
         assertEquals(admitted, 5 * RATE + RATE, comesInOnePause);
     }
 
-    /** Load pattern: an account that uses 55% of its rate loses one of its homes; it notices nothing. */
+    /** Guards against refusals of an account that uses 55% of its rate when one of its homes is lost. */
     @Test
     public void theLossOfAHomeLeavesEnoughForTheUsualDemand() {
         BudgetFleet fleet = fleet(8);
@@ -122,7 +123,7 @@
         });
     }
 
-    /** Load pattern: a small account's only home is lost; the deputy gives some of the slack meanwhile. */
+    /** Guards against refusals of a small account whose only home is lost; the deputy grants from the slack. */
     @Test
     public void aDeputyServesASmallAccountWhoseHomeIsLost() {
         BudgetHomes.Slack slack = new BudgetHomes.Slack(8 * RATE, Duration.ofSeconds(8));
@@ -137,7 +138,7 @@
         }
     }
 
-    /** Load pattern: a VM comes, or is back after a stop, and is home of a small account but gains nothing yet. */
+    /** Guards against refusals of a small account whose only home has just started and does not gain tokens yet. */
     @Test
     public void aDeputyServesASmallAccountWhoseHomeHasJustCome() {
         BudgetHomes.Slack slack = new BudgetHomes.Slack(8 * RATE, Duration.ofSeconds(8));
@@ -184,7 +185,7 @@
         assertEquals(spendAll(fleet, "entry-1", 1), RATE, 2);
     }
 
-    /** Load pattern: one account asks for eight times its rate at every entry. */
+    /** Guards against exceeding or underusing the limit when an account demands eight times its rate. */
     @Test
     public void entriesTogetherStayWithinTheLimitUnderEightTimesTheRate() {
         BudgetFleet fleet = fleet(5);
@@ -242,7 +243,7 @@
         assertTrue(second.join().isPresent());
     }
 
-    /** Load pattern: all entries have just started, and a home is too busy to answer at once. */
+    /** Guards against delays when all entries have just started and a home is too busy to respond at once. */
     @Test
     public void aSlowHomeDoesNotHoldARequestWhoseTokensAnotherHomeHas() {
         List<CompletableFuture<BudgetPeers.Grant>> draws = new ArrayList<>();
@@ -303,7 +304,7 @@
         assertEquals(homes.draw("tailors", 2 * RATE, 0).tokens(), RATE / 2, 0);
     }
 
-    /** An entry that draws once now and then leaves the rest to the others; one that draws often keeps some ahead. */
+    /** Guards against withholding tokens from others: only an entry that draws often draws for further requests. */
     @Test
     public void onlyFrequentRequestsAreDrawnForAhead() {
         List<Double> ahead = new ArrayList<>();
@@ -354,7 +355,7 @@
         assertEquals(homes.draw("tailors", RATE, 0).tokens(), RATE / 20, 1);
     }
 
-    /** Has no other entries. */
+    /** Fails every draw, as without other entries. */
     private static class NoPeers implements BudgetPeers {
         @Override
         public CompletableFuture<Grant> draw(String entry, String account, double needed, double ahead) {
@@ -365,7 +366,7 @@
         public void returnTokens(String entry, String account, double tokens) {}
     }
 
-    /** Keeps the draws until the test answers them. */
+    /** Leaves every draw open until the test completes it. */
     private static final class HeldPeers extends NoPeers {
         private final List<CompletableFuture<Grant>> draws;
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
@@ -16,7 +16,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
-/** The budgets of a number of entries that reach each other at once. Used by one thread. */
+/** The budgets of several entries, which receive each other's messages immediately. Used by one thread. */
 final class BudgetFleet {
     static final BudgetHomes.Slack NO_SLACK = new BudgetHomes.Slack(0, Duration.ofSeconds(8));
 
@@ -40,7 +40,7 @@
         names.forEach(this::start);
     }
 
-    /** Starts an entry that knows of no earlier start. */
+    /** Starts an entry without state from an earlier start. */
     void start(String name) {
         BudgetHomes started = new BudgetHomes(name, slack, time, () -> !fallen.contains(name));
         homes.put(name, started);
@@ -55,7 +55,7 @@
         down.add(name);
     }
 
-    /** Lets an entry's record lapse in its own eyes. */
+    /** Makes an entry unsure whether the others still count it as a member, as after its record has lapsed. */
     void fall(String name) {
         fallen.add(name);
     }
@@ -80,7 +80,7 @@
         return budgets.get(name).spend(account, cost).join().isEmpty();
     }
 
-    /** Returns the frames that entries have sent to each other. */
+    /** Returns the number of frames that the entries have sent to each other. */
     long messages() {
         return messages;
     }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScaleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScaleTest.java
@@ -19,9 +19,10 @@
 import org.testng.annotations.Test;
 
 /**
- * Plays the budgets of fleets of different sizes with uneven demand: a few large accounts, one of them far above its
- * rate, callers spread unevenly over the entries, single kills and a kill of all. Each account is compared with one
- * exact bucket.
+ * Simulates the budgets of fleets of different sizes and compares each account with one exact token bucket.
+ *
+ * <p>Demand is uneven: there are a few large accounts, one of them far above its rate, and requests arrive unevenly at
+ * the entries. Single entries are killed, and once all of them.
  */
 public class BudgetScaleTest {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -35,7 +36,7 @@
     private static final double REQUEST_TOKENS = 1_500;
     private static final double USED_PART_OF_RATE = 0.55;
 
-    /** Frames that entries may send to each other for each request that asks for budget. */
+    /** Maximum number of frames that entries send to each other per request that is charged. */
     private static final double MAX_MESSAGES_A_REQUEST = 5;
 
     private static final double MAX_WRONG_PART = 0.02;
@@ -48,7 +49,7 @@
         return new Object[][] {{5, 1L}, {33, 2L}, {100, 3L}, {350, 4L}};
     }
 
-    /** Load pattern: demand of all accounts follows the fleet, so that an entry has about six requests a second. */
+    /** Guards against messages that grow with the fleet: demand is about six requests a second at every entry. */
     @Test(dataProvider = "fleets")
     public void messagesFollowRequestsAndTheBoundHolds(int entries, long seed) {
         Outcome outcome = new Play(entries, seed).run();
@@ -68,8 +69,8 @@
     }
 
     /**
-     * Load pattern: a small account whose requests cost up to all of its burst uses nine tenths of its rate, a few
-     * requests a second at each of five entries.
+     * Guards against wrong refusals of a small account near its rate: it uses nine tenths of the rate at five entries,
+     * with requests that cost up to its whole burst.
      */
     @Test
     public void aSmallAccountNearItsRateGetsWhatAnExactBucketWouldGive() {
@@ -103,11 +104,14 @@
     }
 
     /**
-     * What a play showed.
+     * The result of a simulation.
      *
-     * @param wrongPart part of the requests of accounts within their rate that an exact bucket would have admitted
-     * @param servedPartOfRate what the account above its rate got, of what an exact bucket would have admitted
-     * @param worstPartOfBound the largest sum of a window, of its bound
+     * @param messages the frames that the entries sent to each other
+     * @param requests the requests at all entries
+     * @param wrongPart the share of requests that were refused although an exact bucket admitted them, for the accounts
+     *     within their rate
+     * @param servedPartOfRate the tokens admitted for the account above its rate, relative to those of an exact bucket
+     * @param worstPartOfBound the largest amount admitted in a window, relative to its bound
      */
     private record Outcome(
             long messages, long requests, double wrongPart, double servedPartOfRate, double worstPartOfBound) {}
@@ -137,7 +141,7 @@
             });
         }
 
-        /** Account 0 has a quarter of the demand, 1 a sixth, and so on; the small ones share the rest. */
+        /** Creates an account: 0 has a quarter of the demand, 1 a sixth, and so on; the small ones have 4% each. */
         private Account account(int index) {
             double demand = entries * 6 * REQUEST_TOKENS * share(index);
             double rate = Math.max(2_700, demand / USED_PART_OF_RATE);
@@ -190,7 +194,7 @@
             windows.get(account.name()).add(admitted);
         }
 
-        /** Callers of an account come to the entries unevenly. */
+        /** Sends a request to an entry, the first entries more often than the last; returns the admitted cost. */
         private double request(Account account) {
             List<String> up = fleet.up();
             if (up.isEmpty()) {
@@ -220,7 +224,7 @@
         }
     }
 
-    /** What was admitted in the last steps. */
+    /** The amounts admitted in the last steps. */
     private static final class Window {
         private final Deque<Double> steps = new ArrayDeque<>();
         private double sum;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScheduleTest.java
@@ -21,8 +21,8 @@
 import org.testng.annotations.Test;
 
 /**
- * Runs the budgets of five entries through random schedules of demand, lost and late answers of homes, cuts, kills of
- * one and of all, and looks at what all of them admitted in each window.
+ * Checks that five entries together never exceed the bound of an account in any window, over random schedules of
+ * demand, lost responses of homes, network partitions, and kills of one entry or of all.
  */
 public class BudgetScheduleTest {
     private static final int SEEDS = 200;
@@ -36,11 +36,12 @@
     private static final int STEPS = 800;
     private static final int WINDOW_STEPS = 8_000 / STEP_MILLIS;
     private static final double BOUND = (RATE * 8 + BURST) * 1.1 + SLACK;
-    /** Ages at which an entry stops to spend, and at which the others take its part. */
+    /** Age of its record at which a partitioned entry no longer counts itself as a member. */
     private static final int OWN_LAPSE_STEPS = 6_000 / STEP_MILLIS;
 
+    /** Age of an entry's record at which the other entries take over its part. */
     private static final int LAPSE_STEPS = 7_500 / STEP_MILLIS;
-    /** Time from an entry's return until it stands again, in which all others have learnt of it. */
+    /** Time from the end of a partition until all others know the entry and it counts itself as a member again. */
     private static final int SETTLE_STEPS = 4_250 / STEP_MILLIS;
 
     @Test
@@ -107,7 +108,7 @@
             downUntil[entry] = step;
         }
 
-        /** An entry that the others may have counted as gone stands again once they all know of it. */
+        /** Ends a partition; an entry that others may have removed is a member again once all of them know it. */
         private void endCut(int entry, int step) {
             if (isCut(entry, step) && step - cutSince[entry] >= OWN_LAPSE_STEPS) {
                 settlesUntil[entry] = step + SETTLE_STEPS;
@@ -144,7 +145,7 @@
             return cutSince[entry] <= step;
         }
 
-        /** Records of entries that are down or cut lapse; they stop to spend before. */
+        /** Updates the members that entries know; a partitioned entry stops gaining tokens before its record lapses. */
         private void membership(int step) {
             for (int i = 0; i < ENTRIES; i++) {
                 if (isUp(i, step)) {
@@ -185,7 +186,7 @@
             return "entry-" + entry;
         }
 
-        /** Reaches the homes on other entries: some answers are lost, after the home has given. */
+        /** Draws from the homes at other entries; some responses are lost after the home has granted tokens. */
         private final class Peers implements BudgetPeers {
             private final int from;
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
@@ -22,6 +22,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+/** Tests the order of engines by load, errors and the state of the adapter. */
 public class EngineChooserTest {
     private static final AdapterId ADAPTER = new AdapterId("m0", "tail-17");
     private static final int ENGINES = 5;
@@ -85,7 +86,7 @@
         assertFalse(view.isSideUnresponsive(engine), "none was announced");
     }
 
-    /** Pattern: many entries ask for an adapter that no engine holds. */
+    /** Guards against entries that load an adapter which no engine holds on different engines. */
     @Test
     public void aColdAdapterHasTheSameHomeForAllEntries() {
         EngineChooser other = new EngineChooser(new EngineView(time), loads);
@@ -93,7 +94,7 @@
                 other.orderByExpectedTime(engines, ADAPTER, Set.of()).get(0).engine(), best());
     }
 
-    /** Pattern: adapters of the tail are asked for again after hotter ones took their places. */
+    /** Guards against slow loads of rarely used adapters that were evicted by popular ones and are requested again. */
     @Test
     public void anEngineThatHeldAnAdapterBeforeGoesBeforeItsHome() {
         Upstream last = order().get(ENGINES - 1);
@@ -103,7 +104,7 @@
         assertEquals(view.adapterState(last, ADAPTER), EngineView.AdapterState.PREVIOUSLY_RESIDENT);
     }
 
-    /** Pattern: an engine restarts empty. */
+    /** Guards against counting adapters as held before that a restarted engine no longer holds. */
     @Test
     public void aStartedEngineHeldNothingBefore() {
         Upstream last = order().get(ENGINES - 1);
@@ -113,7 +114,7 @@
         assertEquals(view.adapterState(startedAnew, ADAPTER), EngineView.AdapterState.ABSENT);
     }
 
-    /** Pattern: far more adapters pass through an engine than it keeps. */
+    /** Guards against counting more adapters as held before than an engine keeps. */
     @Test
     public void whatWasHeldLongAgoIsForgotten() {
         Upstream home = best();
@@ -125,7 +126,7 @@
         assertEquals(view.adapterState(home, new AdapterId("m0", "x100")), EngineView.AdapterState.PREVIOUSLY_RESIDENT);
     }
 
-    /** Pattern: a short queue at an adapter's home; another load would cost more than it saves. */
+    /** Guards against another load of an adapter that costs more than waiting for the short backlog of its engine. */
     @Test
     public void aShortQueueIsNoReasonForAnotherLoad() {
         Upstream home = best();
@@ -133,7 +134,7 @@
         assertEquals(best(), home);
     }
 
-    /** Pattern: one adapter gets most of the requests. */
+    /** Guards against an overloaded engine when one adapter gets most of the requests. */
     @Test
     public void aHotAdapterSpreadsWhenItsHomeIsBusy() {
         Upstream home = best();
@@ -141,7 +142,7 @@
         assertNotEquals(best(), home);
     }
 
-    /** Pattern: requests of one moment, before the sides could tell of any. */
+    /** Guards against sending all requests of one moment to one engine, before its side could report any of them. */
     @Test
     public void whatWasJustAskedForCountsAtOnce() {
         Upstream home = best();
@@ -149,7 +150,7 @@
         assertNotEquals(best(), home);
     }
 
-    /** Pattern: an engine fails its answers though it says that it is well. */
+    /** Guards against continued use of an engine that returns errors although its status reports no problem. */
     @Test
     public void anErringEngineIsLeftAndTriedAgainLater() {
         Upstream home = best();
@@ -162,7 +163,7 @@
         assertEquals(best(), home);
     }
 
-    /** Pattern: all engines of a service fail at once. */
+    /** Guards against leaving no engine when all engines of a service fail at once. */
     @Test
     public void allErringEnginesStayInUse() {
         engines.forEach(e -> IntStream.range(0, 10).forEach(i -> loads.of(e).onErrorResponse()));
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityTest.java
@@ -16,7 +16,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Upstreams that leave, and a service whose upstreams all ask for a pause. */
+/** Tests upstreams that are leaving, and a service whose upstreams have all requested a pause. */
 public class UpstreamAvailabilityTest {
     private final Upstream one = upstream("a", 1);
     private final Upstream two = upstream("b", 1);
