Rename the internals of the upstream choice

Cause: constants such as OUT_MILLIS and fields such as told, heard and refusing did not say what they hold.

Change: renames only, by the compiler's resolution; formatted.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
@@ -25,31 +25,31 @@
     private static final double LOAD_MILLIS = 600;
 
     /** Cost of waiting for a load that is in progress. */
-    private static final double COMING_MILLIS = 130;
+    private static final double REMAINING_LOAD_MILLIS = 130;
     /** Cost of loading an adapter that the engine held before. */
     private static final double RELOAD_MILLIS = 90;
 
     /** Penalty for an engine that has not loaded the base model. */
-    private static final double MODEL_ABSENT_MILLIS = 1_500;
+    private static final double MODEL_NOT_LOADED_MILLIS = 1_500;
     /** Penalty for an engine that answered many of the last requests with an error. */
-    private static final double ERRING_MILLIS = 1_000;
+    private static final double HIGH_ERROR_RATE_MILLIS = 1_000;
     /** Penalty for an engine in backoff after failed requests. */
-    private static final double PAUSED_MILLIS = 5_000;
+    private static final double BACKOFF_MILLIS = 5_000;
     /** Penalty for an engine that its side cannot reach, and for one whose side does not respond. */
-    private static final double OUT_MILLIS = 3_000;
+    private static final double UNREACHABLE_MILLIS = 3_000;
     /** Penalty per position in the adapter's rendezvous order, for engines that hold the adapter or held it before. */
     private static final double RANK_MILLIS = 12;
     /** Penalty per position for the other engines; higher, because an engine reloads faster what it held before. */
     private static final double ABSENT_RANK_MILLIS = 80;
     /** Penalty per running request, because a step takes longer with a larger batch. */
-    private static final double RUNNING_MILLIS = 3;
+    private static final double RUNNING_REQUEST_MILLIS = 3;
     /** Penalty for an engine without free memory; proportionally less while some memory is free. */
-    private static final double MEMORY_MILLIS = 1_500;
+    private static final double MEMORY_FULL_MILLIS = 1_500;
 
     /** Share of free memory below which the memory penalty applies. */
-    private static final double MEMORY_FREE_SHARE = 0.2;
+    private static final double LOW_FREE_MEMORY_SHARE = 0.2;
     /** Prompt throughput assumed for an engine that has not reported one. */
-    private static final double DEFAULT_TOKENS_PER_MILLI = 15;
+    private static final double DEFAULT_TOKENS_PER_MILLISECOND = 15;
 
     private final EngineView view;
     private final UpstreamLoads loads;
@@ -71,59 +71,65 @@
         ranked.forEach(u -> ranks.put(u.id(), ranks.size()));
         return ranked.stream()
                 .filter(u -> !excluded.contains(u.id()))
-                .map(u -> choice(u, adapter, ranks.getOrDefault(u.id(), 0)))
+                .map(u -> estimate(u, adapter, ranks.getOrDefault(u.id(), 0)))
                 .sorted(Comparator.comparingDouble(Choice::expectedMillis))
                 .toList();
     }
 
-    private Choice choice(Upstream engine, AdapterId adapter, int rank) {
-        EngineView.AdapterState place = view.adapterState(engine, adapter);
+    private Choice estimate(Upstream engine, AdapterId adapter, int rank) {
+        EngineView.AdapterState state = view.adapterState(engine, adapter);
         Optional<GateStatus> status = view.status(engine);
-        double expected = rank * rankMillis(place) + placeMillis(place) + healthMillis(engine);
+        double expectedMillis = rank * rankMillis(state) + adapterMillis(state) + healthMillis(engine);
         if (status.isPresent()) {
             GateStatus s = status.get();
-            expected += view.backlogTokens(engine) / tokensPerMilli(s);
-            expected += s.getRunning() * RUNNING_MILLIS;
-            expected += memoryMillis(s);
-            expected += s.getModelResident() ? 0 : MODEL_ABSENT_MILLIS;
-            expected += s.getOut() ? OUT_MILLIS : 0;
-            expected += needsPlace(place) ? s.getPlaceWaitMillis() : 0;
+            expectedMillis += view.backlogTokens(engine) / tokensPerMillisecond(s);
+            expectedMillis += s.getRunning() * RUNNING_REQUEST_MILLIS;
+            expectedMillis += memoryMillis(s);
+            expectedMillis += s.getModelResident() ? 0 : MODEL_NOT_LOADED_MILLIS;
+            expectedMillis += s.getOut() ? UNREACHABLE_MILLIS : 0;
+            expectedMillis += needsLoad(state) ? s.getPlaceWaitMillis() : 0;
         }
-        return new Choice(engine, expected, place);
+        return new Choice(engine, expectedMillis, state);
     }
 
     private double healthMillis(Upstream engine) {
         UpstreamLoad load = loads.of(engine);
-        double silent = view.isSideUnresponsive(engine) ? OUT_MILLIS : 0;
-        return silent + (load.isPaused() ? PAUSED_MILLIS : 0) + (load.hasHighErrorRate() ? ERRING_MILLIS : 0);
+        double unresponsiveMillis = view.isSideUnresponsive(engine) ? UNREACHABLE_MILLIS : 0;
+        return unresponsiveMillis
+                + (load.isInBackoff() ? BACKOFF_MILLIS : 0)
+                + (load.hasHighErrorRate() ? HIGH_ERROR_RATE_MILLIS : 0);
     }
 
-    private static double rankMillis(EngineView.AdapterState place) {
-        return place == EngineView.AdapterState.ABSENT ? ABSENT_RANK_MILLIS : RANK_MILLIS;
+    private static double rankMillis(EngineView.AdapterState state) {
+        return state == EngineView.AdapterState.ABSENT ? ABSENT_RANK_MILLIS : RANK_MILLIS;
     }
 
-    private static double placeMillis(EngineView.AdapterState place) {
-        return switch (place) {
+    private static double adapterMillis(EngineView.AdapterState state) {
+        return switch (state) {
             case RESIDENT -> 0;
-            case LOADING -> COMING_MILLIS;
+            case LOADING -> REMAINING_LOAD_MILLIS;
             case PREVIOUSLY_RESIDENT -> RELOAD_MILLIS;
             case ABSENT -> LOAD_MILLIS;
         };
     }
 
-    private static boolean needsPlace(EngineView.AdapterState place) {
-        return place == EngineView.AdapterState.ABSENT || place == EngineView.AdapterState.PREVIOUSLY_RESIDENT;
+    private static boolean needsLoad(EngineView.AdapterState state) {
+        return state == EngineView.AdapterState.ABSENT || state == EngineView.AdapterState.PREVIOUSLY_RESIDENT;
     }
 
     private static double memoryMillis(GateStatus status) {
         if (status.getTotalTokens() == 0) {
             return 0;
         }
-        double free = 1.0 - (double) status.getReservedTokens() / status.getTotalTokens();
-        return free >= MEMORY_FREE_SHARE ? 0 : MEMORY_MILLIS * (MEMORY_FREE_SHARE - free) / MEMORY_FREE_SHARE;
+        double freeShare = 1.0 - (double) status.getReservedTokens() / status.getTotalTokens();
+        return freeShare >= LOW_FREE_MEMORY_SHARE
+                ? 0
+                : MEMORY_FULL_MILLIS * (LOW_FREE_MEMORY_SHARE - freeShare) / LOW_FREE_MEMORY_SHARE;
     }
 
-    private static double tokensPerMilli(GateStatus status) {
-        return status.getTokensPerSecond() == 0 ? DEFAULT_TOKENS_PER_MILLI : status.getTokensPerSecond() / 1_000.0;
+    private static double tokensPerMillisecond(GateStatus status) {
+        return status.getTokensPerSecond() == 0
+                ? DEFAULT_TOKENS_PER_MILLISECOND
+                : status.getTokensPerSecond() / 1_000.0;
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
@@ -22,52 +22,53 @@
  */
 public final class EngineView {
     /** Age from which a status is ignored. */
-    private static final long STALE_MILLIS = 3_000;
+    private static final long STATUS_MAX_AGE_MILLIS = 3_000;
     /** Adapters per engine that count as held before and faster to load; engines keep about this many. */
-    private static final int HELD_LIMIT = 100;
+    private static final int MAX_HELD_ADAPTERS = 100;
     /** Announced status intervals without a status after which a side counts as unresponsive. */
-    private static final int MISSED_STATUSES = 3;
+    private static final int MAX_MISSED_STATUS_INTERVALS = 3;
 
     private final TimeSource time;
-    private final Map<String, Told> told = new ConcurrentHashMap<>();
-    private final Map<String, Long> silentUntilNanos = new ConcurrentHashMap<>();
+    private final Map<String, ReceivedStatus> statusByEngineId = new ConcurrentHashMap<>();
+    private final Map<String, Long> unresponsiveUntilNanos = new ConcurrentHashMap<>();
 
     /** A status with its time of receipt and the prompt tokens of the starts that were requested since. */
-    private static final class Told {
+    private static final class ReceivedStatus {
         private final GateStatus status;
         private final Set<String> resident;
-        private final Set<String> coming;
-        private final Set<String> held;
-        private final long nanos;
-        private final AtomicLong askedTokens = new AtomicLong();
+        private final Set<String> loading;
+        private final Set<String> heldAdapters;
+        private final long receivedNanos;
+        private final AtomicLong requestedTokens = new AtomicLong();
 
-        Told(GateStatus status, @Nullable Told before, long nanos) {
+        ReceivedStatus(GateStatus status, @Nullable ReceivedStatus previous, long nanos) {
             this.status = status;
             this.resident = Set.copyOf(status.getResidentList());
-            this.coming = Set.copyOf(status.getComingList());
-            this.held = heldNow(before, status.getBorn(), resident);
-            this.nanos = nanos;
+            this.loading = Set.copyOf(status.getComingList());
+            this.heldAdapters = mergeHeldAdapters(previous, status.getBorn(), resident);
+            this.receivedNanos = nanos;
         }
 
         /** Returns whether the status that the side announced as the next one is overdue. */
-        boolean isMissed(long now) {
-            long next = TimeUnit.MILLISECONDS.toNanos(status.getNextMillis());
-            return next > 0 && now - nanos > MISSED_STATUSES * next;
+        boolean isNextOverdue(long now) {
+            long nextNanos = TimeUnit.MILLISECONDS.toNanos(status.getNextMillis());
+            return nextNanos > 0 && now - receivedNanos > MAX_MISSED_STATUS_INTERVALS * nextNanos;
         }
 
         /** Returns the adapters that an engine held most recently, those that it holds now last. */
-        private static Set<String> heldNow(@Nullable Told before, long born, Set<String> resident) {
-            if (before == null || before.status.getBorn() != born) {
+        private static Set<String> mergeHeldAdapters(
+                @Nullable ReceivedStatus previous, long born, Set<String> resident) {
+            if (previous == null || previous.status.getBorn() != born) {
                 return resident;
             }
-            if (before.resident.equals(resident)) {
-                return before.held;
+            if (previous.resident.equals(resident)) {
+                return previous.heldAdapters;
             }
-            LinkedHashSet<String> held = new LinkedHashSet<>(before.held);
+            LinkedHashSet<String> held = new LinkedHashSet<>(previous.heldAdapters);
             held.removeAll(resident);
             held.addAll(resident);
             List<String> names = new ArrayList<>(held);
-            return new LinkedHashSet<>(names.subList(Math.max(0, names.size() - HELD_LIMIT), names.size()));
+            return new LinkedHashSet<>(names.subList(Math.max(0, names.size() - MAX_HELD_ADAPTERS), names.size()));
         }
     }
 
@@ -87,48 +88,49 @@
 
     /** Records the status that a side sent about its engine. */
     public void onStatus(GateStatus status) {
-        told.compute(status.getEngineId(), (id, before) -> new Told(status, before, time.monotonicNanos()));
+        statusByEngineId.compute(
+                status.getEngineId(), (id, previous) -> new ReceivedStatus(status, previous, time.monotonicNanos()));
     }
 
     /** Records a requested start, so that the next choice counts its prompt before the side reports it. */
     public void onStartRequested(Upstream engine, int promptTokens) {
-        Told known = told.get(engine.id());
+        ReceivedStatus known = statusByEngineId.get(engine.id());
         if (known != null) {
-            known.askedTokens.addAndGet(promptTokens);
+            known.requestedTokens.addAndGet(promptTokens);
         }
     }
 
     /** Marks an engine's side as unresponsive for some time, in which no starts are requested from it. */
-    public void markSideUnresponsive(Upstream engine, long millis) {
-        silentUntilNanos.put(engine.id(), time.monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(millis));
+    public void markSideUnresponsive(Upstream engine, long pauseMillis) {
+        unresponsiveUntilNanos.put(engine.id(), time.monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(pauseMillis));
     }
 
     /** Returns whether the engine's side did not respond recently or its announced status is overdue. */
     public boolean isSideUnresponsive(Upstream engine) {
-        Long until = silentUntilNanos.get(engine.id());
+        Long until = unresponsiveUntilNanos.get(engine.id());
         if (until != null && time.monotonicNanos() - until < 0) {
             return true;
         }
-        Told known = told.get(engine.id());
-        return known != null && known.isMissed(time.monotonicNanos());
+        ReceivedStatus known = statusByEngineId.get(engine.id());
+        return known != null && known.isNextOverdue(time.monotonicNanos());
     }
 
     /** Returns the last status of an engine, unless it is stale or belongs to another start of the engine. */
     public Optional<GateStatus> status(Upstream engine) {
-        return fresh(engine).map(t -> t.status);
+        return freshStatus(engine).map(t -> t.status);
     }
 
     /** Returns the prompt tokens that an engine processes before those of a new request. */
     public long backlogTokens(Upstream engine) {
-        return fresh(engine)
-                .map(t -> t.status.getBacklogTokens() + t.askedTokens.get())
+        return freshStatus(engine)
+                .map(t -> t.status.getBacklogTokens() + t.requestedTokens.get())
                 .orElse(0L);
     }
 
     /** Returns the state of an adapter on an engine, from the last status or else from the engine's description. */
     public AdapterState adapterState(Upstream engine, AdapterId adapter) {
         String name = adapter.toString();
-        Optional<Told> known = fresh(engine);
+        Optional<ReceivedStatus> known = freshStatus(engine);
         if (known.isEmpty()) {
             return engine.residents().containsKey(name) ? AdapterState.RESIDENT : AdapterState.ABSENT;
         }
@@ -136,17 +138,17 @@
                 || (adapter.isBaseModel() && known.get().status.getModelResident())) {
             return AdapterState.RESIDENT;
         }
-        if (known.get().coming.contains(name)) {
+        if (known.get().loading.contains(name)) {
             return AdapterState.LOADING;
         }
-        return known.get().held.contains(name) ? AdapterState.PREVIOUSLY_RESIDENT : AdapterState.ABSENT;
+        return known.get().heldAdapters.contains(name) ? AdapterState.PREVIOUSLY_RESIDENT : AdapterState.ABSENT;
     }
 
-    private Optional<Told> fresh(Upstream engine) {
-        Told known = told.get(engine.id());
+    private Optional<ReceivedStatus> freshStatus(Upstream engine) {
+        ReceivedStatus known = statusByEngineId.get(engine.id());
         boolean usable = known != null
                 && known.status.getBorn() == engine.born()
-                && time.monotonicNanos() - known.nanos < TimeUnit.MILLISECONDS.toNanos(STALE_MILLIS);
+                && time.monotonicNanos() - known.receivedNanos < TimeUnit.MILLISECONDS.toNanos(STATUS_MAX_AGE_MILLIS);
         return usable ? Optional.ofNullable(known) : Optional.empty();
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/PlainServiceChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/PlainServiceChooser.java
@@ -17,7 +17,7 @@
  */
 public final class PlainServiceChooser {
     /** Penalty for an upstream in another data centre, as a share of a slot. */
-    private static final double OTHER_DATA_CENTRE = 0.25;
+    private static final double OTHER_DATA_CENTRE_PENALTY = 0.25;
     /** Latency that weighs as much as the use of all slots. */
     private static final double LATENCY_SCALE_MILLIS = 200;
 
@@ -42,14 +42,14 @@
         record Scored(Upstream upstream, int standing, double score) {}
         return candidates.stream()
                 .filter(u -> !excluded.contains(u.id()))
-                .map(u -> new Scored(u, standing(u), score(u)))
+                .map(u -> new Scored(u, healthRank(u), score(u)))
                 .min(Comparator.comparingInt(Scored::standing).thenComparingDouble(Scored::score))
                 .map(Scored::upstream);
     }
 
-    private int standing(Upstream upstream) {
+    private int healthRank(Upstream upstream) {
         UpstreamLoad load = loads.of(upstream);
-        if (load.isPaused()) {
+        if (load.isInBackoff()) {
             return 2;
         }
         return load.hasHighErrorRate() ? 1 : 0;
@@ -57,10 +57,12 @@
 
     private double score(Upstream upstream) {
         UpstreamLoad load = loads.of(upstream);
-        double busy = (double) load.requests() / Math.max(1, upstream.slots());
-        double near = upstream.dataCentre().equals(dataCentre) ? 0 : OTHER_DATA_CENTRE / Math.max(1, upstream.slots());
-        double slow = load.latencyMillis() / LATENCY_SCALE_MILLIS;
-        double spread = random.getAsDouble() / Math.max(1, upstream.slots()) / 10;
-        return busy + near + slow + spread;
+        double utilisation = (double) load.requestCount() / Math.max(1, upstream.slots());
+        double distance = upstream.dataCentre().equals(dataCentre)
+                ? 0
+                : OTHER_DATA_CENTRE_PENALTY / Math.max(1, upstream.slots());
+        double latency = load.latencyMillis() / LATENCY_SCALE_MILLIS;
+        double jitter = random.getAsDouble() / Math.max(1, upstream.slots()) / 10;
+        return utilisation + distance + latency + jitter;
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamAvailability.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamAvailability.java
@@ -27,26 +27,26 @@
     /** Maximum number of starts on record; the oldest one is removed first. */
     private static final int MAX_STARTS = 10_000;
     /** Jitter of the retry delay, as a share of the delay, so that callers do not all retry at once. */
-    private static final double SPREAD_PART = 0.5;
+    private static final double JITTER_SHARE = 0.5;
 
     private final TimeSource time;
     private final DoubleSupplier random;
-    private final Map<Start, Refusing> refusing = new LinkedHashMap<>() {
+    private final Map<UpstreamStart, Unavailability> unavailableStarts = new LinkedHashMap<>() {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<Start, Refusing> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<UpstreamStart, Unavailability> eldest) {
             return size() > MAX_STARTS;
         }
     };
 
     /** Identifies one start of an upstream. */
-    private record Start(String id, long born) {
-        static Start of(Upstream upstream) {
-            return new Start(upstream.id(), upstream.born());
+    private record UpstreamStart(String id, long born) {
+        static UpstreamStart of(Upstream upstream) {
+            return new UpstreamStart(upstream.id(), upstream.born());
         }
     }
 
     /** Why a start accepts no requests; a leaving one has no time at which it accepts them again. */
-    private record Refusing(boolean leaving, long untilNanos) {}
+    private record Unavailability(boolean leaving, long untilNanos) {}
 
     /**
      * Creates an instance for which all upstreams are available.
@@ -60,8 +60,8 @@
 
     /** Records that an upstream is leaving. */
     public synchronized void onLeaving(Upstream upstream) {
-        Refusing before = refusing.put(Start.of(upstream), new Refusing(true, 0));
-        if (before == null || !before.leaving()) {
+        Unavailability previous = unavailableStarts.put(UpstreamStart.of(upstream), new Unavailability(true, 0));
+        if (previous == null || !previous.leaving()) {
             logger.atInfo()
                     .with(LogKeys.UPSTREAM, upstream.id())
                     .log("upstream says that it leaves, nothing more is sent to it");
@@ -70,23 +70,23 @@
 
     /** Records that an upstream rejected a request and requested a pause that begins now. */
     public synchronized void onPauseRequested(Upstream upstream, Duration pause) {
-        Refusing before = refusing.get(Start.of(upstream));
-        if ((before != null && before.leaving()) || pause.isNegative() || pause.isZero()) {
+        Unavailability previous = unavailableStarts.get(UpstreamStart.of(upstream));
+        if ((previous != null && previous.leaving()) || pause.isNegative() || pause.isZero()) {
             return;
         }
-        Duration kept = pause.compareTo(MAX_PAUSE) < 0 ? pause : MAX_PAUSE;
-        long until = time.monotonicNanos() + kept.toNanos();
-        if (before == null || until - before.untilNanos() > 0) {
-            refusing.put(Start.of(upstream), new Refusing(false, until));
+        Duration bounded = pause.compareTo(MAX_PAUSE) < 0 ? pause : MAX_PAUSE;
+        long until = time.monotonicNanos() + bounded.toNanos();
+        if (previous == null || until - previous.untilNanos() > 0) {
+            unavailableStarts.put(UpstreamStart.of(upstream), new Unavailability(false, until));
             logger.atInfo()
                     .with(LogKeys.UPSTREAM, upstream.id())
-                    .log("upstream turned a request away, nothing is sent to it for %d ms", kept.toMillis());
+                    .log("upstream turned a request away, nothing is sent to it for %d ms", bounded.toMillis());
         }
     }
 
     /** Returns whether an upstream accepts requests. */
     public synchronized boolean isAvailable(Upstream upstream) {
-        return isOver(refusing.get(Start.of(upstream)));
+        return isExpired(unavailableStarts.get(UpstreamStart.of(upstream)));
     }
 
     /** Returns the given upstreams that accept requests. */
@@ -101,14 +101,15 @@
     public synchronized Optional<Duration> retryAfter(List<Upstream> upstreams) {
         long now = time.monotonicNanos();
         return upstreams.stream()
-                .map(u -> refusing.get(Start.of(u)))
+                .map(u -> unavailableStarts.get(UpstreamStart.of(u)))
                 .filter(r -> r != null && !r.leaving() && r.untilNanos() - now > 0)
                 .map(r -> r.untilNanos() - now)
                 .min(Long::compare)
-                .map(wait -> Duration.ofNanos((long) (wait * (1 + SPREAD_PART * random.getAsDouble()))));
+                .map(wait -> Duration.ofNanos((long) (wait * (1 + JITTER_SHARE * random.getAsDouble()))));
     }
 
-    private boolean isOver(@Nullable Refusing told) {
-        return told == null || (!told.leaving() && told.untilNanos() - time.monotonicNanos() <= 0);
+    private boolean isExpired(@Nullable Unavailability unavailability) {
+        return unavailability == null
+                || (!unavailability.leaving() && unavailability.untilNanos() - time.monotonicNanos() <= 0);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLoads.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLoads.java
@@ -19,7 +19,7 @@
     /** Creates an instance that discards the load of an upstream when the directory reports its end or a new start. */
     public UpstreamLoads(TimeSource time, UpstreamDirectory directory) {
         this.time = time;
-        directory.onChange(this::changed);
+        directory.onChange(this::onDirectoryChange);
     }
 
     /** Returns the load of an upstream, creating it on first use. */
@@ -27,7 +27,7 @@
         return loads.computeIfAbsent(upstream.id(), id -> new UpstreamLoad(time));
     }
 
-    private void changed(@Nullable Upstream before, @Nullable Upstream after) {
+    private void onDirectoryChange(@Nullable Upstream before, @Nullable Upstream after) {
         if (before != null && (after == null || !before.isSameStart(after))) {
             loads.remove(before.id());
         }
