Rename the internals of the crash detector

Cause: PROOF_WITHIN, Lost, tellOthers and forgetOld were figurative or vague.

Change: renames only, by the compiler's resolution; formatted.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/crash/CrashDetector.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/crash/CrashDetector.java
@@ -27,25 +27,25 @@
 public final class CrashDetector {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** Time after a lost connection within which the upstream must be found down for it to count as a crash. */
-    private static final Duration PROOF_WITHIN = Duration.ofSeconds(8);
+    private static final Duration CONFIRMATION_WINDOW = Duration.ofSeconds(8);
 
     private final CrashSuspects suspects;
     private final TimeSource time;
-    private final Consumer<UpstreamCrash> tellOthers;
-    private final Map<String, List<Lost>> lostByUpstream = new HashMap<>();
+    private final Consumer<UpstreamCrash> notifyOthers;
+    private final Map<String, List<LostRequest>> lostRequestsByStart = new HashMap<>();
 
     /** A request whose connection was lost. */
-    private record Lost(String fingerprint, long nanos) {}
+    private record LostRequest(String fingerprint, long lostNanos) {}
 
     /**
      * Creates a detector without recorded connection losses.
      *
-     * @param tellOthers sends a crash to the other entries
+     * @param notifyOthers sends a crash to the other entries
      */
-    public CrashDetector(CrashSuspects suspects, TimeSource time, Consumer<UpstreamCrash> tellOthers) {
+    public CrashDetector(CrashSuspects suspects, TimeSource time, Consumer<UpstreamCrash> notifyOthers) {
         this.suspects = suspects;
         this.time = time;
-        this.tellOthers = tellOthers;
+        this.notifyOthers = notifyOthers;
     }
 
     /** Returns whether a request may be sent to an upstream, that is, whether it is not in quarantine. */
@@ -55,9 +55,9 @@
 
     /** Records that a connection was lost while a request was running on it. */
     public synchronized void onConnectionLost(Upstream upstream, String fingerprint) {
-        List<Lost> lost = lostByUpstream.computeIfAbsent(key(upstream), id -> new ArrayList<>());
-        forgetOld(lost);
-        lost.add(new Lost(fingerprint, time.monotonicNanos()));
+        List<LostRequest> lost = lostRequestsByStart.computeIfAbsent(startKey(upstream), id -> new ArrayList<>());
+        removeExpired(lost);
+        lost.add(new LostRequest(fingerprint, time.monotonicNanos()));
     }
 
     /** Records that a request completed, which clears it of suspicion. */
@@ -67,13 +67,13 @@
 
     /** Reports a crash of an upstream that is gone, restarted or refuses connections, if requests on it were lost. */
     public void onUpstreamDown(Upstream upstream) {
-        Optional<UpstreamCrash> crash = takeCrash(upstream);
+        Optional<UpstreamCrash> crash = confirmCrash(upstream);
         crash.ifPresent(c -> {
             logger.atWarning()
                     .with(LogKeys.UPSTREAM, upstream.id())
                     .log("upstream crashed with %d requests running", c.getFingerprintsCount());
             recordCrash(c);
-            tellOthers.accept(c);
+            notifyOthers.accept(c);
         });
     }
 
@@ -89,12 +89,12 @@
                         "request %s is not sent on after %d crashes", q.getFingerprint(), q.getCrashes()));
     }
 
-    private synchronized Optional<UpstreamCrash> takeCrash(Upstream upstream) {
-        List<Lost> lost = lostByUpstream.remove(key(upstream));
+    private synchronized Optional<UpstreamCrash> confirmCrash(Upstream upstream) {
+        List<LostRequest> lost = lostRequestsByStart.remove(startKey(upstream));
         if (lost == null) {
             return Optional.empty();
         }
-        forgetOld(lost);
+        removeExpired(lost);
         if (lost.isEmpty()) {
             return Optional.empty();
         }
@@ -102,16 +102,16 @@
                 .setUpstreamId(upstream.id())
                 .setIncarnation(upstream.born())
                 .addAllFingerprints(
-                        lost.stream().map(Lost::fingerprint).distinct().toList())
+                        lost.stream().map(LostRequest::fingerprint).distinct().toList())
                 .build());
     }
 
-    private void forgetOld(List<Lost> lost) {
-        long oldest = time.monotonicNanos() - TimeUnit.MILLISECONDS.toNanos(PROOF_WITHIN.toMillis());
-        lost.removeIf(l -> l.nanos() - oldest < 0);
+    private void removeExpired(List<LostRequest> lost) {
+        long oldest = time.monotonicNanos() - TimeUnit.MILLISECONDS.toNanos(CONFIRMATION_WINDOW.toMillis());
+        lost.removeIf(l -> l.lostNanos() - oldest < 0);
     }
 
-    private static String key(Upstream upstream) {
+    private static String startKey(Upstream upstream) {
         return upstream.id() + '/' + upstream.born();
     }
 }
