Rename the internals of the budgets

Cause: gained, asked, held, standing and settle did not say what they hold or do, and durations did not name their purpose.

Change: renames only, by the compiler's resolution; formatted.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
@@ -31,17 +31,17 @@
 public final class AccountBudgets {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** Time for which no draws are sent to a home that did not respond. */
-    private static final Duration SILENT_PAUSE = Duration.ofSeconds(1);
+    private static final Duration UNRESPONSIVE_HOME_PAUSE = Duration.ofSeconds(1);
     /** Retry delay while the other entries are not known yet, which lasts only shortly after a start. */
-    private static final Duration SOON = Duration.ofMillis(250);
+    private static final Duration MEMBERS_UNKNOWN_RETRY_DELAY = Duration.ofMillis(250);
 
     private final String self;
     private final BudgetHomes homes;
     private final BudgetPeers peers;
     private final TimeSource time;
     private final ScheduledExecutorService scheduler;
-    private final Map<String, AccountDraws> draws = new ConcurrentHashMap<>();
-    private final Map<String, Long> silentUntilNanos = new ConcurrentHashMap<>();
+    private final Map<String, AccountDraws> accountDraws = new ConcurrentHashMap<>();
+    private final Map<String, Long> unresponsiveUntilNanos = new ConcurrentHashMap<>();
 
     /**
      * Describes why a request was not charged.
@@ -67,18 +67,25 @@
         Map<String, Account> limited = accounts.stream()
                 .filter(Account::isLimited)
                 .collect(Collectors.toMap(Account::name, Function.identity(), (a, b) -> b));
-        draws.keySet().retainAll(limited.keySet());
-        limited.forEach((name, account) -> draws.computeIfAbsent(
+        accountDraws.keySet().retainAll(limited.keySet());
+        limited.forEach((name, account) -> accountDraws
+                .computeIfAbsent(
                         name,
                         n -> new AccountDraws(
-                                account, this::answering, homes::deputy, this::draw, this::giveBackTo, time, scheduler))
+                                account,
+                                this::responsiveHomes,
+                                homes::deputy,
+                                this::draw,
+                                this::returnTokens,
+                                time,
+                                scheduler))
                 .setAccount(account));
     }
 
     /** Sets the names of the other entries that are known to exist. */
     public void setOtherEntries(Set<String> others) {
         homes.setOtherEntries(others);
-        silentUntilNanos.keySet().retainAll(others);
+        unresponsiveUntilNanos.keySet().retainAll(others);
     }
 
     /**
@@ -87,72 +94,73 @@
      * @return a future that completes with empty once the cost is charged, or with the shortage if it is not
      */
     public CompletableFuture<Optional<Shortage>> spend(Account account, double cost) {
-        AccountDraws known = draws(account);
+        AccountDraws known = accountDraws(account);
         if (!account.isLimited() || known == null) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
         if (homes.drawOrder(account).isEmpty()) {
-            return CompletableFuture.completedFuture(Optional.of(new Shortage(0, SOON)));
+            return CompletableFuture.completedFuture(Optional.of(new Shortage(0, MEMBERS_UNKNOWN_RETRY_DELAY)));
         }
         return known.spend(Math.min(cost, account.burst()));
     }
 
     /** Refunds the cost of a request that was charged but did not run. */
     public void refund(Account account, double cost) {
-        AccountDraws known = draws(account);
+        AccountDraws known = accountDraws(account);
         if (known != null) {
-            known.giveBack(Math.min(cost, account.burst()));
+            known.refund(Math.min(cost, account.burst()));
         }
     }
 
     /** Returns tokens that have been unspent for some time to the homes. */
     public void returnUnspent() {
-        draws.values().forEach(AccountDraws::handBackUnspent);
+        accountDraws.values().forEach(AccountDraws::returnUnspent);
     }
 
-    private @Nullable AccountDraws draws(Account account) {
-        return draws.get(account.name());
+    private @Nullable AccountDraws accountDraws(Account account) {
+        return accountDraws.get(account.name());
     }
 
-    private List<String> answering(Account account) {
+    private List<String> responsiveHomes(Account account) {
         long now = time.monotonicNanos();
         List<String> all = homes.drawOrder(account);
-        List<String> answering = all.stream().filter(e -> !isSilent(e, now)).toList();
-        return answering.size() == all.size()
+        List<String> responsive =
+                all.stream().filter(e -> !isUnresponsive(e, now)).toList();
+        return responsive.size() == all.size()
                 ? all
-                : Stream.concat(answering.stream(), homes.deputy(account).stream())
+                : Stream.concat(responsive.stream(), homes.deputy(account).stream())
                         .toList();
     }
 
-    private boolean isSilent(String entry, long now) {
-        Long until = silentUntilNanos.get(entry);
+    private boolean isUnresponsive(String entry, long now) {
+        Long until = unresponsiveUntilNanos.get(entry);
         return until != null && now - until < 0;
     }
 
-    private CompletableFuture<BudgetPeers.Grant> draw(String home, String account, double needed, double ahead) {
+    private CompletableFuture<BudgetPeers.Grant> draw(String home, String account, double needed, double prefetch) {
         if (home.equals(self)) {
-            return CompletableFuture.completedFuture(homes.draw(account, needed, ahead));
+            return CompletableFuture.completedFuture(homes.draw(account, needed, prefetch));
         }
-        return peers.draw(home, account, needed, ahead).whenComplete((drawn, failure) -> {
+        return peers.draw(home, account, needed, prefetch).whenComplete((grant, failure) -> {
             if (failure != null) {
-                noteSilent(home, account, failure);
+                markUnresponsive(home, account, failure);
             }
         });
     }
 
-    private void noteSilent(String home, String account, Throwable failure) {
+    private void markUnresponsive(String home, String account, Throwable failure) {
         long now = time.monotonicNanos();
-        if (!isSilent(home, now)) {
+        if (!isUnresponsive(home, now)) {
             logger.atInfo()
                     .with(LogKeys.PEER, home)
                     .log(
                             "home of account %s does not answer, passed over for %d ms: %s",
-                            account, SILENT_PAUSE.toMillis(), Failures.unwrap(failure));
+                            account, UNRESPONSIVE_HOME_PAUSE.toMillis(), Failures.unwrap(failure));
         }
-        silentUntilNanos.put(home, now + SILENT_PAUSE.toNanos());
+        unresponsiveUntilNanos.put(home, now + UNRESPONSIVE_HOME_PAUSE.toNanos());
     }
 
-    private void giveBackTo(String home, String account, double tokens) {
+    private void returnTokens(String home, String account, double tokens) {
         if (home.equals(self)) {
             homes.returnTokens(account, tokens);
         } else {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
@@ -29,63 +29,63 @@
 final class AccountDraws {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** Interval between draws below which a draw also requests tokens for further requests. */
-    private static final Duration FREQUENT = Duration.ofMillis(150);
+    private static final Duration FREQUENT_DRAW_INTERVAL = Duration.ofMillis(150);
     /** Time after the last draw at which unspent tokens are returned; homes depend on it. */
-    private static final Duration KEPT = Duration.ofMillis(500);
+    private static final Duration UNSPENT_RETENTION = Duration.ofMillis(500);
     /** Time without a new draw for costs that the homes together could not cover. */
-    private static final Duration EMPTY_PAUSE = Duration.ofMillis(200);
+    private static final Duration SHORTAGE_PAUSE = Duration.ofMillis(200);
     /** Lower bound of the retry delay of a refused request. */
-    private static final Duration MIN_RETRY = Duration.ofMillis(100);
+    private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(100);
     /** Pause and retry delay when no home gains tokens or responds; a home usually restarts within this time. */
-    private static final Duration UNANSWERED_PAUSE = Duration.ofMillis(500);
+    private static final Duration NO_GAIN_PAUSE = Duration.ofMillis(500);
 
     /** Time without a response after which the next home is requested as well. */
-    private static final Duration SLOW = Duration.ofMillis(80);
+    private static final Duration SLOW_HOME_DELAY = Duration.ofMillis(80);
 
     /** Tolerance for rounding errors when a cost is compared with the tokens, in tokens. */
-    private static final double ROUNDING = 1e-6;
+    private static final double ROUNDING_TOLERANCE_TOKENS = 1e-6;
 
     private final Function<Account, List<String>> homes;
     private final Function<Account, Optional<String>> deputy;
-    private final Draw draw;
-    private final GiveBack handBack;
+    private final HomeDraw homeDraw;
+    private final HomeReturn homeReturn;
     private final TimeSource time;
     private final ScheduledExecutorService scheduler;
-    private final Deque<Waiting> waiting = new ArrayDeque<>();
-    private final List<String> untried = new ArrayList<>();
-    private final Set<String> asked = new HashSet<>();
+    private final Deque<WaitingRequest> waiting = new ArrayDeque<>();
+    private final List<String> untriedHomes = new ArrayList<>();
+    private final Set<String> requestedHomes = new HashSet<>();
     private Account account;
     private double tokens;
-    private double gained;
-    private double perSecond;
-    private double spentSinceDraw;
-    private long drawnNanos;
-    private @Nullable String lastHome;
-    private boolean drawing;
-    private int unanswered;
-    private long draws;
-    private double refusedCost = Double.MAX_VALUE;
-    private long pausedUntilNanos;
+    private double grantedTokens;
+    private double gainPerSecond;
+    private double spentTokensSinceDraw;
+    private long lastDrawNanos;
+    private @Nullable String lastGrantingHome;
+    private boolean drawInProgress;
+    private int pendingResponses;
+    private long drawCount;
+    private double minRefusedCost = Double.MAX_VALUE;
+    private long refuseUntilNanos;
 
     /** Requests tokens from a home. */
     @FunctionalInterface
-    interface Draw {
-        CompletableFuture<BudgetPeers.Grant> from(String home, String account, double needed, double ahead);
+    interface HomeDraw {
+        CompletableFuture<BudgetPeers.Grant> draw(String home, String account, double needed, double prefetch);
     }
 
     /** Returns tokens to a home. */
     @FunctionalInterface
-    interface GiveBack {
-        void to(String home, String account, double tokens);
+    interface HomeReturn {
+        void returnTokens(String home, String account, double tokens);
     }
 
     /** A request that waits to be charged. */
-    private record Waiting(double cost, CompletableFuture<Optional<AccountBudgets.Shortage>> answer) {}
+    private record WaitingRequest(double cost, CompletableFuture<Optional<AccountBudgets.Shortage>> result) {}
 
     /** The result of a waiting request, which is completed only after the lock is released. */
-    private record Answer(Waiting to, Optional<AccountBudgets.Shortage> shortage) {
-        void give() {
-            to.answer().complete(shortage);
+    private record Completion(WaitingRequest request, Optional<AccountBudgets.Shortage> shortage) {
+        void complete() {
+            request.result().complete(shortage);
         }
     }
 
@@ -93,19 +93,19 @@
             Account account,
             Function<Account, List<String>> homes,
             Function<Account, Optional<String>> deputy,
-            Draw draw,
-            GiveBack handBack,
+            HomeDraw homeDraw,
+            HomeReturn homeReturn,
             TimeSource time,
             ScheduledExecutorService scheduler) {
         this.account = account;
         this.homes = homes;
         this.deputy = deputy;
-        this.draw = draw;
-        this.handBack = handBack;
+        this.homeDraw = homeDraw;
+        this.homeReturn = homeReturn;
         this.time = time;
         this.scheduler = scheduler;
-        this.drawnNanos = time.monotonicNanos();
-        this.pausedUntilNanos = drawnNanos;
+        this.lastDrawNanos = time.monotonicNanos();
+        this.refuseUntilNanos = lastDrawNanos;
     }
 
     synchronized void setAccount(Account newAccount) {
@@ -122,180 +122,189 @@
     }
 
     CompletableFuture<Optional<AccountBudgets.Shortage>> spend(double cost) {
-        CompletableFuture<Optional<AccountBudgets.Shortage>> answer = new CompletableFuture<>();
+        CompletableFuture<Optional<AccountBudgets.Shortage>> result = new CompletableFuture<>();
         synchronized (this) {
-            if (waiting.isEmpty() && tokens + ROUNDING >= cost) {
-                take(cost);
+            if (waiting.isEmpty() && tokens + ROUNDING_TOLERANCE_TOKENS >= cost) {
+                charge(cost);
                 return CompletableFuture.completedFuture(Optional.empty());
             }
             long now = time.monotonicNanos();
-            if (cost >= refusedCost && now - pausedUntilNanos < 0) {
-                Duration left = Duration.ofNanos(pausedUntilNanos - now);
+            if (cost >= minRefusedCost && now - refuseUntilNanos < 0) {
+                Duration left = Duration.ofNanos(refuseUntilNanos - now);
                 return CompletableFuture.completedFuture(Optional.of(new AccountBudgets.Shortage(tokens, left)));
             }
-            waiting.addLast(new Waiting(cost, answer));
-            if (drawing) {
-                return answer;
+            waiting.addLast(new WaitingRequest(cost, result));
+            if (drawInProgress) {
+                return result;
             }
-            drawing = true;
-            draws++;
-            gained = 0;
-            perSecond = 0;
-            untried.clear();
-            asked.clear();
-            addUntried();
+            drawInProgress = true;
+            drawCount++;
+            grantedTokens = 0;
+            gainPerSecond = 0;
+            untriedHomes.clear();
+            requestedHomes.clear();
+            addHomes();
         }
-        drawNext();
-        return answer;
+        drawFromNextHome();
+        return result;
     }
 
-    synchronized void giveBack(double cost) {
+    synchronized void refund(double cost) {
         tokens += cost;
-        spentSinceDraw = Math.max(0, spentSinceDraw - cost);
+        spentTokensSinceDraw = Math.max(0, spentTokensSinceDraw - cost);
     }
 
     /** Returns the unspent tokens if the last draw was some time ago, unless a draw is in progress. */
-    void handBackUnspent() {
+    void returnUnspent() {
         String home;
         double unspent;
         synchronized (this) {
-            home = lastHome;
+            home = lastGrantingHome;
             unspent = tokens;
-            if (drawing || unspent <= 0 || home == null || sinceDraw() < KEPT.toNanos()) {
+            if (drawInProgress || unspent <= 0 || home == null || nanosSinceLastDraw() < UNSPENT_RETENTION.toNanos()) {
                 return;
             }
             tokens = 0;
         }
-        handBack.to(home, account.name(), unspent);
+        homeReturn.returnTokens(home, account.name(), unspent);
     }
 
     /** Requests tokens from the next home; ends the draw when none is left and all have responded. */
-    private void drawNext() {
+    private void drawFromNextHome() {
         String home;
         double needed;
-        double ahead;
-        long current;
+        double prefetch;
+        long drawNumber;
         synchronized (this) {
-            if (!drawing || (untried.isEmpty() && unanswered > 0)) {
+            if (!drawInProgress || (untriedHomes.isEmpty() && pendingResponses > 0)) {
                 return;
             }
-            home = untried.isEmpty() ? null : untried.remove(0);
-            unanswered += home == null ? 0 : 1;
-            needed = Math.max(0, waiting.stream().mapToDouble(Waiting::cost).sum() - tokens);
-            ahead = ahead();
-            current = draws;
+            home = untriedHomes.isEmpty() ? null : untriedHomes.remove(0);
+            pendingResponses += home == null ? 0 : 1;
+            needed = Math.max(
+                    0, waiting.stream().mapToDouble(WaitingRequest::cost).sum() - tokens);
+            prefetch = prefetchTokens();
+            drawNumber = drawCount;
         }
         if (home == null) {
             refuseWaiting();
             return;
         }
-        CompletableFuture<BudgetPeers.Grant> answer = draw.from(home, account.name(), needed, ahead);
-        answer.whenComplete((drawn, failure) -> drawn(home, drawn));
-        if (!answer.isDone()) {
-            scheduler.schedule(() -> drawFurther(current, answer), SLOW.toMillis(), TimeUnit.MILLISECONDS);
+        CompletableFuture<BudgetPeers.Grant> response = homeDraw.draw(home, account.name(), needed, prefetch);
+        response.whenComplete((grant, failure) -> onResponse(home, grant));
+        if (!response.isDone()) {
+            scheduler.schedule(
+                    () -> drawFromNextHomeIfSlow(drawNumber, response),
+                    SLOW_HOME_DELAY.toMillis(),
+                    TimeUnit.MILLISECONDS);
         }
     }
 
-    private void drawFurther(long draw, CompletableFuture<BudgetPeers.Grant> slow) {
+    private void drawFromNextHomeIfSlow(long drawNumber, CompletableFuture<BudgetPeers.Grant> response) {
         boolean underWay;
         synchronized (this) {
-            underWay = drawing && draws == draw && !slow.isDone();
+            underWay = drawInProgress && drawCount == drawNumber && !response.isDone();
         }
         if (underWay) {
-            drawNext();
+            drawFromNextHome();
         }
     }
 
-    private void addUntried() {
-        homes.apply(account).stream().filter(asked::add).forEach(untried::add);
+    private void addHomes() {
+        homes.apply(account).stream().filter(requestedHomes::add).forEach(untriedHomes::add);
     }
 
     /** Adds the deputy, which replaces a home that does not respond or does not gain tokens. */
     private void addDeputy() {
-        deputy.apply(account).filter(asked::add).ifPresent(untried::add);
+        deputy.apply(account).filter(requestedHomes::add).ifPresent(untriedHomes::add);
     }
 
     /** Returns the tokens to draw for further requests: those spent since the last draw, if that was recent. */
-    private double ahead() {
-        return sinceDraw() < FREQUENT.toNanos() ? spentSinceDraw : 0;
+    private double prefetchTokens() {
+        return nanosSinceLastDraw() < FREQUENT_DRAW_INTERVAL.toNanos() ? spentTokensSinceDraw : 0;
     }
 
-    private void drawn(String home, BudgetPeers.@Nullable Grant drawn) {
-        List<Answer> answers;
+    private void onResponse(String home, BudgetPeers.@Nullable Grant grant) {
+        List<Completion> completions;
         synchronized (this) {
-            unanswered--;
-            if (drawn == null || drawn.tokensPerSecond() <= 0) {
+            pendingResponses--;
+            if (grant == null || grant.tokensPerSecond() <= 0) {
                 addDeputy();
             }
-            if (drawn != null) {
-                tokens += drawn.tokens();
-                gained += drawn.tokens();
-                perSecond += drawn.tokensPerSecond();
-                lastHome = drawn.tokens() > 0 ? home : lastHome;
+            if (grant != null) {
+                tokens += grant.tokens();
+                grantedTokens += grant.tokens();
+                gainPerSecond += grant.tokensPerSecond();
+                lastGrantingHome = grant.tokens() > 0 ? home : lastGrantingHome;
             }
-            answers = serveWaiting();
-            if (drawing && waiting.isEmpty()) {
-                drawing = false;
-                drawnNanos = time.monotonicNanos();
-                spentSinceDraw =
-                        answers.stream().mapToDouble(a -> a.to().cost()).sum();
+            completions = chargeWaiting();
+            if (drawInProgress && waiting.isEmpty()) {
+                drawInProgress = false;
+                lastDrawNanos = time.monotonicNanos();
+                spentTokensSinceDraw = completions.stream()
+                        .mapToDouble(a -> a.request().cost())
+                        .sum();
             }
         }
-        answers.forEach(Answer::give);
-        drawNext();
+        completions.forEach(Completion::complete);
+        drawFromNextHome();
     }
 
-    private List<Answer> serveWaiting() {
-        List<Answer> answers = new ArrayList<>();
-        for (Waiting w = waiting.peekFirst(); w != null && tokens + ROUNDING >= w.cost(); w = waiting.peekFirst()) {
+    private List<Completion> chargeWaiting() {
+        List<Completion> completions = new ArrayList<>();
+        for (WaitingRequest w = waiting.peekFirst();
+                w != null && tokens + ROUNDING_TOLERANCE_TOKENS >= w.cost();
+                w = waiting.peekFirst()) {
             waiting.removeFirst();
-            take(w.cost());
-            answers.add(new Answer(w, Optional.empty()));
+            charge(w.cost());
+            completions.add(new Completion(w, Optional.empty()));
         }
-        return answers;
+        return completions;
     }
 
     private void refuseWaiting() {
-        List<Answer> answers;
+        List<Completion> completions;
         String home;
         double unspent;
         synchronized (this) {
-            if (!drawing) {
+            if (!drawInProgress) {
                 return;
             }
-            Duration wait = wait(waiting.isEmpty() ? 0 : waiting.getFirst().cost() - tokens);
-            AccountBudgets.Shortage shortage = new AccountBudgets.Shortage(tokens, wait);
-            answers = waiting.stream()
-                    .map(w -> new Answer(w, Optional.of(shortage)))
+            Duration retryDelay =
+                    retryDelay(waiting.isEmpty() ? 0 : waiting.getFirst().cost() - tokens);
+            AccountBudgets.Shortage shortage = new AccountBudgets.Shortage(tokens, retryDelay);
+            completions = waiting.stream()
+                    .map(w -> new Completion(w, Optional.of(shortage)))
                     .toList();
-            refusedCost = waiting.stream().mapToDouble(Waiting::cost).min().orElse(Double.MAX_VALUE);
-            pausedUntilNanos = time.monotonicNanos() + (perSecond > 0 ? EMPTY_PAUSE : UNANSWERED_PAUSE).toNanos();
+            minRefusedCost =
+                    waiting.stream().mapToDouble(WaitingRequest::cost).min().orElse(Double.MAX_VALUE);
+            refuseUntilNanos = time.monotonicNanos() + (gainPerSecond > 0 ? SHORTAGE_PAUSE : NO_GAIN_PAUSE).toNanos();
             waiting.clear();
-            drawing = false;
-            home = lastHome;
-            unspent = gained > 0 ? tokens : 0;
+            drawInProgress = false;
+            home = lastGrantingHome;
+            unspent = grantedTokens > 0 ? tokens : 0;
             tokens -= unspent;
         }
         if (home != null && unspent > 0) {
-            handBack.to(home, account.name(), unspent);
+            homeReturn.returnTokens(home, account.name(), unspent);
         }
-        answers.forEach(Answer::give);
+        completions.forEach(Completion::complete);
     }
 
-    private Duration wait(double missing) {
-        if (perSecond <= 0) {
-            return UNANSWERED_PAUSE;
+    private Duration retryDelay(double missingTokens) {
+        if (gainPerSecond <= 0) {
+            return NO_GAIN_PAUSE;
         }
-        long millis = (long) (TimeUnit.SECONDS.toMillis(1) * Math.max(0, missing) / perSecond);
-        return Duration.ofMillis(Math.max(MIN_RETRY.toMillis(), millis));
+        long millis = (long) (TimeUnit.SECONDS.toMillis(1) * Math.max(0, missingTokens) / gainPerSecond);
+        return Duration.ofMillis(Math.max(MIN_RETRY_DELAY.toMillis(), millis));
     }
 
-    private void take(double cost) {
+    private void charge(double cost) {
         tokens = Math.max(0, tokens - cost);
-        spentSinceDraw += cost;
+        spentTokensSinceDraw += cost;
     }
 
-    private long sinceDraw() {
-        return time.monotonicNanos() - drawnNanos;
+    private long nanosSinceLastDraw() {
+        return time.monotonicNanos() - lastDrawNanos;
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetHomes.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetHomes.java
@@ -28,20 +28,20 @@
  */
 public final class BudgetHomes {
     /** Minimum time that a process takes to start; a part may begin with the tokens of this time. */
-    private static final Duration START_TIME = Duration.ofMillis(500);
+    private static final Duration MIN_START_TIME = Duration.ofMillis(500);
     /** Share of the remaining tokens that a home grants for further requests, which leaves enough to other entries. */
-    private static final double AHEAD_PART = 0.125;
+    private static final double PREFETCH_SHARE = 0.125;
     /** Share of the slack that a deputy holds; with its gains in a window it never grants more than the slack. */
-    private static final double DEPUTY_PART = 0.5;
+    private static final double DEPUTY_SLACK_SHARE = 0.5;
 
     private final String self;
     private final Slack slack;
     private final TimeSource time;
-    private final BooleanSupplier standing;
+    private final BooleanSupplier membershipConfirmed;
     private final Map<String, Account> accounts = new HashMap<>();
-    private final Map<String, Held> held = new HashMap<>();
+    private final Map<String, Holding> holdings = new HashMap<>();
     private Set<String> entries;
-    private HomeOrder order;
+    private HomeOrder homeOrder;
     private boolean membersKnown;
     private boolean accountsKnown;
 
@@ -53,7 +53,7 @@
      */
     public record Slack(double tokens, Duration window) {
         /** Returns the size below which a part does not get a home of its own. */
-        double tokensPerPart() {
+        double minTokensPerPart() {
             return tokens / 2;
         }
     }
@@ -65,20 +65,20 @@
     }
 
     /** A home's part of a budget, or a deputy's share of the slack. */
-    private record Held(Role role, TokenBucket bucket) {}
+    private record Holding(Role role, TokenBucket bucket) {}
 
     /**
      * Creates an instance without accounts and other entries.
      *
-     * @param standing returns whether no other entry can have removed this one from its members
+     * @param membershipConfirmed returns whether no other entry can have removed this one from its members
      */
-    public BudgetHomes(String self, Slack slack, TimeSource time, BooleanSupplier standing) {
+    public BudgetHomes(String self, Slack slack, TimeSource time, BooleanSupplier membershipConfirmed) {
         this.self = self;
         this.slack = slack;
         this.time = time;
-        this.standing = standing;
+        this.membershipConfirmed = membershipConfirmed;
         this.entries = Set.of(self);
-        this.order = new HomeOrder(entries, slack.tokensPerPart());
+        this.homeOrder = new HomeOrder(entries, slack.minTokensPerPart());
     }
 
     /** Applies the accounts of a configuration version. */
@@ -88,9 +88,9 @@
         accounts.putAll(newAccounts.stream()
                 .filter(Account::isLimited)
                 .collect(Collectors.toMap(Account::name, Function.identity(), (a, b) -> b)));
-        held.keySet().retainAll(accounts.keySet());
-        boolean later = accountsKnown && membersKnown;
-        accounts.values().forEach(a -> settle(a, later && !before.containsKey(a.name()) ? a.burst() : 0));
+        holdings.keySet().retainAll(accounts.keySet());
+        boolean isAddition = accountsKnown && membersKnown;
+        accounts.values().forEach(a -> updateHolding(a, isAddition && !before.containsKey(a.name()) ? a.burst() : 0));
         accountsKnown = true;
     }
 
@@ -101,44 +101,44 @@
             return;
         }
         entries = newEntries;
-        order = new HomeOrder(entries, slack.tokensPerPart());
-        boolean start = !membersKnown;
+        homeOrder = new HomeOrder(entries, slack.minTokensPerPart());
+        boolean isFirst = !membersKnown;
         membersKnown = true;
-        accounts.values().forEach(a -> settle(a, start ? startTokens(a) : 0));
+        accounts.values().forEach(a -> updateHolding(a, isFirst ? initialTokens(a) : 0));
     }
 
     /** Grants tokens from this entry's part of an account's budget, the needed ones first. */
-    public synchronized BudgetPeers.Grant draw(String account, double needed, double ahead) {
-        Held part = held.get(account);
-        if (part == null || !isAmount(needed) || !isAmount(ahead)) {
+    public synchronized BudgetPeers.Grant draw(String account, double needed, double prefetch) {
+        Holding holding = holdings.get(account);
+        if (holding == null || !isValidAmount(needed) || !isValidAmount(prefetch)) {
             return BudgetPeers.Grant.NONE;
         }
-        TokenBucket bucket = part.bucket();
-        boolean gains = standing.getAsBoolean();
-        bucket.fill(time.monotonicNanos(), gains);
+        TokenBucket bucket = holding.bucket();
+        boolean isGaining = membershipConfirmed.getAsBoolean();
+        bucket.refill(time.monotonicNanos(), isGaining);
         double tokens = bucket.take(needed);
-        boolean spare = tokens >= needed && part.role() == Role.HOME;
+        boolean mayPrefetch = tokens >= needed && holding.role() == Role.HOME;
         return new BudgetPeers.Grant(
-                tokens + (spare ? bucket.take(Math.min(ahead, bucket.level() * AHEAD_PART)) : 0),
-                gains ? bucket.ratePerSecond() : 0);
+                tokens + (mayPrefetch ? bucket.take(Math.min(prefetch, bucket.storedTokens() * PREFETCH_SHARE)) : 0),
+                isGaining ? bucket.ratePerSecond() : 0);
     }
 
     /** Takes back tokens that were drawn and not spent. */
     public synchronized void returnTokens(String account, double tokens) {
-        Held part = held.get(account);
-        if (part != null && isAmount(tokens)) {
-            part.bucket().put(tokens);
+        Holding holding = holdings.get(account);
+        if (holding != null && isValidAmount(tokens)) {
+            holding.bucket().add(tokens);
         }
     }
 
     /** Returns the homes from which this entry draws for an account, in order; none before other entries are known. */
     synchronized List<String> drawOrder(Account account) {
-        return membersKnown ? order.drawOrder(account, self) : List.of();
+        return membersKnown ? homeOrder.drawOrder(account, self) : List.of();
     }
 
     /** Returns the entry to draw from when a home of an account does not respond. */
     synchronized Optional<String> deputy(Account account) {
-        return membersKnown ? order.deputy(account) : Optional.empty();
+        return membersKnown ? homeOrder.deputy(account) : Optional.empty();
     }
 
     private Set<String> withSelf(Set<String> others) {
@@ -146,47 +146,49 @@
     }
 
     /** Returns the initial tokens of a new process over all homes: at most those gained while it started. */
-    private static double startTokens(Account account) {
-        double seconds = START_TIME.toMillis() / 1_000.0;
+    private static double initialTokens(Account account) {
+        double seconds = MIN_START_TIME.toMillis() / 1_000.0;
         return Math.min(account.burst() / 2, account.ratePerSecond() * seconds);
     }
 
     /**
      * Adjusts this entry's part of an account's budget to the current limits and role.
      *
-     * @param firstTokens the initial tokens of a part that is new here, over all homes
+     * @param initialTokens the initial tokens of a part that is new here, over all homes
      */
-    private void settle(Account account, double firstTokens) {
+    private void updateHolding(Account account, double initialTokens) {
         if (!membersKnown) {
             return;
         }
-        int parts = order.parts(account);
-        Role role = role(order.homes(account).indexOf(self), parts);
+        int partCount = homeOrder.partCount(account);
+        Role role = role(homeOrder.homesAndDeputy(account).indexOf(self), partCount);
         if (role == null) {
-            held.remove(account.name());
+            holdings.remove(account.name());
             return;
         }
-        boolean home = role == Role.HOME;
-        double burst = home ? account.burst() / parts : slack.tokens() * DEPUTY_PART;
-        double rate = home ? account.ratePerSecond() / parts : burst / seconds(slack.window());
+        boolean isHome = role == Role.HOME;
+        double burst = isHome ? account.burst() / partCount : slack.tokens() * DEPUTY_SLACK_SHARE;
+        double rate = isHome ? account.ratePerSecond() / partCount : burst / seconds(slack.window());
         long now = time.monotonicNanos();
-        Held known = held.get(account.name());
+        Holding known = holdings.get(account.name());
         if (known == null || known.role() != role) {
-            held.put(account.name(), new Held(role, new TokenBucket(rate, burst, home ? firstTokens / parts : 0, now)));
+            holdings.put(
+                    account.name(),
+                    new Holding(role, new TokenBucket(rate, burst, isHome ? initialTokens / partCount : 0, now)));
         } else {
-            known.bucket().fill(now, standing.getAsBoolean());
-            known.bucket().setLimit(rate, burst);
+            known.bucket().refill(now, membershipConfirmed.getAsBoolean());
+            known.bucket().setLimits(rate, burst);
         }
     }
 
-    private static @Nullable Role role(int rank, int parts) {
+    private static @Nullable Role role(int rank, int partCount) {
         if (rank < 0) {
             return null;
         }
-        return rank < parts ? Role.HOME : Role.DEPUTY;
+        return rank < partCount ? Role.HOME : Role.DEPUTY;
     }
 
-    private static boolean isAmount(double tokens) {
+    private static boolean isValidAmount(double tokens) {
         return Double.isFinite(tokens) && tokens >= 0;
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetPeers.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetPeers.java
@@ -23,9 +23,9 @@
      * Requests tokens from a home; the future fails if it does not respond in time.
      *
      * @param needed the tokens that the waiting requests cost
-     * @param ahead the tokens wanted beyond that for further requests
+     * @param prefetch the tokens wanted beyond that for further requests
      */
-    CompletableFuture<Grant> draw(String entry, String account, double needed, double ahead);
+    CompletableFuture<Grant> draw(String entry, String account, double needed, double prefetch);
 
     /** Returns tokens to a home without confirmation; they are lost if the message is. */
     void returnTokens(String entry, String account, double tokens);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/HomeOrder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/HomeOrder.java
@@ -23,25 +23,26 @@
     private static final int MAX_PARTS = 4;
 
     private final List<String> entries;
-    private final double tokensPerPart;
-    private final Map<String, List<String>> orders = new HashMap<>();
+    private final double minTokensPerPart;
+    private final Map<String, List<String>> rendezvousOrders = new HashMap<>();
 
     /** Creates the assignment for a set of entries that includes this one. */
-    HomeOrder(Set<String> entries, double tokensPerPart) {
+    HomeOrder(Set<String> entries, double minTokensPerPart) {
         this.entries = List.copyOf(entries);
-        this.tokensPerPart = tokensPerPart;
+        this.minTokensPerPart = minTokensPerPart;
     }
 
     /** Returns the number of homes among which an account's budget is divided. */
-    int parts(Account account) {
-        double wanted = tokensPerPart <= 0 ? MAX_PARTS : Math.min(MAX_PARTS, account.burst() / tokensPerPart);
+    int partCount(Account account) {
+        double wanted = minTokensPerPart <= 0 ? MAX_PARTS : Math.min(MAX_PARTS, account.burst() / minTokensPerPart);
         return (int) Math.max(1, Math.min(entries.size(), wanted));
     }
 
     /** Returns the homes of an account, followed by the deputy if there are more entries than homes. */
-    List<String> homes(Account account) {
-        int last = Math.min(entries.size(), parts(account) + 1);
-        return orders.computeIfAbsent(account.name(), name -> RendezvousHash.order(name, entries, e -> e).stream()
+    List<String> homesAndDeputy(Account account) {
+        int last = Math.min(entries.size(), partCount(account) + 1);
+        return rendezvousOrders
+                .computeIfAbsent(account.name(), name -> RendezvousHash.order(name, entries, e -> e).stream()
                         .limit(MAX_PARTS + 1L)
                         .toList())
                 .subList(0, last);
@@ -52,8 +53,8 @@
      * from a position that depends on the entry's name.
      */
     List<String> drawOrder(Account account, String entry) {
-        int parts = parts(account);
-        List<String> all = homes(account).subList(0, parts);
+        int parts = partCount(account);
+        List<String> all = homesAndDeputy(account).subList(0, parts);
         int first = Math.floorMod(entry.hashCode(), parts);
         return IntStream.range(0, parts)
                 .mapToObj(i -> all.get((first + i) % parts))
@@ -63,6 +64,6 @@
 
     /** Returns the entry to draw from when a home does not respond. */
     Optional<String> deputy(Account account) {
-        return homes(account).stream().skip(parts(account)).findFirst();
+        return homesAndDeputy(account).stream().skip(partCount(account)).findFirst();
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
@@ -19,29 +19,29 @@
 public final class RetryShare {
     private final Bounds bounds;
     private final TimeSource time;
-    private final IntSupplier entries;
+    private final IntSupplier entryCount;
     private final Map<String, Window> windows = new HashMap<>();
 
     /**
      * The retry budget of a service over the whole fleet.
      *
      * @param ratio the retries per request
-     * @param extra the retries beyond the ratio, for the whole fleet
+     * @param extraRetries the retries beyond the ratio, for the whole fleet
      * @param window the time over which both are counted
      */
-    public record Bounds(double ratio, double extra, Duration window) {}
+    public record Bounds(double ratio, double extraRetries, Duration window) {}
 
     /** The times of the requests and retries of a service in the last window. */
     private static final class Window {
-        private final Deque<Long> requests = new ArrayDeque<>();
-        private final Deque<Long> repeats = new ArrayDeque<>();
+        private final Deque<Long> requestNanos = new ArrayDeque<>();
+        private final Deque<Long> retryNanos = new ArrayDeque<>();
 
-        void forgetBefore(long nanos) {
-            forget(requests, nanos);
-            forget(repeats, nanos);
+        void removeBefore(long nanos) {
+            removeTimesBefore(requestNanos, nanos);
+            removeTimesBefore(retryNanos, nanos);
         }
 
-        private static void forget(Deque<Long> times, long nanos) {
+        private static void removeTimesBefore(Deque<Long> times, long nanos) {
             while (!times.isEmpty() && times.peekFirst() - nanos < 0) {
                 times.removeFirst();
             }
@@ -51,34 +51,35 @@
     /**
      * Creates an instance without recorded requests.
      *
-     * @param entries returns the current number of entries that share the budget; an entry takes only half of its equal
+     * @param entryCount returns the current number of entries that share the budget; an entry takes only half of its equal
      *     part because it counts from zero again after a restart
      */
-    public RetryShare(Bounds bounds, TimeSource time, IntSupplier entries) {
+    public RetryShare(Bounds bounds, TimeSource time, IntSupplier entryCount) {
         this.bounds = bounds;
         this.time = time;
-        this.entries = entries;
+        this.entryCount = entryCount;
     }
 
     /** Counts a request for a service. */
     public synchronized void onRequest(String service) {
-        current(service).requests.addLast(time.monotonicNanos());
+        currentWindow(service).requestNanos.addLast(time.monotonicNanos());
     }
 
     /** Takes one retry from the share of a service; returns whether there was one. */
     public synchronized boolean tryRetry(String service) {
-        Window window = current(service);
-        double allowed = bounds.ratio() * window.requests.size() + bounds.extra() / 2 / Math.max(1, entries.getAsInt());
-        if (window.repeats.size() + 1 > allowed) {
+        Window window = currentWindow(service);
+        double allowed = bounds.ratio() * window.requestNanos.size()
+                + bounds.extraRetries() / 2 / Math.max(1, entryCount.getAsInt());
+        if (window.retryNanos.size() + 1 > allowed) {
             return false;
         }
-        window.repeats.addLast(time.monotonicNanos());
+        window.retryNanos.addLast(time.monotonicNanos());
         return true;
     }
 
-    private Window current(String service) {
+    private Window currentWindow(String service) {
         Window window = windows.computeIfAbsent(service, s -> new Window());
-        window.forgetBefore(time.monotonicNanos() - bounds.window().toNanos());
+        window.removeBefore(time.monotonicNanos() - bounds.window().toNanos());
         return window;
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/TokenBucket.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/TokenBucket.java
@@ -12,45 +12,45 @@
 
     private double ratePerSecond;
     private double burst;
-    private double level;
-    private long filledNanos;
+    private double storedTokens;
+    private long refilledNanos;
 
-    TokenBucket(double ratePerSecond, double burst, double level, long nowNanos) {
+    TokenBucket(double ratePerSecond, double burst, double storedTokens, long nowNanos) {
         this.ratePerSecond = ratePerSecond;
         this.burst = burst;
-        this.level = Math.min(burst, level);
-        this.filledNanos = nowNanos;
+        this.storedTokens = Math.min(burst, storedTokens);
+        this.refilledNanos = nowNanos;
     }
 
     /** Changes rate and burst; tokens above the new burst are discarded. */
-    void setLimit(double newRate, double newBurst) {
+    void setLimits(double newRate, double newBurst) {
         ratePerSecond = newRate;
         burst = newBurst;
-        level = Math.min(level, newBurst);
+        storedTokens = Math.min(storedTokens, newBurst);
     }
 
     /** Advances the bucket to a time, with or without adding the tokens of the elapsed time. */
-    void fill(long nowNanos, boolean adding) {
-        double seconds = Math.max(0, (nowNanos - filledNanos) / NANOS_PER_SECOND);
-        filledNanos = nowNanos;
+    void refill(long nowNanos, boolean adding) {
+        double seconds = Math.max(0, (nowNanos - refilledNanos) / NANOS_PER_SECOND);
+        refilledNanos = nowNanos;
         if (adding) {
-            level = Math.min(burst, level + seconds * ratePerSecond);
+            storedTokens = Math.min(burst, storedTokens + seconds * ratePerSecond);
         }
     }
 
     /** Removes up to the wanted number of tokens, and returns how many were removed. */
     double take(double wanted) {
-        double taken = Math.max(0, Math.min(wanted, level));
-        level -= taken;
+        double taken = Math.max(0, Math.min(wanted, storedTokens));
+        storedTokens -= taken;
         return taken;
     }
 
-    void put(double tokens) {
-        level = Math.min(burst, level + tokens);
+    void add(double tokens) {
+        storedTokens = Math.min(burst, storedTokens + tokens);
     }
 
-    double level() {
-        return level;
+    double storedTokens() {
+        return storedTokens;
     }
 
     double ratePerSecond() {
