--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/ManualScheduler.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/ManualScheduler.java
@@ -17,11 +17,11 @@
 public final class ManualScheduler extends AbstractExecutorService implements ScheduledExecutorService {
     private final ManualTimeSource time;
     private final PriorityQueue<Task<?>> tasks = new PriorityQueue<>(
-            Comparator.<Task<?>>comparingLong(t -> t.dueNanos).thenComparingLong(t -> t.number));
-    private long numbers;
+            Comparator.<Task<?>>comparingLong(t -> t.dueNanos).thenComparingLong(t -> t.sequenceNumber));
+    private long nextSequenceNumber;
 
     private final class Task<T> extends FutureTask<T> implements ScheduledFuture<T> {
-        private final long number = numbers++;
+        private final long sequenceNumber = nextSequenceNumber++;
         private final long periodNanos;
         private long dueNanos;
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/ManualTimeSource.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/ManualTimeSource.java
@@ -5,12 +5,12 @@
 
 /** A time source that a test advances. Used by one thread. */
 public final class ManualTimeSource implements TimeSource {
-    private long steadyNanos = 1_000_000_000L;
+    private long steadyTimeNanos = 1_000_000_000L;
     private long wallMillis = 1_700_000_000_000L;
 
     /** Advances the monotonic and the wall clock. */
     public void advance(Duration time) {
-        steadyNanos += time.toNanos();
+        steadyTimeNanos += time.toNanos();
         wallMillis += time.toMillis();
     }
 
@@ -31,6 +31,6 @@
 
     @Override
     public long monotonicNanos() {
-        return steadyNanos;
+        return steadyTimeNanos;
     }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
@@ -43,10 +43,10 @@
                 * cost;
     }
 
-    private void passTenths(BudgetFleet fleet, int tenths) {
+    private void advanceTenthsOfSeconds(BudgetFleet fleet, int tenths) {
         IntStream.range(0, tenths).forEach(i -> {
             time.advanceMillis(100);
-            fleet.up().forEach(e -> fleet.entry(e).returnUnspent());
+            fleet.running().forEach(e -> fleet.entry(e).returnUnspent());
         });
     }
 
@@ -57,7 +57,7 @@
     }
 
     @Test
-    public void allEntriesTogetherBeginWithWhatAStartMissed() {
+    public void entriesTogetherBeginWithTheTokensOfTheStartTime() {
         BudgetFleet fleet = fleet(5);
         double admitted =
                 fleet.names().stream().mapToDouble(e -> spendAll(fleet, e, 10)).sum();
@@ -82,9 +82,9 @@
     }
 
     @Test
-    public void nothingIsGivenBeforeTheOthersAreKnown() {
+    public void requestsAreRefusedBeforeTheOtherEntriesAreKnown() {
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
-        AccountBudgets budgets = new AccountBudgets("a", homes, new NoPeers(), time, scheduler);
+        AccountBudgets budgets = new AccountBudgets("a", homes, new UnreachablePeers(), time, scheduler);
         budgets.setAccounts(List.of(ACCOUNT));
         time.advanceMillis(5_000);
         assertTrue(budgets.spend(ACCOUNT, 1).join().isPresent());
@@ -92,12 +92,12 @@
 
     /** Guards against too low a rate when all requests of an account arrive at the home of one part of its budget. */
     @Test
-    public void anEntryWithAllOfAnAccountsCallsGetsTheWholeRate() {
+    public void entryWithAllRequestsOfAnAccountGetsItsFullRate() {
         BudgetFleet fleet = fleet(33);
-        passTenths(fleet, 20);
+        advanceTenthsOfSeconds(fleet, 20);
         double admitted = 0;
         for (int i = 0; i < 50; i++) {
-            passTenths(fleet, 1);
+            advanceTenthsOfSeconds(fleet, 1);
             admitted += spendAll(fleet, "entry-7", 10);
         }
         double comesInOnePause = 0.2 * RATE;
@@ -106,15 +106,15 @@
 
     /** Guards against refusals of an account that uses 55% of its rate when one of its homes is lost. */
     @Test
-    public void theLossOfAHomeLeavesEnoughForTheUsualDemand() {
+    public void lossOfAHomeLeavesEnoughForUsualDemand() {
         BudgetFleet fleet = fleet(8);
-        passTenths(fleet, 20);
+        advanceTenthsOfSeconds(fleet, 20);
         fleet.names().forEach(home -> {
             fleet.kill(home);
             long refused = IntStream.range(0, 100)
                     .filter(i -> {
                         time.advanceMillis(20);
-                        String entry = fleet.up().get(i % fleet.up().size());
+                        String entry = fleet.running().get(i % fleet.running().size());
                         return !fleet.spend(entry, ACCOUNT, 11);
                     })
                     .count();
@@ -125,73 +125,73 @@
 
     /** Guards against refusals of a small account whose only home is lost; the deputy grants from the slack. */
     @Test
-    public void aDeputyServesASmallAccountWhoseHomeIsLost() {
+    public void deputyServesASmallAccountWhoseHomeIsLost() {
         BudgetHomes.Slack slack = new BudgetHomes.Slack(8 * RATE, Duration.ofSeconds(8));
         BudgetFleet fleet = new BudgetFleet(time, 6, slack, List.of(ACCOUNT));
-        passTenths(fleet, 100);
+        advanceTenthsOfSeconds(fleet, 100);
         for (String home : fleet.names()) {
             fleet.kill(home);
-            String entry = fleet.up().get(0);
+            String entry = fleet.running().get(0);
             assertTrue(fleet.spend(entry, ACCOUNT, 400), "without " + home);
             fleet.start(home);
-            passTenths(fleet, 100);
+            advanceTenthsOfSeconds(fleet, 100);
         }
     }
 
     /** Guards against refusals of a small account whose only home has just started and does not gain tokens yet. */
     @Test
-    public void aDeputyServesASmallAccountWhoseHomeHasJustCome() {
+    public void deputyServesASmallAccountWhoseHomeHasJustStarted() {
         BudgetHomes.Slack slack = new BudgetHomes.Slack(8 * RATE, Duration.ofSeconds(8));
         BudgetFleet fleet = new BudgetFleet(time, 6, slack, List.of(ACCOUNT));
-        passTenths(fleet, 100);
+        advanceTenthsOfSeconds(fleet, 100);
         for (String home : fleet.names()) {
             fleet.start(home);
-            fleet.fall(home);
+            fleet.unconfirmMembership(home);
             String entry = fleet.names().stream()
                     .filter(n -> !n.equals(home))
                     .findFirst()
                     .orElseThrow();
             long served = IntStream.range(0, 20)
                     .filter(i -> {
-                        passTenths(fleet, 2);
+                        advanceTenthsOfSeconds(fleet, 2);
                         return fleet.spend(entry, ACCOUNT, 100);
                     })
                     .count();
             assertEquals(served, 20, "with " + home + " as it comes");
-            fleet.stand(home);
-            passTenths(fleet, 100);
+            fleet.confirmMembership(home);
+            advanceTenthsOfSeconds(fleet, 100);
         }
     }
 
     @Test
-    public void anEntryThatOthersMayCountAsGoneGivesWhatItHasAndGainsNothing() {
+    public void homeThatOthersMayCountAsGoneGrantsItsTokensButGainsNone() {
         BudgetFleet fleet = fleet(1);
-        fleet.fall("entry-0");
-        passTenths(fleet, 20);
+        fleet.unconfirmMembership("entry-0");
+        advanceTenthsOfSeconds(fleet, 20);
         assertEquals(spendAll(fleet, "entry-0", 10), RATE / 2, 10);
-        passTenths(fleet, 50);
+        advanceTenthsOfSeconds(fleet, 50);
         assertEquals(spendAll(fleet, "entry-0", 10), 0, 0);
     }
 
     @Test
-    public void whatIsNotSpentGoesBack() {
+    public void unspentTokensAreReturned() {
         BudgetFleet fleet = fleet(2);
-        passTenths(fleet, 20);
+        advanceTenthsOfSeconds(fleet, 20);
         IntStream.range(0, 40).forEach(i -> {
             time.advanceMillis(10);
             assertTrue(fleet.spend("entry-0", ACCOUNT, 10));
         });
-        passTenths(fleet, 15);
+        advanceTenthsOfSeconds(fleet, 15);
         assertEquals(spendAll(fleet, "entry-1", 1), RATE, 2);
     }
 
     /** Guards against exceeding or underusing the limit when an account demands eight times its rate. */
     @Test
-    public void entriesTogetherStayWithinTheLimitUnderEightTimesTheRate() {
+    public void entriesTogetherStayWithinTheLimitAtEightTimesTheRate() {
         BudgetFleet fleet = fleet(5);
         double admitted = 0;
         for (int step = 0; step < 100; step++) {
-            passTenths(fleet, 1);
+            advanceTenthsOfSeconds(fleet, 1);
             for (String entry : fleet.names()) {
                 for (int i = 0; i < 16; i++) {
                     admitted += fleet.spend(entry, ACCOUNT, 10) ? 10 : 0;
@@ -203,15 +203,15 @@
     }
 
     @Test
-    public void aCostAboveTheBurstIsTakenFromAFullBudget() {
+    public void costAboveTheBurstIsChargedToAFullBudget() {
         BudgetFleet fleet = fleet(1);
-        passTenths(fleet, 10);
+        advanceTenthsOfSeconds(fleet, 10);
         assertTrue(fleet.spend("entry-0", ACCOUNT, 3 * RATE));
         assertFalse(fleet.spend("entry-0", ACCOUNT, 1));
     }
 
     @Test
-    public void aRefusalTellsWhenTheCostWillBeThere() {
+    public void refusalNamesTheTimeUntilTheCostIsAvailable() {
         BudgetFleet fleet = fleet(5);
         Optional<AccountBudgets.Shortage> shortage =
                 fleet.entry("entry-0").spend(ACCOUNT, 900).join();
@@ -219,20 +219,20 @@
     }
 
     @Test
-    public void aRefusedCostIsNotAskedForAgainAtOnceButASmallerOneIs() {
+    public void refusedCostIsNotDrawnAgainAtOnceButASmallerOneIs() {
         BudgetFleet fleet = fleet(5);
         assertFalse(fleet.spend("entry-0", ACCOUNT, 900));
-        long before = fleet.messages();
+        long before = fleet.messageCount();
         assertFalse(fleet.spend("entry-0", ACCOUNT, 900));
-        assertEquals(fleet.messages(), before);
+        assertEquals(fleet.messageCount(), before);
         assertTrue(fleet.spend("entry-0", ACCOUNT, 100));
     }
 
     @Test
-    public void requestsThatWaitForOneDrawAreServedInTheirOrder() {
+    public void requestsWaitingForADrawAreChargedInOrder() {
         List<CompletableFuture<BudgetPeers.Grant>> draws = new ArrayList<>();
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
-        AccountBudgets budgets = new AccountBudgets("a", homes, new HeldPeers(draws), time, scheduler);
+        AccountBudgets budgets = new AccountBudgets("a", homes, new DeferredPeers(draws), time, scheduler);
         budgets.setAccounts(List.of(ACCOUNT));
         budgets.setOtherEntries(Set.of("b"));
         CompletableFuture<Optional<AccountBudgets.Shortage>> first = budgets.spend(ACCOUNT, 400);
@@ -245,10 +245,10 @@
 
     /** Guards against delays when all entries have just started and a home is too busy to respond at once. */
     @Test
-    public void aSlowHomeDoesNotHoldARequestWhoseTokensAnotherHomeHas() {
+    public void slowHomeDoesNotDelayARequestThatAnotherHomeCovers() {
         List<CompletableFuture<BudgetPeers.Grant>> draws = new ArrayList<>();
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
-        AccountBudgets budgets = new AccountBudgets("a", homes, new HeldPeers(draws), time, scheduler);
+        AccountBudgets budgets = new AccountBudgets("a", homes, new DeferredPeers(draws), time, scheduler);
         budgets.setAccounts(List.of(ACCOUNT));
         budgets.setOtherEntries(Set.of("b", "c", "d"));
         CompletableFuture<Optional<AccountBudgets.Shortage>> request = budgets.spend(ACCOUNT, 400);
@@ -265,10 +265,10 @@
     }
 
     @Test
-    public void aDrawWaitsForTheSlowHomesBeforeItRefuses() {
+    public void drawAwaitsSlowHomesBeforeItRefuses() {
         List<CompletableFuture<BudgetPeers.Grant>> draws = new ArrayList<>();
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
-        AccountBudgets budgets = new AccountBudgets("a", homes, new HeldPeers(draws), time, scheduler);
+        AccountBudgets budgets = new AccountBudgets("a", homes, new DeferredPeers(draws), time, scheduler);
         budgets.setAccounts(List.of(ACCOUNT));
         budgets.setOtherEntries(Set.of("b", "c", "d"));
         CompletableFuture<Optional<AccountBudgets.Shortage>> request = budgets.spend(ACCOUNT, 900);
@@ -282,16 +282,16 @@
     }
 
     @Test
-    public void whatWasTakenForARequestThatDidNotRunIsSpentByTheNext() {
+    public void refundOfARequestThatDidNotRunIsAvailableToTheNext() {
         BudgetFleet fleet = fleet(1);
-        passTenths(fleet, 10);
+        advanceTenthsOfSeconds(fleet, 10);
         assertTrue(fleet.spend("entry-0", ACCOUNT, RATE));
         fleet.entry("entry-0").refund(ACCOUNT, RATE);
         assertTrue(fleet.spend("entry-0", ACCOUNT, RATE));
     }
 
     @Test
-    public void aHomeGivesNothingForAnAmountThatIsNone() {
+    public void homeGrantsNothingForInvalidAmounts() {
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
         homes.setAccounts(List.of(ACCOUNT));
         homes.setOtherEntries(Set.of());
@@ -306,10 +306,10 @@
 
     /** Guards against withholding tokens from others: only an entry that draws often draws for further requests. */
     @Test
-    public void onlyFrequentRequestsAreDrawnForAhead() {
+    public void onlyFrequentDrawsPrefetchTokens() {
         List<Double> ahead = new ArrayList<>();
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
-        BudgetPeers peers = new NoPeers() {
+        BudgetPeers peers = new UnreachablePeers() {
             @Override
             public CompletableFuture<Grant> draw(String entry, String account, double needed, double more) {
                 ahead.add(more);
@@ -333,7 +333,7 @@
     }
 
     @Test
-    public void anAccountThatIsAddedBeginsWithItsBurst() {
+    public void addedAccountBeginsWithItsBurst() {
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
         homes.setAccounts(List.of());
         homes.setOtherEntries(Set.of());
@@ -342,7 +342,7 @@
     }
 
     @Test
-    public void aPartThatComesFromAnotherEntryBeginsEmpty() {
+    public void partTakenOverFromAnotherEntryBeginsEmpty() {
         BudgetHomes homes = new BudgetHomes("a", BudgetFleet.NO_SLACK, time, () -> true);
         Set<String> others = IntStream.range(0, 40).mapToObj(i -> "b" + i).collect(java.util.stream.Collectors.toSet());
         homes.setAccounts(List.of(ACCOUNT));
@@ -356,7 +356,7 @@
     }
 
     /** Fails every draw, as without other entries. */
-    private static class NoPeers implements BudgetPeers {
+    private static class UnreachablePeers implements BudgetPeers {
         @Override
         public CompletableFuture<Grant> draw(String entry, String account, double needed, double ahead) {
             return CompletableFuture.failedFuture(new IllegalStateException("no peers"));
@@ -367,10 +367,10 @@
     }
 
     /** Leaves every draw open until the test completes it. */
-    private static final class HeldPeers extends NoPeers {
+    private static final class DeferredPeers extends UnreachablePeers {
         private final List<CompletableFuture<Grant>> draws;
 
-        HeldPeers(List<CompletableFuture<Grant>> draws) {
+        DeferredPeers(List<CompletableFuture<Grant>> draws) {
             this.draws = draws;
         }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
@@ -28,8 +28,8 @@
     private final Map<String, BudgetHomes> homes = new HashMap<>();
     private final Map<String, AccountBudgets> budgets = new HashMap<>();
     private final Set<String> down = new HashSet<>();
-    private final Set<String> fallen = new HashSet<>();
-    private long messages;
+    private final Set<String> unconfirmed = new HashSet<>();
+    private long messageCount;
 
     BudgetFleet(ManualTimeSource time, int entries, BudgetHomes.Slack slack, List<Account> accounts) {
         this.time = time;
@@ -42,7 +42,7 @@
 
     /** Starts an entry without state from an earlier start. */
     void start(String name) {
-        BudgetHomes started = new BudgetHomes(name, slack, time, () -> !fallen.contains(name));
+        BudgetHomes started = new BudgetHomes(name, slack, time, () -> !unconfirmed.contains(name));
         homes.put(name, started);
         budgets.put(name, new AccountBudgets(name, started, new Peers(name), time, scheduler));
         budgets.get(name).setAccounts(accounts);
@@ -56,19 +56,19 @@
     }
 
     /** Makes an entry unsure whether the others still count it as a member, as after its record has lapsed. */
-    void fall(String name) {
-        fallen.add(name);
+    void unconfirmMembership(String name) {
+        unconfirmed.add(name);
     }
 
-    void stand(String name) {
-        fallen.remove(name);
+    void confirmMembership(String name) {
+        unconfirmed.remove(name);
     }
 
     List<String> names() {
         return names;
     }
 
-    List<String> up() {
+    List<String> running() {
         return names.stream().filter(n -> !down.contains(n)).toList();
     }
 
@@ -81,8 +81,8 @@
     }
 
     /** Returns the number of frames that the entries have sent to each other. */
-    long messages() {
-        return messages;
+    long messageCount() {
+        return messageCount;
     }
 
     private final class Peers implements BudgetPeers {
@@ -94,7 +94,7 @@
 
         @Override
         public CompletableFuture<Grant> draw(String entry, String account, double needed, double ahead) {
-            messages += 2;
+            messageCount += 2;
             return down.contains(entry) || down.contains(from)
                     ? CompletableFuture.failedFuture(new IllegalStateException("down"))
                     : CompletableFuture.completedFuture(homes.get(entry).draw(account, needed, ahead));
@@ -102,7 +102,7 @@
 
         @Override
         public void returnTokens(String entry, String account, double tokens) {
-            messages++;
+            messageCount++;
             if (!down.contains(entry)) {
                 homes.get(entry).returnTokens(account, tokens);
             }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScaleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScaleTest.java
@@ -29,20 +29,20 @@
     private static final int STEP_MILLIS = 20;
     private static final int STEPS = 1_500;
     private static final int WINDOW_STEPS = 8_000 / STEP_MILLIS;
-    private static final int KILL_EVERY_STEPS = 150;
+    private static final int KILL_INTERVAL_STEPS = 150;
     private static final int DOWN_STEPS = 60;
     private static final int LOSS_OF_ALL_STEP = 900;
-    private static final double SLACK = 11_000;
+    private static final double SLACK_TOKENS = 11_000;
     private static final double REQUEST_TOKENS = 1_500;
-    private static final double USED_PART_OF_RATE = 0.55;
+    private static final double USED_SHARE_OF_RATE = 0.55;
 
     /** Maximum number of frames that entries send to each other per request that is charged. */
-    private static final double MAX_MESSAGES_A_REQUEST = 5;
+    private static final double MAX_MESSAGES_PER_REQUEST = 5;
 
-    private static final double MAX_WRONG_PART = 0.02;
+    private static final double MAX_WRONGLY_REFUSED_SHARE = 0.02;
 
-    private static final double MIN_SERVED_PART = 0.85;
-    private static final int HOT = 1;
+    private static final double MIN_SERVED_SHARE = 0.85;
+    private static final int HOT_ACCOUNT_INDEX = 1;
 
     @DataProvider
     public Object[][] fleets() {
@@ -51,21 +51,26 @@
 
     /** Guards against messages that grow with the fleet: demand is about six requests a second at every entry. */
     @Test(dataProvider = "fleets")
-    public void messagesFollowRequestsAndTheBoundHolds(int entries, long seed) {
-        Outcome outcome = new Play(entries, seed).run();
+    public void messagesGrowWithRequestsAndTheBoundHolds(int entries, long seed) {
+        SimulationResult outcome = new Simulation(entries, seed).run();
         logger.atInfo().log(
                 "%d entries: %.1f messages a second and entry, %.2f a request, %.4f refused wrongly, the account above"
                         + " its rate got %.3f of it, worst window %.3f of its bound",
                 entries,
                 outcome.messages() / (STEPS * STEP_MILLIS / 1_000.0) / entries,
                 (double) outcome.messages() / outcome.requests(),
-                outcome.wrongPart(),
-                outcome.servedPartOfRate(),
-                outcome.worstPartOfBound());
-        assertTrue(outcome.worstPartOfBound() <= 1, "part of the bound: " + outcome.worstPartOfBound());
-        assertTrue(outcome.messages() <= MAX_MESSAGES_A_REQUEST * outcome.requests(), "messages " + outcome.messages());
-        assertTrue(outcome.wrongPart() <= MAX_WRONG_PART, "refused wrongly: " + outcome.wrongPart());
-        assertTrue(outcome.servedPartOfRate() >= MIN_SERVED_PART, "served of its rate: " + outcome.servedPartOfRate());
+                outcome.wronglyRefusedShare(),
+                outcome.servedShareOfExact(),
+                outcome.worstShareOfBound());
+        assertTrue(outcome.worstShareOfBound() <= 1, "part of the bound: " + outcome.worstShareOfBound());
+        assertTrue(
+                outcome.messages() <= MAX_MESSAGES_PER_REQUEST * outcome.requests(), "messages " + outcome.messages());
+        assertTrue(
+                outcome.wronglyRefusedShare() <= MAX_WRONGLY_REFUSED_SHARE,
+                "refused wrongly: " + outcome.wronglyRefusedShare());
+        assertTrue(
+                outcome.servedShareOfExact() >= MIN_SERVED_SHARE,
+                "served of its rate: " + outcome.servedShareOfExact());
     }
 
     /**
@@ -73,7 +78,7 @@
      * with requests that cost up to its whole burst.
      */
     @Test
-    public void aSmallAccountNearItsRateGetsWhatAnExactBucketWouldGive() {
+    public void smallAccountNearItsRateGetsAsMuchAsFromAnExactBucket() {
         double exactTokens = 0;
         double servedTokens = 0;
         for (long seed = 0; seed < 20; seed++) {
@@ -86,7 +91,7 @@
             double level = account.burst();
             for (int step = 0; step < STEPS; step++) {
                 time.advanceMillis(STEP_MILLIS);
-                fleet.up().forEach(e -> fleet.entry(e).returnUnspent());
+                fleet.running().forEach(e -> fleet.entry(e).returnUnspent());
                 level = Math.min(account.burst(), level + account.ratePerSecond() * STEP_MILLIS / 1_000);
                 if (random.nextDouble() >= 2.2 * STEP_MILLIS / 1_000) {
                     continue;
@@ -108,43 +113,48 @@
      *
      * @param messages the frames that the entries sent to each other
      * @param requests the requests at all entries
-     * @param wrongPart the share of requests that were refused although an exact bucket admitted them, for the accounts
+     * @param wronglyRefusedShare the share of requests that were refused although an exact bucket admitted them, for the accounts
      *     within their rate
-     * @param servedPartOfRate the tokens admitted for the account above its rate, relative to those of an exact bucket
-     * @param worstPartOfBound the largest amount admitted in a window, relative to its bound
+     * @param servedShareOfExact the tokens admitted for the account above its rate, relative to those of an exact bucket
+     * @param worstShareOfBound the largest amount admitted in a window, relative to its bound
      */
-    private record Outcome(
-            long messages, long requests, double wrongPart, double servedPartOfRate, double worstPartOfBound) {}
+    private record SimulationResult(
+            long messages,
+            long requests,
+            double wronglyRefusedShare,
+            double servedShareOfExact,
+            double worstShareOfBound) {}
 
-    private static final class Play {
+    private static final class Simulation {
         private final int entries;
         private final SplittableRandom random;
         private final ManualTimeSource time = new ManualTimeSource();
         private final List<Account> accounts;
         private final BudgetFleet fleet;
         private final Map<String, Window> windows = new HashMap<>();
-        private final Map<String, Double> exact = new HashMap<>();
+        private final Map<String, Double> exactLevels = new HashMap<>();
         private long requests;
-        private long owed;
-        private long wrong;
-        private double hotServed;
-        private double hotOwed;
+        private long admittedByExact;
+        private long wronglyRefused;
+        private double hotServedTokens;
+        private double hotExactTokens;
 
-        Play(int entries, long seed) {
+        Simulation(int entries, long seed) {
             this.entries = entries;
             this.random = new SplittableRandom(seed);
             this.accounts = IntStream.range(0, 13).mapToObj(this::account).toList();
-            this.fleet = new BudgetFleet(time, entries, new BudgetHomes.Slack(SLACK, Duration.ofSeconds(8)), accounts);
+            this.fleet = new BudgetFleet(
+                    time, entries, new BudgetHomes.Slack(SLACK_TOKENS, Duration.ofSeconds(8)), accounts);
             accounts.forEach(a -> {
                 windows.put(a.name(), new Window());
-                exact.put(a.name(), a.burst());
+                exactLevels.put(a.name(), a.burst());
             });
         }
 
         /** Creates an account: 0 has a quarter of the demand, 1 a sixth, and so on; the small ones have 4% each. */
         private Account account(int index) {
             double demand = entries * 6 * REQUEST_TOKENS * share(index);
-            double rate = Math.max(2_700, demand / USED_PART_OF_RATE);
+            double rate = Math.max(2_700, demand / USED_SHARE_OF_RATE);
             return new Account("account-" + index, Set.of("k" + index), null, true, rate, rate, 10);
         }
 
@@ -152,24 +162,29 @@
             return index < 4 ? 0.25 / (1 + 0.5 * index) : 0.04;
         }
 
-        Outcome run() {
+        SimulationResult run() {
             time.advanceMillis(15_000);
             double worst = 0;
             for (int step = 0; step < STEPS; step++) {
                 time.advanceMillis(STEP_MILLIS);
-                disturb(step);
-                fleet.up().forEach(e -> fleet.entry(e).returnUnspent());
-                IntStream.range(0, accounts.size()).forEach(this::demand);
+                injectFaults(step);
+                fleet.running().forEach(e -> fleet.entry(e).returnUnspent());
+                IntStream.range(0, accounts.size()).forEach(this::generateDemand);
                 worst = Math.max(worst, worstWindow());
             }
-            return new Outcome(fleet.messages(), requests, (double) wrong / owed, hotServed / hotOwed, worst);
+            return new SimulationResult(
+                    fleet.messageCount(),
+                    requests,
+                    (double) wronglyRefused / admittedByExact,
+                    hotServedTokens / hotExactTokens,
+                    worst);
         }
 
-        private void disturb(int step) {
-            String victim = fleet.names().get(step / KILL_EVERY_STEPS % entries);
-            if (step % KILL_EVERY_STEPS == 0) {
+        private void injectFaults(int step) {
+            String victim = fleet.names().get(step / KILL_INTERVAL_STEPS % entries);
+            if (step % KILL_INTERVAL_STEPS == 0) {
                 fleet.kill(victim);
-            } else if (step % KILL_EVERY_STEPS == DOWN_STEPS) {
+            } else if (step % KILL_INTERVAL_STEPS == DOWN_STEPS) {
                 fleet.start(victim);
             }
             if (step == LOSS_OF_ALL_STEP) {
@@ -179,46 +194,47 @@
             }
         }
 
-        private void demand(int index) {
+        private void generateDemand(int index) {
             Account account = accounts.get(index);
-            double perSecond = entries * 6 * share(index) * (index == HOT ? 6 : 1);
-            exact.merge(
+            double perSecond = entries * 6 * share(index) * (index == HOT_ACCOUNT_INDEX ? 6 : 1);
+            exactLevels.merge(
                     account.name(),
                     account.ratePerSecond() * STEP_MILLIS / 1_000,
                     (level, more) -> Math.min(account.burst(), level + more));
             int count = (int) (perSecond * STEP_MILLIS / 1_000 + random.nextDouble());
             double admitted = 0;
             for (int i = 0; i < count; i++) {
-                admitted += request(account);
+                admitted += sendRequest(account);
             }
             windows.get(account.name()).add(admitted);
         }
 
         /** Sends a request to an entry, the first entries more often than the last; returns the admitted cost. */
-        private double request(Account account) {
-            List<String> up = fleet.up();
-            if (up.isEmpty()) {
+        private double sendRequest(Account account) {
+            List<String> running = fleet.running();
+            if (running.isEmpty()) {
                 return 0;
             }
-            double place = random.nextDouble();
+            double position = random.nextDouble();
             double cost = REQUEST_TOKENS * (0.5 + random.nextDouble());
-            boolean isOwed = exact.get(account.name()) >= cost;
+            boolean isAdmittedByExact = exactLevels.get(account.name()) >= cost;
             requests++;
-            exact.merge(account.name(), isOwed ? -cost : 0, Double::sum);
-            boolean spent = fleet.spend(up.get((int) (place * place * up.size())), account, cost);
-            if (account.equals(accounts.get(HOT))) {
-                hotServed += spent ? cost : 0;
-                hotOwed += isOwed ? cost : 0;
+            exactLevels.merge(account.name(), isAdmittedByExact ? -cost : 0, Double::sum);
+            boolean spent = fleet.spend(running.get((int) (position * position * running.size())), account, cost);
+            if (account.equals(accounts.get(HOT_ACCOUNT_INDEX))) {
+                hotServedTokens += spent ? cost : 0;
+                hotExactTokens += isAdmittedByExact ? cost : 0;
             } else {
-                owed += isOwed ? 1 : 0;
-                wrong += isOwed && !spent ? 1 : 0;
+                admittedByExact += isAdmittedByExact ? 1 : 0;
+                wronglyRefused += isAdmittedByExact && !spent ? 1 : 0;
             }
             return spent ? cost : 0;
         }
 
         private double worstWindow() {
             return accounts.stream()
-                    .mapToDouble(a -> windows.get(a.name()).sum / ((a.ratePerSecond() * 8 + a.burst()) * 1.1 + SLACK))
+                    .mapToDouble(
+                            a -> windows.get(a.name()).sum / ((a.ratePerSecond() * 8 + a.burst()) * 1.1 + SLACK_TOKENS))
                     .max()
                     .orElse(0);
         }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScheduleTest.java
@@ -37,20 +37,20 @@
     private static final int WINDOW_STEPS = 8_000 / STEP_MILLIS;
     private static final double BOUND = (RATE * 8 + BURST) * 1.1 + SLACK;
     /** Age of its record at which a partitioned entry no longer counts itself as a member. */
-    private static final int OWN_LAPSE_STEPS = 6_000 / STEP_MILLIS;
+    private static final int OWN_MEMBERSHIP_LAPSE_STEPS = 6_000 / STEP_MILLIS;
 
     /** Age of an entry's record at which the other entries take over its part. */
-    private static final int LAPSE_STEPS = 7_500 / STEP_MILLIS;
+    private static final int PEER_RECORD_LAPSE_STEPS = 7_500 / STEP_MILLIS;
     /** Time from the end of a partition until all others know the entry and it counts itself as a member again. */
-    private static final int SETTLE_STEPS = 4_250 / STEP_MILLIS;
+    private static final int REJOIN_STEPS = 4_250 / STEP_MILLIS;
 
     @Test
     public void noWindowOfAnyScheduleExceedsTheBound() {
-        List<String> faults = IntStream.range(0, SEEDS)
+        List<String> violations = IntStream.range(0, SEEDS)
                 .boxed()
                 .flatMap(seed -> new Schedule(seed).run().stream().map(f -> "seed " + seed + ": " + f))
                 .toList();
-        assertEquals(String.join("\n", faults), "");
+        assertEquals(String.join("\n", violations), "");
     }
 
     private static final class Schedule {
@@ -59,77 +59,82 @@
         private final ManualScheduler scheduler = new ManualScheduler(time);
         private final AccountBudgets[] entries = new AccountBudgets[ENTRIES];
         private final BudgetHomes[] homes = new BudgetHomes[ENTRIES];
-        private final int[] lives = new int[ENTRIES];
-        private final int[] cutSince = new int[ENTRIES];
+        private final int[] startCounts = new int[ENTRIES];
+        private final int[] partitionedSince = new int[ENTRIES];
         private final int[] downUntil = new int[ENTRIES];
-        private final int[] settlesUntil = new int[ENTRIES];
+        private final int[] rejoinsAt = new int[ENTRIES];
         private final Deque<Double> window = new ArrayDeque<>();
-        private final boolean heavy;
-        private int now;
-        private double inWindow;
+        private final boolean heavyDemand;
+        private int currentStep;
+        private double admittedInWindow;
         private int lastLossOfAll = -WINDOW_STEPS;
 
         Schedule(int seed) {
             this.random = new SplittableRandom(seed);
-            this.heavy = random.nextBoolean();
+            this.heavyDemand = random.nextBoolean();
             IntStream.range(0, ENTRIES).forEach(i -> start(i, 0));
         }
 
         List<String> run() {
-            List<String> faults = new ArrayList<>();
+            List<String> violations = new ArrayList<>();
             double total = 0;
             for (int step = 1; step <= STEPS; step++) {
-                now = step;
+                currentStep = step;
                 time.advanceMillis(STEP_MILLIS);
-                disturb(step);
-                membership(step);
-                IntStream.range(0, ENTRIES).filter(i -> isUp(i, now)).forEach(i -> entries[i].returnUnspent());
-                double admitted = demand(step);
+                injectFaults(step);
+                updateMembers(step);
+                IntStream.range(0, ENTRIES).filter(i -> isUp(i, currentStep)).forEach(i -> entries[i].returnUnspent());
+                double admitted = generateDemand(step);
                 total += admitted;
-                note(admitted);
-                if (inWindow > BOUND) {
-                    faults.add("%.0f admitted in the window that ends with step %d".formatted(inWindow, step));
+                recordAdmitted(admitted);
+                if (admittedInWindow > BOUND) {
+                    violations.add(
+                            "%.0f admitted in the window that ends with step %d".formatted(admittedInWindow, step));
                     break;
                 }
             }
             if (total < RATE * STEPS * STEP_MILLIS / 1_000 / 4) {
-                faults.add("only %.0f admitted of %d".formatted(total, (int) RATE * STEPS * STEP_MILLIS / 1_000));
+                violations.add("only %.0f admitted of %d".formatted(total, (int) RATE * STEPS * STEP_MILLIS / 1_000));
             }
-            return faults;
+            return violations;
         }
 
         private void start(int entry, int step) {
-            endCut(entry, step);
+            endPartition(entry, step);
             homes[entry] = new BudgetHomes(
-                    name(entry), new BudgetHomes.Slack(SLACK, Duration.ofSeconds(8)), time, () -> stands(entry));
+                    name(entry),
+                    new BudgetHomes.Slack(SLACK, Duration.ofSeconds(8)),
+                    time,
+                    () -> isMembershipConfirmed(entry));
             entries[entry] = new AccountBudgets(name(entry), homes[entry], new Peers(entry), time, scheduler);
             entries[entry].setAccounts(List.of(ACCOUNT));
-            lives[entry]++;
+            startCounts[entry]++;
             downUntil[entry] = step;
         }
 
         /** Ends a partition; an entry that others may have removed is a member again once all of them know it. */
-        private void endCut(int entry, int step) {
-            if (isCut(entry, step) && step - cutSince[entry] >= OWN_LAPSE_STEPS) {
-                settlesUntil[entry] = step + SETTLE_STEPS;
+        private void endPartition(int entry, int step) {
+            if (isPartitioned(entry, step) && step - partitionedSince[entry] >= OWN_MEMBERSHIP_LAPSE_STEPS) {
+                rejoinsAt[entry] = step + REJOIN_STEPS;
             }
-            cutSince[entry] = Integer.MAX_VALUE;
+            partitionedSince[entry] = Integer.MAX_VALUE;
         }
 
-        private boolean stands(int entry) {
-            boolean known = !isCut(entry, now) || now - cutSince[entry] < OWN_LAPSE_STEPS;
-            return known && now >= settlesUntil[entry];
+        private boolean isMembershipConfirmed(int entry) {
+            boolean known = !isPartitioned(entry, currentStep)
+                    || currentStep - partitionedSince[entry] < OWN_MEMBERSHIP_LAPSE_STEPS;
+            return known && currentStep >= rejoinsAt[entry];
         }
 
-        private void disturb(int step) {
+        private void injectFaults(int step) {
             int kind = random.nextInt(1_000);
             int entry = random.nextInt(ENTRIES);
             if (kind < 4) {
                 start(entry, step + random.nextInt(10, 60));
             } else if (kind < 10) {
-                cutSince[entry] = Math.min(step, cutSince[entry]);
+                partitionedSince[entry] = Math.min(step, partitionedSince[entry]);
             } else if (kind < 24) {
-                endCut(entry, step);
+                endPartition(entry, step);
             } else if (kind == 24 && step - lastLossOfAll >= WINDOW_STEPS) {
                 lastLossOfAll = step;
                 int down = random.nextInt(10, 40);
@@ -141,12 +146,12 @@
             return step >= downUntil[entry];
         }
 
-        private boolean isCut(int entry, int step) {
-            return cutSince[entry] <= step;
+        private boolean isPartitioned(int entry, int step) {
+            return partitionedSince[entry] <= step;
         }
 
         /** Updates the members that entries know; a partitioned entry stops gaining tokens before its record lapses. */
-        private void membership(int step) {
+        private void updateMembers(int step) {
             for (int i = 0; i < ENTRIES; i++) {
                 if (isUp(i, step)) {
                     entries[i].setOtherEntries(othersOf(i, step));
@@ -157,15 +162,17 @@
         private Set<String> othersOf(int entry, int step) {
             return IntStream.range(0, ENTRIES)
                     .filter(o -> o != entry)
-                    .filter(o -> isCut(entry, step) || !isCut(o, step) || step - cutSince[o] < LAPSE_STEPS)
+                    .filter(o -> isPartitioned(entry, step)
+                            || !isPartitioned(o, step)
+                            || step - partitionedSince[o] < PEER_RECORD_LAPSE_STEPS)
                     .mapToObj(Schedule::name)
                     .collect(Collectors.toSet());
         }
 
-        private double demand(int step) {
+        private double generateDemand(int step) {
             double admitted = 0;
             for (int i = 0; i < ENTRIES; i++) {
-                int requests = isUp(i, step) ? random.nextInt(heavy ? 12 : 3) : 0;
+                int requests = isUp(i, step) ? random.nextInt(heavyDemand ? 12 : 3) : 0;
                 for (int r = 0; r < requests; r++) {
                     double cost = random.nextInt(5, 120);
                     admitted += entries[i].spend(ACCOUNT, cost).join().isEmpty() ? cost : 0;
@@ -174,11 +181,11 @@
             return admitted;
         }
 
-        private void note(double admitted) {
+        private void recordAdmitted(double admitted) {
             window.addLast(admitted);
-            inWindow += admitted;
+            admittedInWindow += admitted;
             if (window.size() > WINDOW_STEPS) {
-                inWindow -= window.removeFirst();
+                admittedInWindow -= window.removeFirst();
             }
         }
 
@@ -197,7 +204,7 @@
             @Override
             public CompletableFuture<Grant> draw(String entry, String account, double needed, double ahead) {
                 int to = Integer.parseInt(entry.substring("entry-".length()));
-                if (!reaches(to)) {
+                if (!canReach(to)) {
                     return CompletableFuture.failedFuture(new IllegalStateException("not reached"));
                 }
                 Grant drawn = homes[to].draw(account, needed, ahead);
@@ -209,13 +216,13 @@
             @Override
             public void returnTokens(String entry, String account, double tokens) {
                 int to = Integer.parseInt(entry.substring("entry-".length()));
-                if (reaches(to)) {
+                if (canReach(to)) {
                     homes[to].returnTokens(account, tokens);
                 }
             }
 
-            private boolean reaches(int to) {
-                return isUp(to, now) && !isCut(from, now) && !isCut(to, now);
+            private boolean canReach(int to) {
+                return isUp(to, currentStep) && !isPartitioned(from, currentStep) && !isPartitioned(to, currentStep);
             }
         }
     }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
@@ -41,7 +41,7 @@
         chooser = new EngineChooser(view, loads);
         engines =
                 IntStream.range(0, ENGINES).mapToObj(EngineChooserTest::engine).toList();
-        engines.forEach(e -> tell(e, 1, 0, List.of()));
+        engines.forEach(e -> reportStatus(e, 1, 0, List.of()));
     }
 
     private static Upstream engine(int i) {
@@ -49,7 +49,7 @@
         return new Upstream("e" + i, "lm", address, "bole", 1, false, 64, Map.of());
     }
 
-    private void tell(Upstream engine, long born, long backlog, List<String> resident) {
+    private void reportStatus(Upstream engine, long born, long backlog, List<String> resident) {
         view.onStatus(GateStatus.newBuilder()
                 .setEngineId(engine.id())
                 .setBorn(born)
@@ -61,18 +61,18 @@
                 .build());
     }
 
-    private List<Upstream> order() {
+    private List<Upstream> engineOrder() {
         return chooser.orderByExpectedTime(engines, ADAPTER, Set.of()).stream()
                 .map(EngineChooser.Choice::engine)
                 .toList();
     }
 
-    private Upstream best() {
-        return order().get(0);
+    private Upstream firstChoice() {
+        return engineOrder().get(0);
     }
 
     @Test
-    public void aSideIsSilentOnlyWhenAStatusThatItAnnouncedFailsToCome() {
+    public void sideIsUnresponsiveOnlyWhenAnAnnouncedStatusIsOverdue() {
         Upstream engine = engines.get(0);
         GateStatus status =
                 GateStatus.newBuilder().setEngineId(engine.id()).setBorn(1).build();
@@ -88,85 +88,87 @@
 
     /** Guards against entries that load an adapter which no engine holds on different engines. */
     @Test
-    public void aColdAdapterHasTheSameHomeForAllEntries() {
+    public void allEntriesChooseTheSameEngineForAnAbsentAdapter() {
         EngineChooser other = new EngineChooser(new EngineView(time), loads);
         assertEquals(
-                other.orderByExpectedTime(engines, ADAPTER, Set.of()).get(0).engine(), best());
+                other.orderByExpectedTime(engines, ADAPTER, Set.of()).get(0).engine(), firstChoice());
     }
 
     /** Guards against slow loads of rarely used adapters that were evicted by popular ones and are requested again. */
     @Test
-    public void anEngineThatHeldAnAdapterBeforeGoesBeforeItsHome() {
-        Upstream last = order().get(ENGINES - 1);
-        tell(last, 1, 0, List.of(ADAPTER.toString()));
-        tell(last, 1, 0, List.of("m0/hot"));
-        assertEquals(best(), last);
+    public void engineThatHeldTheAdapterBeforePrecedesTheFirstRankedEngine() {
+        Upstream last = engineOrder().get(ENGINES - 1);
+        reportStatus(last, 1, 0, List.of(ADAPTER.toString()));
+        reportStatus(last, 1, 0, List.of("m0/hot"));
+        assertEquals(firstChoice(), last);
         assertEquals(view.adapterState(last, ADAPTER), EngineView.AdapterState.PREVIOUSLY_RESIDENT);
     }
 
     /** Guards against counting adapters as held before that a restarted engine no longer holds. */
     @Test
-    public void aStartedEngineHeldNothingBefore() {
-        Upstream last = order().get(ENGINES - 1);
-        tell(last, 1, 0, List.of(ADAPTER.toString()));
-        tell(last, 2, 0, List.of());
+    public void restartedEngineHasNoPreviouslyResidentAdapters() {
+        Upstream last = engineOrder().get(ENGINES - 1);
+        reportStatus(last, 1, 0, List.of(ADAPTER.toString()));
+        reportStatus(last, 2, 0, List.of());
         Upstream startedAnew = last.withStart(last.id(), 2);
         assertEquals(view.adapterState(startedAnew, ADAPTER), EngineView.AdapterState.ABSENT);
     }
 
     /** Guards against counting more adapters as held before than an engine keeps. */
     @Test
-    public void whatWasHeldLongAgoIsForgotten() {
-        Upstream home = best();
-        tell(home, 1, 0, List.of(ADAPTER.toString()));
+    public void adapterHeldLongAgoIsAbsent() {
+        Upstream preferred = firstChoice();
+        reportStatus(preferred, 1, 0, List.of(ADAPTER.toString()));
         IntStream.range(0, 50)
-                .forEach(i -> tell(home, 1, 0, List.of("m0/x" + 3 * i, "m0/x" + (3 * i + 1), "m0/x" + (3 * i + 2))));
-        assertEquals(view.adapterState(home, ADAPTER), EngineView.AdapterState.ABSENT);
-        assertEquals(view.adapterState(home, new AdapterId("m0", "x149")), EngineView.AdapterState.RESIDENT);
-        assertEquals(view.adapterState(home, new AdapterId("m0", "x100")), EngineView.AdapterState.PREVIOUSLY_RESIDENT);
+                .forEach(i -> reportStatus(
+                        preferred, 1, 0, List.of("m0/x" + 3 * i, "m0/x" + (3 * i + 1), "m0/x" + (3 * i + 2))));
+        assertEquals(view.adapterState(preferred, ADAPTER), EngineView.AdapterState.ABSENT);
+        assertEquals(view.adapterState(preferred, new AdapterId("m0", "x149")), EngineView.AdapterState.RESIDENT);
+        assertEquals(
+                view.adapterState(preferred, new AdapterId("m0", "x100")), EngineView.AdapterState.PREVIOUSLY_RESIDENT);
     }
 
     /** Guards against another load of an adapter that costs more than waiting for the short backlog of its engine. */
     @Test
-    public void aShortQueueIsNoReasonForAnotherLoad() {
-        Upstream home = best();
-        tell(home, 1, 4_000, List.of(ADAPTER.toString()));
-        assertEquals(best(), home);
+    public void shortBacklogCausesNoFurtherLoad() {
+        Upstream preferred = firstChoice();
+        reportStatus(preferred, 1, 4_000, List.of(ADAPTER.toString()));
+        assertEquals(firstChoice(), preferred);
     }
 
     /** Guards against an overloaded engine when one adapter gets most of the requests. */
     @Test
-    public void aHotAdapterSpreadsWhenItsHomeIsBusy() {
-        Upstream home = best();
-        tell(home, 1, 40_000, List.of(ADAPTER.toString()));
-        assertNotEquals(best(), home);
+    public void popularAdapterSpreadsWhenItsEngineIsBusy() {
+        Upstream preferred = firstChoice();
+        reportStatus(preferred, 1, 40_000, List.of(ADAPTER.toString()));
+        assertNotEquals(firstChoice(), preferred);
     }
 
     /** Guards against sending all requests of one moment to one engine, before its side could report any of them. */
     @Test
-    public void whatWasJustAskedForCountsAtOnce() {
-        Upstream home = best();
-        view.onStartRequested(home, 40_000);
-        assertNotEquals(best(), home);
+    public void requestedStartCountsBeforeTheNextStatus() {
+        Upstream preferred = firstChoice();
+        view.onStartRequested(preferred, 40_000);
+        assertNotEquals(firstChoice(), preferred);
     }
 
     /** Guards against continued use of an engine that returns errors although its status reports no problem. */
     @Test
-    public void anErringEngineIsLeftAndTriedAgainLater() {
-        Upstream home = best();
-        IntStream.range(0, 10).forEach(i -> loads.of(home).onErrorResponse());
-        assertTrue(loads.of(home).hasHighErrorRate());
-        assertNotEquals(best(), home);
+    public void engineWithErrorsIsAvoidedAndTriedAgainLater() {
+        Upstream preferred = firstChoice();
+        IntStream.range(0, 10).forEach(i -> loads.of(preferred).onErrorResponse());
+        assertTrue(loads.of(preferred).hasHighErrorRate());
+        assertNotEquals(firstChoice(), preferred);
         time.advanceMillis(10_000);
-        engines.forEach(e -> tell(e, 1, 0, List.of()));
-        assertFalse(loads.of(home).hasHighErrorRate());
-        assertEquals(best(), home);
+        engines.forEach(e -> reportStatus(e, 1, 0, List.of()));
+        assertFalse(loads.of(preferred).hasHighErrorRate());
+        assertEquals(firstChoice(), preferred);
     }
 
     /** Guards against leaving no engine when all engines of a service fail at once. */
     @Test
-    public void allErringEnginesStayInUse() {
+    public void enginesStayInUseWhenAllReturnErrors() {
         engines.forEach(e -> IntStream.range(0, 10).forEach(i -> loads.of(e).onErrorResponse()));
-        assertEquals(order().size(), ENGINES);
+        assertEquals(engineOrder().size(), ENGINES);
     }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamAvailabilityTest.java
@@ -18,17 +18,17 @@
 
 /** Tests upstreams that are leaving, and a service whose upstreams have all requested a pause. */
 public class UpstreamAvailabilityTest {
-    private final Upstream one = upstream("a", 1);
-    private final Upstream two = upstream("b", 1);
+    private final Upstream first = upstream("a", 1);
+    private final Upstream second = upstream("b", 1);
     private ManualTimeSource time;
-    private double spread;
+    private double jitter;
     private UpstreamAvailability availability;
 
     @BeforeMethod
     public void setUp() {
         time = new ManualTimeSource();
-        spread = 0;
-        availability = new UpstreamAvailability(time, () -> spread);
+        jitter = 0;
+        availability = new UpstreamAvailability(time, () -> jitter);
     }
 
     private static Upstream upstream(String id, long born) {
@@ -37,46 +37,46 @@
     }
 
     @Test
-    public void oneThatLeavesTakesNothingUntilItsNextStart() {
-        availability.onLeaving(one);
-        availability.onPauseRequested(one, Duration.ofSeconds(1));
+    public void leavingUpstreamIsUnavailableUntilItsNextStart() {
+        availability.onLeaving(first);
+        availability.onPauseRequested(first, Duration.ofSeconds(1));
         time.advanceMillis(1_000_000);
-        assertFalse(availability.isAvailable(one));
+        assertFalse(availability.isAvailable(first));
         assertTrue(availability.isAvailable(upstream("a", 2)));
         assertTrue(availability.isAvailable(upstream("c", 1)));
-        assertEquals(availability.filterAvailable(List.of(one, two)), List.of(two));
+        assertEquals(availability.filterAvailable(List.of(first, second)), List.of(second));
     }
 
     @Test
-    public void aPauseLastsAsLongAsWasSaidAndIsNotShortenedByALaterAnswer() {
-        availability.onPauseRequested(one, Duration.ofMillis(2_500));
-        availability.onPauseRequested(one, Duration.ofMillis(100));
+    public void pauseLastsAsRequestedAndIsNotShortenedByALaterResponse() {
+        availability.onPauseRequested(first, Duration.ofMillis(2_500));
+        availability.onPauseRequested(first, Duration.ofMillis(100));
         time.advanceMillis(2_499);
-        assertFalse(availability.isAvailable(one));
+        assertFalse(availability.isAvailable(first));
         time.advanceMillis(1);
-        assertTrue(availability.isAvailable(one));
+        assertTrue(availability.isAvailable(first));
     }
 
     @Test
-    public void figuresThatMakeNoSenseAreBounded() {
-        availability.onPauseRequested(one, Duration.ofSeconds(-5));
-        assertTrue(availability.isAvailable(one));
-        availability.onPauseRequested(one, Duration.ofSeconds(Long.MAX_VALUE / 2));
-        assertFalse(availability.isAvailable(one));
+    public void invalidPausesAreIgnoredOrBounded() {
+        availability.onPauseRequested(first, Duration.ofSeconds(-5));
+        assertTrue(availability.isAvailable(first));
+        availability.onPauseRequested(first, Duration.ofSeconds(Long.MAX_VALUE / 2));
+        assertFalse(availability.isAvailable(first));
         time.advanceMillis(Duration.ofMinutes(10).toMillis());
-        assertTrue(availability.isAvailable(one));
+        assertTrue(availability.isAvailable(first));
     }
 
     @Test
-    public void callersComeBackForTheFirstOneAndNotAllAtOnce() {
-        assertEquals(availability.retryAfter(List.of(one, two)), Optional.empty());
-        availability.onPauseRequested(one, Duration.ofSeconds(4));
-        availability.onPauseRequested(two, Duration.ofSeconds(2));
-        assertEquals(availability.retryAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(2)));
-        spread = 1;
-        assertEquals(availability.retryAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(3)));
-        availability.onLeaving(two);
-        spread = 0;
-        assertEquals(availability.retryAfter(List.of(one, two)), Optional.of(Duration.ofSeconds(4)));
+    public void retryDelayFollowsTheFirstAvailableUpstreamWithJitter() {
+        assertEquals(availability.retryAfter(List.of(first, second)), Optional.empty());
+        availability.onPauseRequested(first, Duration.ofSeconds(4));
+        availability.onPauseRequested(second, Duration.ofSeconds(2));
+        assertEquals(availability.retryAfter(List.of(first, second)), Optional.of(Duration.ofSeconds(2)));
+        jitter = 1;
+        assertEquals(availability.retryAfter(List.of(first, second)), Optional.of(Duration.ofSeconds(3)));
+        availability.onLeaving(second);
+        jitter = 0;
+        assertEquals(availability.retryAfter(List.of(first, second)), Optional.of(Duration.ofSeconds(4)));
     }
 }
