--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
@@ -31,7 +31,7 @@
 
     /** Penalty for an engine that has not loaded the base model. */
     private static final double MODEL_NOT_LOADED_MILLIS = 1_500;
-    /** Penalty for an engine that answered many of the last requests with an error. */
+    /** Penalty for an engine with a high rate of errors and failures. */
     private static final double HIGH_ERROR_RATE_MILLIS = 1_000;
     /** Penalty for an engine in backoff after failed requests. */
     private static final double BACKOFF_MILLIS = 5_000;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
@@ -51,8 +51,8 @@
     /**
      * Creates an instance without recorded requests.
      *
-     * @param entryCount returns the current number of entries that share the budget; an entry takes only half of its equal
-     *     part because it counts from zero again after a restart
+     * @param entryCount returns the current number of entries that share the budget; an entry takes only half of its
+     *     equal part because it counts from zero again after a restart
      */
     public RetryShare(Bounds bounds, TimeSource time, IntSupplier entryCount) {
         this.bounds = bounds;
