--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/PlainServiceChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/PlainServiceChooser.java
@@ -39,11 +39,11 @@
 
     /** Returns the best upstream that is not excluded; one in backoff only when there is no other. */
     public Optional<Upstream> choose(List<Upstream> candidates, Set<String> excluded) {
-        record Scored(Upstream upstream, int standing, double score) {}
+        record Scored(Upstream upstream, int healthRank, double score) {}
         return candidates.stream()
                 .filter(u -> !excluded.contains(u.id()))
                 .map(u -> new Scored(u, healthRank(u), score(u)))
-                .min(Comparator.comparingInt(Scored::standing).thenComparingDouble(Scored::score))
+                .min(Comparator.comparingInt(Scored::healthRank).thenComparingDouble(Scored::score))
                 .map(Scored::upstream);
     }
 
