Reword the log and assertion texts of choice, budgets and crash detection

Cause: texts such as "turned a request away", "passed over" and "as it comes" were figurative or unclear.

Change: texts only, in logs, assertions and exceptions of tests; no test matches the former ones.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamAvailability.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamAvailability.java
@@ -64,7 +64,7 @@
         if (previous == null || !previous.leaving()) {
             logger.atInfo()
                     .with(LogKeys.UPSTREAM, upstream.id())
-                    .log("upstream says that it leaves, nothing more is sent to it");
+                    .log("upstream is leaving, no further requests are sent to it");
         }
     }
 
@@ -80,7 +80,7 @@
             unavailableStarts.put(UpstreamStart.of(upstream), new Unavailability(false, until));
             logger.atInfo()
                     .with(LogKeys.UPSTREAM, upstream.id())
-                    .log("upstream turned a request away, nothing is sent to it for %d ms", bounded.toMillis());
+                    .log("upstream rejected a request, no requests are sent to it for %d ms", bounded.toMillis());
         }
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/crash/CrashDetector.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/crash/CrashDetector.java
@@ -86,7 +86,7 @@
                 .build();
         suspects.onCrash(report, time.wallMillis())
                 .forEach(q -> logger.atWarning().log(
-                        "request %s is not sent on after %d crashes", q.getFingerprint(), q.getCrashes()));
+                        "request %s is in quarantine after %d crashes", q.getFingerprint(), q.getCrashes()));
     }
 
     private synchronized Optional<UpstreamCrash> confirmCrash(Upstream upstream) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
@@ -154,7 +154,7 @@
             logger.atInfo()
                     .with(LogKeys.PEER, home)
                     .log(
-                            "home of account %s does not answer, passed over for %d ms: %s",
+                            "home of account %s does not answer, skipped for %d ms: %s",
                             account, UNRESPONSIVE_HOME_PAUSE.toMillis(), Failures.unwrap(failure));
         }
         unresponsiveUntilNanos.put(home, now + UNRESPONSIVE_HOME_PAUSE.toNanos());
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/AccountBudgetsTest.java
@@ -157,7 +157,7 @@
                         return fleet.spend(entry, ACCOUNT, 100);
                     })
                     .count();
-            assertEquals(served, 20, "with " + home + " as it comes");
+            assertEquals(served, 20, "while " + home + " gains no tokens");
             fleet.confirmMembership(home);
             advanceTenthsOfSeconds(fleet, 100);
         }
@@ -259,7 +259,7 @@
         draws.get(1).complete(new BudgetPeers.Grant(400, 250));
         assertEquals(request.join(), Optional.empty());
         draws.get(0).complete(new BudgetPeers.Grant(100, 250));
-        assertTrue(budgets.spend(ACCOUNT, 100).isDone(), "what a slow home gave is kept");
+        assertTrue(budgets.spend(ACCOUNT, 100).isDone(), "tokens granted by a slow home are kept");
         scheduler.runFor(Duration.ofSeconds(1));
         assertEquals(draws.size(), 2);
     }
@@ -275,7 +275,7 @@
         scheduler.runFor(Duration.ofMillis(240));
         assertEquals(draws.size(), 3);
         draws.get(0).complete(new BudgetPeers.Grant(100, 250));
-        draws.get(1).completeExceptionally(new IllegalStateException("no answer in time"));
+        draws.get(1).completeExceptionally(new IllegalStateException("no response in time"));
         assertFalse(request.isDone());
         draws.get(2).complete(new BudgetPeers.Grant(100, 250));
         assertTrue(request.join().isPresent());
@@ -347,7 +347,10 @@
         Set<String> others = IntStream.range(0, 40).mapToObj(i -> "b" + i).collect(java.util.stream.Collectors.toSet());
         homes.setAccounts(List.of(ACCOUNT));
         homes.setOtherEntries(others);
-        assertEquals(homes.draw("tailors", RATE, 0), BudgetPeers.Grant.NONE, "chosen so that a is no home");
+        assertEquals(
+                homes.draw("tailors", RATE, 0),
+                BudgetPeers.Grant.NONE,
+                "the names are chosen so that entry a is not a home");
         time.advanceMillis(10_000);
         homes.setOtherEntries(Set.of("b0"));
         assertEquals(homes.draw("tailors", RATE, 0).tokens(), 0, 0);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
@@ -96,7 +96,7 @@
         public CompletableFuture<Grant> draw(String entry, String account, double needed, double ahead) {
             messageCount += 2;
             return down.contains(entry) || down.contains(from)
-                    ? CompletableFuture.failedFuture(new IllegalStateException("down"))
+                    ? CompletableFuture.failedFuture(new IllegalStateException("entry is down"))
                     : CompletableFuture.completedFuture(homes.get(entry).draw(account, needed, ahead));
         }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScaleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScaleTest.java
@@ -54,23 +54,23 @@
     public void messagesGrowWithRequestsAndTheBoundHolds(int entries, long seed) {
         SimulationResult outcome = new Simulation(entries, seed).run();
         logger.atInfo().log(
-                "%d entries: %.1f messages a second and entry, %.2f a request, %.4f refused wrongly, the account above"
-                        + " its rate got %.3f of it, worst window %.3f of its bound",
+                "%d entries: %.1f messages per second and entry, %.2f per request, %.4f wrongly refused, the account"
+                        + " above its rate got %.3f of an exact bucket, worst window %.3f of its bound",
                 entries,
                 outcome.messages() / (STEPS * STEP_MILLIS / 1_000.0) / entries,
                 (double) outcome.messages() / outcome.requests(),
                 outcome.wronglyRefusedShare(),
                 outcome.servedShareOfExact(),
                 outcome.worstShareOfBound());
-        assertTrue(outcome.worstShareOfBound() <= 1, "part of the bound: " + outcome.worstShareOfBound());
+        assertTrue(outcome.worstShareOfBound() <= 1, "share of the bound: " + outcome.worstShareOfBound());
         assertTrue(
                 outcome.messages() <= MAX_MESSAGES_PER_REQUEST * outcome.requests(), "messages " + outcome.messages());
         assertTrue(
                 outcome.wronglyRefusedShare() <= MAX_WRONGLY_REFUSED_SHARE,
-                "refused wrongly: " + outcome.wronglyRefusedShare());
+                "share wrongly refused: " + outcome.wronglyRefusedShare());
         assertTrue(
                 outcome.servedShareOfExact() >= MIN_SERVED_SHARE,
-                "served of its rate: " + outcome.servedShareOfExact());
+                "share of an exact bucket: " + outcome.servedShareOfExact());
     }
 
     /**
@@ -113,9 +113,9 @@
      *
      * @param messages the frames that the entries sent to each other
      * @param requests the requests at all entries
-     * @param wronglyRefusedShare the share of requests that were refused although an exact bucket admitted them, for the accounts
-     *     within their rate
-     * @param servedShareOfExact the tokens admitted for the account above its rate, relative to those of an exact bucket
+     * @param wronglyRefusedShare the share of requests that were refused although an exact bucket admitted them, for
+     *     the accounts within their rate
+     * @param servedShareOfExact the tokens admitted for the account above its rate, relative to an exact bucket
      * @param worstShareOfBound the largest amount admitted in a window, relative to its bound
      */
     private record SimulationResult(
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetScheduleTest.java
@@ -205,11 +205,11 @@
             public CompletableFuture<Grant> draw(String entry, String account, double needed, double ahead) {
                 int to = Integer.parseInt(entry.substring("entry-".length()));
                 if (!canReach(to)) {
-                    return CompletableFuture.failedFuture(new IllegalStateException("not reached"));
+                    return CompletableFuture.failedFuture(new IllegalStateException("home not reachable"));
                 }
                 Grant drawn = homes[to].draw(account, needed, ahead);
                 return random.nextInt(100) < 2
-                        ? CompletableFuture.failedFuture(new IllegalStateException("answer lost"))
+                        ? CompletableFuture.failedFuture(new IllegalStateException("response lost"))
                         : CompletableFuture.completedFuture(drawn);
             }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
@@ -83,7 +83,7 @@
         assertTrue(view.isSideUnresponsive(engine));
         view.onStatus(status);
         time.advanceMillis(10_000);
-        assertFalse(view.isSideUnresponsive(engine), "none was announced");
+        assertFalse(view.isSideUnresponsive(engine), "no further status was announced");
     }
 
     /** Guards against entries that load an adapter which no engine holds on different engines. */
