--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
@@ -12,51 +12,58 @@
 import java.util.Set;
 
 /**
- * Orders the engines of a service for a request by the expected time to its first event.
+ * Orders the engines of a service by the expected time to the first event of a request.
  *
- * <p>An adapter that is absent costs a load, a short one at an engine that held it before. Engines earlier in the
- * adapter's rendezvous order are preferred a little,
- * so that all entries load it in the same places and an adapter spreads over more engines only as its demand grows.
+ * <p>An absent adapter costs a load, which is shorter on an engine that held the adapter before. Engines earlier in the
+ * adapter's rendezvous order get a small preference, so that all entries load an adapter on the same engines and it
+ * spreads to further engines only as its demand grows.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>One instance per entry; safe for use by several threads.
  */
 public final class EngineChooser {
-    /** Time that a load takes, in milliseconds, with what it takes away from other loads. */
+    /** Cost of loading an absent adapter, including the delay that the load causes to other loads. */
     private static final double LOAD_MILLIS = 600;
 
-    private static final double COMING_MILLIS = 130;
-    /** Time that it takes an engine to load what it held before. */
+    /** Cost of waiting for a load that is in progress. */
+    private static final double REMAINING_LOAD_MILLIS = 130;
+    /** Cost of loading an adapter that the engine held before. */
     private static final double RELOAD_MILLIS = 90;
 
-    private static final double MODEL_ABSENT_MILLIS = 1_500;
-    private static final double ERRING_MILLIS = 1_000;
-    private static final double PAUSED_MILLIS = 5_000;
-    private static final double OUT_MILLIS = 3_000;
-    /** What one place further down the adapter's order costs on an engine that holds it. */
+    /** Penalty for an engine that has not loaded the base model. */
+    private static final double MODEL_NOT_LOADED_MILLIS = 1_500;
+    /** Penalty for an engine with a high rate of errors and failures. */
+    private static final double HIGH_ERROR_RATE_MILLIS = 1_000;
+    /** Penalty for an engine in backoff after failed requests. */
+    private static final double BACKOFF_MILLIS = 5_000;
+    /** Penalty for an engine that its side cannot reach, and for one whose side does not respond. */
+    private static final double UNREACHABLE_MILLIS = 3_000;
+    /** Penalty per position in the adapter's rendezvous order, for engines that hold the adapter or held it before. */
     private static final double RANK_MILLIS = 12;
-    /** The same on one that does not hold it, since an engine loads faster what it held before. */
+    /** Penalty per position for the other engines; higher, because an engine reloads faster what it held before. */
     private static final double ABSENT_RANK_MILLIS = 80;
-    /** What a request that runs already adds, since steps grow with the batch. */
-    private static final double RUNNING_MILLIS = 3;
-    /** What memory that is nearly used up adds. */
-    private static final double MEMORY_MILLIS = 1_500;
+    /** Penalty per running request, because a step takes longer with a larger batch. */
+    private static final double RUNNING_REQUEST_MILLIS = 3;
+    /** Penalty for an engine without free memory; proportionally less while some memory is free. */
+    private static final double MEMORY_FULL_MILLIS = 1_500;
 
-    private static final double MEMORY_FREE_SHARE = 0.2;
-    private static final double DEFAULT_TOKENS_PER_MILLI = 15;
+    /** Share of free memory below which the memory penalty applies. */
+    private static final double LOW_FREE_MEMORY_SHARE = 0.2;
+    /** Prompt throughput assumed for an engine that has not reported one. */
+    private static final double DEFAULT_TOKENS_PER_MILLISECOND = 15;
 
     private final EngineView view;
     private final UpstreamLoads loads;
 
-    /** Creates a chooser over what the sides told and what answers showed. */
+    /** Creates a chooser that uses the statuses sent by sides and the loads observed in responses. */
     public EngineChooser(EngineView view, UpstreamLoads loads) {
         this.view = view;
         this.loads = loads;
     }
 
-    /** An engine with its expected time to the first event. */
+    /** An engine with its expected time to the first event and the state of the adapter on it. */
     public record Choice(Upstream engine, double expectedMillis, EngineView.AdapterState adapterState) {}
 
-    /** Returns the engines that are not excluded, the best first. */
+    /** Returns the engines that are not excluded, the lowest expected time first. */
     public List<Choice> orderByExpectedTime(List<Upstream> engines, AdapterId adapter, Set<String> excluded) {
         List<Upstream> ranked = RendezvousHash.order(
                 adapter.toString(), engines, u -> u.address().toString());
@@ -64,59 +71,65 @@
         ranked.forEach(u -> ranks.put(u.id(), ranks.size()));
         return ranked.stream()
                 .filter(u -> !excluded.contains(u.id()))
-                .map(u -> choice(u, adapter, ranks.getOrDefault(u.id(), 0)))
+                .map(u -> estimate(u, adapter, ranks.getOrDefault(u.id(), 0)))
                 .sorted(Comparator.comparingDouble(Choice::expectedMillis))
                 .toList();
     }
 
-    private Choice choice(Upstream engine, AdapterId adapter, int rank) {
-        EngineView.AdapterState place = view.adapterState(engine, adapter);
+    private Choice estimate(Upstream engine, AdapterId adapter, int rank) {
+        EngineView.AdapterState state = view.adapterState(engine, adapter);
         Optional<GateStatus> status = view.status(engine);
-        double expected = rank * rankMillis(place) + placeMillis(place) + healthMillis(engine);
+        double expectedMillis = rank * rankMillis(state) + adapterMillis(state) + healthMillis(engine);
         if (status.isPresent()) {
             GateStatus s = status.get();
-            expected += view.backlogTokens(engine) / tokensPerMilli(s);
-            expected += s.getRunning() * RUNNING_MILLIS;
-            expected += memoryMillis(s);
-            expected += s.getModelResident() ? 0 : MODEL_ABSENT_MILLIS;
-            expected += s.getOut() ? OUT_MILLIS : 0;
-            expected += needsPlace(place) ? s.getPlaceWaitMillis() : 0;
+            expectedMillis += view.backlogTokens(engine) / tokensPerMillisecond(s);
+            expectedMillis += s.getRunning() * RUNNING_REQUEST_MILLIS;
+            expectedMillis += memoryMillis(s);
+            expectedMillis += s.getModelResident() ? 0 : MODEL_NOT_LOADED_MILLIS;
+            expectedMillis += s.getOut() ? UNREACHABLE_MILLIS : 0;
+            expectedMillis += needsLoad(state) ? s.getPlaceWaitMillis() : 0;
         }
-        return new Choice(engine, expected, place);
+        return new Choice(engine, expectedMillis, state);
     }
 
     private double healthMillis(Upstream engine) {
         UpstreamLoad load = loads.of(engine);
-        double silent = view.isSideUnresponsive(engine) ? OUT_MILLIS : 0;
-        return silent + (load.isPaused() ? PAUSED_MILLIS : 0) + (load.hasHighErrorRate() ? ERRING_MILLIS : 0);
+        double unresponsiveMillis = view.isSideUnresponsive(engine) ? UNREACHABLE_MILLIS : 0;
+        return unresponsiveMillis
+                + (load.isInBackoff() ? BACKOFF_MILLIS : 0)
+                + (load.hasHighErrorRate() ? HIGH_ERROR_RATE_MILLIS : 0);
     }
 
-    private static double rankMillis(EngineView.AdapterState place) {
-        return place == EngineView.AdapterState.ABSENT ? ABSENT_RANK_MILLIS : RANK_MILLIS;
+    private static double rankMillis(EngineView.AdapterState state) {
+        return state == EngineView.AdapterState.ABSENT ? ABSENT_RANK_MILLIS : RANK_MILLIS;
     }
 
-    private static double placeMillis(EngineView.AdapterState place) {
-        return switch (place) {
+    private static double adapterMillis(EngineView.AdapterState state) {
+        return switch (state) {
             case RESIDENT -> 0;
-            case LOADING -> COMING_MILLIS;
+            case LOADING -> REMAINING_LOAD_MILLIS;
             case PREVIOUSLY_RESIDENT -> RELOAD_MILLIS;
             case ABSENT -> LOAD_MILLIS;
         };
     }
 
-    private static boolean needsPlace(EngineView.AdapterState place) {
-        return place == EngineView.AdapterState.ABSENT || place == EngineView.AdapterState.PREVIOUSLY_RESIDENT;
+    private static boolean needsLoad(EngineView.AdapterState state) {
+        return state == EngineView.AdapterState.ABSENT || state == EngineView.AdapterState.PREVIOUSLY_RESIDENT;
     }
 
     private static double memoryMillis(GateStatus status) {
         if (status.getTotalTokens() == 0) {
             return 0;
         }
-        double free = 1.0 - (double) status.getReservedTokens() / status.getTotalTokens();
-        return free >= MEMORY_FREE_SHARE ? 0 : MEMORY_MILLIS * (MEMORY_FREE_SHARE - free) / MEMORY_FREE_SHARE;
+        double freeShare = 1.0 - (double) status.getReservedTokens() / status.getTotalTokens();
+        return freeShare >= LOW_FREE_MEMORY_SHARE
+                ? 0
+                : MEMORY_FULL_MILLIS * (LOW_FREE_MEMORY_SHARE - freeShare) / LOW_FREE_MEMORY_SHARE;
     }
 
-    private static double tokensPerMilli(GateStatus status) {
-        return status.getTokensPerSecond() == 0 ? DEFAULT_TOKENS_PER_MILLI : status.getTokensPerSecond() / 1_000.0;
+    private static double tokensPerMillisecond(GateStatus status) {
+        return status.getTokensPerSecond() == 0
+                ? DEFAULT_TOKENS_PER_MILLISECOND
+                : status.getTokensPerSecond() / 1_000.0;
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/PlainServiceChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/PlainServiceChooser.java
@@ -8,15 +8,17 @@
 import java.util.function.DoubleSupplier;
 
 /**
- * Chooses among the upstreams of a plain service: sound ones before erring ones, then the shortest expected wait, those
- * of the own data centre first among equals.
+ * Chooses among the upstreams of a plain service, that is, one that is not a model service.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>Upstreams without a high error rate come first, then those with the shortest expected wait. Among equal ones the
+ * entry's own data centre is preferred.
+ *
+ * <p>One instance per entry; safe for use by several threads.
  */
 public final class PlainServiceChooser {
-    /** What leaving the data centre costs, as a share of a slot. */
-    private static final double OTHER_DATA_CENTRE = 0.25;
-    /** Latency, in milliseconds, that weighs as much as one full set of slots. */
+    /** Penalty for an upstream in another data centre, as a share of a slot. */
+    private static final double OTHER_DATA_CENTRE_PENALTY = 0.25;
+    /** Latency that weighs as much as the use of all slots. */
     private static final double LATENCY_SCALE_MILLIS = 200;
 
     private final UpstreamLoads loads;
@@ -26,8 +28,8 @@
     /**
      * Creates a chooser.
      *
-     * @param dataCentre the entry's own
-     * @param random numbers from 0 to 1 that spread what is equal
+     * @param dataCentre the data centre of the entry
+     * @param random supplies numbers from 0 to 1 that distribute requests over equal upstreams
      */
     public PlainServiceChooser(UpstreamLoads loads, String dataCentre, DoubleSupplier random) {
         this.loads = loads;
@@ -35,19 +37,19 @@
         this.random = random;
     }
 
-    /** Returns the best upstream that is not excluded; one that is paused only when there is no other. */
+    /** Returns the best upstream that is not excluded; one in backoff only when there is no other. */
     public Optional<Upstream> choose(List<Upstream> candidates, Set<String> excluded) {
-        record Scored(Upstream upstream, int standing, double score) {}
+        record Scored(Upstream upstream, int healthRank, double score) {}
         return candidates.stream()
                 .filter(u -> !excluded.contains(u.id()))
-                .map(u -> new Scored(u, standing(u), score(u)))
-                .min(Comparator.comparingInt(Scored::standing).thenComparingDouble(Scored::score))
+                .map(u -> new Scored(u, healthRank(u), score(u)))
+                .min(Comparator.comparingInt(Scored::healthRank).thenComparingDouble(Scored::score))
                 .map(Scored::upstream);
     }
 
-    private int standing(Upstream upstream) {
+    private int healthRank(Upstream upstream) {
         UpstreamLoad load = loads.of(upstream);
-        if (load.isPaused()) {
+        if (load.isInBackoff()) {
             return 2;
         }
         return load.hasHighErrorRate() ? 1 : 0;
@@ -55,10 +57,12 @@
 
     private double score(Upstream upstream) {
         UpstreamLoad load = loads.of(upstream);
-        double busy = (double) load.requests() / Math.max(1, upstream.slots());
-        double near = upstream.dataCentre().equals(dataCentre) ? 0 : OTHER_DATA_CENTRE / Math.max(1, upstream.slots());
-        double slow = load.latencyMillis() / LATENCY_SCALE_MILLIS;
-        double spread = random.getAsDouble() / Math.max(1, upstream.slots()) / 10;
-        return busy + near + slow + spread;
+        double utilisation = (double) load.requestCount() / Math.max(1, upstream.slots());
+        double distance = upstream.dataCentre().equals(dataCentre)
+                ? 0
+                : OTHER_DATA_CENTRE_PENALTY / Math.max(1, upstream.slots());
+        double latency = load.latencyMillis() / LATENCY_SCALE_MILLIS;
+        double jitter = random.getAsDouble() / Math.max(1, upstream.slots()) / 10;
+        return utilisation + distance + latency + jitter;
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLoads.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLoads.java
@@ -8,26 +8,26 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The loads of all upstreams, begun anew with each start of one.
+ * Holds the load of each upstream; a new start of an upstream begins with an empty one.
  *
- * <p>One an entry; safe to share between threads.
+ * <p>One instance per entry; safe for use by several threads.
  */
 public final class UpstreamLoads {
     private final TimeSource time;
     private final Map<String, UpstreamLoad> loads = new ConcurrentHashMap<>();
 
-    /** Creates loads that follow a directory. */
+    /** Creates an instance that discards the load of an upstream when the directory reports its end or a new start. */
     public UpstreamLoads(TimeSource time, UpstreamDirectory directory) {
         this.time = time;
-        directory.addListener(this::changed);
+        directory.addListener(this::onDirectoryChange);
     }
 
-    /** Returns the load of an upstream. */
+    /** Returns the load of an upstream, creating it on first use. */
     public UpstreamLoad of(Upstream upstream) {
         return loads.computeIfAbsent(upstream.id(), id -> new UpstreamLoad(time));
     }
 
-    private void changed(@Nullable Upstream before, @Nullable Upstream after) {
+    private void onDirectoryChange(@Nullable Upstream before, @Nullable Upstream after) {
         if (before != null && (after == null || !before.isSameStart(after))) {
             loads.remove(before.id());
         }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/crash/CrashDetector.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/crash/CrashDetector.java
@@ -17,65 +17,67 @@
 import java.util.function.Consumer;
 
 /**
- * Tells crashes of upstreams from lost connections, and remembers which requests were running at a crash.
+ * Distinguishes crashes of upstreams from lost connections, and records which requests were running at a crash.
  *
- * <p>A lost connection alone proves nothing. It counts as a crash once a new connection to the upstream is refused, or
- * the upstream starts anew, within a short time.
+ * <p>A lost connection alone is no evidence of a crash. It counts as one if, within a short time, a new connection to
+ * the upstream is refused, or the upstream is gone or has restarted.
  *
- * <p>One an entry; guarded by its own lock.
+ * <p>One instance per entry; guarded by its own lock.
  */
 public final class CrashDetector {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final Duration PROOF_WITHIN = Duration.ofSeconds(8);
+    /** Time after a lost connection within which the upstream must be found down for it to count as a crash. */
+    private static final Duration CONFIRMATION_WINDOW = Duration.ofSeconds(8);
 
     private final CrashSuspects suspects;
     private final TimeSource time;
-    private final Consumer<UpstreamCrash> tellOthers;
-    private final Map<String, List<Lost>> lostByUpstream = new HashMap<>();
+    private final Consumer<UpstreamCrash> notifyOthers;
+    private final Map<String, List<LostRequest>> lostRequestsByStart = new HashMap<>();
 
-    private record Lost(String fingerprint, long nanos) {}
+    /** A request whose connection was lost. */
+    private record LostRequest(String fingerprint, long lostNanos) {}
 
     /**
-     * Creates a watch that has seen nothing.
+     * Creates a detector without recorded connection losses.
      *
-     * @param tellOthers tells the other entries of a crash
+     * @param notifyOthers sends a crash to the other entries
      */
-    public CrashDetector(CrashSuspects suspects, TimeSource time, Consumer<UpstreamCrash> tellOthers) {
+    public CrashDetector(CrashSuspects suspects, TimeSource time, Consumer<UpstreamCrash> notifyOthers) {
         this.suspects = suspects;
         this.time = time;
-        this.tellOthers = tellOthers;
+        this.notifyOthers = notifyOthers;
     }
 
-    /** Returns whether a request may be sent on. */
+    /** Returns whether a request may be sent to an upstream, that is, whether it is not in quarantine. */
     public boolean maySend(String fingerprint) {
         return suspects.standing(fingerprint, time.wallMillis()) != CrashSuspects.Standing.QUARANTINED;
     }
 
-    /** Notes that a connection broke while a request was running. */
+    /** Records that a connection was lost while a request was running on it. */
     public synchronized void onConnectionLost(Upstream upstream, String fingerprint) {
-        List<Lost> lost = lostByUpstream.computeIfAbsent(key(upstream), id -> new ArrayList<>());
-        forgetOld(lost);
-        lost.add(new Lost(fingerprint, time.monotonicNanos()));
+        List<LostRequest> lost = lostRequestsByStart.computeIfAbsent(startKey(upstream), id -> new ArrayList<>());
+        removeExpired(lost);
+        lost.add(new LostRequest(fingerprint, time.monotonicNanos()));
     }
 
-    /** Notes that a request ended well. */
+    /** Records that a request completed, which clears it of suspicion. */
     public void onRequestCompleted(String fingerprint) {
         suspects.onSurvived(fingerprint, time.wallMillis());
     }
 
-    /** Notes that an upstream is down: it refuses connections, is gone, or started anew. */
+    /** Reports a crash of an upstream that is gone, restarted or refuses connections, if requests on it were lost. */
     public void onUpstreamDown(Upstream upstream) {
-        Optional<UpstreamCrash> crash = takeCrash(upstream);
+        Optional<UpstreamCrash> crash = confirmCrash(upstream);
         crash.ifPresent(c -> {
             logger.atWarning()
                     .with(LogKeys.UPSTREAM, upstream.id())
                     .log("upstream crashed with %d requests running", c.getFingerprintsCount());
             recordCrash(c);
-            tellOthers.accept(c);
+            notifyOthers.accept(c);
         });
     }
 
-    /** Takes a crash that another entry saw. */
+    /** Records a crash that this or another entry detected. */
     public void recordCrash(UpstreamCrash crash) {
         CrashReport report = CrashReport.newBuilder()
                 .setUpstreamId(crash.getUpstreamId())
@@ -84,15 +86,15 @@
                 .build();
         suspects.onCrash(report, time.wallMillis())
                 .forEach(q -> logger.atWarning().log(
-                        "request %s is not sent on after %d crashes", q.getFingerprint(), q.getCrashes()));
+                        "request %s is in quarantine after %d crashes", q.getFingerprint(), q.getCrashes()));
     }
 
-    private synchronized Optional<UpstreamCrash> takeCrash(Upstream upstream) {
-        List<Lost> lost = lostByUpstream.remove(key(upstream));
+    private synchronized Optional<UpstreamCrash> confirmCrash(Upstream upstream) {
+        List<LostRequest> lost = lostRequestsByStart.remove(startKey(upstream));
         if (lost == null) {
             return Optional.empty();
         }
-        forgetOld(lost);
+        removeExpired(lost);
         if (lost.isEmpty()) {
             return Optional.empty();
         }
@@ -100,16 +102,16 @@
                 .setUpstreamId(upstream.id())
                 .setIncarnation(upstream.startMillis())
                 .addAllFingerprints(
-                        lost.stream().map(Lost::fingerprint).distinct().toList())
+                        lost.stream().map(LostRequest::fingerprint).distinct().toList())
                 .build());
     }
 
-    private void forgetOld(List<Lost> lost) {
-        long oldest = time.monotonicNanos() - TimeUnit.MILLISECONDS.toNanos(PROOF_WITHIN.toMillis());
-        lost.removeIf(l -> l.nanos() - oldest < 0);
+    private void removeExpired(List<LostRequest> lost) {
+        long oldest = time.monotonicNanos() - TimeUnit.MILLISECONDS.toNanos(CONFIRMATION_WINDOW.toMillis());
+        lost.removeIf(l -> l.lostNanos() - oldest < 0);
     }
 
-    private static String key(Upstream upstream) {
+    private static String startKey(Upstream upstream) {
         return upstream.id() + '/' + upstream.startMillis();
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
@@ -19,38 +19,39 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The budgets of all accounts, as the requests of one entry draw on them.
+ * Charges the requests of one entry to the budgets of their accounts.
  *
- * <p>An entry draws tokens from an account's homes when it has none left, for the requests that wait and some to come,
- * so that the messages follow the requests and not the number of entries. What is not spent soon goes back.
+ * <p>A home is an entry that owns a part of an account's budget. An entry that has too few tokens draws some from the
+ * account's homes, for the waiting requests and for some further ones, so that the number of messages grows with the
+ * requests and not with the number of entries. Tokens that are not spent soon are returned.
  *
- * <p>One an entry; safe to share between threads. Answers of homes complete the callers' futures on the thread that
- * brings them.
+ * <p>One instance per entry; safe for use by several threads. The futures of callers are completed on the thread that
+ * receives the response of a home.
  */
 public final class AccountBudgets {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** Pause after which a home that did not answer is asked again. */
-    private static final Duration SILENT_PAUSE = Duration.ofSeconds(1);
-    /** Time to come back at while the other entries are not known yet, which is soon learnt. */
-    private static final Duration SOON = Duration.ofMillis(250);
+    /** Time for which no draws are sent to a home that did not respond. */
+    private static final Duration UNRESPONSIVE_HOME_PAUSE = Duration.ofSeconds(1);
+    /** Retry delay while the other entries are not known yet, which lasts only shortly after a start. */
+    private static final Duration MEMBERS_UNKNOWN_RETRY_DELAY = Duration.ofMillis(250);
 
     private final String self;
     private final BudgetHomes homes;
     private final BudgetPeers peers;
     private final TimeSource time;
     private final ScheduledExecutorService scheduler;
-    private final Map<String, AccountDraws> draws = new ConcurrentHashMap<>();
-    private final Map<String, Long> silentUntilNanos = new ConcurrentHashMap<>();
+    private final Map<String, AccountDraws> accountDraws = new ConcurrentHashMap<>();
+    private final Map<String, Long> unresponsiveUntilNanos = new ConcurrentHashMap<>();
 
     /**
-     * Why a request does not get its tokens.
+     * Describes why a request was not charged.
      *
-     * @param drawnTokens what the homes gave, which they get back
-     * @param retryAfter when the rest will be there at the earliest
+     * @param drawnTokens the tokens that were available; those drawn from homes are returned
+     * @param retryAfter the time until the missing tokens can be available at the earliest
      */
     public record Shortage(double drawnTokens, Duration retryAfter) {}
 
-    /** Creates budgets without accounts. */
+    /** Creates an instance without accounts. */
     public AccountBudgets(
             String self, BudgetHomes homes, BudgetPeers peers, TimeSource time, ScheduledExecutorService scheduler) {
         this.self = self;
@@ -60,98 +61,106 @@
         this.scheduler = scheduler;
     }
 
-    /** Takes the accounts of a configuration version. */
+    /** Applies the accounts of a configuration version. */
     public void setAccounts(List<Account> accounts) {
         homes.setAccounts(accounts);
         Map<String, Account> limited = accounts.stream()
                 .filter(Account::isLimited)
                 .collect(Collectors.toMap(Account::name, Function.identity(), (a, b) -> b));
-        draws.keySet().retainAll(limited.keySet());
-        limited.forEach((name, account) -> draws.computeIfAbsent(
+        accountDraws.keySet().retainAll(limited.keySet());
+        limited.forEach((name, account) -> accountDraws
+                .computeIfAbsent(
                         name,
                         n -> new AccountDraws(
-                                account, this::answering, homes::deputy, this::draw, this::giveBackTo, time, scheduler))
+                                account,
+                                this::responsiveHomes,
+                                homes::deputy,
+                                this::draw,
+                                this::returnTokens,
+                                time,
+                                scheduler))
                 .setAccount(account));
     }
 
-    /** Takes the names of the other entries that are known to exist. */
+    /** Sets the names of the other entries that are known to exist. */
     public void setOtherEntries(Set<String> others) {
         homes.setOtherEntries(others);
-        silentUntilNanos.keySet().retainAll(others);
+        unresponsiveUntilNanos.keySet().retainAll(others);
     }
 
     /**
-     * Takes a cost out of an account's budget.
+     * Charges a cost to an account's budget.
      *
-     * @return completes with nothing once it was taken, else with why not
+     * @return a future that completes with empty once the cost is charged, or with the shortage if it is not
      */
     public CompletableFuture<Optional<Shortage>> spend(Account account, double cost) {
-        AccountDraws known = draws(account);
+        AccountDraws known = accountDraws(account);
         if (!account.isLimited() || known == null) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
         if (homes.drawOrder(account).isEmpty()) {
-            return CompletableFuture.completedFuture(Optional.of(new Shortage(0, SOON)));
+            return CompletableFuture.completedFuture(Optional.of(new Shortage(0, MEMBERS_UNKNOWN_RETRY_DELAY)));
         }
         return known.spend(Math.min(cost, account.burst()));
     }
 
-    /** Gives a cost back that was taken for a request that did not run. */
+    /** Refunds the cost of a request that was charged but did not run. */
     public void refund(Account account, double cost) {
-        AccountDraws known = draws(account);
+        AccountDraws known = accountDraws(account);
         if (known != null) {
-            known.giveBack(Math.min(cost, account.burst()));
+            known.refund(Math.min(cost, account.burst()));
         }
     }
 
-    /** Hands what was not spent for a while back to the homes. */
+    /** Returns tokens that have been unspent for some time to the homes. */
     public void returnUnspent() {
-        draws.values().forEach(AccountDraws::handBackUnspent);
+        accountDraws.values().forEach(AccountDraws::returnUnspent);
     }
 
-    private @Nullable AccountDraws draws(Account account) {
-        return draws.get(account.name());
+    private @Nullable AccountDraws accountDraws(Account account) {
+        return accountDraws.get(account.name());
     }
 
-    private List<String> answering(Account account) {
+    private List<String> responsiveHomes(Account account) {
         long now = time.monotonicNanos();
         List<String> all = homes.drawOrder(account);
-        List<String> answering = all.stream().filter(e -> !isSilent(e, now)).toList();
-        return answering.size() == all.size()
+        List<String> responsive =
+                all.stream().filter(e -> !isUnresponsive(e, now)).toList();
+        return responsive.size() == all.size()
                 ? all
-                : Stream.concat(answering.stream(), homes.deputy(account).stream())
+                : Stream.concat(responsive.stream(), homes.deputy(account).stream())
                         .toList();
     }
 
-    private boolean isSilent(String entry, long now) {
-        Long until = silentUntilNanos.get(entry);
+    private boolean isUnresponsive(String entry, long now) {
+        Long until = unresponsiveUntilNanos.get(entry);
         return until != null && now - until < 0;
     }
 
-    private CompletableFuture<BudgetPeers.Grant> draw(String home, String account, double needed, double ahead) {
+    private CompletableFuture<BudgetPeers.Grant> draw(String home, String account, double needed, double prefetch) {
         if (home.equals(self)) {
-            return CompletableFuture.completedFuture(homes.draw(account, needed, ahead));
+            return CompletableFuture.completedFuture(homes.draw(account, needed, prefetch));
         }
-        return peers.draw(home, account, needed, ahead).whenComplete((drawn, failure) -> {
+        return peers.draw(home, account, needed, prefetch).whenComplete((grant, failure) -> {
             if (failure != null) {
-                noteSilent(home, account, failure);
+                markUnresponsive(home, account, failure);
             }
         });
     }
 
-    private void noteSilent(String home, String account, Throwable failure) {
+    private void markUnresponsive(String home, String account, Throwable failure) {
         long now = time.monotonicNanos();
-        if (!isSilent(home, now)) {
+        if (!isUnresponsive(home, now)) {
             logger.atInfo()
                     .with(LogKeys.PEER, home)
                     .log(
-                            "home of account %s does not answer, passed over for %d ms: %s",
-                            account, SILENT_PAUSE.toMillis(), Failures.unwrap(failure));
+                            "home of account %s does not answer, skipped for %d ms: %s",
+                            account, UNRESPONSIVE_HOME_PAUSE.toMillis(), Failures.unwrap(failure));
         }
-        silentUntilNanos.put(home, now + SILENT_PAUSE.toNanos());
+        unresponsiveUntilNanos.put(home, now + UNRESPONSIVE_HOME_PAUSE.toNanos());
     }
 
-    private void giveBackTo(String home, String account, double tokens) {
+    private void returnTokens(String home, String account, double tokens) {
         if (home.equals(self)) {
             homes.returnTokens(account, tokens);
         } else {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetHomes.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/BudgetHomes.java
@@ -16,177 +16,179 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The parts of accounts' budgets that this entry is the home of.
+ * Holds the parts of accounts' budgets of which this entry is the home, that is, the owner.
  *
- * <p>A part gains its share of the rate while this entry stands: while it is sure that no other entry counts it as
- * gone. A part that comes to this entry from another one begins empty, as its tokens may have been spent there.
+ * <p>A part gains its share of the rate only while no other entry can have removed this one from its members. A part
+ * that moves here from another entry starts empty, because its tokens may have been spent there.
  *
- * <p>A deputy holds no part of the rate, but a part of the slack that all entries together may admit beyond the
- * budget, for the time in which a home does not answer.
+ * <p>A deputy owns no part of the rate. It grants from a share of the slack, which is what all entries together may
+ * admit beyond the budget, while a home does not respond.
  *
- * <p>One an entry; guarded by its own lock.
+ * <p>One instance per entry; guarded by its own lock.
  */
 public final class BudgetHomes {
-    /** Time that a process needs at least to start; its part may begin with what that time brought. */
-    private static final Duration START_TIME = Duration.ofMillis(500);
-    /** What a home gives of the rest for requests to come, so that other entries find enough. */
-    private static final double AHEAD_PART = 0.125;
-    /** What a deputy keeps of the slack; with what it gains in a window it never gives more than all of it. */
-    private static final double DEPUTY_PART = 0.5;
+    /** Minimum time that a process takes to start; a part may begin with the tokens of this time. */
+    private static final Duration MIN_START_TIME = Duration.ofMillis(500);
+    /** Share of the remaining tokens that a home grants for further requests, which leaves enough to other entries. */
+    private static final double PREFETCH_SHARE = 0.125;
+    /** Share of the slack that a deputy holds; with its gains in a window it never grants more than the slack. */
+    private static final double DEPUTY_SLACK_SHARE = 0.5;
 
     private final String self;
     private final Slack slack;
     private final TimeSource time;
-    private final BooleanSupplier standing;
+    private final BooleanSupplier membershipConfirmed;
     private final Map<String, Account> accounts = new HashMap<>();
-    private final Map<String, Held> held = new HashMap<>();
+    private final Map<String, Holding> holdings = new HashMap<>();
     private Set<String> entries;
-    private HomeOrder order;
+    private HomeOrder homeOrder;
     private boolean membersKnown;
     private boolean accountsKnown;
 
     /**
-     * What all entries together may admit beyond a budget.
+     * The amount that all entries together may admit beyond a budget.
      *
-     * @param tokens how much, in the budget's unit
-     * @param window in how long a time
+     * @param tokens the amount, in the unit of the budget
+     * @param window the time in which it may be admitted
      */
     public record Slack(double tokens, Duration window) {
-        /** A part smaller than this is not worth a home of its own. */
-        double tokensPerPart() {
+        /** Returns the size below which a part does not get a home of its own. */
+        double minTokensPerPart() {
             return tokens / 2;
         }
     }
 
-    /** What this entry is for an account. */
+    /** The role of this entry for an account. */
     private enum Role {
         HOME,
         DEPUTY
     }
 
-    /** A part, or a deputy's share of the slack. */
-    private record Held(Role role, TokenBucket bucket) {}
+    /** A home's part of a budget, or a deputy's share of the slack. */
+    private record Holding(Role role, TokenBucket bucket) {}
 
     /**
-     * Creates homes without accounts and other entries.
+     * Creates an instance without accounts and other entries.
      *
-     * @param standing whether no other entry can count this one as gone now
+     * @param membershipConfirmed returns whether no other entry can have removed this one from its members
      */
-    public BudgetHomes(String self, Slack slack, TimeSource time, BooleanSupplier standing) {
+    public BudgetHomes(String self, Slack slack, TimeSource time, BooleanSupplier membershipConfirmed) {
         this.self = self;
         this.slack = slack;
         this.time = time;
-        this.standing = standing;
+        this.membershipConfirmed = membershipConfirmed;
         this.entries = Set.of(self);
-        this.order = new HomeOrder(entries, slack.tokensPerPart());
+        this.homeOrder = new HomeOrder(entries, slack.minTokensPerPart());
     }
 
-    /** Takes the accounts of a configuration version. */
+    /** Applies the accounts of a configuration version. */
     public synchronized void setAccounts(List<Account> newAccounts) {
         Map<String, Account> before = Map.copyOf(accounts);
         accounts.clear();
         accounts.putAll(newAccounts.stream()
                 .filter(Account::isLimited)
                 .collect(Collectors.toMap(Account::name, Function.identity(), (a, b) -> b)));
-        held.keySet().retainAll(accounts.keySet());
-        boolean later = accountsKnown && membersKnown;
-        accounts.values().forEach(a -> settle(a, later && !before.containsKey(a.name()) ? a.burst() : 0));
+        holdings.keySet().retainAll(accounts.keySet());
+        boolean isAddition = accountsKnown && membersKnown;
+        accounts.values().forEach(a -> updateHolding(a, isAddition && !before.containsKey(a.name()) ? a.burst() : 0));
         accountsKnown = true;
     }
 
-    /** Takes the names of the other entries that are known to exist. */
+    /** Sets the names of the other entries that are known to exist. */
     public synchronized void setOtherEntries(Set<String> others) {
         Set<String> newEntries = withSelf(others);
         if (membersKnown && newEntries.equals(entries)) {
             return;
         }
         entries = newEntries;
-        order = new HomeOrder(entries, slack.tokensPerPart());
-        boolean start = !membersKnown;
+        homeOrder = new HomeOrder(entries, slack.minTokensPerPart());
+        boolean isFirst = !membersKnown;
         membersKnown = true;
-        accounts.values().forEach(a -> settle(a, start ? startTokens(a) : 0));
+        accounts.values().forEach(a -> updateHolding(a, isFirst ? initialTokens(a) : 0));
     }
 
-    /** Gives tokens of an account's part, what is needed first. */
-    public synchronized BudgetPeers.Grant draw(String account, double needed, double ahead) {
-        Held part = held.get(account);
-        if (part == null || !isAmount(needed) || !isAmount(ahead)) {
+    /** Grants tokens from this entry's part of an account's budget, the needed ones first. */
+    public synchronized BudgetPeers.Grant draw(String account, double needed, double prefetch) {
+        Holding holding = holdings.get(account);
+        if (holding == null || !isValidAmount(needed) || !isValidAmount(prefetch)) {
             return BudgetPeers.Grant.NONE;
         }
-        TokenBucket bucket = part.bucket();
-        boolean gains = standing.getAsBoolean();
-        bucket.fill(time.monotonicNanos(), gains);
+        TokenBucket bucket = holding.bucket();
+        boolean isGaining = membershipConfirmed.getAsBoolean();
+        bucket.refill(time.monotonicNanos(), isGaining);
         double tokens = bucket.take(needed);
-        boolean spare = tokens >= needed && part.role() == Role.HOME;
+        boolean mayPrefetch = tokens >= needed && holding.role() == Role.HOME;
         return new BudgetPeers.Grant(
-                tokens + (spare ? bucket.take(Math.min(ahead, bucket.level() * AHEAD_PART)) : 0),
-                gains ? bucket.ratePerSecond() : 0);
+                tokens + (mayPrefetch ? bucket.take(Math.min(prefetch, bucket.storedTokens() * PREFETCH_SHARE)) : 0),
+                isGaining ? bucket.ratePerSecond() : 0);
     }
 
-    /** Takes back what was drawn and not spent. */
+    /** Takes back tokens that were drawn and not spent. */
     public synchronized void returnTokens(String account, double tokens) {
-        Held part = held.get(account);
-        if (part != null && isAmount(tokens)) {
-            part.bucket().put(tokens);
+        Holding holding = holdings.get(account);
+        if (holding != null && isValidAmount(tokens)) {
+            holding.bucket().add(tokens);
         }
     }
 
-    /** Returns the homes on which this entry draws for an account, in order; none before others are known. */
+    /** Returns the homes from which this entry draws for an account, in order; none before other entries are known. */
     synchronized List<String> drawOrder(Account account) {
-        return membersKnown ? order.drawOrder(account, self) : List.of();
+        return membersKnown ? homeOrder.drawOrder(account, self) : List.of();
     }
 
-    /** Returns the entry to draw on when a home of an account does not answer. */
+    /** Returns the entry to draw from when a home of an account does not respond. */
     synchronized Optional<String> deputy(Account account) {
-        return membersKnown ? order.deputy(account) : Optional.empty();
+        return membersKnown ? homeOrder.deputy(account) : Optional.empty();
     }
 
     private Set<String> withSelf(Set<String> others) {
         return Stream.concat(others.stream(), Stream.of(self)).collect(Collectors.toSet());
     }
 
-    /** What a new process begins with, over all homes: at most what was not spent while it started. */
-    private static double startTokens(Account account) {
-        double seconds = START_TIME.toMillis() / 1_000.0;
+    /** Returns the initial tokens of a new process over all homes: at most those gained while it started. */
+    private static double initialTokens(Account account) {
+        double seconds = MIN_START_TIME.toMillis() / 1_000.0;
         return Math.min(account.burst() / 2, account.ratePerSecond() * seconds);
     }
 
     /**
-     * Sets an account's part to the present limits and role.
+     * Adjusts this entry's part of an account's budget to the current limits and role.
      *
-     * @param firstTokens what a part that was not here begins with, over all homes
+     * @param initialTokens the initial tokens of a part that is new here, over all homes
      */
-    private void settle(Account account, double firstTokens) {
+    private void updateHolding(Account account, double initialTokens) {
         if (!membersKnown) {
             return;
         }
-        int parts = order.parts(account);
-        Role role = role(order.homes(account).indexOf(self), parts);
+        int partCount = homeOrder.partCount(account);
+        Role role = role(homeOrder.homesAndDeputy(account).indexOf(self), partCount);
         if (role == null) {
-            held.remove(account.name());
+            holdings.remove(account.name());
             return;
         }
-        boolean home = role == Role.HOME;
-        double burst = home ? account.burst() / parts : slack.tokens() * DEPUTY_PART;
-        double rate = home ? account.ratePerSecond() / parts : burst / seconds(slack.window());
+        boolean isHome = role == Role.HOME;
+        double burst = isHome ? account.burst() / partCount : slack.tokens() * DEPUTY_SLACK_SHARE;
+        double rate = isHome ? account.ratePerSecond() / partCount : burst / seconds(slack.window());
         long now = time.monotonicNanos();
-        Held known = held.get(account.name());
+        Holding known = holdings.get(account.name());
         if (known == null || known.role() != role) {
-            held.put(account.name(), new Held(role, new TokenBucket(rate, burst, home ? firstTokens / parts : 0, now)));
+            holdings.put(
+                    account.name(),
+                    new Holding(role, new TokenBucket(rate, burst, isHome ? initialTokens / partCount : 0, now)));
         } else {
-            known.bucket().fill(now, standing.getAsBoolean());
-            known.bucket().setLimit(rate, burst);
+            known.bucket().refill(now, membershipConfirmed.getAsBoolean());
+            known.bucket().setLimits(rate, burst);
         }
     }
 
-    private static @Nullable Role role(int rank, int parts) {
+    private static @Nullable Role role(int rank, int partCount) {
         if (rank < 0) {
             return null;
         }
-        return rank < parts ? Role.HOME : Role.DEPUTY;
+        return rank < partCount ? Role.HOME : Role.DEPUTY;
     }
 
-    private static boolean isAmount(double tokens) {
+    private static boolean isValidAmount(double tokens) {
         return Double.isFinite(tokens) && tokens >= 0;
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/TokenBucket.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/TokenBucket.java
@@ -3,54 +3,54 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Tokens that come at a rate and are kept up to a burst.
+ * A token bucket that is refilled at a rate up to a burst.
  *
- * <p>Created by {@link BudgetHomes} under whose lock it is used. Time is passed in, as monotonic nanoseconds.
+ * <p>Created by {@link BudgetHomes} and guarded by its lock. Times are passed in as monotonic nanoseconds.
  */
 final class TokenBucket {
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
     private double ratePerSecond;
     private double burst;
-    private double level;
-    private long filledNanos;
+    private double storedTokens;
+    private long refilledNanos;
 
-    TokenBucket(double ratePerSecond, double burst, double level, long nowNanos) {
+    TokenBucket(double ratePerSecond, double burst, double storedTokens, long nowNanos) {
         this.ratePerSecond = ratePerSecond;
         this.burst = burst;
-        this.level = Math.min(burst, level);
-        this.filledNanos = nowNanos;
+        this.storedTokens = Math.min(burst, storedTokens);
+        this.refilledNanos = nowNanos;
     }
 
-    /** Changes rate and burst; tokens above the new burst are dropped. */
-    void setLimit(double newRate, double newBurst) {
+    /** Changes rate and burst; tokens above the new burst are discarded. */
+    void setLimits(double newRate, double newBurst) {
         ratePerSecond = newRate;
         burst = newBurst;
-        level = Math.min(level, newBurst);
+        storedTokens = Math.min(storedTokens, newBurst);
     }
 
-    /** Adds what the passed time brings, or lets it pass without adding. */
-    void fill(long nowNanos, boolean adding) {
-        double seconds = Math.max(0, (nowNanos - filledNanos) / NANOS_PER_SECOND);
-        filledNanos = nowNanos;
+    /** Advances the bucket to a time, with or without adding the tokens of the elapsed time. */
+    void refill(long nowNanos, boolean adding) {
+        double seconds = Math.max(0, (nowNanos - refilledNanos) / NANOS_PER_SECOND);
+        refilledNanos = nowNanos;
         if (adding) {
-            level = Math.min(burst, level + seconds * ratePerSecond);
+            storedTokens = Math.min(burst, storedTokens + seconds * ratePerSecond);
         }
     }
 
-    /** Takes what is there of a number of tokens, and returns it. */
+    /** Removes up to the wanted number of tokens, and returns how many were removed. */
     double take(double wanted) {
-        double taken = Math.max(0, Math.min(wanted, level));
-        level -= taken;
+        double taken = Math.max(0, Math.min(wanted, storedTokens));
+        storedTokens -= taken;
         return taken;
     }
 
-    void put(double tokens) {
-        level = Math.min(burst, level + tokens);
+    void add(double tokens) {
+        storedTokens = Math.min(burst, storedTokens + tokens);
     }
 
-    double level() {
-        return level;
+    double storedTokens() {
+        return storedTokens;
     }
 
     double ratePerSecond() {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/BudgetFleet.java
@@ -16,7 +16,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
-/** The budgets of a number of entries that reach each other at once. Used by one thread. */
+/** The budgets of several entries, which receive each other's messages immediately. Used by one thread. */
 final class BudgetFleet {
     static final BudgetHomes.Slack NO_SLACK = new BudgetHomes.Slack(0, Duration.ofSeconds(8));
 
@@ -28,8 +28,8 @@
     private final Map<String, BudgetHomes> homes = new HashMap<>();
     private final Map<String, AccountBudgets> budgets = new HashMap<>();
     private final Set<String> down = new HashSet<>();
-    private final Set<String> fallen = new HashSet<>();
-    private long messages;
+    private final Set<String> unconfirmed = new HashSet<>();
+    private long messageCount;
 
     BudgetFleet(ManualTimeSource time, int entries, BudgetHomes.Slack slack, List<Account> accounts) {
         this.time = time;
@@ -40,9 +40,9 @@
         names.forEach(this::start);
     }
 
-    /** Starts an entry that knows of no earlier start. */
+    /** Starts an entry without state from an earlier start. */
     void start(String name) {
-        BudgetHomes started = new BudgetHomes(name, slack, time, () -> !fallen.contains(name));
+        BudgetHomes started = new BudgetHomes(name, slack, time, () -> !unconfirmed.contains(name));
         homes.put(name, started);
         budgets.put(name, new AccountBudgets(name, started, new Peers(name), time, scheduler));
         budgets.get(name).setAccounts(accounts);
@@ -55,20 +55,20 @@
         down.add(name);
     }
 
-    /** Lets an entry's record lapse in its own eyes. */
-    void fall(String name) {
-        fallen.add(name);
+    /** Makes an entry unsure whether the others still count it as a member, as after its record has lapsed. */
+    void unconfirmMembership(String name) {
+        unconfirmed.add(name);
     }
 
-    void stand(String name) {
-        fallen.remove(name);
+    void confirmMembership(String name) {
+        unconfirmed.remove(name);
     }
 
     List<String> names() {
         return names;
     }
 
-    List<String> up() {
+    List<String> running() {
         return names.stream().filter(n -> !down.contains(n)).toList();
     }
 
@@ -80,9 +80,9 @@
         return budgets.get(name).spend(account, cost).join().isEmpty();
     }
 
-    /** Returns the frames that entries have sent to each other. */
-    long messages() {
-        return messages;
+    /** Returns the number of frames that the entries have sent to each other. */
+    long messageCount() {
+        return messageCount;
     }
 
     private final class Peers implements BudgetPeers {
@@ -94,15 +94,15 @@
 
         @Override
         public CompletableFuture<Grant> draw(String entry, String account, double needed, double ahead) {
-            messages += 2;
+            messageCount += 2;
             return down.contains(entry) || down.contains(from)
-                    ? CompletableFuture.failedFuture(new IllegalStateException("down"))
+                    ? CompletableFuture.failedFuture(new IllegalStateException("entry is down"))
                     : CompletableFuture.completedFuture(homes.get(entry).draw(account, needed, ahead));
         }
 
         @Override
         public void returnTokens(String entry, String account, double tokens) {
-            messages++;
+            messageCount++;
             if (!down.contains(entry)) {
                 homes.get(entry).returnTokens(account, tokens);
             }
