Rename the internals of request forwarding after what they hold or do

Cause: names such as next, again, given, over, avoided or ask were figurative or vague.

Change: rename types, fields, methods and locals of the forwarding and event packages.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/events/EventSplitter.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/events/EventSplitter.java
@@ -15,35 +15,35 @@
     public static final int MAX_EVENT_BYTES = 256 * 1024;
 
     private static final ByteString ID_FIELD = ByteString.copyFromUtf8("id:");
-    private static final int MAX_DIGITS = 18;
-    private static final int DECIMAL = 10;
+    private static final int MAX_ID_DIGITS = 18;
+    private static final int DECIMAL_RADIX = 10;
 
-    private ByteString rest = ByteString.EMPTY;
+    private ByteString partialEvent = ByteString.EMPTY;
     private long lastId = -1;
 
     /** Appends the next bytes of the stream and returns all events that are now whole. */
     public ByteString append(ByteString part) {
         int end = lastEventEnd(part);
         if (end == 0) {
-            rest = rest.concat(part);
+            partialEvent = partialEvent.concat(part);
             return ByteString.EMPTY;
         }
-        ByteString whole = rest.concat(part.substring(0, end));
-        rest = part.substring(end);
-        noteIds(whole);
-        return whole;
+        ByteString wholeEvents = partialEvent.concat(part.substring(0, end));
+        partialEvent = part.substring(end);
+        recordEventIds(wholeEvents);
+        return wholeEvents;
     }
 
     /** Returns whether the event that is not whole yet already exceeds {@link #MAX_EVENT_BYTES}. */
     public boolean isEventTooLong() {
-        return rest.size() > MAX_EVENT_BYTES;
+        return partialEvent.size() > MAX_EVENT_BYTES;
     }
 
     /** Returns the bytes of an event that is not whole, and removes them from the buffer. */
     public ByteString drainPartialEvent() {
-        ByteString left = rest;
-        rest = ByteString.EMPTY;
-        return left;
+        ByteString drained = partialEvent;
+        partialEvent = ByteString.EMPTY;
+        return drained;
     }
 
     /** Returns the highest numeric id of the whole events so far, or empty if none had one. */
@@ -61,29 +61,31 @@
                 return i + 1;
             }
         }
-        boolean across =
-                !part.isEmpty() && part.byteAt(0) == '\n' && !rest.isEmpty() && rest.byteAt(rest.size() - 1) == '\n';
-        return across ? 1 : 0;
+        boolean emptyLineIsSplit = !part.isEmpty()
+                && part.byteAt(0) == '\n'
+                && !partialEvent.isEmpty()
+                && partialEvent.byteAt(partialEvent.size() - 1) == '\n';
+        return emptyLineIsSplit ? 1 : 0;
     }
 
-    private void noteIds(ByteString whole) {
+    private void recordEventIds(ByteString wholeEvents) {
         int start = 0;
-        for (int i = 0; i < whole.size(); i++) {
-            if (whole.byteAt(i) == '\n') {
-                noteId(whole.substring(start, i));
+        for (int i = 0; i < wholeEvents.size(); i++) {
+            if (wholeEvents.byteAt(i) == '\n') {
+                recordEventId(wholeEvents.substring(start, i));
                 start = i + 1;
             }
         }
     }
 
-    private void noteId(ByteString line) {
+    private void recordEventId(ByteString line) {
         if (!line.startsWith(ID_FIELD)) {
             return;
         }
         String id = line.substring(ID_FIELD.size()).toStringUtf8().trim();
         boolean isNumber = !id.isEmpty()
-                && id.length() <= MAX_DIGITS
-                && id.chars().allMatch(c -> Character.digit(c, DECIMAL) >= 0);
+                && id.length() <= MAX_ID_DIGITS
+                && id.chars().allMatch(c -> Character.digit(c, DECIMAL_RADIX) >= 0);
         if (isNumber) {
             lastId = Math.max(lastId, Long.parseLong(id));
         }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -19,38 +19,38 @@
  */
 final class Attempt implements AnswerListener {
     /** How much of an unwanted answer is read and discarded so that its connection can be reused. */
-    private static final int MAX_IGNORED_BYTES = 64 * 1024;
+    private static final int MAX_DISCARDED_BYTES = 64 * 1024;
     /** How long the attempt waits for the end of an unwanted answer before it closes the connection. */
-    private static final Duration IGNORED_LIMIT = Duration.ofMillis(500);
+    private static final Duration DISCARD_TIMEOUT = Duration.ofMillis(500);
 
-    private final ForwardingContext parts;
+    private final ForwardingContext context;
     private final Upstream upstream;
     private final long ticket;
     private final UpstreamLoad load;
     private final long startNanos;
     private final String requestId;
-    private final Outcome outcome;
-    private UpstreamPool.@Nullable Sent sent;
+    private final Listener listener;
+    private UpstreamPool.@Nullable Sent sentRequest;
     private @Nullable AnswerHead head;
-    private @Nullable AnswerMetadata facts;
-    private boolean over;
-    private boolean ended;
-    private boolean eventSeen;
-    private int ignoredBytes;
+    private @Nullable AnswerMetadata metadata;
+    private boolean finished;
+    private boolean answerEnded;
+    private boolean bodyStarted;
+    private int discardedBytes;
 
     /** Receives the answer to an attempt, or its failure. */
-    interface Outcome {
+    interface Listener {
         /** Receives the head of an answer to this request, unless the answer states that the request was not run. */
-        void onHead(Attempt attempt, AnswerHead answer);
+        void onHead(Attempt attempt, AnswerHead head);
 
         /** Receives a part of the answer's body. */
         void onBody(Attempt attempt, ByteString part);
 
         /** Called when the answer has arrived as a whole. */
-        void onWhole(Attempt attempt);
+        void onComplete(Attempt attempt);
 
         /** Called when the upstream states that it did not run the request. */
-        void onNotRun(Attempt attempt, AnswerMetadata answer);
+        void onNotRun(Attempt attempt, AnswerMetadata metadata);
 
         /** Called when the answer will not arrive as a whole. */
         void onFailed(Attempt attempt, SendFailure failure);
@@ -61,36 +61,36 @@
      *
      * @param ticket identifies the start that the engine's side granted; 0 if no side was asked
      */
-    Attempt(ForwardingContext parts, Upstream upstream, long ticket, String requestId, Outcome outcome) {
-        this.parts = parts;
+    Attempt(ForwardingContext context, Upstream upstream, long ticket, String requestId, Listener listener) {
+        this.context = context;
         this.upstream = upstream;
         this.ticket = ticket;
-        this.load = parts.loads().of(upstream);
-        this.startNanos = parts.time().monotonicNanos();
+        this.load = context.upstreamLoads().of(upstream);
+        this.startNanos = context.time().monotonicNanos();
         this.requestId = requestId;
-        this.outcome = outcome;
+        this.listener = listener;
     }
 
-    void send(ForwardRequest request, SendParameters terms) {
+    void send(ForwardRequest request, SendParameters parameters) {
         load.onSend();
-        sent = parts.pools().of(upstream).send(parts.codec().encode(request, terms), this);
+        sentRequest = context.upstreamPools().of(upstream).send(context.codec().encode(request, parameters), this);
     }
 
     /** Cancels the attempt and closes its connection, by which the upstream detects the cancellation. */
     void cancel() {
-        if (over) {
+        if (finished) {
             return;
         }
-        UpstreamPool.Sent current = sent;
+        UpstreamPool.Sent current = sentRequest;
         if (current != null) {
             current.cancel();
         }
-        end(RunProgress.Stage.ENDED);
+        finish(RunProgress.Stage.ENDED);
     }
 
     /** Pauses or resumes reading of the answer, which applies backpressure to the upstream. */
     void setReading(boolean reading) {
-        UpstreamPool.Sent current = sent;
+        UpstreamPool.Sent current = sentRequest;
         if (current != null) {
             current.setReading(reading);
         }
@@ -106,15 +106,15 @@
 
     /** Returns the time since the attempt was created. */
     Duration age() {
-        return Duration.ofNanos(parts.time().monotonicNanos() - startNanos);
+        return Duration.ofNanos(context.time().monotonicNanos() - startNanos);
     }
 
     boolean hasHead() {
         return head != null;
     }
 
-    boolean isOver() {
-        return over;
+    boolean isFinished() {
+        return finished;
     }
 
     // Answer
@@ -122,47 +122,47 @@
     @Override
     public void onHead(AnswerHead answer) {
         load.onHeard();
-        AnswerMetadata read = parts.codec().decodeMetadata(answer);
-        if (!read.isAnswerTo(requestId)) {
-            giveUp(SendFailure.malformed("the answer belongs to another request"));
+        AnswerMetadata decoded = context.codec().decodeMetadata(answer);
+        if (!decoded.isAnswerTo(requestId)) {
+            fail(SendFailure.malformed("the answer belongs to another request"));
             return;
         }
-        noteAvailability(read);
-        AnswerMetadata.ReportedLoad reported = read.load();
+        recordAvailability(decoded);
+        AnswerMetadata.ReportedLoad reported = decoded.load();
         if (reported != null) {
             load.onReport(reported.running(), reported.waiting());
         }
         head = answer;
-        facts = read;
-        parts.metrics().onHead(age().toMillis());
-        if (isNotRun(read)) {
-            notRun(read);
+        metadata = decoded;
+        context.metrics().onHead(age().toMillis());
+        if (isNotRun(decoded)) {
+            handleNotRun(decoded);
         } else {
-            outcome.onHead(this, answer);
+            listener.onHead(this, answer);
         }
     }
 
-    private void noteAvailability(AnswerMetadata read) {
-        if (read.leaving()) {
-            parts.availability().onLeaving(upstream);
+    private void recordAvailability(AnswerMetadata decoded) {
+        if (decoded.leaving()) {
+            context.availability().onLeaving(upstream);
         }
-        Duration pause = read.requestedPause();
+        Duration pause = decoded.requestedPause();
         if (pause != null) {
-            parts.availability().onPause(upstream, pause);
+            context.availability().onPause(upstream, pause);
         }
     }
 
     /** The head decides the outcome; a short body is read as well, so that the connection can be reused. */
-    private void notRun(AnswerMetadata read) {
-        end(read.wrongUpstream() ? RunProgress.Stage.NOT_HELD : RunProgress.Stage.ENDED);
-        parts.loop().schedule(this::dropIgnored, IGNORED_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
-        outcome.onNotRun(this, read);
+    private void handleNotRun(AnswerMetadata decoded) {
+        finish(decoded.wrongUpstream() ? RunProgress.Stage.NOT_HELD : RunProgress.Stage.ENDED);
+        context.loop().schedule(this::stopDiscarding, DISCARD_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        listener.onNotRun(this, decoded);
     }
 
-    private void dropIgnored() {
-        UpstreamPool.Sent current = sent;
-        if (!ended && current != null) {
-            ended = true;
+    private void stopDiscarding() {
+        UpstreamPool.Sent current = sentRequest;
+        if (!answerEnded && current != null) {
+            answerEnded = true;
             current.cancel();
         }
     }
@@ -170,62 +170,62 @@
     @Override
     public void onBody(ByteString part) {
         load.onHeard();
-        if (over || facts == null) {
-            ignoredBytes += part.size();
-            if (ignoredBytes > MAX_IGNORED_BYTES) {
-                dropIgnored();
+        if (finished || metadata == null) {
+            discardedBytes += part.size();
+            if (discardedBytes > MAX_DISCARDED_BYTES) {
+                stopDiscarding();
             }
             return;
         }
-        if (!eventSeen) {
-            eventSeen = true;
+        if (!bodyStarted) {
+            bodyStarted = true;
             load.onSuccess(age());
-            tell(RunProgress.Stage.FIRST_EVENT);
+            reportProgress(RunProgress.Stage.FIRST_EVENT);
         }
-        outcome.onBody(this, part);
+        listener.onBody(this, part);
     }
 
     @Override
     public void onEnd() {
-        ended = true;
-        if (over || facts == null) {
+        answerEnded = true;
+        if (finished || metadata == null) {
             return;
         }
-        end(RunProgress.Stage.ENDED);
-        outcome.onWhole(this);
+        finish(RunProgress.Stage.ENDED);
+        listener.onComplete(this);
     }
 
     @Override
     public void onFailure(SendFailure failure) {
-        ended = true;
-        if (over) {
+        answerEnded = true;
+        if (finished) {
             return;
         }
-        end(RunProgress.Stage.ENDED);
-        outcome.onFailed(this, failure);
+        finish(RunProgress.Stage.ENDED);
+        listener.onFailed(this, failure);
     }
 
-    private void giveUp(SendFailure failure) {
-        UpstreamPool.Sent current = sent;
+    private void fail(SendFailure failure) {
+        UpstreamPool.Sent current = sentRequest;
         if (current != null) {
             current.cancel();
         }
         onFailure(failure);
     }
 
-    private static boolean isNotRun(AnswerMetadata read) {
-        return read.notRun() || read.wrongUpstream();
+    private static boolean isNotRun(AnswerMetadata decoded) {
+        return decoded.notRun() || decoded.wrongUpstream();
     }
 
-    private void end(RunProgress.Stage stage) {
-        over = true;
+    private void finish(RunProgress.Stage stage) {
+        finished = true;
         load.onDone();
-        tell(stage);
+        reportProgress(stage);
     }
 
-    private void tell(RunProgress.Stage stage) {
+    private void reportProgress(RunProgress.Stage stage) {
         if (ticket != 0) {
-            parts.gates().tell(upstream, ticket, stage);
+            context.gateClient().tell(upstream, ticket, stage);
         }
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerStream.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerStream.java
@@ -15,32 +15,36 @@
  * <p>Created by {@link Forwarding} for each streamed answer; used on the event loop.
  */
 final class CallerStream {
-    private static final int MAX_BUFFERED_BYTES = 256 * 1024;
-    private static final int LOW_BUFFERED_BYTES = 64 * 1024;
+    private static final int HIGH_WATER_MARK_BYTES = 256 * 1024;
+    private static final int LOW_WATER_MARK_BYTES = 64 * 1024;
 
     private final CallerExchange exchange;
     private final boolean resumable;
-    private final Consumer<Runnable> loop;
+    private final Consumer<Runnable> executeOnLoop;
     private final Consumer<Boolean> setReading;
     private final EventSplitter splitter = new EventSplitter();
-    private int buffered;
-    private boolean stalled;
+    private int bufferedBytes;
+    private boolean readingPaused;
 
     /**
      * Creates a stream whose head was already sent to the caller.
      *
-     * @param loop executes an action on the event loop
+     * @param executeOnLoop executes an action on the event loop
      * @param setReading resumes reading from the upstream when called with true and pauses it with false
      */
-    CallerStream(CallerExchange exchange, boolean resumable, Consumer<Runnable> loop, Consumer<Boolean> setReading) {
+    CallerStream(
+            CallerExchange exchange,
+            boolean resumable,
+            Consumer<Runnable> executeOnLoop,
+            Consumer<Boolean> setReading) {
         this.exchange = exchange;
         this.resumable = resumable;
-        this.loop = loop;
+        this.executeOnLoop = executeOnLoop;
         this.setReading = setReading;
     }
 
     /** Passes the next bytes on to the caller; if the stream is resumable, only up to the end of a whole event. */
-    void take(ByteString part) {
+    void append(ByteString part) {
         write(resumable ? splitter.append(part) : part);
     }
 
@@ -50,13 +54,13 @@
     }
 
     /** Sends the bytes that were held back and completes the answer. */
-    void end() {
+    void complete() {
         write(splitter.drainPartialEvent());
         exchange.end();
     }
 
     /** Discards an event that is not whole and whose upstream was lost. */
-    void cut() {
+    void discardPartialEvent() {
         splitter.drainPartialEvent();
     }
 
@@ -69,18 +73,18 @@
         if (bytes.isEmpty()) {
             return;
         }
-        buffered += bytes.size();
-        exchange.write(bytes, () -> loop.accept(() -> written(bytes.size())));
-        if (buffered > MAX_BUFFERED_BYTES && !stalled) {
-            stalled = true;
+        bufferedBytes += bytes.size();
+        exchange.write(bytes, () -> executeOnLoop.accept(() -> onWritten(bytes.size())));
+        if (bufferedBytes > HIGH_WATER_MARK_BYTES && !readingPaused) {
+            readingPaused = true;
             setReading.accept(false);
         }
     }
 
-    private void written(int size) {
-        buffered -= size;
-        if (stalled && buffered < LOW_BUFFERED_BYTES) {
-            stalled = false;
+    private void onWritten(int writtenBytes) {
+        bufferedBytes -= writtenBytes;
+        if (readingPaused && bufferedBytes < LOW_WATER_MARK_BYTES) {
+            readingPaused = false;
             setReading.accept(true);
         }
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardMetrics.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardMetrics.java
@@ -38,18 +38,18 @@
         requests.inc();
     }
 
-    void onSend(boolean repeat) {
+    void onSend(boolean isRepeat) {
         sends.inc();
-        if (repeat) {
+        if (isRepeat) {
             repeats.inc();
         }
     }
 
-    void onBudget(long millis) {
+    void onBudgetDecided(long millis) {
         budgetMillis.update(millis);
     }
 
-    void onGate(long millis) {
+    void onStartGranted(long millis) {
         gateMillis.update(millis);
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardRequest.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardRequest.java
@@ -61,8 +61,8 @@
 
     /** Returns the path without the query. */
     public String path() {
-        int mark = target.indexOf('?');
-        return mark < 0 ? target : target.substring(0, mark);
+        int queryStart = target.indexOf('?');
+        return queryStart < 0 ? target : target.substring(0, queryStart);
     }
 
     /** Returns how long the caller waits, if it set a deadline. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -29,178 +29,178 @@
  *
  * <p>Created by {@link RequestForwarder} for each request; used on the event loop.
  */
-final class Forwarding implements Attempt.Outcome {
+final class Forwarding implements Attempt.Listener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** How long before the caller's deadline the final answer is sent. */
     private static final Duration DEADLINE_MARGIN = Duration.ofMillis(20);
 
     /** The shortest time between two checks for a silent upstream, since each check wakes the process. */
-    private static final Duration MIN_CHECK_GAP = Duration.ofMillis(100);
+    private static final Duration MIN_CHECK_INTERVAL = Duration.ofMillis(100);
     /** Time without bytes on any connection of an upstream after which a resumable stream is sent to another one. */
-    private static final Duration UPSTREAM_SILENCE = Duration.ofMillis(800);
+    private static final Duration MAX_UPSTREAM_SILENCE = Duration.ofMillis(800);
     /** Time without an answer's head after which an idempotent request is sent elsewhere, in route objectives. */
-    private static final double HEAD_OBJECTIVES = 1.3;
+    private static final double HEAD_TIMEOUT_OBJECTIVES = 1.3;
 
-    private static final Duration RETRY_SOON = Duration.ofMillis(300);
+    private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(300);
     private static final int MAX_SENDS = 4;
-    private static final int MAX_COLLECTED_BYTES = 1024 * 1024;
-    private static final int STATUS_SERVER_ERROR = 500;
+    private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
+    private static final int MIN_SERVER_ERROR_STATUS = 500;
     /** Statuses that mean "not run" to callers, and are not passed on for a request that may have run once. */
-    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
-    private final ForwardingContext parts;
+    private final ForwardingContext context;
     private final RequestForwarder.Admitted admitted;
     private final ForwardRequest request;
     private final Route route;
     private final String service;
     private final CallerExchange exchange;
-    private final Consumer<Boolean> whenDone;
+    private final Consumer<Boolean> onFinished;
     private final long startNanos;
-    private final Duration limit;
-    private final Set<String> sentTo = new HashSet<>();
-    private final Set<String> avoided = new HashSet<>();
-    private int sends;
+    private final Duration timeLimit;
+    private final Set<String> attemptedIds = new HashSet<>();
+    private final Set<String> unreachableIds = new HashSet<>();
+    private int sendCount;
     private boolean mayHaveRun;
-    private boolean done;
-    private @Nullable EngineStart starting;
+    private boolean finished;
+    private @Nullable EngineSearch engineSearch;
     private @Nullable Attempt attempt;
-    private @Nullable AnswerHead wholeHead;
-    private ByteString collected = ByteString.EMPTY;
+    private @Nullable AnswerHead bufferedHead;
+    private ByteString bufferedBody = ByteString.EMPTY;
     private @Nullable CallerStream stream;
     private @Nullable ScheduledFuture<?> deadlineTimer;
-    private @Nullable ScheduledFuture<?> checkTimer;
+    private @Nullable ScheduledFuture<?> lateCheckTimer;
 
     /**
      * Creates the forwarding of one request; {@link #start} starts it.
      *
-     * @param whenDone called at the end with whether the request may have run
+     * @param onFinished called at the end with whether the request may have run
      */
     Forwarding(
-            ForwardingContext parts,
+            ForwardingContext context,
             RequestForwarder.Admitted admitted,
             String service,
             CallerExchange exchange,
-            Consumer<Boolean> whenDone) {
-        this.parts = parts;
+            Consumer<Boolean> onFinished) {
+        this.context = context;
         this.admitted = admitted;
         this.request = admitted.request();
         this.route = admitted.route();
         this.service = service;
         this.exchange = exchange;
-        this.whenDone = whenDone;
-        this.startNanos = parts.time().monotonicNanos();
-        this.limit = limit();
+        this.onFinished = onFinished;
+        this.startNanos = context.time().monotonicNanos();
+        this.timeLimit = timeLimit();
     }
 
     void start() {
-        exchange.onGone(() -> parts.loop().execute(this::callerLeft));
-        deadlineTimer = parts.loop()
-                .schedule(this::deadlinePassed, Math.max(0, timeLeft().toMillis()), TimeUnit.MILLISECONDS);
-        next();
+        exchange.onGone(() -> context.loop().execute(this::onCallerGone));
+        deadlineTimer =
+                context.loop().schedule(this::onDeadline, Math.max(0, timeLeft().toMillis()), TimeUnit.MILLISECONDS);
+        sendNext();
     }
 
     // Sending
 
-    private void next() {
-        if (done) {
+    private void sendNext() {
+        if (finished) {
             return;
         }
         Optional<ServiceSpec> spec = admitted.table().service(service);
         if (spec.isPresent() && spec.get().engine() != null && request.adapter() != null) {
-            startOnEngine();
+            searchEngine();
             return;
         }
-        Set<String> excluded = new HashSet<>(sentTo);
-        excluded.addAll(avoided);
-        parts.plain()
-                .choose(parts.usable(service), excluded)
+        Set<String> excluded = new HashSet<>(attemptedIds);
+        excluded.addAll(unreachableIds);
+        context.plainChooser()
+                .choose(context.availableUpstreams(service), excluded)
                 .ifPresentOrElse(
                         u -> send(u, 0, 0),
-                        () -> giveUp(Refusal.of(ResultCode.NO_UPSTREAM).withRetryAfter(comeBackAfter())));
+                        () -> refuse(Refusal.of(ResultCode.NO_UPSTREAM).withRetryAfter(retryAfter())));
     }
 
-    private void startOnEngine() {
-        Set<String> excluded = new HashSet<>(avoided);
-        excluded.addAll(sentTo);
-        EngineStart.Ask ask = new EngineStart.Ask(
+    private void searchEngine() {
+        Set<String> excluded = new HashSet<>(unreachableIds);
+        excluded.addAll(attemptedIds);
+        EngineSearch.Criteria criteria = new EngineSearch.Criteria(
                 request.id(),
                 java.util.Objects.requireNonNull(request.adapter()),
                 request.tokens(),
                 priority(),
                 route.objective().minus(age()),
                 timeLeft());
-        EngineStart search = new EngineStart(
-                parts,
-                ask,
+        EngineSearch search = new EngineSearch(
+                context,
+                criteria,
                 excluded,
                 started -> {
-                    starting = null;
-                    parts.metrics().onGate(age().toMillis());
+                    engineSearch = null;
+                    context.metrics().onStartGranted(age().toMillis());
                     send(started.engine(), started.ticket(), started.adapterVersion());
                 },
                 refusal -> {
-                    starting = null;
-                    giveUp(refusal);
+                    engineSearch = null;
+                    refuse(refusal);
                 });
-        starting = search;
-        search.next(service);
+        engineSearch = search;
+        search.tryNextEngine(service);
     }
 
     private void send(Upstream upstream, long ticket, long adapterVersion) {
-        sends++;
-        sentTo.add(upstream.id());
-        parts.metrics().onSend(sends > 1);
+        sendCount++;
+        attemptedIds.add(upstream.id());
+        context.metrics().onSend(sendCount > 1);
         CallerStream current = stream;
-        OptionalLong last = current == null ? OptionalLong.empty() : current.lastEventId();
-        Long resumeAfter = last.isPresent() ? Long.valueOf(last.getAsLong()) : request.resumeAfterEventId();
+        OptionalLong lastId = current == null ? OptionalLong.empty() : current.lastEventId();
+        Long resumeAfter = lastId.isPresent() ? Long.valueOf(lastId.getAsLong()) : request.resumeAfterEventId();
         Account account = admitted.account();
-        boolean engine = request.adapter() != null;
-        Attempt sent = new Attempt(parts, upstream, ticket, request.id(), this);
-        attempt = sent;
-        sent.send(
+        boolean onEngine = request.adapter() != null;
+        Attempt newAttempt = new Attempt(context, upstream, ticket, request.id(), this);
+        attempt = newAttempt;
+        newAttempt.send(
                 request,
                 new SendParameters(
                         upstream,
                         timeLeft(),
                         account == null ? null : account.name(),
-                        engine ? priority() : null,
+                        onEngine ? priority() : null,
                         adapterVersion,
                         resumeAfter));
-        if (checkTimer == null && route.mayRepeat()) {
-            checkAgainAfter(timeUntilLate(sent));
+        if (lateCheckTimer == null && route.mayRepeat()) {
+            scheduleLateCheck(timeUntilLate(newAttempt));
         }
     }
 
-    private void checkAgainAfter(Duration time) {
-        long millis = Math.max(MIN_CHECK_GAP.toMillis(), time.toMillis() + 1);
-        checkTimer = parts.loop().schedule(this::check, millis, TimeUnit.MILLISECONDS);
+    private void scheduleLateCheck(Duration delay) {
+        long millis = Math.max(MIN_CHECK_INTERVAL.toMillis(), delay.toMillis() + 1);
+        lateCheckTimer = context.loop().schedule(this::retryIfLate, millis, TimeUnit.MILLISECONDS);
     }
 
     /** Returns the time until an attempt counts as late if nothing more arrives; zero or negative if it is late. */
     private Duration timeUntilLate(Attempt current) {
         if (route.kind() == RequestKind.STREAM) {
             Duration silence = current.load().silence();
-            return UPSTREAM_SILENCE.minus(silence.compareTo(current.age()) < 0 ? silence : current.age());
+            return MAX_UPSTREAM_SILENCE.minus(silence.compareTo(current.age()) < 0 ? silence : current.age());
         }
-        long limitMillis = (long) (HEAD_OBJECTIVES * route.objective().toMillis());
+        long limitMillis = (long) (HEAD_TIMEOUT_OBJECTIVES * route.objective().toMillis());
         return Duration.ofMillis(limitMillis).minus(current.age());
     }
 
     /** Sends the request to another upstream if the present one is late. Used only if the request may be repeated. */
-    private void check() {
+    private void retryIfLate() {
         Attempt current = attempt;
-        if (done) {
+        if (finished) {
             return;
         }
-        if (current == null || current.isOver()) {
-            checkAgainAfter(MIN_CHECK_GAP);
+        if (current == null || current.isFinished()) {
+            scheduleLateCheck(MIN_CHECK_INTERVAL);
             return;
         }
         boolean hasAnswered = route.kind() != RequestKind.STREAM && current.hasHead();
         Duration left = timeUntilLate(current);
-        checkAgainAfter(left);
+        scheduleLateCheck(left);
         boolean late = !hasAnswered && (left.isNegative() || left.isZero());
-        if (late && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
+        if (late && mayTryAnother() && context.retryShare().tryRepeat(service)) {
             logger.atInfo()
                     .with(LogKeys.REQUEST, request.id())
                     .with(LogKeys.UPSTREAM, current.upstream().id())
@@ -208,32 +208,33 @@
             current.load().onFailure();
             mayHaveRun = true;
             current.cancel();
-            again();
+            retry();
         }
     }
 
-    private boolean mayGoElsewhere() {
-        return sentTo.size() < route.maxUpstreams() && sends < MAX_SENDS && hasOther();
+    private boolean mayTryAnother() {
+        return attemptedIds.size() < route.maxUpstreams() && sendCount < MAX_SENDS && hasUntriedUpstream();
     }
 
-    private boolean hasOther() {
-        return parts.usable(service).stream().anyMatch(u -> !sentTo.contains(u.id()) && !avoided.contains(u.id()));
+    private boolean hasUntriedUpstream() {
+        return context.availableUpstreams(service).stream()
+                .anyMatch(u -> !attemptedIds.contains(u.id()) && !unreachableIds.contains(u.id()));
     }
 
     /** Returns after which time a caller should retry who is refused because no upstream accepts the request now. */
-    private Duration comeBackAfter() {
-        boolean anyTakes = !parts.usable(service).isEmpty();
-        return anyTakes ? RETRY_SOON : parts.comeBackAfter(service).orElse(RETRY_SOON);
+    private Duration retryAfter() {
+        boolean anyTakes = !context.availableUpstreams(service).isEmpty();
+        return anyTakes ? DEFAULT_RETRY_AFTER : context.retryAfter(service).orElse(DEFAULT_RETRY_AFTER);
     }
 
-    private void again() {
+    private void retry() {
         CallerStream current = stream;
         if (current != null) {
-            current.cut();
+            current.discardPartialEvent();
         }
-        wholeHead = null;
-        collected = ByteString.EMPTY;
-        next();
+        bufferedHead = null;
+        bufferedBody = ByteString.EMPTY;
+        sendNext();
     }
 
     // Outcome of an attempt
@@ -241,25 +242,25 @@
     @Override
     public void onHead(Attempt from, AnswerHead head) {
         mayHaveRun = true;
-        boolean streams = route.kind() == RequestKind.STREAM && head.isSuccess();
+        boolean isStream = route.kind() == RequestKind.STREAM && head.isSuccess();
         if (stream != null) {
             if (!head.isSuccess()) {
                 from.cancel();
-                broken(from, SendFailure.malformed("status " + head.status() + " for the rest of a stream"));
+                handleFailure(from, SendFailure.malformed("status " + head.status() + " for the rest of a stream"));
             }
-        } else if (streams) {
-            exchange.start(head.status(), parts.codec().callerHeaders(head));
-            stream = new CallerStream(exchange, route.resumable(), this::onLoop, this::setReading);
+        } else if (isStream) {
+            exchange.start(head.status(), context.codec().callerHeaders(head));
+            stream = new CallerStream(exchange, route.resumable(), this::executeOnLoop, this::setReading);
         } else {
-            wholeHead = head;
+            bufferedHead = head;
         }
     }
 
-    private void onLoop(Runnable action) {
-        if (parts.loop().inEventLoop()) {
+    private void executeOnLoop(Runnable action) {
+        if (context.loop().inEventLoop()) {
             action.run();
         } else {
-            parts.loop().execute(action);
+            context.loop().execute(action);
         }
     }
 
@@ -272,90 +273,91 @@
 
     @Override
     public void onBody(Attempt from, ByteString part) {
-        if (done) {
+        if (finished) {
             return;
         }
         CallerStream current = stream;
         if (current != null) {
-            if (sends == 1 && current.lastEventId().isEmpty()) {
-                parts.metrics().onFirstEvent(age().toMillis());
+            if (sendCount == 1 && current.lastEventId().isEmpty()) {
+                context.metrics().onFirstEvent(age().toMillis());
             }
-            current.take(part);
+            current.append(part);
             if (current.isEventTooLong()) {
                 from.cancel();
                 onFailed(from, SendFailure.malformed("an event above " + EventSplitter.MAX_EVENT_BYTES + " bytes"));
             }
             return;
         }
-        collected = collected.concat(part);
-        if (collected.size() > MAX_COLLECTED_BYTES) {
-            passOn();
+        bufferedBody = bufferedBody.concat(part);
+        if (bufferedBody.size() > MAX_BUFFERED_BYTES) {
+            startStreaming();
         }
     }
 
     /** Starts to stream an answer that is too large to be buffered as a whole. */
-    private void passOn() {
-        AnswerHead head = wholeHead;
+    private void startStreaming() {
+        AnswerHead head = bufferedHead;
         if (head != null) {
-            exchange.start(head.status(), parts.codec().callerHeaders(head));
-            CallerStream passed = new CallerStream(exchange, false, this::onLoop, this::setReading);
+            exchange.start(head.status(), context.codec().callerHeaders(head));
+            CallerStream passed = new CallerStream(exchange, false, this::executeOnLoop, this::setReading);
             stream = passed;
-            passed.take(collected);
-            collected = ByteString.EMPTY;
+            passed.append(bufferedBody);
+            bufferedBody = ByteString.EMPTY;
         }
     }
 
     @Override
-    public void onWhole(Attempt from) {
-        if (done) {
+    public void onComplete(Attempt from) {
+        if (finished) {
             return;
         }
-        parts.crashes().onSurvived(request.fingerprint());
+        context.crashWatch().onSurvived(request.fingerprint());
         CallerStream current = stream;
         if (current != null) {
-            current.end();
-            end(ResultCode.DONE, "streamed");
+            current.complete();
+            complete(ResultCode.DONE, "streamed");
             return;
         }
-        AnswerHead head = wholeHead;
+        AnswerHead head = bufferedHead;
         if (head == null) {
-            broken(from, SendFailure.malformed("an answer without a head"));
+            handleFailure(from, SendFailure.malformed("an answer without a head"));
             return;
         }
-        if (head.status() >= STATUS_SERVER_ERROR) {
+        if (head.status() >= MIN_SERVER_ERROR_STATUS) {
             from.load().onError();
-            if (route.mayRepeat() && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
-                again();
+            if (route.mayRepeat() && mayTryAnother() && context.retryShare().tryRepeat(service)) {
+                retry();
                 return;
             }
         } else {
             from.load().onSuccess(from.age());
         }
-        answerWhole(head);
+        respond(head);
     }
 
-    private void answerWhole(AnswerHead head) {
-        if (PROMISES.contains(head.status()) && !route.mayRepeat()) {
-            finish(Refusal.of(ResultCode.ANSWER_INCOMPLETE, "status " + head.status() + " although it may have run"));
+    private void respond(AnswerHead head) {
+        if (NOT_RUN_STATUSES.contains(head.status()) && !route.mayRepeat()) {
+            sendRefusal(
+                    Refusal.of(ResultCode.ANSWER_INCOMPLETE, "status " + head.status() + " although it may have run"));
             return;
         }
-        exchange.respond(head.status(), parts.codec().callerHeaders(head), collected);
-        end(ResultCode.DONE, "status " + head.status());
+        exchange.respond(head.status(), context.codec().callerHeaders(head), bufferedBody);
+        complete(ResultCode.DONE, "status " + head.status());
     }
 
     @Override
-    public void onNotRun(Attempt from, AnswerMetadata answer) {
-        if (done) {
+    public void onNotRun(Attempt from, AnswerMetadata metadata) {
+        if (finished) {
             return;
         }
         logger.atInfo()
                 .with(LogKeys.REQUEST, request.id())
                 .with(LogKeys.UPSTREAM, from.upstream().id())
-                .log("upstream did not run it, wrong upstream %s", answer.wrongUpstream());
-        if (mayGoElsewhere() && parts.retries().tryRepeat(service)) {
-            again();
+                .log("upstream did not run it, wrong upstream %s", metadata.wrongUpstream());
+        if (mayTryAnother() && context.retryShare().tryRepeat(service)) {
+            retry();
         } else {
-            giveUp(Refusal.of(ResultCode.UPSTREAM_REFUSED).withRetryAfter(comeBackAfter()));
+            refuse(Refusal.of(ResultCode.UPSTREAM_REFUSED).withRetryAfter(retryAfter()));
         }
     }
 
@@ -363,102 +365,102 @@
     public void onFailed(Attempt from, SendFailure failure) {
         from.load().onFailure();
         if (failure.connectionLost() && failure.mayHaveRun()) {
-            parts.crashes().onLost(from.upstream(), request.fingerprint());
+            context.crashWatch().onLost(from.upstream(), request.fingerprint());
         }
         if (!failure.mayHaveRun()) {
-            parts.crashes().onDown(from.upstream());
+            context.crashWatch().onDown(from.upstream());
         }
-        if (!done) {
-            broken(from, failure);
+        if (!finished) {
+            handleFailure(from, failure);
         }
     }
 
-    private void broken(Attempt from, SendFailure failure) {
+    private void handleFailure(Attempt from, SendFailure failure) {
         logger.atInfo()
                 .with(LogKeys.REQUEST, request.id())
                 .with(LogKeys.UPSTREAM, from.upstream().id())
                 .log("no whole answer, may have run %s: %s", failure.mayHaveRun(), failure.detail());
         if (!failure.mayHaveRun()) {
-            sentTo.remove(from.upstream().id());
-            avoided.add(from.upstream().id());
-            if (sends < MAX_SENDS && hasOther()) {
-                again();
+            attemptedIds.remove(from.upstream().id());
+            unreachableIds.add(from.upstream().id());
+            if (sendCount < MAX_SENDS && hasUntriedUpstream()) {
+                retry();
             } else {
-                giveUp(Refusal.of(ResultCode.UPSTREAM_UNREACHABLE).withRetryAfter(RETRY_SOON));
+                refuse(Refusal.of(ResultCode.UPSTREAM_UNREACHABLE).withRetryAfter(DEFAULT_RETRY_AFTER));
             }
             return;
         }
         mayHaveRun = true;
-        boolean allowed = route.mayRepeat() && parts.crashes().maySend(request.fingerprint());
-        if (allowed && mayGoElsewhere() && parts.retries().tryRepeat(service)) {
-            again();
+        boolean allowed = route.mayRepeat() && context.crashWatch().maySend(request.fingerprint());
+        if (allowed && mayTryAnother() && context.retryShare().tryRepeat(service)) {
+            retry();
         } else {
-            finish(Refusal.of(ResultCode.UPSTREAM_LOST, failure.detail()));
+            sendRefusal(Refusal.of(ResultCode.UPSTREAM_LOST, failure.detail()));
         }
     }
 
     // Ends
 
     /** Ends with a refusal that states "not run", unless a request that is not idempotent may have run. */
-    private void giveUp(Refusal refusal) {
-        boolean promise = !mayHaveRun || route.kind() == RequestKind.IDEMPOTENT;
-        finish(promise ? refusal : Refusal.of(ResultCode.UPSTREAM_LOST, refusal.detail()));
+    private void refuse(Refusal refusal) {
+        boolean reportNotRun = !mayHaveRun || route.kind() == RequestKind.IDEMPOTENT;
+        sendRefusal(reportNotRun ? refusal : Refusal.of(ResultCode.UPSTREAM_LOST, refusal.detail()));
     }
 
-    private void finish(Refusal refusal) {
-        if (done) {
+    private void sendRefusal(Refusal refusal) {
+        if (finished) {
             return;
         }
         if (stream != null) {
             exchange.abort();
         } else {
-            parts.codec().refuse(exchange, request.id(), refusal);
+            context.codec().refuse(exchange, request.id(), refusal);
         }
-        end(refusal.code(), refusal.detail());
+        complete(refusal.code(), refusal.detail());
     }
 
-    private void deadlinePassed() {
-        if (done) {
+    private void onDeadline() {
+        if (finished) {
             return;
         }
-        stopWork();
-        finish(
-                mayHaveRun || sends > 0
+        cancelWork();
+        sendRefusal(
+                mayHaveRun || sendCount > 0
                         ? Refusal.of(ResultCode.DEADLINE_PASSED)
-                        : Refusal.of(ResultCode.DEADLINE_UNREACHABLE).withRetryAfter(RETRY_SOON));
+                        : Refusal.of(ResultCode.DEADLINE_UNREACHABLE).withRetryAfter(DEFAULT_RETRY_AFTER));
     }
 
-    private void callerLeft() {
-        if (!done) {
-            stopWork();
-            end(ResultCode.CANCELLED, "the caller left");
+    private void onCallerGone() {
+        if (!finished) {
+            cancelWork();
+            complete(ResultCode.CANCELLED, "the caller left");
         }
     }
 
-    private void stopWork() {
-        EngineStart search = starting;
+    private void cancelWork() {
+        EngineSearch search = engineSearch;
         if (search != null) {
             search.cancel();
         }
         Attempt current = attempt;
-        if (current != null && !current.isOver()) {
+        if (current != null && !current.isFinished()) {
             mayHaveRun = true;
             current.cancel();
         }
     }
 
-    private void end(ResultCode code, String detail) {
-        done = true;
+    private void complete(ResultCode code, String detail) {
+        finished = true;
         ScheduledFuture<?> timer = deadlineTimer;
         if (timer != null) {
             timer.cancel(false);
         }
-        ScheduledFuture<?> checks = checkTimer;
+        ScheduledFuture<?> checks = lateCheckTimer;
         if (checks != null) {
             checks.cancel(false);
         }
-        whenDone.accept(mayHaveRun);
-        parts.metrics().onEnd(code, age().toMillis());
+        onFinished.accept(mayHaveRun);
+        context.metrics().onEnd(code, age().toMillis());
         Attempt last = attempt;
         logger.atInfo()
                 .with(LogKeys.REQUEST, request.id())
@@ -468,25 +470,25 @@
                         "%s in %d ms after %d sends, route %s, configuration %d",
                         detail,
                         age().toMillis(),
-                        sends,
+                        sendCount,
                         route.name(),
                         admitted.table().version());
     }
 
     // Times
 
-    private Duration limit() {
-        Duration own = request.callerDeadline().orElse(route.timeout());
-        Duration shorter = own.compareTo(route.timeout()) < 0 ? own : route.timeout();
+    private Duration timeLimit() {
+        Duration callerTimeout = request.callerDeadline().orElse(route.timeout());
+        Duration shorter = callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
         return shorter.minus(DEADLINE_MARGIN);
     }
 
     private Duration age() {
-        return Duration.ofNanos(parts.time().monotonicNanos() - startNanos);
+        return Duration.ofNanos(context.time().monotonicNanos() - startNanos);
     }
 
     private Duration timeLeft() {
-        return limit.minus(age());
+        return timeLimit.minus(age());
     }
 
     private int priority() {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
@@ -30,24 +30,24 @@
         EventLoop loop,
         TimeSource time,
         UpstreamDirectory directory,
-        AdapterVersions versions,
-        UpstreamPools pools,
-        UpstreamLoads loads,
+        AdapterVersions adapterVersions,
+        UpstreamPools upstreamPools,
+        UpstreamLoads upstreamLoads,
         UpstreamAvailability availability,
-        PlainChooser plain,
-        EngineChooser engines,
-        EngineView view,
-        GateClient gates,
-        RetryShare retries,
-        CrashWatch crashes,
+        PlainChooser plainChooser,
+        EngineChooser engineChooser,
+        EngineView engineView,
+        GateClient gateClient,
+        RetryShare retryShare,
+        CrashWatch crashWatch,
         ForwardMetrics metrics) {
     /** Returns the upstreams of a service that accept requests now. */
-    List<Upstream> usable(String service) {
+    List<Upstream> availableUpstreams(String service) {
         return availability.taking(directory.usable(service));
     }
 
     /** Returns after which time a caller should retry if all upstreams of a service asked for a pause. */
-    Optional<Duration> comeBackAfter(String service) {
+    Optional<Duration> retryAfter(String service) {
         return availability.comeBackAfter(directory.usable(service));
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
@@ -33,16 +33,16 @@
  */
 public final class RequestForwarder implements CallerService {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final Duration RETRY_SOON = Duration.ofMillis(500);
+    private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
 
-    private final ForwardingContext parts;
+    private final ForwardingContext context;
     private final ConfigurationHolder configuration;
     private final Freshness freshness;
     private final AccountBudgets budgets;
-    private final StalenessLimits bounds;
+    private final StalenessLimits stalenessLimits;
     private final BooleanSupplier stopping;
     private final DoubleSupplier random;
-    private final AtomicInteger open = new AtomicInteger();
+    private final AtomicInteger openCount = new AtomicInteger();
 
     /**
      * Limits on the age of the configuration.
@@ -67,36 +67,36 @@
      * @param random numbers from 0 to 1 that select a service of a route
      */
     public RequestForwarder(
-            ForwardingContext parts,
+            ForwardingContext context,
             ConfigurationHolder configuration,
             Freshness freshness,
             AccountBudgets budgets,
-            StalenessLimits bounds,
+            StalenessLimits stalenessLimits,
             BooleanSupplier stopping,
             DoubleSupplier random) {
-        this.parts = parts;
+        this.context = context;
         this.configuration = configuration;
         this.freshness = freshness;
         this.budgets = budgets;
-        this.bounds = bounds;
+        this.stalenessLimits = stalenessLimits;
         this.stopping = stopping;
         this.random = random;
     }
 
     /** Returns how many requests are not answered as a whole yet. */
     public int openRequests() {
-        return open.get();
+        return openCount.get();
     }
 
     /** Returns whether the configuration is recent enough to accept keys. */
     public boolean canVerifyKeys() {
-        return freshness.isYoungerThan(bounds.maxAgeForKeys());
+        return freshness.isYoungerThan(stalenessLimits.maxAgeForKeys());
     }
 
     @Override
-    public void handle(CallerRequest call, CallerExchange exchange) {
-        parts.metrics().onRequest();
-        Either<Refusal, ForwardRequest> decoded = parts.codec().decode(call);
+    public void handle(CallerRequest callerRequest, CallerExchange exchange) {
+        context.metrics().onRequest();
+        Either<Refusal, ForwardRequest> decoded = context.codec().decode(callerRequest);
         if (decoded.isLeft()) {
             refuse(exchange, "", decoded.getLeft());
             return;
@@ -107,7 +107,7 @@
             refuse(exchange, request.id(), admitted.getLeft());
             return;
         }
-        spend(admitted.get(), exchange);
+        chargeBudget(admitted.get(), exchange);
     }
 
     // Admission
@@ -115,29 +115,29 @@
     private Either<Refusal, Admitted> admit(ForwardRequest request) {
         RoutingTable table = configuration.current().orElse(null);
         if (table == null) {
-            return Either.left(Refusal.of(ResultCode.NOT_READY).withRetryAfter(RETRY_SOON));
+            return Either.left(Refusal.of(ResultCode.NOT_READY).withRetryAfter(DEFAULT_RETRY_AFTER));
         }
         if (stopping.getAsBoolean()) {
             return Either.left(Refusal.of(ResultCode.PROCESS_STOPPING).withRetryAfter(Duration.ZERO));
         }
         Optional<Route> route = table.route(request.host(), request.path());
         if (route.isEmpty()) {
-            return Either.left(unknown(ResultCode.ROUTE_UNKNOWN));
+            return Either.left(refuseUnknown(ResultCode.ROUTE_UNKNOWN));
         }
-        if (!parts.crashes().maySend(request.fingerprint())) {
+        if (!context.crashWatch().maySend(request.fingerprint())) {
             return Either.left(Refusal.of(ResultCode.SUSPECT_REFUSED).withRetryAfter(Duration.ofSeconds(60)));
         }
         if (route.get().open() || !table.needsKeys()) {
             return Either.right(new Admitted(request, table, route.get(), null, 0));
         }
-        return account(request, table)
+        return findAccount(request, table)
                 .map(account -> new Admitted(request, table, route.get(), account, cost(request, account)));
     }
 
-    private Either<Refusal, Account> account(ForwardRequest request, RoutingTable table) {
+    private Either<Refusal, Account> findAccount(ForwardRequest request, RoutingTable table) {
         if (!canVerifyKeys()) {
             return Either.left(Refusal.of(ResultCode.CUT_OFF, "configuration is " + freshness.ageMillis() + " ms old")
-                    .withRetryAfter(RETRY_SOON));
+                    .withRetryAfter(DEFAULT_RETRY_AFTER));
         }
         String key = request.key();
         if (key == null) {
@@ -145,42 +145,45 @@
         }
         return table.accountOfKey(key)
                 .<Either<Refusal, Account>>map(Either::right)
-                .orElseGet(() -> Either.left(unknown(ResultCode.KEY_UNKNOWN)));
+                .orElseGet(() -> Either.left(refuseUnknown(ResultCode.KEY_UNKNOWN)));
     }
 
     /** Forwards a request once its cost is taken from the account's budget, for which other entries may be asked. */
-    private void spend(Admitted admitted, CallerExchange exchange) {
+    private void chargeBudget(Admitted admitted, CallerExchange exchange) {
         Account account = admitted.account();
         if (account == null) {
             forward(admitted, exchange);
             return;
         }
-        open.incrementAndGet();
-        long askedNanos = parts.time().monotonicNanos();
+        openCount.incrementAndGet();
+        long budgetRequestedNanos = context.time().monotonicNanos();
         budgets.spend(account, admitted.cost())
                 .whenCompleteAsync(
                         (shortage, failure) -> {
-                            open.decrementAndGet();
-                            parts.metrics().onBudget(millisSince(askedNanos));
+                            openCount.decrementAndGet();
+                            context.metrics().onBudgetDecided(millisSince(budgetRequestedNanos));
                             if (failure != null) {
                                 logger.atSevere().withCause(failure).log("the budget of %s failed", account.name());
-                                refuse(exchange, admitted.request().id(), budgetRefusal(admitted, 0, RETRY_SOON));
+                                refuse(
+                                        exchange,
+                                        admitted.request().id(),
+                                        budgetRefusal(admitted, 0, DEFAULT_RETRY_AFTER));
                             } else {
                                 shortage.ifPresentOrElse(
                                         s -> refuse(
                                                 exchange,
                                                 admitted.request().id(),
                                                 budgetRefusal(admitted, s.drawn(), s.retryAfter())),
-                                        () -> forwardPaid(admitted, account, exchange));
+                                        () -> verifyKeyAndForward(admitted, account, exchange));
                             }
                         },
-                        parts.loop());
+                        context.loop());
     }
 
     /** Verifies the key again, since it may have been withdrawn while the budget was requested. */
-    private void forwardPaid(Admitted admitted, Account account, CallerExchange exchange) {
+    private void verifyKeyAndForward(Admitted admitted, Account account, CallerExchange exchange) {
         RoutingTable newest = configuration.current().orElse(admitted.table());
-        account(admitted.request(), newest)
+        findAccount(admitted.request(), newest)
                 .peek(a -> forward(admitted, exchange))
                 .peekLeft(refusal -> {
                     budgets.giveBack(account, admitted.cost());
@@ -196,8 +199,8 @@
                 .withRetryAfter(wait);
     }
 
-    private long millisSince(long nanos) {
-        return TimeUnit.NANOSECONDS.toMillis(parts.time().monotonicNanos() - nanos);
+    private long millisSince(long startNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(context.time().monotonicNanos() - startNanos);
     }
 
     private static double cost(ForwardRequest request, Account account) {
@@ -209,34 +212,34 @@
     }
 
     /** Refuses an unknown route or key; as cut off if the configuration is old, since it may have been added since. */
-    private Refusal unknown(ResultCode code) {
-        if (freshness.isYoungerThan(bounds.maxAgeForUnknown())) {
+    private Refusal refuseUnknown(ResultCode code) {
+        if (freshness.isYoungerThan(stalenessLimits.maxAgeForUnknown())) {
             return Refusal.of(code);
         }
         return Refusal.of(
                         ResultCode.CUT_OFF,
                         code.meaning() + " The configuration is " + freshness.ageMillis() + " ms old.")
-                .withRetryAfter(RETRY_SOON);
+                .withRetryAfter(DEFAULT_RETRY_AFTER);
     }
 
     // Forwarding
 
     private void forward(Admitted admitted, CallerExchange exchange) {
-        open.incrementAndGet();
+        openCount.incrementAndGet();
         String service = admitted.route().serviceAt(random.getAsDouble());
-        parts.retries().onRequest(service);
-        Forwarding forwarding = new Forwarding(parts, admitted, service, exchange, ran -> {
-            open.decrementAndGet();
+        context.retryShare().onRequest(service);
+        Forwarding forwarding = new Forwarding(context, admitted, service, exchange, mayHaveRun -> {
+            openCount.decrementAndGet();
             Account account = admitted.account();
-            if (!ran && account != null) {
+            if (!mayHaveRun && account != null) {
                 budgets.giveBack(account, admitted.cost());
             }
         });
-        parts.loop().execute(forwarding::start);
+        context.loop().execute(forwarding::start);
     }
 
     private void refuse(CallerExchange exchange, String id, Refusal refusal) {
-        parts.metrics().onEnd(refusal.code(), 0);
+        context.metrics().onEnd(refusal.code(), 0);
         RoutingTable table = configuration.current().orElse(null);
         logger.atInfo()
                 .with(LogKeys.REQUEST, id)
@@ -244,6 +247,6 @@
                 .log(
                         "refused: %s; configuration %d, %d ms old",
                         refusal.detail(), table == null ? -1 : table.version(), freshness.ageMillis());
-        parts.codec().refuse(exchange, id, refusal);
+        context.codec().refuse(exchange, id, refusal);
     }
 }
