Name the forwarding tests after the failure that each guards against

Cause: names of tests and of their fixture told a story or were vague (ask, says, anAnswerComesBackWhole).

Change: rename test methods and members of the fixture; checks and data are as before.

--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EndlessAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EndlessAnswerTest.java
@@ -15,7 +15,7 @@
 /** Guards against faulty upstreams whose bytes are no valid answer or never end one, which could exhaust memory. */
 public class EndlessAnswerTest extends ForwardingFixture {
     /** Sends bytes, once the test is ready, until the connection is closed; then reports how many were sent. */
-    private static ScriptedUpstream.Script saysWithoutEnd(
+    private static ScriptedUpstream.Script respondEndlessly(
             String start, String repeated, CompletableFuture<String> ready, CompletableFuture<Long> whenClosed) {
         return (request, connection) -> {
             ready.join();
@@ -47,18 +47,18 @@
 
     /** The upstream sends until the gateway closes the connection; another upstream serves the caller. */
     @Test(dataProvider = "bytesWithoutEnd")
-    public void bytesWithoutEndEndTheirConnectionAndTheStreamGoesOnElsewhere(String what, String start, String repeated)
+    public void endlessAnswerClosesItsConnectionAndStreamContinuesElsewhere(String what, String start, String repeated)
             throws Exception {
         configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
         CompletableFuture<Long> closed = new CompletableFuture<>();
         CompletableFuture<String> ready = new CompletableFuture<>();
         String events = "id: 1\ndata: a\n\n";
-        try (ScriptedUpstream one = new ScriptedUpstream(saysWithoutEnd(start, repeated, ready, closed));
-                ScriptedUpstream two = new ScriptedUpstream(says(whole(events), true))) {
-            upstream("a", one.address());
-            Caller caller = ask("/p/x", "key");
+        try (ScriptedUpstream one = new ScriptedUpstream(respondEndlessly(start, repeated, ready, closed));
+                ScriptedUpstream two = new ScriptedUpstream(respondWith(okAnswer(events), true))) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
             one.takeRequest();
-            upstream("b", two.address());
+            addUpstream("b", two.address());
             ready.complete("the other upstream is known");
             assertEquals(caller.answer.join(), "200 streamed id: 1;data: a;;", what);
             assertTrue(closed.join() < 32_000_000, what + ": " + closed.join() + " bytes were taken");
@@ -66,17 +66,17 @@
     }
 
     @Test
-    public void aRefusalWhoseBodyDoesNotEndIsPassedAtItsHead() throws Exception {
+    public void notRunAnswerWithEndlessBodyIsRetriedAfterItsHead() throws Exception {
         configure(RequestKind.ONCE, false, 2, Duration.ofSeconds(20));
         CompletableFuture<Long> closed = new CompletableFuture<>();
         CompletableFuture<String> ready = new CompletableFuture<>();
         String head = "HTTP/1.1 503 Busy\r\nid: 1\r\nnot-run: 1\r\n\r\n";
-        try (ScriptedUpstream one = new ScriptedUpstream(saysWithoutEnd(head, "z".repeat(1_000), ready, closed));
-                ScriptedUpstream two = new ScriptedUpstream(says(whole("done"), true))) {
-            upstream("a", one.address());
-            Caller caller = ask("/p/x", "key");
+        try (ScriptedUpstream one = new ScriptedUpstream(respondEndlessly(head, "z".repeat(1_000), ready, closed));
+                ScriptedUpstream two = new ScriptedUpstream(respondWith(okAnswer("done"), true))) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
             one.takeRequest();
-            upstream("b", two.address());
+            addUpstream("b", two.address());
             ready.complete("the other upstream is known");
             assertEquals(caller.answer.join(), "200 done");
             assertTrue(closed.join() < 32_000_000, closed.join() + " bytes were taken");
@@ -85,7 +85,7 @@
 
     /** A body that never ends would keep its connection occupied in the upstream's pool. */
     @Test
-    public void aRefusalWhoseBodyStallsGivesItsConnectionUp() throws Exception {
+    public void notRunAnswerWithStalledBodyClosesItsConnection() throws Exception {
         configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
         CompletableFuture<Integer> end = new CompletableFuture<>();
         String head = "HTTP/1.1 503 Busy\r\nid: 1\r\nnot-run: 1\r\nContent-Length: 100\r\n\r\n";
@@ -94,8 +94,8 @@
             end.complete(connection.getInputStream().read());
             return false;
         })) {
-            upstream("a", one.address());
-            assertEquals(answer(), "503 " + ResultCode.UPSTREAM_REFUSED);
+            addUpstream("a", one.address());
+            assertEquals(sendAndAwaitAnswer(), "503 " + ResultCode.UPSTREAM_REFUSED);
             assertEquals(end.join(), Integer.valueOf(-1));
         }
     }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EventSplitterTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EventSplitterTest.java
@@ -12,7 +12,7 @@
 public class EventSplitterTest {
     private EventSplitter splitter;
 
-    private String take(String part) {
+    private String append(String part) {
         return splitter.append(ByteString.copyFromUtf8(part)).toStringUtf8();
     }
 
@@ -22,45 +22,45 @@
     }
 
     @Test
-    public void onlyWholeEventsPass() {
-        assertEquals(take("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
-        assertEquals(take("ta: b\n"), "");
-        assertEquals(take("\nid: 3"), "id: 2\ndata: b\n\n");
+    public void onlyWholeEventsAreReturned() {
+        assertEquals(append("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+        assertEquals(append("ta: b\n"), "");
+        assertEquals(append("\nid: 3"), "id: 2\ndata: b\n\n");
     }
 
     @Test
-    public void theLastWholeEventIsKnown() {
+    public void lastEventIdIsThatOfLastWholeEvent() {
         assertEquals(splitter.lastEventId(), OptionalLong.empty());
-        take("id: 7\ndata: a\n\nid: 8\ndata: b");
+        append("id: 7\ndata: a\n\nid: 8\ndata: b");
         assertEquals(splitter.lastEventId(), OptionalLong.of(7));
     }
 
     @Test
-    public void aCutEventIsForgotten() {
-        take("id: 1\ndata: a\n\nid: 2\nda");
+    public void partialEventIsDrained() {
+        append("id: 1\ndata: a\n\nid: 2\nda");
         assertEquals(splitter.drainPartialEvent().toStringUtf8(), "id: 2\nda");
-        assertEquals(take("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+        assertEquals(append("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
     }
 
     @Test
-    public void idsThatAreNoNumbersAreIgnored() {
-        take("id: x\ndata: a\n\nid: 99999999999999999999\ndata: b\n\n");
+    public void nonNumericIdsAreIgnored() {
+        append("id: x\ndata: a\n\nid: 99999999999999999999\ndata: b\n\n");
         assertEquals(splitter.lastEventId(), OptionalLong.empty());
     }
 
     @Test
-    public void anEmptyLineThatIsCutBetweenPartsEndsItsEvent() {
-        assertEquals(take("id: 1\n"), "");
-        assertEquals(take("\n"), "id: 1\n\n");
+    public void emptyLineSplitAcrossPartsEndsEvent() {
+        assertEquals(append("id: 1\n"), "");
+        assertEquals(append("\n"), "id: 1\n\n");
         assertEquals(splitter.lastEventId(), OptionalLong.of(1));
     }
 
     @Test
-    public void bytesWithoutEndAreNoEvent() {
+    public void endlessEventIsReportedAsTooLong() {
         String part = "x".repeat(10_000);
         int parts = 0;
         while (!splitter.isEventTooLong()) {
-            assertEquals(take(part), "");
+            assertEquals(append(part), "");
             parts++;
         }
         assertEquals(parts, EventSplitter.MAX_EVENT_BYTES / part.length() + 1);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -62,17 +62,18 @@
 /** A request forwarder with scripted upstreams and recording callers, all in one process. */
 abstract class ForwardingFixture {
     static final Account ACCOUNT = new Account("tailors", Set.of("key"), null, false, 0, 0, 1);
-    static final String PAUSE = "HTTP/1.1 503 Busy\r\nid: 1\r\nnot-run: 1\r\npause: 60000\r\nContent-Length: 0\r\n\r\n";
-    static final String NOT_RUN = "HTTP/1.1 503 Busy\r\nid: 1\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+    static final String PAUSE_ANSWER =
+            "HTTP/1.1 503 Busy\r\nid: 1\r\nnot-run: 1\r\npause: 60000\r\nContent-Length: 0\r\n\r\n";
+    static final String NOT_RUN_ANSWER = "HTTP/1.1 503 Busy\r\nid: 1\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
 
     final EventLoopGroup loops = new NioEventLoopGroup(1);
     final EventLoop loop = loops.next();
-    MovedTime wallForKnowledge;
+    MovedTime freshnessTime;
     UpstreamDirectory directory;
     ConfigurationHolder configuration;
     Freshness freshness;
     RequestForwarder forwarder;
-    CrashWatch watch;
+    CrashWatch crashWatch;
 
     @AfterClass
     public void close() {
@@ -81,16 +82,16 @@
 
     @BeforeMethod
     public void setUp() {
-        wallForKnowledge = new MovedTime();
+        freshnessTime = new MovedTime();
         directory = new UpstreamDirectory();
         configuration = new ConfigurationHolder();
-        freshness = new Freshness(wallForKnowledge);
+        freshness = new Freshness(freshnessTime);
         CrashSuspects suspects = new CrashSuspects(Duration.ofMinutes(1), Duration.ofMinutes(1));
-        watch = new CrashWatch(suspects, TimeSource.SYSTEM, c -> {});
+        crashWatch = new CrashWatch(suspects, TimeSource.SYSTEM, c -> {});
         UpstreamLoads loads = new UpstreamLoads(TimeSource.SYSTEM, directory);
         EngineView view = new EngineView(TimeSource.SYSTEM);
-        ForwardingContext parts = new ForwardingContext(
-                new PlainCodec(),
+        ForwardingContext context = new ForwardingContext(
+                new HeaderCodec(),
                 loop,
                 TimeSource.SYSTEM,
                 directory,
@@ -103,10 +104,10 @@
                 view,
                 new GateClient(null, 1),
                 new RetryShare(new RetryShare.Bounds(1, 100, Duration.ofSeconds(10)), TimeSource.SYSTEM, () -> 1),
-                watch,
+                crashWatch,
                 new ForwardMetrics(new MetricRegistry()));
         forwarder = new RequestForwarder(
-                parts,
+                context,
                 configuration,
                 freshness,
                 budgets(),
@@ -124,7 +125,7 @@
     }
 
     /** A codec that reads the key, the request id and the other metadata from plain headers. */
-    static final class PlainCodec implements CallCodec {
+    static final class HeaderCodec implements CallCodec {
         @Override
         public Either<Refusal, ForwardRequest> decode(CallerRequest r) {
             return Either.right(new ForwardRequest(
@@ -142,10 +143,10 @@
         }
 
         @Override
-        public UpstreamRequest encode(ForwardRequest r, SendParameters terms) {
+        public UpstreamRequest encode(ForwardRequest r, SendParameters parameters) {
             List<Map.Entry<String, String>> headers = new ArrayList<>(r.headers());
-            if (terms.resumeAfterEventId() != null) {
-                headers.add(Map.entry("after", terms.resumeAfterEventId().toString()));
+            if (parameters.resumeAfterEventId() != null) {
+                headers.add(Map.entry("after", parameters.resumeAfterEventId().toString()));
             }
             return new UpstreamRequest(r.method(), r.target(), r.id(), headers, r.body());
         }
@@ -179,9 +180,9 @@
     }
 
     /** Records the answer to one caller as text. */
-    static final class Caller implements CallerExchange {
+    static final class RecordingCaller implements CallerExchange {
         final CompletableFuture<String> answer = new CompletableFuture<>();
-        final CompletableFuture<Runnable> gone = new CompletableFuture<>();
+        final CompletableFuture<Runnable> goneAction = new CompletableFuture<>();
         private final StringBuilder body = new StringBuilder();
         private int status;
 
@@ -213,7 +214,7 @@
 
         @Override
         public void onGone(Runnable action) {
-            gone.complete(action);
+            goneAction.complete(action);
         }
     }
 
@@ -244,33 +245,33 @@
         freshness.confirm(freshness.now());
     }
 
-    void upstream(String id, InetSocketAddress address) {
+    void addUpstream(String id, InetSocketAddress address) {
         directory.put(new Upstream(id, "s", address, "here", 1, false, 8, Map.of()));
     }
 
-    Caller ask(String path, String key) {
-        Caller caller = new Caller();
+    RecordingCaller send(String path, String key) {
+        RecordingCaller caller = new RecordingCaller();
         List<Map.Entry<String, String>> headers = key == null ? List.of() : List.of(Map.entry("key", key));
         forwarder.handle(new CallerRequest("POST", path, headers, ByteString.copyFromUtf8("order")), caller);
         return caller;
     }
 
-    String answer() {
-        return ask("/p/x", "key").answer.join();
+    String sendAndAwaitAnswer() {
+        return send("/p/x", "key").answer.join();
     }
 
-    static String whole(String body) {
+    static String okAnswer(String body) {
         return "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
-    static ScriptedUpstream.Script says(String bytes, boolean keep) {
+    static ScriptedUpstream.Script respondWith(String bytes, boolean keep) {
         return (request, connection) -> {
             ScriptedUpstream.write(connection, bytes);
             return keep;
         };
     }
 
-    static InetSocketAddress refusing() throws Exception {
+    static InetSocketAddress addressRefusingConnections() throws Exception {
         try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return (InetSocketAddress) probe.getLocalSocketAddress();
         }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
@@ -20,80 +20,81 @@
 /** Guards the rules by which requests are admitted, retried, resumed and answered. */
 public class ForwardingTest extends ForwardingFixture {
     @Test
-    public void anAnswerComesBackWhole() throws Exception {
+    public void wholeAnswerIsPassedOn() throws Exception {
         configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
-        try (ScriptedUpstream one = new ScriptedUpstream(says(whole("done"), true))) {
-            upstream("a", one.address());
-            assertEquals(answer(), "200 done");
+        try (ScriptedUpstream one = new ScriptedUpstream(respondWith(okAnswer("done"), true))) {
+            addUpstream("a", one.address());
+            assertEquals(sendAndAwaitAnswer(), "200 done");
         }
     }
 
     @Test
-    public void aRequestThatMayHaveRunOnceIsNotSentAgain() throws Exception {
+    public void nonIdempotentRequestIsNotRetriedAfterItMayHaveRun() throws Exception {
         configure(RequestKind.ONCE, false, 2, Duration.ofSeconds(20));
-        try (ScriptedUpstream one = new ScriptedUpstream(says("", false));
-                ScriptedUpstream two = new ScriptedUpstream(says("", false))) {
-            upstream("a", one.address());
-            upstream("b", two.address());
-            assertEquals(answer(), "502 " + ResultCode.UPSTREAM_LOST);
+        try (ScriptedUpstream one = new ScriptedUpstream(respondWith("", false));
+                ScriptedUpstream two = new ScriptedUpstream(respondWith("", false))) {
+            addUpstream("a", one.address());
+            addUpstream("b", two.address());
+            assertEquals(sendAndAwaitAnswer(), "502 " + ResultCode.UPSTREAM_LOST);
             assertEquals(one.waitingRequests() + two.waitingRequests(), 1);
         }
     }
 
     @Test
-    public void aRequestThatCannotHaveLeftIsSentElsewhere() throws Exception {
+    public void requestIsRetriedElsewhereAfterRefusedConnection() throws Exception {
         configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
-        try (ScriptedUpstream two = new ScriptedUpstream(says(whole("done"), true))) {
-            upstream("a", refusing());
-            upstream("b", two.address());
-            assertEquals(answer(), "200 done");
+        try (ScriptedUpstream two = new ScriptedUpstream(respondWith(okAnswer("done"), true))) {
+            addUpstream("a", addressRefusingConnections());
+            addUpstream("b", two.address());
+            assertEquals(sendAndAwaitAnswer(), "200 done");
         }
     }
 
     @Test
-    public void aRefusalOfTheUpstreamAllowsAnother() throws Exception {
+    public void requestIsRetriedElsewhereAfterNotRunAnswer() throws Exception {
         configure(RequestKind.ONCE, false, 2, Duration.ofSeconds(20));
-        try (ScriptedUpstream one = new ScriptedUpstream(says(NOT_RUN, true));
-                ScriptedUpstream two = new ScriptedUpstream(says(whole("done"), true))) {
-            upstream("a", one.address());
-            upstream("b", two.address());
-            assertEquals(answer(), "200 done");
+        try (ScriptedUpstream one = new ScriptedUpstream(respondWith(NOT_RUN_ANSWER, true));
+                ScriptedUpstream two = new ScriptedUpstream(respondWith(okAnswer("done"), true))) {
+            addUpstream("a", one.address());
+            addUpstream("b", two.address());
+            assertEquals(sendAndAwaitAnswer(), "200 done");
         }
     }
 
     @Test
-    public void oneUpstreamIsTheLimitWhereTheRouteSaysSo() throws Exception {
+    public void requestIsNotRetriedBeyondMaxUpstreamsOfRoute() throws Exception {
         configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
-        try (ScriptedUpstream one = new ScriptedUpstream(says(NOT_RUN, true));
-                ScriptedUpstream two = new ScriptedUpstream(says(NOT_RUN, true))) {
-            upstream("a", one.address());
-            upstream("b", two.address());
-            assertEquals(answer(), "503 " + ResultCode.UPSTREAM_REFUSED);
+        try (ScriptedUpstream one = new ScriptedUpstream(respondWith(NOT_RUN_ANSWER, true));
+                ScriptedUpstream two = new ScriptedUpstream(respondWith(NOT_RUN_ANSWER, true))) {
+            addUpstream("a", one.address());
+            addUpstream("b", two.address());
+            assertEquals(sendAndAwaitAnswer(), "503 " + ResultCode.UPSTREAM_REFUSED);
             assertEquals(one.waitingRequests() + two.waitingRequests(), 1);
         }
     }
 
     @Test
-    public void aStatusThatPromisesNotToHaveRunIsNotPassedOnWithoutThatStatement() throws Exception {
+    public void status503WithoutNotRunHeaderIsNotPassedOn() throws Exception {
         configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
         try (ScriptedUpstream one =
-                new ScriptedUpstream(says("HTTP/1.1 503 x\r\nid: 1\r\nContent-Length: 0\r\n\r\n", true))) {
-            upstream("a", one.address());
-            assertEquals(answer(), "502 " + ResultCode.ANSWER_INCOMPLETE);
+                new ScriptedUpstream(respondWith("HTTP/1.1 503 x\r\nid: 1\r\nContent-Length: 0\r\n\r\n", true))) {
+            addUpstream("a", one.address());
+            assertEquals(sendAndAwaitAnswer(), "502 " + ResultCode.ANSWER_INCOMPLETE);
         }
     }
 
     @Test
-    public void theAnswerToAnotherRequestIsNotPassedOn() throws Exception {
+    public void answerWithOtherRequestIdIsNotPassedOn() throws Exception {
         configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
-        try (ScriptedUpstream one = new ScriptedUpstream(says(whole("done").replace("id: 1", "id: 2"), true))) {
-            upstream("a", one.address());
-            assertEquals(answer(), "502 " + ResultCode.UPSTREAM_LOST);
+        try (ScriptedUpstream one =
+                new ScriptedUpstream(respondWith(okAnswer("done").replace("id: 1", "id: 2"), true))) {
+            addUpstream("a", one.address());
+            assertEquals(sendAndAwaitAnswer(), "502 " + ResultCode.UPSTREAM_LOST);
         }
     }
 
     @Test
-    public void aBrokenStreamThatMayBeResumedGoesOnBehindItsLastWholeEvent() throws Exception {
+    public void brokenResumableStreamContinuesAfterLastWholeEvent() throws Exception {
         configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
         String start = "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
         ScriptedUpstream.Script script = (request, connection) -> {
@@ -106,24 +107,24 @@
         };
         try (ScriptedUpstream one = new ScriptedUpstream(script);
                 ScriptedUpstream two = new ScriptedUpstream(script)) {
-            upstream("a", one.address());
-            upstream("b", two.address());
-            assertEquals(answer(), "200 streamed id: 1;a: a;;id: 2;b: b;;id: 3;c: c;;");
+            addUpstream("a", one.address());
+            addUpstream("b", two.address());
+            assertEquals(sendAndAwaitAnswer(), "200 streamed id: 1;a: a;;id: 2;b: b;;id: 3;c: c;;");
         }
     }
 
     @Test
-    public void aBrokenStreamThatMayNotBeResumedIsCut() throws Exception {
+    public void brokenNonResumableStreamIsAborted() throws Exception {
         configure(RequestKind.STREAM, false, 2, Duration.ofSeconds(20));
         String bytes = "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
-        try (ScriptedUpstream one = new ScriptedUpstream(says(bytes, false))) {
-            upstream("a", one.address());
-            assertEquals(answer(), "cut after half");
+        try (ScriptedUpstream one = new ScriptedUpstream(respondWith(bytes, false))) {
+            addUpstream("a", one.address());
+            assertEquals(sendAndAwaitAnswer(), "cut after half");
         }
     }
 
     @Test
-    public void theRoutesTimeoutEndsAWaitWithoutAPromise() throws Exception {
+    public void routeTimeoutIsAnsweredAsDeadlinePassed() throws Exception {
         configure(RequestKind.ONCE, false, 1, Duration.ofMillis(300));
         CountDownLatch end = new CountDownLatch(1);
         try (ScriptedUpstream one = new ScriptedUpstream((r, c) -> {
@@ -134,14 +135,14 @@
             }
             return false;
         })) {
-            upstream("a", one.address());
-            assertEquals(answer(), "504 " + ResultCode.DEADLINE_PASSED);
+            addUpstream("a", one.address());
+            assertEquals(sendAndAwaitAnswer(), "504 " + ResultCode.DEADLINE_PASSED);
             end.countDown();
         }
     }
 
     @Test
-    public void aCallerThatLeavesEndsTheWorkAtTheUpstream() throws Exception {
+    public void disconnectOfCallerCancelsRequestAtUpstream() throws Exception {
         configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
         CountDownLatch closed = new CountDownLatch(1);
         try (ScriptedUpstream one = new ScriptedUpstream((r, c) -> {
@@ -150,61 +151,61 @@
             }
             return false;
         })) {
-            upstream("a", one.address());
-            Caller caller = ask("/p/x", "key");
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
             one.takeRequest();
-            caller.gone.join().run();
+            caller.goneAction.join().run();
             closed.await();
             assertFalse(caller.answer.isDone());
         }
     }
 
     @Test
-    public void withoutConfigurationNothingIsDenied() {
-        assertEquals(answer(), "503 " + ResultCode.NOT_READY);
+    public void requestBeforeFirstConfigurationIsRefusedAsNotReady() {
+        assertEquals(sendAndAwaitAnswer(), "503 " + ResultCode.NOT_READY);
     }
 
     @Test
-    public void unknownRoutesAndKeysAreDeniedByFreshKnowledgeOnly() {
+    public void unknownRouteOrKeyIsReportedOnlyWithRecentConfiguration() {
         configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
-        assertEquals(ask("/other/x", "key").answer.join(), "404 " + ResultCode.ROUTE_UNKNOWN);
-        assertEquals(ask("/p/x", "other").answer.join(), "401 " + ResultCode.KEY_UNKNOWN);
-        assertEquals(ask("/p/x", null).answer.join(), "401 " + ResultCode.KEY_MISSING);
-        wallForKnowledge.passMillis(2_500);
-        assertEquals(ask("/other/x", "key").answer.join(), "503 " + ResultCode.CUT_OFF);
-        assertEquals(ask("/p/x", "other").answer.join(), "503 " + ResultCode.CUT_OFF);
+        assertEquals(send("/other/x", "key").answer.join(), "404 " + ResultCode.ROUTE_UNKNOWN);
+        assertEquals(send("/p/x", "other").answer.join(), "401 " + ResultCode.KEY_UNKNOWN);
+        assertEquals(send("/p/x", null).answer.join(), "401 " + ResultCode.KEY_MISSING);
+        freshnessTime.passMillis(2_500);
+        assertEquals(send("/other/x", "key").answer.join(), "503 " + ResultCode.CUT_OFF);
+        assertEquals(send("/p/x", "other").answer.join(), "503 " + ResultCode.CUT_OFF);
     }
 
     @Test
-    public void noKeyIsAcceptedWhereItsWithdrawalCouldBeUnknown() {
+    public void keyIsRefusedWhenConfigurationIsTooOldToKnowItsWithdrawal() {
         configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
-        wallForKnowledge.passMillis(4_100);
-        assertEquals(answer(), "503 " + ResultCode.CUT_OFF);
+        freshnessTime.passMillis(4_100);
+        assertEquals(sendAndAwaitAnswer(), "503 " + ResultCode.CUT_OFF);
     }
 
     @Test
-    public void aSuspensionOfTheVmCountsAgainstKeys() {
+    public void keyIsRefusedAfterVmSuspension() {
         configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
-        wallForKnowledge.moveWall(7_000);
-        assertEquals(answer(), "503 " + ResultCode.CUT_OFF);
+        freshnessTime.moveWall(7_000);
+        assertEquals(sendAndAwaitAnswer(), "503 " + ResultCode.CUT_OFF);
     }
 
     @Test
-    public void aRequestThatCrashedTwoUpstreamsIsNotSentToAThird() throws Exception {
+    public void requestThatCrashedTwoUpstreamsIsRefused() throws Exception {
         configure(RequestKind.IDEMPOTENT, false, 2, Duration.ofSeconds(20));
         for (int crash = 1; crash <= 2; crash++) {
             String id = "crash-" + crash;
-            try (ScriptedUpstream one = new ScriptedUpstream(says("", false))) {
-                upstream(id, one.address());
-                assertEquals(answer(), "502 " + ResultCode.UPSTREAM_LOST);
+            try (ScriptedUpstream one = new ScriptedUpstream(respondWith("", false))) {
+                addUpstream(id, one.address());
+                assertEquals(sendAndAwaitAnswer(), "502 " + ResultCode.UPSTREAM_LOST);
             }
-            CompletableFuture<Void> seen = new CompletableFuture<>();
+            CompletableFuture<Void> removed = new CompletableFuture<>();
             loop.execute(() -> {
                 directory.remove(id);
-                seen.complete(null);
+                removed.complete(null);
             });
-            seen.join();
-            watch.onDown(new Upstream(
+            removed.join();
+            crashWatch.onDown(new Upstream(
                     id,
                     "s",
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
@@ -214,7 +215,7 @@
                     8,
                     Map.of()));
         }
-        assertEquals(answer(), "503 " + ResultCode.SUSPECT_REFUSED);
+        assertEquals(sendAndAwaitAnswer(), "503 " + ResultCode.SUSPECT_REFUSED);
         assertTrue(directory.all().isEmpty());
     }
 
@@ -226,32 +227,32 @@
 
     /** The upstream stops sending without closing its connection, so that only its silence reveals the failure. */
     @Test(dataProvider = "beginnings")
-    public void aStreamWhoseUpstreamFallsSilentGoesOnElsewhere(String what, String beginning) throws Exception {
+    public void resumableStreamContinuesElsewhereWhenUpstreamIsSilent(String what, String beginning) throws Exception {
         configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
         String rest = beginning.contains("data") ? "" : "id: 1\ndata: a\n\n";
         try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
                     ScriptedUpstream.write(connection, beginning);
                     return connection.getInputStream().read() >= 0;
                 });
-                ScriptedUpstream two = new ScriptedUpstream(says(whole(rest + "id: 2\ndata: b\n\n"), true))) {
-            upstream("a", one.address());
-            Caller caller = ask("/p/x", "key");
+                ScriptedUpstream two = new ScriptedUpstream(respondWith(okAnswer(rest + "id: 2\ndata: b\n\n"), true))) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
             one.takeRequest();
-            upstream("b", two.address());
+            addUpstream("b", two.address());
             assertEquals(caller.answer.join(), "200 streamed id: 1;data: a;;id: 2;data: b;;", what);
         }
     }
 
     @Test
-    public void aReadThatIsNotAnsweredForLongIsSentElsewhere() throws Exception {
+    public void idempotentRequestIsRetriedElsewhereWhenAnswerIsLate() throws Exception {
         configure(RequestKind.IDEMPOTENT, false, 2, Duration.ofSeconds(20), Duration.ofMillis(200));
         try (ScriptedUpstream one = new ScriptedUpstream(
                         (request, connection) -> connection.getInputStream().read() >= 0);
-                ScriptedUpstream two = new ScriptedUpstream(says(whole("done"), true))) {
-            upstream("a", one.address());
-            Caller caller = ask("/p/x", "key");
+                ScriptedUpstream two = new ScriptedUpstream(respondWith(okAnswer("done"), true))) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
             one.takeRequest();
-            upstream("b", two.address());
+            addUpstream("b", two.address());
             assertEquals(caller.answer.join(), "200 done");
         }
     }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RetryShareTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RetryShareTest.java
@@ -14,8 +14,10 @@
     private MovedTime time;
     private RetryShare share;
 
-    private long repeats(int tries) {
-        return IntStream.range(0, tries).filter(i -> share.tryRepeat("orders")).count();
+    private long grantedRepeats(int attempts) {
+        return IntStream.range(0, attempts)
+                .filter(i -> share.tryRepeat("orders"))
+                .count();
     }
 
     @BeforeMethod
@@ -25,28 +27,28 @@
     }
 
     @Test
-    public void withoutRequestsOnlyHalfOfTheEqualPartIsThere() {
-        assertEquals(repeats(100), 5);
+    public void onlyHalfOfEqualShareIsAvailableWithoutRequests() {
+        assertEquals(grantedRepeats(100), 5);
     }
 
     @Test
-    public void requestsAddTheirRatio() {
+    public void requestsAddToShareByRatio() {
         IntStream.range(0, 100).forEach(i -> share.onRequest("orders"));
-        assertEquals(repeats(100), 25);
+        assertEquals(grantedRepeats(100), 25);
     }
 
     @Test
-    public void theBudgetComesBackAfterTheWindow() {
-        repeats(100);
+    public void budgetIsRestoredAfterWindow() {
+        grantedRepeats(100);
         time.passMillis(9_000);
-        assertEquals(repeats(100), 0);
+        assertEquals(grantedRepeats(100), 0);
         time.passMillis(1_100);
-        assertEquals(repeats(100), 5);
+        assertEquals(grantedRepeats(100), 5);
     }
 
     @Test
-    public void servicesDoNotShare() {
+    public void servicesHaveSeparateBudgets() {
         IntStream.range(0, 100).forEach(i -> share.onRequest("models"));
-        assertEquals(repeats(100), 5);
+        assertEquals(grantedRepeats(100), 5);
     }
 }
