Clarify failure details of request forwarding

Cause: some failure details and one log line were vague (an event above, the budget of).

Change: reword them; texts that operators or pages search for stay.

Result: compiles with all linters; the gateway run ended, the platform run (HttpCallCodecTest) hung and was stopped, so it is not shown to pass on this commit.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -246,7 +246,7 @@
         if (stream != null) {
             if (!head.isSuccess()) {
                 from.cancel();
-                handleFailure(from, SendFailure.malformed("status " + head.status() + " for the rest of a stream"));
+                handleFailure(from, SendFailure.malformed("status " + head.status() + " on resuming the stream"));
             }
         } else if (isStream) {
             exchange.start(head.status(), context.codec().callerHeaders(head));
@@ -284,7 +284,7 @@
             current.append(part);
             if (current.isEventTooLong()) {
                 from.cancel();
-                onFailed(from, SendFailure.malformed("an event above " + EventSplitter.MAX_EVENT_BYTES + " bytes"));
+                onFailed(from, SendFailure.malformed("event exceeds " + EventSplitter.MAX_EVENT_BYTES + " bytes"));
             }
             return;
         }
@@ -320,7 +320,7 @@
         }
         AnswerHead head = bufferedHead;
         if (head == null) {
-            handleFailure(from, SendFailure.malformed("an answer without a head"));
+            handleFailure(from, SendFailure.malformed("the answer ended without a head"));
             return;
         }
         if (head.status() >= MIN_SERVER_ERROR_STATUS) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
@@ -163,7 +163,8 @@
                             openCount.decrementAndGet();
                             context.metrics().onBudgetDecided(millisSince(budgetRequestedNanos));
                             if (failure != null) {
-                                logger.atSevere().withCause(failure).log("the budget of %s failed", account.name());
+                                logger.atSevere().withCause(failure).log(
+                                        "budget check failed for account %s", account.name());
                                 refuse(
                                         exchange,
                                         admitted.request().id(),
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EndlessAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EndlessAnswerTest.java
@@ -61,7 +61,7 @@
             addUpstream("b", two.address());
             ready.complete("the other upstream is known");
             assertEquals(caller.answer.join(), "200 streamed id: 1;data: a;;", what);
-            assertTrue(closed.join() < 32_000_000, what + ": " + closed.join() + " bytes were taken");
+            assertTrue(closed.join() < 32_000_000, what + ": " + closed.join() + " bytes were accepted");
         }
     }
 
@@ -79,7 +79,7 @@
             addUpstream("b", two.address());
             ready.complete("the other upstream is known");
             assertEquals(caller.answer.join(), "200 done");
-            assertTrue(closed.join() < 32_000_000, closed.join() + " bytes were taken");
+            assertTrue(closed.join() < 32_000_000, closed.join() + " bytes were accepted");
         }
     }
 
