Format after the merge of the renames

Cause: merged renames changed line lengths. Change: the formatter's line breaks, and the renamed method of the gate client in EngineSearch.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -249,8 +249,7 @@
         if (limits == null || maxEventGap.isZero()) {
             return MAX_BACKLOG_TOKENS;
         }
-        double stepMillis =
-                (double) maxEventGap.toMillis() / Math.max(1, limits.tokensPerEvent())
+        double stepMillis = (double) maxEventGap.toMillis() / Math.max(1, limits.tokensPerEvent())
                 - STEP_TIME_WITHOUT_PREFILL.toMillis();
         double tokens = stepMillis * prefillRate.tokensPerSecond() / 1_000;
         return tokens >= MAX_STEP_PROMPT_TOKENS ? MAX_BACKLOG_TOKENS : Math.max(MIN_BACKLOG_TOKENS, (long) tokens);
@@ -327,8 +326,9 @@
         if (limits == null) {
             return Duration.ZERO;
         }
-        long free =
-                (long) limits.maxResidentAdapters() - adapters.occupiedSlots() + adapters.replaceableCount(this::isWaitedFor);
+        long free = (long) limits.maxResidentAdapters()
+                - adapters.occupiedSlots()
+                + adapters.replaceableCount(this::isWaitedFor);
         return adapterReleaseInterval.expectedWait(queuedLoadCount() + 1 - free, time.monotonicNanos());
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -73,7 +73,8 @@
 
     void send(ForwardRequest request, SendParameters parameters) {
         load.onRequestSent();
-        sentRequest = context.upstreamPools().poolFor(upstream).send(context.codec().encode(request, parameters), this);
+        sentRequest =
+                context.upstreamPools().poolFor(upstream).send(context.codec().encode(request, parameters), this);
     }
 
     /** Cancels the attempt and closes its connection, by which the upstream detects the cancellation. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineSearch.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineSearch.java
@@ -95,8 +95,8 @@
 
     /** Asks the side of the best engine of a service that was not tried yet; refuses if none is left. */
     void tryNextEngine(String service) {
-        List<EngineChooser.Choice> choices =
-                context.engineChooser().orderByExpectedTime(context.availableUpstreams(service), criteria.adapter(), excluded);
+        List<EngineChooser.Choice> choices = context.engineChooser()
+                .orderByExpectedTime(context.availableUpstreams(service), criteria.adapter(), excluded);
         if (choices.isEmpty() || enginesTried >= MAX_ENGINES_TRIED) {
             refuse(service, choices.isEmpty() ? ResultCode.NO_UPSTREAM : ResultCode.QUEUE_FULL);
             return;
@@ -128,7 +128,7 @@
         pendingTicket = ticket;
         context.engineView().onStartRequested(engine, promptTokens());
         context.gateClient()
-                .start(engine, buildStartRequest(ticket, wait), wait.plus(REPLY_MARGIN))
+                .requestStart(engine, buildStartRequest(ticket, wait), wait.plus(REPLY_MARGIN))
                 .whenCompleteAsync(
                         (grant, failure) -> {
                             pendingEngine = null;
@@ -199,7 +199,8 @@
         Long version = engine.residentAdapters().get(criteria.adapter().toString());
         boolean holdsNewest =
                 version != null && version >= context.adapterVersions().newestVersion(criteria.adapter());
-        if (holdsNewest && context.engineView().adapterState(engine, criteria.adapter()) == EngineView.AdapterState.RESIDENT) {
+        if (holdsNewest
+                && context.engineView().adapterState(engine, criteria.adapter()) == EngineView.AdapterState.RESIDENT) {
             finished = true;
             onGranted.accept(new GrantedEngine(engine, 0, criteria.adapter().isBaseModel() ? 0 : version));
         } else {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -182,7 +182,8 @@
             Duration silence = current.load().timeSinceLastBytes();
             return MAX_UPSTREAM_SILENCE.minus(silence.compareTo(current.age()) < 0 ? silence : current.age());
         }
-        long limitMillis = (long) (HEAD_TIMEOUT_OBJECTIVES * route.latencyObjective().toMillis());
+        long limitMillis =
+                (long) (HEAD_TIMEOUT_OBJECTIVES * route.latencyObjective().toMillis());
         return Duration.ofMillis(limitMillis).minus(current.age());
     }
 
@@ -285,8 +286,7 @@
             if (current.isEventTooLong()) {
                 from.cancel();
                 onFailed(
-                        from,
-                        SendFailure.invalidResponse("event exceeds " + EventSplitter.MAX_EVENT_BYTES + " bytes"));
+                        from, SendFailure.invalidResponse("event exceeds " + EventSplitter.MAX_EVENT_BYTES + " bytes"));
             }
             return;
         }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderScheduleTest.java
@@ -99,7 +99,8 @@
             if (kind < 70) {
                 side.requestStart(random.nextInt(ADAPTER_COUNT));
             } else if (kind < 72) {
-                versions.recordVersion(adapter(random.nextInt(ADAPTER_COUNT)), random.nextInt(1, 5), time.monotonicNanos());
+                versions.recordVersion(
+                        adapter(random.nextInt(ADAPTER_COUNT)), random.nextInt(1, 5), time.monotonicNanos());
             } else if (kind == 72) {
                 engine.restart();
             } else if (kind == 73) {
