Log and count which request limits upstreams name

Cause: no log and no metric tells whether an answer names a limit of requests a second, so the three hypotheses about upstreams that get more than they name cannot be told apart.

Change: the codec reads the limit (the lowest, if several are named; an unreadable one says nothing), an entry logs when an upstream names another one or none, and counts its sends to upstreams that named one. No decision changes.

Result: the codec's test reads limits from all statuses; the forwarding tests pass as before.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -26,6 +26,7 @@
 import io.parsleycleat.gateway.request.choose.EngineView;
 import io.parsleycleat.gateway.request.choose.PlainServiceChooser;
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
+import io.parsleycleat.gateway.request.choose.UpstreamLimits;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
 import io.parsleycleat.gateway.request.crash.CrashDetector;
 import io.parsleycleat.gateway.request.forward.CallCodec;
@@ -277,6 +278,7 @@
                 new UpstreamConnectionPools(eventLoop, time, upstreamDirectory, this::maxConnections),
                 loads,
                 new UpstreamAvailability(time, random::nextDouble),
+                new UpstreamLimits(),
                 new PlainServiceChooser(loads, identity.dataCentre(), random::nextDouble),
                 new EngineChooser(view, loads),
                 view,
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamAvailability.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamAvailability.java
@@ -38,13 +38,6 @@
         }
     };
 
-    /** Identifies one start of an upstream. */
-    private record UpstreamStart(String id, long born) {
-        static UpstreamStart of(Upstream upstream) {
-            return new UpstreamStart(upstream.id(), upstream.startMillis());
-        }
-    }
-
     /** Why a start accepts no requests; a leaving one has no time at which it accepts them again. */
     private record Unavailability(boolean leaving, long untilNanos) {}
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/AnswerMetadata.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/AnswerMetadata.java
@@ -1,5 +1,6 @@
 package io.parsleycleat.gateway.request.forward;
 
+import io.parsleycleat.gateway.request.choose.RequestLimit;
 import java.time.Duration;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
@@ -16,6 +17,7 @@
  * @param leaving whether the upstream announces that it is shutting down
  * @param requestedPause how long an upstream that refused the request asks not to be sent another; null if it names no
  *     time
+ * @param requestLimit the limit that the upstream names for the requests of all entries together; null if it names none
  */
 public record AnswerMetadata(
         boolean notRun,
@@ -23,7 +25,8 @@
         @Nullable String requestId,
         @Nullable ReportedLoad load,
         boolean leaving,
-        @Nullable Duration requestedPause) {
+        @Nullable Duration requestedPause,
+        @Nullable RequestLimit requestLimit) {
     /**
      * The load of an upstream.
      *
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -172,6 +172,7 @@
     }
 
     private void recordAvailability(AnswerMetadata decoded) {
+        context.limits().onAnswer(upstream, decoded.requestLimit());
         if (decoded.leaving()) {
             context.availability().onLeaving(upstream);
         }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardMetrics.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardMetrics.java
@@ -15,6 +15,7 @@
     private final Counter requests;
     private final Counter sends;
     private final Counter repeats;
+    private final Counter limitedSends;
     private final Histogram budgetMillis;
     private final Histogram headMillis;
     private final Histogram firstEventMillis;
@@ -27,6 +28,7 @@
         this.requests = registry.counter("forward.requests");
         this.sends = registry.counter("forward.sends");
         this.repeats = registry.counter("forward.repeats");
+        this.limitedSends = registry.counter("forward.sends.limited");
         this.budgetMillis = registry.histogram("forward.budget.millis");
         this.headMillis = registry.histogram("forward.head.millis");
         this.firstEventMillis = registry.histogram("forward.first_event.millis");
@@ -38,8 +40,11 @@
         requests.inc();
     }
 
-    void onSend(boolean isRepeat) {
+    void onSend(boolean isRepeat, boolean toLimitedUpstream) {
         sends.inc();
+        if (toLimitedUpstream) {
+            limitedSends.inc();
+        }
         if (isRepeat) {
             repeats.inc();
         }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -162,7 +162,7 @@
     private void send(Upstream upstream, long ticket, long adapterVersion) {
         sendCount++;
         attemptedIds.add(upstream.id());
-        context.metrics().onSend(sendCount > 1);
+        context.metrics().onSend(sendCount > 1, context.limits().isLimited(upstream));
         OptionalLong lastId = answer.lastEventId();
         Long resumeAfter = lastId.isPresent() ? Long.valueOf(lastId.getAsLong()) : request.resumeAfterEventId();
         Account account = admitted.account();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
@@ -9,6 +9,7 @@
 import io.parsleycleat.gateway.request.choose.EngineView;
 import io.parsleycleat.gateway.request.choose.PlainServiceChooser;
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
+import io.parsleycleat.gateway.request.choose.UpstreamLimits;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
 import io.parsleycleat.gateway.request.crash.CrashDetector;
 import io.parsleycleat.gateway.request.crash.InterruptedRequest;
@@ -36,6 +37,7 @@
         UpstreamConnectionPools upstreamPools,
         UpstreamLoads upstreamLoads,
         UpstreamAvailability availability,
+        UpstreamLimits limits,
         PlainServiceChooser plainChooser,
         EngineChooser engineChooser,
         EngineView engineView,
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -22,7 +22,9 @@
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
 import io.parsleycleat.gateway.request.choose.PlainServiceChooser;
+import io.parsleycleat.gateway.request.choose.RequestLimit;
 import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
+import io.parsleycleat.gateway.request.choose.UpstreamLimits;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
 import io.parsleycleat.gateway.request.crash.CrashDetector;
 import io.parsleycleat.gateway.request.forward.AnswerMetadata;
@@ -98,6 +100,7 @@
                 new UpstreamConnectionPools(loop, TimeSource.SYSTEM, directory, u -> 10),
                 loads,
                 new UpstreamAvailability(TimeSource.SYSTEM, () -> 0),
+                new UpstreamLimits(),
                 new PlainServiceChooser(loads, "here", () -> 0),
                 new EngineChooser(view, loads),
                 view,
@@ -162,6 +165,10 @@
                     head.header("pause")
                             .map(Long::valueOf)
                             .map(Duration::ofMillis)
+                            .orElse(null),
+                    head.header("limit")
+                            .map(Double::valueOf)
+                            .map(RequestLimit::new)
                             .orElse(null));
         }
 
