--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -1,51 +1,29 @@
 package io.parsleycleat.gateway.request;
 
-import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.parsleycleat.core.connection.caller.CallerExchange;
-import io.parsleycleat.core.connection.caller.CallerLimits;
 import io.parsleycleat.core.connection.caller.CallerRequest;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.time.TimeSource;
-import io.parsleycleat.core.request.outcome.CrashAttribution;
 import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.connection.ScriptedUpstream;
 import io.parsleycleat.gateway.connection.upstream.ResponseHead;
-import io.parsleycleat.gateway.connection.upstream.UpstreamConnectionPools;
 import io.parsleycleat.gateway.connection.upstream.UpstreamRequest;
-import io.parsleycleat.gateway.process.members.EntryMembers;
-import io.parsleycleat.gateway.process.members.EntryMessenger;
-import io.parsleycleat.gateway.process.members.GateClient;
-import io.parsleycleat.gateway.request.choose.EngineChooser;
-import io.parsleycleat.gateway.request.choose.EngineView;
-import io.parsleycleat.gateway.request.choose.PlainServiceChooser;
 import io.parsleycleat.gateway.request.choose.RequestLimit;
-import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
-import io.parsleycleat.gateway.request.choose.UpstreamLimits;
-import io.parsleycleat.gateway.request.choose.UpstreamLoads;
 import io.parsleycleat.gateway.request.crash.CrashDetector;
 import io.parsleycleat.gateway.request.forward.AnswerMetadata;
 import io.parsleycleat.gateway.request.forward.CallCodec;
-import io.parsleycleat.gateway.request.forward.ForwardMetrics;
 import io.parsleycleat.gateway.request.forward.ForwardRequest;
-import io.parsleycleat.gateway.request.forward.ForwardingContext;
 import io.parsleycleat.gateway.request.forward.RequestForwarder;
 import io.parsleycleat.gateway.request.forward.SendParameters;
-import io.parsleycleat.gateway.request.limits.AccountBudgets;
-import io.parsleycleat.gateway.request.limits.BudgetHomes;
-import io.parsleycleat.gateway.request.limits.RetryShare;
 import io.parsleycleat.gateway.version.follow.Freshness;
 import io.parsleycleat.gateway.version.routes.Account;
-import io.parsleycleat.gateway.version.routes.AdapterVersions;
+import io.parsleycleat.gateway.version.routes.AdapterId;
 import io.parsleycleat.gateway.version.routes.ConfigurationHolder;
 import io.parsleycleat.gateway.version.routes.RequestKind;
-import io.parsleycleat.gateway.version.routes.Route;
-import io.parsleycleat.gateway.version.routes.RoutingTable;
-import io.parsleycleat.gateway.version.routes.ServiceShare;
-import io.parsleycleat.gateway.version.routes.ServiceSpec;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import io.parsleycleat.gateway.version.upstreams.UpstreamDirectory;
 import io.vavr.control.Either;
@@ -71,6 +49,7 @@
     final EventLoopGroup loops = new NioEventLoopGroup(1);
     final EventLoop loop = loops.next();
     ManualTimeSource freshnessTime;
+    TestEntry entry;
     UpstreamDirectory directory;
     ConfigurationHolder configuration;
     Freshness freshness;
@@ -85,45 +64,12 @@
     @BeforeMethod
     public void setUp() {
         freshnessTime = new ManualTimeSource();
-        directory = new UpstreamDirectory();
-        configuration = new ConfigurationHolder();
-        freshness = new Freshness(freshnessTime);
-        crashWatch = new CrashDetector(new CrashAttribution(() -> 0), TimeSource.SYSTEM, m -> {});
-        UpstreamLoads loads = new UpstreamLoads(TimeSource.SYSTEM, directory);
-        EngineView view = new EngineView(TimeSource.SYSTEM);
-        ForwardingContext context = new ForwardingContext(
-                new HeaderCodec(),
-                loop,
-                TimeSource.SYSTEM,
-                directory,
-                new AdapterVersions(),
-                new UpstreamConnectionPools(loop, TimeSource.SYSTEM, directory, u -> 10),
-                loads,
-                new UpstreamAvailability(TimeSource.SYSTEM, () -> 0),
-                new UpstreamLimits(),
-                new PlainServiceChooser(loads, "here", () -> 0),
-                new EngineChooser(view, loads),
-                view,
-                new GateClient(null, 1),
-                new RetryShare(new RetryShare.Bounds(1, 100, Duration.ofSeconds(10)), TimeSource.SYSTEM, () -> 1),
-                crashWatch,
-                new ForwardMetrics(new MetricRegistry()));
-        forwarder = new RequestForwarder(
-                context,
-                configuration,
-                freshness,
-                budgets(),
-                new RequestForwarder.StalenessLimits(Duration.ofSeconds(4), Duration.ofSeconds(2)),
-                () -> false,
-                () -> 0);
-    }
-
-    private AccountBudgets budgets() {
-        BudgetHomes.Slack slack = new BudgetHomes.Slack(0, Duration.ofSeconds(8));
-        BudgetHomes homes = new BudgetHomes("here", slack, TimeSource.SYSTEM, () -> true);
-        EntryMembers members = new EntryMembers("here", TimeSource.SYSTEM, p -> {});
-        EntryMessenger exchange = new EntryMessenger(null, (kind, handler) -> {}, members, homes, null, null, null);
-        return new AccountBudgets("here", homes, exchange, TimeSource.SYSTEM, loop);
+        entry = new TestEntry("here", loop, TimeSource.SYSTEM, freshnessTime, new InMemoryPeers());
+        directory = entry.directory;
+        configuration = entry.configuration;
+        freshness = entry.freshness;
+        forwarder = entry.forwarder;
+        crashWatch = entry.crashWatch;
     }
 
     /** A codec that reads the key, the request id and the other metadata from plain headers. */
@@ -137,8 +83,8 @@
                     r.uri(),
                     r.header("key").orElse(null),
                     Duration.ofSeconds(20),
-                    null,
-                    null,
+                    r.header("adapter").map(a -> new AdapterId("m", a)).orElse(null),
+                    r.header("adapter").isPresent() ? new ForwardRequest.TokenCounts(10, 10) : null,
                     r.header("parts").map(p -> List.of(p.split(","))).orElse(List.of()),
                     null,
                     List.of(Map.entry("Host", "h")),
@@ -230,26 +176,7 @@
     }
 
     void configure(RequestKind kind, boolean resumable, int maxUpstreams, Duration timeout, Duration objective) {
-        Route route = new Route(
-                "r",
-                "h",
-                "/p/",
-                kind,
-                List.of(new ServiceShare("s", 1)),
-                timeout,
-                objective,
-                Duration.ZERO,
-                1,
-                maxUpstreams,
-                false,
-                resumable);
-        configuration.applyIfNewer(new RoutingTable(
-                1,
-                List.of(route),
-                List.of(new ServiceSpec("s", "/h", 10, null)),
-                List.of(ACCOUNT),
-                CallerLimits.DEFAULT));
-        freshness.confirm(freshness.now());
+        entry.configure(kind, resumable, maxUpstreams, timeout, objective, null);
     }
 
     void addUpstream(String id, InetSocketAddress address) {
@@ -257,10 +184,7 @@
     }
 
     RecordingCaller send(String path, String key) {
-        RecordingCaller caller = new RecordingCaller();
-        List<Map.Entry<String, String>> headers = key == null ? List.of() : List.of(Map.entry("key", key));
-        forwarder.handle(new CallerRequest("POST", path, headers, ByteString.copyFromUtf8("order")), caller);
-        return caller;
+        return entry.send(path, key == null ? List.of() : List.of(Map.entry("key", key)));
     }
 
     /** Sends a request with a body and prompt parts of its own, and returns the answer. */
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/TestEntry.java
@@ -0,0 +1,139 @@
+package io.parsleycleat.gateway.request;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
+import io.netty.channel.EventLoop;
+import io.parsleycleat.core.connection.caller.CallerLimits;
+import io.parsleycleat.core.connection.caller.CallerRequest;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.core.request.outcome.CrashAttribution;
+import io.parsleycleat.gateway.connection.upstream.UpstreamConnectionPools;
+import io.parsleycleat.gateway.process.members.EntryMembers;
+import io.parsleycleat.gateway.process.members.EntryMessenger;
+import io.parsleycleat.gateway.process.members.GateClient;
+import io.parsleycleat.gateway.request.choose.EngineChooser;
+import io.parsleycleat.gateway.request.choose.EngineView;
+import io.parsleycleat.gateway.request.choose.PlainServiceChooser;
+import io.parsleycleat.gateway.request.choose.UpstreamAvailability;
+import io.parsleycleat.gateway.request.choose.UpstreamLimits;
+import io.parsleycleat.gateway.request.choose.UpstreamLoads;
+import io.parsleycleat.gateway.request.crash.CrashDetector;
+import io.parsleycleat.gateway.request.forward.ForwardMetrics;
+import io.parsleycleat.gateway.request.forward.ForwardingContext;
+import io.parsleycleat.gateway.request.forward.RequestForwarder;
+import io.parsleycleat.gateway.request.limits.AccountBudgets;
+import io.parsleycleat.gateway.request.limits.BudgetHomes;
+import io.parsleycleat.gateway.request.limits.RetryShare;
+import io.parsleycleat.gateway.version.follow.Freshness;
+import io.parsleycleat.gateway.version.routes.AdapterVersions;
+import io.parsleycleat.gateway.version.routes.ConfigurationHolder;
+import io.parsleycleat.gateway.version.routes.EngineSpec;
+import io.parsleycleat.gateway.version.routes.RequestKind;
+import io.parsleycleat.gateway.version.routes.Route;
+import io.parsleycleat.gateway.version.routes.RoutingTable;
+import io.parsleycleat.gateway.version.routes.ServiceShare;
+import io.parsleycleat.gateway.version.routes.ServiceSpec;
+import io.parsleycleat.gateway.version.upstreams.UpstreamDirectory;
+import io.parsleycleat.wire.gate.EntryRecord;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** The parts of an entry that forward requests, with one service and its peers in the same process. */
+final class TestEntry {
+    /** The port on which sides listen. */
+    static final int SIDE_PORT = 1;
+
+    final UpstreamDirectory directory = new UpstreamDirectory();
+    final ConfigurationHolder configuration = new ConfigurationHolder();
+    final Freshness freshness;
+    final CrashDetector crashWatch;
+    final EntryMembers members;
+    final RequestForwarder forwarder;
+
+    TestEntry(String name, EventLoop loop, TimeSource time, TimeSource freshnessTime, InMemoryPeers network) {
+        InMemoryPeers.Node peers = network.node(name);
+        freshness = new Freshness(freshnessTime);
+        crashWatch = new CrashDetector(new CrashAttribution(() -> 0), time, m -> {});
+        members = new EntryMembers(name, time, p -> {});
+        UpstreamLoads loads = new UpstreamLoads(time, directory);
+        EngineView view = new EngineView(time);
+        BudgetHomes homes = new BudgetHomes(name, new BudgetHomes.Slack(0, Duration.ofSeconds(8)), time, () -> true);
+        EntryMessenger messenger = new EntryMessenger(peers, peers, members, homes, crashWatch, view, null);
+        ForwardingContext context = new ForwardingContext(
+                new ForwardingFixture.HeaderCodec(),
+                loop,
+                time,
+                directory,
+                new AdapterVersions(),
+                new UpstreamConnectionPools(loop, time, directory, u -> 1_000),
+                loads,
+                new UpstreamAvailability(time, () -> 0),
+                new UpstreamLimits(),
+                new PlainServiceChooser(loads, "here", () -> 0),
+                new EngineChooser(view, loads),
+                view,
+                new GateClient(peers, SIDE_PORT),
+                new RetryShare(new RetryShare.Bounds(1, 100, Duration.ofSeconds(10)), time, () -> 1),
+                crashWatch,
+                new ForwardMetrics(new MetricRegistry()));
+        forwarder = new RequestForwarder(
+                context,
+                configuration,
+                freshness,
+                new AccountBudgets(name, homes, messenger, time, loop),
+                new RequestForwarder.StalenessLimits(Duration.ofSeconds(4), Duration.ofSeconds(2)),
+                () -> false,
+                () -> 0);
+    }
+
+    /** Makes another entry known to this one. */
+    void addMember(String name) {
+        EntryRecord entry = EntryRecord.newBuilder()
+                .setPeerAddress(name)
+                .setDataCentre("here")
+                .build();
+        members.onPut(name, entry.toByteArray());
+    }
+
+    /**
+     * Puts a configuration with one route in force.
+     *
+     * @param engine set if the route leads to model engines
+     */
+    void configure(
+            RequestKind kind,
+            boolean resumable,
+            int maxUpstreams,
+            Duration timeout,
+            Duration objective,
+            @Nullable EngineSpec engine) {
+        Route route = new Route(
+                "r",
+                "h",
+                "/p/",
+                kind,
+                List.of(new ServiceShare("s", 1)),
+                timeout,
+                objective,
+                Duration.ZERO,
+                1,
+                maxUpstreams,
+                false,
+                resumable);
+        configuration.applyIfNewer(new RoutingTable(
+                1,
+                List.of(route),
+                List.of(new ServiceSpec("s", "/h", 10, engine)),
+                List.of(ForwardingFixture.ACCOUNT),
+                CallerLimits.DEFAULT));
+        freshness.confirm(freshness.now());
+    }
+
+    ForwardingFixture.RecordingCaller send(String path, List<Map.Entry<String, String>> headers) {
+        ForwardingFixture.RecordingCaller caller = new ForwardingFixture.RecordingCaller();
+        forwarder.handle(new CallerRequest("POST", path, headers, ByteString.copyFromUtf8("order")), caller);
+        return caller;
+    }
+}
