Hold the starts on a model engine to the request limit that it names

What callers saw: nothing at first; an engine in need got what it got before, two to four times its limit, and may fail under it.

Cause: an engine names in its answers how many requests a second it takes from all VMs together. An answer reaches one entry, and nothing that an entry hears of an engine went further than that entry.

Change: entries report the named limit to the engine's side, which grants every start anyhow, so one place counts what all entries send: first sends, repeats, resumed streams and trials. A lower limit applies at once, a higher one or none only by the answer to a later start. Entries give the side what they know with each start, so that a side that starts anew learns it with the first question. An engine whose side is silent gets nothing while it names a limit. Requests go to another engine when that is sooner, else wait by urgency, else are refused at once with times apart to come back.

Why it works: the bucket of the side lets through the named rate and at most a quarter of a second's more in any window, whoever asks.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -124,7 +124,8 @@
                 this::tellOtherEntries);
         this.members = new EntryMembers(identity.vmName(), time, crashWatch::onQuarantinedParts);
         this.budgetHomes = new BudgetHomes(identity.vmName(), settings.budgetSlack(), time, this::isActive);
-        EngineView view = new EngineView(time);
+        UpstreamLimits limits = new UpstreamLimits(time);
+        EngineView view = new EngineView(time, limits);
         this.relay = LogRelay.create(transport, identity, members, time, eventLoop);
         this.messenger = new EntryMessenger(transport, transport, members, budgetHomes, crashWatch, view, relay);
         this.budgets = new AccountBudgets(identity.vmName(), budgetHomes, messenger, time, eventLoop);
@@ -142,7 +143,7 @@
                 settings.drainBound());
         this.entriesFollower = createFollower(
                 "entries' log", store.entriesLog(), members, entriesLogSettings(settings), EntryMembers.MAX_READ_AGE);
-        this.forwarder = createForwarder(codec, view);
+        this.forwarder = createForwarder(codec, view, limits);
         this.callerServer = new CallerServer(loops, this::callerLimits, forwarder);
     }
 
@@ -266,7 +267,7 @@
                 : ENTRIES_LOG_SETTINGS;
     }
 
-    private RequestForwarder createForwarder(CallCodec codec, EngineView view) {
+    private RequestForwarder createForwarder(CallCodec codec, EngineView view, UpstreamLimits limits) {
         UpstreamLoads loads = new UpstreamLoads(time, upstreamDirectory);
         SplittableRandom random = new SplittableRandom(identity.incarnation());
         ForwardingContext parts = new ForwardingContext(
@@ -278,9 +279,9 @@
                 new UpstreamConnectionPools(eventLoop, time, upstreamDirectory, this::maxConnections),
                 loads,
                 new UpstreamAvailability(time, random::nextDouble),
-                new UpstreamLimits(),
+                limits,
                 new PlainServiceChooser(loads, identity.dataCentre(), random::nextDouble),
-                new EngineChooser(view, loads),
+                new EngineChooser(view, loads, limits),
                 view,
                 new GateClient(transport, settings.sidePort()),
                 new RetryShare(settings.retryBounds(), time, this::entryCount),
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -2,6 +2,7 @@
 
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.gateway.request.limits.RequestLimit;
 import io.parsleycleat.gateway.version.routes.AdapterId;
 import io.parsleycleat.gateway.version.routes.AdapterVersions;
 import io.parsleycleat.gateway.version.routes.EngineSpec;
@@ -54,6 +55,7 @@
     private final AdapterTable adapters = new AdapterTable();
     private final PrefillRate prefillRate = new PrefillRate();
     private final AdapterReleaseInterval adapterReleaseInterval = new AdapterReleaseInterval();
+    private final StartLimit startLimit = new StartLimit();
     private final Map<TicketKey, GrantedRequest> granted = new HashMap<>();
     private final List<WaitingStart> waiting = new ArrayList<>();
     private @Nullable EngineSpec spec;
@@ -73,13 +75,15 @@
         private final int promptTokens;
         private final long reservedTokens;
         private final long grantedNanos;
+        private final long startNumber;
         private boolean hasFirstEvent;
 
-        GrantedRequest(AdapterId adapter, int promptTokens, long reservedTokens, long grantedNanos) {
-            this.adapter = adapter;
-            this.promptTokens = promptTokens;
-            this.reservedTokens = reservedTokens;
+        GrantedRequest(WaitingStart start, long grantedNanos, long startNumber) {
+            this.adapter = start.adapter();
+            this.promptTokens = start.request().getPromptTokens();
+            this.reservedTokens = start.requiredTokens();
             this.grantedNanos = grantedNanos;
+            this.startNumber = startNumber;
         }
     }
 
@@ -106,6 +110,7 @@
         EngineReport before = lastReport;
         if (before != null && before.startedAtMillis() != newReport.startedAtMillis()) {
             adapters.clear();
+            startLimit.reset();
             modelLoadAttempted = false;
         }
         lastReport = newReport;
@@ -131,6 +136,7 @@
             versions.recordVersion(adapter, request.getMinVersion(), now);
         }
         WaitingStart waitingStart = new WaitingStart(key, adapter, request, now, reply);
+        startLimit.adoptKnown(request, engineId, lastReport, now);
         Duration wait = expectedWait(waitingStart);
         if (engineUnreachable || lastReport == null) {
             refuse(waitingStart, ResultCode.UPSTREAM_UNREACHABLE, MIN_RETRY_AFTER);
@@ -142,6 +148,17 @@
         }
     }
 
+    /**
+     * Records the request limit that the head of an answer names.
+     *
+     * @param named null if it names none
+     */
+    public synchronized void onAnswered(TicketKey key, @Nullable RequestLimit named) {
+        GrantedRequest run = granted.get(key);
+        startLimit.onAnswer(named, run == null ? 0 : run.startNumber, time.monotonicNanos());
+        grantAll();
+    }
+
     /** Applies the progress of a granted or waiting request. */
     public synchronized void onProgress(TicketKey key, RunProgress.Stage stage) {
         if (stage == RunProgress.Stage.WITHDRAWN) {
@@ -164,12 +181,13 @@
         grantAll();
     }
 
-    /** Refuses the requests that have waited longer than their limit. */
+    /** Refuses the requests that have waited longer than their limit, and grants those whose turn has come. */
     public synchronized void refuseExpired() {
         long now = time.monotonicNanos();
         List.copyOf(waiting).stream()
                 .filter(w -> w.isExpired(now))
                 .forEach(w -> refuse(w, ResultCode.QUEUE_FULL, max(expectedWait(w), MIN_RETRY_AFTER)));
+        grantAll();
     }
 
     private void recordFirstEvent(@Nullable GrantedRequest run) {
@@ -197,7 +215,10 @@
 
     // Granting
 
-    /** Grants all requests that fit, the most urgent first; those past their objective come last. */
+    /**
+     * Grants all requests that fit, the most urgent first; those past their objective come last. Refuses those whose
+     * turn under the engine's request limit comes later than they can wait for it.
+     */
     private void grantAll() {
         EngineReport known = lastReport;
         if (engineUnreachable || known == null || waiting.isEmpty()) {
@@ -206,15 +227,18 @@
         long now = time.monotonicNanos();
         List.copyOf(waiting).stream().sorted(WaitingStart.byUrgency(now)).forEach(w -> {
             if (isGrantable(w.adapter(), now) && hasCapacity(w, known)) {
-                grant(w, now);
+                startLimit.tryStart(now).ifPresent(number -> grant(w, now, number));
             }
         });
+        startLimit
+                .beyondWait(waiting, now)
+                .forEach(w -> refuse(w, ResultCode.UPSTREAM_LIMITED, startLimit.retryAfter(waiting.size(), now)));
     }
 
-    private void grant(WaitingStart w, long now) {
+    private void grant(WaitingStart w, long now, long startNumber) {
         waiting.remove(w);
         adapters.acquire(w.adapter(), now);
-        granted.put(w.key(), new GrantedRequest(w.adapter(), w.request().getPromptTokens(), w.requiredTokens(), now));
+        granted.put(w.key(), new GrantedRequest(w, now, startNumber));
         w.reply()
                 .accept(StartGrant.newBuilder()
                         .setVersion(
@@ -457,6 +481,7 @@
                     .setModelResident(!known.residentModels().isEmpty())
                     .setTotalTokens(known.memoryTokens());
         }
+        startLimit.describe(status, waiting, time.monotonicNanos());
         return status.build();
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/GateServer.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/GateServer.java
@@ -6,8 +6,10 @@
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.gateway.request.limits.RequestLimit;
 import io.parsleycleat.wire.gate.GateMessage;
 import io.parsleycleat.wire.gate.GateStatus;
+import io.parsleycleat.wire.gate.RunProgress;
 import io.parsleycleat.wire.gate.StartGrant;
 import io.parsleycleat.wire.gate.StartRequest;
 import io.parsleycleat.wire.peer.Frame;
@@ -144,15 +146,20 @@
         GateMessage message = frame.getGate();
         switch (message.getMessageCase()) {
             case START -> handleStart(from, frame, message.getStart());
-            case PROGRESS -> {
-                EngineGate.TicketKey key =
-                        new EngineGate.TicketKey(from, message.getProgress().getTicket());
-                gate.onProgress(key, message.getProgress().getStage());
-            }
+            case PROGRESS -> handleProgress(from, message.getProgress());
             default -> logger.atFine().log("ignored a gate message of type %s", message.getMessageCase());
         }
     }
 
+    private void handleProgress(PeerChannel from, RunProgress progress) {
+        EngineGate.TicketKey key = new EngineGate.TicketKey(from, progress.getTicket());
+        if (progress.getStage() == RunProgress.Stage.ANSWERED) {
+            gate.onAnswered(key, progress.hasNamedLimit() ? RequestLimit.of(progress.getNamedLimit()) : null);
+        } else {
+            gate.onProgress(key, progress.getStage());
+        }
+    }
+
     private void handleStart(PeerChannel from, Frame frame, StartRequest request) {
         long now = time.monotonicNanos();
         StatusSubscription subscription = subscriptions.computeIfAbsent(from, channel -> {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
@@ -3,6 +3,7 @@
 import io.parsleycleat.gateway.version.routes.AdapterId;
 import io.parsleycleat.wire.gate.StartGrant;
 import io.parsleycleat.wire.gate.StartRequest;
+import java.time.Duration;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
@@ -65,6 +66,12 @@
         return nowNanos - arrivalNanos > TimeUnit.MILLISECONDS.toNanos(request.getWaitMillis());
     }
 
+    /** Returns how much longer the request can wait for the engine's request limit; negative when it cannot. */
+    Duration limitWaitLeft(long nowNanos) {
+        int millis = Math.min(request.getLimitWaitMillis(), request.getWaitMillis());
+        return Duration.ofNanos(TimeUnit.MILLISECONDS.toNanos(millis) - (nowNanos - arrivalNanos));
+    }
+
     long requiredTokens() {
         return (long) request.getPromptTokens() + request.getOutputTokens();
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/GateClient.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/GateClient.java
@@ -2,6 +2,7 @@
 
 import io.parsleycleat.core.connection.peer.PeerClient;
 import io.parsleycleat.core.process.settings.IpAddresses;
+import io.parsleycleat.gateway.request.limits.RequestLimit;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import io.parsleycleat.wire.gate.GateMessage;
 import io.parsleycleat.wire.gate.RunProgress;
@@ -13,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Sends start requests and the progress of runs to the sides of model engines.
@@ -52,8 +54,24 @@
 
     /** Sends the progress of a run to the side of its engine, without waiting for an answer. */
     public void sendProgress(Upstream engine, long ticket, RunProgress.Stage stage) {
-        RunProgress progress =
-                RunProgress.newBuilder().setTicket(ticket).setStage(stage).build();
+        sendProgress(engine, RunProgress.newBuilder().setTicket(ticket).setStage(stage));
+    }
+
+    /**
+     * Tells the side of an engine which request limit the head of an answer names.
+     *
+     * @param named null if it names none
+     */
+    public void sendAnswered(Upstream engine, long ticket, @Nullable RequestLimit named) {
+        RunProgress.Builder progress =
+                RunProgress.newBuilder().setTicket(ticket).setStage(RunProgress.Stage.ANSWERED);
+        if (named != null) {
+            progress.setNamedLimit(named.requestsPerSecond());
+        }
+        sendProgress(engine, progress);
+    }
+
+    private void sendProgress(Upstream engine, RunProgress.Builder progress) {
         peers.send(
                 sideAddress(engine),
                 Frame.newBuilder()
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
@@ -53,15 +53,24 @@
 
     private final EngineView view;
     private final UpstreamLoads loads;
+    private final UpstreamLimits limits;
 
-    /** Creates a chooser that uses the statuses sent by sides and the loads observed in responses. */
-    public EngineChooser(EngineView view, UpstreamLoads loads) {
+    /**
+     * Creates a chooser that uses the statuses sent by sides, the loads observed in responses, and the limits named.
+     */
+    public EngineChooser(EngineView view, UpstreamLoads loads, UpstreamLimits limits) {
         this.view = view;
         this.loads = loads;
+        this.limits = limits;
     }
 
-    /** An engine with its expected time to the first event and the state of the adapter on it. */
-    public record Choice(Upstream engine, double expectedMillis, EngineView.AdapterState adapterState) {}
+    /**
+     * An engine with its expected time to the first event and the state of the adapter on it.
+     *
+     * @param limitWaitMillis the part of the expected time that is a wait for the engine's request limit
+     */
+    public record Choice(
+            Upstream engine, double expectedMillis, double limitWaitMillis, EngineView.AdapterState adapterState) {}
 
     /** Returns the engines that are not excluded, the lowest expected time first. */
     public List<Choice> orderByExpectedTime(List<Upstream> engines, AdapterId adapter, Set<String> excluded) {
@@ -79,7 +88,9 @@
     private Choice estimate(Upstream engine, AdapterId adapter, int rank) {
         EngineView.AdapterState state = view.adapterState(engine, adapter);
         Optional<GateStatus> status = view.status(engine);
-        double expectedMillis = rank * rankMillis(state) + adapterMillis(state) + healthMillis(engine);
+        double limitWaitMillis = limits.closedFor(engine).toMillis();
+        double expectedMillis =
+                rank * rankMillis(state) + adapterMillis(state) + healthMillis(engine) + limitWaitMillis;
         if (status.isPresent()) {
             GateStatus s = status.get();
             expectedMillis += view.backlogTokens(engine) / tokensPerMillisecond(s);
@@ -89,7 +100,7 @@
             expectedMillis += s.getOut() ? UNREACHABLE_MILLIS : 0;
             expectedMillis += needsLoad(state) ? s.getPlaceWaitMillis() : 0;
         }
-        return new Choice(engine, expectedMillis, state);
+        return new Choice(engine, expectedMillis, limitWaitMillis, state);
     }
 
     private double healthMillis(Upstream engine) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
@@ -1,9 +1,11 @@
 package io.parsleycleat.gateway.request.choose;
 
 import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.gateway.request.limits.RequestLimit;
 import io.parsleycleat.gateway.version.routes.AdapterId;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import io.parsleycleat.wire.gate.GateStatus;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -29,6 +31,7 @@
     private static final int MAX_MISSED_STATUS_INTERVALS = 3;
 
     private final TimeSource time;
+    private final UpstreamLimits limits;
     private final Map<String, ReceivedStatus> statusByEngineId = new ConcurrentHashMap<>();
     private final Map<String, Long> unresponsiveUntilNanos = new ConcurrentHashMap<>();
 
@@ -81,15 +84,25 @@
         ABSENT
     }
 
-    /** Creates a view without statuses. */
-    public EngineView(TimeSource time) {
+    /**
+     * Creates a view without statuses.
+     *
+     * @param limits takes the request limits that statuses contain
+     */
+    public EngineView(TimeSource time, UpstreamLimits limits) {
         this.time = time;
+        this.limits = limits;
     }
 
     /** Records the status that a side sent about its engine. */
     public void onStatus(GateStatus status) {
         statusByEngineId.compute(
                 status.getEngineId(), (id, previous) -> new ReceivedStatus(status, previous, time.monotonicNanos()));
+        if (status.hasRequestLimit()) {
+            UpstreamStart start = new UpstreamStart(status.getEngineId(), status.getBorn());
+            limits.onNamed(start, RequestLimit.of(status.getRequestLimit()));
+            limits.close(start, Duration.ofMillis(status.getLimitWaitMillis()));
+        }
     }
 
     /** Records a requested start, so that the next choice counts its prompt before the side reports it. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/AnswerMetadata.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/AnswerMetadata.java
@@ -1,6 +1,6 @@
 package io.parsleycleat.gateway.request.forward;
 
-import io.parsleycleat.gateway.request.choose.RequestLimit;
+import io.parsleycleat.gateway.request.limits.RequestLimit;
 import java.time.Duration;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -7,6 +7,7 @@
 import io.parsleycleat.gateway.connection.upstream.UpstreamConnectionPool;
 import io.parsleycleat.gateway.request.choose.UpstreamLoad;
 import io.parsleycleat.gateway.request.crash.InterruptedRequest;
+import io.parsleycleat.gateway.request.limits.RequestLimit;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import io.parsleycleat.wire.gate.RunProgress;
 import java.time.Duration;
@@ -172,7 +173,7 @@
     }
 
     private void recordAvailability(AnswerMetadata decoded) {
-        context.limits().onAnswer(upstream, decoded.requestLimit());
+        recordLimit(decoded.requestLimit());
         if (decoded.leaving()) {
             context.availability().onLeaving(upstream);
         }
@@ -182,6 +183,16 @@
         }
     }
 
+    /** Records the named limit, and reports it to the engine's side, which holds all starts to it. */
+    private void recordLimit(@Nullable RequestLimit named) {
+        boolean wasLimited = context.limits().isLimited(upstream);
+        context.limits().onAnswer(upstream, named, startNanos);
+        boolean isReadable = named == null || named.isReadable();
+        if (ticket != 0 && isReadable && (named != null || wasLimited)) {
+            context.gateClient().sendAnswered(upstream, ticket, named);
+        }
+    }
+
     /** The head decides the outcome; a short body is read as well, so that the connection can be reused. */
     private void handleNotRun(AnswerMetadata decoded) {
         finish(decoded.wrongUpstream() ? RunProgress.Stage.NOT_HELD : RunProgress.Stage.ENDED);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineSearch.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineSearch.java
@@ -7,6 +7,7 @@
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
+import io.parsleycleat.gateway.request.choose.UpstreamStart;
 import io.parsleycleat.gateway.version.routes.AdapterId;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import io.parsleycleat.wire.gate.RunProgress;
@@ -48,6 +49,7 @@
     private final Consumer<GrantedEngine> onGranted;
     private final Consumer<Refusal> onRefused;
     private int enginesTried;
+    private int limitedCount;
     private boolean finished;
     private @Nullable Duration shortestRetryAfter;
     private @Nullable Upstream pendingEngine;
@@ -98,7 +100,7 @@
         List<EngineChooser.Choice> choices = context.engineChooser()
                 .orderByExpectedTime(context.availableUpstreams(service), criteria.adapter(), excluded);
         if (choices.isEmpty() || enginesTried >= MAX_ENGINES_TRIED) {
-            refuse(service, choices.isEmpty() ? ResultCode.NO_UPSTREAM : ResultCode.QUEUE_FULL);
+            refuse(service, refusalCode(choices));
             return;
         }
         EngineChooser.Choice choice = choices.get(0);
@@ -107,10 +109,29 @@
         if (context.engineView().isSideUnresponsive(choice.engine())) {
             tryWithoutSide(service, choice.engine());
         } else {
-            requestStart(service, choice);
+            requestStart(service, choice, limitWait(choices));
         }
     }
 
+    /** Returns how long the request may wait for the best engine's limit before another engine takes it sooner. */
+    private Duration limitWait(List<EngineChooser.Choice> choices) {
+        EngineChooser.Choice best = choices.get(0);
+        Duration longest = grantWait(best);
+        if (choices.size() == 1 || enginesTried >= MAX_ENGINES_TRIED) {
+            return longest;
+        }
+        double otherwiseMillis = choices.get(1).expectedMillis() - (best.expectedMillis() - best.limitWaitMillis());
+        Duration otherwise = Duration.ofMillis((long) Math.max(0, otherwiseMillis));
+        return otherwise.compareTo(longest) < 0 ? otherwise : longest;
+    }
+
+    private ResultCode refusalCode(List<EngineChooser.Choice> untried) {
+        if (limitedCount > 0 && limitedCount == enginesTried) {
+            return ResultCode.UPSTREAM_LIMITED;
+        }
+        return untried.isEmpty() ? ResultCode.NO_UPSTREAM : ResultCode.QUEUE_FULL;
+    }
+
     /** Cancels the search; a grant that arrives later is given back to its side. */
     void cancel() {
         finished = true;
@@ -120,7 +141,7 @@
         }
     }
 
-    private void requestStart(String service, EngineChooser.Choice choice) {
+    private void requestStart(String service, EngineChooser.Choice choice, Duration limitWait) {
         Upstream engine = choice.engine();
         long ticket = context.gateClient().newTicket();
         Duration wait = grantWait(choice);
@@ -128,7 +149,7 @@
         pendingTicket = ticket;
         context.engineView().onStartRequested(engine, promptTokens());
         context.gateClient()
-                .requestStart(engine, buildStartRequest(ticket, wait), wait.plus(REPLY_MARGIN))
+                .requestStart(engine, buildStartRequest(engine, ticket, wait, limitWait), wait.plus(REPLY_MARGIN))
                 .whenCompleteAsync(
                         (grant, failure) -> {
                             pendingEngine = null;
@@ -165,13 +186,22 @@
             context.gateClient().sendProgress(engine, ticket, RunProgress.Stage.WITHDRAWN);
             tryWithoutSide(service, engine);
         } else if (grant.getRefusalCode() != 0) {
-            recordRetryAfter(Duration.ofMillis(grant.getRetryAfterMillis()));
+            onSideRefused(engine, grant);
             tryNextEngine(service);
         } else {
             acceptGrant(service, grantedEngine(engine, grant), ticket, grant.getVersion());
         }
     }
 
+    private void onSideRefused(Upstream engine, StartGrant refusal) {
+        Duration retryAfter = Duration.ofMillis(refusal.getRetryAfterMillis());
+        if (refusal.getRefusalCode() == ResultCode.UPSTREAM_LIMITED.number()) {
+            context.limits().close(UpstreamStart.of(engine), retryAfter);
+            limitedCount++;
+        }
+        recordRetryAfter(retryAfter);
+    }
+
     /** Accepts a grant, unless the engine announced its shutdown or a pause while its side queued the start. */
     private void acceptGrant(String service, Upstream engine, long ticket, long version) {
         if (!context.availability().isAvailable(engine)) {
@@ -194,12 +224,16 @@
                 .orElseGet(() -> askedEngine.withStart(grant.getEngineId(), grant.getEngineBorn()));
     }
 
-    /** Sends to an engine whose side does not answer only if the engine holds the newest version of the adapter. */
+    /**
+     * Sends to an engine whose side does not answer only if it holds the newest version of the adapter and names
+     * no request limit, since only its side knows what all entries send to it.
+     */
     private void tryWithoutSide(String service, Upstream engine) {
         Long version = engine.residentAdapters().get(criteria.adapter().toString());
         boolean holdsNewest =
                 version != null && version >= context.adapterVersions().newestVersion(criteria.adapter());
         if (holdsNewest
+                && !context.limits().isLimited(engine)
                 && context.engineView().adapterState(engine, criteria.adapter()) == EngineView.AdapterState.RESIDENT) {
             finished = true;
             onGranted.accept(new GrantedEngine(engine, 0, criteria.adapter().isBaseModel() ? 0 : version));
@@ -222,10 +256,13 @@
         shortestRetryAfter = known == null || after.compareTo(known) < 0 ? after : known;
     }
 
-    private StartRequest buildStartRequest(long ticket, Duration wait) {
+    private StartRequest buildStartRequest(Upstream engine, long ticket, Duration wait, Duration limitWait) {
         ForwardRequest.TokenCounts tokens = criteria.tokens();
-        return StartRequest.newBuilder()
-                .setTicket(ticket)
+        StartRequest.Builder start = StartRequest.newBuilder();
+        context.limits().limit(engine).ifPresent(l -> start.setKnownLimit(l.requestsPerSecond())
+                .setKnownLimitEngineId(engine.id())
+                .setKnownLimitEngineBorn(engine.startMillis()));
+        return start.setTicket(ticket)
                 .setModel(criteria.adapter().model())
                 .setAdapter(criteria.adapter().adapter())
                 .setMinVersion(context.adapterVersions().newestVersion(criteria.adapter()))
@@ -235,6 +272,7 @@
                 .setObjectiveMillis((int) Math.max(0, criteria.objectiveLeft().toMillis()))
                 .setDeadlineMillis((int) Math.max(0, criteria.timeLeft().toMillis()))
                 .setWaitMillis((int) wait.toMillis())
+                .setLimitWaitMillis((int) limitWait.toMillis())
                 .setRequestId(criteria.requestId())
                 .build();
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/RequestLimit.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RequestLimit.java
@@ -1,9 +1,9 @@
-package io.parsleycleat.gateway.request.choose;
+package io.parsleycleat.gateway.request.limits;
 
 /**
  * The limit that an upstream names for the requests that it takes from all entries together. Immutable.
  *
- * <p>Decoded from the head of an answer.
+ * <p>Decoded from the head of an answer, and passed on between entries and sides.
  *
  * @param requestsPerSecond zero or more; not a number if the upstream names a limit that cannot be read
  */
@@ -20,6 +20,11 @@
         requestsPerSecond = Math.min(requestsPerSecond, MAX_REQUESTS_PER_SECOND);
     }
 
+    /** Returns the limit of a number that came from outside; a negative one cannot be read. */
+    public static RequestLimit of(double requestsPerSecond) {
+        return requestsPerSecond >= 0 ? new RequestLimit(requestsPerSecond) : UNREADABLE;
+    }
+
     /** Returns whether the limit could be read. */
     public boolean isReadable() {
         return !Double.isNaN(requestsPerSecond);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
@@ -8,6 +8,7 @@
 import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
+import io.parsleycleat.gateway.request.choose.UpstreamLimits;
 import io.parsleycleat.gateway.request.choose.UpstreamLoads;
 import io.parsleycleat.gateway.version.routes.AdapterId;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
@@ -36,9 +37,10 @@
     @BeforeMethod
     public void setUp() {
         time = new ManualTimeSource();
-        view = new EngineView(time);
+        UpstreamLimits limits = new UpstreamLimits(time);
+        view = new EngineView(time, limits);
         loads = new UpstreamLoads(time, new UpstreamDirectory());
-        chooser = new EngineChooser(view, loads);
+        chooser = new EngineChooser(view, loads, limits);
         engines =
                 IntStream.range(0, ENGINES).mapToObj(EngineChooserTest::engine).toList();
         engines.forEach(e -> reportStatus(e, 1, 0, List.of()));
@@ -89,7 +91,8 @@
     /** Guards against entries that load an adapter which no engine holds on different engines. */
     @Test
     public void allEntriesChooseTheSameEngineForAnAbsentAdapter() {
-        EngineChooser other = new EngineChooser(new EngineView(time), loads);
+        UpstreamLimits limits = new UpstreamLimits(time);
+        EngineChooser other = new EngineChooser(new EngineView(time, limits), loads, limits);
         assertEquals(
                 other.orderByExpectedTime(engines, ADAPTER, Set.of()).get(0).engine(), firstChoice());
     }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/TestEntry.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/TestEntry.java
@@ -58,7 +58,8 @@
         crashWatch = new CrashDetector(new CrashAttribution(() -> 0), time, m -> {});
         members = new EntryMembers(name, time, p -> {});
         UpstreamLoads loads = new UpstreamLoads(time, directory);
-        EngineView view = new EngineView(time);
+        UpstreamLimits limits = new UpstreamLimits(time);
+        EngineView view = new EngineView(time, limits);
         BudgetHomes homes = new BudgetHomes(name, new BudgetHomes.Slack(0, Duration.ofSeconds(8)), time, () -> true);
         EntryMessenger messenger = new EntryMessenger(peers, peers, members, homes, crashWatch, view, null);
         ForwardingContext context = new ForwardingContext(
@@ -70,9 +71,9 @@
                 new UpstreamConnectionPools(loop, time, directory, u -> 1_000),
                 loads,
                 new UpstreamAvailability(time, () -> 0),
-                new UpstreamLimits(),
+                limits,
                 new PlainServiceChooser(loads, "here", () -> 0),
-                new EngineChooser(view, loads),
+                new EngineChooser(view, loads, limits),
                 view,
                 new GateClient(peers, SIDE_PORT),
                 new RetryShare(new RetryShare.Bounds(1, 100, Duration.ofSeconds(10)), time, () -> 1),
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamRequestLimitTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamRequestLimitTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -30,6 +31,7 @@
 public class UpstreamRequestLimitTest {
     private static final int ENTRIES = 5;
     private static final int REQUESTS_PER_ENTRY = 20;
+    private static final int STEP_MILLIS = 50;
     private static final String ENGINE_ID = "i-1";
     private static final EngineSpec ENGINE_SPEC =
             new EngineSpec(64, 200_000, 1_100, 3, 3, 2, List.of(new ModelSpec("m", 1_000, 10, Duration.ofMillis(700))));
@@ -53,7 +55,7 @@
         Fleet fleet = new Fleet(isEngine, limit);
         try (ScriptedUpstream upstream = fleet.upstream) {
             fleet.sendFromEachEntry(1);
-            fleet.time.advanceMillis(5_000);
+            fleet.advanceMillis(5_000);
             int before = upstream.untakenRequestCount();
             fleet.sendFromEachEntry(REQUESTS_PER_ENTRY);
             int sent = upstream.untakenRequestCount() - before;
@@ -74,6 +76,7 @@
             return true;
         });
         private final List<TestEntry> entries;
+        private @Nullable GateServer side;
 
         Fleet(boolean isEngine, double limit) {
             this.isEngine = isEngine;
@@ -99,7 +102,18 @@
                             1, 0, false, Set.of("m"), Map.of(new AdapterId("m", "a"), 1L), Map.of(), 0, 0, 200_000),
                     ENGINE_ID);
             String address = "127.0.0.1:" + TestEntry.SIDE_PORT;
-            new GateServer(gate, network.node(address), time, () -> {});
+            side = new GateServer(gate, network.node(address), time, () -> {});
+        }
+
+        /** Advances the clock in steps after which the side does its periodic work. */
+        void advanceMillis(int millis) {
+            for (int passed = 0; passed < millis; passed += STEP_MILLIS) {
+                time.advanceMillis(STEP_MILLIS);
+                gate.refuseExpired();
+                if (side != null) {
+                    side.sendStatuses();
+                }
+            }
         }
 
         private TestEntry startEntry(String name) {
@@ -127,8 +141,7 @@
                     .flatMap(e -> Stream.generate(() -> send(e)).limit(count))
                     .toList();
             awaitHandled();
-            time.advanceMillis(20_000);
-            gate.refuseExpired();
+            advanceMillis(20_000);
             callers.forEach(c -> assertTrue(c.answer.join().matches("200 done|503 [A-Z_]+"), c.answer.join()));
         }
 
