Hold what entries send to plain services to the limits named

What callers saw: nothing at first; an upstream of a plain service that is in need got from each entry what it got before.

Cause: the same as for model engines, but a plain service has no side through which all requests pass; the entries share nothing about it.

Evidence: UpstreamRequestLimitTest, 100 of 100 requests at one moment.

Change: one entry, the first in the upstream's rendezvous order, grants permits for single requests, so that a limit below one a second is used by whichever entry has a request. It grants only while no other entry can be first too; meanwhile, or when it does not answer, the second one grants two fifths of the limit. Entries ask only while they know a limit, take their knowledge along, and report what the answer said. The first to hear of a limit tells the home, which tells all entries through a tree with a fan-out of eight. A running attempt is given up as late only for an upstream without a limit.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -36,6 +36,8 @@
 import io.parsleycleat.gateway.request.limits.AccountBudgets;
 import io.parsleycleat.gateway.request.limits.BudgetHomes;
 import io.parsleycleat.gateway.request.limits.RetryShare;
+import io.parsleycleat.gateway.request.permits.PermitHomes;
+import io.parsleycleat.gateway.request.permits.UpstreamPermits;
 import io.parsleycleat.gateway.version.follow.FollowSettings;
 import io.parsleycleat.gateway.version.follow.KeyedLog;
 import io.parsleycleat.gateway.version.follow.KeyedLogListener;
@@ -50,6 +52,7 @@
 import io.parsleycleat.wire.gate.EntryRecord;
 import io.parsleycleat.wire.gate.GateMessage;
 import java.time.Duration;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -98,6 +101,7 @@
     private final LogRelay relay;
     private final BudgetHomes budgetHomes;
     private final AccountBudgets budgets;
+    private final PermitHomes permitHomes;
     private final CrashDetector crashWatch;
     private final EntryMessenger messenger;
     private final LogFollower operatorsFollower;
@@ -124,10 +128,21 @@
                 this::tellOtherEntries);
         this.members = new EntryMembers(identity.vmName(), time, crashWatch::onQuarantinedParts);
         this.budgetHomes = new BudgetHomes(identity.vmName(), settings.budgetSlack(), time, this::isActive);
-        UpstreamLimits limits = new UpstreamLimits(time);
+        UpstreamLimits limits = new UpstreamLimits(time, new SplittableRandom(identity.incarnation())::nextDouble);
         EngineView view = new EngineView(time, limits);
         this.relay = LogRelay.create(transport, identity, members, time, eventLoop);
-        this.messenger = new EntryMessenger(transport, transport, members, budgetHomes, crashWatch, view, relay);
+        this.permitHomes = new PermitHomes(identity.vmName(), time, this::isActive, eventLoop);
+        this.messenger = new EntryMessenger(
+                identity.vmName(),
+                transport,
+                transport,
+                members,
+                budgetHomes,
+                permitHomes,
+                limits,
+                crashWatch,
+                view,
+                relay);
         this.budgets = new AccountBudgets(identity.vmName(), budgetHomes, messenger, time, eventLoop);
         this.operatorsFollower = createFollower(
                 "operators' log",
@@ -280,6 +295,7 @@
                 loads,
                 new UpstreamAvailability(time, random::nextDouble),
                 limits,
+                new UpstreamPermits(permitHomes, messenger, limits, time),
                 new PlainServiceChooser(loads, identity.dataCentre(), random::nextDouble),
                 new EngineChooser(view, loads, limits),
                 view,
@@ -356,7 +372,9 @@
     private void updateMembers() {
         if (entriesFollower.isFullyRead()) {
             members.updateReadAge(entriesFollower.freshness().age());
-            budgets.setOtherEntries(members.peerAddresses().keySet());
+            Set<String> others = members.peerAddresses().keySet();
+            budgets.setOtherEntries(others);
+            permitHomes.setOtherEntries(others);
             budgets.returnUnspent();
         }
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/StartLimit.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/StartLimit.java
@@ -6,7 +6,6 @@
 import io.parsleycleat.wire.gate.GateStatus;
 import io.parsleycleat.wire.gate.StartRequest;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
@@ -56,21 +55,8 @@
 
     /** Returns the requests whose turn comes later than they can wait for it; those behind them move up. */
     List<WaitingStart> beyondWait(List<WaitingStart> waiting, long now) {
-        List<WaitingStart> beyond = new ArrayList<>();
-        if (rate.limit().isEmpty()) {
-            return beyond;
-        }
-        int ahead = 0;
-        for (WaitingStart w :
-                waiting.stream().sorted(WaitingStart.byUrgency(now)).toList()) {
-            Duration wait = rate.waitBehind(ahead, now);
-            if (!wait.isZero() && wait.compareTo(w.limitWaitLeft(now)) > 0) {
-                beyond.add(w);
-            } else {
-                ahead++;
-            }
-        }
-        return beyond;
+        return rate.beyondWait(
+                waiting.stream().sorted(WaitingStart.byUrgency(now)).toList(), w -> w.limitWaitLeft(now), now);
     }
 
     /** Adds the limit to a status. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineChooser.java
@@ -72,23 +72,28 @@
     public record Choice(
             Upstream engine, double expectedMillis, double limitWaitMillis, EngineView.AdapterState adapterState) {}
 
-    /** Returns the engines that are not excluded, the lowest expected time first. */
-    public List<Choice> orderByExpectedTime(List<Upstream> engines, AdapterId adapter, Set<String> excluded) {
+    /**
+     * Returns the engines that are not excluded, the lowest expected time first.
+     *
+     * @param priority the priority of the request; 0 is the most urgent
+     */
+    public List<Choice> orderByExpectedTime(
+            List<Upstream> engines, AdapterId adapter, int priority, Set<String> excluded) {
         List<Upstream> ranked = RendezvousHash.order(
                 adapter.toString(), engines, u -> u.address().toString());
         Map<String, Integer> ranks = new HashMap<>();
         ranked.forEach(u -> ranks.put(u.id(), ranks.size()));
         return ranked.stream()
                 .filter(u -> !excluded.contains(u.id()))
-                .map(u -> estimate(u, adapter, ranks.getOrDefault(u.id(), 0)))
+                .map(u -> estimate(u, adapter, priority, ranks.getOrDefault(u.id(), 0)))
                 .sorted(Comparator.comparingDouble(Choice::expectedMillis))
                 .toList();
     }
 
-    private Choice estimate(Upstream engine, AdapterId adapter, int rank) {
+    private Choice estimate(Upstream engine, AdapterId adapter, int priority, int rank) {
         EngineView.AdapterState state = view.adapterState(engine, adapter);
         Optional<GateStatus> status = view.status(engine);
-        double limitWaitMillis = limits.closedFor(engine).toMillis();
+        double limitWaitMillis = limits.closedFor(engine, priority).toMillis();
         double expectedMillis =
                 rank * rankMillis(state) + adapterMillis(state) + healthMillis(engine) + limitWaitMillis;
         if (status.isPresent()) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
@@ -4,6 +4,7 @@
 import io.parsleycleat.gateway.request.limits.RequestLimit;
 import io.parsleycleat.gateway.version.routes.AdapterId;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
+import io.parsleycleat.gateway.version.upstreams.UpstreamStart;
 import io.parsleycleat.wire.gate.GateStatus;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -30,6 +31,9 @@
     /** Announced status intervals without a status after which a side counts as unresponsive. */
     private static final int MAX_MISSED_STATUS_INTERVALS = 3;
 
+    /** The priority of the most urgent requests; a status tells how long even these wait. */
+    private static final int MOST_URGENT = 0;
+
     private final TimeSource time;
     private final UpstreamLimits limits;
     private final Map<String, ReceivedStatus> statusByEngineId = new ConcurrentHashMap<>();
@@ -101,7 +105,7 @@
         if (status.hasRequestLimit()) {
             UpstreamStart start = new UpstreamStart(status.getEngineId(), status.getBorn());
             limits.onNamed(start, RequestLimit.of(status.getRequestLimit()));
-            limits.close(start, Duration.ofMillis(status.getLimitWaitMillis()));
+            limits.close(start, Duration.ofMillis(status.getLimitWaitMillis()), MOST_URGENT);
         }
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamAvailability.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamAvailability.java
@@ -4,6 +4,7 @@
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
+import io.parsleycleat.gateway.version.upstreams.UpstreamStart;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLimits.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamLimits.java
@@ -5,11 +5,13 @@
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.gateway.request.limits.RequestLimit;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
+import io.parsleycleat.gateway.version.upstreams.UpstreamStart;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.DoubleSupplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,7 +27,11 @@
     /** Maximum number of upstream starts on record; the oldest one is removed first. */
     private static final int MAX_STARTS = 10_000;
 
+    /** Jitter of the retry delay, as a share of the delay, so that callers do not all retry at once. */
+    private static final double JITTER_SHARE = 0.5;
+
     private final TimeSource time;
+    private final DoubleSupplier random;
     private final Map<UpstreamStart, KnownLimit> limits = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<UpstreamStart, KnownLimit> eldest) {
@@ -33,16 +39,25 @@
         }
     };
 
-    /** A limit, when it was last named, and until when no request needs to be tried. */
-    private record KnownLimit(RequestLimit limit, long namedNanos, long closedUntilNanos) {
-        KnownLimit closedUntil(long nanos) {
-            return new KnownLimit(limit, namedNanos, nanos);
+    /**
+     * A limit, when it was last named, and until when no request needs to be tried.
+     *
+     * @param closedPriority the priority from which requests need not be tried; more urgent ones may get a turn sooner
+     */
+    private record KnownLimit(RequestLimit limit, long namedNanos, long closedUntilNanos, int closedPriority) {
+        KnownLimit closedUntil(long nanos, int priority) {
+            return new KnownLimit(limit, namedNanos, nanos, priority);
         }
     }
 
-    /** Creates an instance without limits. */
-    public UpstreamLimits(TimeSource time) {
+    /**
+     * Creates an instance without limits.
+     *
+     * @param random supplies numbers from 0 to 1 for the jitter of retry delays
+     */
+    public UpstreamLimits(TimeSource time, DoubleSupplier random) {
         this.time = time;
+        this.random = random;
     }
 
     /**
@@ -68,7 +83,11 @@
         }
         long now = time.monotonicNanos();
         KnownLimit before = limits.get(start);
-        limits.put(start, new KnownLimit(named, now, before == null ? now : before.closedUntilNanos()));
+        limits.put(
+                start,
+                before == null
+                        ? new KnownLimit(named, now, now, 0)
+                        : new KnownLimit(named, now, before.closedUntilNanos(), before.closedPriority()));
         logChange(start, before == null ? null : before.limit(), named);
     }
 
@@ -80,9 +99,14 @@
         }
     }
 
-    /** Records that no request may be sent to a limited upstream for some time. */
-    public synchronized void close(UpstreamStart start, Duration pause) {
-        limits.computeIfPresent(start, (s, known) -> known.closedUntil(time.monotonicNanos() + pause.toNanos()));
+    /**
+     * Records that no request of a priority, or a less urgent one, may be sent to a limited upstream for some time.
+     *
+     * @param priority 0 is the most urgent
+     */
+    public synchronized void close(UpstreamStart start, Duration pause, int priority) {
+        limits.computeIfPresent(
+                start, (s, known) -> known.closedUntil(time.monotonicNanos() + pause.toNanos(), priority));
     }
 
     /** Returns the limit of an upstream, if one is known. */
@@ -90,19 +114,30 @@
         return Optional.ofNullable(limits.get(UpstreamStart.of(upstream))).map(KnownLimit::limit);
     }
 
+    /** Returns how long the limit of an upstream has been known without being named again; zero if none is known. */
+    public synchronized Duration knownFor(Upstream upstream) {
+        KnownLimit known = limits.get(UpstreamStart.of(upstream));
+        return known == null ? Duration.ZERO : Duration.ofNanos(time.monotonicNanos() - known.namedNanos());
+    }
+
     /** Returns whether an upstream has a limit. */
     public boolean isLimited(Upstream upstream) {
         return limit(upstream).isPresent();
     }
 
-    /** Returns how long no request needs to be tried at an upstream because of its limit; zero if one may be. */
-    public synchronized Duration closedFor(Upstream upstream) {
+    /** Returns how long no request of a priority needs to be tried at an upstream because of its limit. */
+    public synchronized Duration closedFor(Upstream upstream, int priority) {
         KnownLimit known = limits.get(UpstreamStart.of(upstream));
-        return known == null
+        return known == null || priority < known.closedPriority()
                 ? Duration.ZERO
                 : Duration.ofNanos(Math.max(0, known.closedUntilNanos() - time.monotonicNanos()));
     }
 
+    /** Returns after which time a caller should retry who is refused for a time until the next request may be tried. */
+    public Duration retryAfter(Duration closedFor) {
+        return Duration.ofNanos((long) (closedFor.toNanos() * (1 + JITTER_SHARE * random.getAsDouble())));
+    }
+
     private static void logChange(UpstreamStart start, @Nullable RequestLimit before, @Nullable RequestLimit after) {
         if (!Objects.equals(before, after)) {
             logger.atInfo()
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -8,6 +8,7 @@
 import io.parsleycleat.gateway.request.choose.UpstreamLoad;
 import io.parsleycleat.gateway.request.crash.InterruptedRequest;
 import io.parsleycleat.gateway.request.limits.RequestLimit;
+import io.parsleycleat.gateway.request.permits.UpstreamPermits;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import io.parsleycleat.wire.gate.RunProgress;
 import java.time.Duration;
@@ -28,7 +29,7 @@
 
     private final ForwardingContext context;
     private final Upstream upstream;
-    private final long ticket;
+    private final Permission permission;
     private final UpstreamLoad load;
     private final long startNanos;
     private final ForwardRequest request;
@@ -43,6 +44,22 @@
     private boolean survivalRecorded;
     private int discardedBytes;
 
+    /**
+     * What allows a request to be sent to its upstream.
+     *
+     * @param ticket identifies the start that an engine's side granted; 0 if no side was asked
+     * @param permit the permit that an entry granted; null if none was needed
+     */
+    record Permission(long ticket, UpstreamPermits.@Nullable Permit permit) {
+        static Permission ofTicket(long ticket) {
+            return new Permission(ticket, null);
+        }
+
+        static Permission ofPermit(UpstreamPermits.@Nullable Permit permit) {
+            return new Permission(0, permit);
+        }
+    }
+
     /** Receives the answer to an attempt, or its failure. */
     interface Listener {
         /** Receives the head of an answer to this request, unless the answer states that the request was not run. */
@@ -64,12 +81,17 @@
     /**
      * Creates an attempt; {@link #send} starts it.
      *
-     * @param ticket identifies the start that the engine's side granted; 0 if no side was asked
+     * @param permission what allows the request to be sent
      */
-    Attempt(ForwardingContext context, Upstream upstream, long ticket, ForwardRequest request, Listener listener) {
+    Attempt(
+            ForwardingContext context,
+            Upstream upstream,
+            Permission permission,
+            ForwardRequest request,
+            Listener listener) {
         this.context = context;
         this.upstream = upstream;
-        this.ticket = ticket;
+        this.permission = permission;
         this.load = context.upstreamLoads().of(upstream);
         this.startNanos = context.time().monotonicNanos();
         this.request = request;
@@ -183,13 +205,17 @@
         }
     }
 
-    /** Records the named limit, and reports it to the engine's side, which holds all starts to it. */
+    /** Records the named limit, and reports it to the process that holds all requests to it. */
     private void recordLimit(@Nullable RequestLimit named) {
+        if (named != null && !named.isReadable()) {
+            return;
+        }
         boolean wasLimited = context.limits().isLimited(upstream);
         context.limits().onAnswer(upstream, named, startNanos);
-        boolean isReadable = named == null || named.isReadable();
-        if (ticket != 0 && isReadable && (named != null || wasLimited)) {
-            context.gateClient().sendAnswered(upstream, ticket, named);
+        if (request.adapter() == null) {
+            context.permits().onAnswer(upstream, permission.permit(), named);
+        } else if (permission.ticket() != 0 && (named != null || wasLimited)) {
+            context.gateClient().sendAnswered(upstream, permission.ticket(), named);
         }
     }
 
@@ -276,8 +302,8 @@
     }
 
     private void reportProgress(RunProgress.Stage stage) {
-        if (ticket != 0) {
-            context.gateClient().sendProgress(upstream, ticket, stage);
+        if (permission.ticket() != 0) {
+            context.gateClient().sendProgress(upstream, permission.ticket(), stage);
         }
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineSearch.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineSearch.java
@@ -7,9 +7,9 @@
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.gateway.request.choose.EngineChooser;
 import io.parsleycleat.gateway.request.choose.EngineView;
-import io.parsleycleat.gateway.request.choose.UpstreamStart;
 import io.parsleycleat.gateway.version.routes.AdapterId;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
+import io.parsleycleat.gateway.version.upstreams.UpstreamStart;
 import io.parsleycleat.wire.gate.RunProgress;
 import io.parsleycleat.wire.gate.StartGrant;
 import io.parsleycleat.wire.gate.StartRequest;
@@ -98,7 +98,8 @@
     /** Asks the side of the best engine of a service that was not tried yet; refuses if none is left. */
     void tryNextEngine(String service) {
         List<EngineChooser.Choice> choices = context.engineChooser()
-                .orderByExpectedTime(context.availableUpstreams(service), criteria.adapter(), excluded);
+                .orderByExpectedTime(
+                        context.availableUpstreams(service), criteria.adapter(), criteria.priority(), excluded);
         if (choices.isEmpty() || enginesTried >= MAX_ENGINES_TRIED) {
             refuse(service, refusalCode(choices));
             return;
@@ -196,7 +197,7 @@
     private void onSideRefused(Upstream engine, StartGrant refusal) {
         Duration retryAfter = Duration.ofMillis(refusal.getRetryAfterMillis());
         if (refusal.getRefusalCode() == ResultCode.UPSTREAM_LIMITED.number()) {
-            context.limits().close(UpstreamStart.of(engine), retryAfter);
+            context.limits().close(UpstreamStart.of(engine), retryAfter, criteria.priority());
             limitedCount++;
         }
         recordRetryAfter(retryAfter);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -23,6 +23,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -42,7 +43,6 @@
     /** Time without an answer's head after which an idempotent request is sent elsewhere, in route objectives. */
     private static final double HEAD_TIMEOUT_OBJECTIVES = 1.3;
 
-    private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(300);
     private static final int MAX_SENDS = 4;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     /** Statuses that mean "not run" to callers, and are not passed on for a request that may have run once. */
@@ -63,7 +63,7 @@
     private int sendCount;
     private boolean mayHaveRun;
     private boolean finished;
-    private @Nullable EngineSearch engineSearch;
+    private Runnable cancelSearch = () -> {};
     private @Nullable Attempt attempt;
     private @Nullable ScheduledFuture<?> deadlineTimer;
     private @Nullable ScheduledFuture<?> lateCheckTimer;
@@ -109,18 +109,27 @@
             searchEngine();
             return;
         }
-        Set<String> excluded = new HashSet<>(attemptedIds);
-        excluded.addAll(unreachableIds);
-        context.plainChooser()
-                .choose(context.availableUpstreams(service), excluded)
-                .ifPresentOrElse(
-                        u -> send(u, 0, 0),
-                        () -> refuse(Refusal.of(ResultCode.NO_UPSTREAM).withRetryAfter(retryAfter())));
+        searchPlainUpstream();
+    }
+
+    private void searchPlainUpstream() {
+        PlainUpstreamSearch search = new PlainUpstreamSearch(
+                context,
+                service,
+                priority(),
+                timeLeft(),
+                triedIds(),
+                found -> {
+                    if (!refuseIfQuarantined()) {
+                        send(found.upstream(), Attempt.Permission.ofPermit(found.permit()), 0);
+                    }
+                },
+                this::refuse);
+        cancelSearch = search::cancel;
+        search.start();
     }
 
     private void searchEngine() {
-        Set<String> excluded = new HashSet<>(unreachableIds);
-        excluded.addAll(attemptedIds);
         EngineSearch.Criteria criteria = new EngineSearch.Criteria(
                 request.id(),
                 java.util.Objects.requireNonNull(request.adapter()),
@@ -128,23 +137,25 @@
                 priority(),
                 route.latencyObjective().minus(age()),
                 timeLeft());
-        EngineSearch search = new EngineSearch(context, criteria, excluded, this::onEngineGranted, refusal -> {
-            engineSearch = null;
-            refuse(refusal);
-        });
-        engineSearch = search;
+        EngineSearch search = new EngineSearch(context, criteria, triedIds(), this::onEngineGranted, this::refuse);
+        cancelSearch = search::cancel;
         search.tryNextEngine(service);
     }
 
+    private Set<String> triedIds() {
+        Set<String> tried = new HashSet<>(unreachableIds);
+        tried.addAll(attemptedIds);
+        return tried;
+    }
+
     /** Sends to the engine that was found, unless the request was quarantined while it waited. */
     private void onEngineGranted(EngineSearch.GrantedEngine started) {
-        engineSearch = null;
         if (refuseIfQuarantined()) {
             context.gateClient().sendProgress(started.engine(), started.ticket(), RunProgress.Stage.ENDED);
             return;
         }
         context.metrics().onStartGranted(age().toMillis());
-        send(started.engine(), started.ticket(), started.adapterVersion());
+        send(started.engine(), Attempt.Permission.ofTicket(started.ticket()), started.adapterVersion());
     }
 
     private boolean refuseIfQuarantined() {
@@ -159,7 +170,7 @@
         return !context.crashWatch().maySend(request.fingerprint(), request.sharedPromptParts());
     }
 
-    private void send(Upstream upstream, long ticket, long adapterVersion) {
+    private void send(Upstream upstream, Attempt.Permission permission, long adapterVersion) {
         sendCount++;
         attemptedIds.add(upstream.id());
         context.metrics().onSend(sendCount > 1, context.limits().isLimited(upstream));
@@ -167,7 +178,7 @@
         Long resumeAfter = lastId.isPresent() ? Long.valueOf(lastId.getAsLong()) : request.resumeAfterEventId();
         Account account = admitted.account();
         boolean onEngine = request.adapter() != null;
-        Attempt newAttempt = new Attempt(context, upstream, ticket, request, this);
+        Attempt newAttempt = new Attempt(context, upstream, permission, request, this);
         attempt = newAttempt;
         newAttempt.send(new SendParameters(
                 upstream,
@@ -211,7 +222,10 @@
         Duration left = timeUntilLate(current);
         scheduleLateCheck(left);
         boolean late = !hasAnswered && (left.isNegative() || left.isZero());
-        if (late && mayTryAnother() && context.retryShare().tryRetry(service)) {
+        if (late
+                && mayTryAnother()
+                && hasUntriedUnlimitedUpstream()
+                && context.retryShare().tryRetry(service)) {
             logger.atInfo()
                     .with(LogKeys.REQUEST, request.id())
                     .with(LogKeys.UPSTREAM, current.upstream().id())
@@ -228,14 +242,17 @@
     }
 
     private boolean hasUntriedUpstream() {
-        return context.availableUpstreams(service).stream()
-                .anyMatch(u -> !attemptedIds.contains(u.id()) && !unreachableIds.contains(u.id()));
+        return untriedUpstreams().findAny().isPresent();
+    }
+
+    /** Returns whether an upstream can take the request at once, so that a running attempt may be given up for it. */
+    private boolean hasUntriedUnlimitedUpstream() {
+        return untriedUpstreams().anyMatch(u -> !context.limits().isLimited(u));
     }
 
-    /** Returns after which time a caller should retry who is refused because no upstream accepts the request now. */
-    private Duration retryAfter() {
-        boolean anyTakes = !context.availableUpstreams(service).isEmpty();
-        return anyTakes ? DEFAULT_RETRY_AFTER : context.retryAfter(service).orElse(DEFAULT_RETRY_AFTER);
+    private Stream<Upstream> untriedUpstreams() {
+        return context.availableUpstreams(service).stream()
+                .filter(u -> !attemptedIds.contains(u.id()) && !unreachableIds.contains(u.id()));
     }
 
     private void retry() {
@@ -340,7 +357,7 @@
         if (mayTryAnother() && context.retryShare().tryRetry(service)) {
             retry();
         } else {
-            refuse(Refusal.of(ResultCode.UPSTREAM_REFUSED).withRetryAfter(retryAfter()));
+            refuse(Refusal.of(ResultCode.UPSTREAM_REFUSED).withRetryAfter(context.noUpstreamRetryAfter(service)));
         }
     }
 
@@ -364,7 +381,8 @@
             if (sendCount < MAX_SENDS && hasUntriedUpstream()) {
                 retry();
             } else {
-                refuse(Refusal.of(ResultCode.UPSTREAM_UNREACHABLE).withRetryAfter(DEFAULT_RETRY_AFTER));
+                refuse(Refusal.of(ResultCode.UPSTREAM_UNREACHABLE)
+                        .withRetryAfter(ForwardingContext.DEFAULT_RETRY_AFTER));
             }
             return;
         }
@@ -407,7 +425,8 @@
         sendRefusal(
                 mayHaveRun || sendCount > 0
                         ? Refusal.of(ResultCode.DEADLINE_PASSED)
-                        : Refusal.of(ResultCode.DEADLINE_UNREACHABLE).withRetryAfter(DEFAULT_RETRY_AFTER));
+                        : Refusal.of(ResultCode.DEADLINE_UNREACHABLE)
+                                .withRetryAfter(ForwardingContext.DEFAULT_RETRY_AFTER));
     }
 
     private void onCallerGone() {
@@ -418,10 +437,7 @@
     }
 
     private void cancelWork() {
-        EngineSearch search = engineSearch;
-        if (search != null) {
-            search.cancel();
-        }
+        cancelSearch.run();
         Attempt current = attempt;
         if (current != null && !current.isFinished()) {
             mayHaveRun = true;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
@@ -14,6 +14,7 @@
 import io.parsleycleat.gateway.request.crash.CrashDetector;
 import io.parsleycleat.gateway.request.crash.InterruptedRequest;
 import io.parsleycleat.gateway.request.limits.RetryShare;
+import io.parsleycleat.gateway.request.permits.UpstreamPermits;
 import io.parsleycleat.gateway.version.routes.AdapterVersions;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import io.parsleycleat.gateway.version.upstreams.UpstreamDirectory;
@@ -38,6 +39,7 @@
         UpstreamLoads upstreamLoads,
         UpstreamAvailability availability,
         UpstreamLimits limits,
+        UpstreamPermits permits,
         PlainServiceChooser plainChooser,
         EngineChooser engineChooser,
         EngineView engineView,
@@ -45,11 +47,20 @@
         RetryShare retryShare,
         CrashDetector crashWatch,
         ForwardMetrics metrics) {
+    /** Time after which callers retry when nothing better is known. */
+    static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(300);
+
     /** Returns the upstreams of a service that accept requests now. */
     List<Upstream> availableUpstreams(String service) {
         return availability.filterAvailable(directory.usable(service));
     }
 
+    /** Returns after which time a caller should retry who is refused because no upstream of a service is available. */
+    Duration noUpstreamRetryAfter(String service) {
+        boolean anyTakes = !availableUpstreams(service).isEmpty();
+        return anyTakes ? DEFAULT_RETRY_AFTER : retryAfter(service).orElse(DEFAULT_RETRY_AFTER);
+    }
+
     /** Returns after which time a caller should retry if all upstreams of a service asked for a pause. */
     Optional<Duration> retryAfter(String service) {
         return availability.retryAfter(directory.usable(service));
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RequestRate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RequestRate.java
@@ -1,8 +1,11 @@
 package io.parsleycleat.gateway.request.limits;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -109,6 +112,7 @@
         double burst = 1 + rate * BURST_TIME.toNanos() / NANOS_PER_SECOND;
         TokenBucket present = bucket;
         if (present == null) {
+            nextReturnNanos = nowNanos;
             return new TokenBucket(rate, burst, 0, nowNanos);
         }
         present.refill(nowNanos, true);
@@ -131,7 +135,7 @@
         return ++lastStart;
     }
 
-    /** Stops or resumes the gain of tokens, as while another process may start requests too. */
+    /** Advances to a time without gaining tokens, as while another process may start requests too. */
     public void skipTo(long nowNanos) {
         TokenBucket present = bucket;
         if (present != null) {
@@ -150,6 +154,24 @@
         return Duration.ofNanos((long) Math.ceil(Math.max(0, missing) / present.ratePerSecond() * NANOS_PER_SECOND));
     }
 
+    /**
+     * Returns the requests whose turn comes later than they can wait; those behind them move up.
+     *
+     * @param ordered the waiting requests in the order in which they start
+     * @param waitLeft returns how much longer a request can wait
+     */
+    public <T> List<T> beyondWait(List<T> ordered, Function<T, Duration> waitLeft, long nowNanos) {
+        List<T> beyond = new ArrayList<>();
+        for (int i = 0; i < ordered.size(); i++) {
+            T request = ordered.get(i);
+            Duration wait = waitBehind(i - beyond.size(), nowNanos);
+            if (!wait.isZero() && wait.compareTo(waitLeft.apply(request)) > 0) {
+                beyond.add(request);
+            }
+        }
+        return beyond;
+    }
+
     /**
      * Returns when a refused request may come back. Requests that are refused one after another get times apart, so
      * that they come back in turn and not all at once; once too many wait for their turn, the further ones are spread.
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/UpstreamStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamStart.java
@@ -1,6 +1,5 @@
-package io.parsleycleat.gateway.request.choose;
+package io.parsleycleat.gateway.version.upstreams;
 
-import io.parsleycleat.gateway.version.upstreams.Upstream;
 import java.util.Objects;
 
 /**
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ScriptedUpstream.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ScriptedUpstream.java
@@ -47,6 +47,11 @@
         return requests.take();
     }
 
+    /** Removes the next received request, which must be there already. */
+    public void takeUntakenRequest() {
+        requests.remove();
+    }
+
     /** Returns how many received requests have not been taken yet. */
     public int untakenRequestCount() {
         return requests.size();
