--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/PermitMessages.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/PermitMessages.java
@@ -47,6 +47,7 @@
                         })
                 .setPermit(reply.permit())
                 .setRetryAfterMillis((int) reply.retryAfter().toMillis())
+                .setClosedMillis((int) reply.closedFor().toMillis())
                 .build();
     }
 
@@ -54,7 +55,8 @@
         return switch (grant.getResult()) {
             case GRANTED -> PermitReply.granted(grant.getPermit());
             case UNLIMITED -> PermitReply.UNLIMITED;
-            case REFUSED -> PermitReply.refused(Duration.ofMillis(grant.getRetryAfterMillis()));
+            case REFUSED -> PermitReply.refused(
+                    Duration.ofMillis(grant.getRetryAfterMillis()), Duration.ofMillis(grant.getClosedMillis()));
             case INACTIVE, UNRECOGNIZED -> PermitReply.INACTIVE;
         };
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RequestRate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RequestRate.java
@@ -143,6 +143,12 @@
         }
     }
 
+    /** Returns the average time between two starts under the limit; zero without a limit. */
+    public Duration startInterval() {
+        TokenBucket present = bucket;
+        return present == null ? Duration.ZERO : Duration.ofNanos((long) (NANOS_PER_SECOND / present.ratePerSecond()));
+    }
+
     /** Returns how long a request waits for the limit behind a number of others; zero without a limit. */
     public Duration waitBehind(long others, long nowNanos) {
         TokenBucket present = bucket;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/permits/PermitHomes.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/permits/PermitHomes.java
@@ -40,6 +40,10 @@
     private static final int NOTICE_FAN_OUT = 8;
     /** Shortest time between two notices of the same limit, which follow when an entry seems not to know of it. */
     private static final Duration NOTICE_INTERVAL = Duration.ofSeconds(1);
+    /** Number of queries for each permit that all entries together may make. */
+    private static final int QUERIES_PER_PERMIT = 8;
+    /** Longest time for which an entry is told not to ask. */
+    private static final Duration MAX_CLOSED_TIME = Duration.ofSeconds(10);
     /** Maximum number of upstream starts on record; the oldest one is removed first. */
     private static final int MAX_STARTS = 10_000;
 
@@ -174,11 +178,22 @@
                 .beyondWait(List.copyOf(keeper.waiting), w -> w.waitLeft(now), now)
                 .forEach(w -> {
                     keeper.waiting.remove(w);
-                    w.reply().accept(PermitReply.refused(keeper.rate.retryAfter(keeper.waiting.size(), now)));
+                    w.reply()
+                            .accept(PermitReply.refused(
+                                    keeper.rate.retryAfter(keeper.waiting.size(), now), closedFor(keeper, now)));
                 });
         scheduleService(keeper, now);
     }
 
+    /** Returns a pause after which all entries together ask some times for each permit, however many they are. */
+    private Duration closedFor(Keeper keeper, long now) {
+        Duration turn = keeper.rate.waitBehind(keeper.waiting.size(), now);
+        Duration paced =
+                keeper.rate.startInterval().multipliedBy(entries.size()).dividedBy(QUERIES_PER_PERMIT);
+        Duration bounded = paced.compareTo(MAX_CLOSED_TIME) < 0 ? paced : MAX_CLOSED_TIME;
+        return turn.compareTo(bounded) > 0 ? turn : bounded;
+    }
+
     private void scheduleService(Keeper keeper, long now) {
         if (keeper.waiting.isEmpty() || keeper.serviceScheduled) {
             return;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/permits/UpstreamPermits.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/permits/UpstreamPermits.java
@@ -112,7 +112,7 @@
                 yield new Decision(true, null, Duration.ZERO);
             }
             case REFUSED, INACTIVE -> {
-                limits.close(query.upstream(), reply.retryAfter(), query.priority());
+                limits.close(query.upstream(), reply.closedFor(), query.priority());
                 yield Decision.refused(reply.retryAfter());
             }
         };
