Do not take a late copy of a refusal for the answer to another request

What callers saw: "not run, try again" for a request that the upstream was running, or the request ran at a second upstream too.

Cause: an answer without a request id counted as the answer to whatever was pending if it said "not run". A faulty upstream that writes an earlier refusal once more on a kept connection, while the next request is there, is believed.

Change: such an answer counts only on a connection that carried no request before. On a reused one the request may have run: it ends as that, or is repeated where the route allows it, and the connection is closed.

Why it works: on a new connection nothing else can be meant; upstreams echo the id in all answers but those to requests without one, and we always send one.

Tests, seen failing before: staleRefusalOnKeptConnectionDoesNotCountAsNotRun got "200 again" from a second upstream for orders and for streams. The same copy with its old id, a copy between two requests and a sound refusal on a new connection passed before and pass.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/ResponseHead.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/ResponseHead.java
@@ -8,8 +8,10 @@
  * Status and headers of an upstream's response. Immutable.
  *
  * @param bodyEndsAtClose whether the body has neither a length nor chunks, so that it ends with its connection
+ * @param connectionReused whether the connection carried another request before, to which this might belong
  */
-public record ResponseHead(int status, List<Map.Entry<String, String>> headers, boolean bodyEndsAtClose) {
+public record ResponseHead(
+        int status, List<Map.Entry<String, String>> headers, boolean bodyEndsAtClose, boolean connectionReused) {
     private static final int STATUS_OK = 200;
     private static final int STATUS_MULTIPLE_CHOICES = 300;
 
@@ -17,9 +19,9 @@
         headers = List.copyOf(headers);
     }
 
-    /** Creates the head of a response whose end does not depend on the connection. */
+    /** Creates the head of a response on a new connection, whose end does not depend on the connection. */
     public ResponseHead(int status, List<Map.Entry<String, String>> headers) {
-        this(status, headers, false);
+        this(status, headers, false, false);
     }
 
     /** Returns the value of the first header with this name, which is compared without regard to case. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
@@ -40,6 +40,7 @@
     private final UpstreamResponseDecoder decoder;
     private final BiConsumer<UpstreamConnection, Boolean> onRelease;
     private @Nullable ResponseListener listener;
+    private int requestCount;
     private boolean requestWritten;
     private boolean reusable;
     private boolean bodyEndsAtClose;
@@ -63,6 +64,7 @@
 
     void send(UpstreamRequest request, ResponseListener newListener) {
         listener = newListener;
+        requestCount++;
         requestWritten = false;
         reusable = false;
         bodyEndsAtClose = false;
@@ -151,8 +153,8 @@
         if (keepAlive != null) {
             idleLimitMillis = idleLimitMillis(keepAlive);
         }
-        current.onHead(
-                new ResponseHead(response.status().code(), response.headers().entries(), bodyEndsAtClose));
+        current.onHead(new ResponseHead(
+                response.status().code(), response.headers().entries(), bodyEndsAtClose, requestCount > 1));
     }
 
     /**
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/AnswerMetadata.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/AnswerMetadata.java
@@ -2,7 +2,6 @@
 
 import io.parsleycleat.gateway.request.limits.RequestLimit;
 import java.time.Duration;
-import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -38,9 +37,10 @@
 
     /**
      * Returns whether this is the answer to the request with the given id. An answer without a request id is accepted
-     * only if it states that the request was not run.
+     * only if it states that the request was not run, and only on a new connection: on a reused one it may be a late
+     * copy of an earlier answer.
      */
-    public boolean isAnswerTo(String id) {
-        return Objects.equals(requestId, id) || (requestId == null && notRun);
+    public boolean isAnswerTo(String id, boolean connectionReused) {
+        return requestId == null ? notRun && !connectionReused : requestId.equals(id);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -175,7 +175,7 @@
     public void onHead(ResponseHead answer) {
         load.onBytesReceived();
         AnswerMetadata decoded = context.codec().decodeMetadata(answer);
-        if (!decoded.isAnswerTo(request.id())) {
+        if (!decoded.isAnswerTo(request.id(), answer.connectionReused())) {
             fail(SendFailure.invalidResponse("the answer belongs to another request"));
             return;
         }
