Continue a stream only with an answer of the same kind, without repeats

What callers saw: the text of an answer that is no stream in the middle of their stream, a stream that ended as complete before its last event, or events twice.

Cause: after a stream broke off, every 2xx of the next upstream was taken for its continuation: an empty 204, a JSON document that ends with a blank line, a 202. Nor were events left out that the caller already had.

Change: an answer continues a stream only with the status and content type of the first one; else it is treated like an error there, which leads to another upstream or to a visible end. After a resumption events whose ids were there before are left out.

Ruled out by test: errors with and without a length, cut in the head, a refusal, bytes that are no answer, a document without a blank line; these were handled before.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/events/EventSplitter.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/events/EventSplitter.java
@@ -21,6 +21,7 @@
     private ByteString partialEvent = ByteString.EMPTY;
     private boolean anyWholeEvent;
     private long lastId = -1;
+    private long lastIdBeforeResumption = -1;
 
     /** Appends the next bytes of the stream and returns all events that are now whole. */
     public ByteString append(ByteString part) {
@@ -29,8 +30,18 @@
         ByteString wholeEvents = pending.substring(0, end);
         partialEvent = pending.substring(end);
         anyWholeEvent |= end > 0;
-        recordEventIds(wholeEvents);
-        return wholeEvents;
+        ByteString newEvents = lastIdBeforeResumption < 0 ? wholeEvents : withoutKnownEvents(wholeEvents);
+        recordEventIds(newEvents);
+        return newEvents;
+    }
+
+    /**
+     * Prepares for a stream that continues this one: discards the event that is not whole, and leaves out events from
+     * now on whose ids were there before.
+     */
+    public void resume() {
+        drainPartialEvent();
+        lastIdBeforeResumption = lastId;
     }
 
     /** Returns whether at least one event was whole. */
@@ -60,6 +71,29 @@
         return lastId < 0 ? OptionalLong.empty() : OptionalLong.of(lastId);
     }
 
+    private ByteString withoutKnownEvents(ByteString wholeEvents) {
+        ByteString kept = ByteString.EMPTY;
+        int start = 0;
+        for (int i = 1; i < wholeEvents.size(); i++) {
+            if (wholeEvents.byteAt(i) == '\n' && endsLine(wholeEvents, i - 1)) {
+                ByteString event = wholeEvents.substring(start, i + 1);
+                kept = isKnown(event) ? kept : kept.concat(event);
+                start = i + 1;
+            }
+        }
+        return kept;
+    }
+
+    private boolean isKnown(ByteString event) {
+        OptionalLong id = event.toStringUtf8()
+                .lines()
+                .map(line -> eventId(ByteString.copyFromUtf8(line)))
+                .filter(OptionalLong::isPresent)
+                .mapToLong(OptionalLong::getAsLong)
+                .max();
+        return id.isPresent() && id.getAsLong() <= lastIdBeforeResumption;
+    }
+
     /** Returns the index after the last empty line that ends at or after an index, or 0 if there is none. */
     private static int lastEventEnd(ByteString bytes, int from) {
         for (int i = bytes.size() - 1; i >= Math.max(1, from); i--) {
@@ -87,15 +121,17 @@
     }
 
     private void recordEventId(ByteString line) {
+        eventId(line).ifPresent(id -> lastId = Math.max(lastId, id));
+    }
+
+    private static OptionalLong eventId(ByteString line) {
         if (!line.startsWith(ID_FIELD)) {
-            return;
+            return OptionalLong.empty();
         }
         String id = line.substring(ID_FIELD.size()).toStringUtf8().trim();
         boolean isNumber = !id.isEmpty()
                 && id.length() <= MAX_ID_DIGITS
                 && id.chars().allMatch(c -> Character.digit(c, DECIMAL_RADIX) >= 0);
-        if (isNumber) {
-            lastId = Math.max(lastId, Long.parseLong(id));
-        }
+        return isNumber ? OptionalLong.of(Long.parseLong(id)) : OptionalLong.empty();
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerAnswer.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerAnswer.java
@@ -17,6 +17,7 @@
  */
 final class CallerAnswer {
     private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
+    private static final String CONTENT_TYPE = "Content-Type";
 
     private final CallerExchange exchange;
     private final CallCodec codec;
@@ -26,6 +27,7 @@
     private @Nullable ResponseHead bufferedHead;
     private ByteString bufferedBody = ByteString.EMPTY;
     private @Nullable CallerStream stream;
+    private @Nullable ResponseHead streamHead;
 
     /**
      * Creates an answer of which nothing was sent.
@@ -72,6 +74,14 @@
         }
     }
 
+    /** Returns whether an answer with this head can continue the stream: it has the same status and content type. */
+    boolean isContinuedBy(ResponseHead head) {
+        ResponseHead first = streamHead;
+        return first != null
+                && first.status() == head.status()
+                && first.header(CONTENT_TYPE).equals(head.header(CONTENT_TYPE));
+    }
+
     /** Takes the next bytes of the body. */
     void append(ByteString part) {
         CallerStream current = stream;
@@ -107,7 +117,7 @@
     void discardUnsent() {
         CallerStream current = stream;
         if (current != null) {
-            current.discardPartialEvent();
+            current.resume();
         }
         bufferedHead = null;
         bufferedBody = ByteString.EMPTY;
@@ -130,6 +140,7 @@
         exchange.start(head.status(), codec.callerHeaders(head));
         CallerStream started = new CallerStream(exchange, content, executeOnLoop, setReading);
         stream = started;
+        streamHead = head;
         return started;
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerStream.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerStream.java
@@ -75,9 +75,9 @@
         exchange.end();
     }
 
-    /** Discards an event that is not whole and whose upstream was lost. */
-    void discardPartialEvent() {
-        splitter.drainPartialEvent();
+    /** Prepares for an answer of another upstream, which continues after the last whole event. */
+    void resume() {
+        splitter.resume();
     }
 
     /** Returns the id of the last event that was passed on. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -267,7 +267,7 @@
         mayHaveRun = true;
         if (!answer.isStreaming()) {
             answer.start(head);
-        } else if (!head.isSuccess()) {
+        } else if (!answer.isContinuedBy(head)) {
             from.cancel();
             handleFailure(from, SendFailure.invalidResponse("status " + head.status() + " on resuming the stream"));
         }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FaultyAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FaultyAnswerTest.java
@@ -18,6 +18,11 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
     private static final String REFUSAL_WITHOUT_ID = "HTTP/1.1 503 Busy\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
     private static final String REFUSAL_WITH_OLD_ID = NOT_RUN_ANSWER.replace("id: 1", "id: 0");
+    private static final String STREAM_HEAD =
+            "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String FIRST_CHUNK = "f\r\nid: 1\ndata: a\n\n\r\n";
+    private static final String LAST_CHUNKS = "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+    private static final String WHOLE_STREAM = "200 streamed id: 1;data: a;;id: 2;data: b;;";
 
     // A refusal that was written for an earlier request
 
@@ -75,4 +80,70 @@
             assertEquals(sendAndAwaitAnswer(), "503 " + ResultCode.UPSTREAM_REFUSED);
         }
     }
+
+    // An answer other than a stream when a stream is resumed
+
+    @DataProvider
+    public Object[][] answersOnResumption() {
+        String json = "Content-Type: application/json\r\n";
+        return new Object[][] {
+            {"error with a length", "HTTP/1.1 500 x\r\nid: 1\r\nContent-Length: 7\r\n\r\nid: 2\n\n"},
+            {"error without a length", "HTTP/1.1 500 x\r\nid: 1\r\n\r\nid: 2\n\n"},
+            {"error cut in its head", "HTTP/1.1 500 x\r\nid: 1\r\nContent-Le"},
+            {"refusal", NOT_RUN_ANSWER},
+            {"bytes that are no answer", "id: 2\ndata: x\n\n"},
+            {"empty success", "HTTP/1.1 204 No Content\r\nid: 1\r\n\r\n"},
+            {"success that is no stream", "HTTP/1.1 200 OK\r\nid: 1\r\n" + json + "Content-Length: 2\r\n\r\n{}"},
+            {
+                "success with blank lines that is no stream",
+                "HTTP/1.1 200 OK\r\nid: 1\r\n" + json + "Content-Length: 4\r\n\r\n{}\n\n"
+            },
+            {"other success", "HTTP/1.1 202 x\r\nid: 1\r\nContent-Length: 4\r\n\r\nok\n\n"},
+        };
+    }
+
+    /** Guards against the text of an error in the middle of a stream, and against its end that looks complete. */
+    @Test(dataProvider = "answersOnResumption")
+    public void answerThatIsNoStreamDoesNotContinueOne(String what, String answer) throws Exception {
+        assertEquals(resumeWith(answer, false), "cut after id: 1;data: a;;", what);
+    }
+
+    @Test(dataProvider = "answersOnResumption")
+    public void streamContinuesAtAnotherUpstreamAfterSuchAnAnswer(String what, String answer) throws Exception {
+        assertEquals(resumeWith(answer, true), WHOLE_STREAM, what);
+    }
+
+    /** Guards against events that come twice because the next upstream begins with some that the caller has. */
+    @Test
+    public void eventsThatTheCallerHasAreNotPassedOnAgain() throws Exception {
+        assertEquals(resumeWith(STREAM_HEAD + FIRST_CHUNK + LAST_CHUNKS, false), WHOLE_STREAM);
+    }
+
+    /** Breaks a stream off after its first event, and lets the next upstream answer; a third one can go on with it. */
+    private String resumeWith(String answer, boolean isThirdThere) throws Exception {
+        configure(RequestKind.STREAM, true, isThirdThere ? 3 : 2, TIMEOUT);
+        AtomicInteger requests = new AtomicInteger();
+        ScriptedUpstream.Script script = (request, connection) -> {
+            switch (requests.getAndIncrement()) {
+                case 0 -> ScriptedUpstream.write(connection, STREAM_HEAD + FIRST_CHUNK);
+                case 1 -> ScriptedUpstream.write(connection, answer);
+                default -> ScriptedUpstream.write(connection, STREAM_HEAD + LAST_CHUNKS);
+            }
+            return false;
+        };
+        try (ScriptedUpstream one = new ScriptedUpstream(script);
+                ScriptedUpstream two = new ScriptedUpstream(script);
+                ScriptedUpstream three = new ScriptedUpstream(script)) {
+            addUpstream("a", one.address());
+            addUpstream("b", two.address());
+            if (isThirdThere) {
+                addUpstream("c", three.address());
+            }
+            return sendAndAwaitAnswer();
+        } finally {
+            directory.remove("a");
+            directory.remove("b");
+            directory.remove("c");
+        }
+    }
 }
