Do not answer a large request twice after its answer broke off

What callers saw: an answer of more than a megabyte that broke off was followed by a second whole one, in one body, on routes whose requests may be repeated.

Cause: an answer too large to be buffered is passed on as it comes; when its upstream was lost, the request was repeated as if nothing had been sent.

Change: another upstream answers only while nothing was sent, or for a stream that can be resumed.

Test, seen failing before: largeAnswerThatBrokeOffIsNotFollowedByAnother, 2,400,010 characters instead of 1,200,010.

Result: the test passes; the tests of forwarding and streams pass.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerAnswer.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerAnswer.java
@@ -74,6 +74,11 @@
         }
     }
 
+    /** Returns whether another upstream may still answer: nothing was sent, or a stream that can be resumed. */
+    boolean mayBeContinued() {
+        return stream == null || (route.kind() == RequestKind.STREAM && route.resumable());
+    }
+
     /** Returns whether an answer with this head can continue the stream: it has the same status and content type. */
     boolean isContinuedBy(ResponseHead head) {
         ResponseHead first = streamHead;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -238,7 +238,10 @@
     }
 
     private boolean mayTryAnother() {
-        return attemptedIds.size() < route.maxUpstreams() && sendCount < MAX_SENDS && hasUntriedUpstream();
+        return answer.mayBeContinued()
+                && attemptedIds.size() < route.maxUpstreams()
+                && sendCount < MAX_SENDS
+                && hasUntriedUpstream();
     }
 
     private boolean hasUntriedUpstream() {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingTest.java
@@ -123,6 +123,23 @@
         }
     }
 
+    /** Guards against a second whole body behind the sent part of one that is too large to be buffered. */
+    @Test
+    public void largeAnswerThatBrokeOffIsNotFollowedByAnother() throws Exception {
+        configure(RequestKind.IDEMPOTENT, false, 2, Duration.ofSeconds(20));
+        String body = "x".repeat(1_200_000);
+        String brokenOff = "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: " + (body.length() + 1) + "\r\n\r\n" + body;
+        try (ScriptedUpstream one = new ScriptedUpstream(respondWith(brokenOff, false));
+                ScriptedUpstream two = new ScriptedUpstream(respondWith(brokenOff, false))) {
+            addUpstream("a", one.address());
+            addUpstream("b", two.address());
+            String answer = sendAndAwaitAnswer();
+            assertEquals(answer.substring(0, 11), "cut after x");
+            assertEquals(answer.length(), "cut after ".length() + body.length());
+            assertEquals(one.untakenRequestCount() + two.untakenRequestCount(), 1);
+        }
+    }
+
     @Test
     public void routeTimeoutIsAnsweredAsDeadlinePassed() throws Exception {
         configure(RequestKind.ONCE, false, 1, Duration.ofMillis(300));
