Test answers whose heads are cut short

Cause: operators of similar systems report a 200 with an empty or short body, framed as whole, after an engine stopped in the middle of a head.

Change: heads with a length, with chunks and without either are cut after each byte, then closed or reset, on routes of each kind. No code changes.

--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FaultyAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FaultyAnswerTest.java
@@ -7,9 +7,11 @@
 import io.parsleycleat.gateway.connection.ScriptedUpstream;
 import io.parsleycleat.gateway.version.routes.RequestKind;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -146,4 +148,46 @@
             directory.remove("c");
         }
     }
+
+    // An answer whose head is cut short
+
+    @DataProvider
+    public Object[][] headsToCut() {
+        String length = "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 4\r\n\r\n";
+        String chunked = "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        String unframed = "HTTP/1.1 200 OK\r\nid: 1\r\n\r\n";
+        return new Object[][] {
+            {RequestKind.ONCE, length}, {RequestKind.ONCE, chunked}, {RequestKind.ONCE, unframed},
+            {RequestKind.STREAM, length}, {RequestKind.STREAM, chunked}, {RequestKind.STREAM, unframed},
+            {RequestKind.IDEMPOTENT, length}, {RequestKind.IDEMPOTENT, chunked}, {RequestKind.IDEMPOTENT, unframed},
+        };
+    }
+
+    /** Guards against an empty answer that looks whole after an upstream stopped in the middle of a head. */
+    @Test(dataProvider = "headsToCut")
+    public void headCutAtAnyByteIsNoAnswer(RequestKind kind, String head) throws Exception {
+        configure(kind, false, 1, TIMEOUT);
+        for (boolean isReset : new boolean[] {false, true}) {
+            for (int length : IntStream.range(0, head.length()).toArray()) {
+                ScriptedUpstream.Script script = (request, connection) -> {
+                    ScriptedUpstream.write(connection, head.substring(0, length));
+                    resetOnClose(connection, isReset);
+                    return false;
+                };
+                try (ScriptedUpstream one = new ScriptedUpstream(script)) {
+                    String id = "cut-" + isReset + length;
+                    addUpstream(id, one.address());
+                    String answer = sendPromptAndAwaitAnswer(id, "part-" + id);
+                    assertEquals(answer, "502 " + ResultCode.UPSTREAM_LOST, "after " + length + " bytes");
+                    directory.remove(id);
+                }
+            }
+        }
+    }
+
+    private static void resetOnClose(Socket connection, boolean isReset) throws java.io.IOException {
+        if (isReset) {
+            connection.setSoLinger(true, 0);
+        }
+    }
 }
