Ask a side again some time after its statuses stopped

What callers saw: after a restart of a side its engine was used by no request that needs a load, and, while it names a limit, by none at all.

Cause: an entry that missed three announced statuses took the side for silent until the next status. A side that starts anew knows no entry, and sends statuses only to those that ask it for a start. Found in a test of limits, whose clock passed the time of the statuses.

Change: an overdue status keeps an entry from asking for five seconds.

Test, seen failing before: sideWhoseStatusesStoppedIsAskedAgainAfterSomeTime.

Result: the test passes; the choice of engines and the limits are tested as before.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/choose/EngineView.java
@@ -30,6 +30,8 @@
     private static final int MAX_HELD_ADAPTERS = 100;
     /** Announced status intervals without a status after which a side counts as unresponsive. */
     private static final int MAX_MISSED_STATUS_INTERVALS = 3;
+    /** Time for which a side is not asked after its status became overdue. */
+    private static final Duration OVERDUE_STATUS_PAUSE = Duration.ofSeconds(5);
 
     /** The priority of the most urgent requests; a status tells how long even these wait. */
     private static final int MOST_URGENT = 0;
@@ -56,10 +58,14 @@
             this.receivedNanos = nanos;
         }
 
-        /** Returns whether the status that the side announced as the next one is overdue. */
+        /**
+         * Returns whether the status that the side announced as the next one is overdue, for a while: a side that
+         * started anew sends statuses only to entries that ask it.
+         */
         boolean isNextOverdue(long now) {
             long nextNanos = TimeUnit.MILLISECONDS.toNanos(status.getNextMillis());
-            return nextNanos > 0 && now - receivedNanos > MAX_MISSED_STATUS_INTERVALS * nextNanos;
+            long overdueNanos = now - receivedNanos - MAX_MISSED_STATUS_INTERVALS * nextNanos;
+            return nextNanos > 0 && overdueNanos > 0 && overdueNanos < OVERDUE_STATUS_PAUSE.toNanos();
         }
 
         /** Returns the adapters that an engine held most recently, those that it holds now last. */
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EngineChooserTest.java
@@ -88,6 +88,21 @@
         assertFalse(view.isSideUnresponsive(engine), "no further status was announced");
     }
 
+    /** Guards against a side that starts anew never being asked again: it sends statuses only to entries that ask. */
+    @Test
+    public void sideWhoseStatusesStoppedIsAskedAgainAfterSomeTime() {
+        Upstream engine = engines.get(0);
+        view.onStatus(GateStatus.newBuilder()
+                .setEngineId(engine.id())
+                .setBorn(1)
+                .setNextMillis(500)
+                .build());
+        time.advanceMillis(6_400);
+        assertTrue(view.isSideUnresponsive(engine));
+        time.advanceMillis(200);
+        assertFalse(view.isSideUnresponsive(engine));
+    }
+
     /** Guards against entries that load an adapter which no engine holds on different engines. */
     @Test
     public void allEntriesChooseTheSameEngineForAnAbsentAdapter() {
