Let refused callers come back in the order of their urgency

What callers saw: where all upstreams of a service name limits, a less urgent caller could be told to come back before a more urgent one.

Cause: times to come back were given out in the order of the refusals.

Change: turns are kept by priority; a caller comes after all turns of as urgent and more urgent ones. Those beyond ten seconds are spread over the second half of that time.

Test: moreUrgentRequestsComeBackFirst; not seen failing before, since the method had no priority. Before, the spread began at once; the bound of refusedRequestsComeBackInTurn is given for each half now.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -232,7 +232,8 @@
         });
         startLimit
                 .beyondWait(waiting, now)
-                .forEach(w -> refuse(w, ResultCode.UPSTREAM_LIMITED, startLimit.retryAfter(waiting.size() - 1, now)));
+                .forEach(
+                        w -> refuse(w, ResultCode.UPSTREAM_LIMITED, startLimit.retryAfter(w, waiting.size() - 1, now)));
     }
 
     private void grant(WaitingStart w, long now, long startNumber) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/StartLimit.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/StartLimit.java
@@ -49,8 +49,8 @@
     }
 
     /** Returns when a refused request may come back. */
-    Duration retryAfter(int waiting, long now) {
-        return rate.retryAfter(waiting, now);
+    Duration retryAfter(WaitingStart refused, int others, long now) {
+        return rate.retryAfter(others, refused.request().getPriority(), now);
     }
 
     /** Returns the requests whose turn comes later than they can wait for it; those behind them move up. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RequestRate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RequestRate.java
@@ -2,8 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
@@ -29,16 +32,18 @@
     /** Multiples of this number, without their whole part, are spread evenly however many there are. */
     private static final double GOLDEN_RATIO = 0.618_033_988_75;
 
+    private static final int MAX_PRIORITY = 9;
+
     private static final double ROUNDING_TOLERANCE = 1e-6;
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
     private final double share;
+    private final NavigableMap<Integer, Long> lastTurns = new TreeMap<>();
     private @Nullable RequestLimit limit;
     private @Nullable TokenBucket bucket;
     private boolean known;
     private long lastStart;
     private long lastStartAtNaming;
-    private long nextReturnNanos;
     private long lateReturns;
 
     /**
@@ -112,7 +117,7 @@
         double burst = 1 + rate * BURST_TIME.toNanos() / NANOS_PER_SECOND;
         TokenBucket present = bucket;
         if (present == null) {
-            nextReturnNanos = nowNanos;
+            lastTurns.clear();
             return new TokenBucket(rate, burst, 0, nowNanos);
         }
         present.refill(nowNanos, true);
@@ -179,25 +184,31 @@
     }
 
     /**
-     * Returns when a refused request may come back. Requests that are refused one after another get times apart, so
-     * that they come back in turn and not all at once; once too many wait for their turn, the further ones are spread.
+     * Returns when a refused request may come back. Requests that are refused one after another get times apart, the
+     * more urgent ones first, so that they come back in turn and not all at once; once too many wait for their turn,
+     * the further ones are spread.
      *
      * @param others the requests that wait already
+     * @param priority 0 is the most urgent
      */
-    public Duration retryAfter(long others, long nowNanos) {
+    public Duration retryAfter(long others, int priority, long nowNanos) {
         TokenBucket present = bucket;
         if (present == null) {
             return Duration.ZERO;
         }
-        long earliest = nowNanos + waitBehind(others, nowNanos).toNanos();
-        long turn = Math.max(0, nextReturnNanos - earliest) + (long) (NANOS_PER_SECOND / present.ratePerSecond());
-        long chosen = nextReturnNanos - earliest < 0 ? earliest : earliest + turn;
-        if (chosen - nowNanos <= MAX_RETRY_AFTER.toNanos()) {
-            nextReturnNanos = chosen;
-            return Duration.ofNanos(chosen - nowNanos);
+        Duration earliest = waitBehind(others, nowNanos);
+        int rank = Math.max(0, Math.min(MAX_PRIORITY, priority));
+        Duration lastTurn = lastTurns.headMap(rank, true).values().stream()
+                .map(nanos -> Duration.ofNanos(nanos - nowNanos))
+                .max(Comparator.naturalOrder())
+                .orElse(Duration.ZERO);
+        Duration turn = lastTurn.compareTo(earliest) < 0 ? earliest : lastTurn.plus(startInterval());
+        if (turn.compareTo(MAX_RETRY_AFTER) > 0 && turn.compareTo(earliest) > 0) {
+            lateReturns++;
+            double spread = (1 + lateReturns * GOLDEN_RATIO % 1) / 2;
+            return earliest.plusNanos((long) (spread * MAX_RETRY_AFTER.toNanos()));
         }
-        lateReturns++;
-        double spread = lateReturns * GOLDEN_RATIO % 1;
-        return Duration.ofNanos(earliest - nowNanos).plusNanos((long) (spread * MAX_RETRY_AFTER.toNanos()));
+        lastTurns.put(rank, nowNanos + turn.toNanos());
+        return turn;
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/permits/PermitHomes.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/permits/PermitHomes.java
@@ -180,7 +180,9 @@
                     keeper.waiting.remove(w);
                     w.reply()
                             .accept(PermitReply.refused(
-                                    keeper.rate.retryAfter(keeper.waiting.size(), now), closedFor(keeper, now)));
+                                    keeper.rate.retryAfter(
+                                            keeper.waiting.size(), w.query().priority(), now),
+                                    closedFor(keeper, now)));
                 });
         scheduleService(keeper, now);
     }
