Take newer knowledge of a limit from questions, and no late report as news

What callers saw: nothing; an upstream could get some requests more than one and a half limits in 4 s.

Cause: an answer without a limit that was reported late counted as news of the end of a limit, so that knowledge of a limit named after it was thrown away and the asking entry told to send freely. And a deputy kept to the limit that it had last heard, however old, after it had fallen.

Evidence: with permits granted by arrival instead of urgency, a mutation that should change no sum, two of 150 schedules exceeded the bound by one and two requests.

Change: only a change, or a named limit, is news at the home; an entry's knowledge that is newer lowers the home's limit.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/permits/PermitHomes.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/permits/PermitHomes.java
@@ -13,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -61,15 +62,15 @@
         private final boolean isHome;
         private final RequestRate rate;
         private final List<WaitingQuery> waiting = new ArrayList<>();
-        private long limitEndedNanos;
+        private long lastHeardNanos;
         private long lastNoticeNanos;
         private boolean serviceScheduled;
 
         Keeper(boolean isHome, long firstPermit, long now) {
             this.isHome = isHome;
             this.rate = new RequestRate(isHome ? 1 : DEPUTY_SHARE, firstPermit);
-            this.limitEndedNanos = now - TimeUnit.DAYS.toNanos(1);
-            this.lastNoticeNanos = limitEndedNanos;
+            this.lastHeardNanos = now - TimeUnit.DAYS.toNanos(1);
+            this.lastNoticeNanos = lastHeardNanos;
         }
     }
 
@@ -146,10 +147,13 @@
         serve(keeper);
     }
 
-    /** Applies the asking entry's knowledge, unless this entry has heard later that the limit ended. */
+    /**
+     * Applies what the asking entry knows if it is newer than what was heard here. A limit that is in force is only
+     * lowered by it.
+     */
     private void adopt(Keeper keeper, PermitQuery query, long now) {
-        boolean isNews = now - query.knownFor().toNanos() - keeper.limitEndedNanos > 0;
-        if (keeper.rate.limit().isEmpty() && isNews) {
+        boolean isNews = now - query.knownFor().toNanos() - keeper.lastHeardNanos > 0;
+        if (isNews) {
             keeper.rate.onAnswer(query.known(), 0, now);
         }
     }
@@ -220,6 +224,11 @@
                 s -> new Keeper(rank == 0, TimeUnit.MILLISECONDS.toMicros(time.wallMillis()), time.monotonicNanos()));
     }
 
+    /** Returns the limit to which this entry holds an upstream, if it grants permits for it. */
+    public synchronized Optional<RequestLimit> limit(UpstreamStart start) {
+        return Optional.ofNullable(keepers.get(start)).flatMap(k -> k.rate.limit());
+    }
+
     // Reports and notices
 
     /**
@@ -246,8 +255,11 @@
                                     .map(l -> l.requestsPerSecond() + " a second")
                                     .orElse("no limit any more"));
         }
+        if (changed || named != null) {
+            keeper.lastHeardNanos = now;
+        }
         if (keeper.rate.limit().isEmpty()) {
-            endLimit(keeper, now);
+            endLimit(keeper);
             return false;
         }
         serve(keeper);
@@ -259,8 +271,7 @@
         return false;
     }
 
-    private void endLimit(Keeper keeper, long now) {
-        keeper.limitEndedNanos = now;
+    private static void endLimit(Keeper keeper) {
         List<WaitingQuery> all = List.copyOf(keeper.waiting);
         keeper.waiting.clear();
         all.forEach(w -> w.reply().accept(PermitReply.UNLIMITED));
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/PermitFleet.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/PermitFleet.java
@@ -170,8 +170,9 @@
                 return reply;
             }
             boolean isReplyLost = isFaulty();
+            PermitHomes process = to.homes;
             to.homes.request(query, r -> {
-                if (isReplyLost) {
+                if (isReplyLost || !reaches(from, to) || process != to.homes) {
                     reply.completeExceptionally(new IllegalStateException("reply lost"));
                 } else {
                     reply.complete(r);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamRequestLimitTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/UpstreamRequestLimitTest.java
@@ -1,5 +1,6 @@
 package io.parsleycleat.gateway.request;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
@@ -68,6 +69,22 @@
         }
     }
 
+    /** Guards against a limit that outlives the answers that named it. */
+    @Test(dataProvider = "services")
+    public void limitEndsForAllEntriesOnceAnswersNameNone(String service, boolean isEngine) throws Exception {
+        Fleet fleet = new Fleet(isEngine, 1);
+        try (ScriptedUpstream upstream = fleet.upstream) {
+            fleet.sendFromEachEntry(1);
+            fleet.limit.set(null);
+            for (int i = 0; i < 3; i++) {
+                fleet.sendFromEachEntry(1);
+            }
+            fleet.arrivals.clear();
+            fleet.sendFromEachEntry(10);
+            assertEquals(fleet.totalArrivals(), 10 * ENTRIES);
+        }
+    }
+
     /** Entries, one upstream with its side if it is an engine, and a clock that only the test moves. */
     private final class Fleet {
         private final ManualTimeSource time = new ManualTimeSource();
