Log and count what tells apart how requests end without an answer

Users saw accepted requests end without an answer; logs could not tell whether this process, the upstream or the caller ended them, nor what they were waiting for.

Cause of the gap: open requests were a number only. A stopping entry logged how many it aborted, not which; an answer that this process broke off ended with the same line as one that the upstream broke off; errors on a connection with a request on it were logged at a level that is off.

Change: each open request says what it waits for (its budget, an upstream, the answer, the rest of it) and for how long, in its last line and at the end of a stop; answers that this entry breaks off are counted and marked; unexpected failures of a request's actions are logged with its id and counted. No decision changes.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
@@ -99,7 +99,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        logger.atFine().log("connection of a caller closed: %s", cause);
+        if (exchange == null) {
+            logger.atFine().log("connection of a caller closed: %s", cause);
+        } else {
+            logger.atWarning().withCause(cause).log("connection of a caller closed with a request on it");
+        }
         context.close();
     }
 
@@ -193,6 +197,8 @@
 
     private void keepForLater(ChannelHandlerContext context, HttpObject message) {
         if (pipelined.size() >= MAX_PIPELINED_OBJECTS) {
+            logger.atWarning().log(
+                    "connection of a caller closed: more than %d messages behind a request", pipelined.size());
             context.close();
             return;
         }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -213,6 +213,7 @@
         int unanswered = forwarder.openRequests();
         if (!allAnswered && unanswered > 0) {
             logger.atWarning().log("%d requests aborted at the end of the shutdown timeout", unanswered);
+            forwarder.logOpenRequests("not answered at the end of the shutdown timeout");
         }
         callerServer.close();
         Drain.await(eventLoop, this::closeIdleAndCountOpen, CONNECTION_FLUSH_TIMEOUT);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardMetrics.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardMetrics.java
@@ -16,6 +16,8 @@
     private final Counter sends;
     private final Counter repeats;
     private final Counter limitedSends;
+    private final Counter cuts;
+    private final Counter unexpectedFailures;
     private final Histogram budgetMillis;
     private final Histogram headMillis;
     private final Histogram firstEventMillis;
@@ -29,6 +31,8 @@
         this.sends = registry.counter("forward.sends");
         this.repeats = registry.counter("forward.repeats");
         this.limitedSends = registry.counter("forward.sends.limited");
+        this.cuts = registry.counter("forward.cuts");
+        this.unexpectedFailures = registry.counter("forward.failures.unexpected");
         this.budgetMillis = registry.histogram("forward.budget.millis");
         this.headMillis = registry.histogram("forward.head.millis");
         this.firstEventMillis = registry.histogram("forward.first_event.millis");
@@ -50,6 +54,15 @@
         }
     }
 
+    /** Counts an answer that this entry broke off. */
+    void onCut() {
+        cuts.inc();
+    }
+
+    void onUnexpectedFailure() {
+        unexpectedFailures.inc();
+    }
+
     void onBudgetDecided(long millis) {
         budgetMillis.update(millis);
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -33,9 +33,6 @@
  */
 final class Forwarding implements Attempt.Listener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** How long before the caller's deadline the final answer is sent. */
-    private static final Duration DEADLINE_MARGIN = Duration.ofMillis(20);
-
     /** The shortest time between two checks for a silent upstream, since each check wakes the process. */
     private static final Duration MIN_CHECK_INTERVAL = Duration.ofMillis(100);
     /** Time without bytes on any connection of an upstream after which a resumable stream is sent to another one. */
@@ -54,6 +51,7 @@
     private final Route route;
     private final String service;
     private final CallerExchange exchange;
+    private final OpenRequest open;
     private final Consumer<Boolean> onFinished;
     private final long startNanos;
     private final Duration timeLimit;
@@ -78,6 +76,7 @@
             RequestForwarder.Admitted admitted,
             String service,
             CallerExchange exchange,
+            OpenRequest open,
             Consumer<Boolean> onFinished) {
         this.context = context;
         this.admitted = admitted;
@@ -85,9 +84,10 @@
         this.route = admitted.route();
         this.service = service;
         this.exchange = exchange;
+        this.open = open;
         this.onFinished = onFinished;
         this.startNanos = context.time().monotonicNanos();
-        this.timeLimit = timeLimit();
+        this.timeLimit = admitted.timeLimit();
         this.answer = new CallerAnswer(exchange, context.codec(), route, this::executeOnLoop, this::setReading);
     }
 
@@ -104,6 +104,7 @@
         if (finished || refuseIfQuarantined()) {
             return;
         }
+        open.enter(OpenRequest.Stage.UPSTREAM, "");
         Optional<ServiceSpec> spec = admitted.table().service(service);
         if (spec.isPresent() && spec.get().engine() != null && request.adapter() != null) {
             searchEngine();
@@ -116,7 +117,7 @@
         PlainUpstreamSearch search = new PlainUpstreamSearch(
                 context,
                 service,
-                priority(),
+                admitted.priority(),
                 timeLeft(),
                 triedIds(),
                 found -> {
@@ -134,7 +135,7 @@
                 request.id(),
                 java.util.Objects.requireNonNull(request.adapter()),
                 request.tokens(),
-                priority(),
+                admitted.priority(),
                 route.latencyObjective().minus(age()),
                 timeLeft());
         EngineSearch search = new EngineSearch(context, criteria, triedIds(), this::onEngineGranted, this::refuse);
@@ -172,6 +173,7 @@
 
     private void send(Upstream upstream, Attempt.Permission permission, long adapterVersion) {
         sendCount++;
+        open.enter(OpenRequest.Stage.ANSWER, upstream.id());
         attemptedIds.add(upstream.id());
         context.metrics().onSend(sendCount > 1, context.limits().isLimited(upstream));
         OptionalLong lastId = answer.lastEventId();
@@ -184,7 +186,7 @@
                 upstream,
                 timeLeft(),
                 account == null ? null : account.name(),
-                onEngine ? priority() : null,
+                onEngine ? admitted.priority() : null,
                 adapterVersion,
                 resumeAfter));
         if (lateCheckTimer == null && route.isRetryable()) {
@@ -299,6 +301,9 @@
         if (answer.isStreaming() && sendCount == 1 && answer.lastEventId().isEmpty()) {
             context.metrics().onFirstEvent(age().toMillis());
         }
+        if (answer.isStreaming() && answer.lastEventId().isEmpty()) {
+            open.enter(OpenRequest.Stage.REST_OF_ANSWER, from.upstream().id());
+        }
         answer.append(part);
         if (answer.isEventTooLong()) {
             from.cancel();
@@ -413,11 +418,12 @@
             return;
         }
         if (answer.isStreaming()) {
+            context.metrics().onCut();
             exchange.abort();
         } else {
             context.codec().refuse(exchange, request.id(), refusal);
         }
-        complete(refusal.code(), refusal.detail());
+        complete(refusal.code(), refusal.detail() + (answer.isStreaming() ? ", answer cut" : ""));
     }
 
     private void onDeadline() {
@@ -466,22 +472,17 @@
                 .with(LogKeys.CODE, code.number())
                 .with(LogKeys.UPSTREAM, last == null ? "" : last.upstream().id())
                 .log(
-                        "%s in %d ms after %d sends, route %s, configuration %d",
+                        "%s in %d ms after %d sends, route %s, configuration %d, %s",
                         detail,
                         age().toMillis(),
                         sendCount,
                         route.name(),
-                        admitted.table().version());
+                        admitted.table().version(),
+                        open.describe());
     }
 
     // Times
 
-    private Duration timeLimit() {
-        Duration callerTimeout = request.callerDeadline().orElse(route.timeout());
-        Duration shorter = callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
-        return shorter.minus(DEADLINE_MARGIN);
-    }
-
     private Duration age() {
         return Duration.ofNanos(context.time().monotonicNanos() - startNanos);
     }
@@ -489,9 +490,4 @@
     private Duration timeLeft() {
         return timeLimit.minus(age());
     }
-
-    private int priority() {
-        Account account = admitted.account();
-        return account == null ? route.priority() : account.ownPriority().orElse(route.priority());
-    }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
@@ -18,7 +18,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import org.jspecify.annotations.Nullable;
@@ -34,6 +33,9 @@
 public final class RequestForwarder implements CallerService {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
+    /** How long before the caller's deadline the final answer is sent. */
+    private static final Duration DEADLINE_MARGIN = Duration.ofMillis(20);
+
     /** Refuses a request that crashes upstreams; callers do not come back soon. */
     static final Refusal QUARANTINE_REFUSAL =
             Refusal.of(ResultCode.SUSPECT_REFUSED).withRetryAfter(Duration.ofSeconds(60));
@@ -45,7 +47,7 @@
     private final StalenessLimits stalenessLimits;
     private final BooleanSupplier stopping;
     private final DoubleSupplier random;
-    private final AtomicInteger openCount = new AtomicInteger();
+    private final OpenRequests openRequests;
 
     /**
      * Limits on the age of the configuration.
@@ -61,7 +63,19 @@
      * @param account the account to which the key belongs; null for requests without a key
      * @param cost what the request takes from the account's budget, in tokens or requests
      */
-    record Admitted(ForwardRequest request, RoutingTable table, Route route, @Nullable Account account, double cost) {}
+    record Admitted(ForwardRequest request, RoutingTable table, Route route, @Nullable Account account, double cost) {
+        /** Returns the priority of the account, or that of the route if the account has none. */
+        int priority() {
+            return account == null ? route.priority() : account.ownPriority().orElse(route.priority());
+        }
+
+        /** Returns the time within which the caller gets its final answer. */
+        Duration timeLimit() {
+            Duration callerTimeout = request.callerDeadline().orElse(route.timeout());
+            Duration shorter = callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
+            return shorter.minus(DEADLINE_MARGIN);
+        }
+    }
 
     /**
      * Creates the forwarder of an entry.
@@ -84,11 +98,17 @@
         this.stalenessLimits = stalenessLimits;
         this.stopping = stopping;
         this.random = random;
+        this.openRequests = new OpenRequests(context.time(), context.metrics());
     }
 
     /** Returns how many requests are not answered as a whole yet. */
     public int openRequests() {
-        return openCount.get();
+        return openRequests.count();
+    }
+
+    /** Logs what each request that is not answered as a whole waits for. */
+    public void logOpenRequests(String reason) {
+        openRequests.log(reason);
     }
 
     /** Returns whether the configuration is recent enough to accept keys. */
@@ -153,43 +173,48 @@
 
     /** Forwards a request once its cost is taken from the account's budget, for which other entries may be asked. */
     private void chargeBudget(Admitted admitted, CallerExchange exchange) {
+        OpenRequest open = openRequests.add(admitted.request().id());
         Account account = admitted.account();
         if (account == null) {
-            forward(admitted, exchange);
+            forward(admitted, exchange, open);
             return;
         }
-        openCount.incrementAndGet();
         long budgetRequestedNanos = context.time().monotonicNanos();
         budgets.spend(account, admitted.cost())
                 .whenCompleteAsync(
-                        (shortage, failure) -> {
-                            openCount.decrementAndGet();
-                            context.metrics().onBudgetDecided(millisSince(budgetRequestedNanos));
-                            if (failure != null) {
-                                logger.atSevere().withCause(failure).log(
-                                        "budget check failed for account %s", account.name());
-                                refuse(
-                                        exchange,
-                                        admitted.request().id(),
-                                        budgetRefusal(admitted, 0, DEFAULT_RETRY_AFTER));
-                            } else {
-                                shortage.ifPresentOrElse(
-                                        s -> refuse(
+                        (shortage, failure) -> open.guard(() -> {
+                                    context.metrics().onBudgetDecided(millisSince(budgetRequestedNanos));
+                                    if (failure != null) {
+                                        logger.atSevere().withCause(failure).log(
+                                                "budget check failed for account %s", account.name());
+                                        open.end();
+                                        refuse(
                                                 exchange,
                                                 admitted.request().id(),
-                                                budgetRefusal(admitted, s.drawnTokens(), s.retryAfter())),
-                                        () -> verifyKeyAndForward(admitted, account, exchange));
-                            }
-                        },
+                                                budgetRefusal(admitted, 0, DEFAULT_RETRY_AFTER));
+                                    } else {
+                                        shortage.ifPresentOrElse(
+                                                s -> {
+                                                    open.end();
+                                                    refuse(
+                                                            exchange,
+                                                            admitted.request().id(),
+                                                            budgetRefusal(admitted, s.drawnTokens(), s.retryAfter()));
+                                                },
+                                                () -> verifyKeyAndForward(admitted, account, exchange, open));
+                                    }
+                                })
+                                .run(),
                         context.loop());
     }
 
     /** Verifies the key again, since it may have been withdrawn while the budget was requested. */
-    private void verifyKeyAndForward(Admitted admitted, Account account, CallerExchange exchange) {
+    private void verifyKeyAndForward(Admitted admitted, Account account, CallerExchange exchange, OpenRequest open) {
         RoutingTable newest = configuration.current().orElse(admitted.table());
         findAccount(admitted.request(), newest)
-                .peek(a -> forward(admitted, exchange))
+                .peek(a -> forward(admitted, exchange, open))
                 .peekLeft(refusal -> {
+                    open.end();
                     budgets.refund(account, admitted.cost());
                     refuse(exchange, admitted.request().id(), refusal);
                 });
@@ -228,23 +253,23 @@
 
     // Forwarding
 
-    private void forward(Admitted admitted, CallerExchange exchange) {
+    private void forward(Admitted admitted, CallerExchange exchange, OpenRequest open) {
         ForwardRequest request = admitted.request();
         if (!context.crashWatch().admit(request.fingerprint(), request.sharedPromptParts())) {
+            open.end();
             refund(admitted);
             refuse(exchange, request.id(), QUARANTINE_REFUSAL);
             return;
         }
-        openCount.incrementAndGet();
         String service = admitted.route().selectService(random.getAsDouble());
         context.retryShare().onRequest(service);
-        Forwarding forwarding = new Forwarding(context, admitted, service, exchange, mayHaveRun -> {
-            openCount.decrementAndGet();
+        Forwarding forwarding = new Forwarding(context, admitted, service, exchange, open, mayHaveRun -> {
+            open.end();
             if (!mayHaveRun) {
                 refund(admitted);
             }
         });
-        context.loop().execute(forwarding::start);
+        context.loop().execute(open.guard(forwarding::start));
     }
 
     private void refund(Admitted admitted) {
