--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentUpstreamTest.java
@@ -0,0 +1,268 @@
+package io.parsleycleat.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.gateway.connection.ScriptedUpstream;
+import io.parsleycleat.gateway.version.routes.RequestKind;
+import java.io.IOException;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Guards requests at an upstream that falls silent for a while and goes on: whichever upstream answers first serves the
+ * request, and one that works is given up only for an answer of another one.
+ */
+public class SilentUpstreamTest extends ForwardingFixture {
+    private static final String STREAM_HEAD = "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 30\r\n\r\n";
+    private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
+    private static final String LAST_EVENT = "id: 2\ndata: b\n\n";
+    private static final String WHOLE_STREAM = "200 streamed id: 1;data: a;;id: 2;data: b;;";
+
+    /** Answers after another upstream has done its part. */
+    private static ScriptedUpstream.Script silentUntil(CountDownLatch moment, String before, String after) {
+        return (request, connection) -> {
+            ScriptedUpstream.write(connection, before);
+            await(moment);
+            ScriptedUpstream.write(connection, after);
+            return true;
+        };
+    }
+
+    /** Answers, and tells when the connection was closed or reused, which is when the answer was dealt with. */
+    private static ScriptedUpstream.Script answerThenTell(CountDownLatch done, String answer, boolean keep) {
+        return (request, connection) -> {
+            ScriptedUpstream.write(connection, answer);
+            if (!keep) {
+                connection.shutdownOutput();
+            }
+            done.countDown();
+            return keep;
+        };
+    }
+
+    private static void await(CountDownLatch moment) {
+        try {
+            moment.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static boolean isClosedByEntry(Socket connection) {
+        try {
+            return connection.getInputStream().read() < 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    @DataProvider
+    public Object[][] silencesInStream() {
+        return new Object[][] {
+            {"before the head", "", STREAM_HEAD + FIRST_EVENT + LAST_EVENT},
+            {"inside the head", "HTTP/1.1 200 OK\r\nid", STREAM_HEAD.substring(19) + FIRST_EVENT + LAST_EVENT},
+            {"after the head", STREAM_HEAD, FIRST_EVENT + LAST_EVENT},
+            {"between events", STREAM_HEAD + FIRST_EVENT, LAST_EVENT},
+            {"inside an event", STREAM_HEAD + FIRST_EVENT + "id: 2\nda", "ta: b\n\n"},
+            {"before the last byte", STREAM_HEAD + FIRST_EVENT + "id: 2\ndata: b\n", "\n"},
+        };
+    }
+
+    /** Guards against a stream that is cut although its upstream goes on, since the other one did not take it. */
+    @Test(dataProvider = "silencesInStream")
+    public void streamOfSilentUpstreamIsNotCutWhenOtherRefusesIt(String where, String before, String after)
+            throws Exception {
+        configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
+        CountDownLatch refused = new CountDownLatch(1);
+        try (ScriptedUpstream one = new ScriptedUpstream(silentUntil(refused, before, after));
+                ScriptedUpstream two = new ScriptedUpstream(answerThenTell(refused, NOT_RUN_ANSWER, true))) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
+            one.takeRequest();
+            addUpstream("b", two.address());
+            assertEquals(caller.answer.join(), WHOLE_STREAM, where);
+        }
+    }
+
+    /** Guards against a stream that is cut since the other upstream broke its connection before any event. */
+    @Test(dataProvider = "silencesInStream")
+    public void streamOfSilentUpstreamIsNotCutWhenOtherBreaksOff(String where, String before, String after)
+            throws Exception {
+        configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
+        CountDownLatch broken = new CountDownLatch(1);
+        try (ScriptedUpstream one = new ScriptedUpstream(silentUntil(broken, before, after));
+                ScriptedUpstream two = new ScriptedUpstream(answerThenTell(broken, STREAM_HEAD, false))) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
+            one.takeRequest();
+            addUpstream("b", two.address());
+            assertEquals(caller.answer.join(), WHOLE_STREAM, where);
+        }
+    }
+
+    /** Guards against a refusal of an idempotent request whose upstream answers a little late. */
+    @Test
+    public void lateIdempotentRequestIsAnsweredWhenOtherRefusesIt() throws Exception {
+        configure(RequestKind.IDEMPOTENT, false, 2, Duration.ofSeconds(20), Duration.ofMillis(200));
+        CountDownLatch refused = new CountDownLatch(1);
+        try (ScriptedUpstream one = new ScriptedUpstream(silentUntil(refused, "", okAnswer("done")));
+                ScriptedUpstream two = new ScriptedUpstream(answerThenTell(refused, NOT_RUN_ANSWER, true))) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
+            one.takeRequest();
+            addUpstream("b", two.address());
+            assertEquals(caller.answer.join(), "200 done");
+        }
+    }
+
+    /** Guards against an error of the other upstream that replaces the answer of a late one. */
+    @Test
+    public void lateIdempotentRequestIsAnsweredWhenOtherFails() throws Exception {
+        configure(RequestKind.IDEMPOTENT, false, 2, Duration.ofSeconds(20), Duration.ofMillis(200));
+        CountDownLatch failed = new CountDownLatch(1);
+        String error = "HTTP/1.1 500 x\r\nid: 1\r\nContent-Length: 0\r\n\r\n";
+        try (ScriptedUpstream one = new ScriptedUpstream(silentUntil(failed, "", okAnswer("done")));
+                ScriptedUpstream two = new ScriptedUpstream(answerThenTell(failed, error, true))) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
+            one.takeRequest();
+            addUpstream("b", two.address());
+            assertEquals(caller.answer.join(), "200 done");
+        }
+    }
+
+    /** Guards against two upstreams that go on working on one stream once the silent one has sent more. */
+    @Test
+    public void otherUpstreamIsCancelledWhenSilentOneGoesOn() throws Exception {
+        configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch cancelled = new CountDownLatch(1);
+        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
+                    ScriptedUpstream.write(connection, STREAM_HEAD + FIRST_EVENT);
+                    await(asked);
+                    ScriptedUpstream.write(connection, "id: 2\n");
+                    await(cancelled);
+                    ScriptedUpstream.write(connection, "data: b\n\n");
+                    return true;
+                });
+                ScriptedUpstream two = new ScriptedUpstream((request, connection) -> {
+                    asked.countDown();
+                    if (isClosedByEntry(connection)) {
+                        cancelled.countDown();
+                    }
+                    return false;
+                })) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
+            one.takeRequest();
+            addUpstream("b", two.address());
+            assertEquals(caller.answer.join(), WHOLE_STREAM);
+        }
+    }
+
+    /** Guards against events that come twice or are missing when the other upstream takes the stream over. */
+    @Test
+    public void silentUpstreamIsCancelledWhenOtherSendsNextEvent() throws Exception {
+        configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
+        CountDownLatch cancelled = new CountDownLatch(1);
+        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
+                    ScriptedUpstream.write(connection, STREAM_HEAD + FIRST_EVENT + "id: 2\nda");
+                    if (isClosedByEntry(connection)) {
+                        cancelled.countDown();
+                    }
+                    return false;
+                });
+                ScriptedUpstream two = new ScriptedUpstream((request, connection) -> {
+                    ScriptedUpstream.write(connection, STREAM_HEAD.replace("30", "15") + LAST_EVENT.substring(0, 6));
+                    await(cancelled);
+                    ScriptedUpstream.write(connection, LAST_EVENT.substring(6));
+                    return true;
+                })) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
+            one.takeRequest();
+            addUpstream("b", two.address());
+            assertEquals(caller.answer.join(), WHOLE_STREAM);
+        }
+    }
+
+    /** Guards against a stream that is lost when the silent upstream breaks off while another one works on it. */
+    @Test
+    public void otherUpstreamGoesOnWhenSilentOneBreaksOff() throws Exception {
+        configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
+        CountDownLatch asked = new CountDownLatch(1);
+        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
+                    ScriptedUpstream.write(connection, STREAM_HEAD + FIRST_EVENT + "id: 2\nda");
+                    await(asked);
+                    return false;
+                });
+                ScriptedUpstream two = new ScriptedUpstream((request, connection) -> {
+                    asked.countDown();
+                    awaitEndOfFirst();
+                    ScriptedUpstream.write(connection, STREAM_HEAD.replace("30", "15") + LAST_EVENT);
+                    return true;
+                })) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
+            one.takeRequest();
+            addUpstream("b", two.address());
+            assertEquals(caller.answer.join(), WHOLE_STREAM);
+        }
+    }
+
+    private void awaitEndOfFirst() {
+        while (entry.openRequests("a") > 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Guards against a request that stays at one of two upstreams after its caller has left. */
+    @Test
+    public void bothUpstreamsAreCancelledWhenCallerLeaves() throws Exception {
+        configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch cancelled = new CountDownLatch(2);
+        ScriptedUpstream.Script waitForClose = (request, connection) -> {
+            asked.countDown();
+            if (isClosedByEntry(connection)) {
+                cancelled.countDown();
+            }
+            return false;
+        };
+        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
+                    if (isClosedByEntry(connection)) {
+                        cancelled.countDown();
+                    }
+                    return false;
+                });
+                ScriptedUpstream two = new ScriptedUpstream(waitForClose)) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
+            one.takeRequest();
+            addUpstream("b", two.address());
+            asked.await();
+            caller.goneAction.join().run();
+            cancelled.await();
+        }
+    }
+
+    /** Guards against a request that has no final answer at its deadline while two upstreams are silent. */
+    @Test
+    public void deadlinePassesWhileBothUpstreamsAreSilent() throws Exception {
+        configure(RequestKind.IDEMPOTENT, false, 2, Duration.ofMillis(1_500), Duration.ofMillis(100));
+        ScriptedUpstream.Script silent = (request, connection) -> !isClosedByEntry(connection);
+        try (ScriptedUpstream one = new ScriptedUpstream(silent);
+                ScriptedUpstream two = new ScriptedUpstream(silent)) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
+            one.takeRequest();
+            addUpstream("b", two.address());
+            two.takeRequest();
+            assertEquals(caller.answer.join(), "504 " + ResultCode.DEADLINE_PASSED);
+        }
+    }
+}
