Keep a silent upstream until another one has answered

Callers saw streams cut in the middle and idempotent requests refused although their upstream worked and went on after about a second of silence, also beside changes of the configuration.

Cause: after 0.8 s without bytes on any connection of an upstream (streams), or 1.3 objectives without a head (idempotent requests), Forwarding cancelled the running send first and searched for another upstream afterwards. When no side granted a start, or the other upstream refused or failed, nobody worked on the request any more. The class of fault: something alive is given up on a guess before its successor exists. Ruled out: that the retry budget was spent (it was taken before the search) and that callers left first (they left after 1.7 s without any upstream).

Change: silence only starts a search for a second upstream (HedgedSend). The first attempt goes on until the second one has sent a byte that the caller does not have (streams) or a head that is no server error (idempotent requests); whichever answers first serves the request and the other is cancelled. A second upstream that is not found, refuses or fails changes nothing, and its granted start is given back. A retry of the budget is taken at the send, not before the search. An upstream that goes on is not recorded as failed; one that is replaced is, as before. If the first one fails meanwhile, the second goes on alone.

Why this works: at each moment until the end at least one upstream works on the request, or a search that has always preceded a send; nothing that this process guesses ends an attempt any more.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -13,17 +13,12 @@
 import io.parsleycleat.gateway.version.routes.Account;
 import io.parsleycleat.gateway.version.routes.RequestKind;
 import io.parsleycleat.gateway.version.routes.Route;
-import io.parsleycleat.gateway.version.routes.ServiceSpec;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
-import io.parsleycleat.wire.gate.RunProgress;
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -31,16 +26,8 @@
  *
  * <p>Created by {@link RequestForwarder} for each request; used on the event loop.
  */
-final class Forwarding implements Attempt.Listener {
+final class Forwarding implements HedgedSend.Owner {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** The shortest time between two checks for a silent upstream, since each check wakes the process. */
-    private static final Duration MIN_CHECK_INTERVAL = Duration.ofMillis(100);
-    /** Time without bytes on any connection of an upstream after which a resumable stream is sent to another one. */
-    private static final Duration MAX_UPSTREAM_SILENCE = Duration.ofMillis(800);
-    /** Time without an answer's head after which an idempotent request is sent elsewhere, in route objectives. */
-    private static final double HEAD_TIMEOUT_OBJECTIVES = 1.3;
-
-    private static final int MAX_SENDS = 4;
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     /** Statuses that mean "not run" to callers, and are not passed on for a request that may have run once. */
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
@@ -54,17 +41,15 @@
     private final OpenRequest open;
     private final Consumer<Boolean> onFinished;
     private final long startNanos;
-    private final Duration timeLimit;
     private final CallerAnswer answer;
-    private final Set<String> attemptedIds = new HashSet<>();
-    private final Set<String> unreachableIds = new HashSet<>();
-    private int sendCount;
+    private final SilenceCheck silence;
+    private final TriedUpstreams tried;
     private boolean mayHaveRun;
     private boolean finished;
-    private Runnable cancelSearch = () -> {};
+    private @Nullable UpstreamSearch search;
     private @Nullable Attempt attempt;
+    private @Nullable HedgedSend hedge;
     private @Nullable ScheduledFuture<?> deadlineTimer;
-    private @Nullable ScheduledFuture<?> lateCheckTimer;
 
     /**
      * Creates the forwarding of one request; {@link #start} starts it.
@@ -87,8 +72,9 @@
         this.open = open;
         this.onFinished = onFinished;
         this.startNanos = context.time().monotonicNanos();
-        this.timeLimit = admitted.timeLimit();
-        this.answer = new CallerAnswer(exchange, context.codec(), route, this::executeOnLoop, this::setReading);
+        this.answer = new CallerAnswer(exchange, context.codec(), route, context::executeOnLoop, this::setReading);
+        this.tried = new TriedUpstreams(context, route, service);
+        this.silence = new SilenceCheck(context, route, this::hedgeIfLate);
     }
 
     void start() {
@@ -105,58 +91,18 @@
             return;
         }
         open.enter(OpenRequest.Stage.UPSTREAM, "");
-        Optional<ServiceSpec> spec = admitted.table().service(service);
-        if (spec.isPresent() && spec.get().engine() != null && request.adapter() != null) {
-            searchEngine();
-            return;
-        }
-        searchPlainUpstream();
+        UpstreamSearch next = new UpstreamSearch(context, admitted, service);
+        search = next;
+        next.start(age(), tried.ids(), this::onFound, this::refuse);
     }
 
-    private void searchPlainUpstream() {
-        PlainUpstreamSearch search = new PlainUpstreamSearch(
-                context,
-                service,
-                admitted.priority(),
-                timeLeft(),
-                triedIds(),
-                found -> {
-                    if (!refuseIfQuarantined()) {
-                        send(found.upstream(), Attempt.Permission.ofPermit(found.permit()), 0);
-                    }
-                },
-                this::refuse);
-        cancelSearch = search::cancel;
-        search.start();
-    }
-
-    private void searchEngine() {
-        EngineSearch.Criteria criteria = new EngineSearch.Criteria(
-                request.id(),
-                java.util.Objects.requireNonNull(request.adapter()),
-                request.tokens(),
-                admitted.priority(),
-                route.latencyObjective().minus(age()),
-                timeLeft());
-        EngineSearch search = new EngineSearch(context, criteria, triedIds(), this::onEngineGranted, this::refuse);
-        cancelSearch = search::cancel;
-        search.tryNextEngine(service);
-    }
-
-    private Set<String> triedIds() {
-        Set<String> tried = new HashSet<>(unreachableIds);
-        tried.addAll(attemptedIds);
-        return tried;
-    }
-
-    /** Sends to the engine that was found, unless the request was quarantined while it waited. */
-    private void onEngineGranted(EngineSearch.GrantedEngine started) {
+    /** Sends to the upstream that was found, unless the request was quarantined while it waited. */
+    private void onFound(UpstreamSearch.Found found) {
         if (refuseIfQuarantined()) {
-            context.gateClient().sendProgress(started.engine(), started.ticket(), RunProgress.Stage.ENDED);
-            return;
+            found.giveBack(context);
+        } else {
+            send(found, this);
         }
-        context.metrics().onStartGranted(age().toMillis());
-        send(started.engine(), Attempt.Permission.ofTicket(started.ticket()), started.adapterVersion());
     }
 
     private boolean refuseIfQuarantined() {
@@ -171,93 +117,132 @@
         return !context.crashWatch().maySend(request.fingerprint(), request.sharedPromptParts());
     }
 
-    private void send(Upstream upstream, Attempt.Permission permission, long adapterVersion) {
-        sendCount++;
-        open.enter(OpenRequest.Stage.ANSWER, upstream.id());
-        attemptedIds.add(upstream.id());
-        context.metrics().onSend(sendCount > 1, context.limits().isLimited(upstream));
+    private Attempt send(UpstreamSearch.Found found, Attempt.Listener listener) {
+        Upstream upstream = found.upstream();
+        tried.onSend(upstream);
+        if (found.permission().ticket() != 0) {
+            context.metrics().onStartGranted(age().toMillis());
+        }
+        context.metrics().onSend(tried.sendCount() > 1, context.limits().isLimited(upstream));
         OptionalLong lastId = answer.lastEventId();
         Long resumeAfter = lastId.isPresent() ? Long.valueOf(lastId.getAsLong()) : request.resumeAfterEventId();
         Account account = admitted.account();
         boolean onEngine = request.adapter() != null;
-        Attempt newAttempt = new Attempt(context, upstream, permission, request, this);
-        attempt = newAttempt;
-        newAttempt.send(new SendParameters(
+        Attempt sent = new Attempt(context, upstream, found.permission(), request, listener);
+        if (listener == this) {
+            attempt = sent;
+            open.enter(OpenRequest.Stage.ANSWER, upstream.id());
+        }
+        sent.send(new SendParameters(
                 upstream,
                 timeLeft(),
                 account == null ? null : account.name(),
                 onEngine ? admitted.priority() : null,
-                adapterVersion,
+                found.adapterVersion(),
                 resumeAfter));
-        if (lateCheckTimer == null && route.isRetryable()) {
-            scheduleLateCheck(timeUntilLate(newAttempt));
-        }
-    }
-
-    private void scheduleLateCheck(Duration delay) {
-        long millis = Math.max(MIN_CHECK_INTERVAL.toMillis(), delay.toMillis() + 1);
-        lateCheckTimer = context.loop().schedule(this::retryIfLate, millis, TimeUnit.MILLISECONDS);
+        silence.onSent(sent);
+        return sent;
     }
 
-    /** Returns the time until an attempt counts as late if nothing more arrives; zero or negative if it is late. */
-    private Duration timeUntilLate(Attempt current) {
-        if (route.kind() == RequestKind.STREAM) {
-            Duration silence = current.load().timeSinceLastBytes();
-            return MAX_UPSTREAM_SILENCE.minus(silence.compareTo(current.age()) < 0 ? silence : current.age());
-        }
-        long limitMillis =
-                (long) (HEAD_TIMEOUT_OBJECTIVES * route.latencyObjective().toMillis());
-        return Duration.ofMillis(limitMillis).minus(current.age());
-    }
+    // A second upstream while the first one is silent
 
-    /** Sends the request to another upstream if the present one is late. Used only if the request may be repeated. */
-    private void retryIfLate() {
-        Attempt current = attempt;
+    /** Looks for a second upstream if the present one is silent. */
+    private void hedgeIfLate() {
         if (finished) {
             return;
         }
-        if (current == null || current.isFinished()) {
-            scheduleLateCheck(MIN_CHECK_INTERVAL);
-            return;
-        }
-        boolean hasAnswered = route.kind() != RequestKind.STREAM && current.hasHead();
-        Duration left = timeUntilLate(current);
-        scheduleLateCheck(left);
-        boolean late = !hasAnswered && (left.isNegative() || left.isZero());
-        if (late
-                && mayTryAnother()
-                && hasUntriedUnlimitedUpstream()
-                && context.retryShare().tryRetry(service)) {
+        Attempt current = attempt;
+        silence.scheduleNext(current);
+        if (current != null && hedge == null && silence.isLate(current) && mayHedge()) {
             logger.atInfo()
                     .with(LogKeys.REQUEST, request.id())
                     .with(LogKeys.UPSTREAM, current.upstream().id())
-                    .log("no answer for %d ms; sent elsewhere", current.age().toMillis());
-            current.load().onFailure();
-            mayHaveRun = true;
-            current.cancel();
-            retry();
+                    .log(
+                            "no answer for %d ms; looking for a second upstream",
+                            current.age().toMillis());
+            hedge = new HedgedSend(context, request.id(), new UpstreamSearch(context, admitted, service), this);
+            hedge.start(age(), tried.ids());
         }
     }
 
-    private boolean mayTryAnother() {
-        return answer.mayBeContinued()
-                && attemptedIds.size() < route.maxUpstreams()
-                && sendCount < MAX_SENDS
-                && hasUntriedUpstream();
+    private boolean mayHedge() {
+        return mayTryAnother()
+                && tried.hasUntriedUnlimited()
+                && !isQuarantined()
+                && context.retryShare().hasRetry(service);
+    }
+
+    @Override
+    public @Nullable Attempt sendHedged(UpstreamSearch.Found found, Attempt.Listener listener) {
+        return !finished && !isQuarantined() && context.retryShare().tryRetry(service) ? send(found, listener) : null;
+    }
+
+    @Override
+    public boolean isUsable(ResponseHead head) {
+        return answer.isStreaming()
+                ? answer.isContinuedBy(head)
+                : head.status() < MIN_SERVER_ERROR_STATUS && (route.kind() != RequestKind.STREAM || head.isSuccess());
+    }
+
+    @Override
+    public boolean isServedByHead() {
+        return route.kind() != RequestKind.STREAM;
+    }
+
+    @Override
+    public void onTakenOver(Attempt second, @Nullable ResponseHead head) {
+        Attempt first = attempt;
+        if (first != null && !first.isFinished()) {
+            logger.atInfo()
+                    .with(LogKeys.REQUEST, request.id())
+                    .with(LogKeys.UPSTREAM, first.upstream().id())
+                    .log(
+                            "no answer for %d ms; served by %s",
+                            first.age().toMillis(), second.upstream().id());
+            first.load().onFailure();
+            first.cancel();
+        }
+        hedge = null;
+        attempt = second;
+        mayHaveRun = true;
+        open.enter(OpenRequest.Stage.ANSWER, second.upstream().id());
+        answer.discardUnsent();
+        if (head != null) {
+            onHead(second, head);
+        }
+    }
+
+    @Override
+    public void onHedgeEnded() {
+        hedge = null;
     }
 
-    private boolean hasUntriedUpstream() {
-        return untriedUpstreams().findAny().isPresent();
+    @Override
+    public void onHedgeFailed(Attempt second, SendFailure failure) {
+        recordFailure(second, failure);
     }
 
-    /** Returns whether an upstream can take the request at once, so that a running attempt may be given up for it. */
-    private boolean hasUntriedUnlimitedUpstream() {
-        return untriedUpstreams().anyMatch(u -> !context.limits().isLimited(u));
+    /** Gives up the second upstream, since the first one has answered. */
+    private void cancelHedge() {
+        HedgedSend second = hedge;
+        hedge = null;
+        if (second != null) {
+            mayHaveRun |= second.cancel();
+        }
+    }
+
+    /** Lets the second upstream go on alone after the first one has failed; returns false if none works on it. */
+    private boolean continueOnHedge() {
+        HedgedSend second = hedge;
+        if (second != null && second.takeOver()) {
+            return true;
+        }
+        cancelHedge();
+        return false;
     }
 
-    private Stream<Upstream> untriedUpstreams() {
-        return context.availableUpstreams(service).stream()
-                .filter(u -> !attemptedIds.contains(u.id()) && !unreachableIds.contains(u.id()));
+    private boolean mayTryAnother() {
+        return answer.mayBeContinued() && tried.mayTryAnother();
     }
 
     private void retry() {
@@ -270,6 +255,9 @@
     @Override
     public void onHead(Attempt from, ResponseHead head) {
         mayHaveRun = true;
+        if (isServedByHead() && head.status() < MIN_SERVER_ERROR_STATUS) {
+            cancelHedge();
+        }
         if (!answer.isStreaming()) {
             answer.start(head);
         } else if (!answer.isContinuedBy(head)) {
@@ -278,14 +266,6 @@
         }
     }
 
-    private void executeOnLoop(Runnable action) {
-        if (context.loop().inEventLoop()) {
-            action.run();
-        } else {
-            context.loop().execute(action);
-        }
-    }
-
     private void setReading(boolean reading) {
         Attempt current = attempt;
         if (current != null) {
@@ -298,12 +278,17 @@
         if (finished) {
             return;
         }
-        if (answer.isStreaming() && sendCount == 1 && answer.lastEventId().isEmpty()) {
+        if (answer.isStreaming()
+                && tried.sendCount() == 1
+                && answer.lastEventId().isEmpty()) {
             context.metrics().onFirstEvent(age().toMillis());
         }
         if (answer.isStreaming() && answer.lastEventId().isEmpty()) {
             open.enter(OpenRequest.Stage.REST_OF_ANSWER, from.upstream().id());
         }
+        if (route.kind() == RequestKind.STREAM) {
+            cancelHedge();
+        }
         answer.append(part);
         if (answer.isEventTooLong()) {
             from.cancel();
@@ -333,6 +318,9 @@
         }
         if (head.status() >= MIN_SERVER_ERROR_STATUS) {
             from.load().onErrorResponse();
+            if (continueOnHedge()) {
+                return;
+            }
             if (route.isRetryable() && mayTryAnother() && context.retryShare().tryRetry(service)) {
                 retry();
                 return;
@@ -362,6 +350,9 @@
                 .with(LogKeys.REQUEST, request.id())
                 .with(LogKeys.UPSTREAM, from.upstream().id())
                 .log("upstream did not run it, wrong upstream %s", metadata.wrongUpstream());
+        if (continueOnHedge()) {
+            return;
+        }
         if (mayTryAnother() && context.retryShare().tryRetry(service)) {
             retry();
         } else {
@@ -371,22 +362,31 @@
 
     @Override
     public void onFailed(Attempt from, SendFailure failure) {
-        from.load().onFailure();
-        context.recordFailure(from, failure);
+        recordFailure(from, failure);
         if (!finished) {
             handleFailure(from, failure);
         }
     }
 
+    private void recordFailure(Attempt from, SendFailure failure) {
+        from.load().onFailure();
+        context.recordFailure(from, failure);
+        mayHaveRun |= failure.mayHaveRun();
+        if (!failure.mayHaveRun()) {
+            tried.onUnreachable(from.upstream());
+        }
+    }
+
     private void handleFailure(Attempt from, SendFailure failure) {
         logger.atInfo()
                 .with(LogKeys.REQUEST, request.id())
                 .with(LogKeys.UPSTREAM, from.upstream().id())
                 .log("no whole answer, may have run %s: %s", failure.mayHaveRun(), failure.detail());
+        if (continueOnHedge()) {
+            return;
+        }
         if (!failure.mayHaveRun()) {
-            attemptedIds.remove(from.upstream().id());
-            unreachableIds.add(from.upstream().id());
-            if (sendCount < MAX_SENDS && hasUntriedUpstream()) {
+            if (tried.mayReplaceUnreachable()) {
                 retry();
             } else {
                 refuse(Refusal.of(ResultCode.UPSTREAM_UNREACHABLE)
@@ -394,7 +394,6 @@
             }
             return;
         }
-        mayHaveRun = true;
         if (route.isRetryable()
                 && !isQuarantined()
                 && mayTryAnother()
@@ -432,7 +431,7 @@
         }
         cancelWork();
         sendRefusal(
-                mayHaveRun || sendCount > 0
+                mayHaveRun || tried.sendCount() > 0
                         ? Refusal.of(ResultCode.DEADLINE_PASSED)
                         : Refusal.of(ResultCode.DEADLINE_UNREACHABLE)
                                 .withRetryAfter(ForwardingContext.DEFAULT_RETRY_AFTER));
@@ -446,7 +445,15 @@
     }
 
     private void cancelWork() {
-        cancelSearch.run();
+        UpstreamSearch current = search;
+        if (current != null) {
+            current.cancel();
+        }
+        cancelHedge();
+        cancelAttempt();
+    }
+
+    private void cancelAttempt() {
         Attempt current = attempt;
         if (current != null && !current.isFinished()) {
             mayHaveRun = true;
@@ -460,10 +467,8 @@
         if (timer != null) {
             timer.cancel(false);
         }
-        ScheduledFuture<?> checks = lateCheckTimer;
-        if (checks != null) {
-            checks.cancel(false);
-        }
+        silence.cancel();
+        cancelHedge();
         onFinished.accept(mayHaveRun);
         context.metrics().onEnd(code, age().toMillis());
         Attempt last = attempt;
@@ -475,7 +480,7 @@
                         "%s in %d ms after %d sends, route %s, configuration %d, %s",
                         detail,
                         age().toMillis(),
-                        sendCount,
+                        tried.sendCount(),
                         route.name(),
                         admitted.table().version(),
                         open.describe());
@@ -488,6 +493,6 @@
     }
 
     private Duration timeLeft() {
-        return timeLimit.minus(age());
+        return admitted.timeLimit().minus(age());
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
@@ -67,16 +67,21 @@
 
     /** Takes one retry from the share of a service; returns whether there was one. */
     public synchronized boolean tryRetry(String service) {
-        Window window = currentWindow(service);
-        double allowed = bounds.ratio() * window.requestNanos.size()
-                + bounds.extraRetries() / 2 / Math.max(1, entryCount.getAsInt());
-        if (window.retryNanos.size() + 1 > allowed) {
+        if (!hasRetry(service)) {
             return false;
         }
-        window.retryNanos.addLast(time.monotonicNanos());
+        currentWindow(service).retryNanos.addLast(time.monotonicNanos());
         return true;
     }
 
+    /** Returns whether the share of a service has a retry left. */
+    public synchronized boolean hasRetry(String service) {
+        Window window = currentWindow(service);
+        double allowed = bounds.ratio() * window.requestNanos.size()
+                + bounds.extraRetries() / 2 / Math.max(1, entryCount.getAsInt());
+        return window.retryNanos.size() + 1 <= allowed;
+    }
+
     private Window currentWindow(String service) {
         Window window = windows.computeIfAbsent(service, s -> new Window());
         window.removeBefore(time.monotonicNanos() - bounds.window().toNanos());
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -49,6 +49,7 @@
     final EventLoopGroup loops = new NioEventLoopGroup(1);
     final EventLoop loop = loops.next();
     ManualTimeSource freshnessTime;
+    InMemoryPeers network;
     TestEntry entry;
     UpstreamDirectory directory;
     ConfigurationHolder configuration;
@@ -64,7 +65,8 @@
     @BeforeMethod
     public void setUp() {
         freshnessTime = new ManualTimeSource();
-        entry = new TestEntry("here", loop, TimeSource.SYSTEM, freshnessTime, new InMemoryPeers());
+        network = new InMemoryPeers();
+        entry = new TestEntry("here", loop, TimeSource.SYSTEM, freshnessTime, network);
         directory = entry.directory;
         configuration = entry.configuration;
         freshness = entry.freshness;
