Do not take a slow caller for a silent upstream

Callers that read slowly saw their streams move to another upstream, or cost the service a repeat, although their upstream worked.

Cause: while a caller reads slowly, nothing is read from its upstream; the check for silence counted that as silence of the upstream and asked a second one, which then replaced the first as soon as it sent anything.

Change: no second upstream is looked for while reading is paused for the caller.

Why this works: the pause is ours and ends with the caller's reading, after which silence counts from the upstream's last bytes again.

Measured: SilentUpstreamTest.slowCallerIsNoSilenceOfUpstream failed before ("expected [false] but found [true]": the paused stream was sent to the second upstream) and passes; SilentUpstreamTest and ForwardingTest pass, 41 tests. Ruled out by its second request: that the upstream did not count as silent at all.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerAnswer.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerAnswer.java
@@ -102,6 +102,12 @@
         }
     }
 
+    /** Returns whether nothing is read from the upstream until the caller has read more. */
+    boolean isReadingPaused() {
+        CallerStream current = stream;
+        return current != null && current.isReadingPaused();
+    }
+
     /** Returns whether an event that is not whole yet already exceeds the length limit. */
     boolean isEventTooLong() {
         CallerStream current = stream;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerStream.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerStream.java
@@ -80,6 +80,11 @@
         splitter.resume();
     }
 
+    /** Returns whether nothing is read from the upstream until the caller has read more. */
+    boolean isReadingPaused() {
+        return readingPaused;
+    }
+
     /** Returns the id of the last event that was passed on. */
     OptionalLong lastEventId() {
         return splitter.lastEventId();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -166,7 +166,8 @@
     }
 
     private boolean mayHedge() {
-        return mayTryAnother()
+        return !answer.isReadingPaused()
+                && mayTryAnother()
                 && tried.hasUntriedUnlimited()
                 && !isQuarantined()
                 && context.retryShare().hasRetry(service);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentUpstreamTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentUpstreamTest.java
@@ -1,13 +1,21 @@
 package io.parsleycleat.gateway.request;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 
+import com.google.protobuf.ByteString;
+import io.parsleycleat.core.connection.caller.CallerExchange;
+import io.parsleycleat.core.connection.caller.CallerRequest;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.gateway.connection.ScriptedUpstream;
 import io.parsleycleat.gateway.version.routes.RequestKind;
 import java.io.IOException;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -18,6 +26,7 @@
  */
 public class SilentUpstreamTest extends ForwardingFixture {
     private static final String STREAM_HEAD = "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 30\r\n\r\n";
+    private static final List<Map.Entry<String, String>> KEY = List.of(Map.entry("key", "key"));
     private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
     private static final String LAST_EVENT = "id: 2\ndata: b\n\n";
     private static final String WHOLE_STREAM = "200 streamed id: 1;data: a;;id: 2;data: b;;";
@@ -265,4 +274,91 @@
             assertEquals(caller.answer.join(), "504 " + ResultCode.DEADLINE_PASSED);
         }
     }
+
+    /**
+     * Guards against a stream that is taken from its upstream since its caller reads slowly, so that nothing is read
+     * there. Another request at the same upstream shows when the upstream counts as silent.
+     */
+    @Test
+    public void slowCallerIsNoSilenceOfUpstream() throws Exception {
+        configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
+        String event = "data: " + "x".repeat(100_000) + "\n\n";
+        String body = event.repeat(4);
+        CountDownLatch end = new CountDownLatch(1);
+        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
+                    String head = STREAM_HEAD.replace("30", Integer.toString(body.length()));
+                    ScriptedUpstream.write(connection, request.contains("/slow") ? head + body : head);
+                    await(end);
+                    return false;
+                });
+                ScriptedUpstream two = new ScriptedUpstream((request, connection) -> {
+                    await(end);
+                    return false;
+                })) {
+            addUpstream("a", one.address());
+            SlowCaller slow = new SlowCaller();
+            forwarder.handle(new CallerRequest("POST", "/p/slow", KEY, ByteString.EMPTY), slow);
+            one.takeRequest();
+            slow.paused.join();
+            send("/p/x", "key");
+            one.takeRequest();
+            addUpstream("b", two.address());
+            assertFalse(two.takeRequest().contains("/slow"));
+            loop.submit(() -> {}).sync();
+            assertEquals(two.untakenRequestCount(), 0);
+            slow.release();
+            assertEquals(slow.answered.join().size(), body.length());
+            end.countDown();
+        }
+    }
+
+    /** Takes parts of the body at first without reading them. */
+    private static final class SlowCaller implements CallerExchange {
+        private static final int PAUSE_BYTES = 256 * 1024;
+
+        final CompletableFuture<Void> paused = new CompletableFuture<>();
+        final CompletableFuture<ByteString> answered = new CompletableFuture<>();
+        private final List<Runnable> unread = new ArrayList<>();
+        private ByteString body = ByteString.EMPTY;
+        private boolean reading;
+
+        @Override
+        public void respond(int status, List<Map.Entry<String, String>> headers, ByteString content) {
+            answered.complete(content);
+        }
+
+        @Override
+        public void start(int status, List<Map.Entry<String, String>> headers) {}
+
+        @Override
+        public synchronized void write(ByteString part, Runnable written) {
+            body = body.concat(part);
+            if (reading) {
+                written.run();
+            } else {
+                unread.add(written);
+            }
+            if (body.size() > PAUSE_BYTES) {
+                paused.complete(null);
+            }
+        }
+
+        synchronized void release() {
+            reading = true;
+            unread.forEach(Runnable::run);
+        }
+
+        @Override
+        public void end() {
+            answered.complete(body);
+        }
+
+        @Override
+        public void abort() {
+            answered.complete(ByteString.EMPTY);
+        }
+
+        @Override
+        public void onGone(Runnable action) {}
+    }
 }
