Let one owner hold each request from its last byte to its final answer

Callers saw accepted requests that got no answer at all, and stops that waited for requests which nothing worked on.

Cause: a request had several owners in turn, with none between them. It was read by the caller's handler, decoded and admitted without a guard, waited for its account's budget in a future without a deadline and without notice of a caller that left, and was forwarded by futures, timers and listeners that swallow what is thrown in them. An action that threw ended nothing: no answer, the request counted as open until the process ended. What an answer's listener threw was taken for a broken connection of the upstream (502, and a suspected crash). The time limit began only after the budget, so the upstream was told more time than the caller had left.

Ruled out: that a change of the configuration alone makes one of these actions throw; none was found. The draws of budgets end by their own timeouts as long as nothing throws there.

Change: OpenRequest owns a request. It is created before decoding, takes every answer as the exchange of what works on the request, and lets one of them be the last. Decoding, admission, the budget's future, searches, sends, events of the answer, timers and the caller's leaving run under its guard on the event loop. A failure ends the request with 1049 if nothing was handed to an upstream, else with 2009, or with a cut behind the first part of the answer; the cost is refunded if the request has not run. The time limit runs from the arrival. A request that ends before it has run says so (503), also where an upstream had only answered "not run" before.

Conclusion: whatever throws or stays silent, the owner ends the request by its own timer or guard, which depend on nothing that works on the request.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -14,6 +14,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -98,10 +99,21 @@
         this.listener = listener;
     }
 
-    void send(SendParameters parameters) {
+    /**
+     * Sends the request.
+     *
+     * @param guard ends the request if an event of the answer cannot be handled
+     */
+    void send(SendParameters parameters, UnaryOperator<ResponseListener> guard) {
         load.onRequestSent();
-        sentRequest =
-                context.upstreamPools().poolFor(upstream).send(context.codec().encode(request, parameters), this);
+        sentRequest = context.upstreamPools()
+                .poolFor(upstream)
+                .send(context.codec().encode(request, parameters), guard.apply(this));
+    }
+
+    /** Returns whether the request was handed to a connection of the upstream. */
+    boolean isSent() {
+        return sentRequest != null;
     }
 
     /** Cancels the attempt and closes its connection, by which the upstream detects the cancellation. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineSearch.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineSearch.java
@@ -44,6 +44,7 @@
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
 
     private final ForwardingContext context;
+    private final OpenRequest open;
     private final Criteria criteria;
     private final Set<String> excluded;
     private final Consumer<GrantedEngine> onGranted;
@@ -80,15 +81,18 @@
     /**
      * Creates a search; {@link #tryNextEngine} starts it.
      *
+     * @param open owns the request
      * @param excluded ids of the engines that are not considered
      */
     EngineSearch(
             ForwardingContext context,
+            OpenRequest open,
             Criteria criteria,
             Set<String> excluded,
             Consumer<GrantedEngine> onGranted,
             Consumer<Refusal> onRefused) {
         this.context = context;
+        this.open = open;
         this.criteria = criteria;
         this.excluded = new HashSet<>(excluded);
         this.onGranted = onGranted;
@@ -152,13 +156,13 @@
         context.gateClient()
                 .requestStart(engine, buildStartRequest(engine, ticket, wait, limitWait), wait.plus(REPLY_MARGIN))
                 .whenCompleteAsync(
-                        (grant, failure) -> {
+                        open.guard((grant, failure) -> {
                             pendingEngine = null;
                             if (grant != null && grant.hasStatus()) {
                                 context.engineView().onStatus(grant.getStatus());
                             }
                             onReply(service, engine, ticket, grant, failure);
-                        },
+                        }),
                         context.loop());
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -2,8 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
-import io.netty.util.concurrent.ScheduledFuture;
-import io.parsleycleat.core.connection.caller.CallerExchange;
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
@@ -17,8 +15,6 @@
 import java.time.Duration;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -37,10 +33,7 @@
     private final ForwardRequest request;
     private final Route route;
     private final String service;
-    private final CallerExchange exchange;
     private final OpenRequest open;
-    private final Consumer<Boolean> onFinished;
-    private final long startNanos;
     private final CallerAnswer answer;
     private final SilenceCheck silence;
     private final TriedUpstreams tried;
@@ -49,38 +42,26 @@
     private @Nullable UpstreamSearch search;
     private @Nullable Attempt attempt;
     private @Nullable HedgedSend hedge;
-    private @Nullable ScheduledFuture<?> deadlineTimer;
 
     /**
      * Creates the forwarding of one request; {@link #start} starts it.
      *
-     * @param onFinished called at the end with whether the request may have run
+     * @param open owns the request and takes its answer
      */
-    Forwarding(
-            ForwardingContext context,
-            RequestForwarder.Admitted admitted,
-            String service,
-            CallerExchange exchange,
-            OpenRequest open,
-            Consumer<Boolean> onFinished) {
+    Forwarding(ForwardingContext context, RequestForwarder.Admitted admitted, String service, OpenRequest open) {
         this.context = context;
         this.admitted = admitted;
         this.request = admitted.request();
         this.route = admitted.route();
         this.service = service;
-        this.exchange = exchange;
         this.open = open;
-        this.onFinished = onFinished;
-        this.startNanos = context.time().monotonicNanos();
-        this.answer = new CallerAnswer(exchange, context.codec(), route, context::executeOnLoop, this::setReading);
+        this.answer = new CallerAnswer(open, context.codec(), route, open::execute, this::setReading);
         this.tried = new TriedUpstreams(context, route, service);
-        this.silence = new SilenceCheck(context, route, this::hedgeIfLate);
+        this.silence = new SilenceCheck(context, route, open.guard(this::hedgeIfLate));
     }
 
     void start() {
-        exchange.onGone(() -> context.loop().execute(this::onCallerGone));
-        deadlineTimer =
-                context.loop().schedule(this::onDeadline, Math.max(0, timeLeft().toMillis()), TimeUnit.MILLISECONDS);
+        open.onGone(this::onCallerGone);
         sendNext();
     }
 
@@ -91,9 +72,9 @@
             return;
         }
         open.enter(OpenRequest.Stage.UPSTREAM, "");
-        UpstreamSearch next = new UpstreamSearch(context, admitted, service);
+        UpstreamSearch next = new UpstreamSearch(context, open, admitted, service);
         search = next;
-        next.start(age(), tried.ids(), this::onFound, this::refuse);
+        next.start(tried.ids(), this::onFound, this::refuse);
     }
 
     /** Sends to the upstream that was found, unless the request was quarantined while it waited. */
@@ -133,13 +114,15 @@
             attempt = sent;
             open.enter(OpenRequest.Stage.ANSWER, upstream.id());
         }
-        sent.send(new SendParameters(
-                upstream,
-                timeLeft(),
-                account == null ? null : account.name(),
-                onEngine ? admitted.priority() : null,
-                found.adapterVersion(),
-                resumeAfter));
+        sent.send(
+                new SendParameters(
+                        upstream,
+                        timeLeft(),
+                        account == null ? null : account.name(),
+                        onEngine ? admitted.priority() : null,
+                        found.adapterVersion(),
+                        resumeAfter),
+                open::guard);
         silence.onSent(sent);
         return sent;
     }
@@ -148,7 +131,7 @@
 
     /** Looks for a second upstream if the present one is silent. */
     private void hedgeIfLate() {
-        if (finished) {
+        if (finished || open.hasEnded()) {
             return;
         }
         Attempt current = attempt;
@@ -160,8 +143,8 @@
                     .log(
                             "no answer for %d ms; looking for a second upstream",
                             current.age().toMillis());
-            hedge = new HedgedSend(context, request.id(), new UpstreamSearch(context, admitted, service), this);
-            hedge.start(age(), tried.ids());
+            hedge = new HedgedSend(context, request.id(), new UpstreamSearch(context, open, admitted, service), this);
+            hedge.start(tried.ids());
         }
     }
 
@@ -419,23 +402,20 @@
         }
         if (answer.isStreaming()) {
             context.metrics().onCut();
-            exchange.abort();
+            open.abort();
         } else {
-            context.codec().refuse(exchange, request.id(), refusal);
+            context.codec().refuse(open, request.id(), refusal);
         }
         complete(refusal.code(), refusal.detail() + (answer.isStreaming() ? ", answer cut" : ""));
     }
 
-    private void onDeadline() {
+    /** Ends the request with an answer that its owner chose; the upstream learns it by its closed connection. */
+    void end(Refusal ifNotRun, Refusal ifMayHaveRun) {
         if (finished) {
             return;
         }
         cancelWork();
-        sendRefusal(
-                mayHaveRun || tried.sendCount() > 0
-                        ? Refusal.of(ResultCode.DEADLINE_PASSED)
-                        : Refusal.of(ResultCode.DEADLINE_UNREACHABLE)
-                                .withRetryAfter(ForwardingContext.DEFAULT_RETRY_AFTER));
+        sendRefusal(mayHaveRun ? ifMayHaveRun : ifNotRun);
     }
 
     private void onCallerGone() {
@@ -457,20 +437,16 @@
     private void cancelAttempt() {
         Attempt current = attempt;
         if (current != null && !current.isFinished()) {
-            mayHaveRun = true;
+            mayHaveRun = mayHaveRun || current.isSent();
             current.cancel();
         }
     }
 
     private void complete(ResultCode code, String detail) {
         finished = true;
-        ScheduledFuture<?> timer = deadlineTimer;
-        if (timer != null) {
-            timer.cancel(false);
-        }
         silence.cancel();
         cancelHedge();
-        onFinished.accept(mayHaveRun);
+        open.onEnded(mayHaveRun);
         context.metrics().onEnd(code, age().toMillis());
         Attempt last = attempt;
         logger.atInfo()
@@ -490,10 +466,10 @@
     // Times
 
     private Duration age() {
-        return Duration.ofNanos(context.time().monotonicNanos() - startNanos);
+        return open.age();
     }
 
     private Duration timeLeft() {
-        return admitted.timeLimit().minus(age());
+        return open.timeLeft();
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
@@ -50,15 +50,6 @@
     /** Time after which callers retry when nothing better is known. */
     static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(300);
 
-    /** Runs an action on the event loop: at once if this is its thread, else soon. */
-    void executeOnLoop(Runnable action) {
-        if (loop.inEventLoop()) {
-            action.run();
-        } else {
-            loop.execute(action);
-        }
-    }
-
     /** Returns the upstreams of a service that accept requests now. */
     List<Upstream> availableUpstreams(String service) {
         return availability.filterAvailable(directory.usable(service));
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/HedgedSend.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/HedgedSend.java
@@ -6,7 +6,6 @@
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.gateway.connection.upstream.ResponseHead;
 import io.parsleycleat.gateway.connection.upstream.SendFailure;
-import java.time.Duration;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
@@ -69,11 +68,10 @@
     /**
      * Starts to look for a second upstream.
      *
-     * @param age the time since the request arrived
      * @param excluded ids of the upstreams that are not considered
      */
-    void start(Duration age, Set<String> excluded) {
-        search.start(age, excluded, this::onFound, this::onRefused);
+    void start(Set<String> excluded) {
+        search.start(excluded, this::onFound, this::onRefused);
     }
 
     /**
@@ -88,8 +86,9 @@
         if (current == null) {
             return false;
         }
+        boolean sent = current.isSent();
         current.cancel();
-        return true;
+        return sent;
     }
 
     /** Lets the second upstream serve the request alone; returns false if none works on it. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/PlainUpstreamSearch.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/PlainUpstreamSearch.java
@@ -26,6 +26,7 @@
     private static final int MAX_WAIT_DIVISOR = 2;
 
     private final ForwardingContext context;
+    private final OpenRequest open;
     private final String service;
     private final int priority;
     private final Duration timeLeft;
@@ -45,22 +46,23 @@
     /**
      * Creates a search; {@link #start} starts it.
      *
+     * @param open owns the request
      * @param priority 0 is the most urgent
-     * @param timeLeft the time left until the deadline of the request
      * @param excluded ids of the upstreams that are not considered
      */
     PlainUpstreamSearch(
             ForwardingContext context,
+            OpenRequest open,
             String service,
             int priority,
-            Duration timeLeft,
             Set<String> excluded,
             Consumer<Found> onFound,
             Consumer<Refusal> onRefused) {
         this.context = context;
+        this.open = open;
         this.service = service;
         this.priority = priority;
-        this.timeLeft = timeLeft;
+        this.timeLeft = open.timeLeft();
         this.excluded = new HashSet<>(excluded);
         this.onFound = onFound;
         this.onRefused = onRefused;
@@ -71,11 +73,11 @@
         List<Upstream> candidates = context.availableUpstreams(service).stream()
                 .filter(u -> !excluded.contains(u.id()))
                 .toList();
-        List<Upstream> open =
+        List<Upstream> ready =
                 candidates.stream().filter(u -> closedFor(u).isZero()).toList();
-        Optional<Upstream> best = context.plainChooser().choose(open, Set.of());
+        Optional<Upstream> best = context.plainChooser().choose(ready, Set.of());
         if (best.isPresent()) {
-            tryUpstream(best.get(), open.size() > 1 ? Duration.ZERO : maxWait());
+            tryUpstream(best.get(), ready.size() > 1 ? Duration.ZERO : maxWait());
         } else {
             candidates.stream().min(Comparator.comparing(this::closedFor)).ifPresentOrElse(this::waitFor, this::refuse);
         }
@@ -113,7 +115,8 @@
         }
         context.permits()
                 .request(upstream, priority, wait)
-                .whenCompleteAsync((decision, failure) -> onDecision(upstream, wait, decision), context.loop());
+                .whenCompleteAsync(
+                        open.guard((decision, failure) -> onDecision(upstream, wait, decision)), context.loop());
     }
 
     private void onDecision(Upstream upstream, Duration wait, UpstreamPermits.@Nullable Decision decision) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
@@ -98,7 +98,7 @@
         this.stalenessLimits = stalenessLimits;
         this.stopping = stopping;
         this.random = random;
-        this.openRequests = new OpenRequests(context.time(), context.metrics());
+        this.openRequests = new OpenRequests(context, this::recordRefusal);
     }
 
     /** Returns how many requests are not answered as a whole yet. */
@@ -118,19 +118,17 @@
 
     @Override
     public void handle(CallerRequest callerRequest, CallerExchange exchange) {
-        context.metrics().onRequest();
-        Either<Refusal, ForwardRequest> decoded = context.codec().decode(callerRequest);
-        if (decoded.isLeft()) {
-            refuse(exchange, "", decoded.getLeft());
-            return;
-        }
-        ForwardRequest request = decoded.get();
-        Either<Refusal, Admitted> admitted = admit(request);
-        if (admitted.isLeft()) {
-            refuse(exchange, request.id(), admitted.getLeft());
-            return;
-        }
-        chargeBudget(admitted.get(), exchange);
+        OpenRequest open = openRequests.add(exchange);
+        open.execute(() -> {
+            context.metrics().onRequest();
+            open.watchCaller();
+            context.codec()
+                    .decode(callerRequest)
+                    .peek(request -> open.identify(request.id()))
+                    .flatMap(this::admit)
+                    .peek(admitted -> chargeBudget(admitted, open))
+                    .peekLeft(open::refuse);
+        });
     }
 
     // Admission
@@ -172,52 +170,48 @@
     }
 
     /** Forwards a request once its cost is taken from the account's budget, for which other entries may be asked. */
-    private void chargeBudget(Admitted admitted, CallerExchange exchange) {
-        OpenRequest open = openRequests.add(admitted.request().id());
+    private void chargeBudget(Admitted admitted, OpenRequest open) {
+        open.admit(admitted);
         Account account = admitted.account();
         if (account == null) {
-            forward(admitted, exchange, open);
+            forward(admitted, open);
             return;
         }
         long budgetRequestedNanos = context.time().monotonicNanos();
         budgets.spend(account, admitted.cost())
                 .whenCompleteAsync(
-                        (shortage, failure) -> open.guard(() -> {
-                                    context.metrics().onBudgetDecided(millisSince(budgetRequestedNanos));
-                                    if (failure != null) {
-                                        logger.atSevere().withCause(failure).log(
-                                                "budget check failed for account %s", account.name());
-                                        open.end();
-                                        refuse(
-                                                exchange,
-                                                admitted.request().id(),
-                                                budgetRefusal(admitted, 0, DEFAULT_RETRY_AFTER));
-                                    } else {
-                                        shortage.ifPresentOrElse(
-                                                s -> {
-                                                    open.end();
-                                                    refuse(
-                                                            exchange,
-                                                            admitted.request().id(),
-                                                            budgetRefusal(admitted, s.drawnTokens(), s.retryAfter()));
-                                                },
-                                                () -> verifyKeyAndForward(admitted, account, exchange, open));
-                                    }
-                                })
-                                .run(),
+                        open.guard((shortage, failure) -> {
+                            context.metrics().onBudgetDecided(millisSince(budgetRequestedNanos));
+                            if (failure != null) {
+                                logger.atSevere().withCause(failure).log(
+                                        "budget check failed for account %s", account.name());
+                                open.refuse(budgetRefusal(admitted, 0, DEFAULT_RETRY_AFTER));
+                            } else {
+                                onBudgetDecided(admitted, account, open, shortage);
+                            }
+                        }),
                         context.loop());
     }
 
+    private void onBudgetDecided(
+            Admitted admitted, Account account, OpenRequest open, Optional<AccountBudgets.Shortage> shortage) {
+        if (shortage.isPresent()) {
+            open.refuse(budgetRefusal(
+                    admitted, shortage.get().drawnTokens(), shortage.get().retryAfter()));
+        } else if (open.hasEnded()) {
+            budgets.refund(account, admitted.cost());
+        } else {
+            open.refundIfNotRun(() -> budgets.refund(account, admitted.cost()));
+            verifyKeyAndForward(admitted, open);
+        }
+    }
+
     /** Verifies the key again, since it may have been withdrawn while the budget was requested. */
-    private void verifyKeyAndForward(Admitted admitted, Account account, CallerExchange exchange, OpenRequest open) {
+    private void verifyKeyAndForward(Admitted admitted, OpenRequest open) {
         RoutingTable newest = configuration.current().orElse(admitted.table());
         findAccount(admitted.request(), newest)
-                .peek(a -> forward(admitted, exchange, open))
-                .peekLeft(refusal -> {
-                    open.end();
-                    budgets.refund(account, admitted.cost());
-                    refuse(exchange, admitted.request().id(), refusal);
-                });
+                .peek(a -> forward(admitted, open))
+                .peekLeft(open::refuse);
     }
 
     private static Refusal budgetRefusal(Admitted admitted, double drawn, Duration wait) {
@@ -253,41 +247,27 @@
 
     // Forwarding
 
-    private void forward(Admitted admitted, CallerExchange exchange, OpenRequest open) {
+    private void forward(Admitted admitted, OpenRequest open) {
         ForwardRequest request = admitted.request();
         if (!context.crashWatch().admit(request.fingerprint(), request.sharedPromptParts())) {
-            open.end();
-            refund(admitted);
-            refuse(exchange, request.id(), QUARANTINE_REFUSAL);
+            open.refuse(QUARANTINE_REFUSAL);
             return;
         }
         String service = admitted.route().selectService(random.getAsDouble());
         context.retryShare().onRequest(service);
-        Forwarding forwarding = new Forwarding(context, admitted, service, exchange, open, mayHaveRun -> {
-            open.end();
-            if (!mayHaveRun) {
-                refund(admitted);
-            }
-        });
-        context.loop().execute(open.guard(forwarding::start));
-    }
-
-    private void refund(Admitted admitted) {
-        Account account = admitted.account();
-        if (account != null) {
-            budgets.refund(account, admitted.cost());
-        }
+        Forwarding forwarding = new Forwarding(context, admitted, service, open);
+        open.setWork(forwarding::end);
+        forwarding.start();
     }
 
-    private void refuse(CallerExchange exchange, String id, Refusal refusal) {
+    private void recordRefusal(OpenRequest open, Refusal refusal) {
         context.metrics().onEnd(refusal.code(), 0);
         RoutingTable table = configuration.current().orElse(null);
         logger.atInfo()
-                .with(LogKeys.REQUEST, id)
+                .with(LogKeys.REQUEST, open.id())
                 .with(LogKeys.CODE, refusal.code().number())
                 .log(
                         "refused: %s; configuration %d, %d ms old",
                         refusal.detail(), table == null ? -1 : table.version(), freshness.ageMillis());
-        context.codec().refuse(exchange, id, refusal);
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/UpstreamSearch.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/UpstreamSearch.java
@@ -5,7 +5,6 @@
 import io.parsleycleat.gateway.version.routes.ServiceSpec;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import io.parsleycleat.wire.gate.RunProgress;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -18,6 +17,7 @@
  */
 final class UpstreamSearch {
     private final ForwardingContext context;
+    private final OpenRequest open;
     private final RequestForwarder.Admitted admitted;
     private final String service;
     private Runnable cancelSearch = () -> {};
@@ -36,8 +36,14 @@
         }
     }
 
-    UpstreamSearch(ForwardingContext context, RequestForwarder.Admitted admitted, String service) {
+    /**
+     * Creates a search; {@link #start} starts it.
+     *
+     * @param open owns the request
+     */
+    UpstreamSearch(ForwardingContext context, OpenRequest open, RequestForwarder.Admitted admitted, String service) {
         this.context = context;
+        this.open = open;
         this.admitted = admitted;
         this.service = service;
     }
@@ -45,11 +51,9 @@
     /**
      * Starts the search, which reports an upstream or a refusal once, possibly before this method returns.
      *
-     * @param age the time since the request arrived
      * @param excluded ids of the upstreams that are not considered
      */
-    void start(Duration age, Set<String> excluded, Consumer<Found> onFound, Consumer<Refusal> onRefused) {
-        Duration timeLeft = admitted.timeLimit().minus(age);
+    void start(Set<String> excluded, Consumer<Found> onFound, Consumer<Refusal> onRefused) {
         AdapterId adapter = admitted.request().adapter();
         Optional<ServiceSpec> spec = admitted.table().service(service);
         if (adapter != null && spec.isPresent() && spec.get().engine() != null) {
@@ -58,11 +62,11 @@
                     adapter,
                     admitted.request().tokens(),
                     admitted.priority(),
-                    admitted.route().latencyObjective().minus(age),
-                    timeLeft);
+                    admitted.route().latencyObjective().minus(open.age()),
+                    open.timeLeft());
             startOnEngines(criteria, excluded, onFound, onRefused);
         } else {
-            startOnPlainService(timeLeft, excluded, onFound, onRefused);
+            startOnPlainService(excluded, onFound, onRefused);
         }
     }
 
@@ -78,6 +82,7 @@
             Consumer<Refusal> onRefused) {
         EngineSearch search = new EngineSearch(
                 context,
+                open,
                 criteria,
                 excluded,
                 g -> onFound.accept(new Found(g.engine(), Attempt.Permission.ofTicket(g.ticket()), g.adapterVersion())),
@@ -86,13 +91,12 @@
         search.tryNextEngine(service);
     }
 
-    private void startOnPlainService(
-            Duration timeLeft, Set<String> excluded, Consumer<Found> onFound, Consumer<Refusal> onRefused) {
+    private void startOnPlainService(Set<String> excluded, Consumer<Found> onFound, Consumer<Refusal> onRefused) {
         PlainUpstreamSearch search = new PlainUpstreamSearch(
                 context,
+                open,
                 service,
                 admitted.priority(),
-                timeLeft,
                 excluded,
                 f -> onFound.accept(new Found(f.upstream(), Attempt.Permission.ofPermit(f.permit()), 0)),
                 onRefused);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -99,6 +99,7 @@
             if (parameters.resumeAfterEventId() != null) {
                 headers.add(Map.entry("after", parameters.resumeAfterEventId().toString()));
             }
+            headers.add(Map.entry("left", Long.toString(parameters.timeLeft().toMillis())));
             return new UpstreamRequest(r.method(), r.target(), r.id(), headers, r.body());
         }
 
@@ -135,7 +136,7 @@
     }
 
     /** Records the answer to one caller as text. */
-    static final class RecordingCaller implements CallerExchange {
+    static class RecordingCaller implements CallerExchange {
         final CompletableFuture<String> answer = new CompletableFuture<>();
         final CompletableFuture<Runnable> goneAction = new CompletableFuture<>();
         private final StringBuilder body = new StringBuilder();
@@ -182,7 +183,11 @@
     }
 
     void addUpstream(String id, InetSocketAddress address) {
-        directory.put(new Upstream(id, "s", address, "here", 1, false, 8, Map.of()));
+        directory.put(upstream(id, address));
+    }
+
+    static Upstream upstream(String id, InetSocketAddress address) {
+        return new Upstream(id, "s", address, "here", 1, false, 8, Map.of());
     }
 
     RecordingCaller send(String path, String key) {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/TestEntry.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/TestEntry.java
@@ -23,10 +23,12 @@
 import io.parsleycleat.gateway.request.forward.RequestForwarder;
 import io.parsleycleat.gateway.request.limits.AccountBudgets;
 import io.parsleycleat.gateway.request.limits.BudgetHomes;
+import io.parsleycleat.gateway.request.limits.BudgetPeers;
 import io.parsleycleat.gateway.request.limits.RetryShare;
 import io.parsleycleat.gateway.request.permits.PermitHomes;
 import io.parsleycleat.gateway.request.permits.UpstreamPermits;
 import io.parsleycleat.gateway.version.follow.Freshness;
+import io.parsleycleat.gateway.version.routes.Account;
 import io.parsleycleat.gateway.version.routes.AdapterVersions;
 import io.parsleycleat.gateway.version.routes.ConfigurationHolder;
 import io.parsleycleat.gateway.version.routes.EngineSpec;
@@ -41,6 +43,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import org.jspecify.annotations.Nullable;
 
@@ -57,6 +60,12 @@
     final EntryMembers members;
     final RequestForwarder forwarder;
     final PermitHomes permitHomes;
+    final AccountBudgets budgets;
+    final Faults faults = new Faults();
+    /** Replaces the entries from which budgets are drawn. */
+    volatile @Nullable BudgetPeers budgetPeers;
+
+    private final BudgetHomes budgetHomes;
     private final UpstreamLoads loads;
 
     TestEntry(String name, EventLoop loop, TimeSource time, TimeSource freshnessTime, InMemoryPeers network) {
@@ -83,13 +92,13 @@
         loads = new UpstreamLoads(time, directory);
         UpstreamLimits limits = new UpstreamLimits(time, () -> 0);
         EngineView view = new EngineView(time, limits);
-        BudgetHomes homes = new BudgetHomes(name, new BudgetHomes.Slack(0, Duration.ofSeconds(8)), time, () -> true);
+        budgetHomes = new BudgetHomes(name, new BudgetHomes.Slack(0, Duration.ofSeconds(8)), time, () -> true);
         permitHomes = new PermitHomes(name, time, () -> true, scheduler);
         permitHomes.setOtherEntries(Set.of());
-        EntryMessenger messenger =
-                new EntryMessenger(name, peers, peers, members, homes, permitHomes, limits, crashWatch, view, null);
+        EntryMessenger messenger = new EntryMessenger(
+                name, peers, peers, members, budgetHomes, permitHomes, limits, crashWatch, view, null);
         ForwardingContext context = new ForwardingContext(
-                new ForwardingFixture.HeaderCodec(),
+                new FaultyCodec(new ForwardingFixture.HeaderCodec(), faults),
                 loop,
                 time,
                 directory,
@@ -106,14 +115,44 @@
                 new RetryShare(new RetryShare.Bounds(1, 100, Duration.ofSeconds(10)), time, () -> 1),
                 crashWatch,
                 new ForwardMetrics(new MetricRegistry()));
+        budgets = new AccountBudgets(name, budgetHomes, budgetPeersOr(messenger), time, loop);
         forwarder = new RequestForwarder(
                 context,
                 configuration,
                 freshness,
-                new AccountBudgets(name, homes, messenger, time, loop),
+                budgets,
                 new RequestForwarder.StalenessLimits(Duration.ofSeconds(4), Duration.ofSeconds(2)),
                 () -> false,
-                () -> 0);
+                () -> {
+                    faults.check("select");
+                    return 0;
+                });
+    }
+
+    private BudgetPeers budgetPeersOr(BudgetPeers network) {
+        return new BudgetPeers() {
+            @Override
+            public CompletableFuture<Grant> draw(String entry, String account, double needed, double prefetch) {
+                faults.check("draw");
+                return current().draw(entry, account, needed, prefetch);
+            }
+
+            @Override
+            public void returnTokens(String entry, String account, double tokens) {
+                current().returnTokens(entry, account, tokens);
+            }
+
+            private BudgetPeers current() {
+                BudgetPeers replaced = budgetPeers;
+                return replaced == null ? network : replaced;
+            }
+        };
+    }
+
+    /** Puts accounts with limits in force, of whose budgets another entry holds a part. */
+    void limitAccounts(String otherEntry, List<Account> accounts) {
+        budgetHomes.setOtherEntries(Set.of(otherEntry));
+        budgets.setAccounts(accounts);
     }
 
     /** Returns how many requests of this entry an upstream has not answered. */
@@ -143,6 +182,18 @@
             Duration timeout,
             Duration objective,
             @Nullable EngineSpec engine) {
+        configure(kind, resumable, maxUpstreams, timeout, objective, engine, List.of(ForwardingFixture.ACCOUNT));
+    }
+
+    /** Puts a configuration with one route and the given accounts in force. */
+    void configure(
+            RequestKind kind,
+            boolean resumable,
+            int maxUpstreams,
+            Duration timeout,
+            Duration objective,
+            @Nullable EngineSpec engine,
+            List<Account> accounts) {
         Route route = new Route(
                 "r",
                 "h",
@@ -157,11 +208,7 @@
                 false,
                 resumable);
         configuration.applyIfNewer(new RoutingTable(
-                1,
-                List.of(route),
-                List.of(new ServiceSpec("s", "/h", 10, engine)),
-                List.of(ForwardingFixture.ACCOUNT),
-                CallerLimits.DEFAULT));
+                1, List.of(route), List.of(new ServiceSpec("s", "/h", 10, engine)), accounts, CallerLimits.DEFAULT));
         freshness.confirm(freshness.now());
     }
 
@@ -170,4 +217,10 @@
         forwarder.handle(new CallerRequest("POST", path, headers, ByteString.copyFromUtf8("order")), caller);
         return caller;
     }
+
+    void send(String path, String key, ForwardingFixture.RecordingCaller caller) {
+        forwarder.handle(
+                new CallerRequest("POST", path, List.of(Map.entry("key", key)), ByteString.copyFromUtf8("order")),
+                caller);
+    }
 }
