Decide on the budget of each waiting request, whatever becomes of its homes and account

Callers saw requests with keys that got no answer, and 429 from an account that had no limit any more.

Cause: a draw of tokens that is in progress is ended by its homes' responses. If asking a home threw, no response was counted, and the draw stayed in progress for ever: every later request of the account joined it and waited. The same held if applying a response or returning tokens threw. When a configuration took the limit from an account, the draw that was in progress went on at homes that held no part any more, granted nothing and refused its requests.

Ruled out: draws that are dropped with their account. Their object lives on in the pending responses, which end in time.

Change: a home that cannot be asked counts as one that does not respond. If a response cannot be applied, the waiting requests are refused. Tokens are returned after the requests are told.

Conclusion: each way out of a draw now completes the requests that wait for it.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountBudgets.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -61,13 +62,20 @@
         this.scheduler = scheduler;
     }
 
-    /** Applies the accounts of a configuration version. */
+    /**
+     * Applies the accounts of a configuration version. Requests that wait for the budget of an account without a limit
+     * are not charged any more.
+     */
     public void setAccounts(List<Account> accounts) {
         homes.setAccounts(accounts);
         Map<String, Account> limited = accounts.stream()
                 .filter(Account::isLimited)
                 .collect(Collectors.toMap(Account::name, Function.identity(), (a, b) -> b));
-        accountDraws.keySet().retainAll(limited.keySet());
+        accountDraws.keySet().stream()
+                .filter(name -> !limited.containsKey(name))
+                .map(accountDraws::remove)
+                .filter(Objects::nonNull)
+                .forEach(AccountDraws::release);
         limited.forEach((name, account) -> accountDraws
                 .computeIfAbsent(
                         name,
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/AccountDraws.java
@@ -1,6 +1,7 @@
 package io.parsleycleat.gateway.request.limits;
 
 import com.google.common.flogger.FluentLogger;
+import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.gateway.version.routes.Account;
 import java.time.Duration;
@@ -133,17 +134,12 @@
                 Duration left = Duration.ofNanos(refuseUntilNanos - now);
                 return CompletableFuture.completedFuture(Optional.of(new AccountBudgets.Shortage(tokens, left)));
             }
-            waiting.addLast(new WaitingRequest(cost, result));
             if (drawInProgress) {
+                waiting.addLast(new WaitingRequest(cost, result));
                 return result;
             }
-            drawInProgress = true;
-            drawCount++;
-            grantedTokens = 0;
-            gainPerSecond = 0;
-            untriedHomes.clear();
-            requestedHomes.clear();
-            addHomes();
+            startDraw(homes.apply(account));
+            waiting.addLast(new WaitingRequest(cost, result));
         }
         drawFromNextHome();
         return result;
@@ -154,6 +150,19 @@
         spentTokensSinceDraw = Math.max(0, spentTokensSinceDraw - cost);
     }
 
+    /** Ends the waiting requests as charged, because the account has no limit any more. */
+    void release() {
+        List<Completion> completions;
+        synchronized (this) {
+            completions = waiting.stream()
+                    .map(w -> new Completion(w, Optional.empty()))
+                    .toList();
+            waiting.clear();
+            drawInProgress = false;
+        }
+        completions.forEach(Completion::complete);
+    }
+
     /** Returns the unspent tokens if the last draw was some time ago, unless a draw is in progress. */
     void returnUnspent() {
         String home;
@@ -190,7 +199,7 @@
             refuseWaiting();
             return;
         }
-        CompletableFuture<BudgetPeers.Grant> response = homeDraw.draw(home, account.name(), needed, prefetch);
+        CompletableFuture<BudgetPeers.Grant> response = requestTokens(home, needed, prefetch);
         response.whenComplete((grant, failure) -> onResponse(home, grant));
         if (!response.isDone()) {
             scheduler.schedule(
@@ -210,8 +219,27 @@
         }
     }
 
-    private void addHomes() {
-        homes.apply(account).stream().filter(requestedHomes::add).forEach(untriedHomes::add);
+    private void startDraw(List<String> firstHomes) {
+        drawInProgress = true;
+        drawCount++;
+        grantedTokens = 0;
+        gainPerSecond = 0;
+        untriedHomes.clear();
+        requestedHomes.clear();
+        firstHomes.stream().filter(requestedHomes::add).forEach(untriedHomes::add);
+    }
+
+    /** Requests tokens from a home; one that cannot be asked counts as one that does not respond. */
+    private CompletableFuture<BudgetPeers.Grant> requestTokens(String home, double needed, double prefetch) {
+        try {
+            return homeDraw.draw(home, account.name(), needed, prefetch);
+        } catch (RuntimeException e) {
+            logger.atSevere()
+                    .withCause(e)
+                    .with(LogKeys.PEER, home)
+                    .log("cannot ask a home of account %s", account.name());
+            return CompletableFuture.failedFuture(e);
+        }
     }
 
     /** Adds the deputy, which replaces a home that does not respond or does not gain tokens. */
@@ -225,6 +253,15 @@
     }
 
     private void onResponse(String home, BudgetPeers.@Nullable Grant grant) {
+        try {
+            applyResponse(home, grant);
+        } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log("draw for account %s failed, refused", account.name());
+            refuseWaiting();
+        }
+    }
+
+    private void applyResponse(String home, BudgetPeers.@Nullable Grant grant) {
         List<Completion> completions;
         synchronized (this) {
             pendingResponses--;
@@ -285,10 +322,10 @@
             unspent = grantedTokens > 0 ? tokens : 0;
             tokens -= unspent;
         }
+        completions.forEach(Completion::complete);
         if (home != null && unspent > 0) {
             homeReturn.returnTokens(home, account.name(), unspent);
         }
-        completions.forEach(Completion::complete);
     }
 
     private Duration retryDelay(double missingTokens) {
