Go on behind a record whose listener fails

What callers saw: nothing yet; a process can stop following the upstreams, the configuration or the other entries, and then sends requests to upstreams that are gone and refuses keys.

Cause: a listener that throws ended the whole read. Its key was marked as read, the records behind it waited for a retry, and in a full read the deletions, which are told last, were never told, since the mirror had dropped these keys already. The log was said not to answer although it did. A listener that threw at the end of the grace after an outage, or a read that threw instead of failing later, left no next read scheduled: the follower stopped for good.

Ruled out: retrying the record. Its key is marked as read before the listener is called, so it never was retried, and a record that cannot be used does not become usable by it.

Change: each call of the listener is made alone. What it throws, also an Error, costs that one record; position, age, deletions and the records around it go on. A read that throws is a failed read.

The fix works since nothing that depends on the content of a record can leave the loop over the records or come between a read and the next one.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
@@ -25,10 +25,14 @@
  * <p>A log that was restored from an older copy is read again as well. The known state stays in use, and its age is not
  * reset until the writers of the lost records have had time to write them again.
  *
+ * <p>A record whose listener fails counts as read, as {@link KeyedLogListener} says, and is logged; the records around
+ * it, the position and the age are as if it had been used.
+ *
  * <p>Created once for each log. Its reads follow one another, on any thread.
  */
 public final class LogFollower {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final byte[] NO_VALUE = {};
     /** Time without an answer after which records of other processes may have expired although the processes run. */
     private static final Duration MIN_OUTAGE = Duration.ofMillis(900);
     /** Reads through another entry do not load the store, so the pause between them is divided by this. */
@@ -41,6 +45,7 @@
     private final ScheduledExecutorService scheduler;
     private final TimeSource time;
     private final Freshness freshness;
+    private final RecordFaultLog faults;
     private final AtomicLong currentGeneration = new AtomicLong();
 
     private final Object lock = new Object();
@@ -70,6 +75,7 @@
         this.scheduler = scheduler;
         this.time = time;
         this.freshness = new Freshness(time);
+        this.faults = new RecordFaultLog(name, time);
         this.lastAnswerNanos = time.monotonicNanos();
     }
 
@@ -142,12 +148,21 @@
         }
         Freshness.Moment sent = freshness.now();
         LogPosition from = position();
-        CompletableFuture<KeyedLog.Records> done = from == null ? readAll() : readUpdates(generation, from);
-        done.orTimeout(settings.maxWait().plus(settings.timeout()).toMillis(), TimeUnit.MILLISECONDS)
+        read(generation, from)
+                .orTimeout(settings.maxWait().plus(settings.timeout()).toMillis(), TimeUnit.MILLISECONDS)
                 .whenComplete((answer, failure) ->
                         onAnswer(generation, sent, answer, failure == null ? null : Failures.unwrap(failure)));
     }
 
+    /** Starts a read. One that throws is a failed read like any other, so that the next one is scheduled. */
+    private CompletableFuture<KeyedLog.Records> read(long generation, @Nullable LogPosition from) {
+        try {
+            return from == null ? readAll() : readUpdates(generation, from);
+        } catch (RuntimeException | Error e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
     private void onAnswer(
             long generation, Freshness.Moment sent, KeyedLog.@Nullable Records answer, @Nullable Throwable failure) {
         if (stopped || currentGeneration.get() != generation) {
@@ -215,7 +230,7 @@
             freshness.confirm(stateTime);
         }
         if (graceOver) {
-            listener.onOutageGraceEnd();
+            notifyGraceEnd();
         }
     }
 
@@ -326,24 +341,31 @@
                 .collect(Collectors.toSet());
         List<String> missing = mirror.deleteMissing(present);
         apply(found);
-        missing.forEach(this::notifyDeleted);
+        missing.forEach(key -> notifyListener(new KeyedRecord(key, NO_VALUE, offset())));
     }
 
     private void apply(List<KeyedRecord> records) {
-        records.stream().filter(mirror::putIfNewer).forEach(r -> {
-            if (r.isTombstone()) {
-                notifyDeleted(r.key());
+        records.stream().filter(mirror::putIfNewer).forEach(this::notifyListener);
+    }
+
+    private void notifyListener(KeyedRecord record) {
+        try {
+            if (record.isTombstone()) {
+                listener.onDelete(record.key(), isInGrace());
             } else {
-                listener.onPut(r.key(), r.value());
+                listener.onPut(record.key(), record.value());
             }
-        });
+            faults.onUsed(record.key());
+        } catch (RuntimeException | Error e) {
+            faults.onFault(record, e);
+        }
     }
 
-    private void notifyDeleted(String key) {
-        boolean afterOutage;
-        synchronized (lock) {
-            afterOutage = inGrace;
+    private void notifyGraceEnd() {
+        try {
+            listener.onOutageGraceEnd();
+        } catch (RuntimeException | Error e) {
+            logger.atWarning().withCause(e).log("%s: removing keys that were not written again failed", name);
         }
-        listener.onDelete(key, afterOutage);
     }
 }
