Take no engine from an odd entry, and hide no engine by one

What callers saw: requests that are sent to an address at which there is no engine, or a service without an engine although its engine runs.

Cause: entries of another writer were accepted though senseless: port 0, an address of any or of many hosts, slots of -4 and of, which make an engine look idle for ever, a start of more digits than a long, which was truncated and may wrap round, versions alike, text for a list, bytes behind the record. An accepted entry with the address of an engine and a start in the future hid that engine from choice; one under the engine's own id replaced it as if it had restarted, closed its connections, and had all its later descriptions ignored as earlier ones. A description that became odd left the old one in use for ever. A listener of the directory that threw kept the change from the listeners behind it.

Ruled out: very deep nesting and very long numbers. A bound on starts by the own clock at decoding: with a wrong clock it would lose all engines. Removing an engine whose entry became odd: removal closes its connections and counts as a crash, although it may run.

An upstream whose newest description cannot be decoded gets no new requests until one can be; it stays known, and its running requests, connections and load stay. The protocol has it so: such an entry names no engine to use, the others hold. Listeners of the directory are told one by one.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
@@ -2,12 +2,15 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.time.TimeSource;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.jspecify.annotations.Nullable;
 
@@ -20,15 +23,36 @@
  * <p>An upstream that starts again at its address, under another id, replaces the earlier one, whose record stays in
  * the store until it expires.
  *
+ * <p>An upstream whose newest description cannot be decoded gets no new requests until one can. It may still run, so it
+ * stays known, and its running requests, connections and load are left alone.
+ *
+ * <p>A start that lies too far ahead to have taken place is earlier than any that may have. Where all starts do,
+ * as when the own clock is wrong, they are compared as they are.
+ *
  * <p>One per process; safe to share between threads.
  */
 public final class UpstreamDirectory {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** More than clocks of VMs differ; a start that lies further ahead of the own clock did not take place. */
+    private static final Duration MAX_CLOCK_DIFFERENCE = Duration.ofDays(1);
+
+    private final TimeSource time;
 
     private final Map<String, Upstream> upstreams = new ConcurrentHashMap<>();
     private final Map<String, Boolean> expiredIds = new ConcurrentHashMap<>();
+    private final Map<String, Boolean> undescribedIds = new ConcurrentHashMap<>();
     private final List<BiConsumer<@Nullable Upstream, @Nullable Upstream>> listeners = new CopyOnWriteArrayList<>();
 
+    /** Creates an empty directory. */
+    public UpstreamDirectory() {
+        this(TimeSource.SYSTEM);
+    }
+
+    /** Creates an empty directory with a source of the time of day. */
+    public UpstreamDirectory(TimeSource time) {
+        this.time = time;
+    }
+
     /**
      * Adds a listener that is called with an upstream's description before and after each change; null where there is
      * none.
@@ -45,12 +69,13 @@
     public void put(Upstream described) {
         expiredIds.remove(described.id());
         Upstream before = upstreams.get(described.id());
-        if (before != null && before.startMillis() > described.startMillis()) {
+        if (before != null && isLaterStart(before, described)) {
             logger.atInfo()
                     .with(LogKeys.UPSTREAM, described.id())
                     .log("a description of the earlier start %d is ignored", described.startMillis());
             return;
         }
+        undescribedIds.remove(described.id());
         boolean stillLeaving = before != null && before.leaving() && before.isSameStart(described);
         Upstream upstream = stillLeaving ? described.asLeaving() : described;
         upstreams.put(upstream.id(), upstream);
@@ -66,9 +91,19 @@
         notifyListeners(before, upstream);
     }
 
+    /** Records that the newest description of an upstream cannot be decoded. */
+    public void markUndescribed(String id) {
+        if (upstreams.containsKey(id) && undescribedIds.put(id, true) == null) {
+            logger.atInfo()
+                    .with(LogKeys.UPSTREAM, id)
+                    .log("upstream gets nothing new until its description can be decoded");
+        }
+    }
+
     /** Removes an upstream that is gone. */
     public void remove(String id) {
         expiredIds.remove(id);
+        undescribedIds.remove(id);
         Upstream before = upstreams.remove(id);
         if (before != null) {
             logger.atInfo().with(LogKeys.UPSTREAM, id).log("upstream of %s is gone", before.service());
@@ -95,10 +130,13 @@
         return Optional.ofNullable(upstreams.get(id));
     }
 
-    /** Returns the upstreams of a service that accept new requests. */
+    /** Returns the upstreams of a service that accept new requests and whose newest description is known. */
     public List<Upstream> usable(String service) {
         return upstreams.values().stream()
-                .filter(u -> !u.leaving() && u.service().equals(service) && !isReplaced(u))
+                .filter(u -> !u.leaving()
+                        && u.service().equals(service)
+                        && !undescribedIds.containsKey(u.id())
+                        && !isReplaced(u))
                 .toList();
     }
 
@@ -109,12 +147,32 @@
 
     private boolean isReplaced(Upstream upstream) {
         return upstreams.values().stream()
-                .anyMatch(o -> o.address().equals(upstream.address()) && o.startMillis() > upstream.startMillis());
+                .anyMatch(o -> o.address().equals(upstream.address()) && isLaterStart(o, upstream));
+    }
+
+    private boolean isLaterStart(Upstream one, Upstream other) {
+        long latest = time.wallMillis() + MAX_CLOCK_DIFFERENCE.toMillis();
+        boolean possible = one.startMillis() <= latest;
+        boolean otherPossible = other.startMillis() <= latest;
+        return possible == otherPossible ? one.startMillis() > other.startMillis() : possible;
     }
 
     private void notifyListeners(@Nullable Upstream before, @Nullable Upstream after) {
         if (!Objects.equals(before, after)) {
-            listeners.forEach(l -> l.accept(before, after));
+            listeners.forEach(l -> notifyListener(l, before, after));
+        }
+    }
+
+    /** Tells one listener. What it throws is logged, so that the others learn of the change as well. */
+    private static void notifyListener(
+            BiConsumer<@Nullable Upstream, @Nullable Upstream> listener,
+            @Nullable Upstream before,
+            @Nullable Upstream after) {
+        try {
+            listener.accept(before, after);
+        } catch (RuntimeException | Error e) {
+            logger.atWarning().atMostEvery(1, TimeUnit.MINUTES).withCause(e).log(
+                    "a listener failed at the change from %s to %s", before, after);
         }
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectoryUpdater.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectoryUpdater.java
@@ -1,19 +1,19 @@
 package io.parsleycleat.gateway.version.upstreams;
 
-import com.google.common.flogger.FluentLogger;
-import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.result.Location;
+import io.parsleycleat.core.process.result.PlatformException;
+import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.gateway.version.follow.KeyedLogListener;
 import java.util.Optional;
 import java.util.function.BiFunction;
 
 /**
- * Applies upstreams' descriptions to the directory. Malformed descriptions change nothing.
+ * Applies upstreams' descriptions to the directory. A malformed description names no upstream to use: one that is
+ * known under its key gets nothing new, and nothing else changes.
  *
  * <p>One per process; called by one follower.
  */
 public final class UpstreamDirectoryUpdater implements KeyedLogListener {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
     private final BiFunction<String, byte[], Optional<Upstream>> decoder;
     private final UpstreamDirectory directory;
 
@@ -30,9 +30,11 @@
 
     @Override
     public void onPut(String key, byte[] value) {
-        decoder.apply(key, value).ifPresentOrElse(directory::put, () -> logger.atWarning()
-                .with(LogKeys.UPSTREAM, key)
-                .log("a description of %d bytes cannot be decoded; ignored", value.length));
+        decoder.apply(key, value).ifPresentOrElse(directory::put, () -> {
+            directory.markUndescribed(key);
+            throw new PlatformException(
+                    ResultCode.PLATFORM_ANSWER_MALFORMED, "it describes no upstream", Location.of(key));
+        });
     }
 
     @Override
