Keep an ended answer at its side until its caller has taken it

Callers who take an answer more slowly than its upstream made it got its first 256 KiB and then nothing, up to the limit of an answer's time, when it was cut.

Cause: a side forgot each run five seconds after its end, whether or not the end had left. Chunks wait there for the caller's credit; a credit for a run that is forgotten does nothing, so that the rest and the end were never sent.

Ruled out: the window and the entry. Credits arrive and are counted; RunResumeTest#answerWaitsForCredit passes, since it takes the rest at once.

Change: an ended run is forgotten after five seconds in which its answer had left, or its connection was lost, or its caller had left, without a change. Otherwise the side looks again. What a run holds stays bounded by 8 MiB, its time by the entry's limit, which cancels it.

This works because only the delivery of the end, or its having no taker, says that nobody will ask again; age says nothing.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunServer.java
@@ -24,8 +24,8 @@
 public final class RunServer {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-    /** How long a run without a connection, or an ended one that was not acknowledged, is kept. */
-    private static final Duration ORPHAN_TIMEOUT = Duration.ofSeconds(5);
+    /** How long a run without a connection is kept, and an ended one after its answer has left. */
+    static final Duration ORPHAN_TIMEOUT = Duration.ofSeconds(5);
 
     private final ScheduledExecutorService scheduler;
     private final RunStarter starter;
@@ -44,6 +44,11 @@
         return runs.values().stream().filter(r -> !r.isDelivered()).count();
     }
 
+    /** Returns how many runs are kept, those that have ended included. */
+    int keptRuns() {
+        return runs.size();
+    }
+
     private void receive(PeerChannel from, RunMessage message) {
         switch (message.getMessageCase()) {
             case START -> start(from, message.getRunId(), message.getStart());
@@ -104,13 +109,20 @@
     }
 
     private void expire(RunId id) {
-        scheduler.schedule(() -> forget(id), ORPHAN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        ServerRun run = runs.get(id);
+        if (run != null) {
+            long seen = run.deliveries();
+            scheduler.schedule(() -> forget(id, run, seen), ORPHAN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        }
     }
 
-    private void forget(RunId id) {
-        ServerRun run = runs.remove(id);
-        if (run != null) {
-            run.channel().ifPresent(channel -> channels.remove(channel, run));
+    /** Forgets an ended run once its answer was settled for the whole time; looks again later otherwise. */
+    private void forget(RunId id, ServerRun run, long seen) {
+        if (!run.isSettled() || run.deliveries() != seen) {
+            expire(id);
+            return;
         }
+        runs.remove(id, run);
+        run.channel().ifPresent(channel -> channels.remove(channel, run));
     }
 }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/ServerRun.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/ServerRun.java
@@ -39,6 +39,7 @@
     private long credit;
     private long consumedBytes;
     private long heldBytes;
+    private long deliveries;
     private boolean endSent;
     private boolean cancelled;
 
@@ -112,6 +113,7 @@
     void attach(PeerChannel newChannel) {
         synchronized (lock) {
             channel = newChannel;
+            deliveries++;
             if (head != null) {
                 send(RunMessage.newBuilder().setHead(head));
             }
@@ -125,6 +127,7 @@
             boolean current = channel == closed;
             if (current) {
                 channel = null;
+                deliveries++;
             }
             return current;
         }
@@ -180,6 +183,20 @@
         }
     }
 
+    /** Returns a number that grows with each connection that is gained or lost, and when the end has left. */
+    long deliveries() {
+        synchronized (lock) {
+            return deliveries;
+        }
+    }
+
+    /** Returns whether nobody is about to take more of an ended answer: it has left, or its entry or caller is gone. */
+    boolean isSettled() {
+        synchronized (lock) {
+            return end != null && (endSent || channel == null || cancelled);
+        }
+    }
+
     Optional<PeerChannel> channel() {
         synchronized (lock) {
             return Optional.ofNullable(channel);
@@ -206,6 +223,7 @@
         }
         if (end != null && !endSent && waiting.isEmpty()) {
             endSent = true;
+            deliveries++;
             send(RunMessage.newBuilder().setEnd(end));
         }
     }
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/version/configuration/VirtualScheduler.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/version/configuration/VirtualScheduler.java
@@ -15,7 +15,7 @@
 import java.util.function.BooleanSupplier;
 
 /** A scheduler whose time only moves when a test says so. Runs everything on the test's thread. */
-final class VirtualScheduler extends AbstractExecutorService implements ScheduledExecutorService, TimeSource {
+public final class VirtualScheduler extends AbstractExecutorService implements ScheduledExecutorService, TimeSource {
     private static final long START_MILLIS = 1_700_000_000_000L;
 
     private final PriorityQueue<Task> tasks =
@@ -46,7 +46,8 @@
         }
     }
 
-    void advance(long millis) {
+    /** Moves time on and runs what is due meanwhile. */
+    public void advance(long millis) {
         long end = nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
         while (!tasks.isEmpty() && tasks.peek().nanos <= end) {
             Task task = tasks.poll();
@@ -59,14 +60,14 @@
     }
 
     /** Moves time in small steps until something holds or the limit is over, and returns whether it holds. */
-    boolean advanceUntil(BooleanSupplier condition, long limitMillis) {
+    public boolean advanceUntil(BooleanSupplier condition, long limitMillis) {
         for (long passed = 0; passed < limitMillis && !condition.getAsBoolean(); passed += 10) {
             advance(10);
         }
         return condition.getAsBoolean();
     }
 
-    <T> T join(CompletableFuture<T> future, long limitMillis) {
+    public <T> T join(CompletableFuture<T> future, long limitMillis) {
         advanceUntil(future::isDone, limitMillis);
         return future.getNow(null);
     }
