Cancel a run for the loss of its own connection only

A run whose connection was lost twice within five seconds could be cancelled fractions of a second after the second loss, while its entry was about to resume it.

Cause: the timer that a loss starts looked whether the run had a connection at its end, not whether it had none all the time. The timer of the first loss so ended a run that had been resumed since and had just lost its next connection.

Ruled out: the entry, which resumes after 200 ms at most 4 times in a row.

Change: the timer counts only for the loss that started it; a connection that is gained or lost meanwhile voids it.

This works because each loss now has its own whole time.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunServer.java
@@ -98,12 +98,14 @@
 
     private void lost(ServerRun run, PeerChannel channel) {
         if (run.detach(channel)) {
-            scheduler.schedule(() -> cancelOrphan(run), ORPHAN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+            long seen = run.deliveries();
+            scheduler.schedule(() -> cancelOrphan(run, seen), ORPHAN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
-    private void cancelOrphan(ServerRun run) {
-        if (run.isDetached() && !run.isEnded()) {
+    /** Cancels a run that had no connection for the whole time. */
+    private void cancelOrphan(ServerRun run, long seen) {
+        if (run.isDetached() && run.deliveries() == seen && !run.isEnded()) {
             run.cancel();
         }
     }
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/run/RunServerTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/run/RunServerTest.java
@@ -12,6 +12,7 @@
 import io.parsleycleat.wire.run.AnswerEnd;
 import io.parsleycleat.wire.run.Cancel;
 import io.parsleycleat.wire.run.Credit;
+import io.parsleycleat.wire.run.Resume;
 import io.parsleycleat.wire.run.RunId;
 import io.parsleycleat.wire.run.RunMessage;
 import io.parsleycleat.wire.run.Start;
@@ -81,6 +82,24 @@
         assertEquals(server.keptRuns(), 0, "runs whose caller left");
     }
 
+    /** Guards against the end of a live run by the timer of an earlier lost connection. */
+    @Test
+    public void runThatWasResumedIsNotCancelledForAnEarlierLoss() {
+        List<String> cancelled = new ArrayList<>();
+        RecordedChannel first = new RecordedChannel();
+        receive(first, RunMessage.newBuilder().setStart(Start.getDefaultInstance()));
+        started.get(0).onCancel(() -> cancelled.add("run"));
+        first.lose();
+        scheduler.advance(RunServer.ORPHAN_TIMEOUT.toMillis() - 1);
+        RecordedChannel second = new RecordedChannel();
+        receive(second, RunMessage.newBuilder().setResume(Resume.getDefaultInstance()));
+        second.lose();
+        scheduler.advance(RunServer.ORPHAN_TIMEOUT.toMillis() - 1);
+        assertEquals(cancelled, List.of(), "cancelled before the time of the second loss was over");
+        scheduler.advance(1);
+        assertEquals(cancelled, List.of("run"));
+    }
+
     private void receive(RecordedChannel from, RunId id) {
         handlers.get(Frame.BodyCase.RUN)
                 .handle(from, frame(RunMessage.newBuilder().setRunId(id).setStart(Start.getDefaultInstance())));
