Count only lost connections in a row before a run is given up

A long answer was broken off at the fifth lost connection, or repeated elsewhere, although its side was alive and had gone on with it after each of the four before.

Cause: the entry counted the connections that a run lost in its whole life, and never began anew.

Ruled out: the side. It resumes a run as often as it is asked to.

Change: whatever arrives from the side for a run sets the count to zero. A side from which nothing arrives is given up as before.

Measured: RunClientTest#answerThatGoesOnAfterEachLostConnectionIsNotGivenUp, seen failing before: expected [20] but found [5]; passes now, and so does sideThatAnswersNothingIsGivenUp. The module's tests pass, with the changes beside it in the tree.

This works because a frame of the run proves that its side is alive and knows it.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunClient.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunClient.java
@@ -32,7 +32,9 @@
     public static final int WINDOW_BYTES = 256 * 1024;
 
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** Connections in a row that a run is resumed after although nothing arrived on them. */
     private static final int MAX_RESUMES = 4;
+
     private static final Duration RESUME_DELAY = Duration.ofMillis(200);
 
     private final PeerClient peers;
@@ -91,7 +93,7 @@
         private boolean ended;
         private boolean startSent;
         private boolean cancelled;
-        private int resumes;
+        private int lossesInARow;
 
         ClientRun(RunId id, String address, RunListener listener) {
             this.id = id;
@@ -128,6 +130,9 @@
         }
 
         void receive(RunMessage message) {
+            synchronized (lock) {
+                lossesInARow = 0;
+            }
             switch (message.getMessageCase()) {
                 case HEAD -> receiveHead(message);
                 case CHUNK -> receiveChunk(message);
@@ -210,8 +215,8 @@
                 if (ended) {
                     return;
                 }
-                resumes++;
-                giveUp = resumes > MAX_RESUMES || cancelled;
+                lossesInARow++;
+                giveUp = lossesInARow > MAX_RESUMES || cancelled;
             }
             if (giveUp) {
                 end(failure(ResultCode.SIDE_LOST, "the side cannot be reached again")
