Start nothing for a request that was ended while its upstream was chosen

A request that was cancelled or answered "not run" while its upstream was being chosen, or while the connection to its side was being made, ran all the same: upstreams worked for nobody, and "not run" was not true.

Cause: whether the caller had left was looked at before the choice only. The cancellation that followed was sent to the side before the start, and a side ignores what belongs to no run; so it did when another thread sent the cancellation between the two. The limit of an answer's time cancelled the run before it had answered, so that the run's own end could have become the answer.

Ruled out: the side. It cancels what it knows.

Change: a request that has ended starts nothing. A run that is cancelled before its start was sent ends at once, as not run, and sends none. Start and cancellation are handed to the connection in order. The limit answers first and cancels then.

Measured: RequestRunTest, seen failing before: requestWhoseCallerLeftDuringTheChoiceIsNotStarted CALLER_GONE != DONE, requestThatWasRefusedDuringTheChoiceIsNotStarted expected [0] but found [2], runThatIsCancelledBeforeItsConnectionIsThereIsNotStarted expected [0] but found [1]; all pass now. The module's tests pass.

This works because the decision to end a request and the sending of its start now exclude each other under one lock.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunClient.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunClient.java
@@ -106,12 +106,19 @@
             send(RunMessage.newBuilder().setCredit(Credit.newBuilder().setBytes(bytes)));
         }
 
+        /** Cancels the run at its side, or ends it at once when nothing was sent to the side yet. */
         @Override
         public void cancel(String reason) {
+            boolean sent;
             synchronized (lock) {
                 cancelled = true;
+                sent = startSent;
+            }
+            if (sent) {
+                send(RunMessage.newBuilder().setCancel(Cancel.newBuilder().setReason(reason)));
+            } else {
+                end(failure(ResultCode.CALLER_GONE, reason).build());
             }
-            send(RunMessage.newBuilder().setCancel(Cancel.newBuilder().setReason(reason)));
         }
 
         void open(RunMessage first) {
@@ -121,10 +128,14 @@
                     return;
                 }
                 synchronized (lock) {
+                    if (ended) {
+                        return;
+                    }
                     startSent = true;
                     current = channel;
+                    // Under the lock, so that a cancellation cannot overtake the start.
+                    channel.send(Frame.newBuilder().setRun(first).build());
                 }
-                channel.send(Frame.newBuilder().setRun(first).build());
                 channels.add(channel, this);
             });
         }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
@@ -124,6 +124,10 @@
     private void startAt(Selection chosen) {
         Start start;
         synchronized (lock) {
+            if (cancelled || finished) {
+                finish(end(Refusal.of(ResultCode.CALLER_GONE)));
+                return;
+            }
             attempts++;
             start = template.toBuilder()
                     .setAttempt(attempts)
@@ -222,10 +226,10 @@
             cancelled = true;
             run = current;
         }
+        finish(end(Refusal.of(run == null ? ResultCode.DEADLINE_UNREACHABLE : ResultCode.DEADLINE_PASSED)));
         if (run != null) {
             run.cancel("the answer took too long");
         }
-        finish(end(Refusal.of(run == null ? ResultCode.DEADLINE_UNREACHABLE : ResultCode.DEADLINE_PASSED)));
     }
 
     private boolean isFinished() {
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/peer/FakeSides.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/peer/FakeSides.java
@@ -12,18 +12,25 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import org.jspecify.annotations.Nullable;
 
 /** Sides that a test scripts: each run that starts is answered by the function registered for its address. */
 public final class FakeSides implements PeerClient, FrameRouter {
     private final Map<Frame.BodyCase, FrameHandler> handlers = new HashMap<>();
     private final Map<String, BiConsumer<RunMessage, Channel>> sides = new HashMap<>();
     private final List<RunMessage> sent = new ArrayList<>();
+    private @Nullable CompletableFuture<PeerChannel> delayed;
 
     /** Adds a side. */
     public void add(String address, BiConsumer<RunMessage, Channel> script) {
         sides.put(address, script);
     }
 
+    /** Lets every later connection wait for this one. */
+    public void delay(CompletableFuture<PeerChannel> connection) {
+        delayed = connection;
+    }
+
     /** Returns every message that was sent, in order. */
     public List<RunMessage> sent() {
         return sent;
@@ -46,6 +53,9 @@
 
     @Override
     public CompletableFuture<PeerChannel> connect(String peerAddress) {
+        if (delayed != null) {
+            return delayed;
+        }
         BiConsumer<RunMessage, Channel> script = sides.get(peerAddress);
         return script == null
                 ? CompletableFuture.failedFuture(
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
@@ -5,6 +5,7 @@
 
 import com.google.protobuf.ByteString;
 import io.parsleycleat.core.connection.peer.FakeSides;
+import io.parsleycleat.core.connection.peer.PeerChannel;
 import io.parsleycleat.core.connection.platform.Vm;
 import io.parsleycleat.core.connection.run.RunClient;
 import io.parsleycleat.core.connection.run.RunHandle;
@@ -21,6 +22,7 @@
 import io.parsleycleat.core.request.routing.UpstreamSelector;
 import io.parsleycleat.core.request.trace.TraceStore;
 import io.parsleycleat.core.version.configuration.FixedConfiguration;
+import io.parsleycleat.core.version.configuration.VirtualScheduler;
 import io.parsleycleat.wire.run.AnswerChunk;
 import io.parsleycleat.wire.run.AnswerEnd;
 import io.parsleycleat.wire.run.AnswerHead;
@@ -35,20 +37,25 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 public class RequestRunTest {
+    private static final Duration MAX_ANSWER = Duration.ofMinutes(1);
+
     private FakeSides sides;
     private ScheduledExecutorService scheduler;
     private final RecordingSink sink = new RecordingSink();
+    private Supplier<CompletableFuture<Either<Refusal, Long>>> renewal;
 
     @BeforeMethod
     public void prepare() {
         sides = new FakeSides();
         scheduler = Executors.newSingleThreadScheduledExecutor();
+        renewal = () -> CompletableFuture.completedFuture(Either.right(2L));
     }
 
     @AfterMethod
@@ -157,6 +164,49 @@
         assertEquals(sides.sent().size(), 2);
     }
 
+    /** Guards against work for nobody: a start that follows the caller's leaving while an upstream was chosen. */
+    @Test
+    public void requestWhoseCallerLeftDuringTheChoiceIsNotStarted() {
+        sides.add("side-1", completing("for nobody"));
+        CompletableFuture<Either<Refusal, Selection>> choice = new CompletableFuture<>();
+        RequestRun run = create(true, request -> choice, scheduler);
+        run.start();
+        run.cancel();
+        choice.complete(Either.right(selection("side-1")));
+        assertEquals(sink.ends, List.of(ResultCode.CALLER_GONE));
+        assertEquals(sides.sent(), List.of());
+    }
+
+    /** Guards against a request that runs after it was answered that it did not run. */
+    @Test
+    public void requestThatWasRefusedDuringTheChoiceIsNotStarted() {
+        sides.add("side-1", completing("late"));
+        VirtualScheduler virtual = new VirtualScheduler();
+        CompletableFuture<Either<Refusal, Selection>> choice = new CompletableFuture<>();
+        create(false, request -> choice, virtual).start();
+        virtual.advance(MAX_ANSWER.toMillis());
+        assertEquals(sink.ends, List.of(ResultCode.DEADLINE_UNREACHABLE));
+        choice.complete(Either.right(selection("side-1")));
+        assertEquals(sides.sent(), List.of());
+        assertEquals(sink.ends.size(), 1);
+    }
+
+    /** Guards against a start that reaches the side behind the message that cancels it. */
+    @Test
+    public void runThatIsCancelledBeforeItsConnectionIsThereIsNotStarted() {
+        CompletableFuture<PeerChannel> connection = new CompletableFuture<>();
+        sides.add("side-1", completing("for nobody"));
+        PeerChannel channel = sides.connect("side-1").join();
+        sides.delay(connection);
+        RequestRun run = create(
+                true, request -> CompletableFuture.completedFuture(Either.right(selection("side-1"))), scheduler);
+        run.start();
+        run.cancel();
+        connection.complete(channel);
+        assertEquals(sides.sent().stream().filter(RunMessage::hasStart).toList(), List.of());
+        assertEquals(sink.ends, List.of(ResultCode.CALLER_GONE));
+    }
+
     @Test
     public void retriesEndWithTheBudget() {
         RetryBudget budget = new RetryBudget(0);
@@ -166,29 +216,27 @@
     }
 
     private void start(boolean idempotent) {
-        RunClient runs = new RunClient(sides, sides, scheduler, 1);
-        RunContext tools = new RunContext(
-                new FirstAllowed(),
-                runs,
-                new RetryBudget(1),
-                suspects(),
-                scheduler,
-                TimeSource.SYSTEM,
-                Duration.ofMinutes(1));
+        create(idempotent, new FirstAllowed(), scheduler).start();
+    }
+
+    private RequestRun create(boolean idempotent, UpstreamSelector selector, ScheduledExecutorService timers) {
+        RunClient runs = new RunClient(sides, sides, timers, 1);
+        RunContext tools =
+                new RunContext(selector, runs, new RetryBudget(1), suspects(), timers, TimeSource.SYSTEM, MAX_ANSWER);
         SelectionRequest request = new SelectionRequest(
                 "a", false, new AdapterVersion("x", "1"), "m", "", 0, "", Set.of(), Duration.ofSeconds(30));
-        new RequestRun(
-                        tools,
-                        Start.newBuilder()
-                                .setIdempotent(idempotent)
-                                .setEscrowEpoch(1)
-                                .build(),
-                        () -> CompletableFuture.completedFuture(Either.right(2L)),
-                        request,
-                        new TraceStore(TimeSource.SYSTEM).begin("r"),
-                        sink,
-                        Duration.ofSeconds(30))
-                .start();
+        return new RequestRun(
+                tools,
+                Start.newBuilder().setIdempotent(idempotent).setEscrowEpoch(1).build(),
+                () -> renewal.get(),
+                request,
+                new TraceStore(TimeSource.SYSTEM).begin("r"),
+                sink,
+                Duration.ofSeconds(30));
+    }
+
+    private static Selection selection(String side) {
+        return new Selection(new Vm(side, ProcessRole.SIDE, side, "dc", "r", side, false), "test");
     }
 
     private SuspectRouting suspects() {
@@ -239,8 +287,7 @@
             return CompletableFuture.completedFuture(Stream.of("side-1", "side-2")
                     .filter(s -> !request.excludedUpstreams().contains(s))
                     .findFirst()
-                    .<Either<Refusal, Selection>>map(s ->
-                            Either.right(new Selection(new Vm(s, ProcessRole.SIDE, s, "dc", "r", s, false), "test")))
+                    .<Either<Refusal, Selection>>map(s -> Either.right(selection(s)))
                     .orElseGet(() -> Either.left(Refusal.of(ResultCode.NO_UPSTREAM))));
         }
     }
