Answer a request whose service or answer fails unexpectedly

What callers saw: their connection closed, or stayed open without an answer for ever, when the service threw or an action of the answer did, such as a header of an upstream that may not be sent.

Cause: what the service threw reached exceptionCaught, which closed the connection; for a pipelined request it was thrown in the listener of the write before it, where Netty logs it and nothing else happens. Actions that the exchange passes to the loop (the answer, its head, callbacks of parts, actions for a caller that left) were run by the loop, which logs what is thrown. A head counted as sent before it was built.

Ruled out: the codec; it reports what it cannot read as a result of the message and does not throw.

Change: each action of an exchange and the call of the service run in a guard. A failure is logged at severe with an id that the answer carries, and ends the answer: with 500 as long as no part has left, else by cutting it. For the service it is then as if the caller had left, so that it ends its work and its counts. A failure while reading lets a running request end and closes the connection behind its answer. Errors of the socket still close it.

Why this works: every action between the last byte and the answer's end runs in the guard, on the loop that owns the answer's state, so one of answer, error and cut follows.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
@@ -21,6 +21,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -49,6 +50,8 @@
     private @Nullable NettyCallerExchange exchange;
     private @Nullable ScheduledFuture<?> timer;
     private boolean refused;
+    /** Whether reading has failed while a request runs; nothing more is read once it is answered. */
+    private boolean unreadable;
 
     CallerHandler(
             CallerLimits limits,
@@ -74,7 +77,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-        if (refused) {
+        if (refused || unreadable) {
             return;
         }
         if (exchange != null) {
@@ -99,12 +102,20 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (exchange == null) {
-            logger.atFine().log("connection of a caller closed: %s", cause);
+        if (cause instanceof IOException) {
+            logger.atFine().log("connection of a caller broke: %s", cause);
+            context.close();
+            return;
+        }
+        logger.atSevere().withCause(cause).log(
+                "unexpected failure on a caller's connection, request %s", exchange == null ? "not run" : "running");
+        if (exchange != null) {
+            unreadable = true;
+        } else if (head != null) {
+            refuse(context, Refusal.of(ResultCode.FAILURE_BEFORE_RUN));
         } else {
-            logger.atWarning().withCause(cause).log("connection of a caller closed with a request on it");
+            context.close();
         }
-        context.close();
     }
 
     // Reading
@@ -161,20 +172,27 @@
         body = null;
         NettyCallerExchange current = newExchange(context, request, HttpUtil.isKeepAlive(request));
         exchange = current;
-        service.handle(
-                new CallerRequest(
-                        request.method().name(),
-                        request.uri(),
-                        request.headers().entries(),
-                        content),
-                current);
+        CallerRequest whole;
+        try {
+            whole = new CallerRequest(
+                    request.method().name(), request.uri(), request.headers().entries(), content);
+        } catch (RuntimeException | Error e) {
+            current.fail(e, ResultCode.FAILURE_BEFORE_RUN);
+            return;
+        }
+        try {
+            service.handle(whole, current);
+        } catch (RuntimeException | Error e) {
+            // The service may have passed the request on before it failed. What it has sent to the exchange goes first.
+            context.executor().execute(() -> current.fail(e, ResultCode.FAILURE_UNEXPECTED));
+        }
     }
 
     private NettyCallerExchange newExchange(ChannelHandlerContext context, HttpRequest request, boolean keepAlive) {
         return new NettyCallerExchange(
                 context,
                 http2,
-                () -> keepAlive && !draining.getAsBoolean(),
+                () -> keepAlive && !unreadable && !draining.getAsBoolean(),
                 HttpMethod.HEAD.equals(request.method()),
                 () -> answered(context));
     }
@@ -190,8 +208,13 @@
         startTimer(context, limits.idleTimeout(), context::close);
         while (exchange == null && !pipelined.isEmpty()) {
             HttpObject next = pipelined.remove();
-            read(context, next);
-            ReferenceCountUtil.release(next);
+            try {
+                read(context, next);
+            } catch (RuntimeException | Error e) {
+                exceptionCaught(context, e);
+            } finally {
+                ReferenceCountUtil.release(next);
+            }
         }
     }
 
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/ErrorAnswer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/ErrorAnswer.java
@@ -20,11 +20,19 @@
 
     /** Sends a refusal as the whole answer. */
     public static void send(CallerExchange exchange, String requestId, Refusal refusal) {
+        exchange.respond(
+                refusal.code().httpStatus(),
+                headers(requestId, refusal),
+                ByteString.copyFromUtf8(body(requestId, refusal)));
+    }
+
+    /** Returns the headers that go with the JSON text of a refusal. */
+    static List<Map.Entry<String, String>> headers(String requestId, Refusal refusal) {
         List<Map.Entry<String, String>> headers = new ArrayList<>();
         headers.add(JSON_CONTENT);
         headers.add(Map.entry("x-request-id", requestId));
         refusal.retry().ifPresent(retry -> headers.add(Map.entry("retry-after", seconds(retry.toMillis()))));
-        exchange.respond(refusal.code().httpStatus(), headers, ByteString.copyFromUtf8(body(requestId, refusal)));
+        return headers;
     }
 
     /** Returns the JSON text of a refusal. */
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/NettyCallerExchange.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/NettyCallerExchange.java
@@ -1,5 +1,6 @@
 package io.parsleycleat.core.connection.caller;
 
+import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -18,19 +19,28 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
 import io.netty.handler.codec.http2.Http2Error;
+import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.result.ResultCode;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.UUID;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 /**
  * The answer to one request on a Netty channel.
  *
+ * <p>An unexpected failure of one of its actions ends the answer: as an error as long as nothing of it has left, else
+ * by closing the connection or stream.
+ *
  * <p>Created by {@link CallerHandler} for each request. Its state is used on the channel's event loop only; calls from
  * other threads are passed there in order.
  */
 final class NettyCallerExchange implements CallerExchange {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     private enum State {
         WAITING,
         STARTED,
@@ -68,19 +78,9 @@
     @Override
     public void respond(int status, List<Map.Entry<String, String>> headers, ByteString body) {
         onLoop(() -> {
-            if (state != State.WAITING) {
-                return;
+            if (state == State.WAITING) {
+                finish(whole(status, headers, body));
             }
-            ByteBuf content = Unpooled.wrappedBuffer(body.asReadOnlyByteBuffer());
-            FullHttpResponse response = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(status),
-                    headRequest ? Unpooled.EMPTY_BUFFER : content);
-            headers.forEach(h -> response.headers().add(h.getKey(), h.getValue()));
-            if (!headRequest || !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-                HttpUtil.setContentLength(response, content.readableBytes());
-            }
-            finish(response);
         });
     }
 
@@ -90,13 +90,13 @@
             if (state != State.WAITING) {
                 return;
             }
-            state = State.STARTED;
             HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
             headers.forEach(h -> response.headers().add(h.getKey(), h.getValue()));
             if (!http2) {
                 HttpUtil.setTransferEncodingChunked(response, !HttpUtil.isContentLengthSet(response));
                 setConnection(response);
             }
+            state = State.STARTED;
             context.writeAndFlush(response);
         });
     }
@@ -113,9 +113,9 @@
     private void writeNow(ByteString part, Runnable written) {
         if (state == State.STARTED) {
             ByteBuf content = Unpooled.wrappedBuffer(part.asReadOnlyByteBuffer());
-            context.writeAndFlush(new DefaultHttpContent(content)).addListener(f -> written.run());
+            context.writeAndFlush(new DefaultHttpContent(content)).addListener(f -> run(written));
         } else {
-            written.run();
+            run(written);
         }
     }
 
@@ -131,15 +131,8 @@
     @Override
     public void abort() {
         onLoop(() -> {
-            if (state == State.ENDED) {
-                return;
-            }
-            state = State.ENDED;
-            if (http2) {
-                context.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.INTERNAL_ERROR))
-                        .addListener(ChannelFutureListener.CLOSE);
-            } else {
-                context.close();
+            if (state != State.ENDED) {
+                cut();
             }
         });
     }
@@ -160,14 +153,67 @@
     void callerLeft() {
         if (state != State.ENDED) {
             state = State.ENDED;
-            gone = true;
-            goneActions.forEach(Runnable::run);
-            goneActions.clear();
+            runGoneActions();
+        }
+    }
+
+    /** Ends the answer because of an unexpected failure. For the service it is as if the caller had left. */
+    void fail(Throwable failure, ResultCode code) {
+        String id = UUID.randomUUID().toString();
+        logger.atSevere()
+                .withCause(failure)
+                .with(LogKeys.REQUEST, id)
+                .with(LogKeys.CODE, code.number())
+                .log("unexpected failure, answer %s", state);
+        if (state == State.ENDED) {
+            return;
+        }
+        List<Runnable> actions = List.copyOf(goneActions);
+        if (state == State.WAITING) {
+            Refusal refusal = Refusal.of(code);
+            finish(whole(
+                    code.httpStatus(),
+                    ErrorAnswer.headers(id, refusal),
+                    ByteString.copyFromUtf8(ErrorAnswer.body(id, refusal))));
+        } else {
+            cut();
         }
+        goneActions.addAll(actions);
+        runGoneActions();
     }
 
     // Internals
 
+    private FullHttpResponse whole(int status, List<Map.Entry<String, String>> headers, ByteString body) {
+        ByteBuf content = Unpooled.wrappedBuffer(body.asReadOnlyByteBuffer());
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                headRequest ? Unpooled.EMPTY_BUFFER : content);
+        headers.forEach(h -> response.headers().add(h.getKey(), h.getValue()));
+        if (!headRequest || !response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            HttpUtil.setContentLength(response, content.readableBytes());
+        }
+        return response;
+    }
+
+    private void cut() {
+        state = State.ENDED;
+        if (http2) {
+            context.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.INTERNAL_ERROR))
+                    .addListener(ChannelFutureListener.CLOSE);
+        } else {
+            context.close();
+        }
+    }
+
+    private void runGoneActions() {
+        gone = true;
+        List<Runnable> actions = List.copyOf(goneActions);
+        goneActions.clear();
+        actions.forEach(this::run);
+    }
+
     private void finish(Object last) {
         state = State.ENDED;
         goneActions.clear();
@@ -194,7 +240,15 @@
         queued.incrementAndGet();
         context.executor().execute(() -> {
             queued.decrementAndGet();
-            action.run();
+            run(action);
         });
     }
+
+    private void run(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException | Error e) {
+            fail(e, ResultCode.FAILURE_UNEXPECTED);
+        }
+    }
 }
