--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentUpstreamTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentUpstreamTest.java
@@ -53,7 +53,7 @@
         };
     }
 
-    private static void await(CountDownLatch moment) {
+    static void await(CountDownLatch moment) {
         try {
             moment.await();
         } catch (InterruptedException e) {
