End calls whose connection closes before the request is written

What callers saw: a read of the store, or another call by the HTTP client, to which nothing answers and whose connection is closed, ended only at its timeout: 1.5 s for calls of the store, the whole long poll and 0.8 s for reads. In the test of endless answers, whose timeout is ten minutes, the read seemed never to end.

Cause: the client starts to read from a new connection when it is open, but only afterwards adds its own listener to the connect, on the caller's thread. When that thread runs late, bytes or a close that arrive first belong to no call: the client closes the connection, finds no call to tell, and then, in writeRequest, skips a connection that is not active and leaves the call to a close event that has passed. It needs a server that closes, resets or sends before it has read the request, and a caller on another thread than the event loop.

Ruled out: exceptions of the answer's handler (readFailed aborts the call); a close beside the completion (all on one event loop); a timeout that is not armed (it is, before the connect); connections from the pool (the client looks whether they are open after it has registered the call).

Change: each call checks its new connection on the event loop just before the client writes the request; one that is closed fails the call at once, as a connection that was not made, so that the request counts as not run. Health checks and reports of engines in the core now use the same bounded answers.

Why it works: closes happen on the event loop, so none fits between the check and the registration of the call.

Measured: EarlyCloseTest makes the caller's thread run late. Seen failing before the change in 8 of 8 cases: "the connection is closed and the call goes on expected [true] but found [false]"; with it all pass.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/EngineStreamReader.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/EngineStreamReader.java
@@ -2,17 +2,20 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.parsleycleat.core.process.result.Location;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.process.result.UpstreamException;
 import java.io.ByteArrayOutputStream;
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.HttpResponseBodyPart;
 import org.asynchttpclient.HttpResponseStatus;
+import org.asynchttpclient.ListenableFuture;
 import org.asynchttpclient.netty.request.NettyRequest;
 import org.jspecify.annotations.Nullable;
 
@@ -30,6 +33,7 @@
 
     private final String source;
     private final EngineAnswer answer;
+    private final EarlyClose earlyClose = new EarlyClose();
     private final AtomicBoolean ended = new AtomicBoolean();
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private volatile boolean detached;
@@ -41,11 +45,21 @@
         this.answer = answer;
     }
 
+    /** Fails the run if its connection is closed before the request was written on it. */
+    void watch(ListenableFuture<@Nullable Void> call) {
+        earlyClose.watch(call);
+    }
+
     void detach() {
         detached = true;
         ended.set(true);
     }
 
+    @Override
+    public void onTcpConnectSuccess(InetSocketAddress remote, Channel connection) {
+        earlyClose.onConnected(remote, connection);
+    }
+
     @Override
     public void onRequestSend(NettyRequest request) {
         sent = true;
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/HttpModelEngine.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/HttpModelEngine.java
@@ -25,6 +25,9 @@
     static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(30);
     private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(2);
+    /** A state lists the adapters that are loaded, a refusal tells its reason. */
+    private static final long MAX_ANSWER_BYTES = 4L * 1024 * 1024;
+
     private static final int STATUS_OK = 200;
     private static final int STATUS_CONFLICT = 409;
 
@@ -91,7 +94,7 @@
     private EngineHandle stream(RequestBuilder request, EngineAnswer answer) {
         request.setRequestTimeout(runTimeout).setReadTimeout(runTimeout);
         EngineStreamReader reader = new EngineStreamReader(base.toString(), answer);
-        http.executeRequest(request, reader);
+        reader.watch(http.executeRequest(request, reader));
         return reader::detach;
     }
 
@@ -136,14 +139,13 @@
     }
 
     private CompletableFuture<Response> execute(RequestBuilder request, Duration timeout) {
-        return http.executeRequest(request.setRequestTimeout(timeout).setReadTimeout(timeout))
-                .toCompletableFuture()
-                .handle((response, failure) -> {
-                    if (failure != null) {
-                        throw failure(ResultCode.UPSTREAM_OUT, "", String.valueOf(failure.getMessage()));
-                    }
-                    return response;
-                });
+        RequestBuilder bounded = request.setRequestTimeout(timeout).setReadTimeout(timeout);
+        return LimitedAnswer.of(http, bounded.build(), MAX_ANSWER_BYTES).handle((response, failure) -> {
+            if (failure != null) {
+                throw failure(ResultCode.UPSTREAM_OUT, "", String.valueOf(failure.getMessage()));
+            }
+            return response;
+        });
     }
 
     private JsonNode parse(String json) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/HttpPlainService.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/HttpPlainService.java
@@ -1,10 +1,12 @@
 package io.parsleycleat.core.connection.upstream;
 
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.parsleycleat.core.process.result.Location;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.process.result.UpstreamException;
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
 import java.util.List;
@@ -26,6 +28,7 @@
  */
 public final class HttpPlainService implements PlainService {
     private static final Duration CHECK_TIMEOUT = Duration.ofSeconds(2);
+    private static final long MAX_CHECK_BYTES = 1024L * 1024;
     private static final int STATUS_SERVER_ERROR = 500;
 
     private final AsyncHttpClient http;
@@ -41,14 +44,13 @@
 
     @Override
     public CompletableFuture<Void> check() {
-        return http.executeRequest(
-                        new RequestBuilder("GET").setUrl(base + "/health").setRequestTimeout(CHECK_TIMEOUT))
-                .toCompletableFuture()
-                .thenAccept(response -> {
-                    if (response.getStatusCode() >= STATUS_SERVER_ERROR) {
-                        throw failure(ResultCode.UPSTREAM_OUT, "HTTP status " + response.getStatusCode());
-                    }
-                });
+        RequestBuilder request =
+                new RequestBuilder("GET").setUrl(base + "/health").setRequestTimeout(CHECK_TIMEOUT);
+        return LimitedAnswer.of(http, request.build(), MAX_CHECK_BYTES).thenAccept(response -> {
+            if (response.getStatusCode() >= STATUS_SERVER_ERROR) {
+                throw failure(ResultCode.UPSTREAM_OUT, "HTTP status " + response.getStatusCode());
+            }
+        });
     }
 
     @Override
@@ -59,7 +61,8 @@
                 .setReadTimeout(timeout)
                 .setBody(request.body().toByteArray());
         request.headers().forEach(h -> builder.addHeader(h.getKey(), h.getValue()));
-        http.executeRequest(builder, new AnswerReader(answer));
+        AnswerReader reader = new AnswerReader(answer);
+        reader.earlyClose.watch(http.executeRequest(builder, reader));
     }
 
     private UpstreamException failure(ResultCode code, String detail) {
@@ -69,6 +72,7 @@
     /** Passes one answer on. Created for each call; used by one thread at a time. */
     private final class AnswerReader implements AsyncHandler<@Nullable Void> {
         private final ServiceAnswer answer;
+        private final EarlyClose earlyClose = new EarlyClose();
         private final AtomicBoolean ended = new AtomicBoolean();
         private volatile boolean sent;
         private int status;
@@ -77,6 +81,11 @@
             this.answer = answer;
         }
 
+        @Override
+        public void onTcpConnectSuccess(InetSocketAddress remote, Channel connection) {
+            earlyClose.onConnected(remote, connection);
+        }
+
         @Override
         public void onRequestSend(org.asynchttpclient.netty.request.NettyRequest request) {
             sent = true;
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/LimitedAnswer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/LimitedAnswer.java
@@ -1,6 +1,8 @@
 package io.parsleycleat.core.connection.upstream;
 
+import io.netty.channel.Channel;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import org.asynchttpclient.AsyncCompletionHandlerBase;
 import org.asynchttpclient.AsyncHttpClient;
@@ -14,6 +16,7 @@
  * <p>Created for each call; used by the client's threads one after the other.
  */
 public final class LimitedAnswer extends AsyncCompletionHandlerBase {
+    private final EarlyClose earlyClose = new EarlyClose();
     private final long maxBytes;
     private long bytes;
 
@@ -23,7 +26,13 @@
 
     /** Sends a request; the call fails, and its connection is closed, when the answer's body is above a size. */
     public static CompletableFuture<Response> of(AsyncHttpClient http, Request request, long maxBytes) {
-        return http.executeRequest(request, new LimitedAnswer(maxBytes)).toCompletableFuture();
+        LimitedAnswer answer = new LimitedAnswer(maxBytes);
+        return answer.earlyClose.watch(http.executeRequest(request, answer)).toCompletableFuture();
+    }
+
+    @Override
+    public void onTcpConnectSuccess(InetSocketAddress remote, Channel connection) {
+        earlyClose.onConnected(remote, connection);
     }
 
     @Override
