--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
@@ -307,11 +307,17 @@
                         new IllegalStateException("the log was restored while its pages were read"));
             }
             found.addAll(page.records());
-            if (!page.hasMore() || page.records().isEmpty()) {
+            if (!page.hasMore()) {
                 return CompletableFuture.completedFuture(end);
             }
-            KeyedRecord last = page.records().get(page.records().size() - 1);
-            return readPages(last.key(), end, found);
+            String lastKey = page.records().stream()
+                    .reduce((earlier, later) -> later)
+                    .map(KeyedRecord::key)
+                    .orElse(afterKey);
+            return lastKey.equals(afterKey)
+                    ? CompletableFuture.failedFuture(
+                            new IllegalStateException("a page of more records leads no further than " + afterKey))
+                    : readPages(lastKey, end, found);
         });
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/OddRecordFollowTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/OddRecordFollowTest.java
@@ -1,6 +1,7 @@
 package io.parsleycleat.gateway.version;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.parsleycleat.core.process.result.LogTrimmedException;
@@ -25,6 +26,7 @@
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import java.util.stream.IntStream;
+import org.jspecify.annotations.Nullable;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -50,6 +52,8 @@
         private final TreeMap<String, KeyedRecord> newest = new TreeMap<>();
         private int firstOffset;
         private int readsThatThrow;
+        private int pageReads;
+        private @Nullable List<KeyedRecord> stuckPage;
         private boolean down;
 
         void add(String key, String value) {
@@ -69,6 +73,12 @@
 
         @Override
         public CompletableFuture<NewestPage> readNewest(String afterKey) {
+            pageReads++;
+            List<KeyedRecord> stuck = pageReads > 1_000 ? null : stuckPage;
+            if (stuck != null) {
+                return CompletableFuture.completedFuture(
+                        new NewestPage(stuck, true, new LogPosition(0, records.size())));
+            }
             return CompletableFuture.completedFuture(
                     new NewestPage(List.copyOf(newest.values()), false, new LogPosition(0, records.size())));
         }
@@ -301,4 +311,25 @@
         }
         scheduler.runFor(Duration.ofSeconds(2));
     }
+
+    /** Guards against a page that says that more follows but leads no further: its read never ends, or deletes keys. */
+    @Test
+    public void pageThatLeadsNoFurtherFailsTheReadAndDeletesNothing() {
+        log.add("a", "1");
+        log.add("b", "1");
+        follower.start();
+        log.trim();
+        for (List<KeyedRecord> stuck :
+                List.of(List.<KeyedRecord>of(), List.copyOf(log.newest.values()).subList(0, 1))) {
+            log.stuckPage = stuck;
+            log.pageReads = 0;
+            scheduler.runFor(Duration.ofSeconds(2));
+            assertTrue(log.pageReads < 30, log.pageReads + " pages read");
+            assertFalse(follower.isFullyRead());
+            assertEquals(state, Map.of("a", "1", "b", "1"));
+        }
+        log.stuckPage = null;
+        scheduler.runFor(Duration.ofSeconds(1));
+        assertFollowing();
+    }
 }
