Let the limits of open connections follow the configuration

What callers saw: after a change of the configuration a connection that they might still use was closed, and requests within the new limits were refused with 413 or 431 and their connection closed.

Cause: a connection kept the idle timeout and the limits of headers and bodies of the configuration in which it was opened. Callers go by the newest one. HTTP/2 connections that came by an upgrade were never closed when idle; on those by prior knowledge the idle timer saw no requests, as it stood behind the codec.

Ruled out: closing connections at a change, so that none keeps old limits; that would cut what is on them.

Change: the idle timer reads the timeout again when it fires and waits for the rest if it was raised. The limits of bodies and headers are read at each request; a limit of bodies that is raised while one arrives holds for it, a lowered one does not. Answers on a kept HTTP/1.1 connection tell the idle timeout in a Keep-Alive header, in whole seconds and not below one. A connection is closed a second later than it was told, and than the timeout in force, so that the last request that its caller may send does not meet the close, and a lowered timeout closes no connection sooner than its caller knows. The timer of an HTTP/2 connection stands in front of the codec and covers both ways to HTTP/2.

What stays as at the start of a connection: Netty fixes the size of headers that the decoder takes; it is now at least 64 KiB, so that a raised limit up to there holds. The body of a request that asks for an upgrade, always the first of its connection, is bounded by the limit at its start. The number of connections is read once, as before.

Why this works: caller and server go by the same limits at the same request, and where the server learns of a change late or early, the caller's last knowledge wins.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
@@ -25,9 +25,11 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -37,9 +39,16 @@
  */
 final class CallerHandler extends SimpleChannelInboundHandler<HttpObject> {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** How much longer than its caller knows a connection may be idle, so that the last request it may send arrives. */
+    static final Duration IDLE_CLOSE_MARGIN = Duration.ofSeconds(1);
+
     private static final int MAX_PIPELINED_OBJECTS = 64;
+    /** What separates the name of a header from its value. */
+    private static final int HEADER_SEPARATOR_BYTES = 2;
+    /** Names of headers that the HTTP/2 codec adds. */
+    private static final String HTTP2_CODEC_PREFIX = "x-http2-";
 
-    private final CallerLimits limits;
+    private final Supplier<CallerLimits> limits;
     private final CallerService service;
     private final boolean http2;
     private final ConnectionRegistry.@Nullable Entry connection;
@@ -49,12 +58,23 @@
     private ByteString.@Nullable Output body;
     private @Nullable NettyCallerExchange exchange;
     private @Nullable ScheduledFuture<?> timer;
+    /** Size of the body that was allowed when its request's head was read. */
+    private int allowedBodyBytes;
+    /** How long the caller may leave the connection idle, as last told. */
+    private Duration toldIdleTimeout = Duration.ZERO;
+
     private boolean refused;
     /** Whether reading has failed while a request runs; nothing more is read once it is answered. */
     private boolean unreadable;
 
+    /**
+     * Creates the handler of a connection or stream.
+     *
+     * @param limits as of now; they may change while the connection is open
+     * @param draining whether the connection closes after the next answer
+     */
     CallerHandler(
-            CallerLimits limits,
+            Supplier<CallerLimits> limits,
             CallerService service,
             boolean http2,
             ConnectionRegistry.@Nullable Entry connection,
@@ -71,10 +91,15 @@
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         if (!http2) {
-            startTimer(context, limits.idleTimeout(), context::close);
+            awaitRequest(context, Duration.ZERO);
         }
     }
 
+    @Override
+    public void handlerRemoved(ChannelHandlerContext context) {
+        stopTimer();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         if (refused || unreadable) {
@@ -140,15 +165,29 @@
             connection.busy();
         }
         stopTimer();
+        CallerLimits newest = limits.get();
+        allowedBodyBytes = newest.maxBodyBytes();
         startTimer(
-                context, limits.requestReadTimeout(), () -> refuse(context, Refusal.of(ResultCode.REQUEST_TOO_SLOW)));
-        if (HttpUtil.isContentLengthSet(request) && HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+                context, newest.requestReadTimeout(), () -> refuse(context, Refusal.of(ResultCode.REQUEST_TOO_SLOW)));
+        if (headerBytes(request) > newest.maxHeaderBytes()) {
+            refuse(context, Refusal.of(ResultCode.HEADERS_TOO_LARGE));
+        } else if (HttpUtil.isContentLengthSet(request)
+                && HttpUtil.getContentLength(request, 0L) > newest.maxBodyBytes()) {
             refuse(context, tooLarge());
         } else if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
 
+    private static long headerBytes(HttpRequest request) {
+        return request.headers().entries().stream()
+                .filter(h -> !h.getKey().startsWith(HTTP2_CODEC_PREFIX))
+                .mapToLong(h -> h.getKey().length()
+                        + HEADER_SEPARATOR_BYTES
+                        + h.getValue().length())
+                .sum();
+    }
+
     private void readBody(ChannelHandlerContext context, HttpContent content) {
         ByteString.Output collected = body;
         HttpRequest request = head;
@@ -156,7 +195,8 @@
             return;
         }
         byte[] bytes = ByteBufUtil.getBytes(content.content());
-        if (collected.size() + bytes.length > limits.maxBodyBytes()) {
+        allowedBodyBytes = Math.max(allowedBodyBytes, limits.get().maxBodyBytes());
+        if (collected.size() + bytes.length > allowedBodyBytes) {
             refuse(context, tooLarge());
             return;
         }
@@ -192,9 +232,8 @@
         return new NettyCallerExchange(
                 context,
                 http2,
-                () -> keepAlive && !unreadable && !draining.getAsBoolean(),
-                HttpMethod.HEAD.equals(request.method()),
-                () -> answered(context));
+                new Answering(() -> keepAlive && !unreadable && !draining.getAsBoolean(), () -> answered(context)),
+                HttpMethod.HEAD.equals(request.method()));
     }
 
     private void answered(ChannelHandlerContext context) {
@@ -205,7 +244,7 @@
         if (connection != null) {
             connection.idle();
         }
-        startTimer(context, limits.idleTimeout(), context::close);
+        awaitRequest(context, Duration.ZERO);
         while (exchange == null && !pipelined.isEmpty()) {
             HttpObject next = pipelined.remove();
             try {
@@ -236,7 +275,7 @@
         }
         refused = true;
         stopTimer();
-        NettyCallerExchange last = new NettyCallerExchange(context, http2, () -> false, false, () -> {});
+        NettyCallerExchange last = new NettyCallerExchange(context, http2, new Answering(() -> false, () -> {}), false);
         ErrorAnswer.send(last, UUID.randomUUID().toString(), refusal);
     }
 
@@ -249,11 +288,22 @@
     }
 
     private Refusal tooLarge() {
-        return Refusal.of(ResultCode.REQUEST_TOO_LARGE, "at most " + limits.maxBodyBytes() + " bytes are allowed");
+        return Refusal.of(ResultCode.REQUEST_TOO_LARGE, "at most " + allowedBodyBytes + " bytes are allowed");
     }
 
     // Timer
 
+    /** Closes the connection once it has been idle for as long as its caller was told, and as the limits allow now. */
+    private void awaitRequest(ChannelHandlerContext context, Duration waited) {
+        Duration newest = limits.get().idleTimeout();
+        Duration allowed = (newest.compareTo(toldIdleTimeout) > 0 ? newest : toldIdleTimeout).plus(IDLE_CLOSE_MARGIN);
+        if (allowed.compareTo(waited) > 0) {
+            startTimer(context, allowed.minus(waited), () -> awaitRequest(context, allowed));
+        } else {
+            context.close();
+        }
+    }
+
     private void startTimer(ChannelHandlerContext context, Duration delay, Runnable action) {
         stopTimer();
         timer = context.executor().schedule(action, delay.toMillis(), TimeUnit.MILLISECONDS);
@@ -266,4 +316,32 @@
             timer = null;
         }
     }
+
+    /** The connection as one answer sees it. */
+    private final class Answering implements AnswerConnection {
+        private final BooleanSupplier staysOpen;
+        private final Runnable whenAnswered;
+
+        Answering(BooleanSupplier staysOpen, Runnable whenAnswered) {
+            this.staysOpen = staysOpen;
+            this.whenAnswered = whenAnswered;
+        }
+
+        @Override
+        public boolean staysOpen() {
+            return staysOpen.getAsBoolean();
+        }
+
+        @Override
+        public OptionalLong idleSeconds() {
+            long seconds = limits.get().idleTimeout().toSeconds();
+            toldIdleTimeout = Duration.ofSeconds(seconds);
+            return seconds > 0 ? OptionalLong.of(seconds) : OptionalLong.empty();
+        }
+
+        @Override
+        public void onAnswered() {
+            whenAnswered.run();
+        }
+    }
 }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -25,8 +24,6 @@
 import io.netty.handler.codec.http2.Http2ServerUpgradeCodec;
 import io.netty.handler.codec.http2.Http2Settings;
 import io.netty.handler.codec.http2.Http2StreamFrameToHttpObjectCodec;
-import io.netty.handler.timeout.IdleStateEvent;
-import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.GlobalEventExecutor;
@@ -36,7 +33,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.UUID;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /**
@@ -48,6 +44,9 @@
     private static final int MAX_CONCURRENT_STREAMS = 256;
     private static final long GRACEFUL_SHUTDOWN_TIMEOUT_MILLIS = 600_000;
     private static final int MAX_INITIAL_LINE_BYTES = 8 * 1024;
+    /** Headers that are decoded whatever the limit, so that a limit that is raised later holds for open connections. */
+    private static final int MIN_DECODER_HEADER_BYTES = 64 * 1024;
+
     private static final Duration BUSY_RETRY = Duration.ofSeconds(1);
 
     private final EventLoopGroup loops;
@@ -65,9 +64,10 @@
     }
 
     /**
-     * Creates a server whose limits may change; each connection keeps those of its start.
+     * Creates a server whose limits may change, also for open connections.
      *
-     * @param limits as of now; the number of connections is taken once
+     * @param limits as of now; the number of connections is taken once, and a connection takes no larger headers than
+     *     the limit, or {@value #MIN_DECODER_HEADER_BYTES} bytes, at its start
      */
     public CallerServer(EventLoopGroup loops, Supplier<CallerLimits> limits, CallerService service) {
         this.loops = loops;
@@ -126,25 +126,27 @@
         protected void initChannel(SocketChannel channel) {
             Optional<ConnectionRegistry.Entry> entry = connections.register(channel);
             CallerLimits limits = currentLimits.get();
-            HttpDecoderConfig decoder = new HttpDecoderConfig()
+            HttpServerCodec codec = new HttpServerCodec(new HttpDecoderConfig()
                     .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
-                    .setMaxHeaderSize(limits.maxHeaderBytes());
-            HttpServerCodec codec = new HttpServerCodec(decoder);
+                    .setMaxHeaderSize(decoderHeaderBytes()));
             if (entry.isEmpty()) {
-                channel.pipeline().addLast(codec, new CallerHandler(limits, this::refuseBusy, false, null, () -> true));
+                channel.pipeline()
+                        .addLast(codec, new CallerHandler(currentLimits, this::refuseBusy, false, null, () -> true));
                 return;
             }
             HttpServerUpgradeHandler upgrade = new HttpServerUpgradeHandler(
                     codec,
                     protocol -> AsciiString.contentEquals(Http2CodecUtil.HTTP_UPGRADE_PROTOCOL_NAME, protocol)
-                            ? new Http2ServerUpgradeCodec(frameCodec(), multiplexer(limits))
+                            ? new Http2ServerUpgradeCodec(
+                                    frameCodec(), multiplexer(), new Http2IdleClose(currentLimits))
                             : null,
                     limits.maxBodyBytes());
             open.add(channel);
             channel.closeFuture().addListener(f -> entry.get().close());
             channel.pipeline()
-                    .addLast(new CleartextHttp2ServerUpgradeHandler(codec, upgrade, new Http2Starter(limits)))
-                    .addLast(new Http1Starter(entry.get(), limits));
+                    .addLast(new CleartextHttp2ServerUpgradeHandler(codec, upgrade, new Http2Starter()))
+                    .addLast(new Http1Starter())
+                    .addLast(new CallerHandler(currentLimits, service, false, entry.get(), () -> draining));
         }
 
         private void refuseBusy(CallerRequest request, CallerExchange exchange) {
@@ -153,37 +155,15 @@
         }
     }
 
-    /** Takes over once the connection turned out to speak HTTP/1.1. */
-    private final class Http1Starter extends SimpleChannelInboundHandler<HttpMessage> {
-        private final ConnectionRegistry.Entry entry;
-        private final CallerLimits limits;
-
-        Http1Starter(ConnectionRegistry.Entry entry, CallerLimits limits) {
-            this.entry = entry;
-            this.limits = limits;
-        }
-
-        @Override
-        public void handlerAdded(ChannelHandlerContext context) {
-            context.executor()
-                    .schedule(
-                            () -> {
-                                if (context.channel().isActive() && !context.isRemoved() && isUndecided(context)) {
-                                    context.close();
-                                }
-                            },
-                            limits.idleTimeout().toMillis(),
-                            TimeUnit.MILLISECONDS);
-        }
-
-        private boolean isUndecided(ChannelHandlerContext context) {
-            return context.pipeline().get(Http2FrameCodec.class) == null;
-        }
+    private int decoderHeaderBytes() {
+        return Math.max(currentLimits.get().maxHeaderBytes(), MIN_DECODER_HEADER_BYTES);
+    }
 
+    /** Ends the wait for an upgrade once the connection turned out to speak HTTP/1.1. */
+    private static final class Http1Starter extends SimpleChannelInboundHandler<HttpMessage> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpMessage message) {
             ChannelPipeline pipeline = context.pipeline();
-            pipeline.addAfter(context.name(), null, new CallerHandler(limits, service, false, entry, () -> draining));
             if (pipeline.get(HttpServerUpgradeHandler.class) != null) {
                 pipeline.remove(HttpServerUpgradeHandler.class);
             }
@@ -194,50 +174,29 @@
 
     /** Takes over once the connection turned out to speak HTTP/2. */
     private final class Http2Starter extends ChannelInitializer<Channel> {
-        private final CallerLimits limits;
-
-        Http2Starter(CallerLimits limits) {
-            this.limits = limits;
-        }
-
         @Override
         protected void initChannel(Channel channel) {
-            channel.pipeline()
-                    .addLast(frameCodec(), multiplexer(limits))
-                    .addLast(new IdleStateHandler(0, 0, limits.idleTimeout().toMillis(), TimeUnit.MILLISECONDS))
-                    .addLast(new IdleCloser());
+            channel.pipeline().addLast(frameCodec(), multiplexer(), new Http2IdleClose(currentLimits));
         }
     }
 
-    private static Http2FrameCodec frameCodec() {
+    private Http2FrameCodec frameCodec() {
         return Http2FrameCodecBuilder.forServer()
                 .gracefulShutdownTimeoutMillis(GRACEFUL_SHUTDOWN_TIMEOUT_MILLIS)
-                .initialSettings(Http2Settings.defaultSettings().maxConcurrentStreams(MAX_CONCURRENT_STREAMS))
+                .initialSettings(Http2Settings.defaultSettings()
+                        .maxConcurrentStreams(MAX_CONCURRENT_STREAMS)
+                        .maxHeaderListSize(decoderHeaderBytes()))
                 .build();
     }
 
-    private Http2MultiplexHandler multiplexer(CallerLimits limits) {
+    private Http2MultiplexHandler multiplexer() {
         return new Http2MultiplexHandler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel stream) {
                 stream.pipeline()
                         .addLast(new Http2StreamFrameToHttpObjectCodec(true))
-                        .addLast(new CallerHandler(limits, service, true, null, () -> draining));
+                        .addLast(new CallerHandler(currentLimits, service, true, null, () -> draining));
             }
         });
     }
-
-    /** Closes an HTTP/2 connection that carries no request for a while. */
-    private static final class IdleCloser extends io.netty.channel.ChannelInboundHandlerAdapter {
-        @Override
-        public void userEventTriggered(ChannelHandlerContext context, Object event) {
-            Http2FrameCodec codec = context.pipeline().get(Http2FrameCodec.class);
-            boolean unused = codec == null || codec.connection().numActiveStreams() == 0;
-            if (event instanceof IdleStateEvent && unused) {
-                context.close().addListener(ChannelFutureListener.CLOSE);
-            } else {
-                context.fireUserEventTriggered(event);
-            }
-        }
-    }
 }
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/Http2IdleClose.java
@@ -0,0 +1,59 @@
+package io.parsleycleat.core.connection.caller;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http2.Http2FrameCodec;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * Closes an HTTP/2 connection that carries no request for a while, in the protocol's orderly way.
+ *
+ * <p>Created for each connection that turned out to speak HTTP/2; used on its event loop only.
+ */
+final class Http2IdleClose extends ChannelInboundHandlerAdapter {
+    private final Supplier<CallerLimits> limits;
+    private Duration timeout = Duration.ZERO;
+
+    Http2IdleClose(Supplier<CallerLimits> limits) {
+        this.limits = limits;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        if (context.pipeline().get(CallerHandler.class) != null) {
+            context.pipeline().remove(CallerHandler.class);
+        }
+        watch(context);
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (!(event instanceof IdleStateEvent) || isUsed(context)) {
+            context.fireUserEventTriggered(event);
+        } else if (closeDelay().compareTo(timeout) > 0) {
+            context.pipeline().remove(IdleStateHandler.class);
+            watch(context);
+        } else {
+            context.close();
+        }
+    }
+
+    private static boolean isUsed(ChannelHandlerContext context) {
+        Http2FrameCodec codec = context.pipeline().get(Http2FrameCodec.class);
+        return codec != null && codec.connection().numActiveStreams() > 0;
+    }
+
+    /** Stands first in the pipeline, where all bytes pass in both directions. */
+    private void watch(ChannelHandlerContext context) {
+        timeout = closeDelay();
+        context.pipeline().addFirst(new IdleStateHandler(0, 0, timeout.toMillis(), TimeUnit.MILLISECONDS));
+    }
+
+    private Duration closeDelay() {
+        return limits.get().idleTimeout().plus(CallerHandler.IDLE_CLOSE_MARGIN);
+    }
+}
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/NettyCallerExchange.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/NettyCallerExchange.java
@@ -27,7 +27,6 @@
 import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
 
 /**
  * The answer to one request on a Netty channel.
@@ -40,6 +39,7 @@
  */
 final class NettyCallerExchange implements CallerExchange {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final String KEEP_ALIVE = "keep-alive";
 
     private enum State {
         WAITING,
@@ -49,9 +49,8 @@
 
     private final ChannelHandlerContext context;
     private final boolean http2;
-    private final BooleanSupplier keepAlive;
+    private final AnswerConnection connection;
     private final boolean headRequest;
-    private final Runnable whenEnded;
     private final List<Runnable> goneActions = new ArrayList<>();
     /** Actions that have not run yet; a part is written at once only when it passes none of them. */
     private final AtomicInteger queued = new AtomicInteger();
@@ -61,16 +60,11 @@
     private boolean announcedClose;
 
     NettyCallerExchange(
-            ChannelHandlerContext context,
-            boolean http2,
-            BooleanSupplier keepAlive,
-            boolean headRequest,
-            Runnable whenEnded) {
+            ChannelHandlerContext context, boolean http2, AnswerConnection connection, boolean headRequest) {
         this.context = context;
         this.http2 = http2;
-        this.keepAlive = keepAlive;
+        this.connection = connection;
         this.headRequest = headRequest;
-        this.whenEnded = whenEnded;
     }
 
     // Answer
@@ -220,20 +214,24 @@
         if (last instanceof HttpResponse response && !http2) {
             setConnection(response);
         }
-        boolean close = !http2 && (announcedClose || !keepAlive.getAsBoolean());
+        boolean close = !http2 && (announcedClose || !connection.staysOpen());
         context.writeAndFlush(last).addListener(f -> {
             if (close || !f.isSuccess()) {
                 context.close();
             }
-            whenEnded.run();
+            connection.onAnswered();
         });
     }
 
     private void setConnection(HttpResponse response) {
-        if (!keepAlive.getAsBoolean()) {
+        if (!connection.staysOpen()) {
             announcedClose = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            return;
         }
+        connection.idleSeconds().ifPresent(seconds -> response.headers()
+                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE)
+                .set(KEEP_ALIVE, "timeout=" + seconds));
     }
 
     private void onLoop(Runnable action) {
