Answer every accepted request before a planned stop of an entry ends

Callers saw connections that ended without an answer when an entry was stopped in calm, also for requests that may not be repeated and that had been passed on to an upstream late in the time of the stop.

Cause: a stopping entry took every request for 2.8 s more, with the time limit of its route, and at the end of its time only counted what was open. The process then ended with these requests, whatever was known of them by then. The pause of 2.8 s was not bounded by the shutdown timeout either.

Ruled out: that answers were written and lost. The connections held no answer, and upstreams were still at work.

Change: the entry knows when it must end, the shutdown timeout less half a second. - A request that arrives is refused at once (1036, come back at once) if neither its time limit nor the usual duration on its route ends before. Usual is the duration of 95 in 100 of the last 128 whole answers on the route, for streams per token that they may generate; without any, the objective, for streams the time limit. - Upstreams and sides are told no more time than is left until the end of the stop. - What waits for its budget or its first upstream is refused (1036) once that duration is above the time left. - At the end each open request gets its final answer: 504 if it may have run, 503 if it has not, a cut if a part of a stream has left, which callers resume where the route allows it. The work is cancelled, so upstreams see their connections closed. Then the connections are flushed as before; those still open are counted in the log.

Conclusion: the end of the stop is one more deadline of each request, kept by its owner while there is time to write.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -199,28 +199,41 @@
         logger.atInfo().log("entry started, callers %s, peers %s", settings.callerAddress(), identity.peerAddress());
     }
 
-    /** Refuses readiness checks, answers the requests that have arrived, and stops. */
+    /**
+     * Refuses readiness checks, answers the requests that have arrived, and stops. What has no answer shortly before
+     * the shutdown timeout gets one then.
+     */
     public void stop() {
-        long deadline = time.monotonicNanos()
+        long endNanos = time.monotonicNanos()
                 + settings.shutdownTimeout().minus(SHUTDOWN_MARGIN).toNanos();
         stopping = true;
+        forwarder.beginStop(timeUntil(endNanos));
         callerServer.drain();
         logger.atInfo().log("entry stops with %d open requests", forwarder.openRequests());
-        Drain.pause(BALANCER_REMOVAL_DELAY);
+        Drain.pause(min(BALANCER_REMOVAL_DELAY, timeUntil(endNanos)));
         refusing = true;
-        Duration remaining = Duration.ofNanos(Math.max(0, deadline - time.monotonicNanos()));
-        boolean allAnswered = Drain.await(eventLoop, forwarder::openRequests, remaining);
-        int unanswered = forwarder.openRequests();
-        if (!allAnswered && unanswered > 0) {
-            logger.atWarning().log("%d requests aborted at the end of the shutdown timeout", unanswered);
-            forwarder.logOpenRequests("not answered at the end of the shutdown timeout");
+        boolean allAnswered = Drain.await(eventLoop, forwarder::openRequests, timeUntil(endNanos));
+        long flushEndNanos = time.monotonicNanos() + CONNECTION_FLUSH_TIMEOUT.toNanos();
+        if (!allAnswered && forwarder.openRequests() > 0) {
+            forwarder.endOpenRequests();
+            Drain.await(eventLoop, forwarder::openRequests, timeUntil(flushEndNanos));
         }
         callerServer.close();
-        Drain.await(eventLoop, this::closeIdleAndCountOpen, CONNECTION_FLUSH_TIMEOUT);
+        if (!Drain.await(eventLoop, this::closeIdleAndCountOpen, timeUntil(flushEndNanos))) {
+            logger.atWarning().log("%d connections of callers still open", callerServer.openConnections());
+        }
         renewRecordOnExit();
         logger.atInfo().log("entry stopped");
     }
 
+    private Duration timeUntil(long endNanos) {
+        return Duration.ofNanos(Math.max(0, endNanos - time.monotonicNanos()));
+    }
+
+    private static Duration min(Duration one, Duration other) {
+        return one.compareTo(other) < 0 ? one : other;
+    }
+
     /** Returns whether the entry can serve requests, and the reason if it cannot. */
     public Readiness readiness() {
         Readiness now = currentReadiness();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/OpenRequest.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/OpenRequest.java
@@ -32,6 +32,7 @@
 final class OpenRequest implements CallerExchange {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+    private static final int MIN_REDIRECT_STATUS = 300;
     private static final Refusal NOT_RUN_AT_DEADLINE =
             Refusal.of(ResultCode.DEADLINE_UNREACHABLE).withRetryAfter(ForwardingContext.DEFAULT_RETRY_AFTER);
 
@@ -116,12 +117,22 @@
         return Duration.ofNanos(context.time().monotonicNanos() - arrivalNanos);
     }
 
-    /** Returns the time until the final answer is due; used once the request is admitted. */
+    /** Returns the time until the final answer is due, also by a planned stop; used once the request is admitted. */
     Duration timeLeft() {
+        return openRequests.limitByStop(ownTimeLeft());
+    }
+
+    private Duration ownTimeLeft() {
         RequestForwarder.Admitted current = admitted;
         return current == null ? Duration.ZERO : current.timeLimit().minus(age());
     }
 
+    /** Returns whether a planned stop leaves the time that such a request usually takes. */
+    boolean canEndBeforeStop() {
+        RequestForwarder.Admitted current = admitted;
+        return current == null || openRequests.canEndBeforeStop(current, ownTimeLeft());
+    }
+
     // Owners
 
     /** Takes over an event of the caller's connection; called once, at the start. */
@@ -132,7 +143,7 @@
     /** Ends the request at its time limit from now on, which runs from its arrival. */
     void admit(RequestForwarder.Admitted newAdmitted) {
         admitted = newAdmitted;
-        long millis = Math.max(0, timeLeft().toMillis());
+        long millis = Math.max(0, ownTimeLeft().toMillis());
         deadlineTimer = context.loop()
                 .schedule(
                         guard(() -> end(NOT_RUN_AT_DEADLINE, Refusal.of(ResultCode.DEADLINE_PASSED))),
@@ -256,11 +267,6 @@
         return !wasSent && !hasEnded() && answered.get() == Answered.NOTHING;
     }
 
-    /** Returns the request with the parts of the configuration that apply to it; null until it is admitted. */
-    RequestForwarder.@Nullable Admitted admitted() {
-        return admitted;
-    }
-
     /**
      * Ends the request now, unless it has ended. An answer of which a part has left is cut.
      *
@@ -314,11 +320,21 @@
         }
     }
 
+    private void recordDuration() {
+        RequestForwarder.Admitted current = admitted;
+        if (current != null) {
+            openRequests.recordDuration(current, age());
+        }
+    }
+
     // Answer
 
     @Override
     public void respond(int status, List<Map.Entry<String, String>> headers, ByteString body) {
         if (answered.compareAndSet(Answered.NOTHING, Answered.WHOLE)) {
+            if (status < MIN_REDIRECT_STATUS) {
+                recordDuration();
+            }
             exchange.respond(status, headers, body);
         }
     }
@@ -338,6 +354,7 @@
     @Override
     public void end() {
         if (answered.compareAndSet(Answered.PART, Answered.WHOLE)) {
+            recordDuration();
             exchange.end();
         }
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
@@ -106,9 +106,17 @@
         return openRequests.count();
     }
 
-    /** Logs what each request that is not answered as a whole waits for. */
-    public void logOpenRequests(String reason) {
-        openRequests.log(reason);
+    /**
+     * Begins a planned stop. From now on only requests that usually end before it does are accepted, and upstreams get
+     * no more time than is left.
+     */
+    public void beginStop(Duration left) {
+        openRequests.beginStop(left);
+    }
+
+    /** Gives each open request its final answer: a refusal if it has not run, else an error or a cut of its stream. */
+    public void endOpenRequests() {
+        openRequests.endAll();
     }
 
     /** Returns whether the configuration is recent enough to accept keys. */
@@ -172,6 +180,10 @@
     /** Forwards a request once its cost is taken from the account's budget, for which other entries may be asked. */
     private void chargeBudget(Admitted admitted, OpenRequest open) {
         open.admit(admitted);
+        if (!open.canEndBeforeStop()) {
+            open.refuse(Refusal.of(ResultCode.PROCESS_STOPPING).withRetryAfter(Duration.ZERO));
+            return;
+        }
         Account account = admitted.account();
         if (account == null) {
             forward(admitted, open);
--- /dev/null
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/PlannedStopTest.java
@@ -0,0 +1,175 @@
+package io.parsleycleat.gateway.request;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.gateway.ManualTimeSource;
+import io.parsleycleat.gateway.connection.ScriptedUpstream;
+import io.parsleycleat.gateway.version.routes.RequestKind;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards that a planned stop answers what was accepted, and accepts nothing that it cannot answer. */
+public class PlannedStopTest extends ForwardingFixture {
+    private static final long ANSWER_LIMIT_SECONDS = 10;
+    private static final String STREAM_START = "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private ManualTimeSource time;
+    private TestEntry timed;
+
+    @BeforeMethod
+    public void createEntry() {
+        time = new ManualTimeSource();
+        timed = new TestEntry("here", loop, time, freshnessTime, new InMemoryPeers());
+    }
+
+    private void configureTimed(RequestKind kind, Duration timeout, Duration objective) {
+        timed.configure(kind, kind == RequestKind.STREAM, 1, timeout, objective, null);
+    }
+
+    private RecordingCaller sendTimed() {
+        return timed.send("/p/x", List.of(Map.entry("key", "key")));
+    }
+
+    private static String answerOf(RecordingCaller caller) throws Exception {
+        return caller.answer.get(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private void assertNothingOpen() throws Exception {
+        loop.submit(() -> {}).get(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS);
+        assertEquals(timed.forwarder.openRequests(), 0);
+    }
+
+    /** An upstream that sends some bytes and no more, and tells when its connection is closed. */
+    private static ScriptedUpstream silentUpstream(String bytes, CompletableFuture<Integer> closed) {
+        return new ScriptedUpstream((request, connection) -> {
+            ScriptedUpstream.write(connection, bytes);
+            closed.complete(connection.getInputStream().read());
+            return false;
+        });
+    }
+
+    /** An upstream that answers when the test advances the time. */
+    private void answerAfter(ScriptedUpstream upstream, CompletableFuture<Void> goOn, Duration duration)
+            throws Exception {
+        RecordingCaller caller = sendTimed();
+        upstream.takeRequest();
+        time.advanceMillis(duration.toMillis());
+        goOn.complete(null);
+        assertEquals(answerOf(caller), "200 done");
+        assertNothingOpen();
+    }
+
+    /** Guards against a connection that ends without an answer when the process stops while an upstream works. */
+    @Test
+    public void requestThatMayHaveRunIsAnsweredAtTheEndOfTheStop() throws Exception {
+        configureTimed(RequestKind.ONCE, Duration.ofSeconds(60), Duration.ofSeconds(1));
+        CompletableFuture<Integer> closed = new CompletableFuture<>();
+        try (ScriptedUpstream one = silentUpstream("", closed)) {
+            timed.directory.put(upstream("a", one.address()));
+            RecordingCaller caller = sendTimed();
+            one.takeRequest();
+            timed.forwarder.beginStop(Duration.ofSeconds(5));
+            timed.forwarder.endOpenRequests();
+            assertEquals(answerOf(caller), "504 " + ResultCode.DEADLINE_PASSED);
+            assertEquals(closed.get(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS), Integer.valueOf(-1));
+            assertNothingOpen();
+        }
+    }
+
+    /** Guards against a stream whose end looks whole, and one that keeps the stop waiting. */
+    @Test
+    public void streamThatHasBegunIsCutAtTheEndOfTheStop() throws Exception {
+        configureTimed(RequestKind.STREAM, Duration.ofSeconds(60), Duration.ofSeconds(1));
+        CompletableFuture<Integer> closed = new CompletableFuture<>();
+        try (ScriptedUpstream one = silentUpstream(STREAM_START + "f\r\nid: 1\ndata: a\n\n\r\n", closed)) {
+            timed.directory.put(upstream("a", one.address()));
+            FirstPartCaller caller = new FirstPartCaller();
+            timed.send("/p/x", "key", caller);
+            caller.firstPart.get(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS);
+            timed.forwarder.beginStop(Duration.ofSeconds(5));
+            timed.forwarder.endOpenRequests();
+            assertEquals(answerOf(caller), "cut after id: 1;data: a;;");
+            assertEquals(closed.get(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS), Integer.valueOf(-1));
+            assertNothingOpen();
+        }
+    }
+
+    /** Tells when the first part of the answer is written. */
+    private static final class FirstPartCaller extends RecordingCaller {
+        final CompletableFuture<Void> firstPart = new CompletableFuture<>();
+
+        @Override
+        public void write(com.google.protobuf.ByteString part, Runnable written) {
+            super.write(part, written);
+            firstPart.complete(null);
+        }
+    }
+
+    /** Guards against a request that waits for its turn until it is too late for another entry to serve it. */
+    @Test
+    public void requestThatWaitsIsRefusedOnceItsTurnCannotComeInTime() throws Exception {
+        SilentPeers peers = SilentPeers.limitAccount(timed, Duration.ofSeconds(60));
+        RecordingCaller caller = sendTimed();
+        peers.draws.take();
+        timed.forwarder.beginStop(Duration.ofSeconds(15));
+        loop.submit(() -> {}).get(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS);
+        assertEquals(timed.forwarder.openRequests(), 1);
+        time.advanceMillis(6_000);
+        assertEquals(answerOf(caller), "503 " + ResultCode.PROCESS_STOPPING);
+        assertNothingOpen();
+    }
+
+    /** Guards against taking a request that lasts, as those before it did, beyond the end of the stop. */
+    @Test
+    public void requestThatCannotEndBeforeTheStopIsRefusedAtOnce() throws Exception {
+        configureTimed(RequestKind.ONCE, Duration.ofSeconds(60), Duration.ofSeconds(1));
+        CompletableFuture<Void> goOn = new CompletableFuture<>();
+        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
+            goOn.join();
+            ScriptedUpstream.write(connection, okAnswer("done"));
+            return true;
+        })) {
+            timed.directory.put(upstream("a", one.address()));
+            answerAfter(one, goOn, Duration.ofSeconds(5));
+            timed.forwarder.beginStop(Duration.ofSeconds(4));
+            assertEquals(answerOf(sendTimed()), "503 " + ResultCode.PROCESS_STOPPING);
+            assertEquals(one.untakenRequestCount(), 0);
+        }
+    }
+
+    /** Guards against refusing what ends long before the stop, and against telling upstreams more time than is left. */
+    @Test
+    public void shortRequestIsServedDuringTheStopWithTheTimeThatIsLeft() throws Exception {
+        configureTimed(RequestKind.ONCE, Duration.ofSeconds(60), Duration.ofSeconds(10));
+        CompletableFuture<Void> goOn = new CompletableFuture<>();
+        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
+            goOn.join();
+            ScriptedUpstream.write(connection, okAnswer("done"));
+            return true;
+        })) {
+            timed.directory.put(upstream("a", one.address()));
+            answerAfter(one, goOn, Duration.ofMillis(5));
+            timed.forwarder.beginStop(Duration.ofSeconds(4));
+            time.advanceMillis(1_000);
+            assertEquals(answerOf(sendTimed()), "200 done");
+            String sent = one.takeRequest();
+            assertTrue(sent.contains("left: 3000"), sent);
+        }
+    }
+
+    /** Guards against a stream that is taken without knowing how long it lasts. */
+    @Test
+    public void streamOfUnknownDurationIsRefusedIfItsTimeLimitIsBeyondTheStop() throws Exception {
+        configureTimed(RequestKind.STREAM, Duration.ofSeconds(60), Duration.ofMillis(100));
+        timed.forwarder.beginStop(Duration.ofSeconds(4));
+        assertEquals(answerOf(sendTimed()), "503 " + ResultCode.PROCESS_STOPPING);
+        assertNothingOpen();
+    }
+}
