Refuse the starts that wait at a stopping side

Callers waited for engines whose side had been stopped, or were answered late.

Cause: a side that stops closed its connections with starts still in its queue. Their entries learned of it by a lost connection only, which says neither that the start was not granted nor why.

Ruled out: granted starts. They need no side any more and go on at the engine.

The status does not call the engine unreachable, since it is not.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -63,30 +63,13 @@
     private @Nullable EngineReport lastReport;
     private @Nullable String engineId;
     private boolean engineUnreachable = true;
+    private boolean stopping;
     private long lastModelLoadAttemptNanos;
     private boolean modelLoadAttempted;
 
     /** Identifies a start request by its caller and the caller's ticket number. */
     public record TicketKey(Object caller, long ticket) {}
 
-    /** A request that was granted and has not ended. */
-    private static final class GrantedRequest {
-        private final AdapterId adapter;
-        private final int promptTokens;
-        private final long reservedTokens;
-        private final long grantedNanos;
-        private final long startNumber;
-        private boolean hasFirstEvent;
-
-        GrantedRequest(WaitingStart start, long grantedNanos, long startNumber) {
-            this.adapter = start.adapter();
-            this.promptTokens = start.request().getPromptTokens();
-            this.reservedTokens = start.requiredTokens();
-            this.grantedNanos = grantedNanos;
-            this.startNumber = startNumber;
-        }
-    }
-
     /** Creates a gate that refuses all requests until the first report of the engine. */
     public EngineGate(AdapterVersions versions, TimeSource time) {
         this.versions = versions;
@@ -123,7 +106,17 @@
     /** Marks the engine as unreachable and refuses all waiting requests, which can run on another engine. */
     public synchronized void onEngineUnreachable() {
         engineUnreachable = true;
-        List.copyOf(waiting).forEach(w -> refuse(w, ResultCode.UPSTREAM_UNREACHABLE, MIN_RETRY_AFTER));
+        refuseWaiting(ResultCode.UPSTREAM_UNREACHABLE);
+    }
+
+    /** Refuses all waiting requests and all that come later, which can run on another engine; granted ones go on. */
+    public synchronized void stop() {
+        stopping = true;
+        refuseWaiting(ResultCode.PROCESS_STOPPING);
+    }
+
+    private void refuseWaiting(ResultCode code) {
+        List.copyOf(waiting).forEach(w -> refuse(w, code, MIN_RETRY_AFTER));
     }
 
     // Requests
@@ -138,7 +131,9 @@
         WaitingStart waitingStart = new WaitingStart(key, adapter, request, now, reply);
         startLimit.adoptKnown(request, engineId, lastReport, now);
         Duration wait = expectedWait(waitingStart);
-        if (engineUnreachable || lastReport == null) {
+        if (stopping) {
+            refuse(waitingStart, ResultCode.PROCESS_STOPPING, MIN_RETRY_AFTER);
+        } else if (engineUnreachable || lastReport == null) {
             refuse(waitingStart, ResultCode.UPSTREAM_UNREACHABLE, MIN_RETRY_AFTER);
         } else if (wait.toMillis() > request.getWaitMillis()) {
             refuse(waitingStart, ResultCode.QUEUE_FULL, wait.minusMillis(request.getWaitMillis() / 2));
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
@@ -106,9 +106,10 @@
                 settings.service(), settings.vm().peerAddress());
     }
 
-    /** Stops immediately. Running requests continue on the engine; entries send waiting ones to another side. */
+    /** Stops immediately. Running requests continue on the engine; waiting ones are refused, to be sent elsewhere. */
     public void stop() {
         logger.atInfo().log("side is stopping");
+        gate.stop();
         logFollower.stop();
         transport.close();
         logger.atInfo().log("side stopped");
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/EngineGateTest.java
@@ -411,4 +411,20 @@
         request(startRequest(20, "a1", 100).setWaitMillis(1_200));
         assertFalse(answers.containsKey(20L), "the adapter's load is already queued");
     }
+
+    /** Guards against starts that wait at a stopping side until their entries lose patience. */
+    @Test
+    public void stoppingGateRefusesWhatWaitsAndWhatComes() {
+        report(Map.of(adapter("a"), 1L), Map.of());
+        request(startRequest(1, "a", 100));
+        request(startRequest(2, "b", 100));
+        assertFalse(answers.containsKey(2L));
+        gate.stop();
+        request(startRequest(3, "a", 100));
+        assertEquals(granted, List.of(1L));
+        assertEquals(answers.get(2L).getRefusalCode(), ResultCode.PROCESS_STOPPING.number());
+        assertEquals(answers.get(3L).getRefusalCode(), ResultCode.PROCESS_STOPPING.number());
+        assertEquals(gate.status().getRunning(), 1);
+        assertFalse(gate.status().getOut());
+    }
 }
