--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationHolder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationHolder.java
@@ -33,7 +33,16 @@
             return;
         }
         logger.atInfo().log("configuration %d in force", table.version());
-        listeners.forEach(l -> l.accept(table));
+        listeners.forEach(l -> notifyListener(l, table));
+    }
+
+    /** Tells one listener. What it throws is logged, so that the others learn of the version as well. */
+    private static void notifyListener(Consumer<RoutingTable> listener, RoutingTable table) {
+        try {
+            listener.accept(table);
+        } catch (RuntimeException | Error e) {
+            logger.atSevere().withCause(e).log("a listener failed at configuration %d", table.version());
+        }
     }
 
     /** Returns the version in force, if there is one. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationUpdater.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationUpdater.java
@@ -2,6 +2,9 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.result.Location;
+import io.parsleycleat.core.process.result.PlatformException;
+import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.gateway.version.follow.KeyedLogListener;
 import java.util.Optional;
@@ -45,8 +48,12 @@
                                         .log("version %d named", named.version());
                             }
                         },
-                        () -> logger.atWarning().log(
-                                "operators' record %s of %d bytes cannot be decoded; ignored", key, value.length));
+                        () -> {
+                            throw new PlatformException(
+                                    ResultCode.PLATFORM_ANSWER_MALFORMED,
+                                    "it holds no configuration or adapter version",
+                                    Location.of(key));
+                        });
     }
 
     @Override
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/ConfigurationHolderTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/ConfigurationHolderTest.java
@@ -45,4 +45,18 @@
             }
         }
     }
+
+    /** Guards against a listener that fails at a version and keeps it from the listeners behind it. */
+    @Test
+    public void listenerThatFailsKeepsNoVersionFromTheOthers() {
+        ConfigurationHolder holder = new ConfigurationHolder();
+        List<Long> received = new ArrayList<>();
+        holder.addListener(table -> {
+            throw new IllegalStateException("a listener that fails");
+        });
+        holder.addListener(table -> received.add(table.version()));
+        LongStream.of(1, 2).forEach(n -> holder.applyIfNewer(version(n)));
+        assertEquals(received, List.of(1L, 2L));
+        assertEquals(inForce(holder), 2);
+    }
 }
