Close no connection on which a request has begun to arrive

What callers saw: a connection closed without an answer while they sent a request, by the idle timeout, by a new connection at the limit, or at the end of a stop. A head that did not arrive as a whole was met with silence.

Cause: a connection counted as idle until a head was whole. At the limit and at a stop another thread chose the connections to close and closed them, though a request could have been read by the time at which their event loop came to it. HTTP/2 connections always counted as idle, so the one that was taken away first was often one at work; its streams were left to their end.

Ruled out: closing HTTP/2 connections by GOAWAY; open streams end, and callers are told which requests were not read.

Change: a handler in front of the codec notices the bytes of a message that is not decoded yet, empty lines apart. From then on the connection is not idle, and the rest of the head must arrive within the time for reading a request, else it is answered with 408. Registry and stop ask the connection's event loop to close; it does so only if no request has begun, else the connection closes behind the answer, which says so. HTTP/2 connections with open streams are not idle.

What stays: the beginning of a head that arrives in one read with the end of the request before it is noticed with its next bytes only. A request that crosses the close of an idle connection is not read and not passed on.

Why this works: whether a connection is idle is decided in one place, on the loop that reads from it.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
@@ -63,6 +63,13 @@
     /** How long the caller may leave the connection idle, as last told. */
     private Duration toldIdleTimeout = Duration.ZERO;
 
+    /** Whether bytes were read behind the last message, so that another one has begun. */
+    private boolean messageBegun;
+    /** Whether the timer bounds the time until the head of the next request is whole. */
+    private boolean awaitsHead;
+    /** Whether the connection ends once it carries no request. */
+    private boolean leaving;
+
     private boolean refused;
     /** Whether reading has failed while a request runs; nothing more is read once it is answered. */
     private boolean unreadable;
@@ -91,6 +98,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         if (!http2) {
+            context.pipeline().addFirst(new HeadBytes(() -> messageBegun = true));
             awaitRequest(context, Duration.ZERO);
         }
     }
@@ -102,6 +110,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        messageBegun = false;
         if (refused || unreadable) {
             return;
         }
@@ -112,6 +121,26 @@
         read(context, message);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (messageBegun && exchange == null && head == null && !refused && !awaitsHead) {
+            awaitHead(context);
+        }
+        context.fireChannelReadComplete();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event == ConnectionEvent.CLOSE_WHEN_UNUSED && !http2) {
+            leaving = true;
+            if (!messageBegun && exchange == null && head == null && !refused) {
+                context.close();
+            }
+        } else {
+            context.fireUserEventTriggered(event);
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         stopTimer();
@@ -145,6 +174,18 @@
 
     // Reading
 
+    /** Bounds the time in which the rest of a head must arrive. Until then the connection is not idle. */
+    private void awaitHead(ChannelHandlerContext context) {
+        if (connection != null) {
+            connection.busy();
+        }
+        startTimer(
+                context,
+                limits.get().requestReadTimeout(),
+                () -> refuse(context, Refusal.of(ResultCode.REQUEST_TOO_SLOW)));
+        awaitsHead = true;
+    }
+
     private void read(ChannelHandlerContext context, HttpObject message) {
         if (message.decoderResult().isFailure()) {
             refuse(context, decoderRefusal(message.decoderResult()));
@@ -232,7 +273,9 @@
         return new NettyCallerExchange(
                 context,
                 http2,
-                new Answering(() -> keepAlive && !unreadable && !draining.getAsBoolean(), () -> answered(context)),
+                new Answering(
+                        () -> keepAlive && !unreadable && !leaving && !draining.getAsBoolean(),
+                        () -> answered(context)),
                 HttpMethod.HEAD.equals(request.method()));
     }
 
@@ -241,10 +284,6 @@
         if (http2 || refused) {
             return;
         }
-        if (connection != null) {
-            connection.idle();
-        }
-        awaitRequest(context, Duration.ZERO);
         while (exchange == null && !pipelined.isEmpty()) {
             HttpObject next = pipelined.remove();
             try {
@@ -255,6 +294,22 @@
                 ReferenceCountUtil.release(next);
             }
         }
+        if (exchange == null && head == null && !refused) {
+            awaitNext(context);
+        }
+    }
+
+    private void awaitNext(ChannelHandlerContext context) {
+        if (messageBegun) {
+            awaitHead(context);
+        } else if (leaving) {
+            context.close();
+        } else {
+            if (connection != null) {
+                connection.idle();
+            }
+            awaitRequest(context, Duration.ZERO);
+        }
     }
 
     private void keepForLater(ChannelHandlerContext context, HttpObject message) {
@@ -306,6 +361,7 @@
 
     private void startTimer(ChannelHandlerContext context, Duration delay, Runnable action) {
         stopTimer();
+        awaitsHead = false;
         timer = context.executor().schedule(action, delay.toMillis(), TimeUnit.MILLISECONDS);
     }
 
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
@@ -138,13 +138,13 @@
                     codec,
                     protocol -> AsciiString.contentEquals(Http2CodecUtil.HTTP_UPGRADE_PROTOCOL_NAME, protocol)
                             ? new Http2ServerUpgradeCodec(
-                                    frameCodec(), multiplexer(), new Http2IdleClose(currentLimits))
+                                    frameCodec(), multiplexer(), new Http2IdleClose(currentLimits, entry.get()))
                             : null,
                     limits.maxBodyBytes());
             open.add(channel);
             channel.closeFuture().addListener(f -> entry.get().close());
             channel.pipeline()
-                    .addLast(new CleartextHttp2ServerUpgradeHandler(codec, upgrade, new Http2Starter()))
+                    .addLast(new CleartextHttp2ServerUpgradeHandler(codec, upgrade, new Http2Starter(entry.get())))
                     .addLast(new Http1Starter())
                     .addLast(new CallerHandler(currentLimits, service, false, entry.get(), () -> draining));
         }
@@ -174,9 +174,15 @@
 
     /** Takes over once the connection turned out to speak HTTP/2. */
     private final class Http2Starter extends ChannelInitializer<Channel> {
+        private final ConnectionRegistry.Entry connection;
+
+        Http2Starter(ConnectionRegistry.Entry connection) {
+            this.connection = connection;
+        }
+
         @Override
         protected void initChannel(Channel channel) {
-            channel.pipeline().addLast(frameCodec(), multiplexer(), new Http2IdleClose(currentLimits));
+            channel.pipeline().addLast(frameCodec(), multiplexer(), new Http2IdleClose(currentLimits, connection));
         }
     }
 
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/ConnectionRegistry.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/ConnectionRegistry.java
@@ -7,7 +7,8 @@
 import java.util.Set;
 
 /**
- * Counts callers' connections. At the limit the connection that has been idle longest makes room.
+ * Counts callers' connections. At the limit the connection that has been idle longest makes room. One on which a
+ * request arrives at that moment is answered first and does not count meanwhile.
  *
  * <p>One a server; safe to share between threads.
  */
@@ -37,7 +38,7 @@
             idle.add(entry);
         }
         if (evicted != null) {
-            evicted.channel.close();
+            evicted.closeWhenUnused();
         }
         return Optional.of(entry);
     }
@@ -48,7 +49,7 @@
         synchronized (lock) {
             unused = List.copyOf(idle);
         }
-        unused.forEach(entry -> entry.channel.close());
+        unused.forEach(Entry::closeWhenUnused);
     }
 
     int open() {
@@ -74,6 +75,11 @@
             this.channel = channel;
         }
 
+        /** Leaves it to the connection's event loop, which alone knows whether a request has arrived by then. */
+        private void closeWhenUnused() {
+            channel.pipeline().fireUserEventTriggered(ConnectionEvent.CLOSE_WHEN_UNUSED);
+        }
+
         void busy() {
             synchronized (lock) {
                 idle.remove(this);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/Http2IdleClose.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/Http2IdleClose.java
@@ -2,7 +2,10 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http2.Http2Connection;
+import io.netty.handler.codec.http2.Http2ConnectionAdapter;
 import io.netty.handler.codec.http2.Http2FrameCodec;
+import io.netty.handler.codec.http2.Http2Stream;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.time.Duration;
@@ -10,29 +13,49 @@
 import java.util.function.Supplier;
 
 /**
- * Closes an HTTP/2 connection that carries no request for a while, in the protocol's orderly way.
+ * Closes an HTTP/2 connection that carries no request for a while, or that is asked to end. Both leave the streams that
+ * are open to their end and tell the caller which requests were not read.
  *
  * <p>Created for each connection that turned out to speak HTTP/2; used on its event loop only.
  */
 final class Http2IdleClose extends ChannelInboundHandlerAdapter {
     private final Supplier<CallerLimits> limits;
+    private final ConnectionRegistry.Entry connection;
     private Duration timeout = Duration.ZERO;
 
-    Http2IdleClose(Supplier<CallerLimits> limits) {
+    Http2IdleClose(Supplier<CallerLimits> limits, ConnectionRegistry.Entry connection) {
         this.limits = limits;
+        this.connection = connection;
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         if (context.pipeline().get(CallerHandler.class) != null) {
             context.pipeline().remove(CallerHandler.class);
+            context.pipeline().remove(HeadBytes.class);
         }
+        Http2Connection streams = context.pipeline().get(Http2FrameCodec.class).connection();
+        streams.addListener(new Http2ConnectionAdapter() {
+            @Override
+            public void onStreamActive(Http2Stream stream) {
+                connection.busy();
+            }
+
+            @Override
+            public void onStreamClosed(Http2Stream stream) {
+                if (streams.numActiveStreams() == 0) {
+                    connection.idle();
+                }
+            }
+        });
         watch(context);
     }
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (!(event instanceof IdleStateEvent) || isUsed(context)) {
+        if (event == ConnectionEvent.CLOSE_WHEN_UNUSED) {
+            context.close();
+        } else if (!(event instanceof IdleStateEvent) || isUsed(context)) {
             context.fireUserEventTriggered(event);
         } else if (closeDelay().compareTo(timeout) > 0) {
             context.pipeline().remove(IdleStateHandler.class);
