Run a request in the name of the account that holds its key when its budget is decided

An upstream could be told an account that does not hold the caller's key any more, and the budget of the wrong account paid for the request.

Cause: a request that waits for its account's budget verifies its key again before it is forwarded, but only that some account holds it. If a configuration had moved the key meanwhile, the request went on under the former account.

Ruled out: the route and the services. Those of the version at the request's arrival are allowed until the new one must be in force.

Change: if the key has moved, the former account is refunded and the new one is charged; the time limit of the request still runs from its arrival. Test configurations get increasing versions, so that a second one comes into force.

Measured: the case in UndecidedBudgetTest failed with "account: tailors" in the request that the upstream got, and passes with "account: weavers".

Conclusion: the account that is told, charged and refunded is the one that the key was last verified for.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/OpenRequest.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/OpenRequest.java
@@ -143,6 +143,7 @@
     /** Ends the request at its time limit from now on, which runs from its arrival. */
     void admit(RequestForwarder.Admitted newAdmitted) {
         admitted = newAdmitted;
+        cancelDeadline();
         long millis = Math.max(0, ownTimeLeft().toMillis());
         deadlineTimer = context.loop()
                 .schedule(
@@ -311,13 +312,17 @@
             return;
         }
         openRequests.remove(this);
+        cancelDeadline();
+        if (!mayHaveRun) {
+            refund.run();
+        }
+    }
+
+    private void cancelDeadline() {
         ScheduledFuture<?> timer = deadlineTimer;
         if (timer != null) {
             timer.cancel(false);
         }
-        if (!mayHaveRun) {
-            refund.run();
-        }
     }
 
     private void recordDuration() {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
@@ -214,18 +214,35 @@
             budgets.refund(account, admitted.cost());
         } else {
             open.refundIfNotRun(() -> budgets.refund(account, admitted.cost()));
-            verifyKeyAndForward(admitted, open);
+            verifyKeyAndForward(admitted, account, open);
         }
     }
 
-    /** Verifies the key again, since it may have been withdrawn while the budget was requested. */
-    private void verifyKeyAndForward(Admitted admitted, OpenRequest open) {
+    /** Verifies the key again, since it may have been withdrawn or moved while the budget was requested. */
+    private void verifyKeyAndForward(Admitted admitted, Account account, OpenRequest open) {
         RoutingTable newest = configuration.current().orElse(admitted.table());
         findAccount(admitted.request(), newest)
-                .peek(a -> forward(admitted, open))
+                .peek(holder -> {
+                    if (holder.name().equals(account.name())) {
+                        forward(admitted, open);
+                    } else {
+                        chargeNewHolder(admitted, account, holder, open);
+                    }
+                })
                 .peekLeft(open::refuse);
     }
 
+    /** Charges the account that holds the key now instead of the one that held it when the request arrived. */
+    private void chargeNewHolder(Admitted admitted, Account former, Account holder, OpenRequest open) {
+        logger.atInfo()
+                .with(LogKeys.REQUEST, open.id())
+                .log("key moved from account %s to %s meanwhile", former.name(), holder.name());
+        open.refundIfNotRun(() -> {});
+        budgets.refund(former, admitted.cost());
+        ForwardRequest request = admitted.request();
+        chargeBudget(new Admitted(request, admitted.table(), admitted.route(), holder, cost(request, holder)), open);
+    }
+
     private static Refusal budgetRefusal(Admitted admitted, double drawn, Duration wait) {
         Account account = Objects.requireNonNull(admitted.account());
         return Refusal.of(
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -99,6 +99,9 @@
             if (parameters.resumeAfterEventId() != null) {
                 headers.add(Map.entry("after", parameters.resumeAfterEventId().toString()));
             }
+            if (parameters.account() != null) {
+                headers.add(Map.entry("account", parameters.account()));
+            }
             headers.add(Map.entry("left", Long.toString(parameters.timeLeft().toMillis())));
             return new UpstreamRequest(r.method(), r.target(), r.id(), headers, r.body());
         }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/TestEntry.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/TestEntry.java
@@ -208,7 +208,11 @@
                 false,
                 resumable);
         configuration.applyIfNewer(new RoutingTable(
-                1, List.of(route), List.of(new ServiceSpec("s", "/h", 10, engine)), accounts, CallerLimits.DEFAULT));
+                configuration.current().map(t -> t.version() + 1).orElse(1L),
+                List.of(route),
+                List.of(new ServiceSpec("s", "/h", 10, engine)),
+                accounts,
+                CallerLimits.DEFAULT));
         freshness.confirm(freshness.now());
     }
 
