Answer an accepted request whatever throws on the way at its entry

A request that was read as a whole got neither an answer nor a refusal when something threw between its last byte and its answer: its connection was closed, or stayed open until its caller left. It also stayed counted, so that a stop waited for it in vain, and kept its place among the free tier's requests for ever.

Cause: what runs there runs on event loops and in futures that swallow what is thrown, or close a connection that many requests share; no part of the code owned the request then. A part of an answer that could not be passed on was left out without a trace.

Ruled out: refusals that are foreseen; they reach the caller.

Change: each accepted request is an object that ends it once, with 500 when something throws before it runs, or by a cut when a part has left. A run guards each of its steps: the choice, the start, the renewal of its tokens, whatever arrives, its limit and its end. What throws while the tokens are given back costs no answer. A run at the client of sides guards its connecting and sending. Each failure is logged with the request's id.

This works because every step now runs inside an owner that answers, whichever thread or future carries it.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunClient.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunClient.java
@@ -122,22 +122,45 @@
         }
 
         void open(RunMessage first) {
-            peers.connect(address).whenComplete((channel, failure) -> {
-                if (failure != null) {
-                    connectionFailed(String.valueOf(failure.getMessage()));
+            guard(() -> peers.connect(address)
+                    .whenComplete((channel, failure) -> guard(() -> {
+                        if (failure == null) {
+                            send(channel, first);
+                        } else {
+                            connectionFailed(String.valueOf(failure.getMessage()));
+                        }
+                    })));
+        }
+
+        private void send(PeerChannel channel, RunMessage first) {
+            synchronized (lock) {
+                if (ended) {
                     return;
                 }
+                startSent = true;
+                current = channel;
+                // Under the lock, so that a cancellation cannot overtake the start.
+                channel.send(Frame.newBuilder().setRun(first).build());
+            }
+            channels.add(channel, this);
+        }
+
+        /** Runs a step; an unexpected failure ends the run, since nothing else would. */
+        private void guard(Runnable step) {
+            try {
+                step.run();
+            } catch (RuntimeException | Error e) {
+                logger.atSevere().withCause(e).with(LogKeys.PEER, address).log("unexpected failure of a run");
+                boolean sent;
                 synchronized (lock) {
-                    if (ended) {
-                        return;
-                    }
-                    startSent = true;
-                    current = channel;
-                    // Under the lock, so that a cancellation cannot overtake the start.
-                    channel.send(Frame.newBuilder().setRun(first).build());
+                    sent = startSent;
+                }
+                ResultCode code = sent ? ResultCode.FAILURE_UNEXPECTED : ResultCode.FAILURE_BEFORE_RUN;
+                end(failure(code, code.meaning()).build());
+                if (sent) {
+                    peers.send(address, frame(RunMessage.newBuilder().setCancel(Cancel.getDefaultInstance())));
                 }
-                channels.add(channel, this);
-            });
+            }
         }
 
         void receive(RunMessage message) {
@@ -258,10 +281,14 @@
                 open = !ended;
             }
             if (open) {
-                peers.send(address, Frame.newBuilder().setRun(message.setRunId(id)));
+                peers.send(address, frame(message));
             }
         }
 
+        private Frame.Builder frame(RunMessage.Builder message) {
+            return Frame.newBuilder().setRun(message.setRunId(id));
+        }
+
         private AnswerEnd.Builder failure(ResultCode code, String detail) {
             return AnswerEnd.newBuilder().setCode(code.number()).setDetail(detail);
         }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/Admission.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/Admission.java
@@ -46,8 +46,11 @@
             ended = true;
             held = reservation;
         }
-        held.settle(usedTokens);
-        leave.run();
+        try {
+            held.settle(usedTokens);
+        } finally {
+            leave.run();
+        }
     }
 
     private Long replace(Reservation renewed) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/AnswerSink.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/AnswerSink.java
@@ -20,6 +20,9 @@
     /** Called once with the final result, after the last attempt. */
     void onEnd(AnswerEnd end);
 
+    /** Called after {@link #onEnd} has failed; ends the answer if it has not ended yet. */
+    void onBroken();
+
     /** Called before another attempt; what the last one brought is forgotten. */
     void onRetry();
 
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionFlow.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionFlow.java
@@ -1,7 +1,6 @@
 package io.parsleycleat.core.request.serve;
 
 import com.codahale.metrics.Timer;
-import io.parsleycleat.core.connection.caller.CallerExchange;
 import io.parsleycleat.core.connection.caller.CallerRequest;
 import io.parsleycleat.core.connection.upstream.AdapterVersion;
 import io.parsleycleat.core.process.limits.TokenCost;
@@ -37,7 +36,7 @@
     }
 
     /** Serves one request. */
-    void handle(CallerRequest request, CallerExchange exchange, RequestTrace trace, boolean chat) {
+    void handle(CallerRequest request, OpenRequest exchange, RequestTrace trace, boolean chat) {
         context.authenticate(request)
                 .flatMap(key -> parser.parse(chat, request.body()).flatMap(call -> plan(key, call)))
                 .peekLeft(refusal -> context.refuse(exchange, trace, refusal))
@@ -58,14 +57,17 @@
                         .map(version -> new Plan(access.account(), key, access.target(), version, call)));
     }
 
-    private void admit(Plan plan, CallerExchange exchange, RequestTrace trace) {
+    private void admit(Plan plan, OpenRequest exchange, RequestTrace trace) {
         trace.add("allowed", "account " + plan.account().getId() + ", adapter " + plan.adapterVersion());
-        context.admit(plan.account(), plan.call().cost().upperBound())
-                .thenAccept(admitted -> admitted.peekLeft(refusal -> context.refuse(exchange, trace, refusal))
-                        .peek(admission -> run(plan, admission, exchange, trace)));
+        context.admit(
+                exchange,
+                trace,
+                plan.account(),
+                plan.call().cost().upperBound(),
+                admission -> run(plan, admission, exchange, trace));
     }
 
-    private void run(Plan plan, Admission admission, CallerExchange exchange, RequestTrace trace) {
+    private void run(Plan plan, Admission admission, OpenRequest exchange, RequestTrace trace) {
         String model = plan.adapterVersion().label();
         CompletionAnswer writer = new CompletionAnswer(
                 trace.requestId(),
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionSink.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionSink.java
@@ -73,7 +73,14 @@
 
     @Override
     public void onEnd(AnswerEnd end) {
-        whenEnded.accept(end, tokens);
+        try {
+            whenEnded.accept(end, tokens);
+        } finally {
+            answer(end);
+        }
+    }
+
+    private void answer(AnswerEnd end) {
         if (end.getCode() != ResultCode.DONE.number()) {
             fail(refusal(end));
         } else if (streamed) {
@@ -85,6 +92,11 @@
         }
     }
 
+    @Override
+    public void onBroken() {
+        fail(Refusal.of(ResultCode.FAILURE_UNEXPECTED));
+    }
+
     @Override
     public void onRetry() {
         text.setLength(0);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/EntryContext.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/EntryContext.java
@@ -1,6 +1,7 @@
 package io.parsleycleat.core.request.serve;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
 import io.parsleycleat.core.connection.caller.CallerExchange;
 import io.parsleycleat.core.connection.caller.CallerRequest;
 import io.parsleycleat.core.connection.caller.ErrorAnswer;
@@ -21,6 +22,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * What an entry's requests share.
@@ -37,6 +40,7 @@
         MetricRegistry metrics,
         Duration startDeadline,
         Duration idempotencyWindow) {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final String BEARER = "Bearer ";
     private static final Duration IDEMPOTENCY_CLOCK_TOLERANCE = Duration.ofSeconds(30);
     private static final Duration READY_RETRY = Duration.ofSeconds(2);
@@ -70,8 +74,25 @@
                 presented, runContext.time().wallMillis(), idempotencyWindow, IDEMPOTENCY_CLOCK_TOLERANCE);
     }
 
-    /** Takes a request's tokens out of its account's budget. Never fails; a refusal says when to come back. */
-    CompletableFuture<Either<Refusal, Admission>> admit(Account account, double tokens) {
+    /** Takes a request's tokens out of its account's budget and passes the request on, or refuses it. */
+    void admit(OpenRequest request, RequestTrace trace, Account account, double tokens, Consumer<Admission> run) {
+        admission(account, tokens)
+                .thenAccept(
+                        admitted -> request.guard(() -> admitted.peekLeft(refusal -> refuse(request, trace, refusal))
+                                .peek(admission -> pass(request, admission, run))));
+    }
+
+    private static void pass(OpenRequest request, Admission admission, Consumer<Admission> run) {
+        try {
+            run.accept(admission);
+        } catch (RuntimeException | Error e) {
+            admission.end(0);
+            request.fail(e);
+        }
+    }
+
+    /** Never fails; a refusal says when to come back. */
+    private CompletableFuture<Either<Refusal, Admission>> admission(Account account, double tokens) {
         boolean free = account.getFreeTier();
         Optional<Refusal> busy = free ? freeTier.enter() : Optional.empty();
         if (busy.isPresent()) {
@@ -83,8 +104,16 @@
     }
 
     private CompletableFuture<Either<Refusal, Reservation>> reserve(Account account, double tokens) {
-        return limiter.reserve(account, tokens)
-                .exceptionally(failure -> Either.left(Failures.toRefusal(failure, ResultCode.LIMIT_UNAVAILABLE)));
+        try {
+            return limiter.reserve(account, tokens).exceptionally(EntryContext::unavailable);
+        } catch (RuntimeException e) {
+            return CompletableFuture.completedFuture(unavailable(e));
+        }
+    }
+
+    private static Either<Refusal, Reservation> unavailable(Throwable failure) {
+        logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).withCause(failure).log("tokens cannot be taken");
+        return Either.left(Failures.toRefusal(failure, ResultCode.LIMIT_UNAVAILABLE));
     }
 
     /** Answers a request with a refusal. */
--- /dev/null
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/OpenRequest.java
@@ -0,0 +1,117 @@
+package io.parsleycleat.core.request.serve;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import io.parsleycleat.core.connection.caller.CallerExchange;
+import io.parsleycleat.core.connection.caller.ErrorAnswer;
+import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.core.request.trace.RequestTrace;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+
+/**
+ * One request that was read as a whole, until its answer has ended or its caller has left. What fails unexpectedly
+ * before the request runs ends it with a numbered error. Calls after the end have no effect.
+ *
+ * <p>Created by {@link RequestService} for each request; safe to share between threads.
+ */
+final class OpenRequest implements CallerExchange {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final CallerExchange exchange;
+    private final RequestTrace trace;
+    private final Consumer<OpenRequest> whenEnded;
+    private final AtomicBoolean ended = new AtomicBoolean();
+    private volatile boolean started;
+
+    /**
+     * Creates a request that does not watch its caller yet.
+     *
+     * @param whenEnded called once, at the end of the answer or when the caller has left
+     */
+    OpenRequest(CallerExchange exchange, RequestTrace trace, Consumer<OpenRequest> whenEnded) {
+        this.exchange = exchange;
+        this.trace = trace;
+        this.whenEnded = whenEnded;
+    }
+
+    /** Starts to watch whether the caller leaves. */
+    void watch() {
+        exchange.onGone(this::finish);
+    }
+
+    /** Runs a step before the run of the request; an unexpected failure ends the request. */
+    void guard(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            fail(e);
+        }
+    }
+
+    /** Logs an unexpected failure before the run of the request, and ends the request with it. */
+    void fail(Throwable failure) {
+        logger.atSevere()
+                .withCause(failure)
+                .with(LogKeys.REQUEST, trace.requestId())
+                .log("unexpected failure before a request ran");
+        trace.add("failed", failure.toString());
+        if (started) {
+            abort();
+        } else {
+            ErrorAnswer.send(this, trace.requestId(), Refusal.of(ResultCode.FAILURE_BEFORE_RUN));
+        }
+    }
+
+    // Answer
+
+    @Override
+    public void respond(int status, List<Map.Entry<String, String>> headers, ByteString body) {
+        if (!ended.get()) {
+            exchange.respond(status, headers, body);
+            finish();
+        }
+    }
+
+    @Override
+    public void start(int status, List<Map.Entry<String, String>> headers) {
+        started = true;
+        exchange.start(status, headers);
+    }
+
+    @Override
+    public void write(ByteString part, Runnable written) {
+        exchange.write(part, written);
+    }
+
+    @Override
+    public void end() {
+        if (!ended.get()) {
+            exchange.end();
+            finish();
+        }
+    }
+
+    @Override
+    public void abort() {
+        if (!ended.get()) {
+            exchange.abort();
+            finish();
+        }
+    }
+
+    @Override
+    public void onGone(Runnable action) {
+        exchange.onGone(action);
+    }
+
+    private void finish() {
+        if (ended.compareAndSet(false, true)) {
+            whenEnded.accept(this);
+        }
+    }
+}
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
@@ -71,10 +71,17 @@
 
     /** Starts the first attempt. */
     void start() {
+        guard(this::begin);
+    }
+
+    private void begin() {
         context.retries().onRequest();
         synchronized (lock) {
             answerTimer = context.scheduler()
-                    .schedule(this::answerTimedOut, context.maxAnswerTime().toMillis(), TimeUnit.MILLISECONDS);
+                    .schedule(
+                            () -> guard(this::answerTimedOut),
+                            context.maxAnswerTime().toMillis(),
+                            TimeUnit.MILLISECONDS);
         }
         attempt();
     }
@@ -112,13 +119,15 @@
             finish(end(Refusal.of(ResultCode.DEADLINE_UNREACHABLE)));
             return;
         }
-        context.selector().select(request).whenComplete((chosen, failure) -> {
-            if (failure != null) {
-                finish(end(Failures.toRefusal(failure, ResultCode.NO_UPSTREAM)));
-            } else {
-                chosen.peekLeft(refusal -> finish(end(refusal))).peek(this::startAt);
-            }
-        });
+        context.selector()
+                .select(request)
+                .whenComplete((chosen, failure) -> guard(() -> {
+                    if (failure != null) {
+                        finish(end(Failures.toRefusal(failure, ResultCode.NO_UPSTREAM)));
+                    } else {
+                        chosen.peekLeft(refusal -> finish(end(refusal))).peek(this::startAt);
+                    }
+                }));
     }
 
     private void startAt(Selection chosen) {
@@ -186,15 +195,55 @@
 
     /** Takes the tokens anew in the current epoch; the side that refused is as good as any. */
     private void renewAndAttempt() {
-        renewal.get().thenAccept(renewed -> renewed.peekLeft(refusal -> finish(end(refusal)))
-                .peek(epoch -> {
-                    synchronized (lock) {
-                        template = template.toBuilder().setEscrowEpoch(epoch).build();
+        renewal.get()
+                .whenComplete((renewed, failure) -> guard(() -> {
+                    if (failure != null) {
+                        finish(end(Failures.toRefusal(failure, ResultCode.LIMIT_UNAVAILABLE)));
+                    } else {
+                        renewed.peekLeft(refusal -> finish(end(refusal))).peek(this::attemptInEpoch);
                     }
-                    attempt();
                 }));
     }
 
+    private void attemptInEpoch(long epoch) {
+        synchronized (lock) {
+            template = template.toBuilder().setEscrowEpoch(epoch).build();
+        }
+        attempt();
+    }
+
+    // The end
+
+    /** Runs a step; an unexpected failure ends the request, since nothing else would. */
+    private void guard(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            fail(e);
+        }
+    }
+
+    private void fail(Throwable failure) {
+        RunHandle run;
+        synchronized (lock) {
+            cancelled = true;
+            run = current;
+        }
+        logFailure(failure);
+        finish(end(Refusal.of(run == null ? ResultCode.FAILURE_BEFORE_RUN : ResultCode.FAILURE_UNEXPECTED)));
+        if (run != null) {
+            run.cancel("an unexpected failure");
+        }
+    }
+
+    private void logFailure(Throwable failure) {
+        logger.atSevere()
+                .withCause(failure)
+                .with(LogKeys.REQUEST, trace.requestId())
+                .log("unexpected failure of a request");
+        trace.add("failed", failure.toString());
+    }
+
     /** Passes the final result on. After an attempt that may have run, the result never says "not run". */
     private void finish(AnswerEnd end) {
         AnswerEnd result = end;
@@ -217,7 +266,12 @@
                 .with(LogKeys.REQUEST, trace.requestId())
                 .with(LogKeys.CODE, result.getCode())
                 .log("request ended");
-        sink.onEnd(result);
+        try {
+            sink.onEnd(result);
+        } catch (RuntimeException | Error e) {
+            logFailure(e);
+            sink.onBroken();
+        }
     }
 
     private void answerTimedOut() {
@@ -267,20 +321,20 @@
 
         @Override
         public void onHead(AnswerHead head) {
-            sink.onHead(head);
+            guard(() -> sink.onHead(head));
         }
 
         @Override
         public void onChunk(AnswerChunk chunk) {
             RunHandle started = run;
             if (started != null && !isFinished()) {
-                sink.onChunk(chunk, started);
+                guard(() -> sink.onChunk(chunk, started));
             }
         }
 
         @Override
         public void onEnd(AnswerEnd end) {
-            ended(chosen, end);
+            guard(() -> ended(chosen, end));
         }
     }
 }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestService.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestService.java
@@ -19,8 +19,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.UUID;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Answers callers: finds out what a request is for and passes it to the flow that serves it.
@@ -38,7 +39,7 @@
     private final EntryContext context;
     private final CompletionFlow completions;
     private final ServiceFlow services;
-    private final AtomicInteger open = new AtomicInteger();
+    private final Set<OpenRequest> open = ConcurrentHashMap.newKeySet();
     private volatile boolean stopping;
 
     /** Creates a service that refuses completions of more tokens than the limit. */
@@ -55,14 +56,19 @@
 
     /** Returns how many requests have no answer yet. */
     public int openRequests() {
-        return open.get();
+        return open.size();
     }
 
     @Override
     public void handle(CallerRequest request, CallerExchange caller) {
-        open.incrementAndGet();
-        CallerExchange exchange = new CountedExchange(caller, open::decrementAndGet);
         RequestTrace trace = context.traces().begin(UUID.randomUUID().toString());
+        OpenRequest accepted = new OpenRequest(caller, trace, open::remove);
+        open.add(accepted);
+        accepted.watch();
+        accepted.guard(() -> serve(request, accepted, trace));
+    }
+
+    private void serve(CallerRequest request, OpenRequest exchange, RequestTrace trace) {
         if (stopping) {
             context.refuse(
                     exchange, trace, Refusal.of(ResultCode.PROCESS_STOPPING).withRetryAfter(STOPPING_RETRY));
@@ -81,7 +87,7 @@
         }
     }
 
-    private void complete(CallerRequest request, CallerExchange exchange, RequestTrace trace, boolean chat) {
+    private void complete(CallerRequest request, OpenRequest exchange, RequestTrace trace, boolean chat) {
         if ("POST".equals(request.method())) {
             completions.handle(request, exchange, trace, chat);
         } else {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/ServiceFlow.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/ServiceFlow.java
@@ -1,7 +1,6 @@
 package io.parsleycleat.core.request.serve;
 
 import com.codahale.metrics.Timer;
-import io.parsleycleat.core.connection.caller.CallerExchange;
 import io.parsleycleat.core.connection.caller.CallerRequest;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
@@ -41,7 +40,7 @@
     }
 
     /** Serves one request. */
-    void handle(CallerRequest request, CallerExchange exchange, RequestTrace trace) {
+    void handle(CallerRequest request, OpenRequest exchange, RequestTrace trace) {
         context.authenticate(request)
                 .flatMap(key -> plan(key, request))
                 .peekLeft(refusal -> context.refuse(exchange, trace, refusal))
@@ -102,16 +101,15 @@
         return context.checkIdempotencyKey(plan.idempotencyKey()).map(key -> plan);
     }
 
-    private void admit(Plan plan, CallerExchange exchange, RequestTrace trace) {
+    private void admit(Plan plan, OpenRequest exchange, RequestTrace trace) {
         trace.add(
                 "allowed",
                 "account " + plan.account().getId() + ", route " + plan.route().getId());
-        context.admit(plan.account(), TOKENS_PER_CALL)
-                .thenAccept(admitted -> admitted.peekLeft(refusal -> context.refuse(exchange, trace, refusal))
-                        .peek(admission -> run(plan, admission, exchange, trace)));
+        context.admit(
+                exchange, trace, plan.account(), TOKENS_PER_CALL, admission -> run(plan, admission, exchange, trace));
     }
 
-    private void run(Plan plan, Admission admission, CallerExchange exchange, RequestTrace trace) {
+    private void run(Plan plan, Admission admission, OpenRequest exchange, RequestTrace trace) {
         Timer.Context timer = context.metrics().timer("entry.services").time();
         ServiceSink sink = new ServiceSink(exchange, trace.requestId(), end -> {
             timer.stop();
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/ServiceSink.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/ServiceSink.java
@@ -3,6 +3,7 @@
 import io.parsleycleat.core.connection.caller.CallerExchange;
 import io.parsleycleat.core.connection.caller.ErrorAnswer;
 import io.parsleycleat.core.connection.run.RunHandle;
+import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.wire.run.AnswerChunk;
 import io.parsleycleat.wire.run.AnswerEnd;
@@ -44,17 +45,35 @@
 
     @Override
     public void onEnd(AnswerEnd end) {
-        whenEnded.accept(end);
+        try {
+            whenEnded.accept(end);
+        } finally {
+            answer(end);
+        }
+    }
+
+    private void answer(AnswerEnd end) {
         if (end.getCode() == ResultCode.DONE.number()) {
             startAnswer();
             exchange.end();
-        } else if (started) {
+        } else {
+            fail(CompletionSink.refusal(end));
+        }
+    }
+
+    private void fail(Refusal refusal) {
+        if (started) {
             exchange.abort();
         } else {
-            ErrorAnswer.send(exchange, requestId, CompletionSink.refusal(end));
+            ErrorAnswer.send(exchange, requestId, refusal);
         }
     }
 
+    @Override
+    public void onBroken() {
+        fail(Refusal.of(ResultCode.FAILURE_UNEXPECTED));
+    }
+
     @Override
     public void onRetry() {
         head = null;
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
@@ -317,6 +317,9 @@
             ends.add(ResultCode.ofNumber(end.getCode()).orElseThrow());
         }
 
+        @Override
+        public void onBroken() {}
+
         @Override
         public void onRetry() {
             text.setLength(0);
