Count the wait for tokens as part of the time in which a request must start

A request whose account's budget did not decide waited without a limit, and had its whole time to start again after that.

Cause: the deadline began only after admission, and nothing bounded admission itself; it relied on every home to answer.

Ruled out: the exchange with other homes, which has its own timeouts; a home that lends and the first connection to it add up, though, for each of up to four homes.

Tokens that are not decided upon by then are refused as such (not run), the place among the free tier's requests is given back, and tokens that come later are given back unused.

Measured: RequestServiceTest, seen failing before: waitForTokensEndsWithTheStartDeadline (no answer), waitForTokensCountsTowardsTheStartDeadline expected [15000] but found [30000]; both pass now.

This works because the decision is taken once, by the budget or by the clock, and the other one finds it taken.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionFlow.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionFlow.java
@@ -17,6 +17,7 @@
 import io.parsleycleat.wire.run.AnswerEnd;
 import io.parsleycleat.wire.run.Start;
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -85,10 +86,10 @@
                 context.runContext(),
                 start(plan, admission, trace),
                 admission::renew,
-                selection(plan),
+                selection(plan, context.remaining(exchange)),
                 trace,
                 sink,
-                context.startDeadline());
+                context.remaining(exchange));
         exchange.onGone(run::cancel);
         run.start();
     }
@@ -117,7 +118,7 @@
                 .build();
     }
 
-    private SelectionRequest selection(Plan plan) {
+    private static SelectionRequest selection(Plan plan, Duration deadline) {
         return new SelectionRequest(
                 plan.account().getId(),
                 plan.account().getFreeTier(),
@@ -127,7 +128,7 @@
                 plan.call().prefixHash(),
                 "",
                 Set.of(),
-                context.startDeadline());
+                deadline);
     }
 
     private static double usedTokens(Plan plan, AnswerEnd end, int tokens) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/EntryContext.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/EntryContext.java
@@ -22,7 +22,9 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
 /**
@@ -41,6 +43,7 @@
         Duration startDeadline,
         Duration idempotencyWindow) {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final String NO_TOKENS_IN_TIME = "no decision about the tokens before the deadline";
     private static final String BEARER = "Bearer ";
     private static final Duration IDEMPOTENCY_CLOCK_TOLERANCE = Duration.ofSeconds(30);
     private static final Duration READY_RETRY = Duration.ofSeconds(2);
@@ -74,12 +77,47 @@
                 presented, runContext.time().wallMillis(), idempotencyWindow, IDEMPOTENCY_CLOCK_TOLERANCE);
     }
 
-    /** Takes a request's tokens out of its account's budget and passes the request on, or refuses it. */
+    /**
+     * Takes a request's tokens out of its account's budget and passes the request on, or refuses it. The wait for them
+     * is part of the time in which the request must start.
+     */
     void admit(OpenRequest request, RequestTrace trace, Account account, double tokens, Consumer<Admission> run) {
-        admission(account, tokens)
-                .thenAccept(
-                        admitted -> request.guard(() -> admitted.peekLeft(refusal -> refuse(request, trace, refusal))
-                                .peek(admission -> pass(request, admission, run))));
+        Optional<Refusal> busy = account.getFreeTier() ? freeTier.enter() : Optional.empty();
+        if (busy.isPresent()) {
+            refuse(request, trace, busy.get());
+            return;
+        }
+        AtomicBoolean left = new AtomicBoolean();
+        Runnable leave = () -> {
+            if (account.getFreeTier() && left.compareAndSet(false, true)) {
+                freeTier.leave();
+            }
+        };
+        CompletableFuture<Either<Refusal, Reservation>> decision = new CompletableFuture<>();
+        Refusal late =
+                Refusal.of(ResultCode.LIMIT_UNAVAILABLE, NO_TOKENS_IN_TIME).withRetryAfter(READY_RETRY);
+        Runnable tooLate = () -> decision.complete(Either.left(late));
+        ScheduledFuture<?> deadline =
+                runContext.scheduler().schedule(tooLate, remaining(request).toMillis(), TimeUnit.MILLISECONDS);
+        decision.thenAccept(decided -> request.guard(() -> {
+            deadline.cancel(false);
+            decided.peekLeft(refusal -> {
+                        leave.run();
+                        refuse(request, trace, refusal);
+                    })
+                    .peek(taken -> pass(request, new Admission(taken, () -> reserve(account, tokens), leave), run));
+        }));
+        reserve(account, tokens).thenAccept(taken -> {
+            if (!decision.complete(taken)) {
+                taken.peek(unused -> unused.settle(0));
+            }
+        });
+    }
+
+    /** Returns what is left of the time in which a request must start. */
+    Duration remaining(OpenRequest request) {
+        Duration left = startDeadline.minus(request.age(runContext.time()));
+        return left.isNegative() ? Duration.ZERO : left;
     }
 
     private static void pass(OpenRequest request, Admission admission, Consumer<Admission> run) {
@@ -92,17 +130,6 @@
     }
 
     /** Never fails; a refusal says when to come back. */
-    private CompletableFuture<Either<Refusal, Admission>> admission(Account account, double tokens) {
-        boolean free = account.getFreeTier();
-        Optional<Refusal> busy = free ? freeTier.enter() : Optional.empty();
-        if (busy.isPresent()) {
-            return CompletableFuture.completedFuture(Either.left(busy.get()));
-        }
-        Runnable leave = free ? freeTier::leave : () -> {};
-        return reserve(account, tokens).thenApply(reserved -> reserved.peekLeft(refusal -> leave.run())
-                .map(reservation -> new Admission(reservation, () -> reserve(account, tokens), leave)));
-    }
-
     private CompletableFuture<Either<Refusal, Reservation>> reserve(Account account, double tokens) {
         try {
             return limiter.reserve(account, tokens).exceptionally(EntryContext::unavailable);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/OpenRequest.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/OpenRequest.java
@@ -7,7 +7,9 @@
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.core.request.trace.RequestTrace;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -24,6 +26,7 @@
 
     private final CallerExchange exchange;
     private final RequestTrace trace;
+    private final long arrivalNanos;
     private final Consumer<OpenRequest> whenEnded;
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile boolean started;
@@ -31,11 +34,13 @@
     /**
      * Creates a request that does not watch its caller yet.
      *
+     * @param arrivalNanos monotonic time at which the request was read as a whole
      * @param whenEnded called once, at the end of the answer or when the caller has left
      */
-    OpenRequest(CallerExchange exchange, RequestTrace trace, Consumer<OpenRequest> whenEnded) {
+    OpenRequest(CallerExchange exchange, RequestTrace trace, long arrivalNanos, Consumer<OpenRequest> whenEnded) {
         this.exchange = exchange;
         this.trace = trace;
+        this.arrivalNanos = arrivalNanos;
         this.whenEnded = whenEnded;
     }
 
@@ -44,6 +49,11 @@
         exchange.onGone(this::finish);
     }
 
+    /** Returns the time since the request was read as a whole. */
+    Duration age(TimeSource time) {
+        return Duration.ofNanos(time.monotonicNanos() - arrivalNanos);
+    }
+
     /** Runs a step before the run of the request; an unexpected failure ends the request. */
     void guard(Runnable step) {
         try {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestService.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestService.java
@@ -62,7 +62,8 @@
     @Override
     public void handle(CallerRequest request, CallerExchange caller) {
         RequestTrace trace = context.traces().begin(UUID.randomUUID().toString());
-        OpenRequest accepted = new OpenRequest(caller, trace, open::remove);
+        OpenRequest accepted =
+                new OpenRequest(caller, trace, context.runContext().time().monotonicNanos(), open::remove);
         open.add(accepted);
         accepted.watch();
         accepted.guard(() -> serve(request, accepted, trace));
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/ServiceFlow.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/ServiceFlow.java
@@ -15,6 +15,7 @@
 import io.parsleycleat.wire.run.ServiceTarget;
 import io.parsleycleat.wire.run.Start;
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 
@@ -122,10 +123,10 @@
                 context.runContext(),
                 start(plan, admission, trace),
                 admission::renew,
-                selection(plan),
+                selection(plan, context.remaining(exchange)),
                 trace,
                 sink,
-                context.startDeadline());
+                context.remaining(exchange));
         if (plan.idempotent()) {
             exchange.onGone(run::cancel);
         }
@@ -159,7 +160,7 @@
                 .build();
     }
 
-    private SelectionRequest selection(Plan plan) {
+    private static SelectionRequest selection(Plan plan, Duration deadline) {
         String affinity = plan.idempotent() ? "" : plan.account().getId() + "\n" + plan.idempotencyKey();
         return new SelectionRequest(
                 plan.account().getId(),
@@ -170,6 +171,6 @@
                 0,
                 affinity,
                 Set.of(),
-                context.startDeadline());
+                deadline);
     }
 }
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestServiceTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestServiceTest.java
@@ -14,6 +14,8 @@
 import io.parsleycleat.core.process.limits.Reservation;
 import io.parsleycleat.core.process.limits.TokenLimiter;
 import io.parsleycleat.core.process.membership.Membership;
+import io.parsleycleat.core.process.result.Refusal;
+import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.request.outcome.CrashNotices;
 import io.parsleycleat.core.request.outcome.CrashSuspects;
 import io.parsleycleat.core.request.routing.Selection;
@@ -153,6 +155,36 @@
         assertTrue(exchange.isWhole(), exchange.toString());
     }
 
+    // Waits
+
+    /** Guards against a request that waits for its account's tokens without end. */
+    @Test
+    public void waitForTokensEndsWithTheStartDeadline() {
+        CompletableFuture<Either<Refusal, Reservation>> tokens = new CompletableFuture<>();
+        limiter = (account, wanted) -> tokens;
+        serve("GET");
+        scheduler.advance(START_DEADLINE.toMillis() - 1);
+        assertEquals(exchange.status(), 0, "answered before the deadline");
+        scheduler.advance(1);
+        assertEquals(exchange.code(), ResultCode.LIMIT_UNAVAILABLE.number());
+        assertEquals(service.openRequests(), 0);
+        tokens.complete(Either.right(reservation()));
+        assertEquals(settled, List.of(0.0), "tokens that came too late are given back");
+        assertEquals(sides.sent(), List.of());
+    }
+
+    /** Guards against a deadline that begins only after the wait for tokens. */
+    @Test
+    public void waitForTokensCountsTowardsTheStartDeadline() {
+        CompletableFuture<Either<Refusal, Reservation>> tokens = new CompletableFuture<>();
+        limiter = (account, wanted) -> tokens;
+        sides.add(SIDE, (message, channel) -> {});
+        serve("GET");
+        scheduler.advance(START_DEADLINE.toMillis() / 2);
+        tokens.complete(Either.right(reservation()));
+        assertEquals(sides.sent().get(0).getStart().getDeadlineMillis(), START_DEADLINE.toMillis() / 2);
+    }
+
     @Test
     public void requestIsAnsweredWithTheWholeAnswer() {
         serve("GET");
