Give each open request of a stopping entry its final answer

Requests that were open at the end of a planned stop of an entry were closed with their connections, without an answer. The log told how many, not which.

Cause: the stop waited for its time and closed everything then. Nothing in it could end a request.

Ruled out: the waits before. Requests that end in time are answered whole, and their last bytes leave.

Change: at the end of the time, each open request gets its answer while its connection is there: what waits for tokens or for an upstream did not run (1036, 503) and will not; what was started may have run (2007, 504), and its side is told; a stream of which a part has left ends with its error event. The log names up to 200 of them, each with its last step.

Measured: RequestServiceTest, four tests of the stop, seen failing before on a stop that only counts: expected [504] but found [0], the caller sees that the answer is not whole expected [true] but found [false], and no answer twice; all pass now. No process was stopped for it here.

This works because each open request carries the action that ends it, set by whoever owns it at the time.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
@@ -122,10 +122,10 @@
         service.stop();
         boolean whole = Drain.await(
                 base.scheduler(), service::openRequests, settings.control().drainTimeout());
-        Drain.await(base.scheduler(), this::connectionsWithAnswers, LAST_BYTES_TIMEOUT);
         if (!whole) {
-            logger.atWarning().log("%d requests were cut", service.openRequests());
+            logger.atWarning().log("%d requests were ended by the stop", service.endOpenRequests());
         }
+        Drain.await(base.scheduler(), this::connectionsWithAnswers, LAST_BYTES_TIMEOUT);
         Drain.await(base.scheduler(), () -> limiter.isDrained() ? 0 : 1, HAND_OVER_TIMEOUT);
         stopOperators();
         base.close();
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionFlow.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionFlow.java
@@ -91,6 +91,7 @@
                 sink,
                 context.remaining(exchange));
         exchange.onGone(run::cancel);
+        exchange.onStop(run::stop);
         run.start();
     }
 
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/EntryContext.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/EntryContext.java
@@ -99,6 +99,8 @@
         Runnable tooLate = () -> decision.complete(Either.left(late));
         ScheduledFuture<?> deadline =
                 runContext.scheduler().schedule(tooLate, remaining(request).toMillis(), TimeUnit.MILLISECONDS);
+        request.onStop(() -> decision.complete(
+                Either.left(Refusal.of(ResultCode.PROCESS_STOPPING).withRetryAfter(READY_RETRY))));
         decision.thenAccept(decided -> request.guard(() -> {
             deadline.cancel(false);
             decided.peekLeft(refusal -> {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/OpenRequest.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/OpenRequest.java
@@ -9,6 +9,7 @@
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.core.request.trace.RequestTrace;
+import io.parsleycleat.wire.operators.ExplainEvent;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -29,7 +30,10 @@
     private final long arrivalNanos;
     private final Consumer<OpenRequest> whenEnded;
     private final AtomicBoolean ended = new AtomicBoolean();
+    private final Object stopLock = new Object();
     private volatile boolean started;
+    private Runnable stopAction = () -> {};
+    private boolean stopped;
 
     /**
      * Creates a request that does not watch its caller yet.
@@ -77,6 +81,41 @@
         }
     }
 
+    // Stop
+
+    /** Sets what ends the request at the end of a stop; runs it at once when that has come already. */
+    void onStop(Runnable action) {
+        synchronized (stopLock) {
+            if (!stopped) {
+                stopAction = action;
+                return;
+            }
+        }
+        guard(action);
+    }
+
+    /** Ends the request since the process ends. */
+    void stop() {
+        Runnable action;
+        synchronized (stopLock) {
+            stopped = true;
+            action = stopAction;
+        }
+        guard(action);
+    }
+
+    /** Returns the request's id. */
+    String id() {
+        return trace.requestId();
+    }
+
+    /** Returns the last decision about the request, for logs. */
+    String lastStep() {
+        List<ExplainEvent> events = trace.events();
+        ExplainEvent last = events.isEmpty() ? ExplainEvent.getDefaultInstance() : events.get(events.size() - 1);
+        return last.getStep() + " " + last.getDetail();
+    }
+
     // Answer
 
     @Override
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
@@ -99,6 +99,11 @@
         }
     }
 
+    /** Ends the request since the process ends: as not run, or as one that may have run when it was started. */
+    void stop() {
+        guard(() -> giveUp(ResultCode.PROCESS_STOPPING, ResultCode.DEADLINE_PASSED, "the entry stops"));
+    }
+
     // Attempts
 
     private void attempt() {
@@ -275,14 +280,19 @@
     }
 
     private void answerTimedOut() {
+        giveUp(ResultCode.DEADLINE_UNREACHABLE, ResultCode.DEADLINE_PASSED, "the answer took too long");
+    }
+
+    private void giveUp(ResultCode notStarted, ResultCode started, String reason) {
         RunHandle run;
         synchronized (lock) {
             cancelled = true;
             run = current;
         }
-        finish(end(Refusal.of(run == null ? ResultCode.DEADLINE_UNREACHABLE : ResultCode.DEADLINE_PASSED)));
+        ResultCode code = run == null ? notStarted : started;
+        finish(end(Refusal.of(code, code.meaning() + " (" + reason + ")")));
         if (run != null) {
-            run.cancel("the answer took too long");
+            run.cancel(reason);
         }
     }
 
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestService.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestService.java
@@ -3,11 +3,13 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import io.parsleycleat.core.connection.caller.CallerExchange;
 import io.parsleycleat.core.connection.caller.CallerRequest;
 import io.parsleycleat.core.connection.caller.CallerService;
 import io.parsleycleat.core.connection.caller.ErrorAnswer;
+import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.request.trace.RequestTrace;
@@ -29,6 +31,10 @@
  * <p>Created once an entry; safe to share between threads.
  */
 public final class RequestService implements CallerService {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** Bounds the log lines of one stop. */
+    private static final int MAX_LOGGED = 200;
+
     private static final String COMPLETIONS = "/v1/completions";
     private static final String CHAT_COMPLETIONS = "/v1/chat/completions";
     private static final String MODELS = "/v1/models";
@@ -54,6 +60,19 @@
         stopping = true;
     }
 
+    /**
+     * Gives each open request its final answer since the process ends, and names them in the log. One that has not
+     * started is told that it did not run. Returns how many there were.
+     */
+    public int endOpenRequests() {
+        List<OpenRequest> left = List.copyOf(open);
+        left.stream().limit(MAX_LOGGED).forEach(request -> logger.atWarning()
+                .with(LogKeys.REQUEST, request.id())
+                .log("ended by the stop, %s", request.lastStep()));
+        left.forEach(OpenRequest::stop);
+        return left.size();
+    }
+
     /** Returns how many requests have no answer yet. */
     public int openRequests() {
         return open.size();
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/ServiceFlow.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/ServiceFlow.java
@@ -130,6 +130,7 @@
         if (plan.idempotent()) {
             exchange.onGone(run::cancel);
         }
+        exchange.onStop(run::stop);
         run.start();
     }
 
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestServiceTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestServiceTest.java
@@ -185,6 +185,62 @@
         assertEquals(sides.sent().get(0).getStart().getDeadlineMillis(), START_DEADLINE.toMillis() / 2);
     }
 
+    // The stop
+
+    /** Guards against a stop that ends with a request that waits for tokens and is told nothing. */
+    @Test
+    public void requestThatWaitsForTokensDidNotRunAtTheEndOfAStop() {
+        limiter = (account, wanted) -> new CompletableFuture<>();
+        serve("GET");
+        service.stop();
+        assertEquals(service.endOpenRequests(), 1);
+        assertEquals(exchange.code(), ResultCode.PROCESS_STOPPING.number());
+        assertEquals(service.openRequests(), 0);
+    }
+
+    /** Guards against a stop that ends with a request that waits for an upstream and is told nothing. */
+    @Test
+    public void requestThatWaitsForAnUpstreamDidNotRunAtTheEndOfAStop() {
+        CompletableFuture<Either<Refusal, Selection>> choice = new CompletableFuture<>();
+        selector = request -> choice;
+        serve("GET");
+        service.stop();
+        service.endOpenRequests();
+        assertEquals(exchange.code(), ResultCode.PROCESS_STOPPING.number());
+        choice.complete(
+                Either.right(new Selection(new Vm(SIDE, ProcessRole.SIDE, SIDE, "dc", "r", SIDE, false), "test")));
+        assertEquals(sides.sent(), List.of(), "runs after it was told that it did not");
+    }
+
+    /** Guards against a stop that ends with a request that may have run and is told nothing, or a wrong thing. */
+    @Test
+    public void requestThatMayHaveRunIsToldSoAtTheEndOfAStop() {
+        sides.add(SIDE, (message, channel) -> {});
+        serve("GET");
+        service.stop();
+        service.endOpenRequests();
+        assertEquals(exchange.status(), 504);
+        assertEquals(service.openRequests(), 0);
+        assertTrue(sides.sent().stream().anyMatch(RunMessage::hasCancel), "the side is told");
+    }
+
+    /** Guards against an answer that looks whole although a stop cut it. */
+    @Test
+    public void answerThatHasBegunIsCutAtTheEndOfAStop() {
+        sides.add(SIDE, (message, channel) -> {
+            if (message.hasStart()) {
+                channel.answer(head(message));
+                channel.answer(chunk(message, "part"));
+            }
+        });
+        serve("GET");
+        service.stop();
+        service.endOpenRequests();
+        assertEquals(exchange.text.toString(), "part");
+        assertTrue(exchange.aborted, "the caller sees that the answer is not whole");
+        assertEquals(service.openRequests(), 0);
+    }
+
     @Test
     public void requestIsAnsweredWithTheWholeAnswer() {
         serve("GET");
