End a side's run whatever throws on the way, and free its place

A run whose step threw at its side was never ended: its caller waited to the limit of an answer's time. Its place in the queue was taken for ever, and in some cases the turns of other runs were skipped, the queue's checks stopped for good, or the connection that all runs of an entry share was closed.

Cause: turns, pins, the ledger's decisions, verdicts on crashes and the upstream's events arrive on timers, in futures and in the client's callbacks. What they throw is swallowed there, or ends what happens to carry it.

Ruled out: failures that futures of slots, queue and upstream report; they end the run.

The steps of its end are guarded one by one, so that the answer always leaves and the place is always free. The queue does each of its actions whatever another one throws, and takes back a turn that could not begin. A verdict on a crash that fails is logged, and the answer is asked for again. An intent that was allowed is cancelled when its run did not start.

This works because the run itself, which knows whether it was handed over, is now what every step returns to.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
@@ -68,18 +68,24 @@
     // Before the run
 
     void begin() {
-        answer.onCancel(this::cancel);
+        guard(this::admit);
+    }
+
+    private void admit() {
+        answer.onCancel(() -> guard(this::cancel));
         if (start.getFreeTier()) {
             enqueue();
             return;
         }
-        context.slots().pin(pinRequest(LoadPriority.PAYING)).whenComplete((pinned, failure) -> {
-            if (failure != null) {
-                finish(refusal(failure));
-            } else if (keep(pinned)) {
-                enqueue();
-            }
-        });
+        context.slots()
+                .pin(pinRequest(LoadPriority.PAYING))
+                .whenComplete((pinned, failure) -> guard(() -> {
+                    if (failure != null) {
+                        finish(refusal(failure));
+                    } else if (keep(pinned)) {
+                        enqueue();
+                    }
+                }));
     }
 
     private PinRequest pinRequest(LoadPriority priority) {
@@ -96,7 +102,7 @@
                 target.getPromptTokens() + target.getMaxTokens(),
                 deadlineNanos,
                 start.getSuspect() || context.suspects().isSuspect(start.getFingerprint()),
-                this::takeTurn,
+                () -> guard(this::takeTurn),
                 refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
         context.queue().offer(queued).ifPresent(refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
     }
@@ -116,13 +122,15 @@
             return;
         }
         LoadPriority priority = start.getFreeTier() ? LoadPriority.FREE : LoadPriority.PAYING;
-        context.slots().pin(pinRequest(priority)).whenComplete((pinned, failure) -> {
-            if (failure != null) {
-                finish(refusal(failure));
-            } else if (keep(pinned)) {
-                run();
-            }
-        });
+        context.slots()
+                .pin(pinRequest(priority))
+                .whenComplete((pinned, failure) -> guard(() -> {
+                    if (failure != null) {
+                        finish(refusal(failure));
+                    } else if (keep(pinned)) {
+                        run();
+                    }
+                }));
     }
 
     /** Remembers a pin in place of an earlier one; returns false and lets it go when the run has ended meanwhile. */
@@ -193,6 +201,20 @@
 
     @Override
     public void onToken(long index, String text) {
+        guard(() -> takeToken(index, text));
+    }
+
+    @Override
+    public void onEnd(String finishReason, int promptTokens, int generatedTokens) {
+        guard(() -> takeEnd(finishReason, promptTokens, generatedTokens));
+    }
+
+    @Override
+    public void onFailure(UpstreamException failure) {
+        guard(() -> takeFailure(failure));
+    }
+
+    private void takeToken(long index, String text) {
         boolean gap;
         synchronized (lock) {
             if (ended || index < nextToken) {
@@ -210,8 +232,7 @@
         }
     }
 
-    @Override
-    public void onEnd(String finishReason, int promptTokens, int generatedTokens) {
+    private void takeEnd(String finishReason, int promptTokens, int generatedTokens) {
         boolean whole;
         synchronized (lock) {
             whole = generatedTokens == nextToken;
@@ -220,28 +241,34 @@
             breakOff(ResultCode.ANSWER_INCOMPLETE, "the engine's answer is shorter than its count");
             return;
         }
-        context.suspects().survived(start.getFingerprint(), start.getAdapter().getPrefixHash());
+        quietly(() -> context.suspects()
+                .survived(start.getFingerprint(), start.getAdapter().getPrefixHash()));
         finish(AnswerEnds.done(context.upstreamId())
                 .setFinishReason(finishReason)
                 .setPromptTokens(promptTokens)
                 .setGeneratedTokens(generatedTokens));
     }
 
-    @Override
-    public void onFailure(UpstreamException failure) {
+    private void takeFailure(UpstreamException failure) {
         if (failure.code().isNotRun()) {
             finish(AnswerEnds.failed(context.upstreamId(), failure.code(), String.valueOf(failure.getMessage())));
             return;
         }
-        context.crashes().examine(runId).thenAccept(verdict -> {
-            if (verdict.crashed()) {
-                finish(AnswerEnds.failed(context.upstreamId(), ResultCode.UPSTREAM_CRASHED, "the engine crashed")
-                        .setUpstreamCrashed(true)
-                        .addAllCrashedFingerprints(verdict.fingerprints()));
-            } else {
-                resume(String.valueOf(failure.getMessage()));
-            }
-        });
+        context.crashes()
+                .examine(runId)
+                .whenComplete((verdict, unknown) -> guard(() -> {
+                    if (unknown != null) {
+                        logFailure(unknown);
+                        resume(String.valueOf(failure.getMessage()));
+                    } else if (verdict.crashed()) {
+                        finish(AnswerEnds.failed(
+                                        context.upstreamId(), ResultCode.UPSTREAM_CRASHED, "the engine crashed")
+                                .setUpstreamCrashed(true)
+                                .addAllCrashedFingerprints(verdict.fingerprints()));
+                    } else {
+                        resume(String.valueOf(failure.getMessage()));
+                    }
+                }));
     }
 
     private void resume(String detail) {
@@ -271,6 +298,49 @@
 
     // The end
 
+    /** Runs a step; an unexpected failure ends the run, since nothing else would. */
+    private void guard(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            fail(e);
+        }
+    }
+
+    /** Runs a step of the end that must not keep the others from being done. */
+    private void quietly(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            logFailure(e);
+        }
+    }
+
+    private void logFailure(Throwable failure) {
+        logger.atSevere()
+                .withCause(failure)
+                .with(LogKeys.REQUEST, start.getRequestId())
+                .with(LogKeys.UPSTREAM, context.upstreamId())
+                .log("unexpected failure of a run");
+    }
+
+    private void fail(Throwable failure) {
+        boolean running;
+        synchronized (lock) {
+            running = handedOver;
+        }
+        logFailure(failure);
+        ResultCode code = running ? ResultCode.FAILURE_UNEXPECTED : ResultCode.FAILURE_BEFORE_RUN;
+        quietly(() -> {
+            if (running) {
+                context.engine().cancel(runId);
+            } else {
+                context.queue().cancel(runId);
+            }
+        });
+        finish(AnswerEnds.failed(context.upstreamId(), code, code.meaning()));
+    }
+
     private void cancel() {
         boolean running;
         synchronized (lock) {
@@ -289,7 +359,7 @@
         Pin held;
         EngineHandle open;
         boolean tookTurn;
-        int tokens;
+        int generated;
         synchronized (lock) {
             if (ended) {
                 return;
@@ -298,17 +368,18 @@
             held = pin;
             open = handle;
             tookTurn = turnTaken;
-            tokens = start.getAdapter().getPromptTokens() + (int) nextToken;
+            generated = (int) nextToken;
         }
+        int tokens = start.getAdapter().getPromptTokens() + generated;
         if (open != null) {
-            open.detach();
+            quietly(open::detach);
         }
-        context.crashes().ended(runId);
+        quietly(() -> context.crashes().ended(runId));
         if (held != null) {
-            held.release();
+            quietly(held::release);
         }
         if (tookTurn) {
-            context.queue().finished(runId, tokens);
+            quietly(() -> context.queue().finished(runId, tokens));
         }
         context.metrics().counter("side.results." + end.getCode()).inc();
         answer.end(end);
@@ -332,7 +403,7 @@
             if (failure.code().isNotRun()) {
                 finish(AnswerEnds.failed(context.upstreamId(), ResultCode.UPSTREAM_LOST, detail));
             } else {
-                resume(detail);
+                guard(() -> resume(detail));
             }
         }
     }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/RunExecutor.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/RunExecutor.java
@@ -1,7 +1,9 @@
 package io.parsleycleat.core.request.execute;
 
+import com.google.common.flogger.FluentLogger;
 import io.parsleycleat.core.connection.run.RunAnswer;
 import io.parsleycleat.core.connection.run.RunStarter;
+import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.wire.run.RunId;
@@ -14,6 +16,8 @@
  * <p>Created once by the side, for a model engine or for a plain service; safe to share between threads.
  */
 public final class RunExecutor implements RunStarter {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     /** Starts an execution for a run that passed the gate. */
     @FunctionalInterface
     private interface Execution {
@@ -50,8 +54,22 @@
                 (id, start, answer) -> new ServiceExecution(context, id, start, answer).begin());
     }
 
+    /** Starts a run; an unexpected failure of a check ends it, since nothing else would. */
     @Override
     public void start(RunId id, Start start, RunAnswer answer) {
+        try {
+            check(id, start, answer);
+        } catch (RuntimeException | Error e) {
+            logger.atSevere()
+                    .withCause(e)
+                    .with(LogKeys.REQUEST, start.getRequestId())
+                    .log("unexpected failure before a run");
+            ResultCode code = ResultCode.FAILURE_BEFORE_RUN;
+            answer.end(AnswerEnds.failed(upstreamId, code, code.meaning()));
+        }
+    }
+
+    private void check(RunId id, Start start, RunAnswer answer) {
         Optional<Refusal> refused = start.getTargetCase() == takes
                 ? gate.onArrival(start)
                 : Optional.of(Refusal.of(ResultCode.NO_UPSTREAM, "the upstream does not take such requests"));
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceExecution.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceExecution.java
@@ -62,7 +62,11 @@
     // Before the run
 
     void begin() {
-        answer.onCancel(this::cancel);
+        guard(this::enqueue);
+    }
+
+    private void enqueue() {
+        answer.onCancel(() -> guard(this::cancel));
         QueuedRun queued = new QueuedRun(
                 runId,
                 start.getAccountId(),
@@ -71,7 +75,7 @@
                 1,
                 context.time().monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(start.getDeadlineMillis()),
                 start.getSuspect(),
-                this::takeTurn,
+                () -> guard(this::takeTurn),
                 refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
         context.queue().offer(queued).ifPresent(refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
     }
@@ -87,7 +91,15 @@
         if (start.getIdempotent()) {
             run();
         } else {
-            context.ledger().begin(intent()).thenAccept(this::decide);
+            context.ledger()
+                    .begin(intent())
+                    .whenComplete((decision, failure) -> guard(() -> {
+                        if (failure == null) {
+                            decide(decision);
+                        } else {
+                            fail(failure);
+                        }
+                    }));
         }
     }
 
@@ -169,6 +181,27 @@
 
     @Override
     public void onHead(int status, List<Map.Entry<String, String>> headers) {
+        guard(() -> takeHead(status, headers));
+    }
+
+    @Override
+    public void onBody(byte[] part) {
+        guard(() -> takeBody(part));
+    }
+
+    @Override
+    public void onEnd() {
+        quietly(this::recordOutcome);
+        finish(AnswerEnds.done(context.upstreamId()));
+    }
+
+    @Override
+    public void onFailure(UpstreamException failure) {
+        quietly(() -> settleIntent(failure.code().isNotRun()));
+        finish(AnswerEnds.failed(context.upstreamId(), failure.code(), String.valueOf(failure.getMessage())));
+    }
+
+    private void takeHead(int status, List<Map.Entry<String, String>> headers) {
         AnswerHead.Builder builder = AnswerHead.newBuilder().setStatus(status).setUpstreamId(context.upstreamId());
         headers.forEach(
                 h -> builder.addHeaders(Header.newBuilder().setName(h.getKey()).setValue(h.getValue())));
@@ -179,8 +212,7 @@
         answer.head(received);
     }
 
-    @Override
-    public void onBody(byte[] part) {
+    private void takeBody(byte[] part) {
         ByteString data = ByteString.copyFrom(part);
         if (!start.getIdempotent()) {
             record(part);
@@ -198,12 +230,6 @@
         }
     }
 
-    @Override
-    public void onEnd() {
-        recordOutcome();
-        finish(AnswerEnds.done(context.upstreamId()));
-    }
-
     /** Records the outcome beside the answer; the answer does not wait for the log. */
     private void recordOutcome() {
         Outcome.Builder outcome =
@@ -232,22 +258,58 @@
                 });
     }
 
-    @Override
-    public void onFailure(UpstreamException failure) {
+    private void settleIntent(boolean notRun) {
         String attempt;
         synchronized (lock) {
             attempt = attemptId;
         }
-        if (failure.code().isNotRun()) {
+        if (notRun) {
             releaseIntent();
         } else if (!attempt.isEmpty()) {
             context.ledger().abandon(intent(), attempt);
         }
-        finish(AnswerEnds.failed(context.upstreamId(), failure.code(), String.valueOf(failure.getMessage())));
     }
 
     // The end
 
+    /** Runs a step; an unexpected failure ends the run, since nothing else would. */
+    private void guard(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            fail(e);
+        }
+    }
+
+    /** Runs a step of the end that must not keep the others from being done. */
+    private void quietly(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            logFailure(e);
+        }
+    }
+
+    private void logFailure(Throwable failure) {
+        logger.atSevere()
+                .withCause(failure)
+                .with(LogKeys.REQUEST, start.getRequestId())
+                .with(LogKeys.UPSTREAM, context.upstreamId())
+                .log("unexpected failure of a run");
+    }
+
+    private void fail(Throwable failure) {
+        boolean running;
+        synchronized (lock) {
+            running = handedOver;
+        }
+        logFailure(failure);
+        ResultCode code = running ? ResultCode.FAILURE_UNEXPECTED : ResultCode.FAILURE_BEFORE_RUN;
+        quietly(() -> settleIntent(!running));
+        quietly(() -> context.queue().cancel(runId));
+        finish(AnswerEnds.failed(context.upstreamId(), code, code.meaning()));
+    }
+
     /** A request that is not idempotent goes on once it was handed over, whether or not its caller waits. */
     private void cancel() {
         boolean running;
@@ -274,7 +336,7 @@
             tookTurn = turnTaken;
         }
         if (tookTurn) {
-            context.queue().finished(runId, 1);
+            quietly(() -> context.queue().finished(runId, 1));
         }
         context.metrics().counter("side.results." + end.getCode()).inc();
         answer.end(end);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/queue/FairRunQueue.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/queue/FairRunQueue.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import com.google.common.flogger.FluentLogger;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.process.time.TimeSource;
@@ -24,6 +25,7 @@
  * runs are called outside the lock.
  */
 public final class FairRunQueue implements RunQueue {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration MIN_RETRY = Duration.ofMillis(100);
     private static final double SMOOTHING = 0.1;
 
@@ -78,7 +80,7 @@
             }
         }
         refusal.ifPresent(r -> refusals.mark());
-        after.forEach(Runnable::run);
+        after.forEach(FairRunQueue::runGuarded);
         return refusal;
     }
 
@@ -94,7 +96,7 @@
                 startNext(after);
             }
         }
-        after.forEach(Runnable::run);
+        after.forEach(FairRunQueue::runGuarded);
         return removed;
     }
 
@@ -112,7 +114,7 @@
             startNext(after);
             refuseUnreachable(after);
         }
-        after.forEach(Runnable::run);
+        after.forEach(FairRunQueue::runGuarded);
     }
 
     /** Refuses the runs that cannot start before their deadline any more. */
@@ -122,7 +124,26 @@
             refuseUnreachable(after);
             startNext(after);
         }
-        after.forEach(Runnable::run);
+        after.forEach(FairRunQueue::runGuarded);
+    }
+
+    /** Gives a run its turn; a run that cannot begin leaves its place to the next one. */
+    private void begin(QueuedRun run) {
+        try {
+            run.start().run();
+        } catch (RuntimeException | Error e) {
+            finished(run.runId(), 0);
+            throw e;
+        }
+    }
+
+    /** Runs what a run waits for; a failure must not keep the other runs from their turns. */
+    private static void runGuarded(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException | Error e) {
+            logger.atSevere().withCause(e).log("unexpected failure of a run at its turn");
+        }
     }
 
     // State
@@ -225,7 +246,7 @@
             running.put(run.runId(), new Running(run, now));
             waits.update(offered == null ? 0 : now - offered, TimeUnit.NANOSECONDS);
             starts.mark();
-            after.add(run.start());
+            after.add(() -> begin(run));
             next = next();
         }
     }
