Tell runs that wait at a stopping side that they did not run

Requests that waited at a side when its stop ended were answered 502, as if they might have run; those that may not be repeated were lost so, although nothing had begun.

Cause: the stop closed its connections, and a lost side says nothing about a run.

Ruled out: runs that arrive during the stop; they are refused as not run.

Change: at the end of its time the side ends each open run itself: one that was not handed over as not run (1036), which entries try elsewhere, whether or not it may be repeated; one that was handed over as may have run (2003). Up to 200 are named in the log. Two seconds are left for these ends to leave. An intent that is decided later frees its key and starts nothing.

Measured: ExecutionEndTest, seen failing before with a side that only announces its stop: waitingRunsDidNotRunAtTheEndOfAStop and runWhoseIntentIsReadAfterTheEndOfAStopIsNotStarted, each expected [1] but found [0] ends; both pass now. The module's tests pass. No process was stopped for it here.

This works because only the side knows which of its runs it has handed over.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunAnswer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunAnswer.java
@@ -19,6 +19,9 @@
     /** Ends the answer; the number of chunks is filled in. Only the first call has an effect. */
     void end(AnswerEnd.Builder end);
 
+    /** Runs an action when the side stops before the run has ended; at once when it has done so already. */
+    void onStop(Runnable action);
+
     /** Runs an action when the entry cancels the run; at once when it has done so already. */
     void onCancel(Runnable action);
 }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/RunServer.java
@@ -11,6 +11,7 @@
 import io.parsleycleat.wire.run.RunMessage;
 import io.parsleycleat.wire.run.Start;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
@@ -27,6 +28,9 @@
     /** How long a run without a connection is kept, and an ended one after its answer has left. */
     static final Duration ORPHAN_TIMEOUT = Duration.ofSeconds(5);
 
+    /** Bounds the log lines of one stop. */
+    private static final int MAX_LOGGED = 200;
+
     private final ScheduledExecutorService scheduler;
     private final RunStarter starter;
     private final Map<RunId, ServerRun> runs = new ConcurrentHashMap<>();
@@ -44,6 +48,20 @@
         return runs.values().stream().filter(r -> !r.isDelivered()).count();
     }
 
+    /** Ends each open run since the side stops, and names them in the log. Returns how many there were. */
+    public int endOpenRuns() {
+        List<Map.Entry<RunId, ServerRun>> open =
+                runs.entrySet().stream().filter(e -> !e.getValue().isEnded()).toList();
+        open.stream()
+                .limit(MAX_LOGGED)
+                .map(Map.Entry::getKey)
+                .forEach(id -> logger.atWarning().log(
+                        "run %d of the entry's incarnation %d is ended by the stop",
+                        id.getSequence(), id.getIncarnation()));
+        open.forEach(e -> e.getValue().stop());
+        return open.size();
+    }
+
     /** Returns how many runs are kept, those that have ended included. */
     int keptRuns() {
         return runs.size();
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/ServerRun.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/ServerRun.java
@@ -32,6 +32,7 @@
     private final Deque<AnswerChunk> waiting = new ArrayDeque<>();
     private final Deque<AnswerChunk> unconsumed = new ArrayDeque<>();
     private final List<Runnable> cancelActions = new ArrayList<>();
+    private final List<Runnable> stopActions = new ArrayList<>();
     private @Nullable AnswerHead head;
     private @Nullable AnswerEnd end;
     private @Nullable PeerChannel channel;
@@ -42,6 +43,7 @@
     private long deliveries;
     private boolean endSent;
     private boolean cancelled;
+    private boolean stopped;
 
     ServerRun(RunId id, int initialCredit, Runnable whenEnded) {
         this.id = id;
@@ -108,6 +110,17 @@
         action.run();
     }
 
+    @Override
+    public void onStop(Runnable action) {
+        synchronized (lock) {
+            if (!stopped) {
+                stopActions.add(action);
+                return;
+            }
+        }
+        action.run();
+    }
+
     // Used by the server
 
     void attach(PeerChannel newChannel) {
@@ -170,6 +183,17 @@
         actions.forEach(Runnable::run);
     }
 
+    /** Tells the run that the side stops. */
+    void stop() {
+        List<Runnable> actions;
+        synchronized (lock) {
+            stopped = true;
+            actions = List.copyOf(stopActions);
+            stopActions.clear();
+        }
+        actions.forEach(Runnable::run);
+    }
+
     boolean isEnded() {
         synchronized (lock) {
             return end != null;
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/SideProcess.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/SideProcess.java
@@ -29,6 +29,7 @@
 public final class SideProcess {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration QUEUE_CHECK_INTERVAL = Duration.ofMillis(50);
+    private static final Duration LAST_ANSWERS_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration RETRY_ELSEWHERE = Duration.ofSeconds(1);
 
     private final SideSettings settings;
@@ -106,7 +107,8 @@
         boolean whole =
                 Drain.await(base.scheduler(), runs::openRuns, settings.control().drainTimeout());
         if (!whole) {
-            logger.atWarning().log("%d runs were cut", runs.openRuns());
+            logger.atWarning().log("%d runs were ended by the stop", runs.endOpenRuns());
+            Drain.await(base.scheduler(), runs::openRuns, LAST_ANSWERS_TIMEOUT);
         }
         work.stop();
         base.close();
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
@@ -22,6 +22,7 @@
 import io.parsleycleat.wire.run.AnswerHead;
 import io.parsleycleat.wire.run.RunId;
 import io.parsleycleat.wire.run.Start;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -37,6 +38,7 @@
  */
 final class EngineExecution implements EngineAnswer {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration RETRY_ELSEWHERE = Duration.ofSeconds(1);
     private static final int MAX_RESUMES = 2;
     private static final int STATUS_OK = 200;
 
@@ -73,6 +75,7 @@
 
     private void admit() {
         answer.onCancel(() -> guard(this::cancel));
+        answer.onStop(() -> guard(this::stop));
         if (start.getFreeTier()) {
             enqueue();
             return;
@@ -355,6 +358,22 @@
         }
     }
 
+    /** A run that waits is told that it did not run; one that was handed over is told that it may have. */
+    private void stop() {
+        boolean running;
+        synchronized (lock) {
+            running = handedOver;
+        }
+        if (running) {
+            quietly(() -> context.engine().cancel(runId));
+            finish(AnswerEnds.failed(context.upstreamId(), ResultCode.SIDE_LOST, "the side stops"));
+        } else {
+            context.queue().cancel(runId);
+            Refusal stopping = Refusal.of(ResultCode.PROCESS_STOPPING).withRetryAfter(RETRY_ELSEWHERE);
+            finish(AnswerEnds.refused(context.upstreamId(), stopping));
+        }
+    }
+
     private void finish(AnswerEnd.Builder end) {
         Pin held;
         EngineHandle open;
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceExecution.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceExecution.java
@@ -22,6 +22,7 @@
 import io.parsleycleat.wire.run.ServiceTarget;
 import io.parsleycleat.wire.run.Start;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -37,6 +38,7 @@
 final class ServiceExecution implements ServiceAnswer {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+    private static final Duration RETRY_ELSEWHERE = Duration.ofSeconds(1);
     /** Largest body that is kept for the ledger; the ledger itself may record less. */
     private static final int MAX_RECORDED_BYTES = 64 * 1024;
 
@@ -67,6 +69,7 @@
 
     private void enqueue() {
         answer.onCancel(() -> guard(this::cancel));
+        answer.onStop(() -> guard(this::stop));
         QueuedRun queued = new QueuedRun(
                 runId,
                 start.getAccountId(),
@@ -326,6 +329,21 @@
         finish(AnswerEnds.failed(context.upstreamId(), code, "the caller left"));
     }
 
+    /** A run that waits is told that it did not run; one that was handed over is told that it may have. */
+    private void stop() {
+        boolean running;
+        synchronized (lock) {
+            running = handedOver;
+        }
+        if (running) {
+            finish(AnswerEnds.failed(context.upstreamId(), ResultCode.SIDE_LOST, "the side stops"));
+        } else {
+            context.queue().cancel(runId);
+            Refusal stopping = Refusal.of(ResultCode.PROCESS_STOPPING).withRetryAfter(RETRY_ELSEWHERE);
+            finish(AnswerEnds.refused(context.upstreamId(), stopping));
+        }
+    }
+
     private void finish(AnswerEnd.Builder end) {
         boolean tookTurn;
         synchronized (lock) {
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/run/RunServerTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/run/RunServerTest.java
@@ -100,6 +100,22 @@
         assertEquals(cancelled, List.of("run"));
     }
 
+    /** Guards against runs that a stop forgets, and against a second end of those that have ended. */
+    @Test
+    public void stopReachesEachRunThatHasNotEnded() {
+        List<String> stopped = new ArrayList<>();
+        RecordedChannel channel = new RecordedChannel();
+        receive(channel, RUN);
+        receive(channel, RUN.toBuilder().setSequence(2).build());
+        started.get(0).onStop(() -> stopped.add("ended"));
+        started.get(0).end(AnswerEnd.newBuilder());
+        started.get(1).onStop(() -> stopped.add("open"));
+        assertEquals(server.endOpenRuns(), 1);
+        assertEquals(stopped, List.of("open"));
+        started.get(1).onStop(() -> stopped.add("late"));
+        assertEquals(stopped, List.of("open", "late"));
+    }
+
     private void receive(RecordedChannel from, RunId id) {
         handlers.get(Frame.BodyCase.RUN)
                 .handle(from, frame(RunMessage.newBuilder().setRunId(id).setStart(Start.getDefaultInstance())));
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/execute/ExecutionEndTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/execute/ExecutionEndTest.java
@@ -167,6 +167,43 @@
         assertEquals(queue.running(), 0, "places that are taken for ever");
     }
 
+    // The stop
+
+    /** Guards against runs that wait at a side that stops and are lost as if they might have run. */
+    @Test
+    public void waitingRunsDidNotRunAtTheEndOfAStop() {
+        startOnEngine();
+        RecordedAnswer running = answer;
+        answer = new RecordedAnswer();
+        startOnEngine();
+        RecordedAnswer waiting = answer;
+        answer = new RecordedAnswer();
+        startOnService();
+        RecordedAnswer alsoWaiting = answer;
+        waiting.stop();
+        alsoWaiting.stop();
+        running.stop();
+        assertEquals(waiting.codes, List.of(ResultCode.PROCESS_STOPPING.number()));
+        assertEquals(alsoWaiting.codes, List.of(ResultCode.PROCESS_STOPPING.number()));
+        assertEquals(running.codes, List.of(ResultCode.SIDE_LOST.number()));
+        assertEquals(queue.running(), 0);
+    }
+
+    /** Guards against a run that starts after a stop has told that it did not run. */
+    @Test
+    public void runWhoseIntentIsReadAfterTheEndOfAStopIsNotStarted() {
+        CompletableFuture<IntentDecision> decision = new CompletableFuture<>();
+        ledger.decision = () -> decision;
+        List<String> calls = new ArrayList<>();
+        service.onCall = a -> calls.add("call");
+        startOnService();
+        answer.stop();
+        assertEquals(answer.codes, List.of(ResultCode.PROCESS_STOPPING.number()));
+        decision.complete(new IntentDecision.Run("attempt-1"));
+        assertEquals(calls, List.of());
+        assertEquals(ledger.cancelled, List.of("attempt-1"), "keys that are free again");
+    }
+
     private static <T> T fault() {
         throw new IllegalStateException("a fault of the test");
     }
@@ -223,6 +260,11 @@
     /** Records the end of one run. */
     private static final class RecordedAnswer implements RunAnswer {
         private final List<Integer> codes = new ArrayList<>();
+        private final List<Runnable> stops = new ArrayList<>();
+
+        void stop() {
+            List.copyOf(stops).forEach(Runnable::run);
+        }
 
         @Override
         public void head(AnswerHead head) {}
@@ -237,6 +279,11 @@
 
         @Override
         public void onCancel(Runnable action) {}
+
+        @Override
+        public void onStop(Runnable action) {
+            stops.add(action);
+        }
     }
 
     /** An engine that does what a test says. */
