Keep starts waiting at an engine that is silent for a short while

What callers saw: requests that waited for their turn at a model engine, or came to it, were refused although the engine was sound, silent for a second, and no other engine could take them. The refusals were 503.

Cause: the side beside the engine took two reports that were not answered within 0.4 s each for the loss of the engine. From 0.85 s on it refused all waiting starts and every new one at once.

Ruled out: that granted and running requests end by it; their grants stay until their entries report the end, and nothing is ordered meanwhile. Unanswered orders are repeated with the same count, of which the engine accepts one.

Change: a side now tells an engine that is silent from one that is lost. Silent is an engine whose reports run into their timeout, within 2.5 s of the last report (0.5 s between reports and a silence of 2 s). Starts keep their places there, or join the queue, for as long as their entries say that no other engine takes them sooner, which each start request already states; the others are refused at once, as before. Nothing is granted during the silence, and the status tells entries as early as before to prefer other engines. A refused connection, or another answer than a report, still counts as loss after two reports.

Why it works: a start leaves the queue only when it is granted, when another engine is sooner, when the engine is gone or when its own wait is over; a silence alone is none of these.

Measured: SilentEngineTest, silences of 0.5 to 2 s with a clock that only the test moves. Seen failing before the change in 6 of 12 cases: "refused while the engine is silent", "not granted: refusal_code: 1033"; with it all pass, among them that starts move on at once where another engine is sooner or connections are refused, and that a long silence still ends in refusals.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -62,7 +62,7 @@
     private Duration maxEventGap = Duration.ZERO;
     private @Nullable EngineReport lastReport;
     private @Nullable String engineId;
-    private boolean engineUnreachable = true;
+    private EngineContact contact = EngineContact.LOST;
     private boolean stopping;
     private long lastModelLoadAttemptNanos;
     private boolean modelLoadAttempted;
@@ -98,25 +98,32 @@
         }
         lastReport = newReport;
         engineId = newEngineId;
-        engineUnreachable = false;
+        contact = EngineContact.ANSWERS;
         adapters.onReport(newReport, time.monotonicNanos());
         grantAll();
     }
 
     /** Marks the engine as unreachable and refuses all waiting requests, which can run on another engine. */
     public synchronized void onEngineUnreachable() {
-        engineUnreachable = true;
-        refuseWaiting(ResultCode.UPSTREAM_UNREACHABLE);
+        contact = EngineContact.LOST;
+        refuseUnreachable();
+    }
+
+    /**
+     * Marks an engine that answered before as silent: it may go on soon. Nothing is granted meanwhile, and the waiting
+     * requests keep their places, except those that another engine takes sooner.
+     */
+    public synchronized void onEngineSilent() {
+        if (contact == EngineContact.ANSWERS) {
+            contact = EngineContact.SILENT;
+        }
+        refuseUnreachable();
     }
 
     /** Refuses all waiting requests and all that come later, which can run on another engine; granted ones go on. */
     public synchronized void stop() {
         stopping = true;
-        refuseWaiting(ResultCode.PROCESS_STOPPING);
-    }
-
-    private void refuseWaiting(ResultCode code) {
-        List.copyOf(waiting).forEach(w -> refuse(w, code, MIN_RETRY_AFTER));
+        List.copyOf(waiting).forEach(w -> refuse(w, ResultCode.PROCESS_STOPPING, MIN_RETRY_AFTER));
     }
 
     // Requests
@@ -133,7 +140,7 @@
         Duration wait = expectedWait(waitingStart);
         if (stopping) {
             refuse(waitingStart, ResultCode.PROCESS_STOPPING, MIN_RETRY_AFTER);
-        } else if (engineUnreachable || lastReport == null) {
+        } else if (!contact.mayAwait(waitingStart, now)) {
             refuse(waitingStart, ResultCode.UPSTREAM_UNREACHABLE, MIN_RETRY_AFTER);
         } else if (wait.toMillis() > request.getWaitMillis()) {
             refuse(waitingStart, ResultCode.QUEUE_FULL, wait.minusMillis(request.getWaitMillis() / 2));
@@ -178,6 +185,7 @@
 
     /** Refuses the requests that have waited longer than their limit, and grants those whose turn has come. */
     public synchronized void refuseExpired() {
+        refuseUnreachable();
         long now = time.monotonicNanos();
         List.copyOf(waiting).stream()
                 .filter(w -> w.isExpired(now))
@@ -185,6 +193,12 @@
         grantAll();
     }
 
+    private void refuseUnreachable() {
+        List.copyOf(waiting).stream()
+                .filter(w -> !contact.mayAwait(w, time.monotonicNanos()))
+                .forEach(w -> refuse(w, ResultCode.UPSTREAM_UNREACHABLE, MIN_RETRY_AFTER));
+    }
+
     private void recordFirstEvent(@Nullable GrantedRequest run) {
         if (run != null && !run.hasFirstEvent) {
             run.hasFirstEvent = true;
@@ -216,7 +230,7 @@
      */
     private void grantAll() {
         EngineReport known = lastReport;
-        if (engineUnreachable || known == null || waiting.isEmpty()) {
+        if (contact != EngineContact.ANSWERS || known == null || waiting.isEmpty()) {
             return;
         }
         long now = time.monotonicNanos();
@@ -367,7 +381,7 @@
         EngineReport known = lastReport;
         EngineSpec limits = spec;
         String id = engineId;
-        if (engineUnreachable || known == null || limits == null || id == null) {
+        if (contact != EngineContact.ANSWERS || known == null || limits == null || id == null) {
             return Optional.empty();
         }
         OrderFactory orders = (operation, target, version) ->
@@ -454,7 +468,7 @@
         EngineReport known = lastReport;
         GateStatus.Builder status = GateStatus.newBuilder()
                 .setEngineId(engineId == null ? "" : engineId)
-                .setOut(engineUnreachable)
+                .setOut(contact != EngineContact.ANSWERS)
                 .setBacklogTokens(backlogTokens()
                         + waiting.stream()
                                 .mapToLong(w -> w.request().getPromptTokens())
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -30,6 +31,8 @@
 
     private static final Duration FENCING_TOKEN_RETRY_INTERVAL = Duration.ofMillis(500);
     private static final int FAILURES_UNTIL_UNREACHABLE = 2;
+    /** Time since the last report from which a silent engine counts as unreachable; sound engines pause for less. */
+    private static final Duration MAX_SILENCE = Duration.ofMillis(2_500);
 
     private final EngineGate gate;
     private final EngineControl engine;
@@ -44,6 +47,7 @@
     private long engineStartedAtMillis = -1;
     private @Nullable String engineId;
     private int consecutiveFailures;
+    private long lastAnswerNanos;
     private long fencingToken = -1;
     private boolean fencingTokenRequested;
 
@@ -164,6 +168,7 @@
 
     private void onReport(EngineReport report) {
         consecutiveFailures = 0;
+        lastAnswerNanos = time.monotonicNanos();
         if (report.startedAtMillis() != engineStartedAtMillis) {
             logger.atInfo().log(
                     "engine started at %d, %d orders accepted", report.startedAtMillis(), report.acceptedOrders());
@@ -204,12 +209,24 @@
     private void onCallFailure(Throwable failure) {
         consecutiveFailures++;
         reportNeeded = true;
+        if (consecutiveFailures < FAILURES_UNTIL_UNREACHABLE) {
+            return;
+        }
         if (consecutiveFailures == FAILURES_UNTIL_UNREACHABLE) {
             logger.atWarning().log("engine does not answer: %s", failure);
+        }
+        if (isShortSilence(failure)) {
+            gate.onEngineSilent();
+        } else {
             gate.onEngineUnreachable();
         }
     }
 
+    /** Returns whether an engine that answered a short while ago is just silent; it may be sound and go on. */
+    private boolean isShortSilence(Throwable failure) {
+        return failure instanceof TimeoutException && time.monotonicNanos() - lastAnswerNanos < MAX_SILENCE.toNanos();
+    }
+
     private void requestFencingToken() {
         if (fencingTokenRequested) {
             return;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
@@ -66,7 +66,12 @@
         return nowNanos - arrivalNanos > TimeUnit.MILLISECONDS.toNanos(request.getWaitMillis());
     }
 
-    /** Returns how much longer the request can wait for the engine's request limit; negative when it cannot. */
+    /** Returns whether no other engine is expected to take the request sooner. */
+    boolean hasNoSoonerEngine(long nowNanos) {
+        return limitWaitLeft(nowNanos).compareTo(Duration.ZERO) > 0;
+    }
+
+    /** Returns how much longer the request can wait for a limited or silent engine; negative when it cannot. */
     Duration limitWaitLeft(long nowNanos) {
         int millis = Math.min(request.getLimitWaitMillis(), request.getWaitMillis());
         return Duration.ofNanos(TimeUnit.MILLISECONDS.toNanos(millis) - (nowNanos - arrivalNanos));
