--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -17,7 +17,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -469,23 +468,17 @@
         GateStatus.Builder status = GateStatus.newBuilder()
                 .setEngineId(engineId == null ? "" : engineId)
                 .setOut(contact != EngineContact.ANSWERS)
-                .setBacklogTokens(backlogTokens()
-                        + waiting.stream()
-                                .mapToLong(w -> w.request().getPromptTokens())
-                                .sum())
+                .setBacklogTokens(backlogTokens() + WaitingStart.promptTokens(waiting))
                 .setRunning(granted.size())
                 .setWaiting(waiting.size())
-                .setReservedTokens(reservedTokens()
-                        + waiting.stream()
-                                .mapToLong(WaitingStart::requiredTokens)
-                                .sum())
+                .setReservedTokens(reservedTokens() + WaitingStart.requiredTokens(waiting))
                 .setTokensPerSecond((int) prefillRate.tokensPerSecond())
                 .setPlaceWaitMillis(
                         (int) expectedSlotWait().plus(queuedLoadDelay()).toMillis())
-                .addAllResident(names(adapters.residentAdapters().stream()
+                .addAllResident(AdapterId.names(adapters.residentAdapters().stream()
                         .filter(a -> isGrantable(a, time.monotonicNanos()))
                         .collect(Collectors.toSet())))
-                .addAllComing(names(adapters.loadingAdapters()));
+                .addAllComing(AdapterId.names(adapters.loadingAdapters()));
         if (known != null) {
             status.setBorn(known.startedAtMillis())
                     .setModelResident(!known.residentModels().isEmpty())
@@ -502,8 +495,4 @@
                 .expectedLoadTime(adapters.loadingCount() + queuedLoadCount())
                 .minus(loadLimit.expectedLoadTime(0));
     }
-
-    private static List<String> names(Set<AdapterId> ids) {
-        return ids.stream().map(AdapterId::toString).sorted().toList();
-    }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
@@ -4,6 +4,7 @@
 import io.parsleycleat.wire.gate.StartGrant;
 import io.parsleycleat.wire.gate.StartRequest;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
@@ -88,4 +89,14 @@
     private long objectiveNanos() {
         return TimeUnit.MILLISECONDS.toNanos(request.getObjectiveMillis());
     }
+
+    /** Returns the prompt tokens of several starts together. */
+    static long promptTokens(Collection<WaitingStart> starts) {
+        return starts.stream().mapToLong(w -> w.request().getPromptTokens()).sum();
+    }
+
+    /** Returns the tokens of memory that several starts need together. */
+    static long requiredTokens(Collection<WaitingStart> starts) {
+        return starts.stream().mapToLong(WaitingStart::requiredTokens).sum();
+    }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/AdapterId.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/AdapterId.java
@@ -1,5 +1,7 @@
 package io.parsleycleat.gateway.version.routes;
 
+import java.util.Collection;
+import java.util.List;
 import java.util.Objects;
 
 /** Identifies an adapter of a model, or the model itself if the adapter name is empty. */
@@ -23,4 +25,9 @@
     public String toString() {
         return isBaseModel() ? model : model + "/" + adapter;
     }
+
+    /** Returns the sorted text forms of several ids. */
+    public static List<String> names(Collection<AdapterId> ids) {
+        return ids.stream().map(AdapterId::toString).sorted().toList();
+    }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentEngineTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentEngineStreamTest.java
@@ -23,7 +23,7 @@
 import org.testng.annotations.Test;
 
 /** Guards streams at a model engine that falls silent for a while, and the starts that sides grant for them. */
-public class SilentEngineTest extends ForwardingFixture {
+public class SilentEngineStreamTest extends ForwardingFixture {
     private static final EngineSpec ENGINE_SPEC =
             new EngineSpec(64, 200_000, 1_100, 3, 3, 2, List.of(new ModelSpec("m", 1_000, 10, Duration.ofMillis(700))));
     private static final String STREAM_START =
