Answer every request read before a close, and pass none on behind it

What callers saw: a running answer cut because 64 message parts had arrived behind its request; at a stop, requests that were read behind another dropped, and a stream that had not told of a close closed at its end with the next request on it. Upstreams got requests whose answers could not be delivered.

Cause: the connection was closed when the queue behind a running request was full. A close was announced at a stop whether or not requests were queued, and a stream's end closed the connection though its head had told nothing. After the close of the connection the queue was dispatched all the same, also behind a request whose caller had said that it was the last.

Ruled out: a larger queue; it moves the limit.

Change: with 64 messages queued the connection is not read any further until some are taken. A close is announced only by the answer to the last request that was read; a connection is closed behind an answer only if its head has told so, else the next answer tells it. What arrives behind an announced close, or behind the caller's last request, is dropped.

What stays: while a connection is not read, that its caller leaves is noticed by writes only. An answer that is cut takes the requests behind it along, since only the close shows the cut; they are not passed on.

Why this works: the head of an answer decides once whether another request follows, with the queue at hand, and the handler keeps to it at the answer's end.

Measured: five tests in CallerConnectionCloseTest, all seen failing before: "EOF connection ended after:" (3,000 requests behind a running one, requests read before a stop, request behind a stream) and "passed on: [/held, /other, /other, /behind" and "passed on: [/last, /behind". They pass now; all 979 tests of parsleycleat-core pass.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/AnswerConnection.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/AnswerConnection.java
@@ -14,6 +14,10 @@
     /** Returns the whole seconds for which the caller may leave the connection idle. Asked once, for the head. */
     OptionalLong idleSeconds();
 
-    /** Called when the whole answer has left. */
-    void onAnswered();
+    /**
+     * Called when the whole answer has left.
+     *
+     * @param last whether its head has told that the connection closes
+     */
+    void onAnswered(boolean last);
 }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
@@ -29,6 +29,7 @@
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -42,6 +43,7 @@
     /** How much longer than its caller knows a connection may be idle, so that the last request it may send arrives. */
     static final Duration IDLE_CLOSE_MARGIN = Duration.ofSeconds(1);
 
+    /** Messages behind a running request from which on no more are read from the connection. */
     private static final int MAX_PIPELINED_OBJECTS = 64;
     /** What separates the name of a header from its value. */
     private static final int HEADER_SEPARATOR_BYTES = 2;
@@ -70,8 +72,9 @@
     /** Whether the connection ends once it carries no request. */
     private boolean leaving;
 
-    private boolean refused;
-    /** Whether reading has failed while a request runs; nothing more is read once it is answered. */
+    /** Whether the last answer of the connection is known; what arrives behind its request is not passed on. */
+    private boolean ended;
+    /** Whether reading has failed while a request runs; the connection ends once it is answered. */
     private boolean unreadable;
 
     /**
@@ -111,7 +114,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         messageBegun = false;
-        if (refused || unreadable) {
+        if (ended || unreadable) {
             return;
         }
         if (exchange != null) {
@@ -123,7 +126,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (messageBegun && exchange == null && head == null && !refused && !awaitsHead) {
+        if (messageBegun && exchange == null && head == null && !ended && !awaitsHead) {
             awaitHead(context);
         }
         context.fireChannelReadComplete();
@@ -133,7 +136,7 @@
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event == ConnectionEvent.CLOSE_WHEN_UNUSED && !http2) {
             leaving = true;
-            if (!messageBegun && exchange == null && head == null && !refused) {
+            if (!messageBegun && exchange == null && head == null && !ended) {
                 context.close();
             }
         } else {
@@ -194,7 +197,7 @@
         if (message instanceof HttpRequest request) {
             readHead(context, request);
         }
-        if (message instanceof HttpContent content && !refused && head != null) {
+        if (message instanceof HttpContent content && !ended && head != null) {
             readBody(context, content);
         }
     }
@@ -273,18 +276,26 @@
         return new NettyCallerExchange(
                 context,
                 http2,
-                new Answering(
-                        () -> keepAlive && !unreadable && !leaving && !draining.getAsBoolean(),
-                        () -> answered(context)),
+                new Answering(() -> keepAlive && takesAnother(), last -> answered(context, last)),
                 HttpMethod.HEAD.equals(request.method()));
     }
 
-    private void answered(ChannelHandlerContext context) {
+    /** Returns whether a request may follow the running one; those that were read are answered before a close. */
+    private boolean takesAnother() {
+        return !pipelined.isEmpty() || (!unreadable && !leaving && !draining.getAsBoolean());
+    }
+
+    private void answered(ChannelHandlerContext context, boolean last) {
         exchange = null;
-        if (http2 || refused) {
+        if (http2 || ended) {
+            return;
+        }
+        if (last) {
+            ended = true;
+            context.close();
             return;
         }
-        while (exchange == null && !pipelined.isEmpty()) {
+        while (exchange == null && !ended && !pipelined.isEmpty()) {
             HttpObject next = pipelined.remove();
             try {
                 read(context, next);
@@ -294,16 +305,19 @@
                 ReferenceCountUtil.release(next);
             }
         }
-        if (exchange == null && head == null && !refused) {
+        if (pipelined.size() < MAX_PIPELINED_OBJECTS) {
+            context.channel().config().setAutoRead(true);
+        }
+        if (exchange == null && head == null && !ended) {
             awaitNext(context);
         }
     }
 
     private void awaitNext(ChannelHandlerContext context) {
-        if (messageBegun) {
-            awaitHead(context);
-        } else if (leaving) {
+        if (unreadable || (leaving && !messageBegun)) {
             context.close();
+        } else if (messageBegun) {
+            awaitHead(context);
         } else {
             if (connection != null) {
                 connection.idle();
@@ -312,26 +326,32 @@
         }
     }
 
+    /**
+     * Keeps a message until the running request is answered. Behind many, the connection is not read any further, and
+     * that the caller leaves is only noticed by a write.
+     */
     private void keepForLater(ChannelHandlerContext context, HttpObject message) {
+        pipelined.add(ReferenceCountUtil.retain(message));
         if (pipelined.size() >= MAX_PIPELINED_OBJECTS) {
-            logger.atWarning().log(
-                    "connection of a caller closed: more than %d messages behind a request", pipelined.size());
-            context.close();
-            return;
+            context.channel().config().setAutoRead(false);
         }
-        pipelined.add(ReferenceCountUtil.retain(message));
     }
 
     // Refusing
 
     private void refuse(ChannelHandlerContext context, Refusal refusal) {
-        if (refused) {
+        if (ended) {
             return;
         }
-        refused = true;
+        ended = true;
         stopTimer();
-        NettyCallerExchange last = new NettyCallerExchange(context, http2, new Answering(() -> false, () -> {}), false);
-        ErrorAnswer.send(last, UUID.randomUUID().toString(), refusal);
+        Answering answering = new Answering(() -> false, last -> {
+            if (last) {
+                context.close();
+            }
+        });
+        NettyCallerExchange refusing = new NettyCallerExchange(context, http2, answering, false);
+        ErrorAnswer.send(refusing, UUID.randomUUID().toString(), refusal);
     }
 
     private static Refusal decoderRefusal(DecoderResult result) {
@@ -376,9 +396,9 @@
     /** The connection as one answer sees it. */
     private final class Answering implements AnswerConnection {
         private final BooleanSupplier staysOpen;
-        private final Runnable whenAnswered;
+        private final Consumer<Boolean> whenAnswered;
 
-        Answering(BooleanSupplier staysOpen, Runnable whenAnswered) {
+        Answering(BooleanSupplier staysOpen, Consumer<Boolean> whenAnswered) {
             this.staysOpen = staysOpen;
             this.whenAnswered = whenAnswered;
         }
@@ -396,8 +416,8 @@
         }
 
         @Override
-        public void onAnswered() {
-            whenAnswered.run();
+        public void onAnswered(boolean last) {
+            whenAnswered.accept(last);
         }
     }
 }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/NettyCallerExchange.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/NettyCallerExchange.java
@@ -214,12 +214,13 @@
         if (last instanceof HttpResponse response && !http2) {
             setConnection(response);
         }
-        boolean close = !http2 && (announcedClose || !connection.staysOpen());
         context.writeAndFlush(last).addListener(f -> {
-            if (close || !f.isSuccess()) {
+            if (f.isSuccess()) {
+                connection.onAnswered(announcedClose);
+            } else {
+                logger.atFine().log("answer did not reach its caller: %s", f.cause());
                 context.close();
             }
-            connection.onAnswered();
         });
     }
 
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerConnectionCloseTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerConnectionCloseTest.java
@@ -1,6 +1,7 @@
 package io.parsleycleat.core.connection.caller;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertTrue;
 
@@ -148,4 +149,103 @@
             assertEquals(partly.rest(), "");
         }
     }
+
+    // Requests behind others
+
+    // Guards against a running answer being cut because much was sent behind its request.
+    @Test
+    public void anyNumberOfRequestsBehindARunningOneIsAnswered() throws Exception {
+        int count = 3_000;
+        try (CallerSocket caller = new CallerSocket(port)) {
+            caller.send(CallerSocket.get("/held"));
+            CallerExchange first = held.poll(20, TimeUnit.SECONDS);
+            StringBuilder behind = new StringBuilder();
+            for (int i = 0; i < count; i++) {
+                behind.append(CallerSocket.get("/" + i));
+            }
+            caller.send(behind.toString());
+            awaitRead();
+            first.respond(200, List.of(), ByteString.copyFromUtf8("first"));
+            assertTrue(caller.answer().endsWith("first"));
+            for (int i = 0; i < count; i++) {
+                assertTrue(caller.answer().endsWith("[/" + i + "]"));
+            }
+        }
+    }
+
+    // Guards against requests that were read before a stop and are dropped behind the first answer.
+    @Test
+    public void requestsReadBeforeACloseIsAnnouncedAreAnswered() throws Exception {
+        try (CallerSocket caller = new CallerSocket(port)) {
+            caller.send(CallerSocket.get("/held"));
+            CallerExchange first = held.poll(20, TimeUnit.SECONDS);
+            caller.send(CallerSocket.get("/a") + CallerSocket.get("/b"));
+            awaitRead();
+            server.drain();
+            first.respond(200, List.of(), ByteString.copyFromUtf8("first"));
+            assertTrue(caller.answer().endsWith("first"));
+            assertTrue(caller.answer().endsWith("[/a]"));
+            String last = caller.answer();
+            assertTrue(last.endsWith("[/b]") && last.contains("connection: close\r\n"), last);
+            assertEquals(caller.rest(), "");
+        }
+    }
+
+    // Guards against a request that is passed on though its answer cannot be delivered any more.
+    @Test
+    public void requestBehindAnAnnouncedCloseIsNotPassedOn() throws Exception {
+        server.drain();
+        try (CallerSocket caller = new CallerSocket(port)) {
+            caller.send(CallerSocket.get("/held"));
+            CallerExchange first = held.poll(20, TimeUnit.SECONDS);
+            first.start(200, List.of());
+            String head = caller.head();
+            assertTrue(head.contains("connection: close\r\n"), head);
+            caller.send(CallerSocket.get("/behind"));
+            awaitRead();
+            first.end();
+            assertEquals(caller.rest(), "0\r\n\r\n");
+        }
+        awaitRead();
+        assertFalse(handled.contains("/behind"), "passed on: " + handled);
+    }
+
+    // Guards against a request that is passed on behind one whose caller has said that it is the last.
+    @Test
+    public void requestBehindTheCallersLastIsNotPassedOn() throws Exception {
+        try (CallerSocket caller = new CallerSocket(port)) {
+            caller.send("GET /last HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n" + CallerSocket.get("/behind"));
+            assertTrue(caller.rest().endsWith("[/last]"));
+        }
+        awaitRead();
+        assertEquals(handled.get(0), "/last");
+        assertFalse(handled.contains("/behind"), "passed on: " + handled);
+    }
+
+    // Guards against a stop cutting off what follows a stream whose head has not told that the connection closes.
+    @Test
+    public void requestBehindAStreamThatAnnouncedNoCloseIsAnswered() throws Exception {
+        try (CallerSocket caller = new CallerSocket(port)) {
+            caller.send(CallerSocket.get("/held"));
+            CallerExchange first = held.poll(20, TimeUnit.SECONDS);
+            first.start(200, List.of());
+            assertFalse(caller.head().contains("connection: close"));
+            server.drain();
+            first.write(ByteString.copyFromUtf8("part"), () -> {});
+            first.end();
+            assertTrue(caller.readUntil("0\r\n\r\n").contains("part"));
+            String answer = caller.send(CallerSocket.get("/next")).answer();
+            assertTrue(answer.endsWith("[/next]") && answer.contains("connection: close\r\n"), answer);
+            assertEquals(caller.rest(), "");
+        }
+    }
+
+    /** Returns when all that was sent before on any connection has been read: one loop reads them all. */
+    private void awaitRead() throws Exception {
+        for (int i = 0; i < 2; i++) {
+            try (CallerSocket other = new CallerSocket(port)) {
+                other.send(CallerSocket.get("/other")).answer();
+            }
+        }
+    }
 }
