Test faults behind a grant and a permit, and the stop of a request that waits for an engine

Cause: guards behind a grant and a permit, and the wait for an engine during a stop, had no test of their own.

The guards around the two searches, and the refusal of a request whose start waits at a side, had no test of their own.

Change: a fault is put into the encoding of a request that a side has granted, and of one that waited for a permit; a start that a side does not answer is refused and withdrawn when the entry's stop leaves too little time.

--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FinalAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FinalAnswerTest.java
@@ -4,13 +4,21 @@
 import static org.testng.Assert.assertTrue;
 
 import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.connection.ScriptedUpstream;
 import io.parsleycleat.gateway.request.limits.BudgetPeers;
 import io.parsleycleat.gateway.version.routes.RequestKind;
+import io.parsleycleat.wire.gate.GateMessage;
+import io.parsleycleat.wire.gate.RunProgress;
+import io.parsleycleat.wire.gate.StartGrant;
+import io.parsleycleat.wire.peer.Frame;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -54,6 +62,49 @@
         }
     }
 
+    /** Guards against a request without an answer, and a start kept at its side, after a fault behind the grant. */
+    @Test
+    public void faultBehindTheGrantOfASideEndsTheRequest() throws Exception {
+        InMemoryPeers network = new InMemoryPeers();
+        BlockingQueue<RunProgress> progress = new LinkedBlockingQueue<>();
+        network.node("127.0.0.1:" + TestEntry.SIDE_PORT).register(Frame.BodyCase.GATE, (from, frame) -> {
+            if (frame.getGate().hasStart()) {
+                StartGrant grant = StartGrant.newBuilder()
+                        .setEngineId("a")
+                        .setEngineBorn(1)
+                        .build();
+                from.reply(
+                        frame,
+                        Frame.newBuilder().setGate(GateMessage.newBuilder().setGrant(grant)));
+            } else {
+                progress.add(frame.getGate().getProgress());
+            }
+        });
+        TestEntry onEngines = new TestEntry("here", loop, TimeSource.SYSTEM, freshnessTime, network);
+        Duration minute = Duration.ofSeconds(60);
+        onEngines.configure(RequestKind.STREAM, true, 2, minute, minute, TestEntry.ENGINE_SPEC);
+        onEngines.directory.put(upstream("a", addressRefusingConnections()));
+        onEngines.faults.throwAt("encode");
+        RecordingCaller caller = onEngines.send("/p/x", List.of(Map.entry("key", "key"), Map.entry("adapter", "a")));
+        assertEquals(answerOf(caller), "500 " + ResultCode.FAILURE_BEFORE_RUN);
+        assertEquals(progress.poll(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS).getStage(), RunProgress.Stage.ENDED);
+        assertEquals(onEngines.forwarder.openRequests(), 0);
+    }
+
+    /** Guards against a request without an answer after a fault behind the permit for a limited upstream. */
+    @Test
+    public void faultBehindAPermitEndsTheRequest() throws Exception {
+        configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(60));
+        String answer = okAnswer("done").replace("id: 1", "id: 1\r\nlimit: 1000");
+        try (ScriptedUpstream one = new ScriptedUpstream(respondWith(answer, true))) {
+            addUpstream("a", one.address());
+            assertEquals(answerOf(send("/p/x", "key")), "200 done");
+            entry.faults.throwAt("encode");
+            assertEquals(answerOf(send("/p/x", "key")), "500 " + ResultCode.FAILURE_BEFORE_RUN);
+            assertNothingOpen();
+        }
+    }
+
     /** Guards against a request without an answer when the refusal itself cannot be encoded. */
     @Test
     public void refusalThatCannotBeEncodedIsReplacedByAnError() throws Exception {
@@ -133,7 +184,7 @@
         SilentPeers peers = SilentPeers.limitAccount(timed, Duration.ofSeconds(10));
         try (ScriptedUpstream one = new ScriptedUpstream(respondWith(okAnswer("done"), true))) {
             timed.directory.put(upstream("a", one.address()));
-            RecordingCaller caller = timed.send("/p/x", List.of(java.util.Map.entry("key", "key")));
+            RecordingCaller caller = timed.send("/p/x", List.of(Map.entry("key", "key")));
             CompletableFuture<BudgetPeers.Grant> draw = peers.draws.take();
             time.advanceMillis(4_000);
             draw.complete(new BudgetPeers.Grant(1, 1));
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/PlannedStopTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/PlannedStopTest.java
@@ -7,10 +7,15 @@
 import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.connection.ScriptedUpstream;
 import io.parsleycleat.gateway.version.routes.RequestKind;
+import io.parsleycleat.wire.gate.GateMessage;
+import io.parsleycleat.wire.gate.RunProgress;
+import io.parsleycleat.wire.peer.Frame;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -126,6 +131,25 @@
         assertNothingOpen();
     }
 
+    /** Guards against a start that waits at its side until it is too late for another entry to serve the request. */
+    @Test
+    public void requestThatWaitsForAnEngineIsRefusedAndItsStartWithdrawn() throws Exception {
+        InMemoryPeers network = new InMemoryPeers();
+        BlockingQueue<GateMessage> atSide = new LinkedBlockingQueue<>();
+        network.node("127.0.0.1:" + TestEntry.SIDE_PORT)
+                .register(Frame.BodyCase.GATE, (from, frame) -> atSide.add(frame.getGate()));
+        timed = new TestEntry("here", loop, time, freshnessTime, network);
+        Duration minute = Duration.ofSeconds(60);
+        timed.configure(RequestKind.STREAM, true, 2, minute, minute, TestEntry.ENGINE_SPEC);
+        timed.directory.put(upstream("a", addressRefusingConnections()));
+        RecordingCaller caller = timed.send("/p/x", List.of(Map.entry("key", "key"), Map.entry("adapter", "a")));
+        assertTrue(atSide.take().hasStart());
+        timed.forwarder.beginStop(Duration.ofSeconds(5));
+        assertEquals(answerOf(caller), "503 " + ResultCode.PROCESS_STOPPING);
+        assertEquals(atSide.take().getProgress().getStage(), RunProgress.Stage.WITHDRAWN);
+        assertNothingOpen();
+    }
+
     /** Guards against taking a request that lasts, as those before it did, beyond the end of the stop. */
     @Test
     public void requestThatCannotEndBeforeTheStopIsRefusedAtOnce() throws Exception {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/TestEntry.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/TestEntry.java
@@ -32,6 +32,7 @@
 import io.parsleycleat.gateway.version.routes.AdapterVersions;
 import io.parsleycleat.gateway.version.routes.ConfigurationHolder;
 import io.parsleycleat.gateway.version.routes.EngineSpec;
+import io.parsleycleat.gateway.version.routes.ModelSpec;
 import io.parsleycleat.gateway.version.routes.RequestKind;
 import io.parsleycleat.gateway.version.routes.Route;
 import io.parsleycleat.gateway.version.routes.RoutingTable;
@@ -52,6 +53,9 @@
     /** The port on which sides listen. */
     static final int SIDE_PORT = 1;
 
+    static final EngineSpec ENGINE_SPEC =
+            new EngineSpec(64, 200_000, 1_100, 3, 3, 2, List.of(new ModelSpec("m", 1_000, 10, Duration.ofMillis(700))));
+
     final String name;
     final UpstreamDirectory directory = new UpstreamDirectory();
     final ConfigurationHolder configuration = new ConfigurationHolder();
