Let the test of a fault behind a grant look at the count after the event loop's work

Seen: faultBehindTheGrantOfASideEndsTheRequest failed in one of its two runs with "expected [0] but found [1]" open requests.

Cause: the test read the count when the side had been told of the end, which the event loop tells before it removes the request. The other cases wait for the event loop's present work first.

Change: this case waits for it too; what it checks is the same.

--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FinalAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FinalAnswerTest.java
@@ -32,8 +32,13 @@
     }
 
     private void assertNothingOpen() throws Exception {
+        assertNothingOpen(entry);
+    }
+
+    /** Checks the count once what the event loop does at the moment is done. */
+    private void assertNothingOpen(TestEntry at) throws Exception {
         loop.submit(() -> {}).get(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS);
-        assertEquals(forwarder.openRequests(), 0);
+        assertEquals(at.forwarder.openRequests(), 0);
     }
 
     @DataProvider
@@ -88,7 +93,7 @@
         RecordingCaller caller = onEngines.send("/p/x", List.of(Map.entry("key", "key"), Map.entry("adapter", "a")));
         assertEquals(answerOf(caller), "500 " + ResultCode.FAILURE_BEFORE_RUN);
         assertEquals(progress.poll(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS).getStage(), RunProgress.Stage.ENDED);
-        assertEquals(onEngines.forwarder.openRequests(), 0);
+        assertNothingOpen(onEngines);
     }
 
     /** Guards against a request without an answer after a fault behind the permit for a limited upstream. */
