Close the connection of a caller to whom the final answer cannot be written

Callers could wait on an open connection for an answer that was counted as given.

Cause: the owner of a request notes that the final answer is given before it is handed to the connection. If that threw, or if recording the duration before it threw, every later answer was without effect, and the request counted as ended.

Ruled out: writing the answer again, since a part of it may have left.

Change: if the last part cannot be handed over, the connection is closed, which the caller sees; the error is logged and counted by the guard as before. The duration is recorded after the answer is handed over.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/OpenRequest.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/OpenRequest.java
@@ -337,10 +337,20 @@
     @Override
     public void respond(int status, List<Map.Entry<String, String>> headers, ByteString body) {
         if (answered.compareAndSet(Answered.NOTHING, Answered.WHOLE)) {
+            finish(() -> exchange.respond(status, headers, body));
             if (status < MIN_REDIRECT_STATUS) {
                 recordDuration();
             }
-            exchange.respond(status, headers, body);
+        }
+    }
+
+    /** Gives the last part of the answer; if that fails, the caller learns it by its closed connection. */
+    private void finish(Runnable last) {
+        try {
+            last.run();
+        } catch (RuntimeException | Error e) {
+            exchange.abort();
+            throw e;
         }
     }
 
@@ -359,8 +369,8 @@
     @Override
     public void end() {
         if (answered.compareAndSet(Answered.PART, Answered.WHOLE)) {
+            finish(exchange::end);
             recordDuration();
-            exchange.end();
         }
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FinalAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FinalAnswerTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.google.protobuf.ByteString;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.gateway.ManualTimeSource;
@@ -147,7 +148,7 @@
         final CompletableFuture<Void> firstPart = new CompletableFuture<>();
 
         @Override
-        public void write(com.google.protobuf.ByteString part, Runnable written) {
+        public void write(ByteString part, Runnable written) {
             if (firstPart.isDone()) {
                 throw new IllegalStateException("fault put into write");
             }
@@ -156,6 +157,24 @@
         }
     }
 
+    /** Guards against a caller that waits on an open connection for an answer that could not be written. */
+    @Test
+    public void answerThatCannotBeWrittenClosesTheConnection() throws Exception {
+        configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(60));
+        try (ScriptedUpstream one = new ScriptedUpstream(respondWith(okAnswer("done"), true))) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = new RecordingCaller() {
+                @Override
+                public void respond(int status, List<Map.Entry<String, String>> headers, ByteString content) {
+                    throw new IllegalStateException("fault put into respond");
+                }
+            };
+            entry.send("/p/x", "key", caller);
+            assertEquals(answerOf(caller), "cut after ");
+            assertNothingOpen();
+        }
+    }
+
     /** Guards against a request that waits for ever because nobody decides on its budget. */
     @Test
     public void requestWhoseBudgetIsNeverDecidedEndsAtItsTimeLimitAsNotRun() throws Exception {
