End the choice of an upstream with the deadline for the start

A request whose upstream was being chosen, or whose tokens were taken anew, when that did not come to an end, was held up to the limit of an answer's time (10 minutes by default) instead of the time in which it must start (30 seconds).

Cause: the deadline was looked at before the choice only. The choice is a future that other parts complete; nothing bounded it.

Ruled out: probes, which have timeouts of their own; but what throws while their answers are noted leaves the choice open.

Change: a timer at the deadline ends a request of which no attempt is at a side, as one that cannot start (1031) or, after an attempt that may have run, with that attempt's result. A choice that comes later starts nothing.

Measured: RequestServiceTest#choiceOfAnUpstreamEndsWithTheStartDeadline, seen failing before: no answer at the deadline (the body was empty: begin 6, end -1, length 0); passes now, and so does startedRequestIsNotEndedByTheStartDeadline. The module's tests pass.

This works because the request's owner keeps the deadline itself, whatever it waits for.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
@@ -44,6 +44,7 @@
     private Start template;
     private @Nullable AnswerEnd mayHaveRun;
     private @Nullable RunHandle current;
+    private @Nullable ScheduledFuture<?> startTimer;
     private @Nullable ScheduledFuture<?> answerTimer;
     private int attempts;
     private boolean suspect;
@@ -77,6 +78,8 @@
     private void begin() {
         context.retries().onRequest();
         synchronized (lock) {
+            startTimer = context.scheduler()
+                    .schedule(() -> guard(this::startTimedOut), Math.max(0, remainingMillis()), TimeUnit.MILLISECONDS);
             answerTimer = context.scheduler()
                     .schedule(
                             () -> guard(this::answerTimedOut),
@@ -257,6 +260,9 @@
                 return;
             }
             finished = true;
+            if (startTimer != null) {
+                startTimer.cancel(false);
+            }
             if (answerTimer != null) {
                 answerTimer.cancel(false);
             }
@@ -279,6 +285,17 @@
         }
     }
 
+    /** Ends a request of which no attempt is at a side; nothing starts for it after that. */
+    private void startTimedOut() {
+        synchronized (lock) {
+            if (current != null) {
+                return;
+            }
+            cancelled = true;
+        }
+        finish(end(Refusal.of(ResultCode.DEADLINE_UNREACHABLE)));
+    }
+
     private void answerTimedOut() {
         giveUp(ResultCode.DEADLINE_UNREACHABLE, ResultCode.DEADLINE_PASSED, "the answer took too long");
     }
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestServiceTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestServiceTest.java
@@ -185,6 +185,32 @@
         assertEquals(sides.sent().get(0).getStart().getDeadlineMillis(), START_DEADLINE.toMillis() / 2);
     }
 
+    /** Guards against a request that waits for an upstream, or for new tokens, without end. */
+    @Test
+    public void choiceOfAnUpstreamEndsWithTheStartDeadline() {
+        CompletableFuture<Either<Refusal, Selection>> choice = new CompletableFuture<>();
+        selector = request -> choice;
+        serve("GET");
+        scheduler.advance(START_DEADLINE.toMillis() - 1);
+        assertEquals(exchange.status(), 0, "answered before the deadline");
+        scheduler.advance(1);
+        assertEquals(exchange.code(), ResultCode.DEADLINE_UNREACHABLE.number());
+        assertEquals(service.openRequests(), 0);
+        choice.complete(
+                Either.right(new Selection(new Vm(SIDE, ProcessRole.SIDE, SIDE, "dc", "r", SIDE, false), "test")));
+        assertEquals(sides.sent(), List.of(), "runs after it was told that it did not");
+    }
+
+    /** Guards against a started request that is ended by the deadline for its start. */
+    @Test
+    public void startedRequestIsNotEndedByTheStartDeadline() {
+        sides.add(SIDE, (message, channel) -> {});
+        serve("GET");
+        scheduler.advance(START_DEADLINE.toMillis() * 2);
+        assertEquals(exchange.status(), 0);
+        assertEquals(service.openRequests(), 1);
+    }
+
     // The stop
 
     /** Guards against a stop that ends with a request that waits for tokens and is told nothing. */
