Return tokens that a silent home grants too late

What callers saw: after an entry that owns the budget of an account had been silent for a second, requests of the account were refused for lack of tokens although the account was within its limit.

Cause: an entry gives a draw up after 0.4 s. The home, which was only silent, answers it later, takes the tokens out of the budget, and the answer finds nobody: the tokens belong to no one until the budget has gained them anew. A draw covers all requests that wait, so that each entry loses what it would have admitted in that time.

Ruled out: that the request is lost by it; it is drawn for at the next home after 80 ms and at the deputy after 0.4 s.

Change: a draw still fails after 0.4 s, but its answer is awaited for 5 s; tokens that come after the failure go back to their home.

Why it works: exactly one of timeout and answer completes the draw, and whichever loses knows it. The home caps what comes back at its burst, so that no more can be admitted than before.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMessenger.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/EntryMessenger.java
@@ -1,8 +1,11 @@
 package io.parsleycleat.gateway.process.members;
 
+import com.google.common.flogger.FluentLogger;
 import io.parsleycleat.core.connection.peer.FrameRouter;
 import io.parsleycleat.core.connection.peer.PeerChannel;
 import io.parsleycleat.core.connection.peer.PeerClient;
+import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.result.Failures;
 import io.parsleycleat.core.process.result.PeerException;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.gateway.request.choose.EngineView;
@@ -37,9 +40,13 @@
  * <p>One per entry; safe to share between threads.
  */
 public final class EntryMessenger implements BudgetPeers, PermitPeers {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** A home answers from memory, but may be busy right after its start; one that takes longer is skipped. */
     private static final Duration DRAW_TIMEOUT = Duration.ofMillis(400);
 
+    /** Time within which the tokens of a home that was silent for a while can still be returned to it. */
+    private static final Duration LATE_GRANT_TIMEOUT = Duration.ofSeconds(5);
+
     private final PeerClient peers;
     private final EntryMembers members;
     private final BudgetHomes homes;
@@ -83,12 +90,33 @@
         }
         BudgetDraw.Builder draw =
                 BudgetDraw.newBuilder().setAccount(account).setNeeded(needed).setAhead(ahead);
-        return peers.request(address.get(), gateFrame(GateMessage.newBuilder().setDraw(draw)), DRAW_TIMEOUT)
-                .orTimeout(DRAW_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-                .thenApply(answer -> {
-                    BudgetGrant grant = answer.getGate().getDrawn();
-                    return new Grant(grant.getTokens(), grant.getTokensPerSecond());
+        CompletableFuture<Grant> drawn =
+                new CompletableFuture<Grant>().orTimeout(DRAW_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        peers.request(address.get(), gateFrame(GateMessage.newBuilder().setDraw(draw)), LATE_GRANT_TIMEOUT)
+                .thenApply(EntryMessenger::decodeGrant)
+                .whenComplete((grant, failure) -> {
+                    if (failure != null) {
+                        drawn.completeExceptionally(Failures.unwrap(failure));
+                    } else if (!drawn.complete(grant)) {
+                        returnLateGrant(entry, account, grant);
+                    }
                 });
+        return drawn;
+    }
+
+    private static Grant decodeGrant(Frame answer) {
+        BudgetGrant grant = answer.getGate().getDrawn();
+        return new Grant(grant.getTokens(), grant.getTokensPerSecond());
+    }
+
+    /** Returns tokens that a home granted after the draw had failed, since nobody here waits for them any more. */
+    private void returnLateGrant(String home, String account, Grant grant) {
+        if (grant.tokens() > 0) {
+            logger.atInfo()
+                    .with(LogKeys.PEER, home)
+                    .log("%.0f tokens of account %s granted too late are returned", grant.tokens(), account);
+            returnTokens(home, account, grant.tokens());
+        }
     }
 
     @Override
