Go on reading the configuration stream when something fails at a page

What callers saw: nothing yet; an entry or a side of our own deployment that keeps an old configuration until it is started again.

Cause: the next read was scheduled at the end of the handling of an answer, within a completed future that drops what is thrown. A listener that threw at a state, an error in what follows a page, or a read that threw instead of failing later left no read scheduled, while the tailer still counted as running, so that nothing woke it. A listener that threw also kept the state from the listeners behind it, and those who waited for their change never got its result.

Ruled out: records that cannot be understood.

Change: what is thrown in the handling of an answer, also an Error, is logged, and the next read follows after the retry pause from where the state is by then. A read that throws is a failed read. Listeners are told one by one.

The fix works since every way out of a read schedules the next one.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/LogTailer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/LogTailer.java
@@ -14,6 +14,7 @@
 import java.util.Objects;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
@@ -94,15 +95,38 @@
         boolean firstRead = !holder.isReady() && !searching;
         Duration wait = firstRead ? Duration.ZERO : settings.logWait();
         long startNanos = parts.time().monotonicNanos();
-        parts.log().read(settings.stream(), from, PAGE_RECORDS, wait).whenComplete((page, failure) -> {
-            if (failure == null) {
-                onPage(from, page, startNanos, wait);
-            } else {
-                onFailure(Failures.unwrap(failure));
+        read(from, wait).whenComplete((page, failure) -> {
+            try {
+                if (failure == null) {
+                    onPage(from, page, startNanos, wait);
+                } else {
+                    onFailure(Failures.unwrap(failure));
+                }
+            } catch (RuntimeException | Error e) {
+                onUnexpected(from, e);
             }
         });
     }
 
+    /** Starts a read. One that throws is a failed read like any other, so that the next one is scheduled. */
+    private CompletableFuture<LogPage> read(long from, Duration wait) {
+        try {
+            return parts.log().read(settings.stream(), from, PAGE_RECORDS, wait);
+        } catch (RuntimeException | Error e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    /** Goes on reading after an error in the handling of an answer, from where the state is by now. */
+    private void onUnexpected(long from, Throwable failure) {
+        logger.atSevere()
+                .atMostEvery(1, TimeUnit.MINUTES)
+                .withCause(failure)
+                .with(LogKeys.OFFSET, from)
+                .log("the answer of a read could not be handled; reading goes on");
+        next(RETRY_MILLIS);
+    }
+
     private void onPage(long from, LogPage page, long startNanos, Duration wait) {
         noteReachable(true);
         SortedMap<Long, ConfigurationRecord> records = new TreeMap<>();
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/StateHolder.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/StateHolder.java
@@ -1,5 +1,6 @@
 package io.parsleycleat.core.version.configuration;
 
+import com.google.common.flogger.FluentLogger;
 import io.parsleycleat.wire.configuration.AuditEntry;
 import io.parsleycleat.wire.configuration.Change;
 import io.parsleycleat.wire.configuration.ConfigurationRecord;
@@ -13,6 +14,7 @@
 import java.util.SortedMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 
@@ -23,6 +25,8 @@
  * <p>Created by {@link ConfigurationStore}; safe to share between threads.
  */
 final class StateHolder {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     private final Object lock = new Object();
     private final Map<String, CompletableFuture<AuditEntry>> awaited = new HashMap<>();
     private final List<Consumer<ConfigurationView>> listeners = new CopyOnWriteArrayList<>();
@@ -167,7 +171,18 @@
     /** Each listener sees the newest view, never an earlier one after a later one. */
     private void tellListeners() {
         synchronized (notification) {
-            listeners.forEach(listener -> listener.accept(known));
+            listeners.forEach(this::tellListener);
+        }
+    }
+
+    /** Tells one listener. What it throws is logged, so that the others and those who wait learn of the view. */
+    private void tellListener(Consumer<ConfigurationView> listener) {
+        try {
+            listener.accept(known);
+        } catch (RuntimeException | Error e) {
+            logger.atSevere().atMostEvery(1, TimeUnit.MINUTES).withCause(e).log(
+                    "a listener failed at configuration version %d",
+                    known.state().version());
         }
     }
 }
