Go on with a side's steps when a call or a step throws

What callers saw: nothing yet; requests to an engine whose side has stopped looking at it wait until their time is over, since no step refuses or serves them.

Cause: the periodic step of a side ends for good when it throws once, as a scheduled task does. A call of the engine that threw instead of failing later, or an error in the handling of an odd report, besides left the call marked as in progress or was dropped unlogged.

Ruled out, by reading only: the decoding of the engine's report. Fields of other types and deep nesting throw nothing but a failed call there.

Change: what a step or the handling of an answer throws, also an Error, is logged, once a minute at most, and the steps behind it follow; a call that throws is a failed call.

Measured: stepsGoOnWhenACallOrAStepThrows of OrderLoopTest was seen failing before: "expected [0] but found [2]", two of three calls were never made.

The fix works since nothing thrown leaves a step or an answer.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
@@ -96,6 +96,28 @@
     // Steps, which run on the scheduler's thread
 
     private void step() {
+        guard(this::runStep);
+    }
+
+    /** Logs what a part of the loop throws, so that the steps behind it follow all the same. */
+    private static void guard(Runnable work) {
+        try {
+            work.run();
+        } catch (RuntimeException | Error e) {
+            logger.atSevere().atMostEvery(1, TimeUnit.MINUTES).withCause(e).log("a step failed; the next one follows");
+        }
+    }
+
+    /** Starts a call. One that throws is a failed call like any other. */
+    private static <T> CompletableFuture<T> call(Supplier<CompletableFuture<T>> work) {
+        try {
+            return work.get();
+        } catch (RuntimeException | Error e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    private void runStep() {
         gate.refuseExpired();
         afterStep.run();
         if (callInProgress) {
@@ -116,14 +138,14 @@
 
     private void sendOrder(ModelOrder order) {
         callInProgress = true;
-        CompletableFuture<ModelOrder.Outcome> answer = engine.sendOrder(order);
+        CompletableFuture<ModelOrder.Outcome> answer = call(() -> engine.sendOrder(order));
         scheduler.schedule(
                 () -> answer.complete(ModelOrder.Outcome.UNKNOWN), ORDER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
         answer.whenCompleteAsync(
                 (outcome, failure) -> {
                     callInProgress = false;
                     reportNeeded = true;
-                    onOrderOutcome(order, failure == null ? outcome : ModelOrder.Outcome.UNKNOWN);
+                    guard(() -> onOrderOutcome(order, failure == null ? outcome : ModelOrder.Outcome.UNKNOWN));
                     step();
                 },
                 scheduler);
@@ -153,14 +175,14 @@
     private void fetchReport() {
         callInProgress = true;
         lastReportNanos = time.monotonicNanos();
-        engine.fetchReport()
+        call(engine::fetchReport)
                 .whenCompleteAsync(
                         (report, failure) -> {
                             callInProgress = false;
                             if (failure == null) {
-                                onReport(report);
+                                guard(() -> onReport(report));
                             } else {
-                                onCallFailure(Failures.unwrap(failure));
+                                guard(() -> onCallFailure(Failures.unwrap(failure)));
                             }
                         },
                         scheduler);
@@ -191,16 +213,16 @@
             return;
         }
         callInProgress = true;
-        engine.fetchEngineId(path.get())
+        call(() -> engine.fetchEngineId(path.get()))
                 .whenCompleteAsync(
                         (id, failure) -> {
                             callInProgress = false;
                             if (failure == null) {
                                 logger.atInfo().with(LogKeys.UPSTREAM, id).log("engine id is %s", id);
                                 engineId = id;
-                                onReport(report);
+                                guard(() -> onReport(report));
                             } else {
-                                onCallFailure(Failures.unwrap(failure));
+                                guard(() -> onCallFailure(Failures.unwrap(failure)));
                             }
                         },
                         scheduler);
@@ -232,8 +254,7 @@
             return;
         }
         fencingTokenRequested = true;
-        fencingTokens
-                .next()
+        call(fencingTokens::next)
                 .whenCompleteAsync(
                         (number, failure) -> {
                             fencingTokenRequested = false;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderLoopTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/OrderLoopTest.java
@@ -36,6 +36,7 @@
     private EngineGate gate;
     private ScriptedEngine engine;
     private List<StartGrant> grants;
+    private int failedSteps;
 
     /** Carries out orders immediately, except for a set number of orders that it leaves unanswered. */
     private final class ScriptedEngine implements EngineControl {
@@ -43,10 +44,15 @@
         private final List<ModelOrder> orders = new ArrayList<>();
         private long accepted;
         private int unansweredOrders;
+        private int throwsLeft;
         private boolean acceptsUnanswered;
 
         @Override
         public CompletableFuture<EngineReport> fetchReport() {
+            if (throwsLeft > 0) {
+                throwsLeft--;
+                throw new IllegalStateException("a call that throws");
+            }
             return CompletableFuture.completedFuture(
                     new EngineReport(1, accepted, false, Set.of("m"), adapters, Map.of(), 0, 0, 20_000));
         }
@@ -81,6 +87,7 @@
 
     @BeforeMethod
     public void setUp() {
+        failedSteps = 0;
         time = new ManualTimeSource();
         scheduler = new ManualScheduler(time);
         gate = new EngineGate(new AdapterVersions(), time);
@@ -94,7 +101,12 @@
                 () -> Optional.of("/health"),
                 scheduler,
                 time,
-                () -> {});
+                () -> {
+                    if (failedSteps > 0) {
+                        failedSteps--;
+                        throw new StackOverflowError("a step that throws");
+                    }
+                });
         loop.start();
         scheduler.runFor(Duration.ofMillis(200));
     }
@@ -134,4 +146,20 @@
         assertEquals(grants.size(), 1);
         assertEquals(engine.orders.size(), 1);
     }
+
+    /** Guards against a side that never asks its engine again because one call or step threw. */
+    @Test
+    public void stepsGoOnWhenACallOrAStepThrows() {
+        engine.throwsLeft = 3;
+        scheduler.runFor(Duration.ofSeconds(3));
+        assertEquals(engine.throwsLeft, 0);
+        failedSteps = 1;
+        scheduler.runFor(Duration.ofSeconds(1));
+        assertEquals(failedSteps, 0);
+        requestStart(1, "a1");
+        scheduler.runFor(Duration.ofMillis(600));
+        assertEquals(engine.orders.size(), 1);
+        assertEquals(grants.size(), 1);
+        assertEquals(grants.get(0).getRefusalCode(), 0);
+    }
 }
