Fail peer requests whose new connection closes at once

What callers saw: nothing at first; a process whose connection was closed just as it was opened could stay unreachable for the rest of this process's life. Draws of tokens, start requests and reads through it then end at their timeouts each time, and messages to it pile up.

Cause: the listener of a connect takes the peer's channel from the pipeline. If the caller's thread runs late and the peer closes first, the pipeline is empty already. The listener throws, the library logs that, and the future of the connection, which all later requests to that peer share, is never completed. Requests are made on such a thread when an earlier one has run into its timeout.

Ruled out: a close after the listener has run (it fails the greeting and the requests); a connect that fails.

Change: the channel is made before the connect and known to the listener. Besides, a call of the HTTP client whose connection closed early now fails only after the client has passed over the connection, which logged an exception of its own before, and counts as not run in whichever order the close and the connect are reported.

Why it works: a closed channel has failed its greeting, so the listener finds a failure, reports it and the next request connects anew.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
@@ -35,6 +35,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Connections to other processes over TCP: length-prefixed protobuf frames, one outgoing connection for each peer.
@@ -115,7 +116,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(initializer(IpAddresses.format(address)));
+                .childHandler(initializer(() -> new NettyPeerChannel(this, IpAddresses.format(address))));
         Channel channel = bootstrap.bind(address).syncUninterruptibly().channel();
         accepted.put(channel, true);
         return (InetSocketAddress) channel.localAddress();
@@ -225,16 +226,16 @@
             return CompletableFuture.failedFuture(
                     new PeerException(ResultCode.PEER_UNREACHABLE, "not an IP address and port", peerAddress));
         }
+        NettyPeerChannel channel = new NettyPeerChannel(this, peerAddress);
         new Bootstrap()
                 .group(loops)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(initializer(peerAddress))
+                .handler(initializer(() -> channel))
                 .connect(address)
                 .addListener((io.netty.channel.ChannelFuture f) -> {
                     if (f.isSuccess()) {
-                        NettyPeerChannel channel = f.channel().pipeline().get(NettyPeerChannel.class);
                         channel.awaitHello(HELLO_TIMEOUT).whenComplete((ok, failure) -> {
                             if (failure != null) {
                                 f.channel().close();
@@ -251,7 +252,7 @@
         return opened;
     }
 
-    private ChannelInitializer<SocketChannel> initializer(String address) {
+    private ChannelInitializer<SocketChannel> initializer(Supplier<NettyPeerChannel> peerChannel) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
@@ -264,7 +265,7 @@
                         .addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
                         .addLast(new ProtobufVarint32LengthFieldPrepender())
                         .addLast(new ProtobufEncoder())
-                        .addLast(new NettyPeerChannel(NettyPeerTransport.this, address));
+                        .addLast(peerChannel.get());
                 accepted.put(channel, true);
                 channel.closeFuture().addListener(f -> accepted.remove(channel));
             }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/EarlyClose.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/EarlyClose.java
@@ -17,17 +17,27 @@
  */
 final class EarlyClose {
     private final CompletableFuture<ConnectException> closed = new CompletableFuture<>();
+    private volatile boolean found;
 
     /**
      * Checks a new connection. Called on its event loop just before the client writes the request, so that the client
-     * reports a later close to the call.
+     * reports a later close to the call. The call fails once the client has passed over the closed connection.
      */
     void onConnected(InetSocketAddress remote, Channel connection) {
         if (!connection.isActive()) {
-            closed.complete(new ConnectException("connection to " + remote + " closed before the request was sent"));
+            found = true;
+            connection
+                    .eventLoop()
+                    .execute(() -> closed.complete(
+                            new ConnectException("connection to " + remote + " closed before the request was sent")));
         }
     }
 
+    /** Returns whether the connection was found closed, so that no byte of the request was sent. */
+    boolean isFound() {
+        return found;
+    }
+
     /** Fails the call if its connection was or will be found closed. */
     <T> ListenableFuture<T> watch(ListenableFuture<T> call) {
         closed.thenAccept(call::abort);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/EngineStreamReader.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/EngineStreamReader.java
@@ -90,7 +90,7 @@
 
     @Override
     public void onThrowable(Throwable t) {
-        boolean neverSent = !sent && t instanceof ConnectException;
+        boolean neverSent = !sent && (t instanceof ConnectException || earlyClose.isFound());
         fail(neverSent ? ResultCode.UPSTREAM_UNREACHABLE : ResultCode.UPSTREAM_LOST, String.valueOf(t));
     }
 
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/HttpPlainService.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/HttpPlainService.java
@@ -116,7 +116,7 @@
         @Override
         public void onThrowable(Throwable t) {
             if (ended.compareAndSet(false, true)) {
-                boolean neverSent = !sent && t instanceof ConnectException;
+                boolean neverSent = !sent && (t instanceof ConnectException || earlyClose.isFound());
                 answer.onFailure(failure(
                         neverSent ? ResultCode.UPSTREAM_UNREACHABLE : ResultCode.UPSTREAM_LOST, String.valueOf(t)));
             }
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/upstream/EarlyCloseTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/upstream/EarlyCloseTest.java
@@ -4,13 +4,7 @@
 import static org.testng.Assert.expectThrows;
 
 import com.google.protobuf.ByteString;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.DefaultChannelPromise;
-import io.netty.channel.EventLoop;
-import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.util.concurrent.Future;
-import io.netty.util.concurrent.GenericFutureListener;
+import io.parsleycleat.core.connection.LateCallerLoops;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.process.result.UpstreamException;
 import java.io.IOException;
@@ -43,45 +37,6 @@
     private LateCallerLoops loops;
     private AsyncHttpClient http;
 
-    /**
-     * One event loop on which a caller's thread continues only after its new connection was closed, as it does when the
-     * system runs other threads first.
-     */
-    private static final class LateCallerLoops extends NioEventLoopGroup {
-        LateCallerLoops() {
-            super(1);
-        }
-
-        @Override
-        public ChannelFuture register(Channel channel) {
-            EventLoop loop = next();
-            return loop.register(new DefaultChannelPromise(channel, loop) {
-                private volatile boolean listening;
-
-                @Override
-                public boolean isDone() {
-                    return (listening || loop.inEventLoop()) && super.isDone();
-                }
-
-                @Override
-                public DefaultChannelPromise addListener(
-                        GenericFutureListener<? extends Future<? super Void>> listener) {
-                    listening = true;
-                    super.addListener(listener);
-                    if (!loop.inEventLoop()) {
-                        channel.closeFuture().awaitUninterruptibly();
-                    }
-                    return this;
-                }
-            });
-        }
-
-        /** Returns once all that was waiting on the loop has run. */
-        void drain() throws Exception {
-            next().submit(() -> {}).get(20, TimeUnit.SECONDS);
-        }
-    }
-
     /** What one call reported. */
     private static final class Reported implements ServiceAnswer, EngineAnswer {
         private final CompletableFuture<Void> end = new CompletableFuture<>();
