Stop daemons in a signal handler, so that their stop is logged

The log of a daemon ended where its stop began: which requests and runs the stop ended was logged by nobody.

Cause: daemons stopped in a shutdown hook. The logging library removes its handlers in a hook of its own, which runs beside all others. An exception in the stop was lost the same way.

Ruled out: buffering. The handler writes each line at once.

Change: daemons stop on SIGTERM and SIGINT in a handler of these signals, as the platform's processes do; Signals moves to the library for that, unchanged but for its visibility. The hook stays for what else ends the JVM. The end of a stop is logged, and so is what is thrown in it. The exit code after SIGTERM is 0 now, the documented one of a daemon that was stopped.

This works because the JVM's shutdown begins only after the stop has ended.

--- a/platform/src/main/java/io/parsleycleat/platform/Signals.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/common/Signals.java
@@ -1,4 +1,4 @@
-package io.parsleycleat.platform;
+package io.parsleycleat.core.process.common;
 
 import com.google.common.flogger.FluentLogger;
 import java.lang.reflect.Proxy;
@@ -11,17 +11,20 @@
  *
  * <p>The JDK's signal classes are not part of its documented API, so they are looked up by name.
  */
-final class Signals {
-    static final String RELOAD = "HUP";
-    static final String STOP = "TERM";
-    static final String INTERRUPT = "INT";
+public final class Signals {
+    /** Asks a process to read its settings again. */
+    public static final String RELOAD = "HUP";
+    /** Asks a process to stop. */
+    public static final String STOP = "TERM";
+    /** Asks a process to stop from its terminal. */
+    public static final String INTERRUPT = "INT";
 
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private Signals() {}
 
     /** Replaces the default handling of a signal by an action; returns whether this JVM supports that. */
-    static boolean handle(String name, Runnable action) {
+    public static boolean handle(String name, Runnable action) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
--- a/parsleycleat-daemon/src/main/java/io/parsleycleat/daemon/Daemon.java
+++ b/parsleycleat-daemon/src/main/java/io/parsleycleat/daemon/Daemon.java
@@ -1,6 +1,7 @@
 package io.parsleycleat.daemon;
 
 import com.google.common.flogger.FluentLogger;
+import io.parsleycleat.core.process.common.Signals;
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.logging.Logging;
 import io.parsleycleat.core.process.result.ParsleycleatException;
@@ -11,6 +12,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import java.util.logging.Level;
 import org.kohsuke.args4j.CmdLineException;
@@ -113,20 +115,33 @@
     private void serve(S settings) {
         RunningProcess process = starter.apply(settings);
         CountDownLatch stopped = new CountDownLatch(1);
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(
-                        () -> {
-                            logger.atInfo().log("%s stops", name);
-                            process.stop();
-                            stopped.countDown();
-                        },
-                        "stop"));
+        AtomicBoolean stopping = new AtomicBoolean();
+        Runnable stop = () -> {
+            if (stopping.compareAndSet(false, true)) {
+                stop(process);
+                stopped.countDown();
+            }
+        };
+        Signals.handle(Signals.STOP, stop);
+        Signals.handle(Signals.INTERRUPT, stop);
+        // For what else ends the JVM; the log of such a stop may not be whole.
+        Runtime.getRuntime().addShutdownHook(new Thread(stop, "stop"));
         out.println(process.listening());
         out.flush();
         logger.atInfo().with(LogKeys.PEER, vmName.apply(settings)).log("%s %s started", name, Versions.current());
         awaitUninterruptibly(stopped);
     }
 
+    private void stop(RunningProcess process) {
+        logger.atInfo().log("%s stops", name);
+        try {
+            process.stop();
+            logger.atInfo().log("%s stopped", name);
+        } catch (RuntimeException | Error e) {
+            logger.atSevere().withCause(e).log("%s did not stop in order", name);
+        }
+    }
+
     private static void awaitUninterruptibly(CountDownLatch latch) {
         boolean done = false;
         while (!done) {
