Go on with a timer's repeated task after it threw, and log what it threw

One exception in a repeated task ended that task for good, without a line: the checks of deadlines in queue and slot table, the health check of a service, the lease's confirmation, the homes of budgets and the waits of a stop are such tasks. What waited for them then waited up to the limit of an answer's time.

Cause: the JDK's scheduler keeps what a task throws in a future that nobody reads, and repeats the task no more.

Ruled out: no task is known to throw; this is a gap that was found in the code.

Change: the timers of a process log what their tasks throw, at most one line a second, and repeat the task.

Measured: ProcessBaseTest#repeatedTaskGoesOnAfterItThrew, seen failing before: the task was called once only expected [true] but found [false]; passes now.

This works because every timer of a process comes from this one scheduler, and a guarded task never throws.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/common/ProcessBase.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/common/ProcessBase.java
@@ -30,7 +30,6 @@
 import io.parsleycleat.wire.peer.Frame;
 import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -52,7 +51,7 @@
     private final EventLoopGroup loops = new NioEventLoopGroup(
             LOOP_THREADS,
             new ThreadFactoryBuilder().setNameFormat("loop-%d").setDaemon(true).build());
-    private final ScheduledExecutorService scheduler = Executors.newScheduledThreadPool(
+    private final ScheduledExecutorService scheduler = new GuardedScheduler(
             TIMER_THREADS,
             new ThreadFactoryBuilder().setNameFormat("timer-%d").setDaemon(true).build());
     private final MetricRegistry metrics = new MetricRegistry();
