Fail a load whose order or permit throws, instead of loading for ever

When an order to an engine, or the request for a permit to load, threw instead of failing, the slot stayed in loading, or the load was never begun, and each request for the adapter waited at the side until its deadline, again and again.

Cause: both are called while a future is completed, which swallows what is thrown, and nothing undid the load.

Ruled out: orders and permits whose futures fail; these end the load.

Change: what is thrown counts as a failed order or a refused permit.

Measured: EngineSlotTableTest, seen failing before: loadWhoseOrderThrowsFails whoever waits for the load is told expected [true] but found [false], loadWhoseGateThrowsIsRefused with the exception of the gate; both pass now. The module's tests pass (988).

This works because the failing path, which wakes whoever waits and backs off, is now the only one.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/EngineSlotTable.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/slots/EngineSlotTable.java
@@ -278,7 +278,7 @@
     }
 
     private void askForPermit(LoadPriority priority) {
-        gate.acquire(priority)
+        called(() -> gate.acquire(priority))
                 .whenComplete((permit, failure) -> onPermit(
                         priority,
                         failure == null
@@ -337,10 +337,21 @@
 
     private CompletableFuture<Void> order(Supplier<CompletableFuture<Void>> order) {
         return leaseHeld.getAsBoolean()
-                ? order.get()
+                ? called(order)
                 : CompletableFuture.failedFuture(leaseLapsed().toException());
     }
 
+    /** Makes a call; what it throws is its failure. */
+    private static <T> CompletableFuture<T> called(Supplier<CompletableFuture<T>> call) {
+        try {
+            return call.get();
+        } catch (RuntimeException | Error e) {
+            logger.atSevere().atMostEvery(1, TimeUnit.SECONDS).withCause(e).log(
+                    "unexpected failure of an order or a permit");
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
     /** Returns whether the load goes on. */
     private boolean onUnloaded(LoadOrder order, @Nullable Throwable failure) {
         List<Runnable> after = new ArrayList<>();
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/process/slots/EngineSlotTableTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/process/slots/EngineSlotTableTest.java
@@ -170,6 +170,32 @@
         assertTrue(table.report(A).expectedLoadMillis() >= longer.toMillis(), "probes tell of the backoff");
     }
 
+    /** Guards against a slot that loads for ever, and requests that wait for it, since the order threw. */
+    @Test
+    public void loadWhoseOrderThrowsFails() {
+        engine.throwing = true;
+        CompletableFuture<Pin> pin = pin(A);
+        assertTrue(pin.isCompletedExceptionally(), "whoever waits for the load is told");
+        assertEquals(codeOf(pin), ResultCode.LOAD_FAILED);
+        engine.throwing = false;
+        time.advance(refusalOf(pin(A)).refusal().retry().orElseThrow());
+        loaded(A);
+    }
+
+    /** Guards against a load that is never begun, and requests that wait for it, since its permit's gate threw. */
+    @Test
+    public void loadWhoseGateThrowsIsRefused() {
+        table = EngineSlotTable.builder(engine, time)
+                .withGate(priority -> {
+                    throw new IllegalStateException("a fault of the test");
+                })
+                .build();
+        table.observe(engine.report());
+        CompletableFuture<Pin> pin = pin(A);
+        assertTrue(pin.isCompletedExceptionally(), "whoever waits for the load is told");
+        assertEquals(codeOf(pin), ResultCode.LIMIT_UNAVAILABLE);
+    }
+
     @Test
     public void restartedEngineIsEmpty() {
         Pin before = loaded(A);
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/process/slots/FakeEngine.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/process/slots/FakeEngine.java
@@ -23,6 +23,7 @@
     final Deque<CompletableFuture<Void>> open = new ArrayDeque<>();
     final Set<AdapterVersion> loaded = new LinkedHashSet<>();
     boolean atOnce;
+    boolean throwing;
     boolean checksFencing;
     long highestFencing;
     String incarnation = "1";
@@ -56,6 +57,9 @@
     }
 
     private synchronized CompletableFuture<Void> order(String name, long fencingNumber, Runnable effect) {
+        if (throwing) {
+            throw new IllegalStateException("a fault of the test");
+        }
         if (checksFencing && fencingNumber < highestFencing) {
             return CompletableFuture.failedFuture(failure(ResultCode.ORDER_FENCED));
         }
