Take the answer of a second upstream only once it serves the caller

Callers of streams could still be cut, or get parts of two runs in one stream, when the second upstream that was asked for a silent one sent something that its caller could not use, or when the heads of both differed.

Cause: any byte of the second upstream (streams) or its head (idempotent requests) made it the one that serves, and the first was given up for a comment, half an event or an event that the caller had. A second answer whose head was accepted while the first had none was not compared with the first one's head again, and its bytes were passed on behind it. An error of the first one with a body cancelled the second.

Change: what the second upstream sends is held back until it contains a whole event that the caller does not have, or, for an idempotent request, until it is whole; above 1 MiB it is taken. Its head must fit what the caller has got by then. Only a stream that has begun cancels the second one, not an error of the first. A request that cannot be encoded on a connection fails at once.

Why this works: the first upstream is given up for something that the caller gets in the same step.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
@@ -1,5 +1,6 @@
 package io.parsleycleat.gateway.connection.upstream;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -26,6 +27,7 @@
  * passed.
  */
 public final class UpstreamConnectionPool {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
     private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
@@ -117,7 +119,7 @@
         }
         UpstreamConnection connection = takeIdle();
         if (connection != null) {
-            pending.sendOn(connection);
+            sendOn(connection, pending);
         } else if (closed) {
             pending.listener.onFailure(SendFailure.notSent("the upstream has left or restarted"));
         } else if (openConnections >= maxConnections.getAsInt()) {
@@ -174,7 +176,18 @@
         if (pending.cancelled) {
             release(connection, true);
         } else {
+            sendOn(connection, pending);
+        }
+    }
+
+    /** Sends a request. One that cannot be encoded was not sent; its connection is given up. */
+    private static void sendOn(UpstreamConnection connection, PendingRequest pending) {
+        try {
             pending.sendOn(connection);
+        } catch (RuntimeException | Error e) {
+            connection.cancel();
+            logger.atSevere().withCause(e).log("a request cannot be encoded");
+            pending.listener.onFailure(SendFailure.notSent("the request cannot be encoded: " + e));
         }
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -169,8 +169,13 @@
     }
 
     @Override
-    public boolean isServedByHead() {
-        return route.kind() != RequestKind.STREAM;
+    public boolean isStream() {
+        return route.kind() == RequestKind.STREAM;
+    }
+
+    @Override
+    public OptionalLong lastEventId() {
+        return answer.lastEventId();
     }
 
     @Override
@@ -239,7 +244,7 @@
     @Override
     public void onHead(Attempt from, ResponseHead head) {
         mayHaveRun = true;
-        if (isServedByHead() && head.status() < MIN_SERVER_ERROR_STATUS) {
+        if (!isStream() && head.status() < MIN_SERVER_ERROR_STATUS) {
             cancelHedge();
         }
         if (!answer.isStreaming()) {
@@ -270,10 +275,10 @@
         if (answer.isStreaming() && answer.lastEventId().isEmpty()) {
             open.enter(OpenRequest.Stage.REST_OF_ANSWER, from.upstream().id());
         }
-        if (route.kind() == RequestKind.STREAM) {
+        answer.append(part);
+        if (answer.isStreaming()) {
             cancelHedge();
         }
-        answer.append(part);
         if (answer.isEventTooLong()) {
             from.cancel();
             onFailed(from, SendFailure.invalidResponse("event exceeds " + EventSplitter.MAX_EVENT_BYTES + " bytes"));
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/HedgedSend.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/HedgedSend.java
@@ -6,6 +6,8 @@
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.gateway.connection.upstream.ResponseHead;
 import io.parsleycleat.gateway.connection.upstream.SendFailure;
+import io.parsleycleat.gateway.request.events.EventSplitter;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
@@ -19,6 +21,8 @@
  */
 final class HedgedSend implements Attempt.Listener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** How much of an answer is held back until it serves the request; more is taken for a whole one. */
+    private static final int MAX_HELD_BYTES = 1024 * 1024;
 
     private final ForwardingContext context;
     private final String requestId;
@@ -27,6 +31,8 @@
     private State state = State.SEARCHING;
     private @Nullable Attempt attempt;
     private @Nullable ResponseHead head;
+    private ByteString heldBody = ByteString.EMPTY;
+    private final EventSplitter heldEvents = new EventSplitter();
 
     private enum State {
         SEARCHING,
@@ -45,8 +51,11 @@
         /** Returns whether an answer with this head can serve the request instead of the first one. */
         boolean isUsable(ResponseHead head);
 
-        /** Returns whether the head alone shows that the second upstream serves the request. */
-        boolean isServedByHead();
+        /** Returns whether the answer is a stream of events, which serves the request from its first new event on. */
+        boolean isStream();
+
+        /** Returns the id of the last event that the caller has. */
+        OptionalLong lastEventId();
 
         /** Called when the second upstream has answered first, or the first one has failed before any answer. */
         void onTakenOver(Attempt second, @Nullable ResponseHead head);
@@ -91,14 +100,28 @@
         return sent;
     }
 
-    /** Lets the second upstream serve the request alone; returns false if none works on it. */
+    /**
+     * Lets the second upstream serve the request alone; returns false if none works on it, or if its answer no longer
+     * fits what the caller has got from the first one.
+     */
     boolean takeOver() {
         Attempt current = attempt;
+        ResponseHead received = head;
         if (state != State.SENT || current == null) {
             return false;
         }
+        if (received != null && !owner.isUsable(received)) {
+            current.cancel();
+            drop(current, "status " + received.status() + " does not continue the answer");
+            return false;
+        }
         state = State.TAKEN;
-        owner.onTakenOver(current, head);
+        owner.onTakenOver(current, received);
+        ByteString held = heldBody;
+        heldBody = ByteString.EMPTY;
+        if (!held.isEmpty()) {
+            owner.onBody(current, held);
+        }
         return true;
     }
 
@@ -140,9 +163,6 @@
             owner.onHead(from, answer);
         } else if (owner.isUsable(answer)) {
             head = answer;
-            if (owner.isServedByHead()) {
-                takeOver();
-            }
         } else {
             from.cancel();
             drop(from, "status " + answer.status());
@@ -151,17 +171,31 @@
 
     @Override
     public void onBody(Attempt from, ByteString part) {
-        if (state == State.TAKEN || takeOver()) {
+        if (state == State.TAKEN) {
             owner.onBody(from, part);
+            return;
+        }
+        heldBody = heldBody.concat(part);
+        if (heldBody.size() > MAX_HELD_BYTES || (owner.isStream() && hasNewEvent(part))) {
+            takeOver();
         }
     }
 
+    /** Returns whether the events so far contain one that the caller does not have. */
+    private boolean hasNewEvent(ByteString part) {
+        heldEvents.append(part);
+        OptionalLong newest = heldEvents.lastEventId();
+        OptionalLong known = owner.lastEventId();
+        boolean isKnown = newest.isPresent() && known.isPresent() && newest.getAsLong() <= known.getAsLong();
+        return heldEvents.hasWholeEvent() && !isKnown;
+    }
+
     @Override
     public void onComplete(Attempt from) {
-        if (state == State.TAKEN) {
+        if (state != State.TAKEN && owner.isStream()) {
+            drop(from, "the answer has no new event");
+        } else if (state == State.TAKEN || takeOver()) {
             owner.onComplete(from);
-        } else {
-            drop(from, "the answer is empty");
         }
     }
 
