Give no turns at a side's queue once its runs are ended by the stop

Callers whose run waited at a stopping side could be told that it may have run, and upstreams got a run that was cut at once.

Cause: the stop ends its runs one after another. The end of one that ran freed its place, and the next waiting one was handed over before its own end came. Found by a review of the stop.

Change: the queue is closed before the runs are ended; a closed queue gives no further turns.

Why this works: what has not got its turn by then never does, so that its end as not run is true.

Left: a run that gets its turn in the same moment in which its end is decided.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/SideProcess.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/SideProcess.java
@@ -107,6 +107,7 @@
         boolean whole =
                 Drain.await(base.scheduler(), runs::openRuns, settings.control().drainTimeout());
         if (!whole) {
+            queue.close();
             logger.atWarning().log("%d runs were ended by the stop", runs.endOpenRuns());
             Drain.await(base.scheduler(), runs::openRuns, LAST_ANSWERS_TIMEOUT);
         }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/queue/FairRunQueue.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/queue/FairRunQueue.java
@@ -44,6 +44,7 @@
     private final Map<String, Long> offeredNanos = new HashMap<>();
     private final Map<String, Running> running = new HashMap<>();
     private double runNanos;
+    private boolean closed;
 
     /** Creates an empty queue. */
     public FairRunQueue(QueueSettings settings, TimeSource time, MetricRegistry metrics) {
@@ -64,6 +65,13 @@
         scheduler.scheduleWithFixedDelay(this::expire, interval.toMillis(), interval.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    /** Gives no further turns; runs that have theirs go on. */
+    public void close() {
+        synchronized (lock) {
+            closed = true;
+        }
+    }
+
     // Queue
 
     @Override
@@ -238,7 +246,7 @@
 
     private void startNext(List<Runnable> after) {
         Optional<QueuedRun> next = next();
-        while (next.isPresent()) {
+        while (!closed && next.isPresent()) {
             QueuedRun run = next.get();
             long now = time.monotonicNanos();
             waiting.remove(run.runId());
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/execute/ExecutionEndTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/execute/ExecutionEndTest.java
@@ -167,8 +167,46 @@
         assertEquals(queue.running(), 0, "places that are taken for ever");
     }
 
+    /** Guards against a long answer that is given up although its engine has gone on with it after each loss. */
+    @Test
+    public void answerThatGoesOnAfterEachLossIsNotGivenUp() {
+        int[] next = {0};
+        engine.onRun = a -> {
+            a.onToken(next[0]++, "x");
+            a.onFailure(lost());
+        };
+        engine.onResume = a -> {
+            a.onToken(next[0]++, "x");
+            if (next[0] < 4) {
+                a.onFailure(lost());
+            } else {
+                a.onEnd("stop", 1, 4);
+            }
+        };
+        startOnEngine();
+        assertEquals(answer.codes, List.of(ResultCode.DONE.number()));
+    }
+
     // The stop
 
+    /** Guards against a waiting run that begins at the end of a stop, since the run before it was ended first. */
+    @Test
+    public void waitingRunDoesNotBeginWhenTheRunBeforeItIsStopped() {
+        List<String> calls = new ArrayList<>();
+        engine.onRun = a -> calls.add("run");
+        startOnEngine();
+        RecordedAnswer running = answer;
+        answer = new RecordedAnswer();
+        startOnEngine();
+        RecordedAnswer waiting = answer;
+        queue.close();
+        running.stop();
+        waiting.stop();
+        assertEquals(running.codes, List.of(ResultCode.SIDE_LOST.number()));
+        assertEquals(waiting.codes, List.of(ResultCode.PROCESS_STOPPING.number()));
+        assertEquals(calls.size(), 1);
+    }
+
     /** Guards against runs that wait at a side that stops and are lost as if they might have run. */
     @Test
     public void waitingRunsDidNotRunAtTheEndOfAStop() {
