Count only losses in a row before an engine's answer is given up

A long answer was broken off at the third lost connection between a side and its engine, although the engine had gone on with it after each loss.

Cause: the side counted the resumptions of an answer over its whole life.

Change: each token sets the count to zero.

Why this works: a token proves that the engine knows the answer and goes on with it.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
@@ -226,6 +226,7 @@
             gap = index > nextToken;
             if (!gap) {
                 nextToken++;
+                resumes = 0;
             }
         }
         if (gap) {
