Refuse during a stop only what would be lost by it, judged by requests of its size

Callers were refused at a stopping entry, while other entries stopped too, although their streams would have ended in time or could have been continued elsewhere.

Cause: the usual duration of a stream was the 95th percentile of the time per token, times the tokens that it may generate. The fixed part of a few short streams made long ones hopeless, and one answer was enough to decide. Streams that may be resumed were refused like those that a cut loses.

Change: durations are kept by size, in powers of two, and used from eight answers on; a size that is not known takes the next larger one, or the time limit. A stream that may be resumed is taken as long as it can begin.

Why this works: requests of one size take about the same time whatever the fixed part is, and a stream that can be resumed loses nothing by the cut that its caller does not regain.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/OpenRequests.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/OpenRequests.java
@@ -81,12 +81,15 @@
 
     /**
      * Returns whether a request that begins now usually ends before a planned stop does, or reaches its own time limit
-     * before.
+     * before. A stream that may be resumed only has to begin: its caller continues it elsewhere.
      */
     boolean canEndBeforeStop(RequestForwarder.Admitted admitted, Duration ownTimeLeft) {
-        return !stopping
-                || ownTimeLeft.compareTo(stopLeft()) <= 0
-                || durations.usual(admitted).compareTo(stopLeft()) <= 0;
+        if (!stopping || ownTimeLeft.compareTo(stopLeft()) <= 0) {
+            return true;
+        }
+        Duration needed =
+                admitted.route().resumable() ? admitted.route().latencyObjective() : durations.usual(admitted);
+        return needed.compareTo(stopLeft()) <= 0;
     }
 
     /** Records a request that was answered as a whole. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RouteDurations.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RouteDurations.java
@@ -7,58 +7,77 @@
 import io.parsleycleat.gateway.version.routes.RequestKind;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 /**
- * How long requests on each route have recently taken until their whole answer; streams per token that they may
- * generate, if their callers count tokens.
+ * How long requests on each route have recently taken until their whole answer; streams by the number of tokens that
+ * they may generate, if their callers count tokens.
  *
  * <p>One per {@link OpenRequests}; safe to share between threads.
  */
 final class RouteDurations {
-    private static final int SAMPLES_PER_ROUTE = 128;
+    private static final int SAMPLES_PER_KEY = 128;
+    /** With fewer answers, one that is out of the ordinary would decide. */
+    private static final int MIN_SAMPLES = 8;
     /** The duration within which this share of the recent requests have ended counts as usual. */
     private static final double USUAL_QUANTILE = 0.95;
 
-    private static final int MAX_ROUTES = 2_000;
+    private static final int MAX_KEYS = 4_000;
+    /** The size class of requests whose tokens are not counted. */
+    private static final int NO_SIZE = -1;
 
     private final Cache<Key, Reservoir> reservoirs =
-            CacheBuilder.newBuilder().maximumSize(MAX_ROUTES).build();
+            CacheBuilder.newBuilder().maximumSize(MAX_KEYS).build();
 
-    private record Key(String route, boolean perToken) {}
+    /**
+     * Requests that take about the same time.
+     *
+     * @param sizeClass binary logarithm of the tokens that a stream may generate
+     */
+    private record Key(String route, int sizeClass) {
+        static Key of(RequestForwarder.Admitted admitted) {
+            ForwardRequest.TokenCounts tokens = admitted.request().tokens();
+            int sizeClass = tokens == null || !isStream(admitted) ? NO_SIZE : log2(tokens.output());
+            return new Key(admitted.route().name(), sizeClass);
+        }
+
+        Key withSizeClass(int newSizeClass) {
+            return new Key(route, newSizeClass);
+        }
+
+        private static int log2(int tokens) {
+            return Integer.SIZE - 1 - Integer.numberOfLeadingZeros(Math.max(1, tokens));
+        }
+    }
 
     /** Records a request that was answered as a whole. */
     void record(RequestForwarder.Admitted admitted, Duration duration) {
-        Key key = key(admitted);
+        Key key = Key.of(admitted);
         Reservoir known = reservoirs.getIfPresent(key);
-        Reservoir reservoir = known == null ? new SlidingWindowReservoir(SAMPLES_PER_ROUTE) : known;
-        reservoir.update(TimeUnit.NANOSECONDS.toMicros(duration.toNanos()) / units(admitted));
+        Reservoir reservoir = known == null ? new SlidingWindowReservoir(SAMPLES_PER_KEY) : known;
+        reservoir.update(TimeUnit.NANOSECONDS.toMicros(duration.toNanos()));
         if (known == null) {
             reservoirs.put(key, reservoir);
         }
     }
 
     /**
-     * Returns how long such a request usually takes at most. Without an earlier one on its route, that is its latency
-     * objective, or its time limit if it is a stream, whose objective tells nothing about its end.
+     * Returns how long such a request usually takes at most, by earlier ones of its size or of the next larger size
+     * known. Without any, that is its latency objective, or its time limit if it is a stream, whose objective tells
+     * nothing about its end.
      */
     Duration usual(RequestForwarder.Admitted admitted) {
-        Reservoir known = reservoirs.getIfPresent(key(admitted));
-        if (known == null) {
-            return isStream(admitted) ? admitted.timeLimit() : admitted.route().latencyObjective();
-        }
-        double microsPerUnit = known.getSnapshot().getValue(USUAL_QUANTILE);
-        return Duration.ofNanos((long) (TimeUnit.MICROSECONDS.toNanos(1) * microsPerUnit * units(admitted)));
-    }
-
-    private static Key key(RequestForwarder.Admitted admitted) {
-        return new Key(
-                admitted.route().name(),
-                isStream(admitted) && admitted.request().tokens() != null);
-    }
-
-    private static long units(RequestForwarder.Admitted admitted) {
-        ForwardRequest.TokenCounts tokens = admitted.request().tokens();
-        return isStream(admitted) && tokens != null ? Math.max(1, tokens.output()) : 1;
+        Key key = Key.of(admitted);
+        int largest = key.sizeClass() == NO_SIZE ? NO_SIZE : Integer.SIZE;
+        return IntStream.rangeClosed(key.sizeClass(), largest)
+                .mapToObj(size -> reservoirs.getIfPresent(key.withSizeClass(size)))
+                .filter(r -> r != null && r.size() >= MIN_SAMPLES)
+                .findFirst()
+                .map(r -> Duration.ofNanos((long)
+                        (TimeUnit.MICROSECONDS.toNanos(1) * r.getSnapshot().getValue(USUAL_QUANTILE))))
+                .orElseGet(() -> isStream(admitted)
+                        ? admitted.timeLimit()
+                        : admitted.route().latencyObjective());
     }
 
     private static boolean isStream(RequestForwarder.Admitted admitted) {
