Let the test of stale refusals not depend on the time of the first answer

Cause: staleRefusalOnKeptConnectionDoesNotCountAsNotRun failed once on a busy machine ("expected [502 UPSTREAM_LOST] but found [200 again]"). A second upstream was added before the second request, and the choice between both follows the time of the first answer, which a busy machine lengthens; the second request then went to the other upstream.

Change: the second upstream is added when the second request has arrived at the first one. The checks are the same.

--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FaultyAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FaultyAnswerTest.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.testng.annotations.DataProvider;
@@ -43,17 +44,27 @@
     public void staleRefusalOnKeptConnectionDoesNotCountAsNotRun(RequestKind kind, String stale) throws Exception {
         configure(kind, false, 2, TIMEOUT);
         AtomicInteger requests = new AtomicInteger();
+        CountDownLatch secondArrived = new CountDownLatch(1);
+        CountDownLatch otherAdded = new CountDownLatch(1);
         ScriptedUpstream.Script script = (request, connection) -> {
-            boolean first = requests.getAndIncrement() == 0;
-            ScriptedUpstream.write(connection, first ? okAnswer("first") : stale + okAnswer("second"));
+            if (requests.getAndIncrement() == 0) {
+                ScriptedUpstream.write(connection, okAnswer("first"));
+                return true;
+            }
+            secondArrived.countDown();
+            SilentUpstreamTest.await(otherAdded);
+            ScriptedUpstream.write(connection, stale + okAnswer("second"));
             return true;
         };
         try (ScriptedUpstream one = new ScriptedUpstream(script);
                 ScriptedUpstream two = new ScriptedUpstream(respondWith(okAnswer("again"), true))) {
             addUpstream("a", one.address());
             assertTrue(sendAndAwaitAnswer().endsWith("first"));
+            RecordingCaller caller = send("/p/x", "key");
+            secondArrived.await();
             directory.put(new Upstream("b", "s", two.address(), "there", 1, false, 1, Map.of()));
-            assertEquals(sendAndAwaitAnswer(), "502 " + ResultCode.UPSTREAM_LOST);
+            otherAdded.countDown();
+            assertEquals(caller.answer.join(), "502 " + ResultCode.UPSTREAM_LOST);
             assertEquals(one.untakenRequestCount() + two.untakenRequestCount(), 2);
         }
     }
