Test that a request that cannot be encoded is refused at once

Cause: the mend of the connection that a request cannot be written on had no test in the tree.

Change: FinalAnswerTest sends one whose method cannot be written on a new connection.

--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FinalAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FinalAnswerTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.protobuf.ByteString;
+import io.parsleycleat.core.connection.caller.CallerRequest;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.gateway.ManualTimeSource;
@@ -217,4 +218,17 @@
             assertTrue(sent.contains("left: 5980"), sent);
         }
     }
+
+    /** Guards against a request that stays open until its time limit since it cannot be written on a new connection. */
+    @Test
+    public void requestThatCannotBeEncodedIsRefusedBeforeItsTimeLimit() throws Exception {
+        configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(5));
+        try (ScriptedUpstream one = new ScriptedUpstream(respondWith(okAnswer("done"), true))) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = new RecordingCaller();
+            forwarder.handle(
+                    new CallerRequest("P T", "/p/x", List.of(Map.entry("key", "key")), ByteString.EMPTY), caller);
+            assertEquals(caller.answer.join(), "503 " + ResultCode.UPSTREAM_UNREACHABLE);
+        }
+    }
 }
