Let starts wait at a silent engine only if no other engine takes them in time

Callers got the first event late when engines were gone: their requests waited at an engine that would not come back.

Cause: a side kept starts at a silent engine until the time at which another engine would have taken them. An engine that is gone is silent at first too, so that each of its starts waited that long before it moved on at once, as it did before. Ruled out by a trial without any wait at silent engines: the second upstream for silent ones, and the estimate at a stop.

Change: a start waits at a silent engine only if its entry has no other engine that takes it within its whole wait; else it is refused at once, and the entry asks the next one.

Why this works: whoever has another engine loses nothing by moving, and whoever has none loses nothing by waiting.

SilentEngineTest and the other tests of the package pass, 87.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineContact.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineContact.java
@@ -9,11 +9,11 @@
     /** The engine refuses connections, has been silent for long, or has never answered. */
     LOST;
 
-    /** Returns whether a request may wait for its start. At a silent engine it may if no other engine is sooner. */
-    boolean mayAwait(WaitingStart start, long nowNanos) {
+    /** Returns whether a request may wait for its start. At a silent engine it may if no other one takes it in time. */
+    boolean mayAwait(WaitingStart start) {
         return switch (this) {
             case ANSWERS -> true;
-            case SILENT -> start.hasNoSoonerEngine(nowNanos);
+            case SILENT -> start.hasNoOtherEngine();
             case LOST -> false;
         };
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/EngineGate.java
@@ -139,7 +139,7 @@
         Duration wait = expectedWait(waitingStart);
         if (stopping) {
             refuse(waitingStart, ResultCode.PROCESS_STOPPING, MIN_RETRY_AFTER);
-        } else if (!contact.mayAwait(waitingStart, now)) {
+        } else if (!contact.mayAwait(waitingStart)) {
             refuse(waitingStart, ResultCode.UPSTREAM_UNREACHABLE, MIN_RETRY_AFTER);
         } else if (wait.toMillis() > request.getWaitMillis()) {
             refuse(waitingStart, ResultCode.QUEUE_FULL, wait.minusMillis(request.getWaitMillis() / 2));
@@ -194,7 +194,7 @@
 
     private void refuseUnreachable() {
         List.copyOf(waiting).stream()
-                .filter(w -> !contact.mayAwait(w, time.monotonicNanos()))
+                .filter(w -> !contact.mayAwait(w))
                 .forEach(w -> refuse(w, ResultCode.UPSTREAM_UNREACHABLE, MIN_RETRY_AFTER));
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/WaitingStart.java
@@ -67,12 +67,12 @@
         return nowNanos - arrivalNanos > TimeUnit.MILLISECONDS.toNanos(request.getWaitMillis());
     }
 
-    /** Returns whether no other engine is expected to take the request sooner. */
-    boolean hasNoSoonerEngine(long nowNanos) {
-        return limitWaitLeft(nowNanos).compareTo(Duration.ZERO) > 0;
+    /** Returns whether no other engine is expected to take the request within its wait. */
+    boolean hasNoOtherEngine() {
+        return request.getLimitWaitMillis() >= request.getWaitMillis();
     }
 
-    /** Returns how much longer the request can wait for a limited or silent engine; negative when it cannot. */
+    /** Returns how much longer the request can wait for a limited engine; negative when it cannot. */
     Duration limitWaitLeft(long nowNanos) {
         int millis = Math.min(request.getLimitWaitMillis(), request.getWaitMillis());
         return Duration.ofNanos(TimeUnit.MILLISECONDS.toNanos(millis) - (nowNanos - arrivalNanos));
