Judge streams of a seldom used route by others of their size during a stop

Callers of a seldom used route were refused at stopping entries from the beginning of the stop, though their streams end in time.

Cause: a stream of a size with fewer than eight answers on its route counted as lasting to its time limit.

RouteDurationsTest and PlannedStopTest pass, 15; the new test was not run on the code before.

--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/forward/RouteDurationsTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/forward/RouteDurationsTest.java
@@ -27,8 +27,12 @@
     }
 
     private static RequestForwarder.Admitted admitted(RequestKind kind, int outputTokens) {
+        return admitted(kind.name(), kind, outputTokens);
+    }
+
+    private static RequestForwarder.Admitted admitted(String routeName, RequestKind kind, int outputTokens) {
         Route route = new Route(
-                kind.name(),
+                routeName,
                 "h",
                 "/p/",
                 kind,
@@ -77,6 +81,13 @@
         assertEquals(durations.usual(admitted(RequestKind.STREAM, 5_000)), Duration.ofSeconds(30));
     }
 
+    /** Guards against refusing the streams of a seldom used route, although others of their size are known. */
+    @Test
+    public void streamsOfSeldomUsedRouteTakeTheTimeOfThoseOnOtherRoutes() {
+        recordStreams(8, 500, Duration.ofSeconds(3));
+        assertEquals(durations.usual(admitted("seldom", RequestKind.STREAM, 500)), Duration.ofSeconds(3));
+    }
+
     /** Guards against one answer that decides for all of its size. */
     @Test
     public void fewStreamsDecideNothing() {
