Hand no run over that was told it did not run

Callers could be told "not run" for a run that began in the same moment, at a stop of its side, when it was cancelled or when a step of it failed.

Cause: whether a run was handed over was looked at first and its end decided afterwards, each under the lock, but not both. A turn that came in between handed the run over. Found by a review of the stop.

Change: the same step that finds a run not handed over withdraws it, and a withdrawn run is not handed over. The guard of a run's steps, which stood twice, is StepGuard.

Why this works: handing over and withdrawing exclude each other under one lock.

Measured: runThatGetsItsTurnWhileItIsStoppedDoesNotBegin, for engines and services, gives a run its turn between the two decisions; with the check of the withdrawal taken out both fail ("expected [1] but found [2]" runs), with it they pass.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
@@ -48,11 +48,15 @@
     private final String runId;
     private final AdapterVersion adapter;
     private final long deadlineNanos;
+    private final StepGuard steps;
     private final Object lock = new Object();
     private @Nullable Pin pin;
     private @Nullable EngineHandle handle;
     private boolean turnTaken;
     private boolean handedOver;
+    /** Whether the run has been told that it did not run; it is not handed over any more. */
+    private boolean withdrawn;
+
     private boolean ended;
     private long nextToken;
     private int resumes;
@@ -61,6 +65,7 @@
         this.context = context;
         this.start = start;
         this.answer = answer;
+        this.steps = new StepGuard(start.getRequestId(), context.upstreamId(), this::fail);
         this.runId = RunIds.text(id);
         this.adapter = new AdapterVersion(
                 start.getAdapter().getAdapterId(), start.getAdapter().getVersion());
@@ -70,19 +75,19 @@
     // Before the run
 
     void begin() {
-        guard(this::admit);
+        steps.run(this::admit);
     }
 
     private void admit() {
-        answer.onCancel(() -> guard(this::cancel));
-        answer.onStop(() -> guard(this::stop));
+        answer.onCancel(() -> steps.run(this::cancel));
+        answer.onStop(() -> steps.run(this::stop));
         if (start.getFreeTier()) {
             enqueue();
             return;
         }
         context.slots()
                 .pin(pinRequest(LoadPriority.PAYING))
-                .whenComplete((pinned, failure) -> guard(() -> {
+                .whenComplete((pinned, failure) -> steps.run(() -> {
                     if (failure != null) {
                         finish(refusal(failure));
                     } else if (keep(pinned)) {
@@ -105,7 +110,7 @@
                 target.getPromptTokens() + target.getMaxTokens(),
                 deadlineNanos,
                 start.getSuspect() || context.suspects().isSuspect(start.getFingerprint()),
-                () -> guard(this::takeTurn),
+                () -> steps.run(this::takeTurn),
                 refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
         context.queue().offer(queued).ifPresent(refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
     }
@@ -127,7 +132,7 @@
         LoadPriority priority = start.getFreeTier() ? LoadPriority.FREE : LoadPriority.PAYING;
         context.slots()
                 .pin(pinRequest(priority))
-                .whenComplete((pinned, failure) -> guard(() -> {
+                .whenComplete((pinned, failure) -> steps.run(() -> {
                     if (failure != null) {
                         finish(refusal(failure));
                     } else if (keep(pinned)) {
@@ -166,7 +171,7 @@
             return;
         }
         synchronized (lock) {
-            if (ended) {
+            if (ended || withdrawn) {
                 return;
             }
             handedOver = true;
@@ -204,17 +209,17 @@
 
     @Override
     public void onToken(long index, String text) {
-        guard(() -> takeToken(index, text));
+        steps.run(() -> takeToken(index, text));
     }
 
     @Override
     public void onEnd(String finishReason, int promptTokens, int generatedTokens) {
-        guard(() -> takeEnd(finishReason, promptTokens, generatedTokens));
+        steps.run(() -> takeEnd(finishReason, promptTokens, generatedTokens));
     }
 
     @Override
     public void onFailure(UpstreamException failure) {
-        guard(() -> takeFailure(failure));
+        steps.run(() -> takeFailure(failure));
     }
 
     private void takeToken(long index, String text) {
@@ -245,7 +250,7 @@
             breakOff(ResultCode.ANSWER_INCOMPLETE, "the engine's answer is shorter than its count");
             return;
         }
-        quietly(() -> context.suspects()
+        steps.runQuietly(() -> context.suspects()
                 .survived(start.getFingerprint(), start.getAdapter().getPrefixHash()));
         finish(AnswerEnds.done(context.upstreamId())
                 .setFinishReason(finishReason)
@@ -260,9 +265,9 @@
         }
         context.crashes()
                 .examine(runId)
-                .whenComplete((verdict, unknown) -> guard(() -> {
+                .whenComplete((verdict, unknown) -> steps.run(() -> {
                     if (unknown != null) {
-                        logFailure(unknown);
+                        steps.log(unknown);
                         resume(String.valueOf(failure.getMessage()));
                     } else if (verdict.crashed()) {
                         finish(AnswerEnds.failed(
@@ -302,40 +307,19 @@
 
     // The end
 
-    /** Runs a step; an unexpected failure ends the run, since nothing else would. */
-    private void guard(Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException | Error e) {
-            fail(e);
-        }
-    }
-
-    /** Runs a step of the end that must not keep the others from being done. */
-    private void quietly(Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException | Error e) {
-            logFailure(e);
+    /** Keeps the run from being handed over from now on; returns false if it was before. */
+    private boolean withdraw() {
+        synchronized (lock) {
+            withdrawn = !handedOver;
+            return withdrawn;
         }
     }
 
-    private void logFailure(Throwable failure) {
-        logger.atSevere()
-                .withCause(failure)
-                .with(LogKeys.REQUEST, start.getRequestId())
-                .with(LogKeys.UPSTREAM, context.upstreamId())
-                .log("unexpected failure of a run");
-    }
-
     private void fail(Throwable failure) {
-        boolean running;
-        synchronized (lock) {
-            running = handedOver;
-        }
-        logFailure(failure);
+        boolean running = !withdraw();
+        steps.log(failure);
         ResultCode code = running ? ResultCode.FAILURE_UNEXPECTED : ResultCode.FAILURE_BEFORE_RUN;
-        quietly(() -> {
+        steps.runQuietly(() -> {
             if (running) {
                 context.engine().cancel(runId);
             } else {
@@ -346,10 +330,7 @@
     }
 
     private void cancel() {
-        boolean running;
-        synchronized (lock) {
-            running = handedOver;
-        }
+        boolean running = !withdraw();
         if (running) {
             context.engine().cancel(runId);
             finish(AnswerEnds.failed(context.upstreamId(), ResultCode.CANCELLED, "the caller left"));
@@ -361,12 +342,9 @@
 
     /** A run that waits is told that it did not run; one that was handed over is told that it may have. */
     private void stop() {
-        boolean running;
-        synchronized (lock) {
-            running = handedOver;
-        }
+        boolean running = !withdraw();
         if (running) {
-            quietly(() -> context.engine().cancel(runId));
+            steps.runQuietly(() -> context.engine().cancel(runId));
             finish(AnswerEnds.failed(context.upstreamId(), ResultCode.SIDE_LOST, "the side stops"));
         } else {
             context.queue().cancel(runId);
@@ -392,14 +370,14 @@
         }
         int tokens = start.getAdapter().getPromptTokens() + generated;
         if (open != null) {
-            quietly(open::detach);
+            steps.runQuietly(open::detach);
         }
-        quietly(() -> context.crashes().ended(runId));
+        steps.runQuietly(() -> context.crashes().ended(runId));
         if (held != null) {
-            quietly(held::release);
+            steps.runQuietly(held::release);
         }
         if (tookTurn) {
-            quietly(() -> context.queue().finished(runId, tokens));
+            steps.runQuietly(() -> context.queue().finished(runId, tokens));
         }
         context.metrics().counter("side.results." + end.getCode()).inc();
         answer.end(end);
@@ -423,7 +401,7 @@
             if (failure.code().isNotRun()) {
                 finish(AnswerEnds.failed(context.upstreamId(), ResultCode.UPSTREAM_LOST, detail));
             } else {
-                guard(() -> resume(detail));
+                steps.run(() -> resume(detail));
             }
         }
     }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceExecution.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceExecution.java
@@ -46,30 +46,35 @@
     private final Start start;
     private final RunAnswer answer;
     private final String runId;
+    private final StepGuard steps;
     private final Object lock = new Object();
     private ByteString.@Nullable Output recorded = ByteString.newOutput();
     private @Nullable AnswerHead head;
     private String attemptId = "";
     private boolean turnTaken;
     private boolean handedOver;
+    /** Whether the run has been told that it did not run; it is not handed over any more. */
+    private boolean withdrawn;
+
     private boolean ended;
 
     ServiceExecution(ServiceContext context, RunId id, Start start, RunAnswer answer) {
         this.context = context;
         this.start = start;
         this.answer = answer;
+        this.steps = new StepGuard(start.getRequestId(), context.upstreamId(), this::fail);
         this.runId = RunIds.text(id);
     }
 
     // Before the run
 
     void begin() {
-        guard(this::enqueue);
+        steps.run(this::enqueue);
     }
 
     private void enqueue() {
-        answer.onCancel(() -> guard(this::cancel));
-        answer.onStop(() -> guard(this::stop));
+        answer.onCancel(() -> steps.run(this::cancel));
+        answer.onStop(() -> steps.run(this::stop));
         QueuedRun queued = new QueuedRun(
                 runId,
                 start.getAccountId(),
@@ -78,7 +83,7 @@
                 1,
                 context.time().monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(start.getDeadlineMillis()),
                 start.getSuspect(),
-                () -> guard(this::takeTurn),
+                () -> steps.run(this::takeTurn),
                 refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
         context.queue().offer(queued).ifPresent(refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
     }
@@ -96,7 +101,7 @@
         } else {
             context.ledger()
                     .begin(intent())
-                    .whenComplete((decision, failure) -> guard(() -> {
+                    .whenComplete((decision, failure) -> steps.run(() -> {
                         if (failure == null) {
                             decide(decision);
                         } else {
@@ -155,8 +160,8 @@
         Optional<Refusal> refused = context.gate().beforeRun(start);
         boolean gone;
         synchronized (lock) {
-            gone = ended;
-            handedOver = !ended && refused.isEmpty();
+            gone = ended || withdrawn;
+            handedOver = !gone && refused.isEmpty();
         }
         if (gone || refused.isPresent()) {
             releaseIntent();
@@ -184,23 +189,23 @@
 
     @Override
     public void onHead(int status, List<Map.Entry<String, String>> headers) {
-        guard(() -> takeHead(status, headers));
+        steps.run(() -> takeHead(status, headers));
     }
 
     @Override
     public void onBody(byte[] part) {
-        guard(() -> takeBody(part));
+        steps.run(() -> takeBody(part));
     }
 
     @Override
     public void onEnd() {
-        quietly(this::recordOutcome);
+        steps.runQuietly(this::recordOutcome);
         finish(AnswerEnds.done(context.upstreamId()));
     }
 
     @Override
     public void onFailure(UpstreamException failure) {
-        quietly(() -> settleIntent(failure.code().isNotRun()));
+        steps.runQuietly(() -> settleIntent(failure.code().isNotRun()));
         finish(AnswerEnds.failed(context.upstreamId(), failure.code(), String.valueOf(failure.getMessage())));
     }
 
@@ -275,50 +280,26 @@
 
     // The end
 
-    /** Runs a step; an unexpected failure ends the run, since nothing else would. */
-    private void guard(Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException | Error e) {
-            fail(e);
-        }
-    }
-
-    /** Runs a step of the end that must not keep the others from being done. */
-    private void quietly(Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException | Error e) {
-            logFailure(e);
+    /** Keeps the run from being handed over from now on; returns false if it was before. */
+    private boolean withdraw() {
+        synchronized (lock) {
+            withdrawn = !handedOver;
+            return withdrawn;
         }
     }
 
-    private void logFailure(Throwable failure) {
-        logger.atSevere()
-                .withCause(failure)
-                .with(LogKeys.REQUEST, start.getRequestId())
-                .with(LogKeys.UPSTREAM, context.upstreamId())
-                .log("unexpected failure of a run");
-    }
-
     private void fail(Throwable failure) {
-        boolean running;
-        synchronized (lock) {
-            running = handedOver;
-        }
-        logFailure(failure);
+        boolean running = !withdraw();
+        steps.log(failure);
         ResultCode code = running ? ResultCode.FAILURE_UNEXPECTED : ResultCode.FAILURE_BEFORE_RUN;
-        quietly(() -> settleIntent(!running));
-        quietly(() -> context.queue().cancel(runId));
+        steps.runQuietly(() -> settleIntent(!running));
+        steps.runQuietly(() -> context.queue().cancel(runId));
         finish(AnswerEnds.failed(context.upstreamId(), code, code.meaning()));
     }
 
     /** A request that is not idempotent goes on once it was handed over, whether or not its caller waits. */
     private void cancel() {
-        boolean running;
-        synchronized (lock) {
-            running = handedOver;
-        }
+        boolean running = !withdraw();
         if (running && !start.getIdempotent()) {
             return;
         }
@@ -331,10 +312,7 @@
 
     /** A run that waits is told that it did not run; one that was handed over is told that it may have. */
     private void stop() {
-        boolean running;
-        synchronized (lock) {
-            running = handedOver;
-        }
+        boolean running = !withdraw();
         if (running) {
             finish(AnswerEnds.failed(context.upstreamId(), ResultCode.SIDE_LOST, "the side stops"));
         } else {
@@ -354,7 +332,7 @@
             tookTurn = turnTaken;
         }
         if (tookTurn) {
-            quietly(() -> context.queue().finished(runId, 1));
+            steps.runQuietly(() -> context.queue().finished(runId, 1));
         }
         context.metrics().counter("side.results." + end.getCode()).inc();
         answer.end(end);
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/execute/ExecutionEndTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/execute/ExecutionEndTest.java
@@ -27,6 +27,7 @@
 import io.parsleycleat.core.request.outcome.IntentRequest;
 import io.parsleycleat.core.request.queue.FairRunQueue;
 import io.parsleycleat.core.request.queue.QueueSettings;
+import io.parsleycleat.core.request.queue.RunQueue;
 import io.parsleycleat.core.request.routing.RecentPrefixes;
 import io.parsleycleat.core.version.configuration.VirtualScheduler;
 import io.parsleycleat.wire.outcome.Outcome;
@@ -50,7 +51,8 @@
     private static final String UPSTREAM = "upstream-1";
 
     private VirtualScheduler scheduler;
-    private FairRunQueue queue;
+    private FairRunQueue fairQueue;
+    private RunQueue queue;
     private SlotTable slots;
     private SideGate gate;
     private ScriptedEngine engine;
@@ -63,7 +65,8 @@
     @BeforeMethod
     public void prepare() {
         scheduler = new VirtualScheduler();
-        queue = new FairRunQueue(QueueSettings.DEFAULT.withBounds(1, 10), scheduler, new MetricRegistry());
+        fairQueue = new FairRunQueue(QueueSettings.DEFAULT.withBounds(1, 10), scheduler, new MetricRegistry());
+        queue = fairQueue;
         slots = (adapter, priority) -> CompletableFuture.completedFuture(new FreePin());
         gate = new SideGate(List.of(), List.of(), List.of());
         engine = new ScriptedEngine();
@@ -189,6 +192,32 @@
 
     // The stop
 
+    @DataProvider
+    public Object[][] upstreams() {
+        return new Object[][] {{"engine"}, {"service"}};
+    }
+
+    /** Guards against "not run" for a run that gets its turn in the moment in which a stop ends it. */
+    @Test(dataProvider = "upstreams")
+    public void runThatGetsItsTurnWhileItIsStoppedDoesNotBegin(String upstream) {
+        List<String> calls = new ArrayList<>();
+        engine.onRun = a -> calls.add("run");
+        service.onCall = a -> calls.add("call");
+        startOnEngine();
+        RecordedAnswer first = answer;
+        answer = new RecordedAnswer();
+        queue = new TurnAtCancel(queue);
+        if (upstream.equals("engine")) {
+            startOnEngine();
+        } else {
+            startOnService();
+        }
+        answer.stop();
+        assertEquals(answer.codes, List.of(ResultCode.PROCESS_STOPPING.number()));
+        assertEquals(calls, List.of("run"));
+        first.stop();
+    }
+
     /** Guards against a waiting run that begins at the end of a stop, since the run before it was ended first. */
     @Test
     public void waitingRunDoesNotBeginWhenTheRunBeforeItIsStopped() {
@@ -199,7 +228,7 @@
         answer = new RecordedAnswer();
         startOnEngine();
         RecordedAnswer waiting = answer;
-        queue.close();
+        fairQueue.close();
         running.stop();
         waiting.stop();
         assertEquals(running.codes, List.of(ResultCode.SIDE_LOST.number()));
