Send across the close only after the close was told, in its test

Its further requests could be read before the answer's head was made; then they are not across the close, the head announces none, and they wait at the test's service, which answers none. That is as it should be: requests read before the close is told are to be answered.

Change: the test waits for the head, which must announce the close, and sends then, while the large body is still on its way. It checks the whole body, the announced close and an orderly end, as before and more.

The failure was traced by reading, not repeated.

--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerRefusalTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerRefusalTest.java
@@ -92,9 +92,9 @@
             CallerExchange exchange = held.poll(20, TimeUnit.SECONDS);
             server.drain();
             exchange.respond(200, List.of(), ByteString.copyFromUtf8("a".repeat(MANY_BYTES)));
+            assertTrue(caller.head().contains("connection: close\r\n"));
             caller.send(CallerSocket.get("/across").repeat(1_000));
-            assertTrue(caller.answer().endsWith("a".repeat(MANY_BYTES)));
-            assertEquals(caller.rest(), "");
+            assertEquals(caller.rest(), "a".repeat(MANY_BYTES));
         }
     }
 
