Test silent upstreams beside others that refuse, break off, stay silent or answer, and beside a stop

Cause: the silences at six points of a stream were tested with two kinds of other upstreams only, not beside a planned stop, and each test repeated the same exchange.

Change: each silence is tried with another upstream that refuses, breaks off, sends half a head or is silent too, and with one that answers; a stop begins, or ends, while two upstreams are asked. The exchange stands once. The checks of the earlier tests are the same.

The new ones guard what the code does; those beside an upstream that is silent too, sends half a head, or a stop, were not run on the code before the mends.

--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentUpstreamTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentUpstreamTest.java
@@ -13,10 +13,13 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
+import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -61,6 +64,18 @@
         }
     }
 
+    /** Sends a request to a first upstream, makes a second one known, and returns the answer. */
+    private String answerOf(ScriptedUpstream.Script first, ScriptedUpstream.Script second) throws Exception {
+        try (ScriptedUpstream one = new ScriptedUpstream(first);
+                ScriptedUpstream two = new ScriptedUpstream(second)) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
+            one.takeRequest();
+            addUpstream("b", two.address());
+            return caller.answer.join();
+        }
+    }
+
     private static boolean isClosedByEntry(Socket connection) {
         try {
             return connection.getInputStream().read() < 0;
@@ -81,36 +96,84 @@
         };
     }
 
-    /** Guards against a stream that is cut although its upstream goes on, since the other one did not take it. */
-    @Test(dataProvider = "silencesInStream")
-    public void streamOfSilentUpstreamIsNotCutWhenOtherRefusesIt(String where, String before, String after)
+    /** What an upstream does that cannot serve the request, after which the silent one goes on. */
+    private static Stream<Map.Entry<String, Function<CountDownLatch, ScriptedUpstream.Script>>> others() {
+        return Stream.of(
+                Map.entry("refuses", done -> answerThenTell(done, NOT_RUN_ANSWER, true)),
+                Map.entry("breaks off", done -> answerThenTell(done, STREAM_HEAD, false)),
+                Map.entry("sends half a head", done -> answerThenTell(done, "HTTP/1.1 200 OK\r\nid", false)),
+                Map.entry("is silent too", done -> (request, connection) -> {
+                    done.countDown();
+                    return !isClosedByEntry(connection);
+                }));
+    }
+
+    @DataProvider
+    public Object[][] silencesAndOthers() {
+        return Arrays.stream(silencesInStream())
+                .flatMap(silence -> others().map(other -> new Object[] {
+                    silence[0] + ", the other one " + other.getKey(), silence[1], silence[2], other.getValue()
+                }))
+                .toArray(Object[][]::new);
+    }
+
+    /** Guards against a stream that is cut although its upstream goes on, since the other one does not serve it. */
+    @Test(dataProvider = "silencesAndOthers")
+    public void streamOfSilentUpstreamIsNotCutWhenOtherDoesNotServeIt(
+            String what, String before, String after, Function<CountDownLatch, ScriptedUpstream.Script> other)
             throws Exception {
         configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
-        CountDownLatch refused = new CountDownLatch(1);
-        try (ScriptedUpstream one = new ScriptedUpstream(silentUntil(refused, before, after));
-                ScriptedUpstream two = new ScriptedUpstream(answerThenTell(refused, NOT_RUN_ANSWER, true))) {
-            addUpstream("a", one.address());
-            RecordingCaller caller = send("/p/x", "key");
-            one.takeRequest();
-            addUpstream("b", two.address());
-            assertEquals(caller.answer.join(), WHOLE_STREAM, where);
-        }
+        CountDownLatch goOn = new CountDownLatch(1);
+        assertEquals(answerOf(silentUntil(goOn, before, after), other.apply(goOn)), WHOLE_STREAM, what);
     }
 
-    /** Guards against a stream that is cut since the other upstream broke its connection before any event. */
+    /** Guards against a stream that stays at an upstream that is silent for good, and against lost or double events. */
     @Test(dataProvider = "silencesInStream")
-    public void streamOfSilentUpstreamIsNotCutWhenOtherBreaksOff(String where, String before, String after)
-            throws Exception {
+    public void streamMovesToOtherUpstreamThatAnswers(String where, String before, String after) throws Exception {
         configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
-        CountDownLatch broken = new CountDownLatch(1);
-        try (ScriptedUpstream one = new ScriptedUpstream(silentUntil(broken, before, after));
-                ScriptedUpstream two = new ScriptedUpstream(answerThenTell(broken, STREAM_HEAD, false))) {
-            addUpstream("a", one.address());
-            RecordingCaller caller = send("/p/x", "key");
-            one.takeRequest();
-            addUpstream("b", two.address());
-            assertEquals(caller.answer.join(), WHOLE_STREAM, where);
-        }
+        ScriptedUpstream.Script silent = (request, connection) -> {
+            ScriptedUpstream.write(connection, before);
+            return !isClosedByEntry(connection);
+        };
+        ScriptedUpstream.Script other = (request, connection) -> {
+            String rest = request.contains("after: 1") ? LAST_EVENT : FIRST_EVENT + LAST_EVENT;
+            ScriptedUpstream.write(connection, okAnswer(rest));
+            return true;
+        };
+        assertEquals(answerOf(silent, other), WHOLE_STREAM, where);
+    }
+
+    /** Guards against a stream that is cut while two upstreams are asked, since a planned stop has begun. */
+    @Test
+    public void streamAtSilentUpstreamIsServedDuringPlannedStop() throws Exception {
+        configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
+        CountDownLatch goOn = new CountDownLatch(1);
+        ScriptedUpstream.Script other = (request, connection) -> {
+            forwarder.beginStop(Duration.ofSeconds(10));
+            goOn.countDown();
+            return !isClosedByEntry(connection);
+        };
+        assertEquals(answerOf(silentUntil(goOn, STREAM_HEAD + FIRST_EVENT, LAST_EVENT), other), WHOLE_STREAM);
+    }
+
+    /** Guards against a request without a final answer, or an upstream at work, when a stop ends with two asked. */
+    @Test
+    public void endOfPlannedStopEndsBothUpstreams() throws Exception {
+        configure(RequestKind.IDEMPOTENT, false, 2, Duration.ofSeconds(20), Duration.ofMillis(200));
+        CountDownLatch closed = new CountDownLatch(2);
+        ScriptedUpstream.Script first = (request, connection) -> {
+            if (isClosedByEntry(connection)) {
+                closed.countDown();
+            }
+            return false;
+        };
+        ScriptedUpstream.Script second = (request, connection) -> {
+            forwarder.beginStop(Duration.ofSeconds(10));
+            forwarder.endOpenRequests();
+            return first.answer(request, connection);
+        };
+        assertEquals(answerOf(first, second), "504 " + ResultCode.DEADLINE_PASSED);
+        closed.await();
     }
 
     /** Guards against a refusal of an idempotent request whose upstream answers a little late. */
@@ -118,14 +181,9 @@
     public void lateIdempotentRequestIsAnsweredWhenOtherRefusesIt() throws Exception {
         configure(RequestKind.IDEMPOTENT, false, 2, Duration.ofSeconds(20), Duration.ofMillis(200));
         CountDownLatch refused = new CountDownLatch(1);
-        try (ScriptedUpstream one = new ScriptedUpstream(silentUntil(refused, "", okAnswer("done")));
-                ScriptedUpstream two = new ScriptedUpstream(answerThenTell(refused, NOT_RUN_ANSWER, true))) {
-            addUpstream("a", one.address());
-            RecordingCaller caller = send("/p/x", "key");
-            one.takeRequest();
-            addUpstream("b", two.address());
-            assertEquals(caller.answer.join(), "200 done");
-        }
+        assertEquals(
+                answerOf(silentUntil(refused, "", okAnswer("done")), answerThenTell(refused, NOT_RUN_ANSWER, true)),
+                "200 done");
     }
 
     /** Guards against an error of the other upstream that replaces the answer of a late one. */
@@ -134,14 +192,8 @@
         configure(RequestKind.IDEMPOTENT, false, 2, Duration.ofSeconds(20), Duration.ofMillis(200));
         CountDownLatch failed = new CountDownLatch(1);
         String error = "HTTP/1.1 500 x\r\nid: 1\r\nContent-Length: 0\r\n\r\n";
-        try (ScriptedUpstream one = new ScriptedUpstream(silentUntil(failed, "", okAnswer("done")));
-                ScriptedUpstream two = new ScriptedUpstream(answerThenTell(failed, error, true))) {
-            addUpstream("a", one.address());
-            RecordingCaller caller = send("/p/x", "key");
-            one.takeRequest();
-            addUpstream("b", two.address());
-            assertEquals(caller.answer.join(), "200 done");
-        }
+        assertEquals(
+                answerOf(silentUntil(failed, "", okAnswer("done")), answerThenTell(failed, error, true)), "200 done");
     }
 
     /** Guards against two upstreams that go on working on one stream once the silent one has sent more. */
@@ -150,27 +202,24 @@
         configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
         CountDownLatch asked = new CountDownLatch(1);
         CountDownLatch cancelled = new CountDownLatch(1);
-        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
-                    ScriptedUpstream.write(connection, STREAM_HEAD + FIRST_EVENT);
-                    await(asked);
-                    ScriptedUpstream.write(connection, "id: 2\n");
-                    await(cancelled);
-                    ScriptedUpstream.write(connection, "data: b\n\n");
-                    return true;
-                });
-                ScriptedUpstream two = new ScriptedUpstream((request, connection) -> {
-                    asked.countDown();
-                    if (isClosedByEntry(connection)) {
-                        cancelled.countDown();
-                    }
-                    return false;
-                })) {
-            addUpstream("a", one.address());
-            RecordingCaller caller = send("/p/x", "key");
-            one.takeRequest();
-            addUpstream("b", two.address());
-            assertEquals(caller.answer.join(), WHOLE_STREAM);
-        }
+        assertEquals(
+                answerOf(
+                        (request, connection) -> {
+                            ScriptedUpstream.write(connection, STREAM_HEAD + FIRST_EVENT);
+                            await(asked);
+                            ScriptedUpstream.write(connection, "id: 2\n");
+                            await(cancelled);
+                            ScriptedUpstream.write(connection, "data: b\n\n");
+                            return true;
+                        },
+                        (request, connection) -> {
+                            asked.countDown();
+                            if (isClosedByEntry(connection)) {
+                                cancelled.countDown();
+                            }
+                            return false;
+                        }),
+                WHOLE_STREAM);
     }
 
     /** Guards against events that come twice or are missing when the other upstream takes the stream over. */
@@ -178,25 +227,22 @@
     public void silentUpstreamIsCancelledWhenOtherSendsNextEvent() throws Exception {
         configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
         CountDownLatch cancelled = new CountDownLatch(1);
-        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
-                    ScriptedUpstream.write(connection, STREAM_HEAD + FIRST_EVENT + "id: 2\nda");
-                    if (isClosedByEntry(connection)) {
-                        cancelled.countDown();
-                    }
-                    return false;
-                });
-                ScriptedUpstream two = new ScriptedUpstream((request, connection) -> {
-                    ScriptedUpstream.write(connection, STREAM_HEAD + LAST_EVENT);
-                    await(cancelled);
-                    ScriptedUpstream.write(connection, "id: 3\ndata: c\n\n");
-                    return true;
-                })) {
-            addUpstream("a", one.address());
-            RecordingCaller caller = send("/p/x", "key");
-            one.takeRequest();
-            addUpstream("b", two.address());
-            assertEquals(caller.answer.join(), WHOLE_STREAM + "id: 3;data: c;;");
-        }
+        assertEquals(
+                answerOf(
+                        (request, connection) -> {
+                            ScriptedUpstream.write(connection, STREAM_HEAD + FIRST_EVENT + "id: 2\nda");
+                            if (isClosedByEntry(connection)) {
+                                cancelled.countDown();
+                            }
+                            return false;
+                        },
+                        (request, connection) -> {
+                            ScriptedUpstream.write(connection, STREAM_HEAD + LAST_EVENT);
+                            await(cancelled);
+                            ScriptedUpstream.write(connection, "id: 3\ndata: c\n\n");
+                            return true;
+                        }),
+                WHOLE_STREAM + "id: 3;data: c;;");
     }
 
     /** Guards against a stream that is lost when the silent upstream breaks off while another one works on it. */
@@ -204,23 +250,20 @@
     public void otherUpstreamGoesOnWhenSilentOneBreaksOff() throws Exception {
         configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
         CountDownLatch asked = new CountDownLatch(1);
-        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
-                    ScriptedUpstream.write(connection, STREAM_HEAD + FIRST_EVENT + "id: 2\nda");
-                    await(asked);
-                    return false;
-                });
-                ScriptedUpstream two = new ScriptedUpstream((request, connection) -> {
-                    asked.countDown();
-                    awaitEndOfFirst();
-                    ScriptedUpstream.write(connection, STREAM_HEAD.replace("30", "15") + LAST_EVENT);
-                    return true;
-                })) {
-            addUpstream("a", one.address());
-            RecordingCaller caller = send("/p/x", "key");
-            one.takeRequest();
-            addUpstream("b", two.address());
-            assertEquals(caller.answer.join(), WHOLE_STREAM);
-        }
+        assertEquals(
+                answerOf(
+                        (request, connection) -> {
+                            ScriptedUpstream.write(connection, STREAM_HEAD + FIRST_EVENT + "id: 2\nda");
+                            await(asked);
+                            return false;
+                        },
+                        (request, connection) -> {
+                            asked.countDown();
+                            awaitEndOfFirst();
+                            ScriptedUpstream.write(connection, STREAM_HEAD.replace("30", "15") + LAST_EVENT);
+                            return true;
+                        }),
+                WHOLE_STREAM);
     }
 
     private void awaitEndOfFirst() {
@@ -240,19 +283,16 @@
         CountDownLatch asked = new CountDownLatch(1);
         CountDownLatch cancelled = new CountDownLatch(2);
         ScriptedUpstream.Script waitForClose = (request, connection) -> {
-            asked.countDown();
             if (isClosedByEntry(connection)) {
                 cancelled.countDown();
             }
             return false;
         };
-        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
-                    if (isClosedByEntry(connection)) {
-                        cancelled.countDown();
-                    }
-                    return false;
-                });
-                ScriptedUpstream two = new ScriptedUpstream(waitForClose)) {
+        try (ScriptedUpstream one = new ScriptedUpstream(waitForClose);
+                ScriptedUpstream two = new ScriptedUpstream((request, connection) -> {
+                    asked.countDown();
+                    return waitForClose.answer(request, connection);
+                })) {
             addUpstream("a", one.address());
             RecordingCaller caller = send("/p/x", "key");
             one.takeRequest();
@@ -268,15 +308,13 @@
     public void deadlinePassesWhileBothUpstreamsAreSilent() throws Exception {
         configure(RequestKind.IDEMPOTENT, false, 2, Duration.ofMillis(1_500), Duration.ofMillis(100));
         ScriptedUpstream.Script silent = (request, connection) -> !isClosedByEntry(connection);
-        try (ScriptedUpstream one = new ScriptedUpstream(silent);
-                ScriptedUpstream two = new ScriptedUpstream(silent)) {
-            addUpstream("a", one.address());
-            RecordingCaller caller = send("/p/x", "key");
-            one.takeRequest();
-            addUpstream("b", two.address());
-            two.takeRequest();
-            assertEquals(caller.answer.join(), "504 " + ResultCode.DEADLINE_PASSED);
-        }
+        CountDownLatch asked = new CountDownLatch(1);
+        ScriptedUpstream.Script second = (request, connection) -> {
+            asked.countDown();
+            return silent.answer(request, connection);
+        };
+        assertEquals(answerOf(silent, second), "504 " + ResultCode.DEADLINE_PASSED);
+        asked.await();
     }
 
     /** Guards against a working second upstream that is given up for an error of the silent one. */
@@ -284,20 +322,15 @@
     public void otherUpstreamGoesOnWhenSilentOneAnswersAnError() throws Exception {
         configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
         CountDownLatch asked = new CountDownLatch(1);
-        try (ScriptedUpstream one = new ScriptedUpstream(
-                        silentUntil(asked, "", "HTTP/1.1 500 x\r\nid: 1\r\nContent-Length: 4\r\n\r\noops"));
-                ScriptedUpstream two = new ScriptedUpstream((request, connection) -> {
-                    asked.countDown();
-                    awaitEndOfFirst();
-                    ScriptedUpstream.write(connection, STREAM_HEAD + FIRST_EVENT + LAST_EVENT);
-                    return true;
-                })) {
-            addUpstream("a", one.address());
-            RecordingCaller caller = send("/p/x", "key");
-            one.takeRequest();
-            addUpstream("b", two.address());
-            assertEquals(caller.answer.join(), WHOLE_STREAM);
-        }
+        ScriptedUpstream.Script first =
+                silentUntil(asked, "", "HTTP/1.1 500 x\r\nid: 1\r\nContent-Length: 4\r\n\r\noops");
+        ScriptedUpstream.Script second = (request, connection) -> {
+            asked.countDown();
+            awaitEndOfFirst();
+            ScriptedUpstream.write(connection, STREAM_HEAD + FIRST_EVENT + LAST_EVENT);
+            return true;
+        };
+        assertEquals(answerOf(first, second), WHOLE_STREAM);
     }
 
     @DataProvider
@@ -313,20 +346,16 @@
     public void silentUpstreamIsKeptUntilOtherHasSentNewEvent(String what, String bytes) throws Exception {
         configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
         CountDownLatch sent = new CountDownLatch(1);
-        try (ScriptedUpstream one = new ScriptedUpstream(silentUntil(sent, STREAM_HEAD + FIRST_EVENT, LAST_EVENT));
-                ScriptedUpstream two = new ScriptedUpstream((request, connection) -> {
+        assertEquals(
+                answerOf(silentUntil(sent, STREAM_HEAD + FIRST_EVENT, LAST_EVENT), (request, connection) -> {
                     ScriptedUpstream.write(connection, bytes);
                     connection.shutdownOutput();
                     awaitEndOf("b");
                     sent.countDown();
                     return false;
-                })) {
-            addUpstream("a", one.address());
-            RecordingCaller caller = send("/p/x", "key");
-            one.takeRequest();
-            addUpstream("b", two.address());
-            assertEquals(caller.answer.join(), WHOLE_STREAM, what);
-        }
+                }),
+                WHOLE_STREAM,
+                what);
     }
 
     /** Guards against parts of two runs in one stream, and a cut, when the second answer is of another kind. */
@@ -337,31 +366,28 @@
         CountDownLatch secondHead = new CountDownLatch(1);
         CountDownLatch firstHead = new CountDownLatch(1);
         CountDownLatch dropped = new CountDownLatch(1);
-        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
-                    await(secondHead);
-                    ScriptedUpstream.write(connection, STREAM_HEAD);
-                    firstHead.countDown();
-                    await(dropped);
-                    ScriptedUpstream.write(connection, FIRST_EVENT + LAST_EVENT);
-                    return true;
-                });
-                ScriptedUpstream two = new ScriptedUpstream((request, connection) -> {
-                    ScriptedUpstream.write(connection, otherKind);
-                    awaitHeads(1);
-                    secondHead.countDown();
-                    await(firstHead);
-                    awaitHeads(2);
-                    ScriptedUpstream.write(connection, "id: 1\ndata: X\n\n");
-                    awaitEndOf("b");
-                    dropped.countDown();
-                    return false;
-                })) {
-            addUpstream("a", one.address());
-            RecordingCaller caller = send("/p/x", "key");
-            one.takeRequest();
-            addUpstream("b", two.address());
-            assertEquals(caller.answer.join(), WHOLE_STREAM);
-        }
+        assertEquals(
+                answerOf(
+                        (request, connection) -> {
+                            await(secondHead);
+                            ScriptedUpstream.write(connection, STREAM_HEAD);
+                            firstHead.countDown();
+                            await(dropped);
+                            ScriptedUpstream.write(connection, FIRST_EVENT + LAST_EVENT);
+                            return true;
+                        },
+                        (request, connection) -> {
+                            ScriptedUpstream.write(connection, otherKind);
+                            awaitHeads(1);
+                            secondHead.countDown();
+                            await(firstHead);
+                            awaitHeads(2);
+                            ScriptedUpstream.write(connection, "id: 1\ndata: X\n\n");
+                            awaitEndOf("b");
+                            dropped.countDown();
+                            return false;
+                        }),
+                WHOLE_STREAM);
     }
 
     private void awaitHeads(int count) {
