Change the configuration while two upstreams are asked, in a test

Cause: changes were tested while one upstream works on a stream and while a request waits for its budget, not while a second upstream is asked for a silent one.

What two tests of the stop and two of silent engines had in common stands once.

--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ConfigurationChangeTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ConfigurationChangeTest.java
@@ -96,6 +96,30 @@
         return Arrays.stream(Change.values()).map(c -> new Object[] {c}).toArray(Object[][]::new);
     }
 
+    /** Guards against a stream that is cut when the configuration changes while a second upstream is asked for it. */
+    @Test(dataProvider = "changesWhileWaiting")
+    public void streamAtSilentUpstreamOutlivesChange(Change change) throws Exception {
+        apply(1, Change.NOTHING);
+        CountDownLatch changed = new CountDownLatch(1);
+        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
+                    ScriptedUpstream.write(connection, STREAM_HEAD + FIRST_EVENT);
+                    SilentUpstreamTest.await(changed);
+                    ScriptedUpstream.write(connection, LAST_EVENT);
+                    return true;
+                });
+                ScriptedUpstream two = new ScriptedUpstream(
+                        (request, connection) -> connection.getInputStream().read() >= 0)) {
+            addUpstream("a", one.address());
+            RecordingCaller caller = send("/p/x", "key");
+            one.takeRequest();
+            addUpstream("b", two.address());
+            two.takeRequest();
+            apply(2, change);
+            changed.countDown();
+            assertEquals(caller.answer.get(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS), WHOLE_STREAM, change.name());
+        }
+    }
+
     /** Guards against a request without a final answer when the configuration changes while it waits for its budget. */
     @Test(dataProvider = "changesWhileWaiting")
     public void requestThatWaitsForItsBudgetIsAnsweredAfterChange(Change change) throws Exception {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/PlannedStopTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/PlannedStopTest.java
@@ -65,6 +65,14 @@
     }
 
     /** An upstream that answers when the test advances the time. */
+    private static ScriptedUpstream answeringUpstream(Semaphore goOn) {
+        return new ScriptedUpstream((request, connection) -> {
+            goOn.acquireUninterruptibly();
+            ScriptedUpstream.write(connection, okAnswer("done"));
+            return true;
+        });
+    }
+
     private void answerAfter(ScriptedUpstream upstream, Semaphore goOn, Duration duration) throws Exception {
         for (int i = 0; i < EARLIER_REQUESTS; i++) {
             RecordingCaller caller = sendTimed();
@@ -160,11 +168,7 @@
     public void requestThatCannotEndBeforeTheStopIsRefusedAtOnce() throws Exception {
         configureTimed(RequestKind.ONCE, Duration.ofSeconds(60), Duration.ofSeconds(1));
         Semaphore goOn = new Semaphore(0);
-        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
-            goOn.acquireUninterruptibly();
-            ScriptedUpstream.write(connection, okAnswer("done"));
-            return true;
-        })) {
+        try (ScriptedUpstream one = answeringUpstream(goOn)) {
             timed.directory.put(upstream("a", one.address()));
             answerAfter(one, goOn, Duration.ofSeconds(5));
             timed.forwarder.beginStop(Duration.ofSeconds(4));
@@ -178,11 +182,7 @@
     public void shortRequestIsServedDuringTheStopWithTheTimeThatIsLeft() throws Exception {
         configureTimed(RequestKind.ONCE, Duration.ofSeconds(60), Duration.ofSeconds(10));
         Semaphore goOn = new Semaphore(0);
-        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
-            goOn.acquireUninterruptibly();
-            ScriptedUpstream.write(connection, okAnswer("done"));
-            return true;
-        })) {
+        try (ScriptedUpstream one = answeringUpstream(goOn)) {
             timed.directory.put(upstream("a", one.address()));
             answerAfter(one, goOn, Duration.ofMillis(5));
             timed.forwarder.beginStop(Duration.ofSeconds(4));
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentEngineStreamTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentEngineStreamTest.java
@@ -76,6 +76,16 @@
         return entry.send("/p/x", List.of(Map.entry("key", "key"), Map.entry("adapter", "a")));
     }
 
+    /** Sends a request to a first engine, whose side grants the start, and makes a second one known. */
+    private RecordingCaller startOnFirst(ScriptedUpstream one, ScriptedUpstream two) throws InterruptedException {
+        addEngine("a", one);
+        RecordingCaller caller = sendToAdapter();
+        starts.take().grant("a");
+        one.takeRequest();
+        addEngine("b", two);
+        return caller;
+    }
+
     private static ScriptedUpstream.Script silentUntil(CountDownLatch moment) {
         return (request, connection) -> {
             ScriptedUpstream.write(connection, STREAM_START);
@@ -95,12 +105,7 @@
         CountDownLatch refused = new CountDownLatch(1);
         try (ScriptedUpstream one = new ScriptedUpstream(silentUntil(refused));
                 ScriptedUpstream two = new ScriptedUpstream(respondWith("", false))) {
-            addEngine("a", one);
-            RecordingCaller caller = sendToAdapter();
-            StartQuestion first = starts.take();
-            first.grant("a");
-            one.takeRequest();
-            addEngine("b", two);
+            RecordingCaller caller = startOnFirst(one, two);
             starts.take().refuse();
             refused.countDown();
             assertEquals(caller.answer.join(), WHOLE_STREAM);
@@ -114,12 +119,7 @@
         CountDownLatch asked = new CountDownLatch(1);
         try (ScriptedUpstream one = new ScriptedUpstream(silentUntil(asked));
                 ScriptedUpstream two = new ScriptedUpstream(respondWith("", false))) {
-            addEngine("a", one);
-            RecordingCaller caller = sendToAdapter();
-            StartQuestion first = starts.take();
-            first.grant("a");
-            one.takeRequest();
-            addEngine("b", two);
+            RecordingCaller caller = startOnFirst(one, two);
             StartQuestion second = starts.take();
             asked.countDown();
             assertEquals(caller.answer.join(), WHOLE_STREAM);
