Let the tests of callers' connections share their server

Cause: three test classes of callers' connections set up and closed the same server, each in its own lines.

Change: CallerServerFixture holds it. No check changes.

--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerConnectionCloseTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerConnectionCloseTest.java
@@ -6,10 +6,6 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.protobuf.ByteString;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -17,13 +13,11 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** No way in which the server closes a connection leaves a request without an answer. */
-public class CallerConnectionCloseTest {
+public class CallerConnectionCloseTest extends CallerServerFixture {
     private static final Duration SHORT_IDLE = Duration.ofMillis(100);
     private static final Duration LONG_IDLE = Duration.ofSeconds(60);
     private static final Duration SHORT_READ_TIMEOUT = Duration.ofMillis(200);
@@ -31,13 +25,8 @@
     /** More than the short idle timeout and the time by which a connection is closed later. */
     private static final long AFTER_SHORT_IDLE_MILLIS = 1_500;
 
-    /** One loop, so that a request and its answer on one connection follow what was sent before on another. */
-    private final EventLoopGroup loop = new NioEventLoopGroup(1);
-
     private final BlockingQueue<CallerExchange> held = new LinkedBlockingQueue<>();
     private final List<String> handled = Collections.synchronizedList(new ArrayList<>());
-    private CallerServer server;
-    private int port;
     private volatile CallerLimits limits = CallerLimits.DEFAULT;
 
     @BeforeMethod
@@ -45,9 +34,7 @@
         limits = new CallerLimits(512, 100_000, 2, LONG_READ_TIMEOUT, LONG_IDLE);
         held.clear();
         handled.clear();
-        server = new CallerServer(loop, () -> limits, this::handle);
-        port = server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
-                .getPort();
+        listen(() -> limits, this::handle);
     }
 
     private void handle(CallerRequest request, CallerExchange exchange) {
@@ -59,16 +46,6 @@
         }
     }
 
-    @AfterMethod
-    public void closeServer() {
-        server.close();
-    }
-
-    @AfterClass
-    public void stopLoops() {
-        loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-    }
-
     // Heads that are partly read
 
     // Guards against the idle timeout closing a connection on which a request has begun to arrive.
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerLimitsChangeTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerLimitsChangeTest.java
@@ -5,10 +5,6 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.protobuf.ByteString;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -16,48 +12,28 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Limits that change while a connection is open hold for it too. */
-public class CallerLimitsChangeTest {
+public class CallerLimitsChangeTest extends CallerServerFixture {
     private static final Duration READ_TIMEOUT = Duration.ofSeconds(20);
     private static final Duration SHORT_IDLE = Duration.ofMillis(100);
     private static final Duration LONG_IDLE = Duration.ofSeconds(60);
     /** More than the short idle timeout and the time by which a connection is closed later. */
     private static final long AFTER_SHORT_IDLE_MILLIS = 1_500;
 
-    /** One loop, so that what is scheduled later for a later time runs later than the connections' timers. */
-    private final EventLoopGroup loop = new NioEventLoopGroup(1);
-
-    private CallerServer server;
-    private int port;
     private volatile CallerLimits limits = CallerLimits.DEFAULT;
 
     @BeforeMethod
     public void listen() {
         limits = new CallerLimits(512, 100, 100, READ_TIMEOUT, LONG_IDLE);
-        server = new CallerServer(
-                loop,
+        listen(
                 () -> limits,
                 (request, exchange) -> exchange.respond(
                         200,
                         List.of(),
                         ByteString.copyFromUtf8("read " + request.body().size())));
-        port = server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
-                .getPort();
-    }
-
-    @AfterMethod
-    public void closeServer() {
-        server.close();
-    }
-
-    @AfterClass
-    public void stopLoops() {
-        loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
     // Guards against a connection that is closed by an idle timeout that is not in force any more.
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerRefusalTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerRefusalTest.java
@@ -4,47 +4,26 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.protobuf.ByteString;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.testng.annotations.AfterClass;
-import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** A caller that goes on sending while it is refused, or answered for the last time, gets to see the answer. */
-public class CallerRefusalTest {
+public class CallerRefusalTest extends CallerServerFixture {
     private static final int MANY_BYTES = 12_000_000;
 
-    private final EventLoopGroup loop = new NioEventLoopGroup(1);
     private final BlockingQueue<CallerExchange> held = new LinkedBlockingQueue<>();
-    private CallerServer server;
-    private int port;
 
     @BeforeMethod
     public void listen() {
         held.clear();
         CallerLimits limits = new CallerLimits(512, 1_000, 100, Duration.ofMillis(300), Duration.ofSeconds(60));
-        server = new CallerServer(loop, limits, (request, exchange) -> held.add(exchange));
-        port = server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
-                .getPort();
-    }
-
-    @AfterMethod
-    public void closeServer() {
-        server.close();
-    }
-
-    @AfterClass
-    public void stopLoops() {
-        loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        listen(() -> limits, (request, exchange) -> held.add(exchange));
     }
 
     @DataProvider
