Log what tells late configurations and repeats above the budget apart

Cause: no log or metric says from how many entries a share of the retry budget is worked out, when a repeat was decided and when it was sent, how old the configuration is by which a request is admitted, or on which connection a read of the store got no answer. Change: lines and metrics for these, no logic.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/LimitedAnswer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/LimitedAnswer.java
@@ -1,14 +1,18 @@
 package io.parsleycleat.core.connection.upstream;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.channel.Channel;
+import io.parsleycleat.core.process.result.Failures;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
 import org.asynchttpclient.AsyncCompletionHandlerBase;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.HttpResponseBodyPart;
 import org.asynchttpclient.Request;
 import org.asynchttpclient.Response;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Collects an answer up to a size, since a server in trouble may send bytes without end.
@@ -16,9 +20,12 @@
  * <p>Created for each call; used by the client's threads one after the other.
  */
 public final class LimitedAnswer extends AsyncCompletionHandlerBase {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     private final EarlyClose earlyClose = new EarlyClose();
     private final long maxBytes;
     private long bytes;
+    private volatile boolean onKeptConnection;
 
     private LimitedAnswer(long maxBytes) {
         this.maxBytes = maxBytes;
@@ -27,7 +34,24 @@
     /** Sends a request; the call fails, and its connection is closed, when the answer's body is above a size. */
     public static CompletableFuture<Response> of(AsyncHttpClient http, Request request, long maxBytes) {
         LimitedAnswer answer = new LimitedAnswer(maxBytes);
-        return answer.earlyClose.watch(http.executeRequest(request, answer)).toCompletableFuture();
+        return answer.earlyClose
+                .watch(http.executeRequest(request, answer))
+                .toCompletableFuture()
+                .whenComplete((response, failure) -> answer.logTimeout(request, failure));
+    }
+
+    /** Logs on which connection a call got no answer, since a connection may be lost without a sign of it. */
+    private void logTimeout(Request request, @Nullable Throwable failure) {
+        if (failure != null && Failures.unwrap(failure) instanceof TimeoutException) {
+            logger.atInfo().log(
+                    "no answer from %s in time, on a %s connection",
+                    request.getUri().getHost(), onKeptConnection ? "kept" : "new");
+        }
+    }
+
+    @Override
+    public void onConnectionPooled(Channel connection) {
+        onKeptConnection = true;
     }
 
     @Override
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardMetrics.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardMetrics.java
@@ -15,6 +15,7 @@
     private final Counter requests;
     private final Counter sends;
     private final Counter repeats;
+    private final Counter repeatsRefused;
     private final Counter limitedSends;
     private final Counter cuts;
     private final Counter unexpectedFailures;
@@ -22,6 +23,7 @@
     private final Histogram headMillis;
     private final Histogram firstEventMillis;
     private final Histogram gateMillis;
+    private final Histogram repeatWaitMillis;
     private final Histogram totalMillis;
 
     /** Creates the metrics in a registry. */
@@ -30,6 +32,7 @@
         this.requests = registry.counter("forward.requests");
         this.sends = registry.counter("forward.sends");
         this.repeats = registry.counter("forward.repeats");
+        this.repeatsRefused = registry.counter("forward.repeats.refused");
         this.limitedSends = registry.counter("forward.sends.limited");
         this.cuts = registry.counter("forward.cuts");
         this.unexpectedFailures = registry.counter("forward.failures.unexpected");
@@ -37,6 +40,7 @@
         this.headMillis = registry.histogram("forward.head.millis");
         this.firstEventMillis = registry.histogram("forward.first_event.millis");
         this.gateMillis = registry.histogram("forward.gate.millis");
+        this.repeatWaitMillis = registry.histogram("forward.repeat.wait.millis");
         this.totalMillis = registry.histogram("forward.total.millis");
     }
 
@@ -54,6 +58,18 @@
         }
     }
 
+    /** Counts a repeat for which the retry budget had nothing left. */
+    void onRepeatDecided(boolean taken) {
+        if (!taken) {
+            repeatsRefused.inc();
+        }
+    }
+
+    /** Records the time from the decision to repeat a request to its send. */
+    void onRepeatSent(long millis) {
+        repeatWaitMillis.update(millis);
+    }
+
     /** Counts an answer that this entry broke off. */
     void onCut() {
         cuts.inc();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -15,6 +15,7 @@
 import java.time.Duration;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -38,6 +39,7 @@
     private final SilenceCheck silence;
     private final TriedUpstreams tried;
     private boolean mayHaveRun;
+    private long repeatTakenNanos;
     private boolean finished;
     private @Nullable UpstreamSearch search;
     private @Nullable Attempt attempt;
@@ -105,6 +107,10 @@
             context.metrics().onStartGranted(age().toMillis());
         }
         context.metrics().onSend(tried.sendCount() > 1, context.limits().isLimited(upstream));
+        if (tried.sendCount() > 1) {
+            context.metrics()
+                    .onRepeatSent(TimeUnit.NANOSECONDS.toMillis(context.time().monotonicNanos() - repeatTakenNanos));
+        }
         OptionalLong lastId = answer.lastEventId();
         Long resumeAfter = lastId.isPresent() ? Long.valueOf(lastId.getAsLong()) : request.resumeAfterEventId();
         Account account = admitted.account();
@@ -158,7 +164,7 @@
 
     @Override
     public @Nullable Attempt sendHedged(UpstreamSearch.Found found, Attempt.Listener listener) {
-        return !finished && !isQuarantined() && context.retryShare().tryRetry(service) ? send(found, listener) : null;
+        return !finished && !isQuarantined() && takeRepeat() ? send(found, listener) : null;
     }
 
     @Override
@@ -234,6 +240,21 @@
         return answer.mayBeContinued() && tried.mayTryAnother();
     }
 
+    /** Takes a repeat from this entry's share of the service's retry budget. */
+    private boolean takeRepeat() {
+        boolean taken = context.retryShare().tryRetry(service);
+        context.metrics().onRepeatDecided(taken);
+        if (!taken) {
+            logger.atInfo()
+                    .with(LogKeys.REQUEST, request.id())
+                    .log(
+                            "no repeat left in the share of %s: %s",
+                            service, context.retryShare().describe(service));
+        }
+        repeatTakenNanos = context.time().monotonicNanos();
+        return taken;
+    }
+
     private void retry() {
         answer.discardUnsent();
         sendNext();
@@ -310,7 +331,7 @@
             if (continueOnHedge()) {
                 return;
             }
-            if (route.isRetryable() && mayTryAnother() && context.retryShare().tryRetry(service)) {
+            if (route.isRetryable() && mayTryAnother() && takeRepeat()) {
                 retry();
                 return;
             }
@@ -342,7 +363,7 @@
         if (continueOnHedge()) {
             return;
         }
-        if (mayTryAnother() && context.retryShare().tryRetry(service)) {
+        if (mayTryAnother() && takeRepeat()) {
             retry();
         } else {
             refuse(Refusal.of(ResultCode.UPSTREAM_REFUSED).withRetryAfter(context.noUpstreamRetryAfter(service)));
@@ -383,10 +404,7 @@
             }
             return;
         }
-        if (route.isRetryable()
-                && !isQuarantined()
-                && mayTryAnother()
-                && context.retryShare().tryRetry(service)) {
+        if (route.isRetryable() && !isQuarantined() && mayTryAnother() && takeRepeat()) {
             retry();
         } else {
             sendRefusal(Refusal.of(ResultCode.UPSTREAM_LOST, failure.detail()));
@@ -459,12 +477,13 @@
                 .with(LogKeys.CODE, code.number())
                 .with(LogKeys.UPSTREAM, last == null ? "" : last.upstream().id())
                 .log(
-                        "%s in %d ms after %d sends, route %s, configuration %d, %s",
+                        "%s in %d ms after %d sends, route %s, configuration %d, %d ms old, %s",
                         detail,
                         age().toMillis(),
                         tried.sendCount(),
                         route.name(),
                         admitted.table().version(),
+                        admitted.tableAgeMillis(),
                         open.describe());
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
@@ -60,10 +60,17 @@
     /**
      * An admitted request with the parts of the configuration that apply to it.
      *
+     * @param tableAgeMillis the age of the knowledge that the table is the newest one
      * @param account the account to which the key belongs; null for requests without a key
      * @param cost what the request takes from the account's budget, in tokens or requests
      */
-    record Admitted(ForwardRequest request, RoutingTable table, Route route, @Nullable Account account, double cost) {
+    record Admitted(
+            ForwardRequest request,
+            RoutingTable table,
+            int tableAgeMillis,
+            Route route,
+            @Nullable Account account,
+            double cost) {
         /** Returns the priority of the account, or that of the route if the account has none. */
         int priority() {
             return account == null ? route.priority() : account.ownPriority().orElse(route.priority());
@@ -157,10 +164,11 @@
             return Either.left(QUARANTINE_REFUSAL);
         }
         if (route.get().open() || !table.requiresKeys()) {
-            return Either.right(new Admitted(request, table, route.get(), null, 0));
+            return Either.right(new Admitted(request, table, freshness.ageMillis(), route.get(), null, 0));
         }
         return findAccount(request, table)
-                .map(account -> new Admitted(request, table, route.get(), account, cost(request, account)));
+                .map(account -> new Admitted(
+                        request, table, freshness.ageMillis(), route.get(), account, cost(request, account)));
     }
 
     private Either<Refusal, Account> findAccount(ForwardRequest request, RoutingTable table) {
@@ -240,7 +248,15 @@
         open.refundIfNotRun(() -> {});
         budgets.refund(former, admitted.cost());
         ForwardRequest request = admitted.request();
-        chargeBudget(new Admitted(request, admitted.table(), admitted.route(), holder, cost(request, holder)), open);
+        chargeBudget(
+                new Admitted(
+                        request,
+                        admitted.table(),
+                        admitted.tableAgeMillis(),
+                        admitted.route(),
+                        holder,
+                        cost(request, holder)),
+                open);
     }
 
     private static Refusal budgetRefusal(Admitted admitted, double drawn, Duration wait) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
@@ -82,6 +82,13 @@
         return window.retryNanos.size() + 1 <= allowed;
     }
 
+    /** Describes the state of a service's share, for logs. */
+    public synchronized String describe(String service) {
+        Window window = currentWindow(service);
+        return "%d repeats for %d requests in the window, %d entries known"
+                .formatted(window.retryNanos.size(), window.requestNanos.size(), entryCount.getAsInt());
+    }
+
     private Window currentWindow(String service) {
         Window window = windows.computeIfAbsent(service, s -> new Window());
         window.removeBefore(time.monotonicNanos() - bounds.window().toNanos());
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
@@ -174,8 +174,10 @@
                     name, answer.next().era(), era());
             scheduleFullRead(generation);
         } else if (answer != null && answer.next().era() < era()) {
-            onFailure(new IllegalStateException(
-                    "an answer of era " + answer.next().era() + " after one of era " + era()));
+            onFailure(
+                    sent,
+                    new IllegalStateException(
+                            "an answer of era " + answer.next().era() + " after one of era " + era()));
             scheduleRead(generation, settings.retryDelay());
         } else if (answer != null) {
             onSuccess(sent.minus(answer.age()));
@@ -187,7 +189,7 @@
             logger.atInfo().log("%s no longer has records that were not read yet; reading all of it", name);
             scheduleFullRead(generation);
         } else {
-            onFailure(failure == null ? new IllegalStateException("no answer") : failure);
+            onFailure(sent, failure == null ? new IllegalStateException("no answer") : failure);
             scheduleRead(generation, settings.retryDelay());
         }
     }
@@ -234,10 +236,14 @@
         }
     }
 
-    private void onFailure(Throwable failure) {
+    /** Logs the failures of an outage: the first one, and those that no quick refusal explains. */
+    private void onFailure(Freshness.Moment sent, Throwable failure) {
+        long waitedMillis = TimeUnit.NANOSECONDS.toMillis(time.monotonicNanos() - sent.monotonicNanos());
         synchronized (lock) {
-            if (reachable) {
-                logger.atWarning().with(LogKeys.OFFSET, offset()).log("%s does not answer: %s", name, failure);
+            if (reachable || waitedMillis >= settings.maxWait().toMillis()) {
+                logger.atWarning()
+                        .with(LogKeys.OFFSET, offset())
+                        .log("%s does not answer for %d ms: %s", name, waitedMillis, failure);
             }
             reachable = false;
         }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/forward/RouteDurationsTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/forward/RouteDurationsTest.java
@@ -49,7 +49,7 @@
         ForwardRequest request = new ForwardRequest(
                 "1", "POST", "h", "/p/x", null, null, null, tokens, List.of(), null, List.of(), ByteString.EMPTY);
         RoutingTable table = new RoutingTable(1, List.of(route), List.of(), List.of(), CallerLimits.DEFAULT);
-        return new RequestForwarder.Admitted(request, table, route, null, 0);
+        return new RequestForwarder.Admitted(request, table, 0, route, null, 0);
     }
 
     /** Guards against taking a stream of unknown duration for one as short as the wait for its first event. */
