Let entries earn their repeats, so that all together keep the retry budget

Cause: a promise about all entries, kept by each with what it had counted itself. A restarted entry began with an empty window and a whole share; the share was divided by the entries known just then, none before the records were read; a repeat counted when it was decided, and its request may wait seconds for an upstream. Ruled out: sends that are not counted. Every send after the first takes a repeat, but for one that replaces a send of which no byte had left. Change: each request earns three quarters of the ratio; what may be held is half of an equal part of the fixed number plus a quarter of the ratio for each request of the last window, reserved repeats included; a process begins with none; entries that are no longer known count for 60 s. Why it works: in any window an entry sends at most what it held at its beginning and what it earned in it, both of which add up over the entries to the ratio and half of the fixed number.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -314,7 +314,7 @@
                 new EngineChooser(view, loads, limits),
                 view,
                 new GateClient(transport, settings.sidePort()),
-                new RetryShare(settings.retryBounds(), time, this::entryCount),
+                new RetryShare(settings.retryBounds(), time, this::knownEntryCount),
                 crashWatch,
                 new ForwardMetrics(metrics));
         RequestForwarder.StalenessLimits bounds = new RequestForwarder.StalenessLimits(
@@ -337,6 +337,11 @@
         return 1 + members.peerAddresses().size();
     }
 
+    /** Returns the number of entries, or 0 while the records of the others have not been read. */
+    private int knownEntryCount() {
+        return entriesFollower.isFullyRead() ? entryCount() : 0;
+    }
+
     /** Returns this entry's part of the connections that an upstream accepts from all entries together. */
     private int maxConnections(Upstream upstream) {
         int accepted = configuration
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -15,7 +15,6 @@
 import java.time.Duration;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -38,8 +37,8 @@
     private final CallerAnswer answer;
     private final SilenceCheck silence;
     private final TriedUpstreams tried;
+    private final RequestRepeats repeats;
     private boolean mayHaveRun;
-    private long repeatTakenNanos;
     private boolean finished;
     private @Nullable UpstreamSearch search;
     private @Nullable Attempt attempt;
@@ -59,6 +58,7 @@
         this.open = open;
         this.answer = new CallerAnswer(open, context.codec(), route, open::execute, this::setReading);
         this.tried = new TriedUpstreams(context, route, service);
+        this.repeats = new RequestRepeats(context, request.id(), service);
         this.silence = new SilenceCheck(context, route, open.guard(this::hedgeIfLate));
     }
 
@@ -107,16 +107,13 @@
             context.metrics().onStartGranted(age().toMillis());
         }
         context.metrics().onSend(tried.sendCount() > 1, context.limits().isLimited(upstream));
-        if (tried.sendCount() > 1) {
-            context.metrics()
-                    .onRepeatSent(TimeUnit.NANOSECONDS.toMillis(context.time().monotonicNanos() - repeatTakenNanos));
-        }
         OptionalLong lastId = answer.lastEventId();
         Long resumeAfter = lastId.isPresent() ? Long.valueOf(lastId.getAsLong()) : request.resumeAfterEventId();
         Account account = admitted.account();
         boolean onEngine = request.adapter() != null;
         Attempt sent = new Attempt(context, upstream, found.permission(), request, listener);
         if (listener == this) {
+            repeats.onSend();
             attempt = sent;
             open.enter(OpenRequest.Stage.ANSWER, upstream.id());
         }
@@ -159,12 +156,12 @@
                 && mayTryAnother()
                 && tried.hasUntriedUnlimited()
                 && !isQuarantined()
-                && context.retryShare().hasRetry(service);
+                && repeats.isAvailable();
     }
 
     @Override
     public @Nullable Attempt sendHedged(UpstreamSearch.Found found, Attempt.Listener listener) {
-        return !finished && !isQuarantined() && takeRepeat() ? send(found, listener) : null;
+        return !finished && !isQuarantined() && repeats.takeForSend() ? send(found, listener) : null;
     }
 
     @Override
@@ -240,21 +237,6 @@
         return answer.mayBeContinued() && tried.mayTryAnother();
     }
 
-    /** Takes a repeat from this entry's share of the service's retry budget. */
-    private boolean takeRepeat() {
-        boolean taken = context.retryShare().tryRetry(service);
-        context.metrics().onRepeatDecided(taken);
-        if (!taken) {
-            logger.atInfo()
-                    .with(LogKeys.REQUEST, request.id())
-                    .log(
-                            "no repeat left in the share of %s: %s",
-                            service, context.retryShare().describe(service));
-        }
-        repeatTakenNanos = context.time().monotonicNanos();
-        return taken;
-    }
-
     private void retry() {
         answer.discardUnsent();
         sendNext();
@@ -331,7 +313,7 @@
             if (continueOnHedge()) {
                 return;
             }
-            if (route.isRetryable() && mayTryAnother() && takeRepeat()) {
+            if (route.isRetryable() && mayTryAnother() && repeats.reserve()) {
                 retry();
                 return;
             }
@@ -363,7 +345,7 @@
         if (continueOnHedge()) {
             return;
         }
-        if (mayTryAnother() && takeRepeat()) {
+        if (mayTryAnother() && repeats.reserve()) {
             retry();
         } else {
             refuse(Refusal.of(ResultCode.UPSTREAM_REFUSED).withRetryAfter(context.noUpstreamRetryAfter(service)));
@@ -404,7 +386,7 @@
             }
             return;
         }
-        if (route.isRetryable() && !isQuarantined() && mayTryAnother() && takeRepeat()) {
+        if (route.isRetryable() && !isQuarantined() && mayTryAnother() && repeats.reserve()) {
             retry();
         } else {
             sendRefusal(Refusal.of(ResultCode.UPSTREAM_LOST, failure.detail()));
@@ -469,6 +451,7 @@
         finished = true;
         silence.cancel();
         cancelHedge();
+        repeats.giveBack();
         open.onEnded(mayHaveRun);
         context.metrics().onEnd(code, age().toMillis());
         Attempt last = attempt;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
@@ -6,21 +6,36 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.IntSupplier;
 
 /**
- * Limits the retries of this entry to its share of each service's retry budget.
+ * Limits the repeats of this entry so that all entries together keep the retry budget of each service: in any window a
+ * service gets at most the fixed number of repeats plus the ratio times the requests for it.
  *
- * <p>Within a window, a service may get retries up to a ratio of the requests for it plus a fixed number for the whole
- * fleet. An entry applies the ratio to its own requests and takes half of an equal part of the fixed number.
+ * <p>Repeats are earned. Each request adds a part of the ratio, and what is not used is held up to a limit, which is an
+ * equal part of the fixed number plus the rest of the ratio for each request of the last window. So an entry sends no
+ * more in any window than it held at the beginning and earned in it, and these add up over the entries. A process
+ * begins with nothing, so a restart gives no repeats that its predecessor may have sent already.
+ *
+ * <p>A repeat counts as held until it is sent, since its request may wait for an upstream meanwhile.
  *
  * <p>One instance per entry; guarded by its own lock.
  */
 public final class RetryShare {
+    /** Part of the ratio that limits what is held; the rest is earned. A burst can use what is held at once. */
+    private static final double HELD_PART = 0.25;
+    /** Part of the fixed number that is held; the other part covers repeats that arrive later than they are sent. */
+    private static final double FIXED_PART = 0.5;
+    /** Time for which entries still count that are no longer known; they may run, and hold their parts. */
+    private static final Duration ENTRY_COUNT_MEMORY = Duration.ofSeconds(60);
+
     private final Bounds bounds;
     private final TimeSource time;
     private final IntSupplier entryCount;
-    private final Map<String, Window> windows = new HashMap<>();
+    private final Map<String, ServiceState> services = new HashMap<>();
+    private int largestCount;
+    private long largestCountNanos;
 
     /**
      * The retry budget of a service over the whole fleet.
@@ -31,28 +46,52 @@
      */
     public record Bounds(double ratio, double extraRetries, Duration window) {}
 
-    /** The times of the requests and retries of a service in the last window. */
-    private static final class Window {
+    /** The requests of a service in the last window, and the repeats that may be sent now. */
+    private static final class ServiceState {
         private final Deque<Long> requestNanos = new ArrayDeque<>();
-        private final Deque<Long> retryNanos = new ArrayDeque<>();
+        private double available;
+        private int reserved;
+
+        void removeRequestsBefore(long nanos) {
+            while (!requestNanos.isEmpty() && requestNanos.peekFirst() - nanos < 0) {
+                requestNanos.removeFirst();
+            }
+        }
+    }
+
+    /**
+     * A repeat that is reserved for one send.
+     *
+     * <p>Created by {@link RetryShare}; exactly one of its methods is called.
+     */
+    public final class Repeat {
+        private final ServiceState state;
 
-        void removeBefore(long nanos) {
-            removeTimesBefore(requestNanos, nanos);
-            removeTimesBefore(retryNanos, nanos);
+        private Repeat(ServiceState state) {
+            this.state = state;
         }
 
-        private static void removeTimesBefore(Deque<Long> times, long nanos) {
-            while (!times.isEmpty() && times.peekFirst() - nanos < 0) {
-                times.removeFirst();
+        /** Records that the request is sent again. */
+        public void onSent() {
+            synchronized (RetryShare.this) {
+                state.reserved--;
+            }
+        }
+
+        /** Returns the repeat, since the request is not sent again. */
+        public void release() {
+            synchronized (RetryShare.this) {
+                state.reserved--;
+                state.available++;
             }
         }
     }
 
     /**
-     * Creates an instance without recorded requests.
+     * Creates an instance that holds no repeats.
      *
-     * @param entryCount returns the current number of entries that share the budget; an entry takes only half of its
-     *     equal part because it counts from zero again after a restart
+     * @param entryCount returns the number of entries that share the budget as far as is known, this one included; 0
+     *     while the others are not known yet
      */
     public RetryShare(Bounds bounds, TimeSource time, IntSupplier entryCount) {
         this.bounds = bounds;
@@ -60,38 +99,59 @@
         this.entryCount = entryCount;
     }
 
-    /** Counts a request for a service. */
+    /** Counts a request for a service, which earns a part of a repeat. */
     public synchronized void onRequest(String service) {
-        currentWindow(service).requestNanos.addLast(time.monotonicNanos());
+        ServiceState state = currentState(service);
+        state.requestNanos.addLast(time.monotonicNanos());
+        double earned = state.available + bounds.ratio() * (1 - HELD_PART);
+        state.available = Math.min(earned, maxHeld(state) - state.reserved);
     }
 
-    /** Takes one retry from the share of a service; returns whether there was one. */
-    public synchronized boolean tryRetry(String service) {
-        if (!hasRetry(service)) {
-            return false;
+    /** Reserves a repeat for a service, if one is left. */
+    public synchronized Optional<Repeat> tryReserve(String service) {
+        if (!hasRepeat(service)) {
+            return Optional.empty();
         }
-        currentWindow(service).retryNanos.addLast(time.monotonicNanos());
-        return true;
+        ServiceState state = currentState(service);
+        state.available--;
+        state.reserved++;
+        return Optional.of(new Repeat(state));
     }
 
-    /** Returns whether the share of a service has a retry left. */
-    public synchronized boolean hasRetry(String service) {
-        Window window = currentWindow(service);
-        double allowed = bounds.ratio() * window.requestNanos.size()
-                + bounds.extraRetries() / 2 / Math.max(1, entryCount.getAsInt());
-        return window.retryNanos.size() + 1 <= allowed;
+    /** Returns whether a repeat for a service is left. */
+    public synchronized boolean hasRepeat(String service) {
+        return currentState(service).available >= 1;
     }
 
     /** Describes the state of a service's share, for logs. */
     public synchronized String describe(String service) {
-        Window window = currentWindow(service);
-        return "%d repeats for %d requests in the window, %d entries known"
-                .formatted(window.retryNanos.size(), window.requestNanos.size(), entryCount.getAsInt());
+        ServiceState state = currentState(service);
+        return "%.1f repeats left, %d reserved, %d requests in the window, %d entries"
+                .formatted(state.available, state.reserved, state.requestNanos.size(), largestCount);
     }
 
-    private Window currentWindow(String service) {
-        Window window = windows.computeIfAbsent(service, s -> new Window());
-        window.removeBefore(time.monotonicNanos() - bounds.window().toNanos());
-        return window;
+    private ServiceState currentState(String service) {
+        ServiceState state = services.computeIfAbsent(service, s -> new ServiceState());
+        state.removeRequestsBefore(time.monotonicNanos() - bounds.window().toNanos());
+        state.available = Math.min(state.available, maxHeld(state) - state.reserved);
+        return state;
+    }
+
+    /** Returns how many repeats may be held, those that are reserved included. */
+    private double maxHeld(ServiceState state) {
+        int entries = countEntries();
+        double fixed = entries == 0 ? 0 : FIXED_PART * bounds.extraRetries() / entries;
+        return fixed + HELD_PART * bounds.ratio() * state.requestNanos.size();
+    }
+
+    /** Returns the largest number of entries that was known lately; 0 if none was. */
+    private int countEntries() {
+        int known = entryCount.getAsInt();
+        long now = time.monotonicNanos();
+        if (known >= largestCount || now - largestCountNanos > ENTRY_COUNT_MEMORY.toNanos()) {
+            largestCount = known;
+            largestCountNanos = now;
+        }
+        return largestCount;
     }
 }
