Read logs through another entry while the store turns this one away

Callers saw: requests served by a configuration that had been replaced 8 s before, then refused for their keys, at one of several entries. Cause: each entry had one way to the configuration. Where changes must be in force within 2 s, reads through other entries were off, and elsewhere an entry whose parent and own read failed asked nobody. Change: RelayedLog makes a read that fails on one way on the next: parent, store, any other entry. Only an entry whose own reads succeed answers others, so two that are cut off do not confirm each other; an answer of a substitute confirms the state but does not count as one of the store, so what lapsed in an outage is still given time to return. Why it works: the age travels with each answer, so keys are accepted just as long as somebody confirms them.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -52,6 +52,7 @@
 import io.parsleycleat.wire.gate.EntryRecord;
 import io.parsleycleat.wire.gate.GateMessage;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -269,20 +270,22 @@
 
     /**
      * Creates the follower of a log, which reads through another entry of the data centre if the bound leaves time for
-     * that.
+     * that, and through any other one if the store does not answer.
      *
      * @param bound how late a change may become known here
      */
     private LogFollower createFollower(
             String name, KeyedLog log, KeyedLogListener listener, FollowSettings directSettings, Duration bound) {
-        return LogRelay.relaySettings(directSettings, bound)
-                .map(relayedSettings -> {
-                    LogFollower follower = new LogFollower(
-                            name, relay.relayedLog(name, log), listener, relayedSettings, eventLoop, time);
-                    relay.register(name, follower);
-                    return follower;
-                })
-                .orElseGet(() -> new LogFollower(name, log, listener, directSettings, eventLoop, time));
+        Optional<FollowSettings> relayedSettings = LogRelay.relaySettings(directSettings, bound);
+        LogFollower follower = new LogFollower(
+                name,
+                relay.relayedLog(name, log, relayedSettings.isPresent(), directSettings.timeout()),
+                listener,
+                relayedSettings.orElse(directSettings),
+                eventLoop,
+                time);
+        relay.register(name, follower);
+        return follower;
     }
 
     /**
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/LogRelay.java
@@ -6,8 +6,10 @@
 import io.parsleycleat.core.connection.peer.PeerClient;
 import io.parsleycleat.core.process.identity.ProcessIdentity;
 import io.parsleycleat.core.process.logging.LogKeys;
-import io.parsleycleat.core.process.result.Failures;
+import io.parsleycleat.core.process.result.PeerException;
+import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.core.request.routing.RendezvousHash;
 import io.parsleycleat.gateway.version.follow.FollowSettings;
 import io.parsleycleat.gateway.version.follow.KeyedLog;
 import io.parsleycleat.gateway.version.follow.KeyedRecord;
@@ -23,6 +25,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -33,7 +36,8 @@
  *
  * <p>An entry sends its reads to its parent in the {@link ReadTree} instead of the store. Each answer contains the age
  * of the parent's state; the state read here is that much older than the request. If the parent cannot answer, or does
- * not do so in time, the entry reads the log itself.
+ * not do so in time, the entry reads the log itself, and if the store does not answer either, through another entry. An
+ * entry whose own reads of the store fail answers no others, so that no entry learns a state from itself.
  *
  * <p>One per entry; safe to share between threads.
  */
@@ -57,19 +61,26 @@
 
     private final PeerClient peers;
     private final Supplier<ReadTree.Position> position;
+    private final Supplier<List<String>> substitutes;
     private final TimeSource time;
     private final ScheduledExecutorService scheduler;
     private final Map<String, LogFollower> followersByLog = new ConcurrentHashMap<>();
     private volatile long parentRetryNanos;
 
-    /** Creates a relay without logs. */
+    /**
+     * Creates a relay without logs.
+     *
+     * @param substitutes returns the addresses of the entries that may be asked in place of the store
+     */
     LogRelay(
             PeerClient peers,
             Supplier<ReadTree.Position> position,
+            Supplier<List<String>> substitutes,
             TimeSource time,
             ScheduledExecutorService scheduler) {
         this.peers = peers;
         this.position = position;
+        this.substitutes = substitutes;
         this.time = time;
         this.scheduler = scheduler;
         this.parentRetryNanos = time.monotonicNanos();
@@ -85,10 +96,18 @@
         return new LogRelay(
                 peers,
                 () -> ReadTree.position(identity.vmName(), identity.dataCentre(), members.members()),
+                () -> substitutes(identity.vmName(), members.peerAddresses()),
                 time,
                 scheduler);
     }
 
+    /** Orders the other entries differently for each one, so that not all of them ask the same entry. */
+    private static List<String> substitutes(String self, Map<String, String> addresses) {
+        return RendezvousHash.order(self, List.copyOf(addresses.keySet()), n -> n).stream()
+                .map(addresses::get)
+                .toList();
+    }
+
     /**
      * Returns the settings for relayed reads of a log within a bound, or nothing when the bound is too short for
      * relaying.
@@ -112,33 +131,41 @@
         followersByLog.put(log, follower);
     }
 
-    /** Returns a log that is read through the parent if possible, and directly otherwise. */
-    public KeyedLog relayedLog(String log, KeyedLog direct) {
-        return new KeyedLog() {
-            @Override
-            public CompletableFuture<NewestPage> readNewest(String afterKey) {
-                return direct.readNewest(afterKey);
-            }
-
-            @Override
-            public CompletableFuture<Records> read(LogPosition from, Duration wait) {
-                return usableParent()
-                        .map(parent -> readFromParent(parent, log, from, wait, direct))
-                        .orElseGet(() -> direct.read(from, wait));
-            }
-        };
+    /**
+     * Returns a log that is read directly, and through other entries while it does not answer this one.
+     *
+     * @param throughParent whether it is read through the parent if possible, and directly otherwise
+     * @param timeout how long a direct answer may take beyond the wait
+     */
+    public KeyedLog relayedLog(String log, KeyedLog direct, boolean throughParent, Duration timeout) {
+        return new RelayedLog(log, direct, this, throughParent, timeout, time);
     }
 
-    // Reading through the parent
+    // Reading through another entry
 
-    private Optional<String> usableParent() {
+    /** Returns the parent to read through, if there is one that answers. */
+    Optional<String> usableParent() {
         return time.monotonicNanos() - parentRetryNanos < 0
                 ? Optional.empty()
                 : position.get().parent();
     }
 
-    private CompletableFuture<KeyedLog.Records> readFromParent(
-            String parent, String log, LogPosition from, Duration wait, KeyedLog direct) {
+    /** Lets reads of all logs pass over the parent for a while. */
+    void onParentFailed(String parent, String log, Throwable failure) {
+        parentRetryNanos = time.monotonicNanos() + PARENT_RETRY_DELAY.toNanos();
+        logger.atInfo()
+                .with(LogKeys.PEER, parent)
+                .log("%s is read directly for %d ms: %s", log, PARENT_RETRY_DELAY.toMillis(), failure.getMessage());
+    }
+
+    /** Returns the addresses of the entries that may be asked in place of the store, in this entry's own order. */
+    List<String> substitutes() {
+        return substitutes.get();
+    }
+
+    /** Reads a log from what another entry has read; fails if that one cannot answer, or does not in time. */
+    CompletableFuture<KeyedLog.Records> readThrough(
+            String entry, String log, LogPosition from, Duration wait, KeyedLog.Source source) {
         Duration relayWait = wait.compareTo(MAX_RELAY_WAIT) < 0 ? wait : MAX_RELAY_WAIT;
         Duration timeout = relayWait.plus(ANSWER_MARGIN);
         RecordsRead.Builder read = RecordsRead.newBuilder()
@@ -147,34 +174,23 @@
                 .setFrom(from.offset())
                 .setWaitMillis((int) relayWait.toMillis());
         return peers.request(
-                        parent,
+                        entry,
                         Frame.newBuilder().setGate(GateMessage.newBuilder().setRead(read)),
                         timeout)
                 .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
-                .handle((frame, failure) -> {
-                    if (frame != null && frame.getGate().getFound().getKnown()) {
-                        return CompletableFuture.completedFuture(
-                                toRecords(frame.getGate().getFound()));
-                    }
-                    parentRetryNanos = time.monotonicNanos() + PARENT_RETRY_DELAY.toNanos();
-                    logger.atInfo()
-                            .with(LogKeys.PEER, parent)
-                            .log(
-                                    "%s is read directly for %d ms: %s",
-                                    log,
-                                    PARENT_RETRY_DELAY.toMillis(),
-                                    failure == null ? "the parent entry has no answer" : Failures.unwrap(failure));
-                    return direct.read(from, Duration.ZERO);
-                })
-                .thenCompose(answer -> answer);
-    }
-
-    private static KeyedLog.Records toRecords(RecordsFound found) {
+                .thenApply(frame -> toRecords(entry, frame.getGate().getFound(), source));
+    }
+
+    private static KeyedLog.Records toRecords(String entry, RecordsFound found, KeyedLog.Source source) {
+        if (!found.getKnown()) {
+            throw new CompletionException(
+                    new PeerException(ResultCode.PEER_UNREACHABLE, "the entry has no answer", entry));
+        }
         List<KeyedRecord> records = found.getRecordsList().stream()
                 .map(r -> new KeyedRecord(r.getKey(), r.getValue().toByteArray(), r.getOffset()))
                 .toList();
         LogPosition next = new LogPosition(found.getEra(), found.getNext());
-        return new KeyedLog.Records(records, next, Duration.ofMillis(found.getAgeMillis()), true);
+        return new KeyedLog.Records(records, next, Duration.ofMillis(found.getAgeMillis()), source);
     }
 
     // Answering other entries
--- /dev/null
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/RelayedLog.java
@@ -0,0 +1,132 @@
+package io.parsleycleat.gateway.process.members;
+
+import com.google.common.flogger.FluentLogger;
+import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.result.Failures;
+import io.parsleycleat.core.process.result.LogTrimmedException;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.gateway.version.follow.KeyedLog;
+import io.parsleycleat.gateway.version.follow.LogPosition;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A log with several ways to its records: the parent in the tree of entries, if reads go through it, the store itself,
+ * and any other entry. The store may turn away single entries while it serves the others, and a way that has failed
+ * tells nothing of the others, so each read that fails on one way is made on the next.
+ *
+ * <p>Created by {@link LogRelay} for each log; its reads follow one another, on any thread.
+ */
+final class RelayedLog implements KeyedLog {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** Time for which reads go through another entry after the store has not answered. */
+    private static final Duration STORE_RETRY_DELAY = Duration.ofSeconds(1);
+
+    private final String name;
+    private final KeyedLog store;
+    private final LogRelay relay;
+    private final boolean throughParent;
+    private final Duration storeTimeout;
+    private final TimeSource time;
+    private volatile @Nullable Throwable storeFailure;
+    private volatile long storeRetryNanos;
+    private final AtomicInteger failedSubstitutes = new AtomicInteger();
+
+    /**
+     * Creates a log that is read at the store first.
+     *
+     * @param throughParent whether it is read through the parent before the store
+     * @param storeTimeout how long an answer of the store may take beyond the wait
+     */
+    RelayedLog(
+            String name,
+            KeyedLog store,
+            LogRelay relay,
+            boolean throughParent,
+            Duration storeTimeout,
+            TimeSource time) {
+        this.name = name;
+        this.store = store;
+        this.relay = relay;
+        this.throughParent = throughParent;
+        this.storeTimeout = storeTimeout;
+        this.time = time;
+    }
+
+    @Override
+    public CompletableFuture<NewestPage> readNewest(String afterKey) {
+        return store.readNewest(afterKey);
+    }
+
+    @Override
+    public CompletableFuture<Records> read(LogPosition from, Duration wait) {
+        Optional<String> parent = throughParent ? relay.usableParent() : Optional.empty();
+        long startNanos = time.monotonicNanos();
+        return parent.map(p -> readThroughParent(p, from, wait, startNanos))
+                .orElseGet(() -> readStore(from, wait, startNanos));
+    }
+
+    private CompletableFuture<Records> readThroughParent(
+            String parent, LogPosition from, Duration wait, long startNanos) {
+        return relay.readThrough(parent, name, from, wait, Source.PARENT)
+                .handle((answer, failure) -> {
+                    if (failure == null) {
+                        return CompletableFuture.completedFuture(answer);
+                    }
+                    relay.onParentFailed(parent, name, Failures.unwrap(failure));
+                    return readStore(from, Duration.ZERO, startNanos);
+                })
+                .thenCompose(answer -> answer);
+    }
+
+    private CompletableFuture<Records> readStore(LogPosition from, Duration wait, long startNanos) {
+        Throwable known = storeFailure;
+        if (known != null && time.monotonicNanos() - storeRetryNanos < 0) {
+            return readThroughSubstitute(from, wait, startNanos, known);
+        }
+        return store.read(from, wait)
+                .orTimeout(wait.plus(storeTimeout).toMillis(), TimeUnit.MILLISECONDS)
+                .handle((answer, failure) -> {
+                    Throwable cause = failure == null ? null : Failures.unwrap(failure);
+                    if (cause == null || cause instanceof LogTrimmedException) {
+                        storeFailure = null;
+                        return cause == null
+                                ? CompletableFuture.completedFuture(answer)
+                                : CompletableFuture.<Records>failedFuture(cause);
+                    }
+                    storeFailure = cause;
+                    storeRetryNanos = time.monotonicNanos() + STORE_RETRY_DELAY.toNanos();
+                    return readThroughSubstitute(from, Duration.ZERO, startNanos, cause);
+                })
+                .thenCompose(answer -> answer);
+    }
+
+    /** Reads through another entry. If it has no answer, the read fails as at the store; the next one tries both. */
+    private CompletableFuture<Records> readThroughSubstitute(
+            LogPosition from, Duration wait, long startNanos, Throwable cause) {
+        List<String> others = relay.substitutes();
+        if (others.isEmpty()) {
+            storeRetryNanos = time.monotonicNanos();
+            return CompletableFuture.failedFuture(cause);
+        }
+        String other = others.get(Math.floorMod(failedSubstitutes.get(), others.size()));
+        Duration askedLater = Duration.ofNanos(time.monotonicNanos() - startNanos);
+        return relay.readThrough(other, name, from, wait, Source.SUBSTITUTE)
+                .thenApply(answer -> answer.askedLater(askedLater))
+                .handle((answer, failure) -> {
+                    if (failure == null) {
+                        return CompletableFuture.completedFuture(answer);
+                    }
+                    logger.atFine().withCause(failure).with(LogKeys.PEER, other).log("no answer on %s", name);
+                    failedSubstitutes.incrementAndGet();
+                    storeRetryNanos = time.monotonicNanos();
+                    return CompletableFuture.<Records>failedFuture(cause);
+                })
+                .thenCompose(answer -> answer);
+    }
+}
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedLog.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/KeyedLog.java
@@ -18,21 +18,35 @@
         }
     }
 
+    /** Where records come from. */
+    enum Source {
+        /** The log itself. */
+        STORE,
+        /** Another process that reads the log for this one as a rule. */
+        PARENT,
+        /** Another process, since the log did not answer this one. */
+        SUBSTITUTE
+    }
+
     /**
      * Records from one position on, in order.
      *
      * @param next where the next read starts; if its era is not the requested one, the records must be ignored
-     * @param age the time between the request to the log itself and this answer
-     * @param relayed whether the answer comes from another process that had read the log
+     * @param age how much earlier than the read itself the log was asked; negative if it was asked later
      */
-    record Records(List<KeyedRecord> records, LogPosition next, Duration age, boolean relayed) {
+    record Records(List<KeyedRecord> records, LogPosition next, Duration age, Source source) {
         public Records {
             records = List.copyOf(records);
         }
 
+        /** Returns a copy whose age counts from a moment that lies the given time before the one at which it did. */
+        public Records askedLater(Duration time) {
+            return new Records(records, next, age.minus(time), source);
+        }
+
         /** Creates an answer that comes from the log itself. */
         public Records(List<KeyedRecord> records, LogPosition next) {
-            this(records, next, Duration.ZERO, false);
+            this(records, next, Duration.ZERO, Source.STORE);
         }
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
@@ -35,6 +35,9 @@
     private static final byte[] NO_VALUE = {};
     /** Time without an answer after which records of other processes may have expired although the processes run. */
     private static final Duration MIN_OUTAGE = Duration.ofMillis(900);
+    /** How much longer a read may take that is made through other processes after the log has not answered. */
+    private static final Duration OTHER_WAYS_TIMEOUT = Duration.ofSeconds(1);
+
     /** Reads through another entry do not load the store, so the pause between them is divided by this. */
     public static final int RELAYED_PAUSE_DIVISOR = 4;
 
@@ -54,7 +57,7 @@
     private long era;
     private boolean rewritesPending;
     private boolean reachable = true;
-    private boolean relayed;
+    private KeyedLog.Source source = KeyedLog.Source.STORE;
     private long lastAnswerNanos;
     private long graceEndsNanos;
     private boolean inGrace;
@@ -149,7 +152,12 @@
         Freshness.Moment sent = freshness.now();
         LogPosition from = position();
         read(generation, from)
-                .orTimeout(settings.maxWait().plus(settings.timeout()).toMillis(), TimeUnit.MILLISECONDS)
+                .orTimeout(
+                        settings.maxWait()
+                                .plus(settings.timeout())
+                                .plus(OTHER_WAYS_TIMEOUT)
+                                .toMillis(),
+                        TimeUnit.MILLISECONDS)
                 .whenComplete((answer, failure) ->
                         onAnswer(generation, sent, answer, failure == null ? null : Failures.unwrap(failure)));
     }
@@ -180,11 +188,13 @@
                             "an answer of era " + answer.next().era() + " after one of era " + era()));
             scheduleRead(generation, settings.retryDelay());
         } else if (answer != null) {
-            onSuccess(sent.minus(answer.age()));
-            updateRelayed(answer.relayed());
+            onSuccess(sent.minus(answer.age()), answer.source());
+            updateSource(answer.source());
             scheduleRead(
                     generation,
-                    answer.relayed() ? settings.readPause().dividedBy(RELAYED_PAUSE_DIVISOR) : settings.readPause());
+                    answer.source() == KeyedLog.Source.STORE
+                            ? settings.readPause()
+                            : settings.readPause().dividedBy(RELAYED_PAUSE_DIVISOR));
         } else if (failure instanceof LogTrimmedException) {
             logger.atInfo().log("%s no longer has records that were not read yet; reading all of it", name);
             scheduleFullRead(generation);
@@ -205,24 +215,32 @@
         scheduler.schedule(() -> readNext(generation), delay.toMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private void updateRelayed(boolean now) {
-        if (now != relayed) {
-            logger.atInfo()
-                    .with(LogKeys.OFFSET, offset())
-                    .log("%s is read %s", name, now ? "through another entry" : "directly");
-            relayed = now;
+    private void updateSource(KeyedLog.Source now) {
+        if (now != source) {
+            logger.atInfo().with(LogKeys.OFFSET, offset()).log("%s is read %s", name, describe(now));
+            source = now;
         }
     }
 
-    private void onSuccess(Freshness.Moment stateTime) {
+    private static String describe(KeyedLog.Source source) {
+        return switch (source) {
+            case STORE -> "directly";
+            case PARENT -> "through another entry";
+            case SUBSTITUTE -> "through another entry, since the log does not answer this one";
+        };
+    }
+
+    /** Takes an answer. One of a substitute confirms the state, but does not show that the log answers. */
+    private void onSuccess(Freshness.Moment stateTime, KeyedLog.Source answered) {
         boolean graceOver;
         boolean complete;
         synchronized (lock) {
-            if (!reachable) {
+            boolean isSubstitute = answered == KeyedLog.Source.SUBSTITUTE;
+            if (!reachable && !isSubstitute) {
                 logger.atInfo().with(LogKeys.OFFSET, offset()).log("%s answers again", name);
             }
-            reachable = true;
-            lastAnswerNanos = time.monotonicNanos();
+            reachable = !isSubstitute;
+            lastAnswerNanos = isSubstitute ? lastAnswerNanos : time.monotonicNanos();
             graceOver = inGrace && time.monotonicNanos() - graceEndsNanos >= 0;
             inGrace = inGrace && !graceOver;
             rewritesPending = rewritesPending && inGrace;
@@ -266,7 +284,9 @@
         Duration wait = isInGrace() ? Duration.ZERO : settings.maxWait();
         return log.read(from, wait).thenApply(answer -> {
             if (currentGeneration.get() == generation && answer.next().era() == from.era()) {
-                startGraceAfterOutage();
+                if (answer.source() != KeyedLog.Source.SUBSTITUTE) {
+                    startGraceAfterOutage();
+                }
                 apply(answer.records());
                 advanceTo(answer.next());
                 mirror.onReadTo(answer.next().offset());
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
@@ -41,6 +41,7 @@
     private Store store;
     private Map<String, Entry> entries;
     private Set<String> unresponsive;
+    private boolean throughParent;
 
     @BeforeMethod
     public void setUp() {
@@ -49,6 +50,7 @@
         store = new Store();
         entries = new HashMap<>();
         unresponsive = new HashSet<>();
+        throughParent = true;
     }
 
     private void startEntries(int count) {
@@ -126,6 +128,51 @@
         others().forEach(e -> assertTrue(e.follower.freshness().isYoungerThan(BOUND), e.name));
     }
 
+    /** Guards against an entry with one way to a log: where all read the store, one is turned away by it. */
+    @Test
+    public void entryThatTheStoreTurnsAwayReadsThroughAnotherEntry() {
+        throughParent = false;
+        startEntries(3);
+        Entry turnedAway = entries.get("entry-1");
+        store.unreachableFor.add(turnedAway.name);
+        scheduler.runFor(OBSERVATION_TIME);
+        store.add("k", "1");
+        scheduler.runFor(Duration.ofMillis(700));
+        assertEquals(turnedAway.values.get("k"), "1");
+        assertTrue(turnedAway.follower.freshness().isYoungerThan(BOUND));
+        assertFalse(turnedAway.follower.isReachable(), "the store does not answer this entry");
+    }
+
+    /** Guards against a substitute that does not answer and is asked again and again. */
+    @Test
+    public void entryThatTheStoreTurnsAwayPassesOverASilentSubstitute() {
+        throughParent = false;
+        startEntries(3);
+        Entry turnedAway = entries.get("entry-1");
+        store.unreachableFor.add(turnedAway.name);
+        unresponsive.add(turnedAway.substitutes().get(0));
+        scheduler.runFor(OBSERVATION_TIME);
+        store.add("k", "1");
+        scheduler.runFor(BOUND);
+        assertEquals(turnedAway.values.get("k"), "1");
+    }
+
+    /** Guards against entries that tell each other a state which none of them can confirm. */
+    @Test
+    public void entriesThatAllLostTheStoreDoNotKeepEachOtherFresh() {
+        throughParent = false;
+        startEntries(3);
+        store.unreachableFor.addAll(entries.keySet());
+        scheduler.runFor(OBSERVATION_TIME);
+        entries.values()
+                .forEach(e ->
+                        assertFalse(e.follower.freshness().isYoungerThan(OBSERVATION_TIME.minusSeconds(1)), e.name));
+        store.unreachableFor.clear();
+        store.add("k", "1");
+        scheduler.runFor(BOUND);
+        entries.values().forEach(e -> assertEquals(e.values.get("k"), "1", e.name));
+    }
+
     @Test
     public void recoveredRootReadsForTheOthersAgain() {
         startEntries(6);
@@ -257,17 +304,24 @@
             this.others = names.stream()
                     .filter(n -> !n.equals(name))
                     .collect(Collectors.toMap(n -> n, n -> new EntryMembers.Member(n, "north")));
-            this.relay = new LogRelay(this, this::place, time, scheduler);
+            this.relay = new LogRelay(this, this::place, this::substitutes, time, scheduler);
             this.follower = new LogFollower(
                     LOG,
-                    relay.relayedLog(LOG, store.logFor(name)),
+                    relay.relayedLog(LOG, store.logFor(name), throughParent, FollowSettings.LOW_LATENCY.timeout()),
                     this,
-                    LogRelay.relaySettings(FollowSettings.LOW_LATENCY, BOUND).orElseThrow(),
+                    throughParent
+                            ? LogRelay.relaySettings(FollowSettings.LOW_LATENCY, BOUND)
+                                    .orElseThrow()
+                            : FollowSettings.LOW_LATENCY,
                     scheduler,
                     time);
             relay.register(LOG, follower);
         }
 
+        List<String> substitutes() {
+            return List.copyOf(others.keySet());
+        }
+
         ReadTree.Position place() {
             return ReadTree.position(name, "north", others);
         }
