--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
@@ -186,7 +186,7 @@
                     sent,
                     new IllegalStateException(
                             "an answer of era " + answer.next().era() + " after one of era " + era()));
-            scheduleRead(generation, settings.retryDelay());
+            scheduleRetry(generation, sent);
         } else if (answer != null) {
             onSuccess(sent.minus(answer.age()), answer.source());
             updateSource(answer.source());
@@ -200,7 +200,7 @@
             scheduleFullRead(generation);
         } else {
             onFailure(sent, failure == null ? new IllegalStateException("no answer") : failure);
-            scheduleRead(generation, settings.retryDelay());
+            scheduleRetry(generation, sent);
         }
     }
 
@@ -211,6 +211,12 @@
         scheduleRead(generation, Duration.ZERO);
     }
 
+    /** Schedules the next read after a failed one; at once if that has taken long, since changes wait meanwhile. */
+    private void scheduleRetry(long generation, Freshness.Moment sent) {
+        Duration left = settings.retryDelay().minusNanos(time.monotonicNanos() - sent.monotonicNanos());
+        scheduleRead(generation, left.isNegative() ? Duration.ZERO : left);
+    }
+
     private void scheduleRead(long generation, Duration delay) {
         scheduler.schedule(() -> readNext(generation), delay.toMillis(), TimeUnit.MILLISECONDS);
     }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
@@ -119,6 +119,16 @@
         assertEquals(seen, List.of("a=1", "a=2", "b=1"));
     }
 
+    /** Guards against a lost answer alone that delays a change beyond the shortest bound of the users, 2 s. */
+    @Test
+    public void lostAnswerDelaysAChangeByLessThanTheShortestBound() {
+        Duration bound = Duration.ofSeconds(2);
+        assertTrue(FollowSettings.LOW_LATENCY
+                        .maxDelayAfterLostAnswer()
+                        .compareTo(bound.multipliedBy(4).dividedBy(5))
+                < 0);
+    }
+
     @Test
     public void trimmedLogIsReadAgainAndMissingKeysAreDeleted() {
         log.add("a", "1");
