Divide limits of the fleet by the entries known lately, at one place

Cause: the connections of an upstream were divided by the entries known just then; an entry that had not read the others' records took all of them for itself, and upstreams reset what is beyond. Change: EntryCount remembers the largest number for 60 s, for the retry budget and the connections; before the others are known an entry opens four connections to an upstream.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -17,6 +17,7 @@
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.core.request.outcome.CrashAttribution;
 import io.parsleycleat.gateway.connection.upstream.UpstreamConnectionPools;
+import io.parsleycleat.gateway.process.members.EntryCount;
 import io.parsleycleat.gateway.process.members.EntryMembers;
 import io.parsleycleat.gateway.process.members.EntryMessenger;
 import io.parsleycleat.gateway.process.members.GateClient;
@@ -81,6 +82,9 @@
     /** Part of the shutdown timeout that is reserved for closing connections and the last write of the record. */
     private static final Duration SHUTDOWN_MARGIN = Duration.ofMillis(500);
 
+    /** The least number of connections to an upstream, however many entries share those that it accepts. */
+    private static final int MIN_CONNECTIONS = 4;
+
     private static final FollowSettings OPERATORS_LOG_SETTINGS = FollowSettings.LOW_LATENCY;
     private static final FollowSettings UPSTREAMS_LOG_SETTINGS =
             FollowSettings.LOW_LATENCY.withReadPause(Duration.ofMillis(550)).withMaxWait(Duration.ofSeconds(2));
@@ -99,6 +103,7 @@
     private final AdapterVersions adapterVersions = new AdapterVersions();
     private final UpstreamDirectory upstreamDirectory = new UpstreamDirectory();
     private final EntryMembers members;
+    private final EntryCount entryCount = new EntryCount(this::knownEntryCount, time);
     private final LogRelay relay;
     private final BudgetHomes budgetHomes;
     private final AccountBudgets budgets;
@@ -317,7 +322,7 @@
                 new EngineChooser(view, loads, limits),
                 view,
                 new GateClient(transport, settings.sidePort()),
-                new RetryShare(settings.retryBounds(), time, this::knownEntryCount),
+                new RetryShare(settings.retryBounds(), time, entryCount),
                 crashWatch,
                 new ForwardMetrics(metrics));
         RequestForwarder.StalenessLimits bounds = new RequestForwarder.StalenessLimits(
@@ -336,23 +341,23 @@
         return configuration.current().map(t -> t.limits()).orElse(CallerLimits.DEFAULT);
     }
 
-    private int entryCount() {
-        return 1 + members.peerAddresses().size();
-    }
-
     /** Returns the number of entries, or 0 while the records of the others have not been read. */
     private int knownEntryCount() {
-        return entriesFollower.isFullyRead() ? entryCount() : 0;
+        return entriesFollower.isFullyRead() ? 1 + members.peerAddresses().size() : 0;
     }
 
-    /** Returns this entry's part of the connections that an upstream accepts from all entries together. */
+    /**
+     * Returns this entry's part of the connections that an upstream accepts from all entries together. Before the
+     * others are known, they may have taken nearly all of them.
+     */
     private int maxConnections(Upstream upstream) {
         int accepted = configuration
                 .current()
                 .flatMap(t -> t.service(upstream.service()))
                 .map(ServiceSpec::maxConnections)
                 .orElse(Integer.MAX_VALUE);
-        return Math.max(4, accepted / entryCount());
+        int entries = entryCount.getAsInt();
+        return entries == 0 ? MIN_CONNECTIONS : Math.max(MIN_CONNECTIONS, accepted / entries);
     }
 
     // Other entries
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/limits/RetryShare.java
@@ -27,15 +27,11 @@
     private static final double HELD_PART = 0.25;
     /** Part of the fixed number that is held; the other part covers repeats that arrive later than they are sent. */
     private static final double FIXED_PART = 0.5;
-    /** Time for which entries still count that are no longer known; they may run, and hold their parts. */
-    private static final Duration ENTRY_COUNT_MEMORY = Duration.ofSeconds(60);
 
     private final Bounds bounds;
     private final TimeSource time;
     private final IntSupplier entryCount;
     private final Map<String, ServiceState> services = new HashMap<>();
-    private int largestCount;
-    private long largestCountNanos;
 
     /**
      * The retry budget of a service over the whole fleet.
@@ -90,8 +86,8 @@
     /**
      * Creates an instance that holds no repeats.
      *
-     * @param entryCount returns the number of entries that share the budget as far as is known, this one included; 0
-     *     while the others are not known yet
+     * @param entryCount returns the number of entries that share the budget, this one included; 0 while the others are
+     *     not known yet
      */
     public RetryShare(Bounds bounds, TimeSource time, IntSupplier entryCount) {
         this.bounds = bounds;
@@ -127,7 +123,7 @@
     public synchronized String describe(String service) {
         ServiceState state = currentState(service);
         return "%.1f repeats left, %d reserved, %d requests in the window, %d entries"
-                .formatted(state.available, state.reserved, state.requestNanos.size(), largestCount);
+                .formatted(state.available, state.reserved, state.requestNanos.size(), entryCount.getAsInt());
     }
 
     private ServiceState currentState(String service) {
@@ -139,19 +135,8 @@
 
     /** Returns how many repeats may be held, those that are reserved included. */
     private double maxHeld(ServiceState state) {
-        int entries = countEntries();
+        int entries = entryCount.getAsInt();
         double fixed = entries == 0 ? 0 : FIXED_PART * bounds.extraRetries() / entries;
         return fixed + HELD_PART * bounds.ratio() * state.requestNanos.size();
     }
-
-    /** Returns the largest number of entries that was known lately; 0 if none was. */
-    private int countEntries() {
-        int known = entryCount.getAsInt();
-        long now = time.monotonicNanos();
-        if (known >= largestCount || now - largestCountNanos > ENTRY_COUNT_MEMORY.toNanos()) {
-            largestCount = known;
-            largestCountNanos = now;
-        }
-        return largestCount;
-    }
 }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RetryFleet.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RetryFleet.java
@@ -1,6 +1,7 @@
 package io.parsleycleat.gateway.request;
 
 import io.parsleycleat.gateway.ManualTimeSource;
+import io.parsleycleat.gateway.process.members.EntryCount;
 import io.parsleycleat.gateway.request.limits.RetryShare;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -56,7 +57,7 @@
         void start(long firstReadMillis) {
             lastReadMillis.clear();
             readsFromMillis = nowMillis + firstReadMillis;
-            process = Optional.of(new Process(new RetryShare(bounds, time, this::knownEntries)));
+            process = Optional.of(new Process(new RetryShare(bounds, time, new EntryCount(this::knownEntries, time))));
         }
 
         void kill() {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RetryShareTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RetryShareTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.parsleycleat.gateway.ManualTimeSource;
+import io.parsleycleat.gateway.process.members.EntryCount;
 import io.parsleycleat.gateway.request.limits.RetryShare;
 import java.time.Duration;
 import java.util.Optional;
@@ -33,7 +34,8 @@
     public void setUp() {
         time = new ManualTimeSource();
         knownEntries = 4;
-        share = new RetryShare(new RetryShare.Bounds(0.2, 40, Duration.ofSeconds(10)), time, () -> knownEntries);
+        share = new RetryShare(
+                new RetryShare.Bounds(0.2, 40, Duration.ofSeconds(10)), time, new EntryCount(() -> knownEntries, time));
     }
 
     /** Guards against a share that a restart gives again. */
