Trust no kept connection after a call without an answer, in the own interface too

Callers saw: nothing known; the same cause as at the platform's store, found by looking for it: the own interface reads its log, its list of VMs and its engines through the same client and pool. Cause: a call without an answer closed its own connection only, and the next one took another that was lost in the same moment.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/LimitedAnswer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/LimitedAnswer.java
@@ -12,10 +12,11 @@
 import org.asynchttpclient.HttpResponseBodyPart;
 import org.asynchttpclient.Request;
 import org.asynchttpclient.Response;
-import org.jspecify.annotations.Nullable;
+import org.asynchttpclient.uri.Uri;
 
 /**
- * Collects an answer up to a size, since a server in trouble may send bytes without end.
+ * Collects an answer up to a size, since a server in trouble may send bytes without end. A call that gets no answer in
+ * time also closes the idle connections to its server.
  *
  * <p>Created for each call; used by the client's threads one after the other.
  */
@@ -37,16 +38,21 @@
         return answer.earlyClose
                 .watch(http.executeRequest(request, answer))
                 .toCompletableFuture()
-                .whenComplete((response, failure) -> answer.logTimeout(request, failure));
+                .whenComplete((response, failure) -> {
+                    if (failure != null && Failures.unwrap(failure) instanceof TimeoutException) {
+                        answer.onTimeout(http, request.getUri());
+                    }
+                });
     }
 
-    /** Logs on which connection a call got no answer, since a connection may be lost without a sign of it. */
-    private void logTimeout(Request request, @Nullable Throwable failure) {
-        if (failure != null && Failures.unwrap(failure) instanceof TimeoutException) {
-            logger.atInfo().log(
-                    "no answer from %s in time, on a %s connection",
-                    request.getUri().getHost(), onKeptConnection ? "kept" : "new");
-        }
+    /**
+     * Closes the idle connections to the server of a call that got no answer. What lost the connection of that call
+     * without a sign may have lost these too, and each of them would cost a further call.
+     */
+    private void onTimeout(AsyncHttpClient http, Uri server) {
+        logger.atInfo().log(
+                "no answer from %s in time, on a %s connection", server.getHost(), onKeptConnection ? "kept" : "new");
+        http.flushChannelPoolPartitions(partition -> partition.equals(server.getBaseUrl()));
     }
 
     @Override
