Test that a repeat counts once if it is sent, and not if it is not

Cause: nothing failed when a repeat that no engine takes stayed reserved, or one that is sent did not count. Change: two tests at the engines of an entry.

--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentEngineStreamTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentEngineStreamTest.java
@@ -28,6 +28,8 @@
             new EngineSpec(64, 200_000, 1_100, 3, 3, 2, List.of(new ModelSpec("m", 1_000, 10, Duration.ofMillis(700))));
     private static final String STREAM_START =
             "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 30\r\n\r\nid: 1\ndata: a\n\n";
+    private static final String STREAM_REST =
+            "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 15\r\n\r\nid: 2\ndata: b\n\n";
     private static final String LAST_EVENT = "id: 2\ndata: b\n\n";
     private static final String WHOLE_STREAM = "200 streamed id: 1;data: a;;id: 2;data: b;;";
 
@@ -129,6 +131,44 @@
         }
     }
 
+    /** Guards against a repeat that counts for the retry budget although no engine has taken the request. */
+    @Test
+    public void repeatThatNoEngineTakesIsGivenBack() throws Exception {
+        try (ScriptedUpstream one = new ScriptedUpstream(respondWith(STREAM_START, false));
+                ScriptedUpstream two = new ScriptedUpstream(respondWith("", false))) {
+            addEngine("a", one);
+            RecordingCaller caller = sendToAdapter();
+            StartQuestion first = starts.take();
+            addEngine("b", two);
+            first.grant("a");
+            starts.take().refuse();
+            assertEquals(caller.answer.join(), "cut after id: 1;data: a;;");
+            assertEquals(repeatsLeft(), "7.5 repeats left, 0 reserved");
+        }
+    }
+
+    /** Guards against a repeat that does not count for the retry budget, or counts twice. */
+    @Test
+    public void repeatThatIsSentCountsOnce() throws Exception {
+        try (ScriptedUpstream one = new ScriptedUpstream(respondWith(STREAM_START, false));
+                ScriptedUpstream two = new ScriptedUpstream(respondWith(STREAM_REST, true))) {
+            addEngine("a", one);
+            RecordingCaller caller = sendToAdapter();
+            StartQuestion first = starts.take();
+            addEngine("b", two);
+            first.grant("a");
+            starts.take().grant("b");
+            assertEquals(caller.answer.join(), WHOLE_STREAM);
+            assertEquals(repeatsLeft(), "6.5 repeats left, 0 reserved");
+        }
+    }
+
+    /** Returns the state of the retry budget once the events so far are handled. */
+    private String repeatsLeft() {
+        loop.submit(() -> {}).syncUninterruptibly();
+        return entry.retryShare.describe("s").split(", \\d+ requests")[0];
+    }
+
     /** Returns the stage with which a start ended. */
     private RunProgress.Stage lastStage(long ticket) throws InterruptedException {
         RunProgress next = progress.take();
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/TestEntry.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/TestEntry.java
@@ -64,6 +64,7 @@
     final EntryMembers members;
     final RequestForwarder forwarder;
     final PermitHomes permitHomes;
+    final RetryShare retryShare;
     private final MetricRegistry metrics = new MetricRegistry();
     final AccountBudgets budgets;
     final Faults faults = new Faults();
@@ -102,6 +103,7 @@
         permitHomes.setOtherEntries(Set.of());
         EntryMessenger messenger = new EntryMessenger(
                 name, peers, peers, members, budgetHomes, permitHomes, limits, crashWatch, view, null);
+        retryShare = new RetryShare(new RetryShare.Bounds(10, 100, Duration.ofSeconds(10)), time, () -> 1);
         ForwardingContext context = new ForwardingContext(
                 new FaultyCodec(new ForwardingFixture.HeaderCodec(), faults),
                 loop,
@@ -117,7 +119,7 @@
                 new EngineChooser(view, loads, limits),
                 view,
                 new GateClient(peers, SIDE_PORT),
-                new RetryShare(new RetryShare.Bounds(10, 100, Duration.ofSeconds(10)), time, () -> 1),
+                retryShare,
                 crashWatch,
                 new ForwardMetrics(metrics));
         budgets = new AccountBudgets(name, budgetHomes, budgetPeersOr(messenger), time, loop);
