Ask up to three other entries in one read that the store has not answered

Callers saw: nothing known; two faults at once. Cause: if the first entry that is asked in place of a silent store is cut off too, the read failed, and the next one waited for the store again: 3.2 s. Change: the same read asks the next entry, three at most. Result: measured in virtual time, a change is known 0.7 s later with a silent first substitute; the test fails before, with the time it gives.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/RelayedLog.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/RelayedLog.java
@@ -27,6 +27,9 @@
     /** Time for which reads go through another entry after the store has not answered. */
     private static final Duration STORE_RETRY_DELAY = Duration.ofSeconds(1);
 
+    /** How many entries are asked in one read, since one of them may be cut off itself. */
+    private static final int MAX_SUBSTITUTES = 3;
+
     private final String name;
     private final KeyedLog store;
     private final LogRelay relay;
@@ -37,6 +40,9 @@
     private volatile long storeRetryNanos;
     private final AtomicInteger failedSubstitutes = new AtomicInteger();
 
+    /** A read that the store has not answered. */
+    private record FailedRead(LogPosition from, long startNanos, Throwable cause) {}
+
     /**
      * Creates a log that is read at the store first.
      *
@@ -87,7 +93,7 @@
     private CompletableFuture<Records> readStore(LogPosition from, Duration wait, long startNanos) {
         Throwable known = storeFailure;
         if (known != null && time.monotonicNanos() - storeRetryNanos < 0) {
-            return readThroughSubstitute(from, wait, startNanos, known);
+            return readThroughSubstitutes(new FailedRead(from, startNanos, known), wait, MAX_SUBSTITUTES);
         }
         return store.read(from, wait)
                 .orTimeout(wait.plus(storeTimeout).toMillis(), TimeUnit.MILLISECONDS)
@@ -101,22 +107,22 @@
                     }
                     storeFailure = cause;
                     storeRetryNanos = time.monotonicNanos() + STORE_RETRY_DELAY.toNanos();
-                    return readThroughSubstitute(from, Duration.ZERO, startNanos, cause);
+                    return readThroughSubstitutes(
+                            new FailedRead(from, startNanos, cause), Duration.ZERO, MAX_SUBSTITUTES);
                 })
                 .thenCompose(answer -> answer);
     }
 
-    /** Reads through another entry. If it has no answer, the read fails as at the store; the next one tries both. */
-    private CompletableFuture<Records> readThroughSubstitute(
-            LogPosition from, Duration wait, long startNanos, Throwable cause) {
+    /** Reads through another entry, or the next if it has no answer; fails as the store has if none answers. */
+    private CompletableFuture<Records> readThroughSubstitutes(FailedRead read, Duration wait, int left) {
         List<String> others = relay.substitutes();
-        if (others.isEmpty()) {
+        if (left == 0 || others.isEmpty()) {
             storeRetryNanos = time.monotonicNanos();
-            return CompletableFuture.failedFuture(cause);
+            return CompletableFuture.failedFuture(read.cause());
         }
         String other = others.get(Math.floorMod(failedSubstitutes.get(), others.size()));
-        Duration askedLater = Duration.ofNanos(time.monotonicNanos() - startNanos);
-        return relay.readThrough(other, name, from, wait, Source.SUBSTITUTE)
+        Duration askedLater = Duration.ofNanos(time.monotonicNanos() - read.startNanos());
+        return relay.readThrough(other, name, read.from(), wait, Source.SUBSTITUTE)
                 .thenApply(answer -> answer.askedLater(askedLater))
                 .handle((answer, failure) -> {
                     if (failure == null) {
@@ -124,8 +130,7 @@
                     }
                     logger.atFine().withCause(failure).with(LogKeys.PEER, other).log("no answer on %s", name);
                     failedSubstitutes.incrementAndGet();
-                    storeRetryNanos = time.monotonicNanos();
-                    return CompletableFuture.<Records>failedFuture(cause);
+                    return readThroughSubstitutes(read, Duration.ZERO, left - 1);
                 })
                 .thenCompose(answer -> answer);
     }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/members/LogRelayTest.java
@@ -143,7 +143,7 @@
         assertFalse(turnedAway.follower.isReachable(), "the store does not answer this entry");
     }
 
-    /** Guards against a substitute that does not answer and is asked again and again. */
+    /** Guards against a change that is late since the first entry that is asked in place of the store is silent too. */
     @Test
     public void entryThatTheStoreTurnsAwayPassesOverASilentSubstitute() {
         throughParent = false;
@@ -151,10 +151,15 @@
         Entry turnedAway = entries.get("entry-1");
         store.unreachableFor.add(turnedAway.name);
         unresponsive.add(turnedAway.substitutes().get(0));
-        scheduler.runFor(OBSERVATION_TIME);
+        scheduler.runFor(Duration.ofSeconds(1));
         store.add("k", "1");
-        scheduler.runFor(BOUND);
+        scheduler.runFor(Duration.ofMillis(700));
         assertEquals(turnedAway.values.get("k"), "1");
+        unresponsive.clear();
+        unresponsive.add(turnedAway.substitutes().get(1));
+        store.add("k", "2");
+        scheduler.runFor(Duration.ofMillis(1_200));
+        assertEquals(turnedAway.values.get("k"), "2");
     }
 
     /** Guards against entries that tell each other a state which none of them can confirm. */
