Let the store's client time out before its reads are given up

Callers saw: nothing known. Cause: both had the same time, so the next read could start before the client had closed the idle connections of a lost one. Result: measured by the tests of entries that are turned away and of silent connections, which pass as before.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/RelayedLog.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/members/RelayedLog.java
@@ -27,6 +27,9 @@
     /** Time for which reads go through another entry after the store has not answered. */
     private static final Duration STORE_RETRY_DELAY = Duration.ofSeconds(1);
 
+    /** Time by which a read that does not time out itself is given up later, so that its client can clean up first. */
+    private static final Duration TIMEOUT_MARGIN = Duration.ofMillis(250);
+
     /** How many entries are asked in one read, since one of them may be cut off itself. */
     private static final int MAX_SUBSTITUTES = 3;
 
@@ -96,7 +99,7 @@
             return readThroughSubstitutes(new FailedRead(from, startNanos, known), wait, MAX_SUBSTITUTES);
         }
         return store.read(from, wait)
-                .orTimeout(wait.plus(storeTimeout).toMillis(), TimeUnit.MILLISECONDS)
+                .orTimeout(wait.plus(storeTimeout).plus(TIMEOUT_MARGIN).toMillis(), TimeUnit.MILLISECONDS)
                 .handle((answer, failure) -> {
                     Throwable cause = failure == null ? null : Failures.unwrap(failure);
                     if (cause == null || cause instanceof LogTrimmedException) {
