Log what arrives behind a close, what a stop leaves unsent, and how late the event loop is

Cause: a request that is lost on a connection leaves no line, so that the hypotheses of the incident cannot be told apart: a close that discards what waits unread, a stop that ends before answers have left, a change that ends a running request. Change: a line with bytes and time for what is read behind a close; unsent bytes at the end of a stop; a histogram and a line for a late event loop; the end of a request names its time limit and the newest configuration. The forwarding context holds the configuration for that. Nothing else changes.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -31,6 +32,7 @@
 import io.parsleycleat.core.process.result.ResultCode;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.function.Supplier;
@@ -103,6 +105,15 @@
         return connections.open();
     }
 
+    /** Returns how many bytes of answers the connections have not taken from this process yet. */
+    public long unsentBytes() {
+        return open.stream()
+                .map(channel -> channel.unsafe().outboundBuffer())
+                .filter(Objects::nonNull)
+                .mapToLong(ChannelOutboundBuffer::totalPendingWriteBytes)
+                .sum();
+    }
+
     /** Asks callers to leave: each HTTP/1.1 connection closes after its next answer, HTTP/2 ones get a GOAWAY. */
     public void drain() {
         draining = true;
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/LingeringClose.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/LingeringClose.java
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.parsleycleat.core.process.time.TimeSource;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -23,7 +24,10 @@
     private static final long LINGER_TIMEOUT_MILLIS = 1_000;
     private static final long MAX_DISCARDED_BYTES = 16L * 1024 * 1024;
 
+    private final TimeSource time = TimeSource.SYSTEM;
+    private final long closeNanos = time.monotonicNanos();
     private long discardedBytes;
+    private long firstDiscardNanos;
     private @Nullable ScheduledFuture<?> timer;
 
     private LingeringClose() {}
@@ -55,6 +59,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (message instanceof ByteBuf bytes) {
+            firstDiscardNanos = discardedBytes == 0 ? time.monotonicNanos() : firstDiscardNanos;
             discardedBytes += bytes.readableBytes();
         }
         ReferenceCountUtil.release(message);
@@ -69,6 +74,12 @@
         if (current != null) {
             current.cancel(false);
         }
+        if (discardedBytes > 0) {
+            logger.atInfo().log(
+                    "%d bytes of a caller were read behind the close of its connection and discarded, the first after"
+                            + " %d ms",
+                    discardedBytes, TimeUnit.NANOSECONDS.toMillis(firstDiscardNanos - closeNanos));
+        }
         context.fireChannelInactive();
     }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -97,6 +97,7 @@
     private final EventLoop eventLoop;
     private final TimeSource time = TimeSource.SYSTEM;
     private final MetricRegistry metrics = new MetricRegistry();
+    private final EventLoopDelay loopDelay = new EventLoopDelay(MEMBERS_UPDATE_INTERVAL, time, metrics);
     private final ProcessIdentity identity;
     private final NettyPeerTransport transport;
     private final ConfigurationHolder configuration = new ConfigurationHolder();
@@ -197,7 +198,10 @@
         metrics.gauge("operators.log.era", () -> operatorsFollower::era);
         metrics.gauge("configuration.age.millis", () -> operatorsFollower.freshness()::ageMillis);
         eventLoop.scheduleAtFixedRate(
-                this::updateMembers,
+                () -> {
+                    loopDelay.onRun();
+                    updateMembers();
+                },
                 MEMBERS_UPDATE_INTERVAL.toMillis(),
                 MEMBERS_UPDATE_INTERVAL.toMillis(),
                 TimeUnit.MILLISECONDS);
@@ -226,7 +230,9 @@
         }
         callerServer.close();
         if (!Drain.await(eventLoop, this::closeIdleAndCountOpen, timeUntil(flushEndNanos))) {
-            logger.atWarning().log("%d connections of callers still open", callerServer.openConnections());
+            logger.atWarning().log(
+                    "%d connections of callers still open, %d bytes of answers not sent",
+                    callerServer.openConnections(), callerServer.unsentBytes());
         }
         renewRecordOnExit();
         logger.atInfo().log("entry stopped");
@@ -311,6 +317,7 @@
                 codec,
                 eventLoop,
                 time,
+                configuration,
                 upstreamDirectory,
                 adapterVersions,
                 new UpstreamConnectionPools(eventLoop, time, upstreamDirectory, this::maxConnections),
@@ -328,13 +335,7 @@
         RequestForwarder.StalenessLimits bounds = new RequestForwarder.StalenessLimits(
                 settings.withdrawalBound().minus(KEY_EXPIRY_MARGIN), settings.changeBound());
         return new RequestForwarder(
-                parts,
-                configuration,
-                operatorsFollower.freshness(),
-                budgets,
-                bounds,
-                () -> refusing,
-                random::nextDouble);
+                parts, operatorsFollower.freshness(), budgets, bounds, () -> refusing, random::nextDouble);
     }
 
     private CallerLimits callerLimits() {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -460,13 +460,19 @@
                 .with(LogKeys.CODE, code.number())
                 .with(LogKeys.UPSTREAM, last == null ? "" : last.upstream().id())
                 .log(
-                        "%s in %d ms after %d sends, route %s, configuration %d, %d ms old, %s",
+                        "%s in %d ms after %d sends, route %s, time limit %d ms, configuration %d, %d ms old,"
+                                + " now %d, %s",
                         detail,
                         age().toMillis(),
                         tried.sendCount(),
                         route.name(),
+                        admitted.timeLimit().toMillis(),
                         admitted.table().version(),
                         admitted.tableAgeMillis(),
+                        context.configuration()
+                                .current()
+                                .orElse(admitted.table())
+                                .version(),
                         open.describe());
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
@@ -16,6 +16,7 @@
 import io.parsleycleat.gateway.request.limits.RetryShare;
 import io.parsleycleat.gateway.request.permits.UpstreamPermits;
 import io.parsleycleat.gateway.version.routes.AdapterVersions;
+import io.parsleycleat.gateway.version.routes.ConfigurationHolder;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import io.parsleycleat.gateway.version.upstreams.UpstreamDirectory;
 import java.time.Duration;
@@ -33,6 +34,7 @@
         CallCodec codec,
         EventLoop loop,
         TimeSource time,
+        ConfigurationHolder configuration,
         UpstreamDirectory directory,
         AdapterVersions adapterVersions,
         UpstreamConnectionPools upstreamPools,
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
@@ -92,14 +92,13 @@
      */
     public RequestForwarder(
             ForwardingContext context,
-            ConfigurationHolder configuration,
             Freshness freshness,
             AccountBudgets budgets,
             StalenessLimits stalenessLimits,
             BooleanSupplier stopping,
             DoubleSupplier random) {
         this.context = context;
-        this.configuration = configuration;
+        this.configuration = context.configuration();
         this.freshness = freshness;
         this.budgets = budgets;
         this.stalenessLimits = stalenessLimits;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/TestEntry.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/TestEntry.java
@@ -108,6 +108,7 @@
                 new FaultyCodec(new ForwardingFixture.HeaderCodec(), faults),
                 loop,
                 time,
+                configuration,
                 directory,
                 new AdapterVersions(),
                 new UpstreamConnectionPools(loop, time, directory, u -> 1_000),
@@ -125,7 +126,6 @@
         budgets = new AccountBudgets(name, budgetHomes, budgetPeersOr(messenger), time, loop);
         forwarder = new RequestForwarder(
                 context,
-                configuration,
                 freshness,
                 budgets,
                 new RequestForwarder.StalenessLimits(Duration.ofSeconds(4), Duration.ofSeconds(2)),
