Read what waits in the socket before a timer ends a caller's connection

Cause: an idle timer, a read timeout, a stop and an eviction judged a connection by what had been read. After the event loop was held up they ran before the sockets were read; what arrived behind the close was read for another second and thrown away, without an answer and without a sign that it may be repeated. Change: ConnectionTimer, taken out of CallerHandler, lets the event loop make a pass over its sockets between the moment a timer is due and its action: a task with a delay runs after the next pass in Netty's NIO loop, one without may run before. Stops and evictions use it too. A connection that ends only because it carries no request is not read any more (LingeringClose.closeUnread); if its last answer left less than a second ago, it is half-closed for the rest of that second, so that a reset does not destroy that answer. Behind an answer with `connection: close` all stays as it was: there a caller sends nothing more, and the answer needs the reading. So a plain close resets exactly where a request crossed it, and a caller, or its kernel, can tell that the request was not read and may be repeated; the silent second told it neither.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
@@ -18,16 +18,15 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.ScheduledFuture;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.core.process.time.TimeSource;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.OptionalLong;
 import java.util.UUID;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -56,15 +55,18 @@
     private final ConnectionRegistry.@Nullable Entry connection;
     private final BooleanSupplier draining;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
+    private final ConnectionTimer timer = new ConnectionTimer();
     private @Nullable HttpRequest head;
     private ByteString.@Nullable Output body;
     private @Nullable NettyCallerExchange exchange;
-    private @Nullable ScheduledFuture<?> timer;
     /** Size of the body that was allowed when its request's head was read. */
     private int allowedBodyBytes;
     /** How long the caller may leave the connection idle, as last told. */
     private Duration toldIdleTimeout = Duration.ZERO;
 
+    /** When the last answer has left, if any. */
+    private @Nullable Long lastAnswerNanos;
+
     /** Whether bytes were read behind the last message, so that another one has begun. */
     private boolean messageBegun;
     /** Whether the timer bounds the time until the head of the next request is whole. */
@@ -108,7 +110,7 @@
 
     @Override
     public void handlerRemoved(ChannelHandlerContext context) {
-        stopTimer();
+        timer.stop();
     }
 
     @Override
@@ -135,10 +137,10 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event == ConnectionEvent.CLOSE_WHEN_UNUSED && !http2) {
-            leaving = true;
-            if (!messageBegun && exchange == null && head == null && !ended) {
-                end(context);
+            if (!leaving && !messageBegun && exchange == null && head == null && !ended) {
+                startTimer(context, Duration.ZERO, () -> endUnused(context));
             }
+            leaving = true;
         } else {
             context.fireUserEventTriggered(event);
         }
@@ -146,7 +148,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        stopTimer();
+        timer.stop();
         pipelined.forEach(ReferenceCountUtil::release);
         pipelined.clear();
         if (exchange != null) {
@@ -208,7 +210,7 @@
         if (connection != null) {
             connection.busy();
         }
-        stopTimer();
+        timer.stop();
         CallerLimits newest = limits.get();
         allowedBodyBytes = newest.maxBodyBytes();
         startTimer(
@@ -246,7 +248,7 @@
         }
         collected.write(bytes, 0, bytes.length);
         if (content instanceof LastHttpContent) {
-            stopTimer();
+            timer.stop();
             dispatch(context, request, collected.toByteString());
         }
     }
@@ -287,6 +289,7 @@
 
     private void answered(ChannelHandlerContext context, boolean last) {
         exchange = null;
+        lastAnswerNanos = TimeSource.SYSTEM.monotonicNanos();
         if (http2 || ended) {
             return;
         }
@@ -313,8 +316,10 @@
     }
 
     private void awaitNext(ChannelHandlerContext context) {
-        if (unreadable || (leaving && !messageBegun)) {
+        if (unreadable) {
             end(context);
+        } else if (leaving && !messageBegun) {
+            startTimer(context, Duration.ZERO, () -> endUnused(context));
         } else if (messageBegun) {
             awaitHead(context);
         } else {
@@ -343,7 +348,7 @@
             return;
         }
         ended = true;
-        stopTimer();
+        timer.stop();
         Answering answering = new Answering(() -> false, last -> {
             if (last) {
                 end(context);
@@ -368,13 +373,23 @@
     /** Ends the connection behind its last answer, which the caller may not have read yet. */
     private void end(ChannelHandlerContext context) {
         ended = true;
-        stopTimer();
+        timer.stop();
         if (connection != null) {
             connection.busy();
         }
         LingeringClose.close(context.channel());
     }
 
+    /** Ends a connection that carries no request. What its caller may send meanwhile is left unread. */
+    private void endUnused(ChannelHandlerContext context) {
+        ended = true;
+        timer.stop();
+        if (connection != null) {
+            connection.busy();
+        }
+        LingeringClose.closeUnread(context.channel(), lastAnswerNanos);
+    }
+
     // Timer
 
     /** Closes the connection once it has been idle for as long as its caller was told, and as the limits allow now. */
@@ -384,22 +399,13 @@
         if (allowed.compareTo(waited) > 0) {
             startTimer(context, allowed.minus(waited), () -> awaitRequest(context, allowed));
         } else {
-            end(context);
+            endUnused(context);
         }
     }
 
     private void startTimer(ChannelHandlerContext context, Duration delay, Runnable action) {
-        stopTimer();
         awaitsHead = false;
-        timer = context.executor().schedule(action, delay.toMillis(), TimeUnit.MILLISECONDS);
-    }
-
-    private void stopTimer() {
-        ScheduledFuture<?> current = timer;
-        if (current != null) {
-            current.cancel(false);
-            timer = null;
-        }
+        timer.start(context, delay, action);
     }
 
     /** The connection as one answer sees it. */
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/LingeringClose.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/LingeringClose.java
@@ -17,7 +17,10 @@
  * still sends until it closes its end too. A connection that is closed with unread bytes is reset, and a reset destroys
  * what the caller has not read yet.
  *
- * <p>Created for each HTTP/1.1 connection at its end; used on its event loop only.
+ * <p>That is for a connection whose caller knows that no request is taken any more. From one that ends only because it
+ * carries no request, nothing more is read: its caller may be sending one, and may repeat it if it was not read.
+ *
+ * <p>Created for each HTTP/1.1 connection at its announced end; used on its event loop only.
  */
 final class LingeringClose extends ChannelInboundHandlerAdapter {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -51,6 +54,26 @@
         });
     }
 
+    /**
+     * Ends a connection that carries no request, without reading from it any more. A request that crosses the close
+     * resets the connection, which tells its caller that the request was not read.
+     *
+     * @param lastAnswerNanos when the last answer left, which the caller must have time to read before a reset
+     */
+    static void closeUnread(Channel channel, @Nullable Long lastAnswerNanos) {
+        channel.config().setAutoRead(false);
+        long lingerMillis = lastAnswerNanos == null
+                ? 0
+                : LINGER_TIMEOUT_MILLIS
+                        - TimeUnit.NANOSECONDS.toMillis(TimeSource.SYSTEM.monotonicNanos() - lastAnswerNanos);
+        if (lingerMillis <= 0 || !(channel instanceof DuplexChannel duplex)) {
+            channel.close();
+            return;
+        }
+        duplex.shutdownOutput();
+        channel.eventLoop().schedule(() -> channel.close(), lingerMillis, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         timer = context.executor().schedule(() -> context.close(), LINGER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
