Send no frame without a body on the connections of a process that stops

Cause: NettyPeerTransport.close() wrote an empty buffer through the whole pipeline, to learn when what was handed over before has left. The length prepender made a frame of length 0 of it, which the peer decodes as a frame without correlation id, reply flag or body, and warns of. Each connection of each process that stops sent one, in both directions of opening. Ruled out, by reading all senders of frames: every other one sets a body, and keep-alives are greetings, which never reach the dispatcher. Replies after a call was given up are dropped without a line. Nothing was lost with the empty frames: no request waits for one.

Change: the empty buffer passes by the encoders. The warning names the sender's VM, role and protocol version, the numbers of fields that this build does not know, and whether a reply is awaited, since what remains can come only from a build with a body that this one does not know.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
@@ -156,7 +156,11 @@
         List<Channel> open = List.copyOf(accepted.keySet());
         open.forEach(channel -> {
             if (channel instanceof SocketChannel) {
-                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+                // Passes by the encoders, which would make an empty frame of it.
+                channel.pipeline()
+                        .firstContext()
+                        .writeAndFlush(Unpooled.EMPTY_BUFFER)
+                        .addListener(ChannelFutureListener.CLOSE);
             } else {
                 channel.close();
             }
@@ -189,7 +193,15 @@
         }
         FrameHandler handler = handlers.get(frame.getBodyCase());
         if (handler == null) {
-            logger.atWarning().log("no handler for frame %s", frame.getBodyCase());
+            logger.atWarning()
+                    .with(LogKeys.PEER, from.hello().getVmName())
+                    .log(
+                            "no handler for frame %s from %s, protocol version %d, unknown fields %s, reply awaited %s",
+                            frame.getBodyCase(),
+                            from.hello().getRole(),
+                            from.hello().getProtocolVersion(),
+                            frame.getUnknownFields().asMap().keySet(),
+                            frame.getCorrelationId() != 0);
             return;
         }
         handler.handle(from, frame);
