--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/execute/ExecutionEndTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/execute/ExecutionEndTest.java
@@ -16,6 +16,7 @@
 import io.parsleycleat.core.connection.upstream.ServiceAnswer;
 import io.parsleycleat.core.connection.upstream.ServiceRequest;
 import io.parsleycleat.core.process.result.Location;
+import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.process.result.UpstreamException;
 import io.parsleycleat.core.process.slots.Pin;
@@ -271,6 +272,20 @@
         assertEquals(ledger.cancelled, List.of("attempt-1"), "keys that are free again");
     }
 
+    /** Guards against an earlier answer that goes to the holder of a key that was withdrawn while the run waited. */
+    @Test
+    public void recordedOutcomeIsNotGivenOutAfterTheKeyWasWithdrawn() {
+        CompletableFuture<IntentDecision> decision = new CompletableFuture<>();
+        ledger.decision = () -> decision;
+        List<Refusal> refusals = new ArrayList<>();
+        gate = new SideGate(List.of(), List.of(start -> refusals.stream().findFirst()), List.of());
+        startOnService();
+        refusals.add(Refusal.of(ResultCode.KEY_WITHDRAWN));
+        decision.complete(new IntentDecision.Recorded(Outcome.getDefaultInstance()));
+        assertEquals(answer.codes, List.of(ResultCode.KEY_WITHDRAWN.number()));
+        assertEquals(queue.running(), 0, "places that are taken for ever");
+    }
+
     private static <T> T fault() {
         throw new IllegalStateException("a fault of the test");
     }
