Let a side pass a key that it has not read yet and its entry has checked

Cause: a side asks for the key of each run in the version that it knows. For a key whose issue has reached the entry and not the side, that was "the key is not known", which is final: the caller got 401 for an accepted request with a good key. Change: KeyGate.refusal replaces checkId. It refuses a withdrawn key, an operator's key, and any key while the process is cut off. Keys are kept for ever, so one that is not known was issued later than what the side has read; its entry has checked the secret. A withdrawal is kept apart from the key, and is in force also where the key is not known.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/SideProcess.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/SideProcess.java
@@ -141,9 +141,7 @@
     }
 
     private Optional<Refusal> refuseKey(Start start) {
-        return start.getKeyId().isEmpty()
-                ? Optional.empty()
-                : base.keys().checkId(start.getKeyId()).fold(Optional::of, key -> Optional.empty());
+        return start.getKeyId().isEmpty() ? Optional.empty() : base.keys().refusal(start.getKeyId());
     }
 
     private boolean isLeaving() {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/keys/KeyGate.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/version/configuration/keys/KeyGate.java
@@ -7,11 +7,12 @@
 import io.parsleycleat.wire.configuration.Key;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Decides whether a key admits its holder to routes. The entry asks with the key that a caller presents, the side again
- * with the key's id just before the run starts.
+ * Decides whether a key admits its holder to routes. The entry asks with the key that a caller presents, and entry and
+ * side again with the key's id just before the run starts.
  *
  * <p>Created once by the process; safe to share between threads.
  */
@@ -39,9 +40,12 @@
                 .orElseGet(() -> Either.left(Refusal.of(ResultCode.KEY_UNKNOWN))));
     }
 
-    /** Returns the key with this id, whose secret an entry has checked, or why it admits its holder no longer. */
-    public Either<Refusal, Key> checkId(String keyId) {
-        return view().flatMap(view -> decide(view, keyId, KeyVerdict.of(view, keyId)));
+    /**
+     * Returns why a key, whose secret an entry has checked, admits its holder no longer. Keys are kept for ever, so one
+     * that is not known here was issued after what this process has read: its entry decides.
+     */
+    public Optional<Refusal> refusal(String keyId) {
+        return view().fold(Optional::of, view -> refusal(view, keyId));
     }
 
     private Either<Refusal, ConfigurationView> view() {
@@ -55,12 +59,18 @@
             return Either.left(Refusal.of(verdict.code()));
         }
         Key key = view.key(keyId).orElseThrow();
-        if (key.getOperator()) {
-            return Either.left(Refusal.of(ResultCode.KEY_UNKNOWN));
+        return refusal(view, keyId).<Either<Refusal, Key>>map(Either::left).orElseGet(() -> Either.right(key));
+    }
+
+    private Optional<Refusal> refusal(ConfigurationView view, String keyId) {
+        if (view.isWithdrawn(keyId)) {
+            return Optional.of(Refusal.of(ResultCode.KEY_WITHDRAWN));
         }
-        if (monitor.refusesKeys(policy)) {
-            return Either.left(Refusal.of(ResultCode.CUT_OFF).withRetryAfter(RETRY_AFTER));
+        if (view.key(keyId).filter(Key::getOperator).isPresent()) {
+            return Optional.of(Refusal.of(ResultCode.KEY_UNKNOWN));
         }
-        return Either.right(key);
+        return monitor.refusesKeys(policy)
+                ? Optional.of(Refusal.of(ResultCode.CUT_OFF).withRetryAfter(RETRY_AFTER))
+                : Optional.empty();
     }
 }
