Decide at one place which version a request of the own interface goes by

Cause: both flows copied account, key and idempotency from the version of the admission, and nothing looked at the newest one again. A request that waited for tokens, for an upstream or between two attempts started although its entry knew by then that the key was withdrawn, at a side that might not know yet. A request was sent a second time after it may have run although its route was by then said not to be idempotent. Change: RequestConfiguration holds what a request was admitted with, makes the part of the start message that sides decide by (it stood twice), and is asked before each start whether the key still admits its holder, and before each repeat whether the newest route allows it too. The newest version can only forbid. What may have run before is never answered as not run, as before. RequestRun takes its deadline from the selection, where the same value stood.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionFlow.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/CompletionFlow.java
@@ -45,7 +45,7 @@
     }
 
     /** What is known of a completion once its caller and adapter are. */
-    private record Plan(Account account, Optional<Key> key, Adapter adapter, String version, CompletionCall call) {
+    private record Plan(RequestConfiguration configuration, Adapter adapter, String version, CompletionCall call) {
         AdapterVersion adapterVersion() {
             return new AdapterVersion(adapter.getId(), version);
         }
@@ -53,17 +53,22 @@
 
     private Either<Refusal, Plan> plan(Optional<Key> key, CompletionCall call) {
         ConfigurationView view = context.configuration().current();
-        return AccessRules.adapter(view, key.orElse(null), call.adapterId())
-                .flatMap(access -> AccessRules.version(access.target(), call.version())
-                        .map(version -> new Plan(access.account(), key, access.target(), version, call)));
+        return AccessRules.adapter(view, key.orElse(null), call.adapterId()).flatMap(access -> AccessRules.version(
+                        access.target(), call.version())
+                .map(version -> new Plan(configuration(access.account(), key), access.target(), version, call)));
+    }
+
+    private RequestConfiguration configuration(Account account, Optional<Key> key) {
+        return new RequestConfiguration(account, key, true, context.keys()::refusal, () -> true);
     }
 
     private void admit(Plan plan, OpenRequest exchange, RequestTrace trace) {
-        trace.add("allowed", "account " + plan.account().getId() + ", adapter " + plan.adapterVersion());
+        trace.add(
+                "allowed", "account " + plan.configuration().account().getId() + ", adapter " + plan.adapterVersion());
         context.admit(
                 exchange,
                 trace,
-                plan.account(),
+                plan.configuration().account(),
                 plan.call().cost().upperBound(),
                 admission -> run(plan, admission, exchange, trace));
     }
@@ -84,12 +89,12 @@
                 });
         RequestRun run = new RequestRun(
                 context.runContext(),
+                plan.configuration(),
                 start(plan, admission, trace),
                 admission::renew,
                 selection(plan, context.remaining(exchange)),
                 trace,
-                sink,
-                context.remaining(exchange));
+                sink);
         exchange.onGone(run::cancel);
         exchange.onStop(run::stop);
         run.start();
@@ -97,12 +102,9 @@
 
     private Start start(Plan plan, Admission admission, RequestTrace trace) {
         CompletionCall call = plan.call();
-        return Start.newBuilder()
+        return plan.configuration()
+                .start()
                 .setRequestId(trace.requestId())
-                .setAccountId(plan.account().getId())
-                .setKeyId(plan.key().map(Key::getId).orElse(""))
-                .setFreeTier(plan.account().getFreeTier())
-                .setWeight(Math.max(1, plan.account().getWeight()))
                 .setAdapter(AdapterTarget.newBuilder()
                         .setAdapterId(plan.adapter().getId())
                         .setVersion(plan.version())
@@ -112,17 +114,18 @@
                         .setPrefixHash(call.prefixHash())
                         .setChat(call.chat()))
                 .setBody(call.body())
-                .setIdempotent(true)
                 .setFingerprint(Fingerprints.of(
-                        plan.account().getId(), plan.adapterVersion().label(), call.body()))
+                        plan.configuration().account().getId(),
+                        plan.adapterVersion().label(),
+                        call.body()))
                 .setEscrowEpoch(admission.epoch())
                 .build();
     }
 
     private static SelectionRequest selection(Plan plan, Duration deadline) {
         return new SelectionRequest(
-                plan.account().getId(),
-                plan.account().getFreeTier(),
+                plan.configuration().account().getId(),
+                plan.configuration().account().getFreeTier(),
                 plan.adapterVersion(),
                 plan.adapter().getBaseModel(),
                 "",
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
@@ -34,6 +34,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final RunContext context;
+    private final RequestConfiguration configuration;
     private final Supplier<CompletableFuture<Either<Refusal, Long>>> renewal;
     private final SelectionRequest selection;
     private final RequestTrace trace;
@@ -53,19 +54,21 @@
 
     RequestRun(
             RunContext context,
+            RequestConfiguration configuration,
             Start template,
             Supplier<CompletableFuture<Either<Refusal, Long>>> renewal,
             SelectionRequest selection,
             RequestTrace trace,
-            AnswerSink sink,
-            Duration deadline) {
+            AnswerSink sink) {
         this.context = context;
+        this.configuration = configuration;
         this.template = template;
         this.renewal = renewal;
         this.selection = selection;
         this.trace = trace;
         this.sink = sink;
-        this.deadlineNanos = context.time().monotonicNanos() + deadline.toNanos();
+        this.deadlineNanos =
+                context.time().monotonicNanos() + selection.deadline().toNanos();
     }
 
     // Public operations
@@ -139,6 +142,11 @@
     }
 
     private void startAt(Selection chosen) {
+        Optional<Refusal> refused = configuration.refusal();
+        if (refused.isPresent()) {
+            finish(end(refused.get()));
+            return;
+        }
         Start start;
         synchronized (lock) {
             if (cancelled || finished) {
@@ -188,7 +196,7 @@
             current = null;
             retry = !cancelled
                     && !finished
-                    && RetryRule.mayRetry(code, template.getIdempotent(), sink.isAnswerStarted(), attempts)
+                    && RetryRule.mayRetry(code, configuration.mayRepeat(), sink.isAnswerStarted(), attempts)
                     && context.retries().tryRetry();
         }
         if (!retry) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/ServiceFlow.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/ServiceFlow.java
@@ -7,8 +7,6 @@
 import io.parsleycleat.core.request.routing.SelectionRequest;
 import io.parsleycleat.core.request.trace.RequestTrace;
 import io.parsleycleat.core.version.configuration.keys.AccessRules;
-import io.parsleycleat.wire.configuration.Account;
-import io.parsleycleat.wire.configuration.IdempotencyRule;
 import io.parsleycleat.wire.configuration.Key;
 import io.parsleycleat.wire.configuration.Route;
 import io.parsleycleat.wire.run.Header;
@@ -50,13 +48,15 @@
 
     /** What is known of a call once its caller and route are. */
     private record Plan(
-            Account account,
-            Optional<Key> key,
+            RequestConfiguration configuration,
             Route route,
             CallerRequest request,
             String upstreamPath,
-            boolean idempotent,
-            String idempotencyKey) {}
+            String idempotencyKey) {
+        boolean idempotent() {
+            return configuration.idempotent();
+        }
+    }
 
     private Either<Refusal, Plan> plan(Optional<Key> key, CallerRequest request) {
         String rest = request.uri().substring(PATH_PREFIX.length());
@@ -71,15 +71,19 @@
                 .flatMap(this::checkIdempotencyKey);
     }
 
-    private static Plan newPlan(
-            AccessRules.Access<Route> access, Optional<Key> key, CallerRequest request, String path) {
-        return new Plan(
+    private Plan newPlan(AccessRules.Access<Route> access, Optional<Key> key, CallerRequest request, String path) {
+        Route route = access.target();
+        RequestConfiguration configuration = new RequestConfiguration(
                 access.account(),
                 key,
-                access.target(),
+                isIdempotent(route, request.method()),
+                context.keys()::refusal,
+                () -> isIdempotent(newest(route), request.method()));
+        return new Plan(
+                configuration,
+                route,
                 request,
                 path,
-                isIdempotent(access.target().getIdempotency(), request.method()),
                 request.header(IDEMPOTENCY_KEY).orElse(""));
     }
 
@@ -87,8 +91,17 @@
         return (int) rest.chars().takeWhile(c -> c != '/' && c != '?').count();
     }
 
-    private static boolean isIdempotent(IdempotencyRule rule, String method) {
-        return switch (rule) {
+    /** Returns a route as it is now, or as it was when it leads to the service no longer. */
+    private Route newest(Route route) {
+        return context.configuration()
+                .current()
+                .route(route.getId())
+                .filter(now -> now.getService().equals(route.getService()))
+                .orElse(route);
+    }
+
+    private static boolean isIdempotent(Route route, String method) {
+        return switch (route.getIdempotency()) {
             case IDEMPOTENCY_RULE_ALL_METHODS -> true;
             case IDEMPOTENCY_RULE_NO_METHODS -> false;
             default -> SAFE_METHODS.contains(method);
@@ -105,9 +118,14 @@
     private void admit(Plan plan, OpenRequest exchange, RequestTrace trace) {
         trace.add(
                 "allowed",
-                "account " + plan.account().getId() + ", route " + plan.route().getId());
+                "account " + plan.configuration().account().getId() + ", route "
+                        + plan.route().getId());
         context.admit(
-                exchange, trace, plan.account(), TOKENS_PER_CALL, admission -> run(plan, admission, exchange, trace));
+                exchange,
+                trace,
+                plan.configuration().account(),
+                TOKENS_PER_CALL,
+                admission -> run(plan, admission, exchange, trace));
     }
 
     private void run(Plan plan, Admission admission, OpenRequest exchange, RequestTrace trace) {
@@ -121,12 +139,12 @@
         });
         RequestRun run = new RequestRun(
                 context.runContext(),
+                plan.configuration(),
                 start(plan, admission, trace),
                 admission::renew,
                 selection(plan, context.remaining(exchange)),
                 trace,
-                sink,
-                context.remaining(exchange));
+                sink);
         if (plan.idempotent()) {
             exchange.onGone(run::cancel);
         }
@@ -143,18 +161,14 @@
         HeaderRules.toUpstream(request.headers())
                 .forEach(h -> target.addHeaders(
                         Header.newBuilder().setName(h.getKey()).setValue(h.getValue())));
-        return Start.newBuilder()
+        return plan.configuration()
+                .start()
                 .setRequestId(trace.requestId())
-                .setAccountId(plan.account().getId())
-                .setKeyId(plan.key().map(Key::getId).orElse(""))
-                .setFreeTier(plan.account().getFreeTier())
-                .setWeight(Math.max(1, plan.account().getWeight()))
                 .setService(target)
                 .setBody(request.body())
-                .setIdempotent(plan.idempotent())
                 .setIdempotencyKey(plan.idempotencyKey())
                 .setFingerprint(Fingerprints.of(
-                        plan.account().getId(),
+                        plan.configuration().account().getId(),
                         request.method() + " " + plan.route().getId() + " " + plan.upstreamPath(),
                         request.body()))
                 .setEscrowEpoch(admission.epoch())
@@ -162,10 +176,11 @@
     }
 
     private static SelectionRequest selection(Plan plan, Duration deadline) {
-        String affinity = plan.idempotent() ? "" : plan.account().getId() + "\n" + plan.idempotencyKey();
+        String affinity =
+                plan.idempotent() ? "" : plan.configuration().account().getId() + "\n" + plan.idempotencyKey();
         return new SelectionRequest(
-                plan.account().getId(),
-                plan.account().getFreeTier(),
+                plan.configuration().account().getId(),
+                plan.configuration().account().getFreeTier(),
                 null,
                 "",
                 plan.route().getService(),
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
@@ -22,11 +22,11 @@
 import io.parsleycleat.core.request.trace.TraceStore;
 import io.parsleycleat.core.version.configuration.FixedConfiguration;
 import io.parsleycleat.core.version.configuration.VirtualScheduler;
+import io.parsleycleat.wire.configuration.Account;
 import io.parsleycleat.wire.run.AnswerChunk;
 import io.parsleycleat.wire.run.AnswerEnd;
 import io.parsleycleat.wire.run.AnswerHead;
 import io.parsleycleat.wire.run.RunMessage;
-import io.parsleycleat.wire.run.Start;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -232,14 +232,16 @@
                 new RunContext(selector, runs, new RetryBudget(1), suspects(), timers, TimeSource.SYSTEM, MAX_ANSWER);
         SelectionRequest request = new SelectionRequest(
                 "a", false, new AdapterVersion("x", "1"), "m", "", 0, "", Set.of(), Duration.ofSeconds(30));
+        RequestConfiguration configuration = new RequestConfiguration(
+                Account.getDefaultInstance(), Optional.empty(), idempotent, id -> Optional.empty(), () -> true);
         return new RequestRun(
                 tools,
-                Start.newBuilder().setIdempotent(idempotent).setEscrowEpoch(1).build(),
+                configuration,
+                configuration.start().setEscrowEpoch(1).build(),
                 () -> renewal.get(),
                 request,
                 new TraceStore(TimeSource.SYSTEM).begin("r"),
-                sink,
-                Duration.ofSeconds(30));
+                sink);
     }
 
     private static Selection selection(String side) {
