Go on with a request whose side knew another version, whether or not a retry is left

Cause: a side refuses tokens of an epoch that has passed, and requests of a kind that its upstream does not take, since its VM was put beside another one. The first went on only while the entry had retries left, which it has not after its start and beside many requests at once; the second ended the request with 1032 although another upstream was free. Change: NO_UPSTREAM from a side is tried elsewhere, like UPSTREAM_LEAVING. Neither of the two takes from the retries: no upstream was asked, the side compares two values, and the bound of four attempts holds as before.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
@@ -197,7 +197,7 @@
             retry = !cancelled
                     && !finished
                     && RetryRule.mayRetry(code, configuration.mayRepeat(), sink.isAnswerStarted(), attempts)
-                    && context.retries().tryRetry();
+                    && (!RetryRule.takesRetry(code) || context.retries().tryRetry());
         }
         if (!retry) {
             finish(end);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RetryRule.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RetryRule.java
@@ -23,9 +23,13 @@
             ResultCode.PROCESS_STOPPING,
             ResultCode.LEASE_LAPSED,
             ResultCode.NOT_READY,
+            ResultCode.NO_UPSTREAM,
             ResultCode.EPOCH_STALE,
             ResultCode.UPSTREAM_REFUSED);
 
+    /** Refusals by a side that knows a later epoch than the entry, or stands beside something else by now. */
+    private static final Set<ResultCode> OUTDATED = EnumSet.of(ResultCode.EPOCH_STALE, ResultCode.NO_UPSTREAM);
+
     private RetryRule() {}
 
     /**
@@ -46,4 +50,12 @@
                 || code == ResultCode.ANSWER_INCOMPLETE;
         return idempotent && lost && code.resultClass() == ResultClass.MAY_HAVE_RUN;
     }
+
+    /**
+     * Returns whether another attempt takes from the entry's retries. After a side knew another version it does not: no
+     * upstream was asked, and a change concerns many requests at once.
+     */
+    static boolean takesRetry(ResultCode code) {
+        return !OUTDATED.contains(code);
+    }
 }
