Ask for the key again before a recorded outcome is given out

Cause: a side asked whether the key was withdrawn on arrival and right before a run. A request that waited for its turn or for the ledger, and that had run before, was answered with the recorded outcome although its key was withdrawn meanwhile. Change: the checks before a run are made before a recorded outcome, too.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceExecution.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceExecution.java
@@ -136,7 +136,11 @@
                 run();
             }
         } else if (decision instanceof IntentDecision.Recorded earlier) {
-            replay(earlier.outcome());
+            context.gate()
+                    .beforeRun(start)
+                    .ifPresentOrElse(
+                            refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)),
+                            () -> replay(earlier.outcome()));
         } else if (decision instanceof IntentDecision.Refused refused) {
             finish(AnswerEnds.refused(context.upstreamId(), refused.refusal()));
         }
