--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerUnreadRequestTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerUnreadRequestTest.java
@@ -51,7 +51,10 @@
             heldUp.countDown();
             awaitUninterruptibly(released);
         }
-        exchange.respond(200, List.of(), ByteString.copyFromUtf8("[" + request.uri() + request.body().size() + "]"));
+        exchange.respond(
+                200,
+                List.of(),
+                ByteString.copyFromUtf8("[" + request.uri() + request.body().size() + "]"));
     }
 
     private static void awaitUninterruptibly(CountDownLatch latch) {
