Give the last answers of a stop the time that it has left, and read to a known end

Cause: when no request was open, a stopping entry gave its connections 0.3 s (the own interface: 5 s) and exited, whatever time it had left. An answer counts as given when it is handed to its connection, so that one which a slow reader had not taken was cut. A request that was read in these last moments met the exit, and one that was read in part ended without a word. Change: CallerDrain (core) ends callers' connections for both kinds of entry. It closes idle connections and waits, as long as the stop has time, until none carries a request, a part of one or bytes of an answer (CallerServer.activeConnections). Then reading ends (CallerServer.endReading): after one more pass over the sockets what was read as a whole is answered, what was read in part is refused as not run, nothing more is read. Connections that only wait for their caller to close its end are waited for 0.3 s as before, not longer. The bound of a stop stays: its timeout, with the 0.3 s behind it for the last answers.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
@@ -76,6 +76,8 @@
 
     /** Whether the last answer of the connection is known; what arrives behind its request is not passed on. */
     private boolean ended;
+    /** Whether the process stops and nothing is read any more. */
+    private boolean readingEnded;
     /** Whether reading has failed while a request runs; the connection ends once it is answered. */
     private boolean unreadable;
 
@@ -141,6 +143,8 @@
                 startTimer(context, Duration.ZERO, () -> endUnused(context));
             }
             leaving = true;
+        } else if (event == ConnectionEvent.END_READING && !http2) {
+            endReading(context);
         } else {
             context.fireUserEventTriggered(event);
         }
@@ -307,10 +311,10 @@
                 ReferenceCountUtil.release(next);
             }
         }
-        if (pipelined.size() < MAX_PIPELINED_OBJECTS) {
+        if (pipelined.size() < MAX_PIPELINED_OBJECTS && !readingEnded) {
             context.channel().config().setAutoRead(true);
         }
-        if (exchange == null && head == null && !ended) {
+        if (exchange == null && !ended && (head == null || readingEnded)) {
             awaitNext(context);
         }
     }
@@ -318,6 +322,8 @@
     private void awaitNext(ChannelHandlerContext context) {
         if (unreadable) {
             end(context);
+        } else if (readingEnded) {
+            endReading(context);
         } else if (leaving && !messageBegun) {
             startTimer(context, Duration.ZERO, () -> endUnused(context));
         } else if (messageBegun) {
@@ -375,17 +381,32 @@
         ended = true;
         timer.stop();
         if (connection != null) {
-            connection.busy();
+            connection.ending();
         }
         LingeringClose.close(context.channel());
     }
 
+    /** Reads no more. What was read as a whole is answered, what was read in part is refused. */
+    private void endReading(ChannelHandlerContext context) {
+        readingEnded = true;
+        leaving = true;
+        if (ended) {
+            return;
+        }
+        context.channel().config().setAutoRead(false);
+        if (exchange == null && (messageBegun || head != null)) {
+            refuse(context, Refusal.of(ResultCode.PROCESS_STOPPING).withRetryAfter(Duration.ZERO));
+        } else if (exchange == null) {
+            endUnused(context);
+        }
+    }
+
     /** Ends a connection that carries no request. What its caller may send meanwhile is left unread. */
     private void endUnused(ChannelHandlerContext context) {
         ended = true;
         timer.stop();
         if (connection != null) {
-            connection.busy();
+            connection.ending();
         }
         LingeringClose.closeUnread(context.channel(), lastAnswerNanos);
     }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
@@ -35,6 +35,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
 /**
@@ -57,6 +58,7 @@
     private final ConnectionRegistry connections;
     private final Object lock = new Object();
     private final ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final AtomicInteger endsOfReading = new AtomicInteger();
     private Optional<Channel> listening = Optional.empty();
     private volatile boolean draining;
 
@@ -105,6 +107,29 @@
         return connections.open();
     }
 
+    /**
+     * Returns how many connections carry a request, a part of one, or bytes of an answer that have not left yet. Those
+     * that only wait for their caller to close its end do not count.
+     */
+    public int activeConnections() {
+        return connections.active() + endsOfReading.get();
+    }
+
+    /**
+     * Reads what waits in the sockets for the last time. After that, requests that were read as a whole are answered,
+     * those that were read in part are refused, and connections without a request are closed. Meanwhile connections
+     * count as active.
+     */
+    public void endReading() {
+        open.forEach(channel -> {
+            endsOfReading.incrementAndGet();
+            ConnectionTimer.afterReadPass(channel.eventLoop(), () -> {
+                channel.pipeline().fireUserEventTriggered(ConnectionEvent.END_READING);
+                endsOfReading.decrementAndGet();
+            });
+        });
+    }
+
     /** Returns how many bytes of answers the connections have not taken from this process yet. */
     public long unsentBytes() {
         return open.stream()
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/ConnectionRegistry.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/ConnectionRegistry.java
@@ -17,6 +17,7 @@
     private final Object lock = new Object();
     private final Set<Entry> idle = new LinkedHashSet<>();
     private int open;
+    private int ending;
 
     ConnectionRegistry(int maxConnections) {
         this.maxConnections = maxConnections;
@@ -58,11 +59,19 @@
         }
     }
 
+    /** Returns how many connections carry a request, or a part of one, or an answer. */
+    int active() {
+        synchronized (lock) {
+            return open - idle.size() - ending;
+        }
+    }
+
     private void remove(Entry entry) {
         if (!entry.removed) {
             entry.removed = true;
             idle.remove(entry);
             open--;
+            ending -= entry.ending ? 1 : 0;
         }
     }
 
@@ -70,6 +79,7 @@
     final class Entry {
         private final Channel channel;
         private boolean removed;
+        private boolean ending;
 
         Entry(Channel channel) {
             this.channel = channel;
@@ -88,12 +98,23 @@
 
         void idle() {
             synchronized (lock) {
-                if (!removed) {
+                if (!removed && !ending) {
                     idle.add(this);
                 }
             }
         }
 
+        /** The connection is closed as soon as its caller has read what was sent. */
+        void ending() {
+            synchronized (lock) {
+                idle.remove(this);
+                if (!removed && !ending) {
+                    ending = true;
+                    ConnectionRegistry.this.ending++;
+                }
+            }
+        }
+
         void close() {
             synchronized (lock) {
                 remove(this);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/ConnectionTimer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/ConnectionTimer.java
@@ -1,6 +1,7 @@
 package io.parsleycleat.core.connection.caller;
 
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +35,11 @@
         }
     }
 
+    /** Runs an action once the event loop has read what waits in the sockets. */
+    static void afterReadPass(EventLoop loop, Runnable action) {
+        loop.schedule(action, READ_PASS_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private void schedule(ChannelHandlerContext context, long delayMillis, Runnable action) {
         stop();
         next = context.executor().schedule(action, delayMillis, TimeUnit.MILLISECONDS);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/Http2IdleClose.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/Http2IdleClose.java
@@ -53,7 +53,7 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event == ConnectionEvent.CLOSE_WHEN_UNUSED) {
+        if (event instanceof ConnectionEvent) {
             context.close();
         } else if (!(event instanceof IdleStateEvent) || isUsed(context)) {
             context.fireUserEventTriggered(event);
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
@@ -5,6 +5,7 @@
 import io.parsleycleat.core.connection.platform.WeightStoreLimits;
 import io.parsleycleat.core.connection.run.RunClient;
 import io.parsleycleat.core.process.admin.Readiness;
+import io.parsleycleat.core.process.common.CallerDrain;
 import io.parsleycleat.core.process.common.CrashKnowledge;
 import io.parsleycleat.core.process.common.Drain;
 import io.parsleycleat.core.process.common.ProcessBase;
@@ -120,23 +121,21 @@
         Drain.pause(settings.control().leaveDelay());
         callers.close();
         service.stop();
+        long endNanos =
+                base.time().monotonicNanos() + settings.control().drainTimeout().toNanos();
         boolean whole = Drain.await(
                 base.scheduler(), service::openRequests, settings.control().drainTimeout());
         if (!whole) {
             logger.atWarning().log("%d requests were ended by the stop", service.endOpenRequests());
         }
-        Drain.await(base.scheduler(), this::connectionsWithAnswers, LAST_BYTES_TIMEOUT);
+        Duration left = Duration.ofNanos(Math.max(0, endNanos - base.time().monotonicNanos()));
+        CallerDrain.finish(
+                callers, service::openRequests, base.scheduler(), base.time(), left.plus(LAST_BYTES_TIMEOUT));
         Drain.await(base.scheduler(), () -> limiter.isDrained() ? 0 : 1, HAND_OVER_TIMEOUT);
         stopOperators();
         base.close();
     }
 
-    /** Returns how many callers' connections are open after closing those whose answers have left. */
-    private long connectionsWithAnswers() {
-        callers.closeIdle();
-        return callers.openConnections();
-    }
-
     private void stopOperators() {
         try {
             operators.stop(OPERATORS_GRACE);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -10,6 +10,7 @@
 import io.parsleycleat.core.connection.peer.TrafficCounter;
 import io.parsleycleat.core.process.admin.AdminService;
 import io.parsleycleat.core.process.admin.Readiness;
+import io.parsleycleat.core.process.common.CallerDrain;
 import io.parsleycleat.core.process.common.Drain;
 import io.parsleycleat.core.process.identity.ProcessIdentity;
 import io.parsleycleat.core.process.identity.ProcessRole;
@@ -74,6 +75,7 @@
     private static final Duration FIRST_READ_POLL_INTERVAL = Duration.ofMillis(10);
     private static final Duration RECORD_RETRY_DELAY = Duration.ofMillis(700);
     private static final Duration PEER_KEEP_ALIVE_INTERVAL = Duration.ofSeconds(1);
+    /** How long the last answers may take to leave at the end of the shutdown timeout. */
     private static final Duration CONNECTION_FLUSH_TIMEOUT = Duration.ofMillis(300);
     /** How long the stopping process waits for the last write of its record. */
     private static final Duration FINAL_WRITE_TIMEOUT = Duration.ofMillis(200);
@@ -223,17 +225,15 @@
         Drain.pause(min(BALANCER_REMOVAL_DELAY, timeUntil(endNanos)));
         refusing = true;
         boolean allAnswered = Drain.await(eventLoop, forwarder::openRequests, timeUntil(endNanos));
-        long flushEndNanos = time.monotonicNanos() + CONNECTION_FLUSH_TIMEOUT.toNanos();
         if (!allAnswered && forwarder.openRequests() > 0) {
             forwarder.endOpenRequests();
-            Drain.await(eventLoop, forwarder::openRequests, timeUntil(flushEndNanos));
-        }
-        callerServer.close();
-        if (!Drain.await(eventLoop, this::closeIdleAndCountOpen, timeUntil(flushEndNanos))) {
-            logger.atWarning().log(
-                    "%d connections of callers still open, %d bytes of answers not sent",
-                    callerServer.openConnections(), callerServer.unsentBytes());
         }
+        CallerDrain.finish(
+                callerServer,
+                forwarder::openRequests,
+                eventLoop,
+                time,
+                timeUntil(endNanos).plus(CONNECTION_FLUSH_TIMEOUT));
         renewRecordOnExit();
         logger.atInfo().log("entry stopped");
     }
@@ -272,11 +272,6 @@
         return Readiness.READY;
     }
 
-    private long closeIdleAndCountOpen() {
-        callerServer.closeIdle();
-        return callerServer.openConnections();
-    }
-
     // Components
 
     /**
