Take signals before a process listens

Cause: the handlers of signals were installed after the process had started to listen. A SIGHUP between the two ended the JVM, as is its default, and a SIGTERM ended it without a stop in order; what the process had begun to serve was cut without a line. The users' platform sends both as planned work. Change: ProcessSignals installs the handlers that stop a process before anything is created; a stop that is asked for during the start is carried out by the main thread once the start is done. The own interface's daemons use the same class. Not covered: a signal before the main class runs and the settings are read, when nothing listens yet.

--- a/parsleycleat-daemon/src/main/java/io/parsleycleat/daemon/Daemon.java
+++ b/parsleycleat-daemon/src/main/java/io/parsleycleat/daemon/Daemon.java
@@ -1,7 +1,7 @@
 package io.parsleycleat.daemon;
 
 import com.google.common.flogger.FluentLogger;
-import io.parsleycleat.core.process.common.Signals;
+import io.parsleycleat.core.process.common.ProcessSignals;
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.logging.Logging;
 import io.parsleycleat.core.process.result.ParsleycleatException;
@@ -11,8 +11,6 @@
 import java.nio.file.Path;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import java.util.logging.Level;
 import org.kohsuke.args4j.CmdLineException;
@@ -113,23 +111,19 @@
     }
 
     private void serve(S settings) {
-        RunningProcess process = starter.apply(settings);
-        CountDownLatch stopped = new CountDownLatch(1);
-        AtomicBoolean stopping = new AtomicBoolean();
-        Runnable stop = () -> {
-            if (stopping.compareAndSet(false, true)) {
-                stop(process);
-                stopped.countDown();
-            }
-        };
-        Signals.handle(Signals.STOP, stop);
-        Signals.handle(Signals.INTERRUPT, stop);
-        // For what else ends the JVM; the log of such a stop may not be whole.
-        Runtime.getRuntime().addShutdownHook(new Thread(stop, "stop"));
-        out.println(process.listening());
-        out.flush();
-        logger.atInfo().with(LogKeys.PEER, vmName.apply(settings)).log("%s %s started", name, Versions.current());
-        awaitUninterruptibly(stopped);
+        ProcessSignals signals = ProcessSignals.install();
+        try {
+            RunningProcess process = starter.apply(settings);
+            // For what else ends the JVM; the log of such a stop may not be whole.
+            signals.stopAtJvmShutdown();
+            out.println(process.listening());
+            out.flush();
+            logger.atInfo().with(LogKeys.PEER, vmName.apply(settings)).log("%s %s started", name, Versions.current());
+            signals.awaitStop();
+            stop(process);
+        } finally {
+            signals.end();
+        }
     }
 
     private void stop(RunningProcess process) {
@@ -141,16 +135,4 @@
             logger.atSevere().withCause(e).log("%s did not stop in order", name);
         }
     }
-
-    private static void awaitUninterruptibly(CountDownLatch latch) {
-        boolean done = false;
-        while (!done) {
-            try {
-                latch.await();
-                done = true;
-            } catch (InterruptedException e) {
-                logger.atFine().withCause(e).log("still waiting for the stop");
-            }
-        }
-    }
 }
