Refuse a request for another service than the one that a side stands beside

Cause: an entry chooses a side by the upstreams of the configuration that it knows. When the side behind an id was put beside another service, entries that did not know it yet sent requests of the earlier service there, and the side passed them on: it compared the kind of upstream only, not the service. Change: a side of a plain service compares the service's name with that of its settings, if these name one, and refuses another one as not run; the entry goes on elsewhere (RetryRule). Result: measured: ExecutionEndTest.requestForAnotherServiceIsRefusedAsNotRun failed with the comparison taken out (the call was made), passes with it; ExecutionEndTest: 19 run, 0 failed.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/ServiceWork.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/side/ServiceWork.java
@@ -40,8 +40,8 @@
                 base.scheduler(),
                 base.identity().vmName() + "-" + base.identity().incarnation(),
                 LedgerSettings.DEFAULTS);
-        this.executor = RunExecutor.ofService(
-                new ServiceContext(upstream.id(), service, queue, gate, ledger, base.time(), base.metrics()));
+        this.executor = RunExecutor.ofService(new ServiceContext(
+                upstream.id(), upstream.service(), service, queue, gate, ledger, base.time(), base.metrics()));
     }
 
     @Override
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/RunExecutor.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/RunExecutor.java
@@ -9,6 +9,7 @@
 import io.parsleycleat.wire.run.RunId;
 import io.parsleycleat.wire.run.Start;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Starts the runs that arrive at a side.
@@ -26,10 +27,10 @@
 
     private final String upstreamId;
     private final SideGate gate;
-    private final Start.TargetCase takes;
+    private final Predicate<Start> takes;
     private final Execution execution;
 
-    private RunExecutor(String upstreamId, SideGate gate, Start.TargetCase takes, Execution execution) {
+    private RunExecutor(String upstreamId, SideGate gate, Predicate<Start> takes, Execution execution) {
         this.upstreamId = upstreamId;
         this.gate = gate;
         this.takes = takes;
@@ -39,19 +40,17 @@
     /** Returns an executor for a model engine. */
     public static RunExecutor ofEngine(EngineContext context) {
         return new RunExecutor(
-                context.upstreamId(),
-                context.gate(),
-                Start.TargetCase.ADAPTER,
-                (id, start, answer) -> new EngineExecution(context, id, start, answer).begin());
+                context.upstreamId(), context.gate(), Start::hasAdapter, (id, start, answer) -> new EngineExecution(
+                                context, id, start, answer)
+                        .begin());
     }
 
     /** Returns an executor for a plain service. */
     public static RunExecutor ofService(ServiceContext context) {
         return new RunExecutor(
-                context.upstreamId(),
-                context.gate(),
-                Start.TargetCase.SERVICE,
-                (id, start, answer) -> new ServiceExecution(context, id, start, answer).begin());
+                context.upstreamId(), context.gate(), context::takes, (id, start, answer) -> new ServiceExecution(
+                                context, id, start, answer)
+                        .begin());
     }
 
     /** Starts a run; an unexpected failure of a check ends it, since nothing else would. */
@@ -70,7 +69,7 @@
     }
 
     private void check(RunId id, Start start, RunAnswer answer) {
-        Optional<Refusal> refused = start.getTargetCase() == takes
+        Optional<Refusal> refused = takes.test(start)
                 ? gate.onArrival(start)
                 : Optional.of(Refusal.of(ResultCode.NO_UPSTREAM, "the upstream does not take such requests"));
         if (refused.isPresent()) {
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/execute/ExecutionEndTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/execute/ExecutionEndTest.java
@@ -59,6 +59,7 @@
     private ScriptedEngine engine;
     private ScriptedService service;
     private ScriptedLedger ledger;
+    private String serviceName;
     private CrashWatch.CrashListener crashListener;
     private RecordedAnswer answer;
     private int sequence;
@@ -73,6 +74,7 @@
         engine = new ScriptedEngine();
         service = new ScriptedService();
         ledger = new ScriptedLedger();
+        serviceName = "orders";
         crashListener = (incarnation, requests) -> CompletableFuture.completedFuture(null);
         answer = new RecordedAnswer();
     }
@@ -286,6 +288,17 @@
         assertEquals(queue.running(), 0, "places that are taken for ever");
     }
 
+    /** Guards against a request that runs on another service, since its entry knew another one behind the side. */
+    @Test
+    public void requestForAnotherServiceIsRefusedAsNotRun() {
+        List<String> calls = new ArrayList<>();
+        service.onCall = a -> calls.add("call");
+        serviceName = "billing";
+        startOnService();
+        assertEquals(answer.codes, List.of(ResultCode.NO_UPSTREAM.number()));
+        assertEquals(calls, List.of());
+    }
+
     private static <T> T fault() {
         throw new IllegalStateException("a fault of the test");
     }
@@ -324,8 +337,8 @@
     }
 
     private void startOnService() {
-        ServiceContext context =
-                new ServiceContext(UPSTREAM, service, queue, gate, ledger, scheduler, new MetricRegistry());
+        ServiceContext context = new ServiceContext(
+                UPSTREAM, serviceName, service, queue, gate, ledger, scheduler, new MetricRegistry());
         Start start = Start.newBuilder()
                 .setAccountId("a")
                 .setWeight(1)
