See an upstream's close that waits unread before a request is sent behind it

The pool takes a kept connection for usable as long as the event loop has not read its close. After the loop was held up, a request was sent behind a close that had long arrived; its failure counts as "may have run", so that an unsafe request ended with 502 and could not go to another connection or upstream. Change: UpstreamChannel reads from the socket of an idle connection before it is used again; a close, a reset or bytes that nobody asked for make the pool take another one. One system call a request on a kept connection. A close that crosses the request on the wire still counts as one behind which it may have run: no byte tells.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
@@ -40,7 +39,7 @@
     private static final String KEEP_ALIVE = "keep-alive";
     private static final String TIMEOUT = "timeout=";
 
-    private final Channel channel;
+    private final UpstreamChannel channel;
     private final UpstreamResponseDecoder decoder;
     private final BiConsumer<UpstreamConnection, Boolean> onRelease;
     private @Nullable ResponseListener listener;
@@ -58,7 +57,9 @@
      * @param onRelease called after each response and on close, with whether the connection can be reused
      */
     UpstreamConnection(
-            Channel channel, UpstreamResponseDecoder decoder, BiConsumer<UpstreamConnection, Boolean> onRelease) {
+            UpstreamChannel channel,
+            UpstreamResponseDecoder decoder,
+            BiConsumer<UpstreamConnection, Boolean> onRelease) {
         this.channel = channel;
         this.decoder = decoder;
         this.onRelease = onRelease;
@@ -102,9 +103,13 @@
         }
     }
 
+    /** Returns whether a request may be sent; must be closed if not. The event loop may not have read a close yet. */
     boolean isUsable(long nowNanos, long maxIdleMillis) {
         long idleMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - idleSinceNanos);
-        return channel.isActive() && !failed && idleMillis < Math.min(idleLimitMillis, maxIdleMillis);
+        return channel.isActive()
+                && !failed
+                && idleMillis < Math.min(idleLimitMillis, maxIdleMillis)
+                && !channel.hasInput();
     }
 
     void markIdleSince(long nowNanos) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
@@ -6,9 +6,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.parsleycleat.core.process.time.TimeSource;
 import java.net.InetSocketAddress;
@@ -152,7 +150,7 @@
         openConnections++;
         new Bootstrap()
                 .group(eventLoop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(UpstreamChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
@@ -202,9 +200,9 @@
     }
 
     /** Sets up the channel pipeline of each connection. */
-    private final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
+    private final class ConnectionInitializer extends ChannelInitializer<UpstreamChannel> {
         @Override
-        protected void initChannel(SocketChannel channel) {
+        protected void initChannel(UpstreamChannel channel) {
             UpstreamResponseDecoder decoder = new UpstreamResponseDecoder();
             UnsolicitedBytesGuard guard = new UnsolicitedBytesGuard();
             UpstreamConnection connection =
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamConnectionPoolTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamConnectionPoolTest.java
@@ -284,4 +284,28 @@
             }
         }
     }
+
+    // Guards against a request that is sent behind the upstream's close, which waits unread while the event loop is
+    // held
+    // up: it would count as one that may have run.
+    @Test
+    public void closeThatWaitsUnreadIsSeenBeforeTheNextRequest() throws Exception {
+        CompletableFuture<Socket> first = new CompletableFuture<>();
+        try (ScriptedUpstream upstream = new ScriptedUpstream((r, c) -> {
+            first.complete(c);
+            ScriptedUpstream.write(c, okResponse("ok"));
+            return true;
+        })) {
+            UpstreamConnectionPool pool = newPool(upstream.address());
+            assertEquals(send(pool), "whole 200 ok");
+            RecordingListener recorded = new RecordingListener();
+            loops.next()
+                    .submit(() -> {
+                        first.join().shutdownOutput();
+                        return pool.send(request("hello"), recorded);
+                    })
+                    .get();
+            assertEquals(recorded.result.join(), "whole 200 ok");
+        }
+    }
 }
