--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/common/ProcessSignals.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/common/ProcessSignals.java
@@ -3,8 +3,8 @@
 import java.util.concurrent.CountDownLatch;
 
 /**
- * Takes the signals that stop a process from its start on. By default they end the JVM: a process that listens before its
- * handlers are installed would end with what it serves.
+ * Takes the signals that stop a process from its start on. By default they end the JVM: a process that listens before
+ * its handlers are installed would end with what it serves.
  *
  * <p>Created by the main thread before anything listens; it then awaits the stop. Signals arrive in threads of the JVM.
  */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamChannel.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamChannel.java
@@ -14,8 +14,8 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     /**
-     * Returns whether bytes, the upstream's close or a reset wait unread. Takes a byte off the connection, which must not
-     * be used after that.
+     * Returns whether bytes, the upstream's close or a reset wait unread. Takes a byte off the connection, which must
+     * not be used after that.
      */
     boolean hasInput() {
         try {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamConnectionPoolTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamConnectionPoolTest.java
@@ -285,9 +285,7 @@
         }
     }
 
-    // Guards against a request that is sent behind the upstream's close, which waits unread while the event loop is
-    // held
-    // up: it would count as one that may have run.
+    // Guards against a request that is sent behind a close of the upstream that waits unread, and counts as run then.
     @Test
     public void closeThatWaitsUnreadIsSeenBeforeTheNextRequest() throws Exception {
         CompletableFuture<Socket> first = new CompletableFuture<>();
