Replace a check that relied on when a reset arrives

Cause: requestThatCrossesACloseIsNotRead sent bytes behind the close and expected the write after them to fail. The kernel handles the reset at its own time; on a loaded machine it failed once in a run of 44 tests. Change: it checks that the connection is closed, and so cannot be read, as soon as its caller can see its end. That is as strict: with the former half-close the connection is open and read for another second.

--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerSocket.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerSocket.java
@@ -67,18 +67,6 @@
         return rest.toString(StandardCharsets.ISO_8859_1);
     }
 
-    /** Returns whether the other end refuses further bytes: what was sent before was not read. */
-    boolean isReset() {
-        try {
-            // The first bytes may have caused the reset; it is known when these are written.
-            socket.getOutputStream().write('\r');
-            socket.getOutputStream().write('\n');
-            return false;
-        } catch (IOException e) {
-            return true;
-        }
-    }
-
     @Override
     public void close() throws IOException {
         socket.close();
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerUnreadRequestTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerUnreadRequestTest.java
@@ -191,15 +191,16 @@
     // Crossings
 
     // Guards against a request that crosses a close and is read all the same, though nobody answers it: its caller may
-    // repeat what was not read, and a caller that goes on to send learns it from the reset.
+    // repeat only what was not read. When the caller can see the end of the connection, nothing can be read any more.
     @Test
     public void requestThatCrossesACloseIsNotRead() throws Exception {
         limits = limits.withTimeouts(LONG, SHORT_IDLE);
         try (CallerSocket kept = new CallerSocket(port)) {
             kept.send(CallerSocket.get("/a")).answer();
             assertEquals(kept.rest(), "");
-            kept.send(CallerSocket.get("/b"));
-            assertTrue(kept.isReset(), "the request was read");
+            // The task that closes the connection has ended.
+            loop.submit(() -> {}).get();
+            assertEquals(server.openConnections(), 0, "connections that are read on");
         }
     }
 }
