Read what waits before an HTTP/2 connection is closed for unused

Cause: the idle timer of an HTTP/2 connection closed it while the frames of a request waited in the socket, like that of HTTP/1.1. Its caller saw the end of the connection: "EOF reached while reading" from java.net.http. Change: Http2IdleClose closes after a pass over the sockets, an idle connection only if no stream has begun by then. A GOAWAY behind an open stream stays as it is: streams above the last one it names were not read.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/Http2IdleClose.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/Http2IdleClose.java
@@ -53,14 +53,22 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event instanceof ConnectionEvent) {
+        if (event == ConnectionEvent.END_READING) {
             context.close();
+        } else if (event == ConnectionEvent.CLOSE_WHEN_UNUSED) {
+            ConnectionTimer.afterReadPass(context.channel().eventLoop(), context::close);
         } else if (!(event instanceof IdleStateEvent) || isUsed(context)) {
             context.fireUserEventTriggered(event);
         } else if (closeDelay().compareTo(timeout) > 0) {
             context.pipeline().remove(IdleStateHandler.class);
             watch(context);
         } else {
+            ConnectionTimer.afterReadPass(context.channel().eventLoop(), () -> closeIfUnused(context));
+        }
+    }
+
+    private static void closeIfUnused(ChannelHandlerContext context) {
+        if (!isUsed(context)) {
             context.close();
         }
     }
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerUnreadRequestTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerUnreadRequestTest.java
@@ -6,8 +6,14 @@
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterClass;
@@ -139,6 +145,30 @@
         }
     }
 
+    // Guards against an HTTP/2 connection that is closed for unused while frames of a request wait in the socket.
+    @Test
+    public void idleTimeoutDoesNotGoBeforeAWaitingHttp2Request() throws Exception {
+        limits = limits.withTimeouts(LONG, SHORT_IDLE);
+        HttpClient client =
+                HttpClient.newBuilder().version(HttpClient.Version.HTTP_2).build();
+        assertEquals(
+                client.send(http2Request("/a"), HttpResponse.BodyHandlers.ofString())
+                        .version(),
+                HttpClient.Version.HTTP_2);
+        List<CompletableFuture<HttpResponse<String>>> waiting = new ArrayList<>();
+        whileLoopIsHeldUp(() -> {
+            waiting.add(client.sendAsync(http2Request("/b"), HttpResponse.BodyHandlers.ofString()));
+            awaitTimeouts();
+        });
+        assertEquals(waiting.get(0).get(20, TimeUnit.SECONDS).body(), "[/b0]");
+    }
+
+    private HttpRequest http2Request(String path) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                .timeout(Duration.ofSeconds(20))
+                .build();
+    }
+
     // Parts of requests
 
     // Guards against a head whose end waits in the socket and is refused as late.
