Let the time limit of an accepted request grow with its route's timeout

Cause: the deadline of a request was set once, from the route of its admission, and upstreams were handed the same time, so that a raised timeout ended work that the newest configuration allows. Change: the time limit is that of the admission or a longer one that the newest configuration gives the route of the same name at the request's host and path, looked up where time is asked for and when the deadline fires; it never shrinks, and the caller's own deadline bounds it. A route that was dropped, moved or replaced changes nothing. A search that is refused begins once more if the limit has grown meanwhile, since it waited by the old one. The lookup is left out while the configuration is that of the admission. The line of the end moves to OpenRequest. Upstreams are handed what the caller has left, where it set a deadline: one that stops by itself at the old timeout would make the raise worth nothing. The entry ends the request at the route's time limit all the same and closes the connection, so an upstream that does not notice a close works on until its caller's deadline at most; a caller's deadline is never exceeded, also not by a repeat. Without a caller's deadline the route's time left is handed over, so that a repeat after a raise is handed a later end than the first send. FinalAnswerTest held the bound of 5,980 ms although its caller had 15,980 ms left; it now has three cases with exact values, the old one among them. ConfigurationChangeTest raised the timeout from 5 to 20 s by the way, beyond its own limit for answers; both versions have 8 s now.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -76,7 +76,17 @@
         open.enter(OpenRequest.Stage.UPSTREAM, "");
         UpstreamSearch next = new UpstreamSearch(context, open, admitted, service);
         search = next;
-        next.start(tried.ids(), this::onFound, this::refuse);
+        Duration limit = open.timeLimit();
+        next.start(tried.ids(), this::onFound, refusal -> onNotFound(refusal, limit));
+    }
+
+    /** Refuses the request, unless its time limit has grown since the search began, which waited no longer. */
+    private void onNotFound(Refusal refusal, Duration searchedLimit) {
+        if (open.timeLimit().compareTo(searchedLimit) > 0) {
+            sendNext();
+        } else {
+            refuse(refusal);
+        }
     }
 
     /** Sends to the upstream that was found, unless the request was quarantined while it waited. */
@@ -120,7 +130,7 @@
         sent.send(
                 new SendParameters(
                         upstream,
-                        timeLeft(),
+                        open.upstreamTimeLeft(),
                         account == null ? null : account.name(),
                         onEngine ? admitted.priority() : null,
                         found.adapterVersion(),
@@ -455,25 +465,7 @@
         open.onEnded(mayHaveRun);
         context.metrics().onEnd(code, age().toMillis());
         Attempt last = attempt;
-        logger.atInfo()
-                .with(LogKeys.REQUEST, request.id())
-                .with(LogKeys.CODE, code.number())
-                .with(LogKeys.UPSTREAM, last == null ? "" : last.upstream().id())
-                .log(
-                        "%s in %d ms after %d sends, route %s, time limit %d ms, configuration %d, %d ms old,"
-                                + " now %d, %s",
-                        detail,
-                        age().toMillis(),
-                        tried.sendCount(),
-                        route.name(),
-                        admitted.timeLimit().toMillis(),
-                        admitted.table().version(),
-                        admitted.tableAgeMillis(),
-                        context.configuration()
-                                .current()
-                                .orElse(admitted.table())
-                                .version(),
-                        open.describe());
+        open.logEnd(code, detail, last == null ? "" : last.upstream().id(), tried.sendCount());
     }
 
     // Times
@@ -481,8 +473,4 @@
     private Duration age() {
         return open.age();
     }
-
-    private Duration timeLeft() {
-        return open.timeLeft();
-    }
 }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/OpenRequest.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/OpenRequest.java
@@ -11,13 +11,17 @@
 import io.parsleycleat.gateway.connection.upstream.ResponseHead;
 import io.parsleycleat.gateway.connection.upstream.ResponseListener;
 import io.parsleycleat.gateway.connection.upstream.SendFailure;
+import io.parsleycleat.gateway.version.routes.RoutingTable;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -46,6 +50,7 @@
     private volatile Progress progress;
     private volatile boolean wasSent;
     private volatile RequestForwarder.@Nullable Admitted admitted;
+    private volatile Duration timeLimit = Duration.ZERO;
     private volatile Runnable refund = () -> {};
     private volatile @Nullable BiConsumer<Refusal, Refusal> work;
     private volatile @Nullable Runnable goneAction;
@@ -122,9 +127,36 @@
         return openRequests.limitByStop(ownTimeLeft());
     }
 
+    /**
+     * Returns the time that an upstream is given: the caller's own, where it set a deadline, since the route's may
+     * still grow and the upstream learns by its closed connection when it is over; otherwise the time left.
+     */
+    Duration upstreamTimeLeft() {
+        RequestForwarder.Admitted current = admitted;
+        Duration left = current == null
+                ? Duration.ZERO
+                : current.callerTimeLimit().map(l -> l.minus(age())).orElseGet(this::ownTimeLeft);
+        return openRequests.limitByStop(left);
+    }
+
     private Duration ownTimeLeft() {
+        return timeLimit().minus(age());
+    }
+
+    /**
+     * Returns the time from the arrival of the request to its final answer. It is that of its admission, or a longer
+     * one that the newest configuration has given its route since, and never shrinks.
+     */
+    Duration timeLimit() {
         RequestForwarder.Admitted current = admitted;
-        return current == null ? Duration.ZERO : current.timeLimit().minus(age());
+        if (current != null) {
+            Stream.of(current.route(), current.newestRoute(context.configuration()))
+                    .map(current::timeLimit)
+                    .filter(l -> l.compareTo(timeLimit) > 0)
+                    .max(Comparator.naturalOrder())
+                    .ifPresent(l -> timeLimit = l);
+        }
+        return timeLimit;
     }
 
     /** Returns whether a planned stop leaves the time that such a request usually takes. */
@@ -144,12 +176,22 @@
     void admit(RequestForwarder.Admitted newAdmitted) {
         admitted = newAdmitted;
         cancelDeadline();
-        long millis = Math.max(0, ownTimeLeft().toMillis());
-        deadlineTimer = context.loop()
-                .schedule(
-                        guard(() -> end(NOT_RUN_AT_DEADLINE, Refusal.of(ResultCode.DEADLINE_PASSED))),
-                        millis,
-                        TimeUnit.MILLISECONDS);
+        scheduleDeadline();
+    }
+
+    private void scheduleDeadline() {
+        Duration limit = timeLimit();
+        long millis = Math.max(0, limit.minus(age()).toMillis());
+        deadlineTimer = context.loop().schedule(guard(() -> onDeadline(limit)), millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Ends the request, unless its time limit has grown since this deadline was scheduled. */
+    private void onDeadline(Duration scheduledLimit) {
+        if (timeLimit().compareTo(scheduledLimit) > 0) {
+            scheduleDeadline();
+        } else {
+            end(NOT_RUN_AT_DEADLINE, Refusal.of(ResultCode.DEADLINE_PASSED));
+        }
     }
 
     /** Refunds what was charged if the request ends without having run. */
@@ -318,6 +360,28 @@
         }
     }
 
+    /** Logs the end of a request on which an upstream was to work. */
+    void logEnd(ResultCode code, String detail, String lastUpstreamId, int sendCount) {
+        RequestForwarder.Admitted current = Objects.requireNonNull(admitted);
+        RoutingTable newest = context.configuration().current().orElse(current.table());
+        logger.atInfo()
+                .with(LogKeys.REQUEST, id)
+                .with(LogKeys.CODE, code.number())
+                .with(LogKeys.UPSTREAM, lastUpstreamId)
+                .log(
+                        "%s in %d ms after %d sends, route %s, time limit %d ms, configuration %d, %d ms old,"
+                                + " now %d, %s",
+                        detail,
+                        age().toMillis(),
+                        sendCount,
+                        current.route().name(),
+                        timeLimit().toMillis(),
+                        current.table().version(),
+                        current.tableAgeMillis(),
+                        newest.version(),
+                        describe());
+    }
+
     private void cancelDeadline() {
         ScheduledFuture<?> timer = deadlineTimer;
         if (timer != null) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
@@ -76,11 +76,33 @@
             return account == null ? route.priority() : account.ownPriority().orElse(route.priority());
         }
 
-        /** Returns the time within which the caller gets its final answer. */
+        /** Returns the time within which the caller gets its final answer, by the configuration of its admission. */
         Duration timeLimit() {
-            Duration callerTimeout = request.callerDeadline().orElse(route.timeout());
-            Duration shorter = callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
-            return shorter.minus(DEADLINE_MARGIN);
+            return timeLimit(route);
+        }
+
+        /** Returns the time within which the caller would get its final answer on a route. */
+        Duration timeLimit(Route any) {
+            Duration ofRoute = any.timeout().minus(DEADLINE_MARGIN);
+            return callerTimeLimit().filter(l -> l.compareTo(ofRoute) < 0).orElse(ofRoute);
+        }
+
+        /** Returns the time within which a caller that set a deadline gets its final answer, on any route. */
+        Optional<Duration> callerTimeLimit() {
+            return request.callerDeadline().map(d -> d.minus(DEADLINE_MARGIN));
+        }
+
+        /**
+         * Returns the request's route in the newest configuration; the one of its admission if that was dropped since
+         * or leads from elsewhere.
+         */
+        Route newestRoute(ConfigurationHolder configuration) {
+            return configuration
+                    .current()
+                    .filter(t -> t.version() != table.version())
+                    .flatMap(t -> t.route(request.host(), request.path()))
+                    .filter(r -> r.name().equals(route.name()))
+                    .orElse(route);
         }
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ConfigurationChangeTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ConfigurationChangeTest.java
@@ -36,7 +36,7 @@
             "/p/",
             RequestKind.STREAM,
             List.of(new ServiceShare("s", 1)),
-            Duration.ofSeconds(20),
+            Duration.ofSeconds(8),
             Duration.ofSeconds(10),
             Duration.ZERO,
             1,
@@ -123,7 +123,7 @@
     /** Guards against a request without a final answer when the configuration changes while it waits for its budget. */
     @Test(dataProvider = "changesWhileWaiting")
     public void requestThatWaitsForItsBudgetIsAnsweredAfterChange(Change change) throws Exception {
-        SilentPeers peers = SilentPeers.limitAccount(entry, Duration.ofSeconds(5));
+        SilentPeers peers = SilentPeers.limitAccount(entry, ROUTE.timeout());
         try (ScriptedUpstream one = new ScriptedUpstream(respondWith(STREAM_HEAD + FIRST_EVENT + LAST_EVENT, true))) {
             addUpstream("a", one.address());
             RecordingCaller caller = send("/p/x", "key");
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FinalAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FinalAnswerTest.java
@@ -201,21 +201,28 @@
         }
     }
 
+    @DataProvider
+    public Object[][] deadlines() {
+        return new Object[][] {{"none", "left: 5980"}, {"20000", "left: 15980"}, {"7000", "left: 2980"}};
+    }
+
     /** Guards against handing an upstream more time than the caller has left after waiting for its budget. */
-    @Test
-    public void timeSpentWaitingForTheBudgetIsNotHandedToTheUpstream() throws Exception {
+    @Test(dataProvider = "deadlines")
+    public void timeSpentWaitingForTheBudgetIsNotHandedToTheUpstream(String deadline, String expected)
+            throws Exception {
         ManualTimeSource time = new ManualTimeSource();
         TestEntry timed = new TestEntry("here", loop, time, freshnessTime, new InMemoryPeers());
         SilentPeers peers = SilentPeers.limitAccount(timed, Duration.ofSeconds(10));
         try (ScriptedUpstream one = new ScriptedUpstream(respondWith(okAnswer("done"), true))) {
             timed.directory.put(upstream("a", one.address()));
-            RecordingCaller caller = timed.send("/p/x", List.of(Map.entry("key", "key")));
+            RecordingCaller caller =
+                    timed.send("/p/x", List.of(Map.entry("key", "key"), Map.entry("deadline", deadline)));
             CompletableFuture<BudgetPeers.Grant> draw = peers.draws.take();
             time.advanceMillis(4_000);
             draw.complete(new BudgetPeers.Grant(1, 1));
             assertEquals(answerOf(caller), "200 done");
             String sent = one.takeRequest();
-            assertTrue(sent.contains("left: 5980"), sent);
+            assertTrue(sent.contains(expected), sent);
         }
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/ForwardingFixture.java
@@ -34,6 +34,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.AfterClass;
@@ -84,7 +85,10 @@
                     "h",
                     r.uri(),
                     r.header("key").orElse(null),
-                    Duration.ofSeconds(20),
+                    r.header("deadline")
+                            .map(HeaderCodec::deadline)
+                            .orElse(Optional.of(Duration.ofSeconds(20)))
+                            .orElse(null),
                     r.header("adapter").map(a -> new AdapterId("m", a)).orElse(null),
                     r.header("adapter").isPresent() ? new ForwardRequest.TokenCounts(10, 10) : null,
                     r.header("parts").map(p -> List.of(p.split(","))).orElse(List.of()),
@@ -93,6 +97,10 @@
                     r.body()));
         }
 
+        private static Optional<Duration> deadline(String millis) {
+            return millis.equals("none") ? Optional.empty() : Optional.of(Duration.ofMillis(Long.parseLong(millis)));
+        }
+
         @Override
         public UpstreamRequest encode(ForwardRequest r, SendParameters parameters) {
             List<Map.Entry<String, String>> headers = new ArrayList<>(r.headers());
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RaisedTimeoutTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/RaisedTimeoutTest.java
@@ -1,8 +1,14 @@
 package io.parsleycleat.gateway.request;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import io.parsleycleat.core.connection.caller.CallerLimits;
+import io.parsleycleat.core.process.result.ResultCode;
+import io.parsleycleat.core.process.time.TimeSource;
+import io.parsleycleat.gateway.ManualTimeSource;
 import io.parsleycleat.gateway.connection.ScriptedUpstream;
 import io.parsleycleat.gateway.version.routes.Account;
 import io.parsleycleat.gateway.version.routes.RequestKind;
@@ -18,6 +24,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -27,7 +34,10 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Guards accepted requests whose route gets another timeout while they are open. */
@@ -45,6 +55,11 @@
     /** A budget of which one entry alone never has enough for a request. */
     private static final Account LIMITED = new Account("weavers", Set.of("limited"), null, false, 0.1, 1, 1);
 
+    private static final StartGrant.Builder START_GRANT =
+            StartGrant.newBuilder().setEngineId("e").setEngineBorn(1).setVersion(1);
+    private static final StartGrant.Builder START_REFUSAL =
+            StartGrant.newBuilder().setRefusalCode(ResultCode.QUEUE_FULL.number());
+
     /** What a request waits for when the timeout is raised. */
     enum Stage {
         BUDGET,
@@ -55,15 +70,19 @@
     }
 
     private final CountDownLatch oldTimeoutPassed = new CountDownLatch(1);
+    private final CountDownLatch goOn = new CountDownLatch(1);
 
-    /** Guards against a request that is ended at the timeout which its route had when it arrived. */
+    /**
+     * Guards against a request that is ended at the timeout which its route had when it arrived, or had again after it
+     * was raised.
+     */
     @Test
     public void requestsOutliveTheTimeoutTheyWereAcceptedWith() throws Exception {
         SilentPeers peers = new SilentPeers();
         entry.budgetPeers = peers;
         apply(1, OLD_TIMEOUT);
         entry.limitAccounts("other", List.of(ACCOUNT, LIMITED));
-        BlockingQueue<Runnable> starts = holdStarts();
+        BlockingQueue<Consumer<StartGrant.Builder>> starts = holdStarts();
         Map<String, RecordingCaller> callers = new TreeMap<>();
         try (ScriptedUpstream one = new ScriptedUpstream(this::answer)) {
             addServices(one.address());
@@ -72,13 +91,15 @@
             }
             loop.schedule(oldTimeoutPassed::countDown, OLD_TIMEOUT.plus(LATER).toMillis(), TimeUnit.MILLISECONDS);
             peers.draws.take();
-            List<Runnable> grants = List.of(starts.take(), starts.take(), starts.take());
+            List<Consumer<StartGrant.Builder>> searches = List.of(starts.take(), starts.take(), starts.take());
             for (int i = 0; i < RequestKind.values().length * 3; i++) {
                 one.takeRequest();
             }
             apply(2, NEW_TIMEOUT);
             SilentUpstreamTest.await(oldTimeoutPassed);
-            grants.forEach(Runnable::run);
+            apply(3, OLD_TIMEOUT);
+            goOn.countDown();
+            searches.forEach(s -> s.accept(START_GRANT));
             entry.budgets.setAccounts(List.of(ACCOUNT, withoutLimit()));
             Map<String, String> answers = new TreeMap<>();
             for (Map.Entry<String, RecordingCaller> c : callers.entrySet()) {
@@ -90,6 +111,134 @@
         }
     }
 
+    @DataProvider
+    public Object[][] changesThatRaiseNothing() {
+        Route route = route(RequestKind.ONCE, "s", NEW_TIMEOUT);
+        return new Object[][] {
+            {"dropped", "none", List.of()},
+            {"dropped, another one in its place", "none", List.of(withNameAndPrefix("other", route.pathPrefix()))},
+            {"moved", "none", List.of(withNameAndPrefix(route.name(), "/elsewhere/"))},
+            {"lowered", "none", List.of(route(RequestKind.ONCE, "s", Duration.ofMillis(1)))},
+            {"raised beyond the caller's deadline", "600", List.of(route)}
+        };
+    }
+
+    /** Guards against a request that is held for longer than its route, or its caller, has ever allowed. */
+    @Test(dataProvider = "changesThatRaiseNothing")
+    public void requestEndsAtTheLongestTimeItWasAllowed(String change, String deadline, List<Route> newest)
+            throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
+            SilentUpstreamTest.await(never);
+            return false;
+        })) {
+            apply(1, List.of(route(RequestKind.ONCE, "s", Duration.ofMillis(500))));
+            addServices(one.address());
+            RecordingCaller caller = send(deadline);
+            one.takeRequest();
+            apply(2, newest);
+            assertEquals(
+                    caller.answer.get(NEW_TIMEOUT.toSeconds() / 2, TimeUnit.SECONDS),
+                    "504 " + ResultCode.DEADLINE_PASSED,
+                    change);
+        } finally {
+            never.countDown();
+        }
+    }
+
+    @DataProvider
+    public Object[][] deadlines() {
+        return new Object[][] {{"none", "left: 2980"}, {"60000", "left: 59980"}, {"600", "left: 580"}};
+    }
+
+    /** Guards against an upstream that stops by itself at a timeout that is raised, or works for a caller that left. */
+    @Test(dataProvider = "deadlines")
+    public void upstreamGetsTheTimeOfTheCallerElseOfTheRoute(String deadline, String expected) throws Exception {
+        useEntryWith(new ManualTimeSource());
+        apply(1, OLD_TIMEOUT);
+        try (ScriptedUpstream one = new ScriptedUpstream(respondWith(okAnswer("done"), true))) {
+            addServices(one.address());
+            RecordingCaller caller = send(deadline);
+            String sent = one.takeRequest();
+            assertTrue(sent.contains(expected), sent);
+            assertEquals(caller.answer.get(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS), "200 done");
+        }
+    }
+
+    @DataProvider
+    public Object[][] repeats() {
+        return new Object[][] {
+            {"10000", List.of("left: 9980", "left: 8980", "left: 7980")},
+            {"none", List.of("left: 2980", "left: 18980", "left: 17980")}
+        };
+    }
+
+    /** Guards against a repeat with more time than the caller has left, or less than was once granted. */
+    @Test(dataProvider = "repeats")
+    public void repeatGetsTheTimeLeftOfTheCallerElseOfTheLongestTimeout(String deadline, List<String> expected)
+            throws Exception {
+        ManualTimeSource time = new ManualTimeSource();
+        useEntryWith(time);
+        apply(1, OLD_TIMEOUT);
+        BlockingQueue<Boolean> answers = new LinkedBlockingQueue<>();
+        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
+            if (Uninterruptibles.takeUninterruptibly(answers)) {
+                ScriptedUpstream.write(connection, okAnswer("done"));
+            }
+            return false;
+        })) {
+            Stream.of("s", "t", "u").forEach(id -> directory.put(upstream(id, one.address())));
+            RecordingCaller caller =
+                    entry.send("/IDEMPOTENT-s/x", List.of(Map.entry("key", "key"), Map.entry("deadline", deadline)));
+            List<String> sent = new ArrayList<>(List.of(one.takeRequest()));
+            time.advanceMillis(1_000);
+            apply(2, NEW_TIMEOUT);
+            answers.add(false);
+            sent.add(one.takeRequest());
+            time.advanceMillis(1_000);
+            apply(3, OLD_TIMEOUT);
+            answers.add(false);
+            sent.add(one.takeRequest());
+            answers.add(true);
+            assertEquals(caller.answer.get(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS), "200 done");
+            assertEquals(sent.stream().map(RaisedTimeoutTest::timeLeftLine).toList(), expected);
+        }
+    }
+
+    private static String timeLeftLine(String request) {
+        return request.lines().filter(l -> l.startsWith("left: ")).findFirst().orElse("");
+    }
+
+    /** Guards against a refusal by a side that waited no longer than the timeout that was raised meanwhile. */
+    @Test
+    public void searchBeginsAgainOnceWithTheRaisedTimeout() throws Exception {
+        apply(1, OLD_TIMEOUT);
+        BlockingQueue<Consumer<StartGrant.Builder>> starts = holdStarts();
+        try (ScriptedUpstream one = new ScriptedUpstream(respondWith(okAnswer("done"), true))) {
+            addServices(one.address());
+            RecordingCaller caller = send(RequestKind.ONCE, Stage.SEARCH);
+            Consumer<StartGrant.Builder> first = starts.take();
+            apply(2, NEW_TIMEOUT);
+            first.accept(START_REFUSAL);
+            Consumer<StartGrant.Builder> second = starts.poll(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS);
+            assertNotNull(second, "the side is asked again");
+            second.accept(START_REFUSAL);
+            assertEquals(caller.answer.get(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS), "503 " + ResultCode.NO_UPSTREAM);
+            assertEquals(starts.size(), 0);
+        }
+    }
+
+    private void useEntryWith(TimeSource time) {
+        entry = new TestEntry("here", loop, time, freshnessTime, new InMemoryPeers());
+        configuration = entry.configuration;
+        freshness = entry.freshness;
+        directory = entry.directory;
+    }
+
+    private RecordingCaller send(String deadline) {
+        return entry.send("/ONCE-s/x", List.of(Map.entry("key", "key"), Map.entry("deadline", deadline)));
+    }
+
     private boolean answer(String request, Socket connection) throws IOException {
         boolean stream = request.contains("/STREAM-");
         String head = stream ? STREAM_HEAD : PLAIN_HEAD;
@@ -102,7 +251,7 @@
             before = head + first;
         }
         ScriptedUpstream.write(connection, before);
-        SilentUpstreamTest.await(oldTimeoutPassed);
+        SilentUpstreamTest.await(goOn);
         ScriptedUpstream.write(connection, (head + first + rest).substring(before.length()));
         return true;
     }
@@ -127,18 +276,14 @@
         return new Account("weavers", Set.of("limited"), null, false, 0, 0, 1);
     }
 
-    /** Returns the starts for which the engine's side is asked, each of which grants it. */
-    private BlockingQueue<Runnable> holdStarts() {
-        BlockingQueue<Runnable> starts = new LinkedBlockingQueue<>();
+    /** Returns the starts for which the engine's side is asked, each of which takes the reply. */
+    private BlockingQueue<Consumer<StartGrant.Builder>> holdStarts() {
+        BlockingQueue<Consumer<StartGrant.Builder>> starts = new LinkedBlockingQueue<>();
         network.node("127.0.0.1:" + TestEntry.SIDE_PORT).register(Frame.BodyCase.GATE, (from, frame) -> {
             if (frame.getGate().hasStart()) {
-                StartGrant.Builder grant = StartGrant.newBuilder()
-                        .setEngineId("e")
-                        .setEngineBorn(1)
-                        .setVersion(1);
-                starts.add(() -> from.reply(
+                starts.add(reply -> from.reply(
                         frame,
-                        Frame.newBuilder().setGate(GateMessage.newBuilder().setGrant(grant))));
+                        Frame.newBuilder().setGate(GateMessage.newBuilder().setGrant(reply))));
             }
         });
         return starts;
@@ -149,10 +294,30 @@
         directory.put(new Upstream("e", "e", address, "here", 1, false, 64, Map.of("m", 1L, "m/a", 1L)));
     }
 
+    private static Route withNameAndPrefix(String name, String prefix) {
+        return new Route(
+                name,
+                "h",
+                prefix,
+                RequestKind.ONCE,
+                List.of(new ServiceShare("s", 1)),
+                NEW_TIMEOUT,
+                Duration.ofSeconds(10),
+                Duration.ZERO,
+                1,
+                2,
+                false,
+                true);
+    }
+
     private void apply(long version, Duration timeout) throws InterruptedException {
         List<Route> routes = Arrays.stream(RequestKind.values())
                 .flatMap(k -> List.of(route(k, "s", timeout), route(k, "e", timeout)).stream())
                 .toList();
+        apply(version, routes);
+    }
+
+    private void apply(long version, List<Route> routes) throws InterruptedException {
         loop.submit(() -> {
                     configuration.applyIfNewer(new RoutingTable(
                             version,
@@ -178,7 +343,7 @@
                 Duration.ofSeconds(10),
                 Duration.ZERO,
                 1,
-                2,
+                3,
                 false,
                 true);
     }
