Choose the upstream of a retry by the time that is left

Cause: a request kept the time that it had at its first choice. A later choice took an upstream at which it would start too late, in place of a refusal that says when to come back; the side refused it then. Change: each choice gets the time that is left until the request must start. Result: measured: RequestRunTest.retryIsChosenByTheTimeThatIsLeft failed before (30 s in place of 20 s), passes now; RequestRunTest, RequestConfigurationTest, RequestServiceTest, ProbingSelectorTest: 61 run, 0 failed.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/routing/SelectionRequest.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/routing/SelectionRequest.java
@@ -30,6 +30,20 @@
         }
     }
 
+    /** Returns a copy with another time within which the request must start. */
+    public SelectionRequest withDeadline(Duration newDeadline) {
+        return new SelectionRequest(
+                accountId,
+                freeTier,
+                adapter,
+                baseModel,
+                service,
+                prefixHash,
+                affinityKey,
+                excludedUpstreams,
+                newDeadline);
+    }
+
     /** Returns a copy that also passes over an upstream. */
     public SelectionRequest withExcluded(Set<String> newExcludedUpstreams) {
         return new SelectionRequest(
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
@@ -119,7 +119,9 @@
                 finish(end(Refusal.of(ResultCode.CALLER_GONE)));
                 return;
             }
-            request = context.suspects().restrict(selection.withExcluded(excluded), template.getFingerprint());
+            SelectionRequest next =
+                    selection.withExcluded(excluded).withDeadline(Duration.ofMillis(Math.max(0, remainingMillis())));
+            request = context.suspects().restrict(next, template.getFingerprint());
         }
         Optional<Refusal> quarantined = context.suspects().refusal(template);
         if (quarantined.isPresent()) {
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/request/serve/RequestRunTest.java
@@ -207,6 +207,24 @@
         assertEquals(sink.ends, List.of(ResultCode.CALLER_GONE));
     }
 
+    /** Guards against an upstream that a retry waits at for longer than the time that is left. */
+    @Test
+    public void retryIsChosenByTheTimeThatIsLeft() {
+        EntryFixture entry = new EntryFixture(1);
+        List<Duration> deadlines = new ArrayList<>();
+        entry.selector = request -> {
+            deadlines.add(request.deadline());
+            return CompletableFuture.completedFuture(EntryFixture.firstAllowed(request));
+        };
+        entry.sides.add("side-1", (start, channel) -> {
+            entry.scheduler.advance(10_000);
+            EntryFixture.end(start, channel, ResultCode.QUEUE_FULL, 0);
+        });
+        entry.sides.add("side-2", EntryFixture::serve);
+        entry.get();
+        assertEquals(deadlines, List.of(Duration.ofSeconds(30), Duration.ofSeconds(20)));
+    }
+
     /** Guards against retries that each restart of a process grants anew. */
     @Test
     public void retriesAreEarnedByRequestsUpToALimit() {
