Keep the order of frames while their connection is being opened

Cause: what was to be sent while a connection was being opened waited on a future, whose dependents run in the reverse order of their registration. A withdrawal that follows its start request in time arrived before it. Where the asking entry had given up by then (a connection may take 1 s to open and 2 s to greet, a start's shortest wait is 1.2 s), the side granted the start behind the withdrawal to nobody: a slot and a use of an adapter are taken until the connection ends. Change: OutgoingConnection does what waits in the order in which it was asked for, and a request that was given up meanwhile is not sent. That a side keeps the start was found by reading, not by a run with a slow connection.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
@@ -59,7 +59,7 @@
     private final TrafficCounter traffic;
     private final Duration keepAlive;
     private final Map<Frame.BodyCase, FrameHandler> handlers = new ConcurrentHashMap<>();
-    private final Map<String, CompletableFuture<NettyPeerChannel>> outgoing = new ConcurrentHashMap<>();
+    private final Map<String, OutgoingConnection> outgoing = new ConcurrentHashMap<>();
     private final Map<Channel, Boolean> accepted = new ConcurrentHashMap<>();
 
     /** Creates a transport whose traffic nobody counts. */
@@ -131,13 +131,29 @@
 
     @Override
     public CompletableFuture<Frame> request(String peerAddress, Frame.Builder frame, Duration timeout) {
-        return connectNetty(peerAddress).thenCompose(channel -> channel.request(frame, timeout));
+        CompletableFuture<Frame> reply = new CompletableFuture<>();
+        outgoing(peerAddress).whenOpen((channel, failure) -> {
+            if (reply.isDone()) {
+                logger.atFine().with(LogKeys.PEER, peerAddress).log("a request was given up before it could be sent");
+            } else if (channel == null) {
+                reply.completeExceptionally(failure);
+            } else {
+                channel.request(frame, timeout).whenComplete((answer, failed) -> {
+                    if (failed == null) {
+                        reply.complete(answer);
+                    } else {
+                        reply.completeExceptionally(Failures.unwrap(failed));
+                    }
+                });
+            }
+        });
+        return reply;
     }
 
     @Override
     public void send(String peerAddress, Frame.Builder frame) {
-        connectNetty(peerAddress).whenComplete((channel, failure) -> {
-            if (failure != null) {
+        outgoing(peerAddress).whenOpen((channel, failure) -> {
+            if (channel == null) {
                 logger.atFine().with(LogKeys.PEER, peerAddress).log("a frame could not be sent");
             } else {
                 channel.send(frame.build());
@@ -147,7 +163,15 @@
 
     @Override
     public CompletableFuture<PeerChannel> connect(String peerAddress) {
-        return connectNetty(peerAddress).thenApply(channel -> channel);
+        CompletableFuture<PeerChannel> connected = new CompletableFuture<>();
+        outgoing(peerAddress).whenOpen((channel, failure) -> {
+            if (channel == null) {
+                connected.completeExceptionally(failure);
+            } else {
+                connected.complete(channel);
+            }
+        });
+        return connected;
     }
 
     /** Closes every connection once what was handed to it has left, waiting for that a bounded time. */
@@ -209,23 +233,24 @@
 
     // Internals
 
-    private CompletableFuture<NettyPeerChannel> connectNetty(String peerAddress) {
-        CompletableFuture<NettyPeerChannel> known = outgoing.get(peerAddress);
+    /** Returns the connection to a peer, which is opened if there is none. */
+    private OutgoingConnection outgoing(String peerAddress) {
+        OutgoingConnection known = outgoing.get(peerAddress);
         if (known != null) {
             return known;
         }
-        CompletableFuture<NettyPeerChannel> created = new CompletableFuture<>();
-        CompletableFuture<NettyPeerChannel> earlier = outgoing.putIfAbsent(peerAddress, created);
+        OutgoingConnection created = new OutgoingConnection();
+        OutgoingConnection earlier = outgoing.putIfAbsent(peerAddress, created);
         if (earlier != null) {
             return earlier;
         }
         open(peerAddress).whenComplete((channel, failure) -> {
-            if (failure != null) {
+            if (channel == null) {
                 outgoing.remove(peerAddress, created);
-                created.completeExceptionally(Failures.unwrap(failure));
+                created.onOpened(null, Failures.unwrap(failure));
             } else {
                 channel.onClose(() -> outgoing.remove(peerAddress, created));
-                created.complete(channel);
+                created.onOpened(channel, null);
             }
         });
         return created;
