Name the ways in which a run ends once in each class

Cause: RequestRun and both executions built the end of a refused or broken run at 12, 13 and 10 places. Change: refuse and endWith beside finish; no change of behaviour.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/EngineExecution.java
@@ -89,7 +89,7 @@
                 .pin(pinRequest(LoadPriority.PAYING))
                 .whenComplete((pinned, failure) -> steps.run(() -> {
                     if (failure != null) {
-                        finish(refusal(failure));
+                        refuse(Failures.toRefusal(failure, ResultCode.LOAD_FAILED));
                     } else if (keep(pinned)) {
                         enqueue();
                     }
@@ -111,8 +111,8 @@
                 deadlineNanos,
                 start.getSuspect() || context.suspects().isSuspect(start.getFingerprint()),
                 () -> steps.run(this::takeTurn),
-                refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
-        context.queue().offer(queued).ifPresent(refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
+                this::refuse);
+        context.queue().offer(queued).ifPresent(this::refuse);
     }
 
     private void takeTurn() {
@@ -134,7 +134,7 @@
                 .pin(pinRequest(priority))
                 .whenComplete((pinned, failure) -> steps.run(() -> {
                     if (failure != null) {
-                        finish(refusal(failure));
+                        refuse(Failures.toRefusal(failure, ResultCode.LOAD_FAILED));
                     } else if (keep(pinned)) {
                         run();
                     }
@@ -158,16 +158,12 @@
         return before != pinned;
     }
 
-    private AnswerEnd.Builder refusal(Throwable failure) {
-        return AnswerEnds.refused(context.upstreamId(), Failures.toRefusal(failure, ResultCode.LOAD_FAILED));
-    }
-
     // The run
 
     private void run() {
         Optional<Refusal> refused = context.gate().beforeRun(start);
         if (refused.isPresent()) {
-            finish(AnswerEnds.refused(context.upstreamId(), refused.get()));
+            refuse(refused.get());
             return;
         }
         synchronized (lock) {
@@ -260,7 +256,7 @@
 
     private void takeFailure(UpstreamException failure) {
         if (failure.code().isNotRun()) {
-            finish(AnswerEnds.failed(context.upstreamId(), failure.code(), String.valueOf(failure.getMessage())));
+            endWith(failure.code(), String.valueOf(failure.getMessage()));
             return;
         }
         context.crashes()
@@ -290,7 +286,7 @@
             from = resumes > MAX_RESUMES ? -1 : nextToken;
         }
         if (from < 0) {
-            finish(AnswerEnds.failed(context.upstreamId(), ResultCode.UPSTREAM_LOST, detail));
+            endWith(ResultCode.UPSTREAM_LOST, detail);
             return;
         }
         logger.atInfo()
@@ -302,7 +298,7 @@
 
     private void breakOff(ResultCode code, String detail) {
         context.engine().cancel(runId);
-        finish(AnswerEnds.failed(context.upstreamId(), code, detail));
+        endWith(code, detail);
     }
 
     // The end
@@ -326,17 +322,17 @@
                 context.queue().cancel(runId);
             }
         });
-        finish(AnswerEnds.failed(context.upstreamId(), code, code.meaning()));
+        endWith(code, code.meaning());
     }
 
     private void cancel() {
         boolean running = !withdraw();
         if (running) {
             context.engine().cancel(runId);
-            finish(AnswerEnds.failed(context.upstreamId(), ResultCode.CANCELLED, "the caller left"));
+            endWith(ResultCode.CANCELLED, "the caller left");
         } else {
             context.queue().cancel(runId);
-            finish(AnswerEnds.failed(context.upstreamId(), ResultCode.CALLER_GONE, "the caller left"));
+            endWith(ResultCode.CALLER_GONE, "the caller left");
         }
     }
 
@@ -345,14 +341,22 @@
         boolean running = !withdraw();
         if (running) {
             steps.runQuietly(() -> context.engine().cancel(runId));
-            finish(AnswerEnds.failed(context.upstreamId(), ResultCode.SIDE_LOST, "the side stops"));
+            endWith(ResultCode.SIDE_LOST, "the side stops");
         } else {
             context.queue().cancel(runId);
             Refusal stopping = Refusal.of(ResultCode.PROCESS_STOPPING).withRetryAfter(RETRY_ELSEWHERE);
-            finish(AnswerEnds.refused(context.upstreamId(), stopping));
+            refuse(stopping);
         }
     }
 
+    private void refuse(Refusal refusal) {
+        finish(AnswerEnds.refused(context.upstreamId(), refusal));
+    }
+
+    private void endWith(ResultCode code, String detail) {
+        finish(AnswerEnds.failed(context.upstreamId(), code, detail));
+    }
+
     private void finish(AnswerEnd.Builder end) {
         Pin held;
         EngineHandle open;
@@ -399,7 +403,7 @@
         public void onFailure(UpstreamException failure) {
             String detail = String.valueOf(failure.getMessage());
             if (failure.code().isNotRun()) {
-                finish(AnswerEnds.failed(context.upstreamId(), ResultCode.UPSTREAM_LOST, detail));
+                endWith(ResultCode.UPSTREAM_LOST, detail);
             } else {
                 steps.run(() -> resume(detail));
             }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceExecution.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/execute/ServiceExecution.java
@@ -84,8 +84,8 @@
                 context.time().monotonicNanos() + TimeUnit.MILLISECONDS.toNanos(start.getDeadlineMillis()),
                 start.getSuspect(),
                 () -> steps.run(this::takeTurn),
-                refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
-        context.queue().offer(queued).ifPresent(refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
+                this::refuse);
+        context.queue().offer(queued).ifPresent(this::refuse);
     }
 
     private void takeTurn() {
@@ -136,13 +136,9 @@
                 run();
             }
         } else if (decision instanceof IntentDecision.Recorded earlier) {
-            context.gate()
-                    .beforeRun(start)
-                    .ifPresentOrElse(
-                            refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)),
-                            () -> replay(earlier.outcome()));
+            context.gate().beforeRun(start).ifPresentOrElse(this::refuse, () -> replay(earlier.outcome()));
         } else if (decision instanceof IntentDecision.Refused refused) {
-            finish(AnswerEnds.refused(context.upstreamId(), refused.refusal()));
+            refuse(refused.refusal());
         }
     }
 
@@ -169,7 +165,7 @@
         }
         if (gone || refused.isPresent()) {
             releaseIntent();
-            refused.ifPresent(refusal -> finish(AnswerEnds.refused(context.upstreamId(), refusal)));
+            refused.ifPresent(this::refuse);
             return;
         }
         ServiceTarget target = start.getService();
@@ -210,7 +206,7 @@
     @Override
     public void onFailure(UpstreamException failure) {
         steps.runQuietly(() -> settleIntent(failure.code().isNotRun()));
-        finish(AnswerEnds.failed(context.upstreamId(), failure.code(), String.valueOf(failure.getMessage())));
+        endWith(failure.code(), String.valueOf(failure.getMessage()));
     }
 
     private void takeHead(int status, List<Map.Entry<String, String>> headers) {
@@ -298,7 +294,7 @@
         ResultCode code = running ? ResultCode.FAILURE_UNEXPECTED : ResultCode.FAILURE_BEFORE_RUN;
         steps.runQuietly(() -> settleIntent(!running));
         steps.runQuietly(() -> context.queue().cancel(runId));
-        finish(AnswerEnds.failed(context.upstreamId(), code, code.meaning()));
+        endWith(code, code.meaning());
     }
 
     /** A request that is not idempotent goes on once it was handed over, whether or not its caller waits. */
@@ -311,21 +307,29 @@
             context.queue().cancel(runId);
         }
         ResultCode code = running ? ResultCode.CANCELLED : ResultCode.CALLER_GONE;
-        finish(AnswerEnds.failed(context.upstreamId(), code, "the caller left"));
+        endWith(code, "the caller left");
     }
 
     /** A run that waits is told that it did not run; one that was handed over is told that it may have. */
     private void stop() {
         boolean running = !withdraw();
         if (running) {
-            finish(AnswerEnds.failed(context.upstreamId(), ResultCode.SIDE_LOST, "the side stops"));
+            endWith(ResultCode.SIDE_LOST, "the side stops");
         } else {
             context.queue().cancel(runId);
             Refusal stopping = Refusal.of(ResultCode.PROCESS_STOPPING).withRetryAfter(RETRY_ELSEWHERE);
-            finish(AnswerEnds.refused(context.upstreamId(), stopping));
+            refuse(stopping);
         }
     }
 
+    private void refuse(Refusal refusal) {
+        finish(AnswerEnds.refused(context.upstreamId(), refusal));
+    }
+
+    private void endWith(ResultCode code, String detail) {
+        finish(AnswerEnds.failed(context.upstreamId(), code, detail));
+    }
+
     private void finish(AnswerEnd.Builder end) {
         boolean tookTurn;
         synchronized (lock) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/request/serve/RequestRun.java
@@ -116,7 +116,7 @@
         SelectionRequest request;
         synchronized (lock) {
             if (cancelled) {
-                finish(end(Refusal.of(ResultCode.CALLER_GONE)));
+                refuse(Refusal.of(ResultCode.CALLER_GONE));
                 return;
             }
             SelectionRequest next =
@@ -125,20 +125,20 @@
         }
         Optional<Refusal> quarantined = context.suspects().refusal(template);
         if (quarantined.isPresent()) {
-            finish(end(quarantined.get()));
+            refuse(quarantined.get());
             return;
         }
         if (remainingMillis() <= 0) {
-            finish(end(Refusal.of(ResultCode.DEADLINE_UNREACHABLE)));
+            refuse(Refusal.of(ResultCode.DEADLINE_UNREACHABLE));
             return;
         }
         context.selector()
                 .select(request)
                 .whenComplete((chosen, failure) -> guard(() -> {
                     if (failure != null) {
-                        finish(end(Failures.toRefusal(failure, ResultCode.NO_UPSTREAM)));
+                        refuse(Failures.toRefusal(failure, ResultCode.NO_UPSTREAM));
                     } else {
-                        chosen.peekLeft(refusal -> finish(end(refusal))).peek(this::startAt);
+                        chosen.peekLeft(this::refuse).peek(this::startAt);
                     }
                 }));
     }
@@ -146,13 +146,13 @@
     private void startAt(Selection chosen) {
         Optional<Refusal> refused = configuration.refusal();
         if (refused.isPresent()) {
-            finish(end(refused.get()));
+            refuse(refused.get());
             return;
         }
         Start start;
         synchronized (lock) {
             if (cancelled || finished) {
-                finish(end(Refusal.of(ResultCode.CALLER_GONE)));
+                refuse(Refusal.of(ResultCode.CALLER_GONE));
                 return;
             }
             attempts++;
@@ -216,9 +216,9 @@
         renewal.get()
                 .whenComplete((renewed, failure) -> guard(() -> {
                     if (failure != null) {
-                        finish(end(Failures.toRefusal(failure, ResultCode.LIMIT_UNAVAILABLE)));
+                        refuse(Failures.toRefusal(failure, ResultCode.LIMIT_UNAVAILABLE));
                     } else {
-                        renewed.peekLeft(refusal -> finish(end(refusal))).peek(this::attemptInEpoch);
+                        renewed.peekLeft(this::refuse).peek(this::attemptInEpoch);
                     }
                 }));
     }
@@ -248,7 +248,7 @@
             run = current;
         }
         logFailure(failure);
-        finish(end(Refusal.of(run == null ? ResultCode.FAILURE_BEFORE_RUN : ResultCode.FAILURE_UNEXPECTED)));
+        refuse(Refusal.of(run == null ? ResultCode.FAILURE_BEFORE_RUN : ResultCode.FAILURE_UNEXPECTED));
         if (run != null) {
             run.cancel("an unexpected failure");
         }
@@ -262,6 +262,10 @@
         trace.add("failed", failure.toString());
     }
 
+    private void refuse(Refusal refusal) {
+        finish(end(refusal));
+    }
+
     /** Passes the final result on. After an attempt that may have run, the result never says "not run". */
     private void finish(AnswerEnd end) {
         AnswerEnd result = end;
@@ -303,7 +307,7 @@
             }
             cancelled = true;
         }
-        finish(end(Refusal.of(ResultCode.DEADLINE_UNREACHABLE)));
+        refuse(Refusal.of(ResultCode.DEADLINE_UNREACHABLE));
     }
 
     private void answerTimedOut() {
@@ -317,7 +321,7 @@
             run = current;
         }
         ResultCode code = run == null ? notStarted : started;
-        finish(end(Refusal.of(code, code.meaning() + " (" + reason + ")")));
+        refuse(Refusal.of(code, code.meaning() + " (" + reason + ")"));
         if (run != null) {
             run.cancel(reason);
         }
