Give back a grant of an engine that leaves or has started anew

Cause: a grant was used whatever the upstreams' list had said since the start was asked for; only what the engine itself had said in an answer counted. The engine refused the request then, which used up a send of the route, so that a request of a route with one send was refused with another engine free. Change: EngineSearch gives such a grant back and asks the next engine. A grant of an engine that the list no longer holds is used: its side has just heard it.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineSearch.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/EngineSearch.java
@@ -207,9 +207,12 @@
         recordRetryAfter(retryAfter);
     }
 
-    /** Accepts a grant, unless the engine announced its shutdown or a pause while its side queued the start. */
+    /**
+     * Accepts a grant, unless the engine announced its shutdown or a pause, or was replaced by a later start, while its
+     * side queued the start or the grant was on its way.
+     */
     private void acceptGrant(String service, Upstream engine, long ticket, long version) {
-        if (!context.availability().isAvailable(engine)) {
+        if (!context.availability().isAvailable(engine) || context.directory().isLeavingOrReplaced(engine)) {
             context.gateClient().sendProgress(engine, ticket, RunProgress.Stage.ENDED);
             tryNextEngine(service);
             return;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/upstreams/UpstreamDirectory.java
@@ -140,6 +140,17 @@
                 .toList();
     }
 
+    /**
+     * Returns whether a start of an upstream is known to accept nothing new: it leaves, or a later start has taken its
+     * id or address. One without a description may go on.
+     */
+    public boolean isLeavingOrReplaced(Upstream start) {
+        Upstream known = upstreams.get(start.id());
+        boolean leaving = known != null && known.leaving() && known.isSameStart(start);
+        boolean restarted = known != null && isLaterStart(known, start);
+        return leaving || restarted || isReplaced(start);
+    }
+
     /** Returns all upstreams. */
     public List<Upstream> all() {
         return List.copyOf(upstreams.values());
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ScriptedUpstream.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/ScriptedUpstream.java
@@ -27,9 +27,14 @@
     }
 
     public ScriptedUpstream(Script script) {
+        this(InetAddress.getLoopbackAddress(), script);
+    }
+
+    /** Creates an upstream at a loopback address of its own, as if on another VM. */
+    public ScriptedUpstream(InetAddress address, Script script) {
         this.script = script;
         try {
-            server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            server = new ServerSocket(0, 50, address);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/InMemoryPeers.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/InMemoryPeers.java
@@ -9,9 +9,11 @@
 import io.parsleycleat.wire.peer.Frame;
 import io.parsleycleat.wire.peer.Hello;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** Connects processes of one test; a frame is handled before the call that sends it returns. */
@@ -50,7 +52,10 @@
             long id = lastCorrelationId.incrementAndGet();
             CompletableFuture<Frame> reply = new CompletableFuture<>();
             pending.put(id, reply);
-            to.receive(channelTo(peer), frame.setCorrelationId(id).build());
+            Channel channel = channelTo(peer);
+            channel.onClose(() -> reply.completeExceptionally(
+                    new PeerException(ResultCode.PEER_UNREACHABLE, "the connection was lost", peer)));
+            to.receive(channel, frame.setCorrelationId(id).build());
             return reply;
         }
 
@@ -67,6 +72,14 @@
             return CompletableFuture.completedFuture(channelTo(peer));
         }
 
+        /** Loses the connection to a process; the next frame opens another one. */
+        void disconnect(String peer) {
+            Channel lost = channels.remove(peer);
+            if (lost != null) {
+                lost.close();
+            }
+        }
+
         private Channel channelTo(String peer) {
             return channels.computeIfAbsent(peer, p -> new Channel(this));
         }
@@ -82,11 +95,16 @@
     /** A connection as its accepting side sees it. */
     private static final class Channel implements PeerChannel {
         private final Node opener;
+        private final List<Runnable> closeActions = new CopyOnWriteArrayList<>();
 
         Channel(Node opener) {
             this.opener = opener;
         }
 
+        void close() {
+            closeActions.forEach(Runnable::run);
+        }
+
         @Override
         public Hello hello() {
             return Hello.newBuilder().setVmName(opener.address).build();
@@ -111,7 +129,7 @@
 
         @Override
         public void onClose(Runnable action) {
-            // The connections of a test stay open.
+            closeActions.add(action);
         }
     }
 }
