Let a stream go on, and give its start back, when the second send throws

Cause: the second send of a silent stream was left to the guard of the whole request. If it threw, the request was ended although its first engine worked; the granted start of the second one had no owner, and the upstream counted a request for ever. Change: an attempt whose send throws is over and gives back its start and its place in the upstream's load; HedgedSend logs and counts the failure, and the first upstream goes on. Result: SilentEngineStreamTest.startIsGivenBackAndStreamGoesOnWhenThe... was seen failing on the code before: the answer was cut with code 2009 while the first engine worked, and the test waited for the end of the start until it was stopped by hand; green after. FinalAnswerTest and SilentUpstreamTest pass.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Attempt.java
@@ -100,15 +100,20 @@
     }
 
     /**
-     * Sends the request.
+     * Sends the request. If this throws, the attempt is over, and what permitted it is given back.
      *
      * @param guard ends the request if an event of the answer cannot be handled
      */
     void send(SendParameters parameters, UnaryOperator<ResponseListener> guard) {
         load.onRequestSent();
-        sentRequest = context.upstreamPools()
-                .poolFor(upstream)
-                .send(context.codec().encode(request, parameters), guard.apply(this));
+        try {
+            sentRequest = context.upstreamPools()
+                    .poolFor(upstream)
+                    .send(context.codec().encode(request, parameters), guard.apply(this));
+        } catch (RuntimeException | Error e) {
+            finish(RunProgress.Stage.ENDED);
+            throw e;
+        }
     }
 
     /** Returns whether the request was handed to a connection of the upstream. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/HedgedSend.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/HedgedSend.java
@@ -133,13 +133,24 @@
             return;
         }
         state = State.SENT;
-        attempt = owner.sendHedged(found, this);
+        attempt = send(found);
         if (attempt == null) {
             found.giveBack(context);
             end();
         }
     }
 
+    /** Sends to the second upstream. A send that throws ends neither the request nor its first upstream's work. */
+    private @Nullable Attempt send(UpstreamSearch.Found found) {
+        try {
+            return owner.sendHedged(found, this);
+        } catch (RuntimeException | Error e) {
+            logger.atSevere().withCause(e).with(LogKeys.REQUEST, requestId).log("the second send failed");
+            context.metrics().onUnexpectedFailure();
+            return null;
+        }
+    }
+
     private void onRefused(Refusal refusal) {
         logger.atInfo()
                 .with(LogKeys.REQUEST, requestId)
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentEngineStreamTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentEngineStreamTest.java
@@ -131,6 +131,23 @@
         }
     }
 
+    /** Guards against a start that nobody gives back, and a lost stream, when the hedged send cannot be encoded. */
+    @Test(timeOut = 20_000)
+    public void startIsGivenBackAndStreamGoesOnWhenTheSecondSendFailsUnexpectedly() throws Exception {
+        CountDownLatch failed = new CountDownLatch(1);
+        try (ScriptedUpstream one = new ScriptedUpstream(silentUntil(failed));
+                ScriptedUpstream two = new ScriptedUpstream(respondWith("", false))) {
+            RecordingCaller caller = startOnFirst(one, two);
+            StartQuestion second = starts.take();
+            entry.faults.throwAt("encode");
+            second.grant("b");
+            assertEquals(lastStage(second.ticket()), RunProgress.Stage.ENDED);
+            failed.countDown();
+            assertEquals(caller.answer.join(), WHOLE_STREAM);
+            assertEquals(entry.openRequests("b"), 0);
+        }
+    }
+
     /** Guards against a repeat that counts for the retry budget although no engine has taken the request. */
     @Test
     public void repeatThatNoEngineTakesIsGivenBack() throws Exception {
