Find an upstream of the route's new service when the former one has none left

Cause: the service of a request was chosen at its admission for good. After a change that leads the route to another service, while the former one drains, a request that an upstream handed back and a stream that broke off were refused or cut although an upstream of the new service was free. Change: TriedUpstreams decides at which service the request looks: the one of its admission, until that has no untried upstream and the newest configuration leads the route of the same name elsewhere; then one of the route's new services that has an upstream, by weight first. What may be sent again is decided as before, by the kind at admission; upstreams tried, the limit on their number, quarantine and keys stay. A reserved repeat is reserved anew at the service it goes to, and a hedged send counts at its upstream's service. A service that has had no request at this entry has earned no repeat, so a request that would be a repeat there is refused or cut as before until it has.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -32,7 +32,6 @@
     private final RequestForwarder.Admitted admitted;
     private final ForwardRequest request;
     private final Route route;
-    private final String service;
     private final OpenRequest open;
     private final CallerAnswer answer;
     private final SilenceCheck silence;
@@ -47,18 +46,18 @@
     /**
      * Creates the forwarding of one request; {@link #start} starts it.
      *
+     * @param tried where the request may be sent
      * @param open owns the request and takes its answer
      */
-    Forwarding(ForwardingContext context, RequestForwarder.Admitted admitted, String service, OpenRequest open) {
+    Forwarding(ForwardingContext context, RequestForwarder.Admitted admitted, TriedUpstreams tried, OpenRequest open) {
         this.context = context;
         this.admitted = admitted;
         this.request = admitted.request();
         this.route = admitted.route();
-        this.service = service;
         this.open = open;
         this.answer = new CallerAnswer(open, context.codec(), route, open::execute, this::setReading);
-        this.tried = new TriedUpstreams(context, route, service);
-        this.repeats = new RequestRepeats(context, request.id(), service);
+        this.tried = tried;
+        this.repeats = new RequestRepeats(context, request.id());
         this.silence = new SilenceCheck(context, route, open.guard(this::hedgeIfLate));
     }
 
@@ -74,15 +73,23 @@
             return;
         }
         open.enter(OpenRequest.Stage.UPSTREAM, "");
+        String service = tried.service();
+        if (!repeats.moveTo(service)) {
+            refuse(noUpstream(ResultCode.NO_UPSTREAM));
+            return;
+        }
         UpstreamSearch next = new UpstreamSearch(context, open, admitted, service);
         search = next;
         Duration limit = open.timeLimit();
-        next.start(tried.ids(), this::onFound, refusal -> onNotFound(refusal, limit));
+        next.start(tried.ids(), this::onFound, refusal -> onNotFound(refusal, service, limit));
     }
 
-    /** Refuses the request, unless its time limit has grown since the search began, which waited no longer. */
-    private void onNotFound(Refusal refusal, Duration searchedLimit) {
-        if (open.timeLimit().compareTo(searchedLimit) > 0) {
+    /**
+     * Refuses the request, unless another service has upstreams for it, or its time limit has grown since the search
+     * began, which waited no longer.
+     */
+    private void onNotFound(Refusal refusal, String searchedService, Duration searchedLimit) {
+        if (!tried.service().equals(searchedService) || open.timeLimit().compareTo(searchedLimit) > 0) {
             sendNext();
         } else {
             refuse(refusal);
@@ -156,7 +163,8 @@
                     .log(
                             "no answer for %d ms; looking for a second upstream",
                             current.age().toMillis());
-            hedge = new HedgedSend(context, request.id(), new UpstreamSearch(context, open, admitted, service), this);
+            hedge = new HedgedSend(
+                    context, request.id(), new UpstreamSearch(context, open, admitted, tried.service()), this);
             hedge.start(tried.ids());
         }
     }
@@ -166,12 +174,16 @@
                 && mayTryAnother()
                 && tried.hasUntriedUnlimited()
                 && !isQuarantined()
-                && repeats.isAvailable();
+                && repeats.isAvailable(tried.service());
     }
 
     @Override
     public @Nullable Attempt sendHedged(UpstreamSearch.Found found, Attempt.Listener listener) {
-        return !finished && !isQuarantined() && repeats.takeForSend() ? send(found, listener) : null;
+        return !finished
+                        && !isQuarantined()
+                        && repeats.takeForSend(found.upstream().service())
+                ? send(found, listener)
+                : null;
     }
 
     @Override
@@ -323,7 +335,7 @@
             if (continueOnHedge()) {
                 return;
             }
-            if (route.isRetryable() && mayTryAnother() && repeats.reserve()) {
+            if (route.isRetryable() && mayTryAnother() && repeats.reserve(tried.service())) {
                 retry();
                 return;
             }
@@ -355,10 +367,10 @@
         if (continueOnHedge()) {
             return;
         }
-        if (mayTryAnother() && repeats.reserve()) {
+        if (mayTryAnother() && repeats.reserve(tried.service())) {
             retry();
         } else {
-            refuse(Refusal.of(ResultCode.UPSTREAM_REFUSED).withRetryAfter(context.noUpstreamRetryAfter(service)));
+            refuse(noUpstream(ResultCode.UPSTREAM_REFUSED));
         }
     }
 
@@ -396,7 +408,7 @@
             }
             return;
         }
-        if (route.isRetryable() && !isQuarantined() && mayTryAnother() && repeats.reserve()) {
+        if (route.isRetryable() && !isQuarantined() && mayTryAnother() && repeats.reserve(tried.service())) {
             retry();
         } else {
             sendRefusal(Refusal.of(ResultCode.UPSTREAM_LOST, failure.detail()));
@@ -411,6 +423,10 @@
         sendRefusal(reportNotRun ? refusal : Refusal.of(ResultCode.UPSTREAM_LOST, refusal.detail()));
     }
 
+    private Refusal noUpstream(ResultCode code) {
+        return Refusal.of(code).withRetryAfter(context.noUpstreamRetryAfter(tried.service()));
+    }
+
     private void sendRefusal(Refusal refusal) {
         if (finished) {
             return;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
@@ -321,7 +321,8 @@
         }
         String service = admitted.route().selectService(random.getAsDouble());
         context.retryShare().onRequest(service);
-        Forwarding forwarding = new Forwarding(context, admitted, service, open);
+        TriedUpstreams tried = new TriedUpstreams(context, admitted, service, random);
+        Forwarding forwarding = new Forwarding(context, admitted, tried, open);
         open.setWork(forwarding::end);
         forwarding.start();
     }
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestRepeats.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestRepeats.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The repeats that one request takes from the retry budget of its service. Each is reserved when it is decided to send
+ * The repeats that one request takes from the retry budget of a service. Each is reserved when it is decided to send
  * the request again, and counts from its send, before which the request may wait for an upstream.
  *
  * <p>Created by {@link Forwarding} for each request; used on the event loop.
@@ -17,35 +17,43 @@
 
     private final ForwardingContext context;
     private final String requestId;
-    private final String service;
     private Optional<RetryShare.Repeat> reserved = Optional.empty();
+    private String reservedService = "";
     private long reservedNanos;
 
-    RequestRepeats(ForwardingContext context, String requestId, String service) {
+    RequestRepeats(ForwardingContext context, String requestId) {
         this.context = context;
         this.requestId = requestId;
-        this.service = service;
     }
 
-    /** Returns whether a repeat is left. */
-    boolean isAvailable() {
+    /** Returns whether a repeat at a service is left. */
+    boolean isAvailable(String service) {
         return context.retryShare().hasRepeat(service);
     }
 
-    /** Reserves a repeat for the next send; returns false if none is left. */
-    boolean reserve() {
-        Optional<RetryShare.Repeat> repeat = reserveNew();
+    /** Reserves a repeat at a service for the next send; returns false if none is left. */
+    boolean reserve(String service) {
+        Optional<RetryShare.Repeat> repeat = reserveNew(service);
         repeat.ifPresent(r -> {
             giveBack();
             reserved = repeat;
+            reservedService = service;
             reservedNanos = context.time().monotonicNanos();
         });
         return repeat.isPresent();
     }
 
-    /** Takes a repeat for a send that is made at once; returns false if none is left. */
-    boolean takeForSend() {
-        Optional<RetryShare.Repeat> repeat = reserveNew();
+    /**
+     * Lets the next send go to a service. A repeat reserved at another one is reserved anew; returns false if none
+     * is left.
+     */
+    boolean moveTo(String service) {
+        return reserved.isEmpty() || reservedService.equals(service) || reserve(service);
+    }
+
+    /** Takes a repeat for a send that is made at once to a service; returns false if none is left. */
+    boolean takeForSend(String service) {
+        Optional<RetryShare.Repeat> repeat = reserveNew(service);
         repeat.ifPresent(RetryShare.Repeat::onSent);
         return repeat.isPresent();
     }
@@ -66,7 +74,7 @@
         reserved = Optional.empty();
     }
 
-    private Optional<RetryShare.Repeat> reserveNew() {
+    private Optional<RetryShare.Repeat> reserveNew(String service) {
         Optional<RetryShare.Repeat> repeat = context.retryShare().tryReserve(service);
         context.metrics().onRepeatDecided(repeat.isPresent());
         if (repeat.isEmpty()) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/UpstreamSearch.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/UpstreamSearch.java
@@ -55,7 +55,9 @@
      */
     void start(Set<String> excluded, Consumer<Found> onFound, Consumer<Refusal> onRefused) {
         AdapterId adapter = admitted.request().adapter();
-        Optional<ServiceSpec> spec = admitted.table().service(service);
+        Optional<ServiceSpec> spec = admitted.table()
+                .service(service)
+                .or(() -> context.configuration().current().flatMap(t -> t.service(service)));
         if (adapter != null && spec.isPresent() && spec.get().engine() != null) {
             EngineSearch.Criteria criteria = new EngineSearch.Criteria(
                     admitted.request().id(),
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/Route.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/Route.java
@@ -51,6 +51,11 @@
         return kind == RequestKind.IDEMPOTENT || (kind == RequestKind.STREAM && resumable);
     }
 
+    /** Returns whether requests may go to a service, which has a weight. */
+    public boolean leadsTo(String service) {
+        return shares.stream().anyMatch(s -> s.service().equals(service) && s.weight() > 0);
+    }
+
     /**
      * Returns the service that is selected by a point from 0 (inclusive) to 1 (exclusive) on the scale of all weights.
      */
