Let the last read of a stop follow a pass over the sockets, also after a long hold-up

Cause: CallerServer.endReading scheduled its action with a delay from the thread of the stop. Netty runs such a task at once, without another pass over the sockets, if it is due when the loop gets to it; after a hold-up of more than a millisecond it always is. The test held the loop up for less and passed. Change: the delay begins on the event loop. The test holds the loop up for 50 ms.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/ConnectionTimer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/ConnectionTimer.java
@@ -37,7 +37,8 @@
 
     /** Runs an action once the event loop has read what waits in the sockets. */
     static void afterReadPass(EventLoop loop, Runnable action) {
-        loop.schedule(action, READ_PASS_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        // Scheduled by another thread while the loop is held up, the action would be due before the pass.
+        loop.execute(() -> loop.schedule(action, READ_PASS_DELAY_MILLIS, TimeUnit.MILLISECONDS));
     }
 
     private void schedule(ChannelHandlerContext context, long delayMillis, Runnable action) {
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerDrainTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerDrainTest.java
@@ -30,6 +30,8 @@
     private static final Duration SHORT = Duration.ofMillis(300);
     /** More than a stop waited once for answers that had not left. */
     private static final long SLOW_READER_PAUSE_MILLIS = 1_500;
+
+    private static final long HOLD_UP_MILLIS = 50;
     /** More than the buffers of both ends of a connection hold. */
     private static final int LARGE_BYTES = 32 * 1024 * 1024;
 
@@ -138,6 +140,8 @@
             server.drain();
             server.endReading();
             assertTrue(server.activeConnections() >= 2);
+            // Whatever is due by then goes before the next pass over the sockets.
+            awaitMillis(HOLD_UP_MILLIS);
             released.countDown();
             String answer = kept.answer();
             assertTrue(answer.contains("connection: close\r\n") && answer.endsWith("[/b]"), answer);
