Count the operators' records that are not in use

Cause: a configuration with a field of another type is refused as a whole. One log line told it at each such record; no metric and no readiness said that requests are served by an older configuration, nor why an entry that started then is not ready. Change: ConfigurationUpdater counts the keys whose newest record is malformed, until a usable record or a deletion replaces it, 1,000 at most. Entries and sides have the gauge operators.records.refused, and the readiness of an entry without any configuration names the refused records.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -113,6 +113,7 @@
     private final PermitHomes permitHomes;
     private final CrashDetector crashWatch;
     private final EntryMessenger messenger;
+    private final ConfigurationUpdater configurationUpdater;
     private final LogFollower operatorsFollower;
     private final LogFollower upstreamsFollower;
     private final LogFollower entriesFollower;
@@ -153,10 +154,12 @@
                 view,
                 relay);
         this.budgets = new AccountBudgets(identity.vmName(), budgetHomes, messenger, time, eventLoop);
+        this.configurationUpdater =
+                new ConfigurationUpdater(store.operatorsDecoder(), configuration, adapterVersions, time);
         this.operatorsFollower = createFollower(
                 "operators' log",
                 store.operatorsLog(),
-                new ConfigurationUpdater(store.operatorsDecoder(), configuration, adapterVersions, time),
+                configurationUpdater,
                 OPERATORS_LOG_SETTINGS,
                 settings.changeBound());
         this.upstreamsFollower = createFollower(
@@ -198,6 +201,7 @@
                 .listen(settings.metricsAddress());
         metrics.gauge("requests.open", () -> forwarder::openRequests);
         metrics.gauge("operators.log.era", () -> operatorsFollower::era);
+        metrics.gauge("operators.records.refused", () -> configurationUpdater::refusedRecords);
         metrics.gauge("configuration.age.millis", () -> operatorsFollower.freshness()::ageMillis);
         eventLoop.scheduleAtFixedRate(
                 () -> {
@@ -261,7 +265,10 @@
             return Readiness.notReady("the process is stopping");
         }
         if (configuration.current().isEmpty()) {
-            return Readiness.notReady("no configuration yet");
+            return Readiness.notReady(
+                    configurationUpdater.refusedRecords() > 0
+                            ? "no usable configuration, operators' records are refused"
+                            : "no configuration yet");
         }
         if (!upstreamsFollower.isFullyRead()) {
             return Readiness.notReady("no upstreams known yet");
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/side/EngineSide.java
@@ -45,6 +45,7 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final EngineGate gate;
     private final NettyPeerTransport transport;
+    private final ConfigurationUpdater configurationUpdater;
     private final LogFollower logFollower;
     private final OrderLoop orderLoop;
     private final GateServer gateServer;
@@ -70,13 +71,9 @@
         this.orderLoop =
                 new OrderLoop(gate, engine, store.fenceSource(), () -> healthPath(configuration), loop, time, () -> {});
         this.gateServer = new GateServer(gate, transport, time, orderLoop::wake);
+        this.configurationUpdater = new ConfigurationUpdater(store.operatorsDecoder(), configuration, versions, time);
         this.logFollower = new LogFollower(
-                "operators' log",
-                store.operatorsLog(),
-                new ConfigurationUpdater(store.operatorsDecoder(), configuration, versions, time),
-                OPERATORS_LOG_SETTINGS,
-                loop,
-                time);
+                "operators' log", store.operatorsLog(), configurationUpdater, OPERATORS_LOG_SETTINGS, loop, time);
     }
 
     /** Starts a side that accepts connections from entries. */
@@ -94,6 +91,7 @@
         orderLoop.start();
         new CallerServer(loops, () -> CallerLimits.DEFAULT, new AdminService(metrics, () -> Readiness.READY))
                 .listen(settings.metricsAddress());
+        metrics.gauge("operators.records.refused", () -> configurationUpdater::refusedRecords);
         metrics.gauge("gate.running", () -> () -> gate.status().getRunning());
         metrics.gauge("gate.waiting", () -> () -> gate.status().getWaiting());
         loop.scheduleAtFixedRate(
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationUpdater.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/routes/ConfigurationUpdater.java
@@ -8,20 +8,27 @@
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.gateway.version.follow.KeyedLogListener;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Applies operators' records to the configuration and the adapter versions of a process. Malformed records and
- * deletions change nothing.
+ * deletions change nothing. Malformed ones are counted until a usable record replaces them, since requests are served
+ * meanwhile by what was known before.
  *
  * <p>One per process; called by one follower.
  */
 public final class ConfigurationUpdater implements KeyedLogListener {
+    /** Number of malformed records that are counted at most. */
+    public static final int MAX_REFUSED_RECORDS = 1_000;
+
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final ConfigurationDecoder decoder;
     private final ConfigurationHolder holder;
     private final AdapterVersions versions;
     private final TimeSource time;
+    private final Set<String> refusedKeys = ConcurrentHashMap.newKeySet();
 
     /** Creates an updater of a process's configuration and adapter versions. */
     public ConfigurationUpdater(
@@ -32,8 +39,25 @@
         this.time = time;
     }
 
+    /** Returns the number of keys whose newest record is not in use because it is malformed. */
+    public int refusedRecords() {
+        return refusedKeys.size();
+    }
+
     @Override
     public void onPut(String key, byte[] value) {
+        try {
+            apply(key, value);
+        } catch (PlatformException e) {
+            if (refusedKeys.size() < MAX_REFUSED_RECORDS) {
+                refusedKeys.add(key);
+            }
+            throw e;
+        }
+        refusedKeys.remove(key);
+    }
+
+    private void apply(String key, byte[] value) {
         Optional<RoutingTable> table = decoder.table(key, value);
         table.ifPresent(holder::applyIfNewer);
         if (table.isPresent()) {
@@ -58,6 +82,7 @@
 
     @Override
     public void onDelete(String key, boolean afterOutage) {
+        refusedKeys.remove(key);
         logger.atInfo().log("operators' record %s was deleted; its content stays in force", key);
     }
 }
