--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerDrainTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerDrainTest.java
@@ -186,4 +186,45 @@
             stopped.get(20, TimeUnit.SECONDS);
         }
     }
+
+    // Guards against an HTTP/2 request that was read in part and ends with the process, below the id of its GOAWAY.
+    @Test
+    public void partlyReadHttp2RequestIsRefusedAtTheEnd() throws Exception {
+        try (CallerSocket caller = new CallerSocket(port)) {
+            String settings = "\0\0\0\4\0\0\0\0\0";
+            // POST / without END_STREAM: its body is still to come.
+            String headers = "\0\0\6\1\4\0\0\0\1\u0083\u0086\u0084\u0041\1a";
+            caller.send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + settings + headers);
+            awaitMillis(SLOW_READER_PAUSE_MILLIS);
+            CompletableFuture<Void> stopped = stop(Duration.ofSeconds(2));
+            String frames = caller.rest();
+            stopped.get(20, TimeUnit.SECONDS);
+            List<String> types = new java.util.ArrayList<>();
+            boolean ended = false;
+            for (int at = 0; at + 9 <= frames.length(); ) {
+                int length = frames.charAt(at) << 16 | frames.charAt(at + 1) << 8 | frames.charAt(at + 2);
+                int type = frames.charAt(at + 3);
+                int stream = frames.charAt(at + 8);
+                String detail = type == 7 ? " last stream " + (int) frames.charAt(at + 12) : "";
+                types.add("type " + type + " stream " + stream + detail);
+                ended |= stream == 1 && (type == 1 || type == 3);
+                at += 9 + length;
+            }
+            assertTrue(ended, "neither an answer nor a reset of stream 1: " + types);
+        }
+    }
+
+    // Guards against a request of which a part was read behind an earlier one, and that is taken for unread.
+    @Test
+    public void requestReadInPartBehindAnotherIsRefusedAtTheEnd() throws Exception {
+        try (CallerSocket caller = new CallerSocket(port)) {
+            caller.send(CallerSocket.get("/a") + "POST /b HTTP/1.1\r\nho");
+            String first = caller.answer();
+            assertTrue(first.endsWith("[/a]") && !first.contains("connection: close"), first);
+            CompletableFuture<Void> stopped = stop(Duration.ofSeconds(2));
+            String second = caller.rest();
+            stopped.get(20, TimeUnit.SECONDS);
+            assertTrue(second.startsWith("HTTP/1.1 503 "), "behind the first answer: '" + second + "'");
+        }
+    }
 }
