Grant no start by the report of an engine start that is over

Cause: when a report shows that the engine has started anew, the side asks for its id. Until the health check answers, the gate went on granting by the report and under the id of the start before. The same holds after an order that the engine refused for its id. Change: the gate counts the engine as silent until its id is known: starts that no other engine takes in time keep their places, the others are refused.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/gate/OrderLoop.java
@@ -168,10 +168,16 @@
             requestFencingToken();
         }
         if (outcome == ModelOrder.Outcome.WRONG_ENGINE) {
-            engineId = null;
+            forgetEngineId();
         }
     }
 
+    /** Grants nothing more for the start that is over, until the id of the present one is known. */
+    private void forgetEngineId() {
+        engineId = null;
+        gate.onEngineSilent();
+    }
+
     private void fetchReport() {
         callInProgress = true;
         lastReportNanos = time.monotonicNanos();
@@ -195,7 +201,7 @@
             logger.atInfo().log(
                     "engine started at %d, %d orders accepted", report.startedAtMillis(), report.acceptedOrders());
             engineStartedAtMillis = report.startedAtMillis();
-            engineId = null;
+            forgetEngineId();
         }
         String id = engineId;
         if (id == null) {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/SilentEngineTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/process/SilentEngineTest.java
@@ -52,6 +52,8 @@
     private final class ReportingEngine implements EngineControl {
         private boolean silent;
         private boolean down;
+        private boolean healthSilent;
+        private long startedAtMillis = 1;
 
         @Override
         public CompletableFuture<EngineReport> fetchReport() {
@@ -66,13 +68,15 @@
                         TimeUnit.MILLISECONDS);
                 return report;
             }
-            return CompletableFuture.completedFuture(
-                    new EngineReport(1, 0, false, Set.of("m"), Map.of(RESIDENT, 1L), Map.of(), 0, 0, 20_000));
+            return CompletableFuture.completedFuture(new EngineReport(
+                    startedAtMillis, 0, false, Set.of("m"), Map.of(RESIDENT, 1L), Map.of(), 0, 0, 20_000));
         }
 
         @Override
         public CompletableFuture<String> fetchEngineId(String healthPath) {
-            return CompletableFuture.completedFuture("engine-1");
+            return healthSilent
+                    ? CompletableFuture.failedFuture(new TimeoutException("no health check"))
+                    : CompletableFuture.completedFuture("engine-" + startedAtMillis);
         }
 
         @Override
@@ -211,4 +215,22 @@
         runMillis(500);
         assertTrue(isGranted(2), "not granted: " + answers.get(2L));
     }
+
+    /** Guards against starts granted by the report of an engine that is known to have started anew. */
+    @Test
+    public void noStartIsGrantedForAStartThatIsKnownToBeOver() {
+        engine.healthSilent = true;
+        engine.startedAtMillis = 2;
+        runMillis(600);
+        gate.onProgress(key(1), RunProgress.Stage.ENDED);
+        requestStart(2, NO_OTHER_ENGINE_MILLIS);
+        requestStart(3, OTHER_ENGINE_SOONER_MILLIS);
+        runMillis(600);
+        assertFalse(answers.containsKey(2L), "granted: " + answers.get(2L));
+        assertEquals(answers.get(3L).getRefusalCode(), ResultCode.UPSTREAM_UNREACHABLE.number());
+        engine.healthSilent = false;
+        runMillis(200);
+        assertEquals(answers.get(2L).getEngineId(), "engine-2");
+        assertEquals(answers.get(2L).getEngineBorn(), 2);
+    }
 }
