Read what waits in the sockets before a request ends at its deadline

Cause: the mend of callers' connections left the timers of running requests as they were. After the event loop was held up past a deadline, the timer ran before the sockets were read; an answer that had arrived in time was dropped, and its caller got 504 or a cut stream. Change: ReadPass, taken out of the connections' timer, is used by both; the deadline of a request acts one pass over the sockets later.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
@@ -28,6 +28,7 @@
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import io.parsleycleat.core.process.common.ReadPass;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
 import java.net.InetSocketAddress;
@@ -123,7 +124,7 @@
     public void endReading() {
         open.forEach(channel -> {
             endsOfReading.incrementAndGet();
-            ConnectionTimer.afterReadPass(channel.eventLoop(), () -> {
+            ReadPass.thenRunFromAnyThread(channel.eventLoop(), () -> {
                 channel.pipeline().fireUserEventTriggered(ConnectionEvent.END_READING);
                 endsOfReading.decrementAndGet();
             });
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/Http2IdleClose.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/Http2IdleClose.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http2.Http2Stream;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.parsleycleat.core.process.common.ReadPass;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -56,14 +57,14 @@
         if (event == ConnectionEvent.END_READING) {
             context.close();
         } else if (event == ConnectionEvent.CLOSE_WHEN_UNUSED) {
-            ConnectionTimer.afterReadPass(context.channel().eventLoop(), context::close);
+            ReadPass.thenRunFromAnyThread(context.channel().eventLoop(), context::close);
         } else if (!(event instanceof IdleStateEvent) || isUsed(context)) {
             context.fireUserEventTriggered(event);
         } else if (closeDelay().compareTo(timeout) > 0) {
             context.pipeline().remove(IdleStateHandler.class);
             watch(context);
         } else {
-            ConnectionTimer.afterReadPass(context.channel().eventLoop(), () -> closeIfUnused(context));
+            ReadPass.thenRunFromAnyThread(context.channel().eventLoop(), () -> closeIfUnused(context));
         }
     }
 
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/OpenRequest.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/OpenRequest.java
@@ -5,6 +5,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.parsleycleat.core.connection.caller.CallerExchange;
 import io.parsleycleat.core.connection.caller.ErrorAnswer;
+import io.parsleycleat.core.process.common.ReadPass;
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
@@ -185,12 +186,16 @@
         deadlineTimer = context.loop().schedule(guard(() -> onDeadline(limit)), millis, TimeUnit.MILLISECONDS);
     }
 
-    /** Ends the request, unless its time limit has grown since this deadline was scheduled. */
+    /**
+     * Ends the request, unless its time limit has grown since this deadline was scheduled, or its answer waits in the
+     * socket.
+     */
     private void onDeadline(Duration scheduledLimit) {
         if (timeLimit().compareTo(scheduledLimit) > 0) {
             scheduleDeadline();
         } else {
-            end(NOT_RUN_AT_DEADLINE, Refusal.of(ResultCode.DEADLINE_PASSED));
+            deadlineTimer = ReadPass.thenRun(
+                    context.loop(), guard(() -> end(NOT_RUN_AT_DEADLINE, Refusal.of(ResultCode.DEADLINE_PASSED))));
         }
     }
 
