Fail a request to a peer that cannot be handed to its connection

Cause: frames that wait for their connection are handed over one by one, and what one of them throws is only logged; the request behind it never ended, since its timeout had not begun. Change: the request fails with what was thrown.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
@@ -138,18 +138,27 @@
             } else if (channel == null) {
                 reply.completeExceptionally(failure);
             } else {
-                channel.request(frame, timeout).whenComplete((answer, failed) -> {
-                    if (failed == null) {
-                        reply.complete(answer);
-                    } else {
-                        reply.completeExceptionally(Failures.unwrap(failed));
-                    }
-                });
+                request(channel, frame, timeout, reply);
             }
         });
         return reply;
     }
 
+    private static void request(
+            NettyPeerChannel channel, Frame.Builder frame, Duration timeout, CompletableFuture<Frame> reply) {
+        try {
+            channel.request(frame, timeout).whenComplete((answer, failed) -> {
+                if (failed == null) {
+                    reply.complete(answer);
+                } else {
+                    reply.completeExceptionally(Failures.unwrap(failed));
+                }
+            });
+        } catch (RuntimeException | Error e) {
+            reply.completeExceptionally(e);
+        }
+    }
+
     @Override
     public void send(String peerAddress, Frame.Builder frame) {
         outgoing(peerAddress).whenOpen((channel, failure) -> {
