Name what probes a connection and whose time an upstream gets, after a review

Cause: a reader who was new to the code stopped at a query that consumes a byte, at two comments that told the older behaviour, and found a close that ends with a null pointer if a peer's connection has just ended.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
@@ -119,7 +119,7 @@
     /**
      * Reads what waits in the sockets for the last time. After that, requests that were read as a whole are answered,
      * those that were read in part are refused, and connections without a request are closed. Meanwhile connections
-     * count as active.
+     * count as active. HTTP/2 connections are closed as they are.
      */
     public void endReading() {
         open.forEach(channel -> {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/LingeringClose.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/LingeringClose.java
@@ -18,9 +18,10 @@
  * what the caller has not read yet.
  *
  * <p>That is for a connection whose caller knows that no request is taken any more. From one that ends only because it
- * carries no request, nothing more is read: its caller may be sending one, and may repeat it if it was not read.
+ * carries no request, nothing more is read ({@link #closeUnread}): its caller may be sending one, and may repeat it if
+ * it was not read.
  *
- * <p>Created for each HTTP/1.1 connection at its announced end; used on its event loop only.
+ * <p>Created by {@link #close} for each HTTP/1.1 connection; used on its event loop only.
  */
 final class LingeringClose extends ChannelInboundHandlerAdapter {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/peer/NettyPeerTransport.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -189,11 +190,7 @@
         List<Channel> open = List.copyOf(accepted.keySet());
         open.forEach(channel -> {
             if (channel instanceof SocketChannel) {
-                // Passes by the encoders, which would make an empty frame of it.
-                channel.pipeline()
-                        .firstContext()
-                        .writeAndFlush(Unpooled.EMPTY_BUFFER)
-                        .addListener(ChannelFutureListener.CLOSE);
+                closeBehindWrites(channel);
             } else {
                 channel.close();
             }
@@ -201,6 +198,16 @@
         open.forEach(channel -> channel.closeFuture().awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS));
     }
 
+    private static void closeBehindWrites(Channel channel) {
+        ChannelHandlerContext first = channel.pipeline().firstContext();
+        if (first == null) {
+            channel.close();
+            return;
+        }
+        // Passes by the encoders, which would make an empty frame of it.
+        first.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+
     // Used by the channels
 
     Hello hello() {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamChannel.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamChannel.java
@@ -17,7 +17,7 @@
      * Returns whether bytes, the upstream's close or a reset wait unread. Takes a byte off the connection, which must
      * not be used after that.
      */
-    boolean hasInput() {
+    boolean probeInput() {
         try {
             return javaChannel().read(ByteBuffer.allocate(1)) != 0;
         } catch (IOException e) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
@@ -109,7 +109,7 @@
         return channel.isActive()
                 && !failed
                 && idleMillis < Math.min(idleLimitMillis, maxIdleMillis)
-                && !channel.hasInput();
+                && !channel.probeInput();
     }
 
     void markIdleSince(long nowNanos) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/RequestForwarder.java
@@ -93,8 +93,8 @@
         }
 
         /**
-         * Returns the request's route in the newest configuration; the one of its admission if that was dropped since
-         * or leads from elsewhere.
+         * Returns the request's route in the newest configuration; the one of its admission if that was dropped since,
+         * or if another route has taken its host and path.
          */
         Route newestRoute(ConfigurationHolder configuration) {
             return configuration
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/SendParameters.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/SendParameters.java
@@ -10,7 +10,8 @@
  *
  * <p>Created by {@link Forwarding} for each send.
  *
- * @param timeLeft the time left until the deadline of the request
+ * @param timeLeft the time that the upstream may take: what the caller has left where it set a deadline, else what the
+ *     request has left on its route
  * @param account the client account to which the caller's key belongs; null for requests without a key
  * @param priority 0 is the most urgent; null if the upstream does not support priorities
  * @param adapterVersion the adapter version that the upstream must hold; 0 for any
