Accept the connections that wait before a stop ends listening

Cause: a stop closed the listening socket at once. Change: CallerServer.stopListening accepts what waits first, and counts as active until then; the stops of both kinds of entry use it.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
@@ -59,7 +59,7 @@
     private final ConnectionRegistry connections;
     private final Object lock = new Object();
     private final ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-    private final AtomicInteger endsOfReading = new AtomicInteger();
+    private final AtomicInteger pendingPasses = new AtomicInteger();
     private Optional<Channel> listening = Optional.empty();
     private volatile boolean draining;
 
@@ -113,7 +113,7 @@
      * that only wait for their caller to close its end do not count.
      */
     public int activeConnections() {
-        return connections.active() + endsOfReading.get();
+        return connections.active() + pendingPasses.get();
     }
 
     /**
@@ -123,10 +123,10 @@
      */
     public void endReading() {
         open.forEach(channel -> {
-            endsOfReading.incrementAndGet();
+            pendingPasses.incrementAndGet();
             ReadPass.thenRunFromAnyThread(channel.eventLoop(), () -> {
                 channel.pipeline().fireUserEventTriggered(ConnectionEvent.END_READING);
-                endsOfReading.decrementAndGet();
+                pendingPasses.decrementAndGet();
             });
         });
     }
@@ -148,7 +148,24 @@
                 .forEach(Channel::close);
     }
 
-    /** Stops to accept connections; those that are open go on. */
+    /**
+     * Accepts the connections that wait for it, which may bring requests, and then stops to accept any. Meanwhile the
+     * server counts as having an active connection. Those that are open go on.
+     */
+    public void stopListening() {
+        synchronized (lock) {
+            listening.ifPresent(channel -> {
+                pendingPasses.incrementAndGet();
+                ReadPass.thenRunFromAnyThread(channel.eventLoop(), () -> {
+                    channel.close();
+                    pendingPasses.decrementAndGet();
+                });
+            });
+            listening = Optional.empty();
+        }
+    }
+
+    /** Stops to accept connections at once; those that are open go on. */
     @Override
     public void close() {
         synchronized (lock) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/common/CallerDrain.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/common/CallerDrain.java
@@ -30,7 +30,7 @@
             TimeSource time,
             Duration timeLeft) {
         long endNanos = time.monotonicNanos() + timeLeft.toNanos();
-        callers.close();
+        callers.stopListening();
         LongSupplier unfinished = () -> openRequests.getAsLong() + callers.activeConnections();
         Drain.await(
                 scheduler,
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/entry/EntryProcess.java
@@ -119,7 +119,7 @@
         stopping = true;
         callers.drain();
         Drain.pause(settings.control().leaveDelay());
-        callers.close();
+        callers.stopListening();
         service.stop();
         long endNanos =
                 base.time().monotonicNanos() + settings.control().drainTimeout().toNanos();
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerDrainTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/CallerDrainTest.java
@@ -128,6 +128,24 @@
         }
     }
 
+    // Guards against a connection with a request on it that waits to be accepted and is reset when listening ends.
+    @Test
+    public void connectionThatWaitsWhenListeningEndsIsAnswered() throws Exception {
+        try (CallerSocket slow = new CallerSocket(port)) {
+            slow.send(CallerSocket.get("/slow"));
+            assertTrue(heldUp.await(20, TimeUnit.SECONDS));
+            try (CallerSocket waiting = new CallerSocket(port)) {
+                waiting.send(CallerSocket.get("/b"));
+                CompletableFuture<Void> stopped = stop(LONG);
+                awaitMillis(SLOW_READER_PAUSE_MILLIS);
+                released.countDown();
+                String answer = waiting.answer();
+                assertTrue(answer.contains("connection: close\r\n") && answer.endsWith("[/b]"), answer);
+                stopped.get(20, TimeUnit.SECONDS);
+            }
+        }
+    }
+
     // Guards against a request that waits in the socket when the process reads for the last time.
     @Test
     public void requestThatWaitsWhenReadingEndsIsAnswered() throws Exception {
