review: a script that cannot start is no broken rule

Cause: the JVM ends with 1 if a class is missing, which run.sh would have passed on as a broken rule.

Change: the stand-ins end with 11 for a broken rule, run.sh turns that into 1 and all else but 0 into 2.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,6 +3,8 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -s target/parsleycleat.jar ] && [ -d review/target/classes ] || { echo "not built"; exit 2; }
 timeout -k 5 115 java -Xmx256m -cp review/target/classes Case Restored review/2
-code=$?
-[ "$code" -le 2 ] || code=2
-exit "$code"
+case $? in
+  11) exit 1 ;;
+  0) exit 0 ;;
+  *) exit 2 ;;
+esac
--- a/review/harness/Case.java
+++ b/review/harness/Case.java
@@ -1,5 +1,3 @@
-import java.lang.reflect.InvocationTargetException;
-
 /** Runs a case by its class name; whatever it throws means that the case could not run. */
 final class Case {
     public static void main(String[] a) {
@@ -9,7 +7,7 @@
             java.lang.reflect.Method main = Class.forName(a[0]).getDeclaredMethod("main", String[].class);
             main.setAccessible(true);
             main.invoke(null, (Object) rest);
-        } catch (InvocationTargetException | ReflectiveOperationException e) {
+        } catch (ReflectiveOperationException e) {
             e.printStackTrace();
             Proc.killAll();
             System.exit(2);
--- a/review/harness/Fleet.java
+++ b/review/harness/Fleet.java
@@ -7,6 +7,9 @@
 
 /** A small deployment on loopback: store, entries and sides by the deploy file, and what a case adds. */
 final class Fleet {
+    /** Exit code of a broken rule, which `run.sh` turns into 1; a failed start of the JVM also ends with 1. */
+    private static final int BROKEN = 11;
+
     static final String PLAIN = "\"services\":[{\"name\":\"orders\",\"health_path\":\"/health\",\"max_connections\":110,"
             + "\"protocol\":\"h1\",\"tls\":false},{\"name\":\"lm\",\"health_path\":\"/health\",\"max_connections\":370,"
             + "\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":64,\"kv_cache_tokens\":122011,"
@@ -99,6 +102,6 @@
         say((code == 1 ? "BROKEN: " : code == 0 ? "held: " : "could not run: ") + why);
         System.out.println((code == 1 ? "BROKEN: " : code == 0 ? "held: " : "could not run: ") + why);
         Proc.killAll();
-        System.exit(code);
+        System.exit(code == 1 ? BROKEN : code);
     }
 }
