--- a/review/harness/Fleet.java
+++ b/review/harness/Fleet.java
@@ -62,9 +62,15 @@
 
     /** The manifest with some keys of one tenant, without a limit, so that only the key decides. */
     void manifest(int version, String... keys) {
+        manifest(version, 0, keys);
+    }
+
+    /** The manifest with some keys of one tenant and its rate in tokens a second (0 for no limit), with as large a burst. */
+    void manifest(int version, int rate, String... keys) {
         store.put("keyed.op", "config", "{\"version\":" + version + "," + ROUTES + "," + PLAIN + "," + LIMITS
                 + ",\"tenants\":[{\"name\":\"tailors\",\"api_keys\":[\"" + String.join("\",\"", keys)
-                + "\"],\"priority\":1,\"unit\":\"token_stream\",\"plain_tokens\":200,\"rate_per_s\":0,\"burst\":0}]}");
+                + "\"],\"priority\":1,\"unit\":\"token_stream\",\"plain_tokens\":200,\"rate_per_s\":" + rate + ",\"burst\":"
+                + rate + "}]}");
         say("manifest " + version + " acknowledged, keys " + String.join(" ", keys));
     }
 
--- a/review/harness/Uploads.java
+++ b/review/harness/Uploads.java
@@ -18,8 +18,11 @@
     private static final int SHEET_BYTES = 17000;
     private static final int TIMEOUT_MILLIS = 600;
     private static final int LATE_MILLIS = 500;
-    private static final int WAVES = 3;
-    private static final int WAVE_MILLIS = 14000;
+    /** More than twice what all requests of the script cost together, 200 tokens each. */
+    private static final int RATE = 100_000;
+
+    private static final int WAVES = 5;
+    private static final int WAVE_MILLIS = 13000;
 
     private static final String IP = "127.0.0.2";
 
@@ -36,7 +39,7 @@
         for (int i = 0; i < 4; i++) {
             engines.add(new Engine("i-orders" + i, "orders", "127.0.0.1", 0, "", runs));
         }
-        f.manifest(7, "key-one");
+        f.manifest(7, RATE, "key-one");
         f.beat(engines);
         Proc entry = f.entry("front-bole-1", IP);
         entry.start();
