review: case 3 inside the doses of the site

Change: four engines, one of which is killed; one answer in twenty of two of them has neither a length nor chunks.

--- a/review/harness/Engine.java
+++ b/review/harness/Engine.java
@@ -31,7 +31,9 @@
     volatile int workMillis = 20;
     volatile int events = 20;
     volatile int eventMillis = 60;
-    volatile boolean unframed;
+    /** One answer in so many has neither a length nor chunks; 0 for none. */
+    volatile int unframedEach;
+    private final AtomicInteger answers = new AtomicInteger();
     private final AtomicInteger sequence = new AtomicInteger(2);
 
     Engine(String id, String service, String ip, int port, String models, Runs runs) throws IOException {
@@ -133,7 +135,7 @@
         String rid = m.header("Request-Id");
         String last = m.header("Last-Event-Id");
         int from = last == null ? 0 : Integer.parseInt(last) + 1;
-        boolean framed = !unframed;
+        boolean framed = unframedEach == 0 || answers.incrementAndGet() % unframedEach != 0;
         out.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: " + rid + "\r\nServer-Seal: seal."
                 + rid + "\r\n" + (framed ? "Transfer-Encoding: chunked\r\n" : "") + "\r\n").getBytes());
         for (int i = from; i < events; i++) {
--- a/review/harness/EngineMain.java
+++ b/review/harness/EngineMain.java
@@ -2,7 +2,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 
-/** An engine as a process of its own, so that it can be killed. Arguments: id, service, ip, models, unframed, runs file. */
+/** An engine as a process of its own, so that it can be killed. Arguments: id, service, ip, models, one answer in how many is unframed, runs file. */
 final class EngineMain {
     public static void main(String[] a) throws Exception {
         Path runs = Path.of(a[5]);
@@ -16,7 +16,9 @@
                 throw new java.io.UncheckedIOException(x);
             }
         });
-        e.unframed = Boolean.parseBoolean(a[4]);
+        e.unframedEach = Integer.parseInt(a[4]);
+        e.events = 60;
+        e.eventMillis = 100;
         System.out.println("entry " + e.entry("bole", 3));
         Thread.sleep(200_000);
     }
--- a/review/harness/Unframed.java
+++ b/review/harness/Unframed.java
@@ -5,25 +5,28 @@
 import java.util.List;
 
 /**
- * Model engines answer streams with neither a length nor chunks. One of them is killed while streams run; the other
- * goes on. The route may be resumed.
+ * Two of four model engines answer one stream in twenty with neither a length nor chunks. One of them is killed while streams
+ * run; the others go on. The route may be resumed.
  */
 final class Unframed {
     private static final String IP = "127.0.0.2";
-    private static final int EVENTS = 20;
-    private static final int STREAMS = 16;
+    private static final int EVENTS = 60;
+    private static final int STREAMS = 160;
+    private static final int ENGINES = 4;
+    private static final int UNFRAMED_EACH = 20;
 
     public static void main(String[] a) throws Exception {
-        Fleet f = new Fleet(Path.of(a[0]), IP, "127.0.0.3", "127.0.0.4");
+        Fleet f = new Fleet(Path.of(a[0]), IP, "127.0.0.3", "127.0.0.4", "127.0.0.5", "127.0.0.6");
         String models = "[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}]";
         Path runs = f.folder.resolve("runs.txt");
         f.manifest(7, "key-one");
         List<Proc> engines = new ArrayList<>();
         List<Proc> sides = new ArrayList<>();
         List<String> entries = new ArrayList<>();
-        for (int i = 0; i < 2; i++) {
+        for (int i = 0; i < ENGINES; i++) {
             String ip = "127.0.0." + (3 + i);
-            Proc e = Proc.standIn(f.folder, "engine-" + i, "EngineMain", "i-lm" + i, "lm", ip, models, "true", runs.toString());
+            Proc e = Proc.standIn(f.folder, "engine-" + i, "EngineMain", "i-lm" + i, "lm", ip, models,
+                    Integer.toString(i < ENGINES / 2 ? UNFRAMED_EACH : 0), runs.toString());
             e.start();
             engines.add(e);
             String line = awaitLine(f.folder.resolve("engine-" + i + ".log"));
@@ -34,10 +37,10 @@
             s.start();
             sides.add(s);
         }
-        boolean[] down = {false, false};
+        boolean[] down = new boolean[ENGINES];
         Thread beat = new Thread(() -> {
             for (int n = 4;; n++) {
-                for (int i = 0; i < 2; i++) {
+                for (int i = 0; i < ENGINES; i++) {
                     if (!down[i]) {
                         f.store.put("keyed.servers", "i-lm" + i,
                                 entries.get(i).replaceAll("\"sequence\":\\d+", "\"sequence\":" + n));
@@ -66,7 +69,7 @@
             threads.add(t);
             Thread.sleep(23);
         }
-        Thread.sleep(600);
+        Thread.sleep(1500);
         if (f.trouble) {
             down[0] = true;
             engines.get(0).kill();
