--- a/review/harness/Fleet.java
+++ b/review/harness/Fleet.java
@@ -68,12 +68,32 @@
     /** The manifest with some keys of one tenant and its rate in tokens a second (0 for no limit), with as large a burst. */
     void manifest(int version, int rate, String... keys) {
         store.put("keyed.op", "config", "{\"version\":" + version + "," + ROUTES + "," + PLAIN + "," + LIMITS
-                + ",\"tenants\":[{\"name\":\"tailors\",\"api_keys\":[\"" + String.join("\",\"", keys)
-                + "\"],\"priority\":1,\"unit\":\"token_stream\",\"plain_tokens\":200,\"rate_per_s\":" + rate + ",\"burst\":"
+                + ",\"tenants\":[{\"name\":\"tailors\",\"api_keys\":["
+                + (keys.length == 0 ? "" : "\"" + String.join("\",\"", keys) + "\"") + "],\"priority\":1,\"unit\":\"token_stream\",\"plain_tokens\":200,\"rate_per_s\":" + rate + ",\"burst\":"
                 + rate + "}]}");
         say("manifest " + version + " acknowledged, keys " + String.join(" ", keys));
     }
 
+    /** The manifest with as many routes more, which nobody asks for. */
+    void bigManifest(int version, int moreRoutes, String... keys) {
+        StringBuilder more = new StringBuilder();
+        for (int i = 0; i < moreRoutes; i++) {
+            more.append(',').append(route("r-more" + i, "/more" + i + "/", "safe", 600 + version, 121, "orders", 2, false));
+        }
+        String value = "{\"version\":" + version + "," + ROUTES.substring(0, ROUTES.length() - 1) + more + "]," + PLAIN + ","
+                + LIMITS + ",\"tenants\":[{\"name\":\"tailors\",\"api_keys\":[\"" + String.join("\",\"", keys)
+                + "\"],\"priority\":1,\"unit\":\"token_stream\",\"plain_tokens\":200,\"rate_per_s\":0,\"burst\":0}]}";
+        store.put("keyed.op", "config", value);
+        say("manifest " + version + " acknowledged, " + value.length() + " bytes, keys " + String.join(" ", keys));
+    }
+
+    /** The manifest with an empty list of tenants. */
+    void manifestWithoutTenants(int version) {
+        store.put("keyed.op", "config", "{\"version\":" + version + "," + ROUTES + "," + PLAIN + "," + LIMITS
+                + ",\"tenants\":[]}");
+        say("manifest " + version + " acknowledged, no tenant");
+    }
+
     Proc entry(String name, String ip) throws IOException {
         return Proc.ofRole("parsleycleat-entry",
                 Proc.settings(name, "front", ip, "bole", front, ready, internal, store.address(), null, null), folder, name);
--- a/review/harness/Store.java
+++ b/review/harness/Store.java
@@ -161,10 +161,16 @@
                 }
                 ByteArrayOutputStream out = new ByteArrayOutputStream();
                 out.writeBytes(ByteBuffer.allocate(16).putLong(records.size()).putLong(0).array());
-                records.stream().skip(from).limit(500).forEach(r -> {
+                long most = 1024 * Long.parseLong(q.getOrDefault("max_kb", "1024"));
+                int sent = 0;
+                for (Rec r : records.subList((int) from, records.size())) {
+                    if (sent > 0 && out.size() + 4 + r.content().length > most) {
+                        break;
+                    }
                     out.writeBytes(ByteBuffer.allocate(4).putInt(r.content().length).array());
                     out.writeBytes(r.content());
-                });
+                    sent++;
+                }
                 return new Answer(200, out.toByteArray());
             }
             default:
