--- a/review/harness/Backlog.java
+++ b/review/harness/Backlog.java
@@ -1,15 +1,17 @@
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * The store turns the entry's machine away for 9 s, while it serves the operator and the engines. Meanwhile manifests come in
- * quick succession, and the last of them takes a key away. What the entry has not read then is more than one read returns.
+ * The store turns one of three machines away, the entry, for 9 s, while it serves two sides, the operator and the engines.
+ * Meanwhile manifests come in quick succession, and the last of them takes a key away. What the entry has not read then is more than one read returns.
  */
 final class Backlog {
     private static final String IP = "127.0.0.2";
+    private static final String[] SIDE_IPS = {"127.0.0.3", "127.0.0.4"};
     private static final int REVOKE_MILLIS = 5000;
     private static final int AWAY_MILLIS = 9000;
     /** The routes that one growth of the manifest brings on the site at most. */
@@ -18,11 +20,18 @@
     private static final int STORM_GAP_MILLIS = 330;
 
     public static void main(String[] a) throws Exception {
-        Fleet f = new Fleet(Path.of(a[0]), IP);
+        Fleet f = new Fleet(Path.of(a[0]), IP, SIDE_IPS[0], SIDE_IPS[1]);
         Set<String> ran = ConcurrentHashMap.newKeySet();
         Engine engine = new Engine("i-orders0", "orders", "127.0.0.1", 0, "", (e, m) -> ran.add(m.header("Request-Id")));
         f.bigManifest(7, MORE_ROUTES, "key-one", "key-two");
-        f.beat(List.of(engine));
+        List<Engine> engines = new ArrayList<>(List.of(engine));
+        for (int i = 0; i < SIDE_IPS.length; i++) {
+            Engine lm = new Engine("i-lm" + i, "lm", SIDE_IPS[i], 0, "[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}]",
+                    (e, m) -> ran.add(m.header("Request-Id")));
+            engines.add(lm);
+            f.side("side-bole-" + (i + 1), SIDE_IPS[i], lm.address()).start();
+        }
+        f.beat(engines);
         Proc entry = f.entry("front-bole-1", IP);
         entry.start();
         if (!Proc.awaitReady(IP, f.ready, 20000)) {
@@ -34,7 +43,7 @@
         }
         long start = System.currentTimeMillis();
         if (f.trouble) {
-            f.store.goAway();
+            f.store.turnAway(true);
             f.say("the store turns the entry away");
         }
         for (int i = 0; i < STORM; i++) {
@@ -50,7 +59,7 @@
             } catch (InterruptedException e) {
                 return;
             }
-            f.store.comeBack();
+            f.store.turnAway(false);
             f.say("the store serves the entry again, " + (System.currentTimeMillis() - acked)
                     + " ms after the acknowledgement");
         });
--- a/review/harness/Fleet.java
+++ b/review/harness/Fleet.java
@@ -101,7 +101,7 @@
 
     Proc side(String name, String ip, String engineAddress) throws IOException {
         return Proc.ofRole("parsleycleat-side",
-                Proc.settings(name, "side", ip, "bole", 0, 0, internal, store.address(), engineAddress, "lm"), folder, name);
+                Proc.settings(name, "side", ip, "bole", 0, 0, internal, store.otherAddress(), engineAddress, "lm"), folder, name);
     }
 
     /** Engines write their entries about every heartbeat. */
--- a/review/harness/Store.java
+++ b/review/harness/Store.java
@@ -21,24 +21,42 @@
     private final Map<String, List<Rec>> topics = new HashMap<>();
     private long era;
     private boolean away;
+    /** Whether the machines at the first address are turned away, while those at the other one are served. */
+    private boolean turnedAway;
+    private final HttpServer otherServer;
 
     private record Rec(byte[] content, long atMillis) {}
 
     Store() throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 200);
-        server.setExecutor(Executors.newCachedThreadPool(r -> {
+        otherServer = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 200);
+        java.util.concurrent.ExecutorService threads = Executors.newCachedThreadPool(r -> {
             Thread t = new Thread(r, "store");
             t.setDaemon(true);
             return t;
-        }));
-        server.createContext("/", this::handle);
-        server.start();
+        });
+        for (HttpServer each : List.of(server, otherServer)) {
+            each.setExecutor(threads);
+            each.createContext("/", x -> handle(x, each == server));
+            each.start();
+        }
     }
 
     String address() {
         return "127.0.0.1:" + server.getAddress().getPort();
     }
 
+    /** The address of machines that are served while others are turned away. */
+    String otherAddress() {
+        return "127.0.0.1:" + otherServer.getAddress().getPort();
+    }
+
+    /** The store turns the machines at the first address away, with 503, and serves the others and the operator. */
+    synchronized void turnAway(boolean now) {
+        turnedAway = now;
+        notifyAll();
+    }
+
     /** Writes as the operator and the servers do; the return is the acknowledgement. An empty value drops the key. */
     synchronized void put(String topic, String key, String value) {
         byte[] name = key.getBytes(StandardCharsets.UTF_8);
@@ -72,7 +90,7 @@
         return topics.computeIfAbsent(name, t -> new ArrayList<>());
     }
 
-    private void handle(HttpExchange x) throws IOException {
+    private void handle(HttpExchange x, boolean first) throws IOException {
         byte[] body = x.getRequestBody().readAllBytes();
         Map<String, String> q = new HashMap<>();
         String query = x.getRequestURI().getRawQuery();
@@ -82,7 +100,7 @@
         }
         Answer a;
         try {
-            a = answer(x.getRequestURI().getPath(), q, body);
+            a = answer(x.getRequestURI().getPath(), q, body, first);
         } catch (InterruptedException e) {
             a = new Answer(503, new byte[0]);
         }
@@ -111,8 +129,12 @@
         }
     }
 
-    private synchronized Answer answer(String path, Map<String, String> q, byte[] body) throws InterruptedException {
-        if (away) {
+    private boolean isAway(boolean first) {
+        return away || (first && turnedAway);
+    }
+
+    private synchronized Answer answer(String path, Map<String, String> q, byte[] body, boolean first) throws InterruptedException {
+        if (isAway(first)) {
             return new Answer(503, new byte[0]);
         }
         List<Rec> records = topic(q.get("topic"));
@@ -148,11 +170,11 @@
                 long wait = Long.parseLong(q.getOrDefault("wait_ms", "0"));
                 long end = System.currentTimeMillis() + wait;
                 long startEra = era;
-                while (!away && era == startEra && topic(q.get("topic")).size() <= from
+                while (!isAway(first) && era == startEra && topic(q.get("topic")).size() <= from
                         && System.currentTimeMillis() < end) {
                     wait(Math.max(1, end - System.currentTimeMillis()));
                 }
-                if (away) {
+                if (isAway(first)) {
                     return new Answer(503, new byte[0]);
                 }
                 records = topic(q.get("topic"));
--- a/review/harness/Uploads.java
+++ b/review/harness/Uploads.java
@@ -28,11 +28,13 @@
 
     private record Order(long sentMillis, long tookMillis, String outcome) {}
 
+    /** How often each request ran, by its id. */
+    private static final Map<String, AtomicInteger> RAN = new ConcurrentHashMap<>();
     private static final ConcurrentLinkedQueue<Order> ORDERS = new ConcurrentLinkedQueue<>();
 
     public static void main(String[] a) throws Exception {
         Fleet f = new Fleet(Path.of(a[0]), IP);
-        Map<String, AtomicInteger> ran = new ConcurrentHashMap<>();
+        Map<String, AtomicInteger> ran = RAN;
         Engine.Runs runs =
                 (e, m) -> ran.computeIfAbsent(m.header("Request-Id"), k -> new AtomicInteger()).incrementAndGet();
         List<Engine> engines = new ArrayList<>();
@@ -89,19 +91,26 @@
     private static void upload(Fleet f, byte[] body, Map<String, Integer> uploads) {
         String r;
         boolean whole = false;
+        String id = Client.newId();
         try (Client c = new Client(IP, f.front)) {
-            c.sendPaced("/upload/x", Client.newId(), 15000, "key-one", body);
+            c.sendPaced("/upload/x", id, 15000, "key-one", body);
             whole = true;
             Http.Message m = c.read(15000);
             r = m == null ? "closed without an answer" : "status " + m.status();
         } catch (IOException e) {
             r = (whole ? "sent whole, " : "not sent whole, ") + e;
         }
+        f.say("upload " + id + ": " + r + ", ran " + ran(id));
         synchronized (uploads) {
             uploads.merge(r, 1, Integer::sum);
         }
     }
 
+    private static int ran(String id) {
+        AtomicInteger times = RAN.get(id);
+        return times == null ? 0 : times.get();
+    }
+
     private static long sent(long from, long to) {
         return ORDERS.stream().filter(o -> o.sentMillis >= from && o.sentMillis < to).count();
     }
@@ -141,9 +150,7 @@
                 kept = null;
             }
             ORDERS.add(new Order(sent, took, outcome));
-            if (!outcome.equals("status 200")) {
-                f.say("order " + id + " after " + took + " ms: " + outcome);
-            }
+            f.say("order " + id + " after " + took + " ms: " + outcome + ", ran " + ran(id));
         }
     }
 }
