An answer in very small parts no longer fills the heap or holds the event loop

Seen by callers: while an upstream sent an answer in chunks of one byte without end to six callers, an entry with the deployed heap (160 MB) answered nobody any more, also those whose requests went to sound upstreams.

Cause: the parts of an answer were joined as a tree of byte strings, some ninety bytes of heap for a part of one byte, so the limit of 1 MiB, which counts bytes of body, allowed ninety times as much memory. Buffered answers, held answers of a second upstream and events that are not whole did so alike. Each part was also a call and a write with a flush of its own, and one connection could have a million of them decoded in one turn of the event loop. Nothing bounded the sum over open requests.

Change: PartBuffer gathers parts in segments and tells the memory that they take. The parts of one read are passed on as one. A connection on which more than 1,024 parts arrive in one read reads in turns with others of its kind (ReadTurns), which leaves most of the event loop to the others; the first such turn of an answer is logged with its request. BodyMemory bounds the answers that callers do not have yet, over the process, to a quarter of the heap: beyond it an answer is streamed instead of buffered, reading waits for the caller, and a second upstream's answer is dropped. An answer that claims "not run" for a request that may not be repeated is not streamed, however large; its caller gets 502.

Ruled out: endless heads, lines, chunk sizes and pieces of 10,000 bytes; their tests passed before.

UpstreamConnectionPoolTest.chunksThatAreReadTogetherArePassedOnAsOne failed before with 50000 parts.

Why it works: memory is bounded by what is held, not by how it was cut, and each turn of the loop by the size of one read.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
@@ -1,10 +1,7 @@
 package io.parsleycleat.gateway.connection.upstream;
 
 import com.google.common.flogger.FluentLogger;
-import com.google.protobuf.ByteString;
-import com.google.protobuf.UnsafeByteOperations;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
@@ -22,6 +19,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.parsleycleat.core.connection.body.PartBuffer;
+import io.parsleycleat.core.process.logging.LogKeys;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -32,6 +31,9 @@
  * was complete and came after its whole request was written, no bytes followed it, and the upstream keeps the
  * connection open.
  *
+ * <p>The parts of a body that are read together are passed on as one. A connection on which very many parts arrive at
+ * once reads in turns with others of its kind.
+ *
  * <p>Created by {@link UpstreamConnectionPool}; its state is used on its event loop only.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
@@ -39,12 +41,23 @@
     private static final String KEEP_ALIVE = "keep-alive";
     private static final String TIMEOUT = "timeout=";
     private static final long IDLE_MARGIN_MILLIS = 300;
+    /** Bytes of a body that are passed on before the end of a read, so that no long copy waits for it. */
+    private static final int MAX_GATHERED_BYTES = 64 * 1024;
+    /** More parts than a sound upstream sends between two reads; to decode them takes milliseconds. */
+    private static final int MAX_PARTS_IN_TURN = 1_024;
 
     private final UpstreamChannel channel;
     private final UpstreamResponseDecoder decoder;
+    private final ReadTurns turns;
     private final BiConsumer<UpstreamConnection, Boolean> onRelease;
+    private final PartBuffer gathered = new PartBuffer();
     private @Nullable ResponseListener listener;
+    private String requestId = "";
     private int requestCount;
+    private int partsInTurn;
+    private boolean awaitsTurn;
+    private boolean hasAwaitedTurn;
+    private boolean readingWanted = true;
     private boolean requestWritten;
     private boolean reusable;
     private boolean bodyEndsAtClose;
@@ -55,14 +68,17 @@
     /**
      * Wraps a new channel.
      *
+     * @param turns of the channel's event loop
      * @param onRelease called after each response and on close, with whether the connection can be reused
      */
     UpstreamConnection(
             UpstreamChannel channel,
             UpstreamResponseDecoder decoder,
+            ReadTurns turns,
             BiConsumer<UpstreamConnection, Boolean> onRelease) {
         this.channel = channel;
         this.decoder = decoder;
+        this.turns = turns;
         this.onRelease = onRelease;
     }
 
@@ -70,7 +86,9 @@
 
     void send(UpstreamRequest request, ResponseListener newListener) {
         listener = newListener;
+        requestId = request.id();
         requestCount++;
+        hasAwaitedTurn = false;
         requestWritten = false;
         reusable = false;
         bodyEndsAtClose = false;
@@ -89,6 +107,7 @@
      */
     void cancel() {
         listener = null;
+        gathered.clear();
         resetOnClose();
         channel.close();
     }
@@ -127,7 +146,12 @@
 
     /** Pauses or resumes reading, which applies backpressure to the upstream while the caller reads slowly. */
     void setReading(boolean reading) {
-        channel.config().setAutoRead(reading);
+        readingWanted = reading;
+        updateReading();
+    }
+
+    private void updateReading() {
+        channel.config().setAutoRead(readingWanted && !awaitsTurn);
     }
 
     // Events of the channel
@@ -147,15 +171,21 @@
             readHead(response, current);
         }
         if (message instanceof HttpContent content && listener != null) {
-            if (content.content().isReadable()) {
-                current.onBody(copy(content.content()));
-            }
-            if (content instanceof LastHttpContent && listener != null) {
-                readEnd(current);
+            readBody(content.content());
+            if (content instanceof LastHttpContent) {
+                passOnGathered();
+                readEnd();
             }
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        passOnGathered();
+        partsInTurn = 0;
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         fail(SendFailure.connectionBroken("the upstream closed the connection"));
@@ -170,6 +200,42 @@
 
     // Internals
 
+    private void readBody(ByteBuf part) {
+        gathered.append(part);
+        if (gathered.size() >= MAX_GATHERED_BYTES) {
+            passOnGathered();
+        }
+        partsInTurn++;
+        if (partsInTurn > MAX_PARTS_IN_TURN && !awaitsTurn && listener != null) {
+            awaitTurn();
+        }
+    }
+
+    private void passOnGathered() {
+        ResponseListener current = listener;
+        if (!gathered.isEmpty() && current != null) {
+            current.onBody(gathered.drain());
+        }
+    }
+
+    private void awaitTurn() {
+        if (!hasAwaitedTurn) {
+            logger.atInfo()
+                    .with(LogKeys.REQUEST, requestId)
+                    .log("the answer comes in very many small parts and is read in turns with others");
+        }
+        hasAwaitedTurn = true;
+        awaitsTurn = true;
+        updateReading();
+        turns.await(this::takeTurn);
+    }
+
+    private boolean takeTurn() {
+        awaitsTurn = false;
+        updateReading();
+        return channel.isOpen();
+    }
+
     private void readHead(HttpResponse response, ResponseListener current) {
         boolean framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
         bodyEndsAtClose = !framed && !decoder.hasNoBody(response.status().code());
@@ -199,8 +265,9 @@
         return TimeUnit.SECONDS.toMillis(Long.parseLong(digits)) - IDLE_MARGIN_MILLIS;
     }
 
-    private void readEnd(ResponseListener current) {
-        if (bodyEndsAtClose && failed) {
+    private void readEnd() {
+        ResponseListener current = listener;
+        if (current == null || (bodyEndsAtClose && failed)) {
             return;
         }
         listener = null;
@@ -214,6 +281,7 @@
 
     private void fail(SendFailure failure) {
         failed = true;
+        passOnGathered();
         ResponseListener current = listener;
         listener = null;
         channel.close();
@@ -222,10 +290,6 @@
         }
     }
 
-    private static ByteString copy(ByteBuf content) {
-        return UnsafeByteOperations.unsafeWrap(ByteBufUtil.getBytes(content));
-    }
-
     private static FullHttpRequest encode(UpstreamRequest request) {
         DefaultHttpHeaders headers = new DefaultHttpHeaders();
         request.headers().forEach(h -> headers.add(h.getKey(), h.getValue()));
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -31,9 +32,15 @@
     private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
     private static final int KEEP_ALIVE_PROBES = 2;
     private static final long MAX_IDLE_MILLIS = 10_000;
+    /** Bounds what is decoded in one go, for which all other connections of the event loop wait. */
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 2 * 1024;
 
     private final InetSocketAddress address;
     private final EventLoop eventLoop;
+    private final ReadTurns turns;
     private final TimeSource time;
     private final IntSupplier maxConnections;
     private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
@@ -42,14 +49,30 @@
     private boolean checking;
 
     /**
-     * Creates a pool without connections.
+     * Creates a pool without connections, alone on its event loop.
      *
      * @param maxConnections returns how many connections may be open; read before each connect
      */
     public UpstreamConnectionPool(
             InetSocketAddress address, EventLoop eventLoop, TimeSource time, IntSupplier maxConnections) {
+        this(address, eventLoop, new ReadTurns(eventLoop), time, maxConnections);
+    }
+
+    /**
+     * Creates a pool without connections.
+     *
+     * @param turns of the event loop
+     * @param maxConnections returns how many connections may be open; read before each connect
+     */
+    UpstreamConnectionPool(
+            InetSocketAddress address,
+            EventLoop eventLoop,
+            ReadTurns turns,
+            TimeSource time,
+            IntSupplier maxConnections) {
         this.address = address;
         this.eventLoop = eventLoop;
+        this.turns = turns;
         this.time = time;
         this.maxConnections = maxConnections;
     }
@@ -152,6 +175,9 @@
                 .group(eventLoop)
                 .channelFactory(UpstreamChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
@@ -206,7 +232,7 @@
             UpstreamResponseDecoder decoder = new UpstreamResponseDecoder();
             UnsolicitedBytesGuard guard = new UnsolicitedBytesGuard();
             UpstreamConnection connection =
-                    new UpstreamConnection(channel, decoder, UpstreamConnectionPool.this::release);
+                    new UpstreamConnection(channel, decoder, turns, UpstreamConnectionPool.this::release);
             guard.setConnection(connection);
             channel.pipeline()
                     .addLast(new OpenConnectionCounter(), guard, decoder, new HttpRequestEncoder(), connection);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPools.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPools.java
@@ -17,6 +17,7 @@
  */
 public final class UpstreamConnectionPools {
     private final EventLoop eventLoop;
+    private final ReadTurns turns;
     private final TimeSource time;
     private final ToIntFunction<Upstream> maxConnections;
     private final Map<String, UpstreamConnectionPool> pools = new ConcurrentHashMap<>();
@@ -29,6 +30,7 @@
     public UpstreamConnectionPools(
             EventLoop eventLoop, TimeSource time, UpstreamDirectory directory, ToIntFunction<Upstream> maxConnections) {
         this.eventLoop = eventLoop;
+        this.turns = new ReadTurns(eventLoop);
         this.time = time;
         this.maxConnections = maxConnections;
         directory.addListener(this::onUpstreamChange);
@@ -39,7 +41,7 @@
         return pools.computeIfAbsent(
                 upstream.id(),
                 id -> new UpstreamConnectionPool(
-                        upstream.address(), eventLoop, time, () -> maxConnections.applyAsInt(upstream)));
+                        upstream.address(), eventLoop, turns, time, () -> maxConnections.applyAsInt(upstream)));
     }
 
     private void onUpstreamChange(@Nullable Upstream before, @Nullable Upstream after) {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -4,6 +4,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.parsleycleat.core.connection.body.BodyMemory;
 import io.parsleycleat.core.connection.caller.CallerLimits;
 import io.parsleycleat.core.connection.caller.CallerServer;
 import io.parsleycleat.core.connection.peer.NettyPeerTransport;
@@ -114,6 +115,7 @@
     private final AccountBudgets budgets;
     private final PermitHomes permitHomes;
     private final CrashDetector crashWatch;
+    private final BodyMemory answerMemory = BodyMemory.ofHeap();
     private final EntryMessenger messenger;
     private final ConfigurationUpdater configurationUpdater;
     private final LogFollower operatorsFollower;
@@ -202,6 +204,7 @@
         new CallerServer(loops, () -> CallerLimits.DEFAULT, new AdminService(metrics, this::readiness))
                 .listen(settings.metricsAddress());
         metrics.gauge("requests.open", () -> forwarder::openRequests);
+        metrics.gauge("answers.held.bytes", () -> answerMemory::takenBytes);
         metrics.gauge("operators.log.era", () -> operatorsFollower::era);
         metrics.gauge("datacentres.drained", () -> drained::count);
         metrics.gauge("operators.records.refused", () -> configurationUpdater::refusedRecords);
@@ -336,6 +339,7 @@
                 new GateClient(transport, settings.sidePort()),
                 new RetryShare(settings.retryBounds(), time, entryCount),
                 crashWatch,
+                answerMemory,
                 new ForwardMetrics(metrics));
         RequestForwarder.StalenessLimits bounds = new RequestForwarder.StalenessLimits(
                 settings.withdrawalBound().minus(KEY_EXPIRY_MARGIN), settings.changeBound());
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/events/EventSplitter.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/events/EventSplitter.java
@@ -1,6 +1,7 @@
 package io.parsleycleat.gateway.request.events;
 
 import com.google.protobuf.ByteString;
+import io.parsleycleat.core.connection.body.PartBuffer;
 import java.util.OptionalLong;
 
 /**
@@ -15,20 +16,29 @@
     public static final int MAX_EVENT_BYTES = 256 * 1024;
 
     private static final ByteString ID_FIELD = ByteString.copyFromUtf8("id:");
+    /** An event ends with a line break behind an empty line, each of which may have a carriage return. */
+    private static final int MAX_EVENT_END_LOOK_BACK = 2;
+
     private static final int MAX_ID_DIGITS = 18;
     private static final int DECIMAL_RADIX = 10;
 
-    private ByteString partialEvent = ByteString.EMPTY;
+    private final PartBuffer partialEvent = new PartBuffer();
+    /** The last bytes of the event that is not whole, as many as the end of an event may reach back. */
+    private ByteString partialEnd = ByteString.EMPTY;
+
     private boolean anyWholeEvent;
     private long lastId = -1;
     private long lastIdBeforeResumption = -1;
 
     /** Appends the next bytes of the stream and returns all events that are now whole. */
     public ByteString append(ByteString part) {
-        ByteString pending = partialEvent.concat(part);
-        int end = lastEventEnd(pending, partialEvent.size());
-        ByteString wholeEvents = pending.substring(0, end);
-        partialEvent = pending.substring(end);
+        ByteString pending = partialEnd.concat(part);
+        int known = partialEnd.size();
+        int end = lastEventEnd(pending, known);
+        ByteString wholeEvents =
+                end == 0 ? ByteString.EMPTY : drainPartialEvent().concat(pending.substring(known, end));
+        partialEvent.append(pending.substring(Math.max(known, end)));
+        partialEnd = pending.substring(Math.max(end, pending.size() - MAX_EVENT_END_LOOK_BACK));
         anyWholeEvent |= end > 0;
         ByteString newEvents = lastIdBeforeResumption < 0 ? wholeEvents : withoutKnownEvents(wholeEvents);
         recordEventIds(newEvents);
@@ -51,7 +61,7 @@
 
     /** Returns whether a part of an event has arrived that is not whole, not counting white space. */
     public boolean isInsideEvent() {
-        return !partialEvent.toStringUtf8().isBlank();
+        return !partialEvent.content().toStringUtf8().isBlank();
     }
 
     /** Returns whether the event that is not whole yet already exceeds {@link #MAX_EVENT_BYTES}. */
@@ -59,11 +69,15 @@
         return partialEvent.size() > MAX_EVENT_BYTES;
     }
 
+    /** Returns the memory that the event that is not whole takes. */
+    public long heldBytes() {
+        return partialEvent.heldBytes();
+    }
+
     /** Returns the bytes of an event that is not whole, and removes them from the buffer. */
     public ByteString drainPartialEvent() {
-        ByteString drained = partialEvent;
-        partialEvent = ByteString.EMPTY;
-        return drained;
+        partialEnd = ByteString.EMPTY;
+        return partialEvent.drain();
     }
 
     /** Returns the highest numeric id of the whole events so far, or empty if none had one. */
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerAnswer.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerAnswer.java
@@ -1,31 +1,40 @@
 package io.parsleycleat.gateway.request.forward;
 
 import com.google.protobuf.ByteString;
+import io.parsleycleat.core.connection.body.BodyMemory;
+import io.parsleycleat.core.connection.body.PartBuffer;
 import io.parsleycleat.core.connection.caller.CallerExchange;
 import io.parsleycleat.gateway.connection.upstream.ResponseHead;
+import io.parsleycleat.gateway.request.events.EventSplitter;
 import io.parsleycleat.gateway.version.routes.RequestKind;
 import io.parsleycleat.gateway.version.routes.Route;
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 
 /**
  * The answer to one caller: buffered until an upstream has sent it as a whole, or streamed if it is a stream of events
- * or too large to be buffered.
+ * or too large to be buffered, by itself or beside the other answers of the process.
  *
  * <p>Created by {@link Forwarding} for each request; used on the event loop.
  */
 final class CallerAnswer {
     private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
     private static final String CONTENT_TYPE = "Content-Type";
+    /** Statuses that mean "not run" to callers, and are not passed on for a request that may have run once. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
     private final CallerExchange exchange;
     private final CallCodec codec;
     private final Route route;
     private final Consumer<Runnable> executeOnLoop;
     private final Consumer<Boolean> setReading;
+    private final BodyMemory.Holder memory;
+    private final PartBuffer bufferedBody = new PartBuffer();
     private @Nullable ResponseHead bufferedHead;
-    private ByteString bufferedBody = ByteString.EMPTY;
+    private @Nullable String fault;
     private @Nullable CallerStream stream;
     private @Nullable ResponseHead streamHead;
 
@@ -34,18 +43,21 @@
      *
      * @param executeOnLoop executes an action on the event loop
      * @param setReading resumes reading from the upstream when called with true and pauses it with false
+     * @param memory holds what the caller does not have yet; given back by {@link #release}
      */
     CallerAnswer(
             CallerExchange exchange,
             CallCodec codec,
             Route route,
             Consumer<Runnable> executeOnLoop,
-            Consumer<Boolean> setReading) {
+            Consumer<Boolean> setReading,
+            BodyMemory.Holder memory) {
         this.exchange = exchange;
         this.codec = codec;
         this.route = route;
         this.executeOnLoop = executeOnLoop;
         this.setReading = setReading;
+        this.memory = memory;
     }
 
     /** Returns whether a part of the answer was sent to the caller. */
@@ -94,11 +106,13 @@
             current.append(part);
             return;
         }
-        bufferedBody = bufferedBody.concat(part);
+        bufferedBody.append(part);
         ResponseHead head = bufferedHead;
-        if (bufferedBody.size() > MAX_BUFFERED_BYTES && head != null) {
-            startStream(head, CallerStream.Content.BYTES).append(bufferedBody);
-            bufferedBody = ByteString.EMPTY;
+        boolean fits = bufferedBody.size() <= MAX_BUFFERED_BYTES && memory.hold(bufferedBody.heldBytes());
+        if (!fits && head != null && !claimsNotRun(head)) {
+            startStream(head, CallerStream.Content.BYTES).append(bufferedBody.drain());
+        } else if (!fits) {
+            fault = bufferedBody.size() + " bytes are too large to be buffered, and the status may not be passed on";
         }
     }
 
@@ -108,10 +122,20 @@
         return current != null && current.isReadingPaused();
     }
 
-    /** Returns whether an event that is not whole yet already exceeds the length limit. */
-    boolean isEventTooLong() {
+    /** Returns whether the status tells callers "not run" although the request may have run and may not be repeated. */
+    boolean claimsNotRun(ResponseHead head) {
+        return NOT_RUN_STATUSES.contains(head.status()) && !route.isRetryable();
+    }
+
+    /**
+     * Returns why no more of the answer can be taken: an event that is longer than one may be, or a body that is too
+     * large to be buffered and has a status that is not passed on.
+     */
+    Optional<String> fault() {
         CallerStream current = stream;
-        return current != null && current.isEventTooLong();
+        return current != null && current.isEventTooLong()
+                ? Optional.of("event exceeds " + EventSplitter.MAX_EVENT_BYTES + " bytes, or the memory for answers")
+                : Optional.ofNullable(fault);
     }
 
     /**
@@ -131,7 +155,18 @@
             current.resume();
         }
         bufferedHead = null;
-        bufferedBody = ByteString.EMPTY;
+        bufferedBody.clear();
+        fault = null;
+        memory.hold(current == null ? 0 : current.heldBytes());
+    }
+
+    /** Gives the memory back, after the last call of another method. */
+    void release() {
+        CallerStream current = stream;
+        if (current != null) {
+            current.release();
+        }
+        memory.close();
     }
 
     /** Completes a streamed answer. */
@@ -144,12 +179,12 @@
 
     /** Sends a buffered answer as a whole. */
     void respond(ResponseHead head) {
-        exchange.respond(head.status(), codec.callerHeaders(head), bufferedBody);
+        exchange.respond(head.status(), codec.callerHeaders(head), bufferedBody.drain());
     }
 
     private CallerStream startStream(ResponseHead head, CallerStream.Content content) {
         exchange.start(head.status(), codec.callerHeaders(head));
-        CallerStream started = new CallerStream(exchange, content, executeOnLoop, setReading);
+        CallerStream started = new CallerStream(exchange, content, executeOnLoop, setReading, memory);
         stream = started;
         streamHead = head;
         return started;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/Forwarding.java
@@ -7,14 +7,12 @@
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.gateway.connection.upstream.ResponseHead;
 import io.parsleycleat.gateway.connection.upstream.SendFailure;
-import io.parsleycleat.gateway.request.events.EventSplitter;
 import io.parsleycleat.gateway.version.routes.Account;
 import io.parsleycleat.gateway.version.routes.RequestKind;
 import io.parsleycleat.gateway.version.routes.Route;
 import io.parsleycleat.gateway.version.upstreams.Upstream;
 import java.time.Duration;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,8 +23,6 @@
 final class Forwarding implements HedgedSend.Owner {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int MIN_SERVER_ERROR_STATUS = 500;
-    /** Statuses that mean "not run" to callers, and are not passed on for a request that may have run once. */
-    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
     private final ForwardingContext context;
     private final RequestForwarder.Admitted admitted;
@@ -55,7 +51,13 @@
         this.request = admitted.request();
         this.route = admitted.route();
         this.open = open;
-        this.answer = new CallerAnswer(open, context.codec(), route, open::execute, this::setReading);
+        this.answer = new CallerAnswer(
+                open,
+                context.codec(),
+                route,
+                open::execute,
+                this::setReading,
+                context.answerMemory().newHolder());
         this.tried = tried;
         this.repeats = new RequestRepeats(context, request.id());
         this.silence = new SilenceCheck(context, route, open.guard(this::hedgeIfLate));
@@ -304,10 +306,10 @@
         if (answer.isStreaming()) {
             cancelHedge();
         }
-        if (answer.isEventTooLong()) {
+        answer.fault().ifPresent(fault -> {
             from.cancel();
-            onFailed(from, SendFailure.invalidResponse("event exceeds " + EventSplitter.MAX_EVENT_BYTES + " bytes"));
-        }
+            onFailed(from, SendFailure.invalidResponse(fault));
+        });
     }
 
     @Override
@@ -346,7 +348,7 @@
     }
 
     private void respond(ResponseHead head) {
-        if (NOT_RUN_STATUSES.contains(head.status()) && !route.isRetryable()) {
+        if (answer.claimsNotRun(head)) {
             sendRefusal(
                     Refusal.of(ResultCode.ANSWER_INCOMPLETE, "status " + head.status() + " although it may have run"));
             return;
@@ -478,6 +480,7 @@
         silence.cancel();
         cancelHedge();
         repeats.giveBack();
+        answer.release();
         open.onEnded(mayHaveRun);
         context.metrics().onEnd(code, age().toMillis());
         Attempt last = attempt;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardingContext.java
@@ -1,6 +1,7 @@
 package io.parsleycleat.gateway.request.forward;
 
 import io.netty.channel.EventLoop;
+import io.parsleycleat.core.connection.body.BodyMemory;
 import io.parsleycleat.core.process.time.TimeSource;
 import io.parsleycleat.gateway.connection.upstream.SendFailure;
 import io.parsleycleat.gateway.connection.upstream.UpstreamConnectionPools;
@@ -29,6 +30,7 @@
  * <p>Created once per entry; safe to share between threads.
  *
  * @param loop the event loop on which requests are handled
+ * @param answerMemory what the answers that callers do not have yet may take
  */
 public record ForwardingContext(
         CallCodec codec,
@@ -48,6 +50,7 @@
         GateClient gateClient,
         RetryShare retryShare,
         CrashDetector crashWatch,
+        BodyMemory answerMemory,
         ForwardMetrics metrics) {
     /** Time after which callers retry when nothing better is known. */
     static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(300);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/HedgedSend.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/HedgedSend.java
@@ -2,6 +2,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
+import io.parsleycleat.core.connection.body.BodyMemory;
+import io.parsleycleat.core.connection.body.PartBuffer;
 import io.parsleycleat.core.process.logging.LogKeys;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.gateway.connection.upstream.ResponseHead;
@@ -31,8 +33,9 @@
     private State state = State.SEARCHING;
     private @Nullable Attempt attempt;
     private @Nullable ResponseHead head;
-    private ByteString heldBody = ByteString.EMPTY;
+    private final PartBuffer heldBody = new PartBuffer();
     private final EventSplitter heldEvents = new EventSplitter();
+    private final BodyMemory.Holder memory;
 
     private enum State {
         SEARCHING,
@@ -72,6 +75,7 @@
         this.requestId = requestId;
         this.search = search;
         this.owner = owner;
+        this.memory = context.answerMemory().newHolder();
     }
 
     /**
@@ -92,6 +96,7 @@
         search.cancel();
         Attempt current = state == State.SENT ? attempt : null;
         state = State.ENDED;
+        releaseHeld();
         if (current == null) {
             return false;
         }
@@ -116,9 +121,9 @@
             return false;
         }
         state = State.TAKEN;
+        ByteString held = heldBody.drain();
+        releaseHeld();
         owner.onTakenOver(current, received);
-        ByteString held = heldBody;
-        heldBody = ByteString.EMPTY;
         if (!held.isEmpty()) {
             owner.onBody(current, held);
         }
@@ -162,10 +167,16 @@
     private void end() {
         if (state != State.ENDED && state != State.TAKEN) {
             state = State.ENDED;
+            releaseHeld();
             owner.onHedgeEnded();
         }
     }
 
+    private void releaseHeld() {
+        heldBody.clear();
+        memory.close();
+    }
+
     // Answer of the second upstream
 
     @Override
@@ -186,9 +197,13 @@
             owner.onBody(from, part);
             return;
         }
-        heldBody = heldBody.concat(part);
-        if (heldBody.size() > MAX_HELD_BYTES || (owner.isStream() && hasNewEvent(part))) {
+        heldBody.append(part);
+        boolean serves = heldBody.size() > MAX_HELD_BYTES || (owner.isStream() && hasNewEvent(part));
+        if (serves) {
             takeOver();
+        } else if (!memory.hold(heldBody.heldBytes() + heldEvents.heldBytes())) {
+            from.cancel();
+            drop(from, "no memory is left to hold its answer");
         }
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamConnectionPoolTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamConnectionPoolTest.java
@@ -43,6 +43,7 @@
     private static class RecordingListener implements ResponseListener {
         private final CompletableFuture<String> result = new CompletableFuture<>();
         private final StringBuilder body = new StringBuilder();
+        private final AtomicInteger partCount = new AtomicInteger();
         private volatile ResponseHead head;
         private volatile SendFailure failure;
 
@@ -54,6 +55,7 @@
         @Override
         public void onBody(ByteString part) {
             body.append(part.toStringUtf8());
+            partCount.incrementAndGet();
         }
 
         @Override
@@ -86,6 +88,24 @@
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    /** Guards against an answer whose one-byte chunks each cost a call, a write and an object on the heap. */
+    @Test
+    public void chunksThatAreReadTogetherArePassedOnAsOne() throws Exception {
+        String chunks = "1\r\nx\r\n".repeat(50_000);
+        String answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + "0\r\n\r\n";
+        try (ScriptedUpstream upstream = new ScriptedUpstream((request, connection) -> {
+            ScriptedUpstream.write(connection, answer);
+            return true;
+        })) {
+            UpstreamConnectionPool pool = newPool(upstream.address());
+            RecordingListener recorded = new RecordingListener();
+            pool.send(request("hello"), recorded);
+            assertEquals(recorded.result.join(), "whole 200 " + "x".repeat(50_000));
+            assertTrue(recorded.partCount.get() < 5_000, recorded.partCount + " parts");
+            assertEquals(send(pool), "whole 200 " + "x".repeat(50_000));
+        }
+    }
+
     /** Guards against a request that was given up and still arrives when its upstream can be reached again. */
     @Test
     public void connectionOfCancelledRequestIsResetSoThatNothingOfItArrivesLater() throws Exception {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EndlessAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EndlessAnswerTest.java
@@ -3,17 +3,23 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.gateway.connection.ScriptedUpstream;
 import io.parsleycleat.gateway.version.routes.RequestKind;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Guards against faulty upstreams whose bytes are no valid answer or never end one, which could exhaust memory. */
 public class EndlessAnswerTest extends ForwardingFixture {
+    private static final String CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
     /** Sends bytes, once the test is ready, until the connection is closed; then reports how many were sent. */
     private static ScriptedUpstream.Script respondEndlessly(
             String start, String repeated, CompletableFuture<String> ready, CompletableFuture<Long> whenClosed) {
@@ -39,8 +45,9 @@
         return new Object[][] {
             {"a head", "HTTP/1.1 200 OK\r\nid: 1\r\n", "more: bytes\r\n"},
             {"a line", "", "no answer "},
-            {"a chunk's size", "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
-            {"an event", "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n", chunk},
+            {"a chunk's size", CHUNKED_HEAD, "0"},
+            {"an event", CHUNKED_HEAD, chunk},
+            {"an event in chunks of one byte", CHUNKED_HEAD, "1\r\nx\r\n".repeat(2_000)},
             {"a body without length", "HTTP/1.1 200 OK\r\nid: 1\r\n\r\n", "y".repeat(10_000)},
         };
     }
@@ -61,10 +68,52 @@
             addUpstream("b", two.address());
             ready.complete("the other upstream is known");
             assertEquals(caller.answer.join(), "200 streamed id: 1;data: a;;", what);
+            assertEquals(heldAnswerBytes(), 0, what);
             assertTrue(closed.join() < 32_000_000, what + ": " + closed.join() + " bytes were accepted");
         }
     }
 
+    /** Waits until the event loop has done what it was given, and returns how much memory of answers is held then. */
+    private long heldAnswerBytes() {
+        loop.submit(() -> {}).syncUninterruptibly();
+        return entry.answerMemory.takenBytes();
+    }
+
+    /** Guards against many answers, each within its own limit, that fill the heap together. */
+    @Test
+    public void answersBeyondTheMemoryAreStreamedAndGiveItBack() throws Exception {
+        configure(RequestKind.IDEMPOTENT, false, 1, Duration.ofSeconds(60));
+        String body = "x".repeat(900_000);
+        CountDownLatch allAsked = new CountDownLatch(40);
+        try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
+            ScriptedUpstream.write(connection, "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 900001\r\n\r\n" + body);
+            allAsked.countDown();
+            Uninterruptibles.awaitUninterruptibly(allAsked);
+            ScriptedUpstream.write(connection, "y");
+            return false;
+        })) {
+            addUpstream("a", one.address());
+            List<RecordingCaller> callers =
+                    Stream.generate(() -> send("/p/x", "key")).limit(40).toList();
+            List<String> answers = callers.stream().map(c -> c.answer.join()).toList();
+            assertTrue(answers.stream().allMatch(a -> a.startsWith("200 ") && a.endsWith(body + "y")));
+            assertTrue(answers.stream().anyMatch(a -> a.startsWith("200 streamed")));
+            assertEquals(heldAnswerBytes(), 0);
+        }
+    }
+
+    /** Guards against a refusal that says "not run" in the name of an upstream that may have run the request. */
+    @Test
+    public void largeAnswerThatClaimsNotRunIsNotStreamed() throws Exception {
+        configure(RequestKind.ONCE, false, 1, Duration.ofSeconds(20));
+        String answer = "HTTP/1.1 503 Busy\r\nid: 1\r\n\r\n" + "z".repeat(2_000_000);
+        try (ScriptedUpstream one = new ScriptedUpstream(respondWith(answer, false))) {
+            addUpstream("a", one.address());
+            assertEquals(sendAndAwaitAnswer(), "502 " + ResultCode.UPSTREAM_LOST);
+            assertEquals(heldAnswerBytes(), 0);
+        }
+    }
+
     @Test
     public void notRunAnswerWithEndlessBodyIsRetriedAfterItsHead() throws Exception {
         configure(RequestKind.ONCE, false, 2, Duration.ofSeconds(20));
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/TestEntry.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/TestEntry.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
+import io.parsleycleat.core.connection.body.BodyMemory;
 import io.parsleycleat.core.connection.caller.CallerLimits;
 import io.parsleycleat.core.connection.caller.CallerRequest;
 import io.parsleycleat.core.process.time.TimeSource;
@@ -52,6 +53,7 @@
 
 /** The parts of an entry that forward requests, with one service and its peers in the same process. */
 final class TestEntry {
+    static final int ANSWER_MEMORY_BYTES = 16 * 1024 * 1024;
     /** The port on which sides listen. */
     static final int SIDE_PORT = 1;
 
@@ -69,6 +71,7 @@
     final PermitHomes permitHomes;
     final RetryShare retryShare;
     private final MetricRegistry metrics = new MetricRegistry();
+    final BodyMemory answerMemory = new BodyMemory(ANSWER_MEMORY_BYTES);
     final AccountBudgets budgets;
     final Faults faults = new Faults();
     /** Replaces the entries from which budgets are drawn. */
@@ -125,6 +128,7 @@
                 new GateClient(peers, SIDE_PORT),
                 retryShare,
                 crashWatch,
+                answerMemory,
                 new ForwardMetrics(metrics));
         budgets = new AccountBudgets(name, budgetHomes, budgetPeersOr(messenger), time, loop);
         forwarder = new RequestForwarder(
