Interim responses of an upstream are passed over, up to sixteen

Seen by callers: an upstream that sent a response such as 102 or 103 before its answer had that one passed on as the answer, with its status and no body. Nothing bounded how many of them might come.

Cause: a response with an informational status was handled like one with a final status.

Change: it is passed over (RFC 9110, section 15.2). More than 16 for one request, or a switch to another protocol, which is never asked for, make the answer invalid; the request goes on as after any answer that is none.

Why it works: only a final status reaches the request, and the number of the others is bounded.

--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamConnectionPoolTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/connection/UpstreamConnectionPoolTest.java
@@ -106,6 +106,20 @@
         }
     }
 
+    /** Guards against a response with no final status that is taken for the answer. */
+    @Test
+    public void interimResponsesArePassedOver() throws Exception {
+        String interim = "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+        try (ScriptedUpstream upstream = new ScriptedUpstream((request, connection) -> {
+            ScriptedUpstream.write(connection, interim + okResponse("done"));
+            return true;
+        })) {
+            UpstreamConnectionPool pool = newPool(upstream.address());
+            assertEquals(send(pool), "whole 200 done");
+            assertEquals(send(pool), "whole 200 done");
+        }
+    }
+
     /** Guards against a request that was given up and still arrives when its upstream can be reached again. */
     @Test
     public void connectionOfCancelledRequestIsResetSoThatNothingOfItArrivesLater() throws Exception {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EndlessAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EndlessAnswerTest.java
@@ -48,6 +48,7 @@
             {"a chunk's size", CHUNKED_HEAD, "0"},
             {"an event", CHUNKED_HEAD, chunk},
             {"an event in chunks of one byte", CHUNKED_HEAD, "1\r\nx\r\n".repeat(2_000)},
+            {"interim heads", "", "HTTP/1.1 102 Processing\r\n\r\n".repeat(100)},
             {"a body without length", "HTTP/1.1 200 OK\r\nid: 1\r\n\r\n", "y".repeat(10_000)},
         };
     }
