--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/ServerRun.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/run/ServerRun.java
@@ -23,8 +23,10 @@
  * their order is kept.
  */
 final class ServerRun implements RunAnswer {
-    /** Bytes of an answer that a side holds for a slow caller before it gives up. */
+    /** Memory of an answer that a side holds for a slow caller before it gives up. */
     static final int MAX_HELD_BYTES = 8 * 1024 * 1024;
+    /** Memory that a chunk takes beside its data, which may be a single byte. */
+    private static final int CHUNK_OVERHEAD_BYTES = 128;
 
     private final RunId id;
     private final Runnable whenEnded;
@@ -75,7 +77,7 @@
                     .setData(data)
                     .setTokens(tokens)
                     .build());
-            heldBytes += data.size();
+            heldBytes += heldBytes(data);
             overflow = heldBytes > MAX_HELD_BYTES;
             flush();
         }
@@ -152,7 +154,7 @@
                 waiting.addFirst(unconsumed.removeLast());
             }
             while (!waiting.isEmpty() && waiting.getFirst().getSequence() < sequence) {
-                heldBytes -= waiting.removeFirst().getData().size();
+                heldBytes -= heldBytes(waiting.removeFirst().getData());
             }
             consumedBytes = 0;
             credit = window;
@@ -165,9 +167,9 @@
             credit += bytes;
             consumedBytes += bytes;
             while (!unconsumed.isEmpty() && unconsumed.getFirst().getData().size() <= consumedBytes) {
-                int size = unconsumed.removeFirst().getData().size();
-                consumedBytes -= size;
-                heldBytes -= size;
+                ByteString data = unconsumed.removeFirst().getData();
+                consumedBytes -= data.size();
+                heldBytes -= heldBytes(data);
             }
             flush();
         }
@@ -235,6 +237,10 @@
 
     // Internals, called under the lock
 
+    private static int heldBytes(ByteString data) {
+        return data.size() + CHUNK_OVERHEAD_BYTES;
+    }
+
     private void flush() {
         if (channel == null) {
             return;
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/EngineStreamReader.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/EngineStreamReader.java
@@ -30,6 +30,10 @@
     private static final int STATUS_UNAVAILABLE = 503;
     private static final int STATUS_BAD_REQUEST = 400;
     private static final String DATA_PREFIX = "data:";
+    /** A token's event is far shorter; an engine in trouble may send a line without end. */
+    private static final int MAX_LINE_BYTES = 256 * 1024;
+
+    private static final int MAX_DETAIL_CHARS = 500;
 
     private final String source;
     private final EngineAnswer answer;
@@ -85,6 +89,10 @@
                 line.write(b);
             }
         }
+        if (line.size() > MAX_LINE_BYTES) {
+            fail(ResultCode.UPSTREAM_LOST, "a line is longer than " + MAX_LINE_BYTES + " bytes");
+            return State.ABORT;
+        }
         return detached ? State.ABORT : State.CONTINUE;
     }
 
@@ -97,13 +105,18 @@
     @Override
     public @Nullable Void onCompleted() {
         if (status == STATUS_CONFLICT || status == STATUS_UNAVAILABLE || status == STATUS_BAD_REQUEST) {
-            fail(ResultCode.UPSTREAM_REFUSED, "HTTP status " + status + " " + line.toString(StandardCharsets.UTF_8));
+            fail(ResultCode.UPSTREAM_REFUSED, "HTTP status " + status + " " + firstChars());
         } else {
             fail(ResultCode.UPSTREAM_LOST, "the answer ended without a finish reason, HTTP status " + status);
         }
         return null;
     }
 
+    private String firstChars() {
+        String text = line.toString(StandardCharsets.UTF_8);
+        return text.substring(0, Math.min(text.length(), MAX_DETAIL_CHARS));
+    }
+
     private void readLine() {
         String text = line.toString(StandardCharsets.UTF_8);
         line.reset();
