The bodies of callers' requests are bounded over the process

Seen by callers: while forty callers sent bodies of the allowed size (4 MiB each) to one entry, it answered nobody for seconds.

Cause: each body was within its limit, but nothing bounded their sum, which filled the heap. Each was also copied as a whole for the hash by which crashing requests are recognised, and once more for each send.

Change: CallerServer holds the declared length of a body from its head on, or what has arrived of one in chunks, in a BodyMemory of a quarter of the heap, until the request is answered. The copies for the hash and for the send are gone.

Why it works: the room for bodies is taken before they are read, and the rest of the heap is left to everything else.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -21,6 +20,8 @@
 import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
 import io.netty.handler.codec.http2.Http2Error;
 import io.netty.util.ReferenceCountUtil;
+import io.parsleycleat.core.connection.body.BodyMemory;
+import io.parsleycleat.core.connection.body.PartBuffer;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.core.process.time.TimeSource;
@@ -45,6 +46,10 @@
     /** How much longer than its caller knows a connection may be idle, so that the last request it may send arrives. */
     static final Duration IDLE_CLOSE_MARGIN = Duration.ofSeconds(1);
 
+    /** A body is held for about as long as its request runs, most of them for less than a second. */
+    private static final Refusal NO_MEMORY =
+            Refusal.of(ResultCode.BODIES_FILL_MEMORY).withRetryAfter(Duration.ofSeconds(1));
+
     /** Messages behind a running request from which on no more are read from the connection. */
     private static final int MAX_PIPELINED_OBJECTS = 64;
     /** What separates the name of a header from its value. */
@@ -60,8 +65,9 @@
     private final BooleanSupplier draining;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
     private final ConnectionTimer timer = new ConnectionTimer();
+    private final BodyMemory.Holder bodyMemory;
+    private final PartBuffer body = new PartBuffer();
     private @Nullable HttpRequest head;
-    private ByteString.@Nullable Output body;
     private @Nullable NettyCallerExchange exchange;
     /** Size of the body that was allowed when its request's head was read. */
     private int allowedBodyBytes;
@@ -92,17 +98,20 @@
      * Creates the handler of a connection or stream.
      *
      * @param limits as of now; they may change while the connection is open
+     * @param bodyMemory what the bodies of all requests may take together
      * @param holdsPartOfHead whether the decoder holds a part of the next head; always false for HTTP/2
      * @param draining whether the connection closes after the next answer
      */
     CallerHandler(
             Supplier<CallerLimits> limits,
+            BodyMemory bodyMemory,
             CallerService service,
             boolean http2,
             BooleanSupplier holdsPartOfHead,
             ConnectionRegistry.@Nullable Entry connection,
             BooleanSupplier draining) {
         this.limits = limits;
+        this.bodyMemory = bodyMemory.newHolder();
         this.service = service;
         this.http2 = http2;
         this.holdsPartOfHead = holdsPartOfHead;
@@ -123,6 +132,7 @@
     @Override
     public void handlerRemoved(ChannelHandlerContext context) {
         timer.stop();
+        releaseBody();
     }
 
     @Override
@@ -225,7 +235,6 @@
 
     private void readHead(ChannelHandlerContext context, HttpRequest request) {
         head = request;
-        body = ByteString.newOutput();
         if (connection != null) {
             connection.busy();
         }
@@ -239,6 +248,8 @@
         } else if (HttpUtil.isContentLengthSet(request)
                 && HttpUtil.getContentLength(request, 0L) > newest.maxBodyBytes()) {
             refuse(context, tooLarge());
+        } else if (!bodyMemory.hold(Math.max(0, HttpUtil.getContentLength(request, 0L)))) {
+            refuse(context, NO_MEMORY);
         } else if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -254,27 +265,26 @@
     }
 
     private void readBody(ChannelHandlerContext context, HttpContent content) {
-        ByteString.Output collected = body;
         HttpRequest request = head;
-        if (collected == null || request == null) {
+        if (request == null) {
             return;
         }
-        byte[] bytes = ByteBufUtil.getBytes(content.content());
         allowedBodyBytes = Math.max(allowedBodyBytes, limits.get().maxBodyBytes());
-        if (collected.size() + bytes.length > allowedBodyBytes) {
+        if (body.size() + content.content().readableBytes() > allowedBodyBytes) {
             refuse(context, tooLarge());
             return;
         }
-        collected.write(bytes, 0, bytes.length);
-        if (content instanceof LastHttpContent) {
+        body.append(content.content());
+        if (!bodyMemory.hold(Math.max(bodyMemory.heldBytes(), body.heldBytes()))) {
+            refuse(context, NO_MEMORY);
+        } else if (content instanceof LastHttpContent) {
             timer.stop();
-            dispatch(context, request, collected.toByteString());
+            dispatch(context, request, body.drain());
         }
     }
 
     private void dispatch(ChannelHandlerContext context, HttpRequest request, ByteString content) {
         head = null;
-        body = null;
         NettyCallerExchange current = newExchange(context, request, HttpUtil.isKeepAlive(request));
         exchange = current;
         CallerRequest whole;
@@ -308,6 +318,7 @@
 
     private void answered(ChannelHandlerContext context, boolean last) {
         exchange = null;
+        releaseBody();
         lastAnswerNanos = TimeSource.SYSTEM.monotonicNanos();
         if (http2 || ended) {
             return;
@@ -370,6 +381,7 @@
         }
         ended = true;
         timer.stop();
+        releaseBody();
         Answering answering = new Answering(() -> false, last -> {
             if (last) {
                 end(context);
@@ -381,6 +393,11 @@
         ErrorAnswer.send(refusing, UUID.randomUUID().toString(), refusal);
     }
 
+    private void releaseBody() {
+        body.clear();
+        bodyMemory.close();
+    }
+
     private static Refusal decoderRefusal(DecoderResult result) {
         Throwable cause = result.cause();
         boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
@@ -27,6 +27,7 @@
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import io.parsleycleat.core.connection.body.BodyMemory;
 import io.parsleycleat.core.process.common.ReadPass;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
@@ -56,6 +57,7 @@
     private final EventLoopGroup loops;
     private final Supplier<CallerLimits> currentLimits;
     private final CallerService service;
+    private final BodyMemory bodyMemory;
     private final ConnectionRegistry connections;
     private final Object lock = new Object();
     private final ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
@@ -75,8 +77,18 @@
      *     the limit, or {@value #MIN_DECODER_HEADER_BYTES} bytes, at its start
      */
     public CallerServer(EventLoopGroup loops, Supplier<CallerLimits> limits, CallerService service) {
+        this(loops, limits, BodyMemory.ofHeap(), service);
+    }
+
+    /**
+     * Creates a server whose limits may change, also for open connections.
+     *
+     * @param bodyMemory what the bodies of all requests may take together, from their head to the end of the answer
+     */
+    CallerServer(EventLoopGroup loops, Supplier<CallerLimits> limits, BodyMemory bodyMemory, CallerService service) {
         this.loops = loops;
         this.currentLimits = limits;
+        this.bodyMemory = bodyMemory;
         this.service = service;
         this.connections = new ConnectionRegistry(limits.get().maxConnections());
     }
@@ -103,6 +115,11 @@
         connections.closeIdle();
     }
 
+    /** Returns the memory that the bodies of requests take. */
+    public long bodyBytes() {
+        return bodyMemory.takenBytes();
+    }
+
     /** Returns how many connections are open. */
     public int openConnections() {
         return connections.open();
@@ -189,6 +206,7 @@
                                 codec,
                                 new CallerHandler(
                                         currentLimits,
+                                        bodyMemory,
                                         this::refuseBusy,
                                         false,
                                         codec::holdsPartOfHead,
@@ -208,7 +226,13 @@
             channel.pipeline()
                     .addLast(detector, codec, upgrade, new Http1Starter())
                     .addLast(new CallerHandler(
-                            currentLimits, service, false, codec::holdsPartOfHead, entry.get(), () -> draining));
+                            currentLimits,
+                            bodyMemory,
+                            service,
+                            false,
+                            codec::holdsPartOfHead,
+                            entry.get(),
+                            () -> draining));
         }
 
         private void refuseBusy(CallerRequest request, CallerExchange exchange) {
@@ -270,7 +294,8 @@
                 idleClose.streamOpened(stream);
                 stream.pipeline()
                         .addLast(new Http2StreamFrameToHttpObjectCodec(true))
-                        .addLast(new CallerHandler(currentLimits, service, true, () -> false, null, () -> draining));
+                        .addLast(new CallerHandler(
+                                currentLimits, bodyMemory, service, true, () -> false, null, () -> draining));
             }
         });
     }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/process/result/ResultCode.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/process/result/ResultCode.java
@@ -53,6 +53,7 @@
 
     SUSPECT_REFUSED(1050, ResultClass.NOT_RUN, 503, "The request crashed upstreams and is not sent to another."),
     UPSTREAM_LIMITED(1051, ResultClass.NOT_RUN, 503, "The upstream takes no more requests a second."),
+    BODIES_FILL_MEMORY(1052, ResultClass.NOT_RUN, 503, "The bodies of other requests take the memory for them."),
 
     UPSTREAM_CRASHED(2001, ResultClass.MAY_HAVE_RUN, 502, "The upstream crashed while the request ran."),
     UPSTREAM_LOST(2002, ResultClass.MAY_HAVE_RUN, 502, "The connection to the upstream was lost."),
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.parsleycleat.core.connection.body.PartBuffer;
 import io.parsleycleat.core.process.logging.LogKeys;
+import java.nio.ByteBuffer;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -322,7 +323,8 @@
         if (length > 0 || Objects.equals(request.method(), "POST")) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
         }
-        ByteBuf body = Unpooled.wrappedBuffer(request.body().asReadOnlyByteBuffer());
+        ByteBuf body =
+                Unpooled.wrappedBuffer(request.body().asReadOnlyByteBufferList().toArray(ByteBuffer[]::new));
         return new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(request.method()),
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/process/entry/ForwardEntry.java
@@ -204,6 +204,7 @@
         new CallerServer(loops, () -> CallerLimits.DEFAULT, new AdminService(metrics, this::readiness))
                 .listen(settings.metricsAddress());
         metrics.gauge("requests.open", () -> forwarder::openRequests);
+        metrics.gauge("requests.body.bytes", () -> callerServer::bodyBytes);
         metrics.gauge("answers.held.bytes", () -> answerMemory::takenBytes);
         metrics.gauge("operators.log.era", () -> operatorsFollower::era);
         metrics.gauge("datacentres.drained", () -> drained::count);
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardRequest.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/ForwardRequest.java
@@ -1,5 +1,6 @@
 package io.parsleycleat.gateway.request.forward;
 
+import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import com.google.protobuf.ByteString;
 import io.parsleycleat.gateway.version.routes.AdapterId;
@@ -76,14 +77,13 @@
 
     /** Returns a hash of key, method, host, target and body, by which repeats of the same request are recognised. */
     public String fingerprint() {
-        return Hashing.murmur3_128()
+        Hasher hasher = Hashing.murmur3_128()
                 .newHasher()
                 .putString(key == null ? "" : key, StandardCharsets.UTF_8)
                 .putChar('\n')
                 .putString(method + ' ' + host + target, StandardCharsets.UTF_8)
-                .putChar('\n')
-                .putBytes(body.toByteArray())
-                .hash()
-                .toString();
+                .putChar('\n');
+        body.asReadOnlyByteBufferList().forEach(hasher::putBytes);
+        return hasher.hash().toString();
     }
 }
