A read that was asked for within the grace after an outage does not end it

Seen: none by callers; found in the class of the withdrawn key after a partial read. After a store came back from an older copy, or at all after an outage, a slow read could confirm a state that lacked what was written again while it was under way: a withdrawn key was valid again for as long as the next read took, and upstreams that had written themselves again were removed.

Cause: the grace ended with the first answer that arrived after its time, whatever the moment at which the read was sent. A read sent 0.3 s before the end and answered 0.5 s after it need not hold the records written between.

Change: the grace ends with an answer whose state is of its end or later: the moment at which it was sent, less the age that a relayed answer tells.

Result: LogFollowerTest.readAskedForWithinTheGraceConfirmsNothing failed before ("[a=1, a=2, a=1, end of grace] expected [false] but found [true]") and passes; FollowScheduleTest, RestoredLogScheduleTest, CutReadScheduleTest and LogRelayTest pass.

Why it works: writers have written again by the end of the grace, and the state that ends it is not older than that.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/version/follow/LogFollower.java
@@ -189,7 +189,7 @@
                             "an answer of era " + answer.next().era() + " after one of era " + era()));
             scheduleRetry(generation, sent);
         } else if (answer != null) {
-            onSuccess(sent.minus(answer.age()), answer);
+            onSuccess(sent, answer);
             updateSource(answer.source());
             scheduleRead(generation, pauseAfter(answer));
         } else if (failure instanceof LogTrimmedException) {
@@ -251,9 +251,11 @@
 
     /**
      * Takes an answer. One of a substitute confirms the state, but does not show that the log answers. One that does
-     * not lead to the end of the log shows that the log answers, but neither confirms the state nor ends the grace.
+     * not lead to the end of the log shows that the log answers, but neither confirms the state nor ends the grace. Nor
+     * does one end the grace that was asked for before: it need not hold what was written again since.
      */
-    private void onSuccess(Freshness.Moment stateTime, KeyedLog.Records answer) {
+    private void onSuccess(Freshness.Moment sent, KeyedLog.Records answer) {
+        Freshness.Moment stateTime = sent.minus(answer.age());
         boolean graceOver;
         boolean complete;
         synchronized (lock) {
@@ -263,7 +265,7 @@
             }
             reachable = !isSubstitute;
             lastAnswerNanos = isSubstitute ? lastAnswerNanos : time.monotonicNanos();
-            graceOver = inGrace && answer.reachesEnd() && time.monotonicNanos() - graceEndsNanos >= 0;
+            graceOver = inGrace && answer.reachesEnd() && stateTime.monotonicNanos() - graceEndsNanos >= 0;
             inGrace = inGrace && !graceOver;
             rewritesPending = rewritesPending && inGrace;
             complete = answer.reachesEnd() && !rewritesPending;
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
@@ -21,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -38,6 +39,14 @@
         private long era;
         private boolean down;
         private boolean silent;
+        /** How long the answer of a read takes; its state is that of the moment at which the read was sent. */
+        private Duration answerTime = Duration.ZERO;
+
+        private final ManualScheduler scheduler;
+
+        MemoryLog(ManualScheduler scheduler) {
+            this.scheduler = scheduler;
+        }
 
         void add(String key, String value) {
             records.add(new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8), records.size()));
@@ -77,7 +86,13 @@
             }
             List<KeyedRecord> found =
                     records.stream().filter(r -> r.offset() >= from.offset()).toList();
-            return CompletableFuture.completedFuture(new Records(found, new LogPosition(era, records.size())));
+            Records answer = new Records(found, new LogPosition(era, records.size()));
+            if (answerTime.isZero()) {
+                return CompletableFuture.completedFuture(answer);
+            }
+            CompletableFuture<Records> late = new CompletableFuture<>();
+            scheduler.schedule(() -> late.complete(answer), answerTime.toMillis(), TimeUnit.MILLISECONDS);
+            return late;
         }
 
         private static <T> CompletableFuture<T> unavailable() {
@@ -107,7 +122,7 @@
     public void setUp() {
         time = new ManualTimeSource();
         scheduler = new ManualScheduler(time);
-        log = new MemoryLog();
+        log = new MemoryLog(scheduler);
         seen = new ArrayList<>();
         follower = new LogFollower("log", log, new Recorder(), FollowSettings.LOW_LATENCY, scheduler, time);
     }
@@ -242,6 +257,29 @@
         assertTrue(follower.freshness().isYoungerThan(Duration.ofMillis(500)));
     }
 
+    /** Guards against a withdrawn key that is valid again, since a slow read missed what was written again meanwhile. */
+    @Test
+    public void readAskedForWithinTheGraceConfirmsNothing() {
+        log.add("a", "1");
+        follower.start();
+        log.add("a", "2");
+        scheduler.runFor(Duration.ofMillis(300));
+        log.restore(1);
+        scheduler.runFor(Duration.ofMillis(1_900));
+        log.answerTime = Duration.ofMillis(800);
+        scheduler.runFor(Duration.ofMillis(150));
+        log.add("a", "2");
+        scheduler.runFor(Duration.ofMillis(850));
+        assertFalse(seen.contains("end of grace"), seen.toString());
+        assertTrue(
+                follower.freshness().age().toMillis() >= 2_800,
+                follower.freshness().age() + " old");
+        log.answerTime = Duration.ZERO;
+        scheduler.runFor(Duration.ofMillis(1_500));
+        assertEquals(seen.subList(seen.size() - 2, seen.size()), List.of("a=2", "end of grace"));
+        assertTrue(follower.freshness().isYoungerThan(Duration.ofMillis(500)));
+    }
+
     @Test
     public void answerOfAnEarlierEraIsIgnored() {
         log.add("a", "1");
