--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/version/configuration/LogTailerTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/version/configuration/LogTailerTest.java
@@ -159,10 +159,13 @@
         startTailer(answers, () -> {});
         time.advance(BOUND.toMillis() + 1);
         assertTrue(monitor.isIsolated());
-        answers.complete(0, entry(0, "a"), 2);
+        answers.complete(0, entry(0, "a"), 3);
         assertTrue(monitor.isIsolated(), "after a part of the backlog");
         time.advance(1);
-        answers.complete(1, entry(1, "b"), 2);
+        answers.complete(1, entry(1, "b"), 3);
+        assertTrue(monitor.isIsolated(), "after a part that was asked for just now");
+        time.advance(1);
+        answers.complete(2, entry(2, "c"), 3);
         assertFalse(monitor.isIsolated(), "after the whole backlog");
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/version/LogFollowerTest.java
@@ -257,7 +257,7 @@
         assertTrue(follower.freshness().isYoungerThan(Duration.ofMillis(500)));
     }
 
-    /** Guards against a withdrawn key that is valid again, since a slow read missed what was written again meanwhile. */
+    /** Guards against a withdrawn key that is valid again, since a slow read missed what was written meanwhile. */
     @Test
     public void readAskedForWithinTheGraceConfirmsNothing() {
         log.add("a", "1");
