Answers hold their memory until their callers have read them

Seen: none by callers; found while the memory of answers was bounded. Callers that read nothing, each with a whole answer of up to 1 MiB handed to its connection, held memory that no bound counted.

Cause: a buffered answer was handed over as a whole and its memory given back at that moment, and a stream's at its end.

Change: whole answers above 8 KiB are written like a stream, with their length, and all written bytes hold their memory until the connection has taken them. The test of the process's bound is stricter: an answer must begin before its upstream has ended it.

Result: EndlessAnswerTest.answersHoldTheirMemoryUntilTheCallerHasReadThem failed before ("expected [200 streamed ..."), and answersBeyondTheMemoryAreStreamedAndGiveItBack fails with the bound taken out; both pass, as do ForwardingTest, FaultyAnswerTest, StreamEndTest, FinalAnswerTest, PlannedStopTest and the tests of silent upstreams.

Why it works: the memory is given back by the event that frees it.

--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerAnswer.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerAnswer.java
@@ -8,10 +8,13 @@
 import io.parsleycleat.gateway.request.events.EventSplitter;
 import io.parsleycleat.gateway.version.routes.RequestKind;
 import io.parsleycleat.gateway.version.routes.Route;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -22,7 +25,11 @@
  */
 final class CallerAnswer {
     private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
+    /** Whole answers up to this size hold no memory that is counted while their caller reads them. */
+    private static final int MAX_UNCOUNTED_BYTES = 8 * 1024;
+
     private static final String CONTENT_TYPE = "Content-Type";
+    private static final String CONTENT_LENGTH = "Content-Length";
     /** Statuses that mean "not run" to callers, and are not passed on for a request that may have run once. */
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
 
@@ -160,13 +167,14 @@
         memory.hold(current == null ? 0 : current.heldBytes());
     }
 
-    /** Gives the memory back, after the last call of another method. */
+    /** Gives the memory back, after the last call of another method; that of written bytes once the caller has them. */
     void release() {
         CallerStream current = stream;
         if (current != null) {
             current.release();
+        } else {
+            memory.close();
         }
-        memory.close();
     }
 
     /** Completes a streamed answer. */
@@ -177,13 +185,29 @@
         }
     }
 
-    /** Sends a buffered answer as a whole. */
+    /** Sends a buffered answer as a whole. A large one is written like a stream, since its memory is counted so. */
     void respond(ResponseHead head) {
-        exchange.respond(head.status(), codec.callerHeaders(head), bufferedBody.drain());
+        int size = bufferedBody.size();
+        List<Map.Entry<String, String>> headers = codec.callerHeaders(head);
+        if (size <= MAX_UNCOUNTED_BYTES) {
+            exchange.respond(head.status(), headers, bufferedBody.drain());
+            return;
+        }
+        List<Map.Entry<String, String>> withLength = Stream.concat(
+                        headers.stream().filter(h -> !h.getKey().equalsIgnoreCase(CONTENT_LENGTH)),
+                        Stream.of(Map.entry(CONTENT_LENGTH, Integer.toString(size))))
+                .toList();
+        startStream(head, withLength, CallerStream.Content.BYTES).append(bufferedBody.drain());
+        endStream();
     }
 
     private CallerStream startStream(ResponseHead head, CallerStream.Content content) {
-        exchange.start(head.status(), codec.callerHeaders(head));
+        return startStream(head, codec.callerHeaders(head), content);
+    }
+
+    private CallerStream startStream(
+            ResponseHead head, List<Map.Entry<String, String>> headers, CallerStream.Content content) {
+        exchange.start(head.status(), headers);
         CallerStream started = new CallerStream(exchange, content, executeOnLoop, setReading, memory);
         stream = started;
         streamHead = head;
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerStream.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/request/forward/CallerStream.java
@@ -49,7 +49,7 @@
      *
      * @param executeOnLoop executes an action on the event loop
      * @param setReading resumes reading from the upstream when called with true and pauses it with false
-     * @param memory holds what the caller does not have yet, until {@link #release}
+     * @param memory holds what the caller does not have yet
      */
     CallerStream(
             CallerExchange exchange,
@@ -81,9 +81,10 @@
         return bufferedBytes + splitter.heldBytes();
     }
 
-    /** Holds no more memory from now on. */
+    /** Ends the stream's own use of memory; what was written holds it until the caller has it. */
     void release() {
         released = true;
+        memory.hold(bufferedBytes);
     }
 
     /**
@@ -144,9 +145,7 @@
 
     private void onWritten(int writtenBytes) {
         bufferedBytes -= writtenBytes;
-        if (!released) {
-            memory.hold(heldBytes());
-        }
+        memory.hold(released ? bufferedBytes : heldBytes());
         if (readingPaused && bufferedBytes < LOW_WATER_MARK_BYTES) {
             readingPaused = false;
             setReading.accept(true);
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EndlessAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/EndlessAnswerTest.java
@@ -4,14 +4,20 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.util.concurrent.Uninterruptibles;
+import com.google.protobuf.ByteString;
+import io.parsleycleat.core.connection.caller.CallerRequest;
 import io.parsleycleat.core.process.result.ResultCode;
 import io.parsleycleat.gateway.connection.ScriptedUpstream;
 import io.parsleycleat.gateway.version.routes.RequestKind;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -20,6 +26,9 @@
 public class EndlessAnswerTest extends ForwardingFixture {
     private static final String CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nid: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+    private static final CallerRequest GET =
+            new CallerRequest("GET", "/p/x", List.of(Map.entry("key", "key")), ByteString.EMPTY);
+
     /** Sends bytes, once the test is ready, until the connection is closed; then reports how many were sent. */
     private static ScriptedUpstream.Script respondEndlessly(
             String start, String repeated, CompletableFuture<String> ready, CompletableFuture<Long> whenClosed) {
@@ -80,25 +89,64 @@
         return entry.answerMemory.takenBytes();
     }
 
+    /** A caller that tells when the first part of its answer comes. */
+    private static final class EarlyCaller extends RecordingCaller {
+        private final CountDownLatch started;
+
+        private EarlyCaller(CountDownLatch started) {
+            this.started = started;
+        }
+
+        @Override
+        public void start(int status, List<Map.Entry<String, String>> headers) {
+            super.start(status, headers);
+            started.countDown();
+        }
+    }
+
     /** Guards against many answers, each within its own limit, that fill the heap together. */
     @Test
     public void answersBeyondTheMemoryAreStreamedAndGiveItBack() throws Exception {
         configure(RequestKind.IDEMPOTENT, false, 1, Duration.ofSeconds(60));
         String body = "x".repeat(900_000);
-        CountDownLatch allAsked = new CountDownLatch(40);
+        CountDownLatch streamed = new CountDownLatch(1);
         try (ScriptedUpstream one = new ScriptedUpstream((request, connection) -> {
             ScriptedUpstream.write(connection, "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 900001\r\n\r\n" + body);
-            allAsked.countDown();
-            Uninterruptibles.awaitUninterruptibly(allAsked);
-            ScriptedUpstream.write(connection, "y");
+            boolean begun = Uninterruptibles.awaitUninterruptibly(streamed, 30, TimeUnit.SECONDS);
+            ScriptedUpstream.write(connection, begun ? "y" : "n");
             return false;
         })) {
             addUpstream("a", one.address());
-            List<RecordingCaller> callers =
-                    Stream.generate(() -> send("/p/x", "key")).limit(40).toList();
+            List<EarlyCaller> callers =
+                    Stream.generate(() -> new EarlyCaller(streamed)).limit(40).toList();
+            callers.forEach(caller -> forwarder.handle(GET, caller));
             List<String> answers = callers.stream().map(c -> c.answer.join()).toList();
             assertTrue(answers.stream().allMatch(a -> a.startsWith("200 ") && a.endsWith(body + "y")));
-            assertTrue(answers.stream().anyMatch(a -> a.startsWith("200 streamed")));
+            assertEquals(heldAnswerBytes(), 0);
+        }
+    }
+
+    /** A caller that reads nothing until it is told to. */
+    private static final class SlowCaller extends RecordingCaller {
+        private final Queue<Runnable> unread = new ConcurrentLinkedQueue<>();
+
+        @Override
+        public void write(ByteString part, Runnable written) {
+            super.write(part, () -> unread.add(written));
+        }
+    }
+
+    /** Guards against whole answers that slow callers leave in the heap and that nothing counts. */
+    @Test
+    public void answersHoldTheirMemoryUntilTheCallerHasReadThem() throws Exception {
+        configure(RequestKind.IDEMPOTENT, false, 1, Duration.ofSeconds(20));
+        try (ScriptedUpstream one = new ScriptedUpstream(respondWith(okAnswer("x".repeat(500_000)), false))) {
+            addUpstream("a", one.address());
+            SlowCaller caller = new SlowCaller();
+            forwarder.handle(GET, caller);
+            assertEquals(caller.answer.join(), "200 streamed " + "x".repeat(500_000));
+            assertTrue(heldAnswerBytes() >= 500_000, heldAnswerBytes() + " bytes are held");
+            caller.unread.forEach(Runnable::run);
             assertEquals(heldAnswerBytes(), 0);
         }
     }
