--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/body/BodyMemory.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/body/BodyMemory.java
@@ -14,7 +14,7 @@
 public final class BodyMemory {
     /** Bodies that hold no more may take the whole memory. */
     private static final int SMALL_BODY_BYTES = 64 * 1024;
-
+    /** One part of so many of the memory is left to small bodies. */
     private static final int SHARE_OF_SMALL_BODIES = 4;
     /** A body is held up to twice, here and as what is being sent; the rest of the heap is the process's own. */
     private static final int SHARE_OF_HEAP = 4;
