A body that comes in one part is held in one array of its size

Cause: the first segment of a gathered body had 256 bytes at least and was passed on as a part of its array, for each event of each stream. Change: the first segment has the size of the first part, and an empty part appends nothing. Result: PartBufferTest, EventSplitterTest, EndlessAnswerTest, UpstreamConnectionPoolTest and ResponseFuzzTest pass.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/body/PartBuffer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/body/PartBuffer.java
@@ -23,6 +23,9 @@
 
     /** Appends a copy of a part. */
     public void append(ByteString part) {
+        if (part.isEmpty()) {
+            return;
+        }
         append(Unpooled.wrappedBuffer(part.asReadOnlyByteBufferList().toArray(ByteBuffer[]::new)));
     }
 
@@ -38,10 +41,11 @@
         }
     }
 
+    /** Begins with a segment of the size of the first part, since most bodies and events come in one. */
     private void beginSegment(int neededBytes) {
         fullSegments = content();
-        int wanted = Math.max(neededBytes, fullSegments.size());
-        segment = new byte[Math.max(MIN_SEGMENT_BYTES, Math.min(MAX_SEGMENT_BYTES, wanted))];
+        int minimum = fullSegments.isEmpty() ? neededBytes : Math.max(MIN_SEGMENT_BYTES, fullSegments.size());
+        segment = new byte[Math.min(MAX_SEGMENT_BYTES, Math.max(neededBytes, minimum))];
         segmentSize = 0;
     }
 
@@ -62,7 +66,10 @@
 
     /** Returns the bytes. They do not change when more are appended. */
     public ByteString content() {
-        return fullSegments.concat(UnsafeByteOperations.unsafeWrap(segment, 0, segmentSize));
+        ByteString last = segmentSize == segment.length
+                ? UnsafeByteOperations.unsafeWrap(segment)
+                : UnsafeByteOperations.unsafeWrap(segment, 0, segmentSize);
+        return fullSegments.concat(last);
     }
 
     /** Returns the bytes and empties the buffer. */
