--- a/review/harness-2/Engine.java
+++ b/review/harness-2/Engine.java
@@ -30,6 +30,9 @@
     private volatile String answerHeaders = "";
     private volatile int workMillis;
     private volatile int adapterSlots = 17;
+    private volatile boolean unframed;
+    private volatile String deadlyPart = "";
+    private volatile Runnable whenCrashed = () -> {};
     private volatile long lastReportNanos;
 
     /** Starts an engine; a model engine holds the model m0 from its start. */
@@ -71,6 +74,19 @@
         return this;
     }
 
+    /** Lets streams end with their channel, without a length or chunks. */
+    Engine withUnframedAnswers() {
+        unframed = true;
+        return this;
+    }
+
+    /** Crashes as soon as an answer begins on a part of a prompt. */
+    Engine withDeadlyPart(String part, Runnable action) {
+        deadlyPart = part;
+        whenCrashed = action;
+        return this;
+    }
+
     /** Reports that the engine drains; returns when the store has accepted that. */
     long drain() {
         state = "draining";
@@ -148,6 +164,18 @@
         }
     }
 
+    private void runUnframed(Http.Message request, String seal, OutputStream out) throws IOException {
+        out.write(("HTTP/1.1 200 OK\r\n" + echo(request) + seal
+                        + "Content-Type: text/event-stream\r\nWeight-Versions: 1\r\nConnection: close\r\n\r\n")
+                .getBytes(StandardCharsets.UTF_8));
+        for (int event = 1; event <= 3; event++) {
+            out.write(("id: " + event + "\ndata: " + id + "\n\n").getBytes(StandardCharsets.UTF_8));
+            out.flush();
+            Stage.sleep(20);
+        }
+        throw new IOException("the answer ends with its channel");
+    }
+
     private static String echo(Http.Message request) {
         String id = request.header("Request-Id");
         return id.isEmpty() ? "" : "Request-Id: " + id + "\r\n";
@@ -216,6 +244,15 @@
             Http.answer(out, 200, echo(request) + seal + answerHeaders + "Server-Load: 1,0,6\r\n", "done by " + id);
             return;
         }
+        if (!deadlyPart.isEmpty() && request.header("Prompt-Prefix").contains(deadlyPart + ":")) {
+            close();
+            whenCrashed.run();
+            return;
+        }
+        if (unframed) {
+            runUnframed(request, seal, out);
+            return;
+        }
         StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\n" + echo(request) + seal)
                 .append("Content-Type: text/event-stream\r\nWeight-Versions: 1\r\n")
                 .append("Transfer-Encoding: chunked\r\n\r\n");
