--- a/review/harness-2/Engine.java
+++ b/review/harness-2/Engine.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -28,6 +29,8 @@
     private volatile boolean closed;
     private volatile String state = "ready";
     private volatile String answerHeaders = "";
+    private volatile String leavingHeader = "";
+    private final AtomicInteger running = new AtomicInteger();
     private volatile int workMillis;
     private volatile int adapterSlots = 17;
     private volatile boolean unframed;
@@ -87,9 +90,10 @@
         return this;
     }
 
-    /** Reports that the engine drains; returns when the store has accepted that. */
+    /** Reports that the engine drains, and says so in all answers; returns when the store has accepted that. */
     long drain() {
         state = "draining";
+        leavingHeader = "Server-Leaving: 1\r\n";
         describe();
         long acknowledged = System.nanoTime();
         stage.record("engine " + id + " is draining, the store has acknowledged that");
@@ -152,15 +156,22 @@
         if (!expected.isEmpty() && !expected.equals(id)) {
             Http.answer(out, 421, "Instance-Id: " + id + "\r\n" + echo(request), "");
         } else if (request.path().equals("/health")) {
-            Http.answer(out, 200, "Instance-Id: " + id + "\r\n", "");
+            Http.answer(out, 200, "Instance-Id: " + id + "\r\n" + leavingHeader, "");
         } else if (request.path().equals("/report") && isModelEngine) {
             Http.answer(out, 200, "Content-Type: application/json\r\n", report());
         } else if (request.path().equals("/order") && isModelEngine) {
             Http.answer(out, order(request.text()), "", "");
         } else if (request.header("Request-Id").isEmpty()) {
-            Http.answer(out, 400, "Not-Executed: 1\r\n", "");
+            Http.answer(out, 400, "Not-Executed: 1\r\n" + leavingHeader, "");
+        } else if (isModelEngine && !holds(request.header("Model"))) {
+            Http.answer(out, 421, "Instance-Id: " + id + "\r\n" + echo(request), "");
         } else {
-            run(request, out);
+            running.incrementAndGet();
+            try {
+                run(request, out);
+            } finally {
+                running.decrementAndGet();
+            }
         }
     }
 
@@ -176,14 +187,18 @@
         throw new IOException("the answer ends with its channel");
     }
 
-    private static String echo(Http.Message request) {
-        String id = request.header("Request-Id");
-        return id.isEmpty() ? "" : "Request-Id: " + id + "\r\n";
+    private String echo(Http.Message request) {
+        String requestId = request.header("Request-Id");
+        return (requestId.isEmpty() ? "" : "Request-Id: " + requestId + "\r\n") + leavingHeader;
+    }
+
+    private synchronized boolean holds(String model) {
+        return model.equals("m0") || (model.startsWith("m0/") && adapters.containsKey(model.substring(3)));
     }
 
     private synchronized String report() {
         return "{\"stage\":\"combined\",\"born\":" + born + ",\"busy\":false,\"sequence\":" + sequence
-                + ",\"waiting\":0,\"running\":0,\"kv_used\":0,\"kv_total\":120000,\"handles\":0,\"coming\":["
+                + ",\"waiting\":0,\"running\":" + running.get() + ",\"kv_used\":0,\"kv_total\":120000,\"handles\":0,\"coming\":["
                 + list(coming, "m0/") + "]" + models() + "}";
     }
 
@@ -198,6 +213,10 @@
             return 412;
         }
         highestFence = fence;
+        boolean holdsAlready = adapter.isEmpty() || adapters.containsKey(adapter);
+        if (operation.equals("load") && holdsAlready) {
+            return 200;
+        }
         if (expected != sequence) {
             return 409;
         }
