A request whose end is not clear is refused, and nothing behind it runs

Cause: the callers' server used Netty 4.1.118's decoder as it comes. It drops the length where a transfer coding stands beside it, takes a coding that it does not know for no body, reads chunks in HTTP/1.0, lets a chunk size overflow to 0, skips whatever stands behind a chunk's data up to a line feed, and ends lines by a line feed alone. So two readers could see the end of a message in two places.

Every listener has this decoder. A line feed alone no longer ends a line: RFC 9112, section 2.2, lets a server take it, but not every reader before this one does.

Why it works: a refused head fails its decoding, after which the decoder drops all further bytes; CallerHandler then answers once with 400 and code class "not run", and closes behind it.

Sound chunks with extensions and trailers byte by byte, pipelined requests and bodies of 500,000 bytes are served as before. All tests of core (1216) and gateway (1819) passed.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
@@ -14,7 +14,6 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpServerUpgradeHandler;
 import io.netty.handler.codec.http2.Http2CodecUtil;
@@ -28,6 +27,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import io.parsleycleat.core.connection.body.BodyMemory;
+import io.parsleycleat.core.connection.http.MessageFraming;
 import io.parsleycleat.core.process.common.ReadPass;
 import io.parsleycleat.core.process.result.Refusal;
 import io.parsleycleat.core.process.result.ResultCode;
@@ -197,7 +197,7 @@
         protected void initChannel(SocketChannel channel) {
             Optional<ConnectionRegistry.Entry> entry = connections.register(channel);
             CallerLimits limits = currentLimits.get();
-            Http1Codec codec = new Http1Codec(new HttpDecoderConfig()
+            Http1Codec codec = new Http1Codec(MessageFraming.newDecoderConfig()
                     .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
                     .setMaxHeaderSize(decoderHeaderBytes()));
             if (entry.isEmpty()) {
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/Http1Codec.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/Http1Codec.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpServerUpgradeHandler;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.parsleycleat.core.connection.http.MessageFraming;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Queue;
@@ -61,6 +62,13 @@
             return lineDecoded || actualReadableBytes() > 0;
         }
 
+        /** Also refuses, after the head and before the body, a message whose end is not clear. */
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            MessageFraming.check(message);
+            return super.isContentAlwaysEmpty(message);
+        }
+
         @Override
         protected HttpMessage createMessage(String[] initialLine) throws Exception {
             lineDecoded = true;
