A request whose end is not clear does not upgrade its connection to HTTP/2

Seen by callers: a request with "upgrade: h2c" and both a length and chunks, or with bytes behind a chunk's data, got 101, and its connection went on as HTTP/2; the refusal that the decoder had asked for came too late.

Cause: the upgrade handler stands before the handler that refuses, and looks at the headers of a request whose decoding has failed, and at those of one whose chunks have not arrived yet.

Change: the upgrade handler passes on a request that was not decoded, and one in chunks, which is served without an upgrade. A server may ignore the wish to upgrade (RFC 9110, section 7.8); requests with a length upgrade as before.

Measured: RequestFramingTest.unclearRequestDoesNotUpgrade: both rows fail without the mend, the second one also with the first half of the mend alone; both pass with it. CallerServerTest's upgrades with a body pass.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerServer.java
@@ -15,7 +15,9 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpServerUpgradeHandler;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http2.Http2CodecUtil;
 import io.netty.handler.codec.http2.Http2FrameCodec;
 import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
@@ -214,7 +216,7 @@
                                         () -> true));
                 return;
             }
-            HttpServerUpgradeHandler upgrade = new HttpServerUpgradeHandler(
+            HttpServerUpgradeHandler upgrade = new UpgradeHandler(
                     codec,
                     protocol -> AsciiString.contentEquals(Http2CodecUtil.HTTP_UPGRADE_PROTOCOL_NAME, protocol)
                             ? new Http2ServerUpgradeCodec(frameCodec(), streamHandlers(entry.get()))
@@ -245,6 +247,21 @@
         return Math.max(currentLimits.get().maxHeaderBytes(), MIN_DECODER_HEADER_BYTES);
     }
 
+    /**
+     * Upgrades to HTTP/2 with a request whose end is known from its head. One that was not decoded is left to be
+     * refused, and one in chunks, which may still turn out to be malformed, is served without an upgrade.
+     */
+    private static final class UpgradeHandler extends HttpServerUpgradeHandler {
+        UpgradeHandler(SourceCodec sourceCodec, UpgradeCodecFactory upgradeCodecs, int maxBodyBytes) {
+            super(sourceCodec, upgradeCodecs, maxBodyBytes);
+        }
+
+        @Override
+        protected boolean shouldHandleUpgradeRequest(HttpRequest request) {
+            return request.decoderResult().isSuccess() && !HttpUtil.isTransferEncodingChunked(request);
+        }
+    }
+
     /** Ends the wait for an upgrade once the connection turned out to speak HTTP/1.1. */
     private static final class Http1Starter extends SimpleChannelInboundHandler<HttpMessage> {
         @Override
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/RequestFramingTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/caller/RequestFramingTest.java
@@ -156,6 +156,21 @@
         assertRefused(first);
     }
 
+    @DataProvider
+    public Object[][] upgrades() {
+        return new Object[][] {
+            {"length beside chunks", "content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n" + EMPTY_CHUNKS},
+            {"bytes behind the data of a chunk", "transfer-encoding: chunked\r\n\r\n1\r\nab\r\n" + EMPTY_CHUNKS},
+        };
+    }
+
+    // Guards against an upgrade to HTTP/2 that carries such a request past its refusal.
+    @Test(dataProvider = "upgrades")
+    public void unclearRequestDoesNotUpgrade(String name, String framingAndBody) throws Exception {
+        assertRefused("POST /first HTTP/1.1\r\nhost: a\r\nupgrade: h2c\r\nconnection: upgrade, http2-settings\r\n"
+                + "http2-settings: AAMAAABkAAQAAP__\r\n" + framingAndBody);
+    }
+
     // Guards against a refusal that overtakes, or takes away, the answer to a sound request before it.
     @Test
     public void soundRequestBeforeItIsAnswered() throws Exception {
