A response whose end is not clear is none, and bytes behind one are no answer

Seen by callers: a response with both a length and chunks was passed on as the answer of an upstream, also as the rest of a stream that was resumed; the clients of the store, of engines' controls and of plain services took it too, and one with the coding gzip beside a length.

Where the upstream meant the other of the two ends, the rest of such a response would be read as the answer to the next request.

Change: ResponseDecoder, for all clients of a process: the gateway's pools, and by way of ClientCodec, which takes the place of the HTTP client's own codec, the store's, the engines' controls' and the own interface's clients. It fails the decoding of such a head, of lengths that differ and of malformed chunks, and closes the connection behind bytes that belong to no request, before the end of the response that they follow is passed on. So the connection can't be taken for the next request. It takes the place of UnsolicitedBytesGuard, which did so in the gateway only, and of UpstreamResponseDecoder.

Why it works: a failed decoding ends the call and its connection in each of these clients (gateway: INVALID_RESPONSE, may have run; the own interface: UPSTREAM_LOST).

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/HttpClients.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/upstream/HttpClients.java
@@ -1,10 +1,13 @@
 package io.parsleycleat.core.connection.upstream;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
+import io.parsleycleat.core.connection.http.ClientCodec;
 import java.time.Duration;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Dsl;
+import org.asynchttpclient.netty.channel.ChannelManager;
 
 /** Makes the HTTP client of a process. Stateless. */
 public final class HttpClients {
@@ -24,10 +27,18 @@
                 .setMaxRequestRetry(0)
                 .setFollowRedirect(false)
                 .setCookieStore(null)
+                .setHttpAdditionalChannelInitializer(HttpClients::decodeStrictly)
                 .setSslEngineFactory(new LazySslEngineFactory())
                 .setConnectTimeout(CONNECT_TIMEOUT)
                 .setPooledConnectionIdleTimeout(IDLE_CONNECTION_TTL)
                 .setUserAgent("parsleycleat");
         return Dsl.asyncHttpClient(config);
     }
+
+    /** Replaces the client's codec, which takes more for a response than a server may send. */
+    private static void decodeStrictly(Channel connection) {
+        connection
+                .pipeline()
+                .replace(ChannelManager.HTTP_CLIENT_CODEC, ChannelManager.HTTP_CLIENT_CODEC, new ClientCodec());
+    }
 }
--- /dev/null
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/http/ResponseDecoderTest.java
@@ -0,0 +1,157 @@
+package io.parsleycleat.core.connection.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.Objects;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class ResponseDecoderTest {
+    private static final String FAILED = "failed";
+    private static final String SECOND = "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nsecond";
+
+    private ResponseDecoder decoder;
+    private EmbeddedChannel channel;
+
+    @BeforeMethod
+    public void open() {
+        decoder = new ResponseDecoder(MessageFraming.newDecoderConfig());
+        channel = new EmbeddedChannel(decoder);
+    }
+
+    // Rows
+
+    @DataProvider
+    public static Object[][] unclearEnds() {
+        Stream<String> heads = Stream.of(
+                "content-length: 2\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                "transfer-encoding: chunked\r\ncontent-length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                "content-length: 2\r\ntransfer-encoding: identity\r\n\r\nok",
+                "content-length: 2\r\ntransfer-encoding:\r\n\r\nok",
+                "transfer-encoding: gzip\r\n\r\nok",
+                "transfer-encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                "transfer-encoding: chunked, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                "content-length: 2\r\ncontent-length: 46\r\n\r\nok",
+                "content-length: 2, 46\r\n\r\nok",
+                "content-length: +2\r\n\r\nok",
+                "content-length: 2x\r\n\r\nok",
+                "transfer-encoding: chunked\r\n\r\n100000000\r\n\r\n",
+                "transfer-encoding: chunked\r\n\r\n2\r\nokay\r\n0\r\n\r\n",
+                "transfer-encoding: chunked\r\n\r\n2\nok\r\n0\r\n\r\n",
+                "transfer-encoding: chunked\r\n\r\n+2\r\nok\r\n0\r\n\r\n");
+        return heads.map(head -> new Object[] {head}).toArray(Object[][]::new);
+    }
+
+    // Tests
+
+    // Guards against an answer whose rest is taken for that to another request.
+    @Test(dataProvider = "unclearEnds")
+    public void responseWhoseEndIsNotClearFails(String headAndBody) {
+        String read = answer(HttpMethod.GET, "HTTP/1.1 200 OK\r\n" + headAndBody + SECOND);
+        assertTrue(read.endsWith(FAILED), read);
+        assertFalse(read.contains("second"), read);
+    }
+
+    // Guards against chunks in a version that has none, at whose end other readers wait for a close.
+    @Test
+    public void chunksInHttp10Fail() {
+        String chunks = "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+        assertEquals(answer(HttpMethod.GET, chunks), FAILED);
+    }
+
+    // Guards against a response, or a part of one, that is read as the answer to a request that comes later.
+    @Test
+    public void bytesBehindAResponseCloseTheConnectionBeforeItsEndIsPassedOn() {
+        decoder.expectResponseTo(HttpMethod.GET);
+        channel.writeInbound(bytes("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok" + SECOND));
+        assertFalse(channel.isOpen());
+        assertEquals(readAll(), "200 ok end");
+    }
+
+    // Guards against the same, if they come while no request is pending.
+    @Test
+    public void bytesBetweenRequestsCloseTheConnection() {
+        assertEquals(answer(HttpMethod.GET, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"), "200 ok end");
+        assertTrue(channel.isOpen());
+        channel.writeInbound(bytes("H"));
+        assertFalse(channel.isOpen());
+        decoder.expectResponseTo(HttpMethod.GET);
+        assertEquals(readAll(), "");
+    }
+
+    @DataProvider
+    public static Object[][] sound() {
+        String chunks = "2;a=b\r\nok\r\n0\r\nx: y\r\n\r\n";
+        return new Object[][] {
+            {HttpMethod.GET, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", "200 ok end"},
+            {HttpMethod.GET, "HTTP/1.1 200\r\ncontent-length: 2\r\n\r\nok", "200 ok end"},
+            {HttpMethod.GET, "HTTP/1.1 200 \r\ntransfer-encoding: Chunked\r\n\r\n" + chunks, "200 ok end"},
+            {HttpMethod.GET, "HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nok", "200 ok end"},
+            {HttpMethod.GET, "HTTP/1.1 599 Own reason\r\ncontent-length: 0\r\n\r\n", "599 end"},
+            {HttpMethod.GET, "HTTP/1.1 204 No Content\r\n\r\n", "204 end"},
+            {HttpMethod.GET, "HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n\r\n", "304 end"},
+            {HttpMethod.HEAD, "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n", "200 end"},
+            {HttpMethod.HEAD, "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "200 end"},
+            {HttpMethod.GET, "HTTP/1.1 103 Early Hints\r\n\r\n" + SECOND, "103 end 200 second end"},
+            {HttpMethod.GET, "HTTP/1.1 100 Continue\r\n\r\n" + SECOND, "100 end 200 second end"},
+        };
+    }
+
+    // Guards against a failure of what sound servers send, cut at any byte.
+    @Test(dataProvider = "sound")
+    public void soundResponseIsRead(HttpMethod method, String response, String expected) {
+        for (int cut = 0; cut < response.length(); cut++) {
+            decoder.expectResponseTo(method);
+            channel.writeInbound(bytes(response.substring(0, cut)));
+            channel.writeInbound(bytes(response.substring(cut)));
+            assertEquals(readAll(), expected, "cut after " + cut + " bytes");
+            assertTrue(channel.isOpen());
+        }
+    }
+
+    // Helpers
+
+    private static Object bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+    }
+
+    private String answer(HttpMethod method, String response) {
+        decoder.expectResponseTo(method);
+        channel.writeInbound(bytes(response));
+        return readAll();
+    }
+
+    /** Returns what was decoded: statuses, bodies, ends and failures. */
+    private String readAll() {
+        return Stream.generate(() -> channel.<HttpObject>readInbound())
+                .takeWhile(Objects::nonNull)
+                .map(ResponseDecoderTest::describe)
+                .collect(Collectors.joining())
+                .strip()
+                .replaceAll(" +", " ");
+    }
+
+    private static String describe(HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            return " " + FAILED;
+        }
+        String status = message instanceof HttpResponse response
+                ? " " + response.status().code() + " "
+                : "";
+        String content = message instanceof HttpContent part ? part.content().toString(StandardCharsets.UTF_8) : "";
+        return status + content + (message instanceof LastHttpContent ? " end" : "");
+    }
+}
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.parsleycleat.core.connection.body.PartBuffer;
+import io.parsleycleat.core.connection.http.ResponseDecoder;
 import io.parsleycleat.core.process.logging.LogKeys;
 import java.nio.ByteBuffer;
 import java.util.Objects;
@@ -31,8 +32,8 @@
 
 /**
  * One HTTP/1.1 connection to an upstream. It carries one request at a time and is reused only if the previous response
- * was complete and came after its whole request was written, no bytes followed it, and the upstream keeps the
- * connection open.
+ * was complete and came after its whole request was written, no bytes followed it, for which the decoder closes the
+ * connection, and the upstream keeps the connection open.
  *
  * <p>The parts of a body that are read together are passed on as one. A connection on which very many parts arrive at
  * once reads in turns with others of its kind.
@@ -53,7 +54,7 @@
     private static final int MAX_INTERIM_RESPONSES = 16;
 
     private final UpstreamChannel channel;
-    private final UpstreamResponseDecoder decoder;
+    private final ResponseDecoder decoder;
     private final ReadTurns turns;
     private final BiConsumer<UpstreamConnection, Boolean> onRelease;
     private final PartBuffer gathered = new PartBuffer();
@@ -83,7 +84,7 @@
      */
     UpstreamConnection(
             UpstreamChannel channel,
-            UpstreamResponseDecoder decoder,
+            ResponseDecoder decoder,
             ReadTurns turns,
             BiConsumer<UpstreamConnection, Boolean> onRelease) {
         this.channel = channel;
@@ -297,7 +298,7 @@
             return;
         }
         listener = null;
-        boolean canReuse = reusable && requestWritten && !decoder.hasUnreadBytes() && channel.isActive();
+        boolean canReuse = reusable && requestWritten && channel.isActive();
         current.onEnd();
         if (!canReuse) {
             channel.close();
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnectionPool.java
@@ -9,6 +9,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.parsleycleat.core.connection.http.MessageFraming;
+import io.parsleycleat.core.connection.http.ResponseDecoder;
 import io.parsleycleat.core.process.time.TimeSource;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -35,6 +37,7 @@
     /** Bounds what is decoded in one go, for which all other connections of the event loop wait. */
     private static final int MAX_READ_BYTES = 16 * 1024;
 
+    private static final int MAX_HEADER_BYTES = 32 * 1024;
     private static final int MIN_READ_BYTES = 64;
     private static final int FIRST_READ_BYTES = 2 * 1024;
 
@@ -229,13 +232,11 @@
     private final class ConnectionInitializer extends ChannelInitializer<UpstreamChannel> {
         @Override
         protected void initChannel(UpstreamChannel channel) {
-            UpstreamResponseDecoder decoder = new UpstreamResponseDecoder();
-            UnsolicitedBytesGuard guard = new UnsolicitedBytesGuard();
+            ResponseDecoder decoder =
+                    new ResponseDecoder(MessageFraming.newDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES));
             UpstreamConnection connection =
                     new UpstreamConnection(channel, decoder, turns, UpstreamConnectionPool.this::release);
-            guard.setConnection(connection);
-            channel.pipeline()
-                    .addLast(new OpenConnectionCounter(), guard, decoder, new HttpRequestEncoder(), connection);
+            channel.pipeline().addLast(new OpenConnectionCounter(), decoder, new HttpRequestEncoder(), connection);
         }
     }
 
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FaultyAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FaultyAnswerTest.java
@@ -104,6 +104,7 @@
             {"error without a length", "HTTP/1.1 500 x\r\nid: 1\r\n\r\nid: 2\n\n"},
             {"error cut in its head", "HTTP/1.1 500 x\r\nid: 1\r\nContent-Le"},
             {"refusal", NOT_RUN_ANSWER},
+            {"stream with a length too", STREAM_HEAD.replace("id: 1", "id: 1\r\nContent-Length: 9") + LAST_CHUNKS},
             {"bytes that are no answer", "id: 2\ndata: x\n\n"},
             {"empty success", "HTTP/1.1 204 No Content\r\nid: 1\r\n\r\n"},
             {"success that is no stream", "HTTP/1.1 200 OK\r\nid: 1\r\n" + json + "Content-Length: 2\r\n\r\n{}"},
