A status that is none reaches no caller

Reported from other systems: an engine in trouble sent an answer whose status was 000, and the client got it as an answer.

Seen by callers here: the same.

Cause: Netty's decoder parses whatever number stands where the status is, and any protocol version of the right shape; nobody behind it asked whether it is one. UpstreamConnection.channelRead0 only asks for the class 1xx.

Change: StatusLines: HTTP/1.x and three digits from 100 to 599, checked by the decoder that all clients share. Such a response is an answer that broke off: the request may have run, so the caller gets 502 and never "not run"; it is sent again only where it may run twice; the upstream counts as having failed; its connection is not used again. A log line gives the first characters of the line, bounded, with all but printable ASCII replaced.

Sound responses, among them 599, no reason, HTTP/1.0 and interim ones, are read as before, cut at any byte.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/http/ResponseDecoder.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/http/ResponseDecoder.java
@@ -48,6 +48,7 @@
 
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
+        StatusLines.check(initialLine);
         HttpMessage message = super.createMessage(initialLine);
         interim = message instanceof HttpResponse response
                 && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/http/ResponseDecoderTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/http/ResponseDecoderTest.java
@@ -34,6 +34,48 @@
 
     // Rows
 
+    @DataProvider
+    public static Object[][] statusLines() {
+        Stream<String> lines = Stream.of(
+                "HTTP/1.1 000 x",
+                "HTTP/1.1 000",
+                "HTTP/1.1 0 x",
+                "HTTP/1.1 001 x",
+                "HTTP/1.1 099 x",
+                "HTTP/1.1 20 x",
+                "HTTP/1.1 600 x",
+                "HTTP/1.1 999 x",
+                "HTTP/1.1 2000 x",
+                "HTTP/1.1 65736 x",
+                "HTTP/1.1 2147483647 x",
+                "HTTP/1.1 4294967496 x",
+                "HTTP/1.1 0200 x",
+                "HTTP/1.1 +200 x",
+                "HTTP/1.1 -200 x",
+                "HTTP/1.1 -1 x",
+                "HTTP/1.1 abc x",
+                "HTTP/1.1 \u0662\u0660\u0660 x",
+                "HTTP/1.1 2e2 x",
+                "HTTP/1.1 0x200 x",
+                "HTTP/1.1 x",
+                "HTTP/1.1",
+                "HTTP/1.1 ",
+                "HTTP/9.9 200 OK",
+                "HTTP/0.9 200 OK",
+                "HTTP/2 200 OK",
+                "HTTP/2.0 200 OK",
+                "HTTP/1.10 200 OK",
+                "HTTP/11 200 OK",
+                "http/1.1 200 OK",
+                "HTTPS/1.1 200 OK",
+                "ICY 200 OK",
+                "200 OK",
+                "GET / HTTP/1.1",
+                "{\"status\":200}",
+                "000");
+        return lines.map(line -> new Object[] {line}).toArray(Object[][]::new);
+    }
+
     @DataProvider
     public static Object[][] unclearEnds() {
         Stream<String> heads = Stream.of(
@@ -57,6 +99,23 @@
 
     // Tests
 
+    // Guards against an answer whose status is none reaching a caller.
+    @Test(dataProvider = "statusLines")
+    public void lineThatIsNoStatusLineFails(String line) {
+        assertEquals(answer(HttpMethod.GET, line + "\r\ncontent-length: 2\r\n\r\nok"), FAILED);
+    }
+
+    // Guards against a log line that an upstream can break or fill.
+    @Test
+    public void failureShowsTheFirstCharactersOfTheLine() {
+        decoder.expectResponseTo(HttpMethod.GET);
+        channel.writeInbound(bytes("HTTP/1.1 000 \u001b[2J" + "x".repeat(1_000) + "\r\n\r\n"));
+        HttpObject message = channel.readInbound();
+        String shown = String.valueOf(message.decoderResult().cause().getMessage());
+        assertTrue(shown.startsWith("no status line: HTTP/1.1 000 ?[2Jxxx"), shown);
+        assertTrue(shown.length() < 200, shown);
+    }
+
     // Guards against an answer whose rest is taken for that to another request.
     @Test(dataProvider = "unclearEnds")
     public void responseWhoseEndIsNotClearFails(String headAndBody) {
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/upstream/FaultyResponseTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/upstream/FaultyResponseTest.java
@@ -136,6 +136,10 @@
     public Object[][] faulty() {
         List<String> clients = List.of("service", "limited");
         List<String> responses = List.of(
+                "HTTP/1.1 000 x\r\ncontent-length: 2\r\n\r\nok",
+                "HTTP/1.1 0200 OK\r\ncontent-length: 2\r\n\r\nok",
+                "HTTP/1.1 999 x\r\ncontent-length: 2\r\n\r\nok",
+                "HTTP/9.9 200 OK\r\ncontent-length: 2\r\n\r\nok",
                 "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
                 "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\ncontent-length: 2\r\n\r\nok",
                 "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 40\r\n\r\nok");
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
@@ -24,6 +24,7 @@
 import io.parsleycleat.core.connection.body.PartBuffer;
 import io.parsleycleat.core.connection.http.ResponseDecoder;
 import io.parsleycleat.core.process.logging.LogKeys;
+import io.parsleycleat.core.process.logging.LogText;
 import java.nio.ByteBuffer;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
@@ -176,7 +177,7 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            fail(SendFailure.invalidResponse("invalid HTTP response"));
+            failDecoding(message.decoderResult().cause());
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -227,6 +228,13 @@
         }
     }
 
+    private void failDecoding(Throwable cause) {
+        logger.atInfo()
+                .with(LogKeys.REQUEST, requestId)
+                .log("what was received is no HTTP response: %s", LogText.firstPrintable(String.valueOf(cause)));
+        fail(SendFailure.invalidResponse("invalid HTTP response"));
+    }
+
     private void readBody(ByteBuf part) {
         gathered.append(part);
         if (gathered.size() >= MAX_GATHERED_BYTES) {
--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FaultyAnswerTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/FaultyAnswerTest.java
@@ -104,6 +104,8 @@
             {"error without a length", "HTTP/1.1 500 x\r\nid: 1\r\n\r\nid: 2\n\n"},
             {"error cut in its head", "HTTP/1.1 500 x\r\nid: 1\r\nContent-Le"},
             {"refusal", NOT_RUN_ANSWER},
+            {"stream with a status that is none", STREAM_HEAD.replace("200", "0200") + LAST_CHUNKS},
+            {"stream of another version", STREAM_HEAD.replace("HTTP/1.1", "HTTP/9.9") + LAST_CHUNKS},
             {"stream with a length too", STREAM_HEAD.replace("id: 1", "id: 1\r\nContent-Length: 9") + LAST_CHUNKS},
             {"bytes that are no answer", "id: 2\ndata: x\n\n"},
             {"empty success", "HTTP/1.1 204 No Content\r\nid: 1\r\n\r\n"},
