An interim response is not the answer of a service or an engine

Seen by callers: in the own interface, a plain service that sent 102 or 103 before its answer had that passed on as the answer, with an empty body; 101 was passed on too. The store's and the engines' clients took an interim response for the answer of a call.

Cause: the HTTP client reports each response head as the one head of its call. Only the gateway's connections passed interim ones over and refused 101. Found while looking where statuses reach callers that are none of an answer.

Change: the decoder that all clients share passes interim responses over, 16 at most for a request, and fails at 101, for which nobody asks. UpstreamConnection has no rules of its own for them any more.

Why it works: no client sees an interim response, so none can be taken for the final one; one whose decoding fails is passed on as a failure.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/http/ResponseDecoder.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/http/ResponseDecoder.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -14,12 +15,16 @@
 
 /**
  * Decodes the responses on one connection, each to a request that was announced by {@link #expectResponseTo}. What is
- * no response fails its decoding. Bytes that belong to no request close the connection, before the end of the response
- * that they follow is passed on, so that the connection is not used again.
+ * no response fails its decoding. Interim responses are passed over (RFC 9110, section 15.2). Bytes that belong to no
+ * request close the connection, before the end of the response that they follow is passed on, so that the connection is
+ * not used again.
  *
  * <p>Created for each connection; used on its event loop only.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
+    /** Responses without a final status that are passed over before one with it. */
+    private static final int MAX_INTERIM_RESPONSES = 16;
+
     /** Method of the last request; a response to HEAD has no body whatever its headers say. */
     private HttpMethod requestMethod = HttpMethod.GET;
 
@@ -28,6 +33,8 @@
     /** Whether the message that is being decoded announces another one. */
     private boolean interim;
 
+    private int interimCount;
+
     /** Creates a decoder with one of {@link MessageFraming}'s configurations. */
     public ResponseDecoder(HttpDecoderConfig config) {
         super(config);
@@ -37,6 +44,7 @@
     public void expectResponseTo(HttpMethod method) {
         requestMethod = method;
         awaitsResponse = true;
+        interimCount = 0;
     }
 
     /** Returns whether a response with this status to the last request has no body. */
@@ -50,11 +58,26 @@
     protected HttpMessage createMessage(String[] initialLine) {
         StatusLines.check(initialLine);
         HttpMessage message = super.createMessage(initialLine);
-        interim = message instanceof HttpResponse response
-                && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (message instanceof HttpResponse response) {
+            checkInterim(response.status());
+        }
         return message;
     }
 
+    private void checkInterim(HttpResponseStatus status) {
+        interim = status.codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (!interim) {
+            return;
+        }
+        interimCount++;
+        if (status.code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            throw new IllegalArgumentException("a switch to another protocol, for which no request asks");
+        }
+        if (interimCount > MAX_INTERIM_RESPONSES) {
+            throw new IllegalArgumentException("more than " + MAX_INTERIM_RESPONSES + " interim responses");
+        }
+    }
+
     /** Also refuses, after the head and before the body, a response whose end is not clear. */
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
@@ -71,12 +94,20 @@
         }
         int before = out.size();
         super.decode(context, in, out);
-        if (!interim && out.stream().skip(before).anyMatch(LastHttpContent.class::isInstance)) {
+        List<Object> decoded = out.subList(before, out.size());
+        if (interim && !decoded.isEmpty()) {
+            interim = false;
+            decoded.removeIf(ResponseDecoder::isSound);
+        } else if (decoded.stream().anyMatch(LastHttpContent.class::isInstance)) {
             awaitsResponse = false;
             closeBehindUnasked(context, in);
         }
     }
 
+    private static boolean isSound(Object message) {
+        return message instanceof HttpObject object && object.decoderResult().isSuccess();
+    }
+
     private static void closeBehindUnasked(ChannelHandlerContext context, ByteBuf in) {
         if (in.isReadable()) {
             in.skipBytes(in.readableBytes());
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/http/ResponseDecoderTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/http/ResponseDecoderTest.java
@@ -151,6 +151,24 @@
         assertEquals(readAll(), "");
     }
 
+    @DataProvider
+    public static Object[][] faultyInterims() {
+        String interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+        return new Object[][] {
+            {"HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n"},
+            {interim.repeat(17)},
+            {"HTTP/1.1 103 Early Hints\r\ntransfer-encoding: gzip\r\n\r\n"},
+            {interim + "HTTP/1.1 000 x\r\n\r\n"},
+            {interim + "x".repeat(10_000) + "\r\n"},
+        };
+    }
+
+    // Guards against a failure that is passed over together with what announces a response.
+    @Test(dataProvider = "faultyInterims")
+    public void faultyInterimResponseFails(String responses) {
+        assertEquals(answer(HttpMethod.GET, responses + SECOND), FAILED);
+    }
+
     @DataProvider
     public static Object[][] sound() {
         String chunks = "2;a=b\r\nok\r\n0\r\nx: y\r\n\r\n";
@@ -164,8 +182,8 @@
             {HttpMethod.GET, "HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n\r\n", "304 end"},
             {HttpMethod.HEAD, "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n", "200 end"},
             {HttpMethod.HEAD, "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "200 end"},
-            {HttpMethod.GET, "HTTP/1.1 103 Early Hints\r\n\r\n" + SECOND, "103 end 200 second end"},
-            {HttpMethod.GET, "HTTP/1.1 100 Continue\r\n\r\n" + SECOND, "100 end 200 second end"},
+            {HttpMethod.GET, "HTTP/1.1 103 Early Hints\r\n\r\n" + SECOND, "200 second end"},
+            {HttpMethod.GET, "HTTP/1.1 100 Continue\r\n\r\n" + SECOND, "200 second end"},
         };
     }
 
--- a/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/upstream/FaultyResponseTest.java
+++ b/parsleycleat-core/src/test/java/io/parsleycleat/core/connection/upstream/FaultyResponseTest.java
@@ -173,6 +173,22 @@
         assertEquals(call(client).get(), "200 sound");
     }
 
+    // Guards against a response without a final status that is taken for the answer.
+    @Test(dataProvider = "clients", timeOut = 30_000)
+    public void interimResponseIsNotTheAnswer(String client) throws Exception {
+        scripts.add("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n" + SOUND);
+        assertEquals(call(client).get(), "200 sound");
+        assertEquals(call(client).get(), "200 sound");
+    }
+
+    // Guards against a protocol that nobody asked for.
+    @Test(dataProvider = "clients", timeOut = 30_000)
+    public void switchToAnotherProtocolFailsItsCall(String client) throws Exception {
+        scripts.add("HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n\r\nbytes");
+        expectThrows(ExecutionException.class, () -> call(client).get());
+        assertEquals(call(client).get(), "200 sound");
+    }
+
     // Guards against a sound connection that is given up after each call.
     @Test(dataProvider = "clients", timeOut = 30_000)
     public void connectionIsKeptBehindASoundResponse(String client) throws Exception {
--- a/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
+++ b/parsleycleat-gateway/src/main/java/io/parsleycleat/gateway/connection/upstream/UpstreamConnection.java
@@ -16,8 +16,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -51,9 +49,6 @@
     /** More parts than a sound upstream sends between two reads; to decode them takes milliseconds. */
     private static final int MAX_PARTS_IN_TURN = 1_024;
 
-    /** Responses without a final status that are passed over before one with it. */
-    private static final int MAX_INTERIM_RESPONSES = 16;
-
     private final UpstreamChannel channel;
     private final ResponseDecoder decoder;
     private final ReadTurns turns;
@@ -62,9 +57,6 @@
     private @Nullable ResponseListener listener;
     private String requestId = "";
     private int requestCount;
-    private int interimCount;
-    /** Whether the message that is being read announces another one. */
-    private boolean interim;
 
     private int partsInTurn;
     private boolean awaitsTurn;
@@ -100,7 +92,6 @@
         listener = newListener;
         requestId = request.id();
         requestCount++;
-        interimCount = 0;
         hasAwaitedTurn = false;
         requestWritten = false;
         reusable = false;
@@ -181,14 +172,9 @@
             return;
         }
         if (message instanceof HttpResponse response) {
-            interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-            if (interim) {
-                readInterim(response.status().code());
-            } else {
-                readHead(response, current);
-            }
+            readHead(response, current);
         }
-        if (message instanceof HttpContent content && listener != null && !interim) {
+        if (message instanceof HttpContent content && listener != null) {
             readBody(content.content());
             if (content instanceof LastHttpContent) {
                 passOnGathered();
@@ -218,16 +204,6 @@
 
     // Internals
 
-    /** Passes over a head that announces another one (RFC 9110, section 15.2). This client never asks to switch. */
-    private void readInterim(int status) {
-        interimCount++;
-        if (status == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
-            fail(SendFailure.invalidResponse("the upstream switches to another protocol"));
-        } else if (interimCount > MAX_INTERIM_RESPONSES) {
-            fail(SendFailure.invalidResponse("more than " + MAX_INTERIM_RESPONSES + " interim responses"));
-        }
-    }
-
     private void failDecoding(Throwable cause) {
         logger.atInfo()
                 .with(LogKeys.REQUEST, requestId)
