Test: two upstreams at once, one of which answers with a status that is none

Cause: a status that is none was mended where responses are decoded; for a request that waits for two upstreams no test said so.

Change: two rows for the first upstream and one for the second one in SilentUpstreamTest.

--- a/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentUpstreamTest.java
+++ b/parsleycleat-gateway/src/test/java/io/parsleycleat/gateway/request/SilentUpstreamTest.java
@@ -307,13 +307,18 @@
         asked.await();
     }
 
-    /** Guards against a working second upstream that is given up for an error of the silent one. */
-    @Test
-    public void otherUpstreamGoesOnWhenSilentOneAnswersAnError() throws Exception {
+    @DataProvider
+    public Object[][] errors() {
+        return new Object[][] {{"500"}, {"000"}, {"0200"}};
+    }
+
+    /** Guards against a working second upstream that is given up for an error of the silent one, or for no answer. */
+    @Test(dataProvider = "errors")
+    public void otherUpstreamGoesOnWhenSilentOneAnswersAnError(String status) throws Exception {
         configure(RequestKind.STREAM, true, 2, Duration.ofSeconds(20));
         CountDownLatch asked = new CountDownLatch(1);
         ScriptedUpstream.Script first =
-                silentUntil(asked, "", "HTTP/1.1 500 x\r\nid: 1\r\nContent-Length: 4\r\n\r\noops");
+                silentUntil(asked, "", "HTTP/1.1 " + status + " x\r\nid: 1\r\nContent-Length: 4\r\n\r\noops");
         ScriptedUpstream.Script second = (request, connection) -> {
             asked.countDown();
             awaitEndOfFirst();
@@ -327,7 +332,10 @@
     public Object[][] bytesWithoutNewEvent() {
         String head = STREAM_HEAD.replace("30", "60");
         return new Object[][] {
-            {"a comment", head + ": \n"}, {"half an event", head + "id: 2\nda"}, {"a known event", head + FIRST_EVENT},
+            {"a comment", head + ": \n"},
+            {"half an event", head + "id: 2\nda"},
+            {"a known event", head + FIRST_EVENT},
+            {"a status that is none", head.replace(" 200 ", " 0200 ") + LAST_EVENT.replace("b", "X")},
         };
     }
 
