--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/http/MessageFraming.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/http/MessageFraming.java
@@ -35,10 +35,10 @@
      */
     public static void check(HttpMessage message) {
         HttpHeaders headers = message.headers();
-        List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        if (codings.isEmpty()) {
+        if (!headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
             return;
         }
+        List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
         if (codings.size() > 1 || !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0))) {
             throw new IllegalArgumentException("a transfer coding other than chunked alone");
         }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/http/ResponseDecoder.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/http/ResponseDecoder.java
@@ -94,11 +94,13 @@
         }
         int before = out.size();
         super.decode(context, in, out);
-        List<Object> decoded = out.subList(before, out.size());
-        if (interim && !decoded.isEmpty()) {
+        if (out.size() == before) {
+            return;
+        }
+        if (interim) {
             interim = false;
-            decoded.removeIf(ResponseDecoder::isSound);
-        } else if (decoded.stream().anyMatch(LastHttpContent.class::isInstance)) {
+            out.subList(before, out.size()).removeIf(ResponseDecoder::isSound);
+        } else if (out.get(out.size() - 1) instanceof LastHttpContent) {
             awaitsResponse = false;
             closeBehindUnasked(context, in);
         }
--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/http/StatusLines.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/http/StatusLines.java
@@ -1,7 +1,6 @@
 package io.parsleycleat.core.connection.http;
 
 import io.parsleycleat.core.process.logging.LogText;
-import java.util.regex.Pattern;
 
 /**
  * Which status lines begin a response: those of HTTP/1.x with a status of three digits from 100 to 599 (RFC 9112,
@@ -10,8 +9,8 @@
  * <p>Stateless.
  */
 final class StatusLines {
-    private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[0-9]");
-    private static final Pattern STATUS = Pattern.compile("[1-5][0-9][0-9]");
+    private static final String VERSION_PREFIX = "HTTP/1.";
+    private static final int STATUS_DIGITS = 3;
 
     private StatusLines() {}
 
@@ -22,8 +21,26 @@
      * @throws IllegalArgumentException with the first characters of the line
      */
     static void check(String[] parts) {
-        if (!VERSION.matcher(parts[0]).matches() || !STATUS.matcher(parts[1]).matches()) {
+        if (!isVersion(parts[0]) || !isStatus(parts[1])) {
             throw new IllegalArgumentException("no status line: " + LogText.firstPrintable(String.join(" ", parts)));
         }
     }
+
+    private static boolean isVersion(String text) {
+        return text.length() == VERSION_PREFIX.length() + 1
+                && text.startsWith(VERSION_PREFIX)
+                && isDigit(text.charAt(VERSION_PREFIX.length()));
+    }
+
+    private static boolean isStatus(String text) {
+        return text.length() == STATUS_DIGITS
+                && text.charAt(0) >= '1'
+                && text.charAt(0) <= '5'
+                && isDigit(text.charAt(1))
+                && isDigit(text.charAt(2));
+    }
+
+    private static boolean isDigit(char c) {
+        return c >= '0' && c <= '9';
+    }
 }
