A request that is not decoded is logged with its reason

Cause: callers got 400 with code 1008, and no log of the entry told one malformed request from another, or that there were any.

Change: DecoderRefusal, taken out of CallerHandler, logs the reason, with its first characters in printable ASCII, once a second at most and with the number of lines that were left out.

--- a/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
+++ b/parsleycleat-core/src/main/java/io/parsleycleat/core/connection/caller/CallerHandler.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -15,8 +14,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
 import io.netty.handler.codec.http2.Http2Error;
 import io.netty.util.ReferenceCountUtil;
@@ -222,7 +219,7 @@
 
     private void read(ChannelHandlerContext context, HttpObject message) {
         if (message.decoderResult().isFailure()) {
-            refuse(context, decoderRefusal(message.decoderResult()));
+            refuse(context, DecoderRefusal.of(message.decoderResult()));
             return;
         }
         if (message instanceof HttpRequest request) {
@@ -398,14 +395,6 @@
         bodyMemory.close();
     }
 
-    private static Refusal decoderRefusal(DecoderResult result) {
-        Throwable cause = result.cause();
-        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-        return tooLong
-                ? Refusal.of(ResultCode.HEADERS_TOO_LARGE)
-                : Refusal.of(ResultCode.REQUEST_MALFORMED, "not a valid HTTP message");
-    }
-
     private Refusal tooLarge() {
         return Refusal.of(ResultCode.REQUEST_TOO_LARGE, "at most " + allowedBodyBytes + " bytes are allowed");
     }
