--- /dev/null
+++ b/review/harness-3/Engine.java
@@ -0,0 +1,264 @@
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A sound model engine that holds one base model and adapters of it. It writes its description to the store, takes
+ * orders, and records each run with the version on which it began. A replacement of an adapter waits for its runs.
+ */
+final class Engine {
+    static final String MODEL = "m0";
+    /** A number of events that stands for a run which goes on until it is told to end. */
+    static final int UNTIL_TOLD = 1_000_000;
+
+    static final int MEMORY_TOKENS = 130_580;
+    private static final int ADAPTER_PLACES = 8;
+    private static final long LOAD_MILLIS = 250;
+    private static final Pattern FIELD = Pattern.compile("\"(\\w+)\"\\s*:\\s*(\"([^\"]*)\"|-?\\d+)");
+
+    private final HttpServer server;
+    private final String id;
+    private final Store store;
+    private final Record record;
+    private final Map<String, Long> newestVersions;
+    private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2, Threads::daemon);
+    private final long born = System.currentTimeMillis();
+    private final Map<String, Long> adapters = new TreeMap<>();
+    private final Map<String, Long> coming = new TreeMap<>();
+    private final Map<String, Integer> running = new TreeMap<>();
+    private final List<Run> runs = new ArrayList<>();
+    private long sequence;
+    private long highestFence;
+    private boolean left;
+    private volatile boolean longRunsEnd;
+
+    /** A run and the version of its adapter on which it began. */
+    record Run(String requestId, String adapter, long version, long beganMillis) {}
+
+    /** Creates an engine that holds some adapters; the given map tells the newest version of each at any time. */
+    Engine(InetSocketAddress address, String id, Store store, Record record, Map<String, Long> newestVersions)
+            throws IOException {
+        this.id = id;
+        this.store = store;
+        this.record = record;
+        this.newestVersions = newestVersions;
+        server = HttpServer.create(address, 200);
+        server.setExecutor(Executors.newCachedThreadPool(Threads::daemon));
+        server.createContext("/", this::handle);
+        server.start();
+    }
+
+    /** Begins to describe itself in the store. */
+    void start(String service, String zone) {
+        timers.scheduleAtFixedRate(() -> describe(service, zone), 0, 1_200, TimeUnit.MILLISECONDS);
+    }
+
+    /** Ends: its connections break. */
+    void stop() {
+        timers.shutdownNow();
+        server.stop(0);
+    }
+
+    /** Removes its description from the store, as an engine does that leaves without a word, and goes on to serve. */
+    synchronized void leave() {
+        left = true;
+        store.put("keyed.servers", id, "");
+    }
+
+    /** Ends the runs that go on until they are told to. */
+    void endLongRuns() {
+        longRunsEnd = true;
+    }
+
+    /** Returns the runs so far. */
+    synchronized List<Run> runs() {
+        return List.copyOf(runs);
+    }
+
+    private synchronized void describe(String service, String zone) {
+        if (left) {
+            return;
+        }
+        InetSocketAddress address = server.getAddress();
+        store.put(
+                "keyed.servers",
+                id,
+                "{\"service\":\"" + service + "\",\"address\":\"" + address.getAddress().getHostAddress() + ":"
+                        + address.getPort() + "\",\"zone\":\"" + zone
+                        + "\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":"
+                        + sequence + ",\"born\":" + born + ",\"stage\":\"combined\",\"models\":" + models() + "}");
+    }
+
+    private String models() {
+        return "[{\"name\":\"" + MODEL + "\",\"version\":1,\"adapters\":[" + names("", adapters) + "]}]";
+    }
+
+    private static String names(String prefix, Map<String, Long> versions) {
+        return String.join(
+                ",",
+                versions.entrySet().stream()
+                        .map(e -> "\"" + prefix + e.getKey() + "@" + e.getValue() + "\"")
+                        .toList());
+    }
+
+    private void handle(HttpExchange call) throws IOException {
+        try (call) {
+            String body = new String(call.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+            switch (call.getRequestURI().getPath()) {
+                case "/report" -> respond(call, 200, report());
+                case "/health" -> {
+                    call.getResponseHeaders().set("Instance-Id", id);
+                    respond(call, 200, "{}");
+                }
+                case "/order" -> respond(call, order(call, body), "{}");
+                default -> run(call);
+            }
+        }
+    }
+
+    private synchronized String report() {
+        int count = running.values().stream().mapToInt(Integer::intValue).sum();
+        return "{\"stage\":\"combined\",\"models\":" + models() + ",\"busy\":false,\"sequence\":" + sequence
+                + ",\"waiting\":0,\"running\":" + count + ",\"kv_used\":0,\"kv_total\":" + MEMORY_TOKENS + ",\"handles\":0,\"born\":" + born
+                + ",\"coming\":[" + names(MODEL + "/", coming) + "]}";
+    }
+
+    // Orders
+
+    private synchronized int order(HttpExchange call, String body) {
+        Map<String, String> fields = new TreeMap<>();
+        Matcher matcher = FIELD.matcher(body);
+        while (matcher.find()) {
+            fields.put(matcher.group(1), matcher.group(3) == null ? matcher.group(2) : matcher.group(3));
+        }
+        int status = carryOut(call, fields);
+        record.line("order %s: %d", body, status);
+        return status;
+    }
+
+    private int carryOut(HttpExchange call, Map<String, String> order) {
+        String expectedId = call.getRequestHeaders().getFirst("Expect-Instance");
+        String adapter = order.get("adapter");
+        if (expectedId != null && !expectedId.equals(id)) {
+            return 421;
+        }
+        if (adapter == null || order.get("holder") == null || order.get("fencing_token") == null) {
+            return 400;
+        }
+        long fence = Long.parseLong(order.get("fencing_token"));
+        if (fence < highestFence) {
+            return 412;
+        }
+        highestFence = fence;
+        if (order.containsKey("expected") && Long.parseLong(order.get("expected")) != sequence) {
+            return 409;
+        }
+        if (order.get("operation").equals("unload")) {
+            if (running.getOrDefault(adapter, 0) > 0) {
+                return 409;
+            }
+            sequence++;
+            adapters.remove(adapter);
+            return 200;
+        }
+        long version = order.containsKey("version")
+                ? Long.parseLong(order.get("version"))
+                : newestVersions.getOrDefault(adapter, 1L);
+        if (adapters.getOrDefault(adapter, 0L) >= version) {
+            return 200;
+        }
+        if (adapters.size() + coming.size() >= ADAPTER_PLACES && !adapters.containsKey(adapter)) {
+            return 409;
+        }
+        sequence++;
+        if (!adapters.containsKey(adapter)) {
+            coming.put(adapter, version);
+        }
+        timers.schedule(() -> finishLoad(adapter, version), LOAD_MILLIS, TimeUnit.MILLISECONDS);
+        return 202;
+    }
+
+    private synchronized void finishLoad(String adapter, long version) {
+        if (adapters.containsKey(adapter) && running.getOrDefault(adapter, 0) > 0) {
+            timers.schedule(() -> finishLoad(adapter, version), 10, TimeUnit.MILLISECONDS);
+            return;
+        }
+        coming.remove(adapter);
+        adapters.put(adapter, version);
+        record.line("%s holds %s@%d", id, adapter, version);
+    }
+
+    // Runs
+
+    private void run(HttpExchange call) throws IOException {
+        String requestId = call.getRequestHeaders().getFirst("Request-Id");
+        String model = call.getRequestHeaders().getFirst("Model");
+        String adapter = model == null || model.indexOf('/') < 0 ? "" : model.substring(model.indexOf('/') + 1);
+        String expectedId = call.getRequestHeaders().getFirst("Expect-Instance");
+        String expectedVersion = call.getRequestHeaders().getFirst("Expect-Version");
+        String hint = call.getRequestHeaders().getFirst("Length-Hint");
+        long version;
+        synchronized (this) {
+            version = adapters.getOrDefault(adapter, 0L);
+            boolean wrong = (expectedId != null && !expectedId.equals(id))
+                    || version == 0
+                    || (expectedVersion != null && Long.parseLong(expectedVersion) != version);
+            if (wrong) {
+                version = -1;
+            } else {
+                running.merge(adapter, 1, Integer::sum);
+                runs.add(new Run(requestId, adapter, version, record.now()));
+            }
+        }
+        if (requestId != null) {
+            call.getResponseHeaders().set("Request-Id", requestId);
+        }
+        if (version < 0) {
+            record.line("%s turns request %s for %s, version %s, away with 421", id, requestId, adapter, expectedVersion);
+            call.getResponseHeaders().set("Not-Executed", "1");
+            respond(call, 421, "{}");
+            return;
+        }
+        record.line("%s begins request %s on %s@%d", id, requestId, adapter, version);
+        try {
+            stream(call, requestId, version, hint == null ? 3 : Integer.parseInt(hint));
+        } finally {
+            synchronized (this) {
+                running.merge(adapter, -1, Integer::sum);
+            }
+            record.line("%s ends request %s", id, requestId);
+        }
+    }
+
+    private void stream(HttpExchange call, String requestId, long version, int events) throws IOException {
+        call.getResponseHeaders().set("Content-Type", "text/event-stream");
+        call.getResponseHeaders().set("Server-Seal", "seal-of-" + requestId);
+        call.getResponseHeaders().set("Weight-Versions", Long.toString(version));
+        call.sendResponseHeaders(200, 0);
+        OutputStream out = call.getResponseBody();
+        for (int i = 1; i <= events && !(events == UNTIL_TOLD && longRunsEnd); i++) {
+            out.write(("id: " + i + "\ndata: version " + version + "\n\n").getBytes(StandardCharsets.UTF_8));
+            out.flush();
+            Threads.sleep(20);
+        }
+    }
+
+    private static void respond(HttpExchange call, int status, String body) throws IOException {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        call.getResponseHeaders().set("Content-Type", "application/json");
+        call.sendResponseHeaders(status, bytes.length);
+        call.getResponseBody().write(bytes);
+    }
+}
