Review case 14: a side whose channel to the store is silent serves an old version

Cause: a side waits ten seconds for its read of the operators' log, and takes the version that an entry names as news. Change: a case with a script. Nothing is fixed.

--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the channels alone.
+cd "$(dirname "$0")/../.."
+exec java -Xmx128m -cp target/review-3 SilentChannel . review/14 "${TROUBLE:-1}"
