Review: the stand-in engine refuses what a pending replacement concerns, and says that it leaves

Cause: the engine of the scripts served an adapter while its replacement waited, and did not name its leaving in its answers.

--- a/review/harness-3/Engine.java
+++ b/review/harness-3/Engine.java
@@ -5,8 +5,10 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -16,7 +18,8 @@
 
 /**
  * A sound model engine that holds one base model and adapters of it. It writes its description to the store, takes
- * orders, and records each run with the version on which it began. A replacement of an adapter waits for its runs.
+ * orders, and records each run with the version on which it began. A replacement of an adapter waits for its runs; until
+ * it is complete, requests for the adapter that have not started get 503.
  */
 final class Engine {
     static final String MODEL = "m0";
@@ -37,11 +40,12 @@
     private final long born = System.currentTimeMillis();
     private final Map<String, Long> adapters = new TreeMap<>();
     private final Map<String, Long> coming = new TreeMap<>();
+    private final Set<String> replacing = new HashSet<>();
     private final Map<String, Integer> running = new TreeMap<>();
     private final List<Run> runs = new ArrayList<>();
     private long sequence;
     private long highestFence;
-    private boolean left;
+    private volatile boolean left;
     private volatile boolean longRunsEnd;
 
     /** A run and the version of its adapter on which it began. */
@@ -115,6 +119,9 @@
 
     private void handle(HttpExchange call) throws IOException {
         try (call) {
+            if (left) {
+                call.getResponseHeaders().set("Server-Leaving", "1");
+            }
             String body = new String(call.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
             switch (call.getRequestURI().getPath()) {
                 case "/report" -> respond(call, 200, report());
@@ -183,7 +190,9 @@
             return 409;
         }
         sequence++;
-        if (!adapters.containsKey(adapter)) {
+        if (adapters.containsKey(adapter)) {
+            replacing.add(adapter);
+        } else {
             coming.put(adapter, version);
         }
         timers.schedule(() -> finishLoad(adapter, version), LOAD_MILLIS, TimeUnit.MILLISECONDS);
@@ -196,6 +205,7 @@
             return;
         }
         coming.remove(adapter);
+        replacing.remove(adapter);
         adapters.put(adapter, version);
         record.line("%s holds %s@%d", id, adapter, version);
     }
@@ -210,12 +220,14 @@
         String expectedVersion = call.getRequestHeaders().getFirst("Expect-Version");
         String hint = call.getRequestHeaders().getFirst("Length-Hint");
         long version;
+        boolean replaced;
         synchronized (this) {
             version = adapters.getOrDefault(adapter, 0L);
+            replaced = replacing.contains(adapter);
             boolean wrong = (expectedId != null && !expectedId.equals(id))
                     || version == 0
                     || (expectedVersion != null && Long.parseLong(expectedVersion) != version);
-            if (wrong) {
+            if (wrong || replaced) {
                 version = -1;
             } else {
                 running.merge(adapter, 1, Integer::sum);
@@ -226,9 +238,11 @@
             call.getResponseHeaders().set("Request-Id", requestId);
         }
         if (version < 0) {
-            record.line("%s turns request %s for %s, version %s, away with 421", id, requestId, adapter, expectedVersion);
+            int status = replaced ? 503 : 421;
+            record.line(
+                    "%s turns request %s for %s, version %s, away with %d", id, requestId, adapter, expectedVersion, status);
             call.getResponseHeaders().set("Not-Executed", "1");
-            respond(call, 421, "{}");
+            respond(call, status, "{}");
             return;
         }
         record.line("%s begins request %s on %s@%d", id, requestId, adapter, version);
