--- a/review/harness-3/Case.java
+++ b/review/harness-3/Case.java
@@ -7,6 +7,8 @@
     static final int BROKEN = 1;
     static final int NOT_RUN = 2;
 
+    private static final long MAX_MILLIS = 100_000;
+
     private Case() {}
 
     /** What a case does. */
@@ -21,7 +23,22 @@
      *
      * @param arguments the repository, the folder of the case, and 0 for a run without trouble
      */
-    static void run(String[] arguments, Body body) throws Exception {
+    static void run(String[] arguments, Body body) {
+        int verdict = NOT_RUN;
+        try {
+            Threads.daemon(() -> {
+                        Threads.sleep(MAX_MILLIS);
+                        System.exit(NOT_RUN);
+                    })
+                    .start();
+            verdict = play(arguments, body);
+        } catch (Throwable e) {
+            System.err.println("the case could not run: " + e);
+        }
+        System.exit(verdict);
+    }
+
+    private static int play(String[] arguments, Body body) throws Exception {
         boolean trouble = !arguments[2].equals("0");
         Record record = new Record(Path.of(arguments[1]).resolve("record.txt"));
         Fleet fleet = new Fleet(
@@ -34,6 +51,6 @@
             record.line("the case could not run: %s", e);
         }
         record.line("exit code %d", verdict);
-        System.exit(verdict);
+        return verdict;
     }
 }
--- a/review/harness-3/Engine.java
+++ b/review/harness-3/Engine.java
@@ -23,12 +23,13 @@
  */
 final class Engine {
     static final String MODEL = "m0";
-    /** A number of events that stands for a run which goes on until it is told to end. */
-    static final int UNTIL_TOLD = 1_000_000;
-
     static final int MEMORY_TOKENS = 130_580;
     private static final int ADAPTER_PLACES = 8;
     private static final long LOAD_MILLIS = 250;
+    /** Two steps of 15 ms, each of which makes a token, as on an engine with some tens of runs. */
+    static final int EVENT_MILLIS = 30;
+
+    static final int TOKENS_PER_EVENT = 2;
     private static final Pattern FIELD = Pattern.compile("\"(\\w+)\"\\s*:\\s*(\"([^\"]*)\"|-?\\d+)");
 
     private final HttpServer server;
@@ -43,6 +44,7 @@
     private final Set<String> replacing = new HashSet<>();
     private final Map<String, Integer> running = new TreeMap<>();
     private final List<Run> runs = new ArrayList<>();
+    private int usedTokens;
     private long sequence;
     private long highestFence;
     private volatile boolean left;
@@ -81,7 +83,7 @@
         store.put("keyed.servers", id, "");
     }
 
-    /** Ends the runs that go on until they are told to. */
+    /** Ends the runs whose request's id begins with "long-": their answers have fewer tokens than they may have. */
     void endLongRuns() {
         longRunsEnd = true;
     }
@@ -138,7 +140,7 @@
     private synchronized String report() {
         int count = running.values().stream().mapToInt(Integer::intValue).sum();
         return "{\"stage\":\"combined\",\"models\":" + models() + ",\"busy\":false,\"sequence\":" + sequence
-                + ",\"waiting\":0,\"running\":" + count + ",\"kv_used\":0,\"kv_total\":" + MEMORY_TOKENS + ",\"handles\":0,\"born\":" + born
+                + ",\"waiting\":0,\"running\":" + count + ",\"kv_used\":" + usedTokens + ",\"kv_total\":" + MEMORY_TOKENS + ",\"handles\":0,\"born\":" + born
                 + ",\"coming\":[" + names(MODEL + "/", coming) + "]}";
     }
 
@@ -161,7 +163,8 @@
         if (expectedId != null && !expectedId.equals(id)) {
             return 421;
         }
-        if (adapter == null || order.get("holder") == null || order.get("fencing_token") == null) {
+        boolean known = "load".equals(order.get("operation")) || "unload".equals(order.get("operation"));
+        if (!known || order.get("holder") == null || order.get("fencing_token") == null) {
             return 400;
         }
         long fence = Long.parseLong(order.get("fencing_token"));
@@ -172,13 +175,13 @@
         if (order.containsKey("expected") && Long.parseLong(order.get("expected")) != sequence) {
             return 409;
         }
+        if (adapter == null) {
+            // The base model is there from the start; no case unloads it.
+            return order.get("operation").equals("load") ? 200 : 409;
+        }
         if (order.get("operation").equals("unload")) {
-            if (running.getOrDefault(adapter, 0) > 0) {
-                return 409;
-            }
             sequence++;
-            adapters.remove(adapter);
-            return 200;
+            return unload(adapter);
         }
         long version = order.containsKey("version")
                 ? Long.parseLong(order.get("version"))
@@ -199,6 +202,16 @@
         return 202;
     }
 
+    /** An unload waits for the runs of the adapter. */
+    private synchronized int unload(String adapter) {
+        if (running.getOrDefault(adapter, 0) > 0) {
+            timers.schedule(() -> unload(adapter), 10, TimeUnit.MILLISECONDS);
+            return 202;
+        }
+        adapters.remove(adapter);
+        return 200;
+    }
+
     private synchronized void finishLoad(String adapter, long version) {
         if (adapters.containsKey(adapter) && running.getOrDefault(adapter, 0) > 0) {
             timers.schedule(() -> finishLoad(adapter, version), 10, TimeUnit.MILLISECONDS);
@@ -218,9 +231,10 @@
         String adapter = model == null || model.indexOf('/') < 0 ? "" : model.substring(model.indexOf('/') + 1);
         String expectedId = call.getRequestHeaders().getFirst("Expect-Instance");
         String expectedVersion = call.getRequestHeaders().getFirst("Expect-Version");
-        String hint = call.getRequestHeaders().getFirst("Length-Hint");
+        int events = Integer.parseInt(call.getRequestHeaders().getFirst("Token-Counts").split(",")[1]) / TOKENS_PER_EVENT;
         long version;
         boolean replaced;
+        int tokens = tokens(call);
         synchronized (this) {
             version = adapters.getOrDefault(adapter, 0L);
             replaced = replacing.contains(adapter);
@@ -231,6 +245,7 @@
                 version = -1;
             } else {
                 running.merge(adapter, 1, Integer::sum);
+                usedTokens += tokens;
                 runs.add(new Run(requestId, adapter, version, record.now()));
             }
         }
@@ -247,25 +262,32 @@
         }
         record.line("%s begins request %s on %s@%d", id, requestId, adapter, version);
         try {
-            stream(call, requestId, version, hint == null ? 3 : Integer.parseInt(hint));
+            stream(call, requestId, version, events);
         } finally {
             synchronized (this) {
                 running.merge(adapter, -1, Integer::sum);
+                usedTokens -= tokens;
             }
             record.line("%s ends request %s", id, requestId);
         }
     }
 
+    /** Returns the tokens of the prompt and the most that the answer may have. */
+    private static int tokens(HttpExchange call) {
+        String[] counts = call.getRequestHeaders().getFirst("Token-Counts").split(",");
+        return Integer.parseInt(counts[0]) + Integer.parseInt(counts[1]);
+    }
+
     private void stream(HttpExchange call, String requestId, long version, int events) throws IOException {
         call.getResponseHeaders().set("Content-Type", "text/event-stream");
         call.getResponseHeaders().set("Server-Seal", "seal-of-" + requestId);
         call.getResponseHeaders().set("Weight-Versions", Long.toString(version));
         call.sendResponseHeaders(200, 0);
         OutputStream out = call.getResponseBody();
-        for (int i = 1; i <= events && !(events == UNTIL_TOLD && longRunsEnd); i++) {
+        for (int i = 1; i <= events && !(requestId.startsWith("long-") && longRunsEnd); i++) {
             out.write(("id: " + i + "\ndata: version " + version + "\n\n").getBytes(StandardCharsets.UTF_8));
             out.flush();
-            Threads.sleep(20);
+            Threads.sleep(EVENT_MILLIS);
         }
     }
 
--- a/review/harness-3/GoneWhileWaiting.java
+++ b/review/harness-3/GoneWhileWaiting.java
@@ -11,18 +11,18 @@
     private static final String KEY = "key1";
     private static final String ADAPTER = "a1";
     private static final int LONG_RUNS = 29;
-    private static final String LARGE = "3700,500";
+    private static final int PROMPT_TOKENS = 3_700;
+    private static final int EVENTS = 250;
     private static final long DRAIN_MILLIS = 2_000;
     private static final long REQUEST_AT_MILLIS = 450;
     private static final long RUNS_END_AT_MILLIS = 2_250;
     private static final long ENGINE_ENDS_AT_MILLIS = 3_000;
-    private static final int LAST_EVENTS = 100;
     private static final String SIDE = "127.0.0.21";
     private static final String ENTRY = "127.0.0.11";
 
     private GoneWhileWaiting() {}
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         Case.run(arguments, GoneWhileWaiting::run);
     }
 
@@ -39,17 +39,20 @@
             return Case.NOT_RUN;
         }
         InetSocketAddress entry = fleet.callers(ENTRY);
-        if (!Caller.send(entry, "first", ADAPTER, 3, KEY).startsWith("HTTP/1.1 200")) {
+        if (!Caller.send(entry, "first", ADAPTER, 100, 3, KEY).startsWith("HTTP/1.1 200")) {
             return Case.NOT_RUN;
         }
         Threads.sleep(4_000);
         for (int i = 0; i < LONG_RUNS; i++) {
             String id = "long-" + i;
-            Threads.daemon(() -> send(entry, record, id, Engine.UNTIL_TOLD)).start();
+            Threads.daemon(() -> send(entry, record, id)).start();
             Threads.sleep(60);
         }
         Threads.sleep(1_500);
         record.line("%d requests run", engine.runs().size() - 1);
+        if (engine.runs().size() - 1 < LONG_RUNS) {
+            return Case.NOT_RUN;
+        }
         // The entry has just read the list and reads it again after its pause.
         long reads = store.answeredReads("keyed.servers");
         while (store.answeredReads("keyed.servers") == reads) {
@@ -62,7 +65,7 @@
             record.line("the removal of i-1 from the list is acknowledged");
         }
         Threads.sleep(acked + REQUEST_AT_MILLIS - record.now());
-        Thread last = Threads.daemon(() -> send(entry, record, "last", LAST_EVENTS));
+        Thread last = Threads.daemon(() -> send(entry, record, "last"));
         last.start();
         Threads.sleep(acked + RUNS_END_AT_MILLIS - record.now());
         engine.endLongRuns();
@@ -75,10 +78,10 @@
         return judge(engine, record, acked, trouble);
     }
 
-    private static void send(InetSocketAddress entry, Record record, String id, int events) {
+    private static void send(InetSocketAddress entry, Record record, String id) {
         try {
             record.line("request %s for m0/%s is sent", id, ADAPTER);
-            String answer = Caller.send(entry, id, ADAPTER, LARGE, events, KEY);
+            String answer = Caller.send(entry, id, ADAPTER, PROMPT_TOKENS, EVENTS, KEY);
             boolean whole = answer.endsWith("0\r\n\r\n");
             record.line("request %s is answered: %s, %s", id, Caller.status(answer), whole ? "to its end" : "and cut");
         } catch (Exception e) {
--- a/review/harness-3/RestartedSide.java
+++ b/review/harness-3/RestartedSide.java
@@ -13,17 +13,17 @@
     private static final String KEY = "key1";
     private static final List<String> ADAPTERS = List.of("a1", "a2");
     /** How long the adapters have been in use when their versions are named. */
-    private static final long BUSY_MILLIS = 3_000;
+    private static final long BUSY_MILLIS = 2_200;
     private static final long VERSION_MILLIS = 5_000;
     /** How many requests ask for each adapter more than version_ms after the acknowledgement, one every 100 ms. */
     private static final int LAST_REQUESTS = 14;
-    private static final int LONG_EVENTS = 420;
+    private static final int LONG_EVENTS = 258;
     private static final String SIDE = "127.0.0.21";
     private static final String ENTRY = "127.0.0.11";
 
     private RestartedSide() {}
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         Case.run(arguments, RestartedSide::run);
     }
 
@@ -83,7 +83,7 @@
     private static boolean send(InetSocketAddress entry, Record record, String id, String adapter, int events) {
         try {
             record.line("request %s for m0/%s is sent", id, adapter);
-            String answer = Caller.send(entry, id, adapter, events, KEY);
+            String answer = Caller.send(entry, id, adapter, 100, events, KEY);
             record.line("request %s is answered: %s", id, Caller.status(answer));
             return answer.startsWith("HTTP/1.1 200");
         } catch (Exception e) {
--- a/review/harness-3/SilentChannel.java
+++ b/review/harness-3/SilentChannel.java
@@ -17,7 +17,7 @@
 
     private SilentChannel() {}
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         Case.run(arguments, SilentChannel::run);
     }
 
@@ -66,7 +66,7 @@
         for (String adapter : ADAPTERS) {
             String id = name + "-" + adapter;
             record.line("request %s for m0/%s is sent", id, adapter);
-            String answer = Caller.send(entry, id, adapter, 3, KEY);
+            String answer = Caller.send(entry, id, adapter, 100, 3, KEY);
             record.line("request %s is answered: %s", id, Caller.status(answer));
             all &= answer.startsWith("HTTP/1.1 200");
         }
--- a/review/harness-3/SuccessiveVersions.java
+++ b/review/harness-3/SuccessiveVersions.java
@@ -17,7 +17,7 @@
 
     private SuccessiveVersions() {}
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         Case.run(arguments, SuccessiveVersions::run);
     }
 
@@ -61,7 +61,7 @@
     private static void send(InetSocketAddress entry, Record record, String id) {
         try {
             record.line("request %s for m0/%s is sent", id, ADAPTER);
-            record.line("request %s is answered: %s", id, Caller.status(Caller.send(entry, id, ADAPTER, EVENTS, KEY)));
+            record.line("request %s is answered: %s", id, Caller.status(Caller.send(entry, id, ADAPTER, 100, EVENTS, KEY)));
         } catch (Exception e) {
             record.line("request %s: %s", id, e);
         }
